Give silent entries their floor until they had time to report

Cause: an account's limit owner gave its first reporter nearly the whole limit; the other entries refused callers (1007) far below the limit for a period.

Change: equal parts until a grant's length has passed since the account became known; entries that have not reported keep their floor in reserve.

--- a/crates/limit/src/owner.rs
+++ b/crates/limit/src/owner.rs
@@ -26,6 +26,8 @@
 pub const GRANT_LASTS: TimeSpan = TimeSpan(3000);
 /// The part of a limit that is kept for entries without demand, in thousandths.
 const FLOOR_PER_MILLE: u64 = 100;
+/// All of a limit, in thousandths.
+const WHOLE_PER_MILLE: u64 = 1000;
 
 /// Grants shares of the accounts this entry owns.
 ///
@@ -34,13 +36,19 @@
 /// [`GRANT_LASTS`]; that is the stated bound on overshoot.
 #[derive(Debug, Default)]
 pub struct LimitOwner {
-    accounts: BTreeMap<AccountName, BTreeMap<InstanceId, OwnedDemand>>,
+    accounts: BTreeMap<AccountName, OwnedAccount>,
+}
+
+#[derive(Debug)]
+struct OwnedAccount {
+    known_since: ClockTime,
+    demands: BTreeMap<InstanceId, OwnedDemand>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct OwnedDemand {
     weight: u64,
-    granted: u32,
+    granted: u64,
     at: ClockTime,
 }
 
@@ -53,36 +61,16 @@
         report: DemandReport,
         (entries, now): (u32, ClockTime),
     ) -> ShareGrant {
-        let demands = self.accounts.entry(account.clone()).or_default();
-        demands.retain(|_, demand| now - demand.at < GRANT_LASTS);
-        let weight = u64::from(report.asked) + u64::from(report.in_flight);
-        let others: u64 = demands
-            .iter()
-            .filter(|(name, _)| *name != entry)
-            .map(|(_, demand)| demand.weight)
-            .sum();
-        let others_granted: u64 = demands
-            .iter()
-            .filter(|(name, _)| *name != entry)
-            .map(|(_, demand)| u64::from(demand.granted))
-            .sum();
-        let total = (weight + others).max(1);
-        let floor = FLOOR_PER_MILLE / u64::from(entries.max(1));
-        let fair = floor + (1000 - FLOOR_PER_MILLE) * weight / total;
-        // Never more than what others have not been given: their grants stand until they expire.
-        let granted = fair.min(1000u64.saturating_sub(others_granted)).max(1) as u32;
-        demands.insert(
-            entry.clone(),
-            OwnedDemand {
-                weight,
-                granted,
-                at: now,
-            },
-        );
-        ShareGrant {
-            share_per_mille: granted,
-            lasts: GRANT_LASTS,
+        let fresh = || OwnedAccount { known_since: now, demands: BTreeMap::new() };
+        let owned = self.accounts.entry(account.clone()).or_insert_with(fresh);
+        owned.demands.retain(|_, demand| now - demand.at < GRANT_LASTS);
+        if owned.demands.is_empty() {
+            owned.known_since = now;
         }
+        let weight = u64::from(report.asked) + u64::from(report.in_flight);
+        let granted = owned.share_of(entry, weight, (u64::from(entries.max(1)), now));
+        owned.demands.insert(entry.clone(), OwnedDemand { weight, granted, at: now });
+        ShareGrant { share_per_mille: granted as u32, lasts: GRANT_LASTS }
     }
 
     /// Accounts with live grants.
@@ -95,3 +83,24 @@
         self.accounts.is_empty()
     }
 }
+
+impl OwnedAccount {
+    /// The share of `entry`, in thousandths.
+    ///
+    /// Until every entry had time to report, each gets an equal part: the first one to report would
+    /// otherwise be given what the others need, and they would refuse callers for a period. An
+    /// entry that is silent keeps its floor in reserve for the same reason.
+    fn share_of(&self, entry: &InstanceId, weight: u64, (entries, now): (u64, ClockTime)) -> u64 {
+        let equal = WHOLE_PER_MILLE / entries;
+        let floor = FLOOR_PER_MILLE / entries;
+        let others = || self.demands.iter().filter(|(name, _)| *name != entry);
+        let silent = entries.saturating_sub(others().count() as u64 + 1);
+        let granted: u64 = others().map(|(_, demand)| demand.granted).sum();
+        let demand: u64 = others().map(|(_, demand)| demand.weight).sum();
+        let fair = floor + (WHOLE_PER_MILLE - FLOOR_PER_MILLE) * weight / (weight + demand).max(1);
+        let wanted = if now - self.known_since < GRANT_LASTS { equal } else { fair };
+        // Never more than what others have not been given: their grants stand until they expire.
+        let free = WHOLE_PER_MILLE.saturating_sub(granted + silent * floor);
+        wanted.min(free).max(1)
+    }
+}
--- a/crates/limit/src/share.rs
+++ b/crates/limit/src/share.rs
@@ -66,10 +66,7 @@
 impl LimitGate {
     /// A gate of one of `entries` entries.
     pub fn new(entries: u32) -> Self {
-        LimitGate {
-            accounts: BTreeMap::new(),
-            entries: entries.max(1),
-        }
+        LimitGate { accounts: BTreeMap::new(), entries: entries.max(1) }
     }
 
     /// Notes how many entries there are: without a grant each takes an equal share.
@@ -106,9 +103,7 @@
         }
         if state.tokens.milli < need {
             let missing = need - state.tokens.milli;
-            return LimitVerdict::Refuse {
-                retry_ms: missing / tokens_rate + 1,
-            };
+            return LimitVerdict::Refuse { retry_ms: missing / tokens_rate + 1 };
         }
         state.requests.milli -= MILLI;
         state.tokens.milli -= need;
@@ -125,9 +120,7 @@
 
     /// Requests of `account` in flight here.
     pub fn in_flight(&self, account: &AccountName) -> u32 {
-        self.accounts
-            .get(account)
-            .map_or(0, |state| state.in_flight)
+        self.accounts.get(account).map_or(0, |state| state.in_flight)
     }
 
     /// Accounts known here.
@@ -147,10 +140,7 @@
             if state.asked == 0 && state.in_flight == 0 {
                 continue;
             }
-            let report = DemandReport {
-                asked: state.asked,
-                in_flight: state.in_flight,
-            };
+            let report = DemandReport { asked: state.asked, in_flight: state.in_flight };
             reports.push((name.clone(), report));
             state.asked = 0;
             state.asked_tokens = 0;
@@ -164,23 +154,15 @@
     }
 
     fn account(&mut self, name: &AccountName, now: ClockTime) -> &mut AccountState {
-        self.accounts
-            .entry(name.clone())
-            .or_insert_with(|| AccountState {
-                // A full second of any rate: `fill` caps it at the share's burst.
-                requests: TokenBucket {
-                    milli: u64::MAX / 4,
-                    filled_at: now,
-                },
-                tokens: TokenBucket {
-                    milli: u64::MAX / 4,
-                    filled_at: now,
-                },
-                in_flight: 0,
-                asked: 0,
-                asked_tokens: 0,
-                grant: None,
-            })
+        self.accounts.entry(name.clone()).or_insert_with(|| AccountState {
+            // A full second of any rate: `fill` caps it at the share's burst.
+            requests: TokenBucket { milli: u64::MAX / 4, filled_at: now },
+            tokens: TokenBucket { milli: u64::MAX / 4, filled_at: now },
+            in_flight: 0,
+            asked: 0,
+            asked_tokens: 0,
+            grant: None,
+        })
     }
 }
 
--- /dev/null
+++ b/tests/all/limit.rs
@@ -0,0 +1,107 @@
+//! Limits per client account over several entries.
+
+use oleandertack::kind::{AccountName, ClockTime, InstanceId};
+use oleandertack::limit::{AccountLimits, LimitGate, LimitOwner, LimitVerdict};
+
+const LIMITS: AccountLimits =
+    AccountLimits { requests_per_s: 300, in_flight: 10_000, tokens_per_s: 1_000_000 };
+
+struct EntryGroup {
+    gates: Vec<LimitGate>,
+    owner: LimitOwner,
+    account: AccountName,
+}
+
+fn group(entries: u32) -> EntryGroup {
+    let gates = (0..entries).map(|_| LimitGate::new(entries)).collect();
+    EntryGroup { gates, owner: LimitOwner::default(), account: AccountName::from("tartu") }
+}
+
+impl EntryGroup {
+    /// One second of `asked` requests at each entry, evenly spaced, then one report each. Returns
+    /// how many passed at each entry.
+    fn second(&mut self, second: u64, asked: &[u64]) -> Vec<u64> {
+        let mut passed = vec![0; self.gates.len()];
+        for ms in 0..1000 {
+            let now = ClockTime(second * 1000 + ms);
+            for (at, gate) in self.gates.iter_mut().enumerate() {
+                let due = (ms + 1) * asked[at] / 1000 - ms * asked[at] / 1000;
+                for _ in 0..due {
+                    if gate.admit(&self.account, &LIMITS, 1, now) == LimitVerdict::Pass {
+                        passed[at] += 1;
+                        gate.release(&self.account);
+                    }
+                }
+            }
+        }
+        self.report(ClockTime(second * 1000 + 999));
+        passed
+    }
+
+    fn report(&mut self, now: ClockTime) {
+        let entries = self.gates.len() as u32;
+        for (at, gate) in self.gates.iter_mut().enumerate() {
+            let name = InstanceId::from(format!("entry-{at}").as_str());
+            for (account, report) in gate.take_reports() {
+                let grant = self.owner.report(&account, &name, report, (entries, now));
+                gate.take_grant(&account, grant, now);
+            }
+        }
+    }
+}
+
+#[test]
+fn three_entries_with_like_demand_below_the_limit_refuse_nothing() {
+    // Callers saw refusals far below their limit. The first entry that reported was given nearly
+    // the whole limit, and the others the rest, until all had reported again.
+    let mut group = group(3);
+
+    let passed: u64 = (10..20).map(|s| group.second(s, &[60, 60, 60]).iter().sum::<u64>()).sum();
+
+    assert_eq!(passed, 10 * 180);
+}
+
+#[test]
+fn shares_follow_demand() {
+    let mut group = group(3);
+    (10..16).for_each(|second| {
+        group.second(second, &[250, 2, 2]);
+    });
+
+    let passed = group.second(16, &[250, 2, 2]);
+
+    assert!(passed[0] >= 230, "the busy entry passed only {}", passed[0]);
+    assert_eq!(passed[1..], [2, 2]);
+}
+
+#[test]
+fn an_account_that_asks_for_five_times_its_limit_gets_about_its_limit() {
+    let mut group = group(9);
+    let asked = [167; 9];
+    (10..16).for_each(|second| {
+        group.second(second, &asked);
+    });
+
+    let passed: u64 = (16..26).map(|s| group.second(s, &asked).iter().sum::<u64>()).sum();
+
+    let limit = u64::from(LIMITS.requests_per_s) * 10;
+    assert!(passed <= limit * 105 / 100, "{passed} of {limit} passed");
+    assert!(passed >= limit * 85 / 100, "{passed} of {limit} passed");
+}
+
+#[test]
+fn two_owners_at_once_let_at_most_twice_the_limit_through() {
+    // The account's callers get more than the limit for a moment. Half of the entries still report
+    // to the old owner, half to the new one, and each owner grants the whole limit.
+    let mut left = group(4);
+    let mut right = group(4);
+    (10..20).for_each(|second| {
+        left.second(second, &[200; 4]);
+        right.second(second, &[200; 4]);
+    });
+
+    let passed: u64 = left.second(20, &[200; 4]).iter().sum::<u64>()
+        + right.second(20, &[200; 4]).iter().sum::<u64>();
+
+    assert!(passed <= 2 * u64::from(LIMITS.requests_per_s) * 105 / 100, "{passed} passed");
+}
