Read the endpoint list at a few relays and pass on what changes

Cause: worked out at 370 nodes and 870 replicas, each entry's own read of the list twice a second is some 435 KB/s a node and 740 reads/s at the store, fifty times the node's control budget; following every engine's load is 285 KB/s.

Change: two relays in a failure domain read the list; changes go to three members each and die out; probes carry a digest by which a gap is noticed. One empty read removes nothing, and a lagging relay neither revives the dead nor the leaving.

--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -2,7 +2,7 @@
 
 use crate::node::EntryNode;
 use crate::steps::StepHook;
-use crate::{admin, again, chat, lists, peers, plain, shadow, spread};
+use crate::{admin, again, chat, lists, loads, peers, plain, shadow, spread};
 use actix_web::{App, web};
 use oleander_board::StopStage;
 use oleander_conf::EntrySettings;
@@ -72,7 +72,7 @@
     let tasks = vec![
         actix_rt::spawn(spread::watch_bundles(node.clone())),
         actix_rt::spawn(lists::read_lists(node.clone())),
-        actix_rt::spawn(lists::follow_loads(node.clone())),
+        actix_rt::spawn(loads::follow_loads(node.clone())),
         actix_rt::spawn(peers::member_period(node.clone())),
     ];
     slog::info!(node.log, "the entry has started"; "listen" => callers.address().to_string());
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod entry;
 pub mod kv;
 pub mod lists;
+pub mod loads;
 pub mod node;
 pub mod peers;
 pub mod plain;
--- a/crates/edge/src/lists.rs
+++ b/crates/edge/src/lists.rs
@@ -1,124 +1,111 @@
-//! Reads the endpoint list, and the endpoints' load reports and cache events.
+//! The endpoint list: read here if this process is a relay, heard from peers otherwise.
 
 use crate::node::EntryNode;
-use oleander_board::{EndpointKey, ReportedLoad};
-use oleander_kind::hash::rendezvous_weight;
-use oleander_kind::{EndpointRole, TimeSpan};
+use crate::peers::{is_relay, news_targets};
+use compact_str::CompactString;
+use oleander_kind::hash::{HASH_START, stable_hash};
+use oleander_kind::{ClockTime, EndpointRecord, TimeSpan};
+use oleander_list::{ListChange, ListMark};
 use oleander_plat::{EndpointList, HttpList};
-use oleander_route::note_load;
-use serde::Deserialize;
+use oleander_wire::PeerBody;
 use std::rc::Rc;
 
-/// Endpoints whose load and cache events one entry follows. With more endpoints than this each
-/// entry follows its own part, chosen so that the parts cover all evenly.
-const FOLLOWED: usize = 48;
-/// Between two load reports of one endpoint.
-const LOAD_PERIOD: TimeSpan = TimeSpan(500);
-/// How long a load report may take.
-const LOAD_LIMIT: TimeSpan = TimeSpan(800);
-/// Cache events are read every this many load reports.
-const EVENTS_EVERY: u64 = 4;
+/// A process that heard of no read for this long reads the list itself, relay or not.
+const SILENT_LIMIT: TimeSpan = TimeSpan::secs(10);
+/// How long a peer may take for news or its whole list.
+const PEER_LIMIT: TimeSpan = TimeSpan(2000);
+/// Reads that are asked for out of turn share one read in this time.
+const WANTED_PAUSE: TimeSpan = TimeSpan(20);
 
-/// Reads the list for as long as the process lives.
+/// Reads the list for as long as the process lives, when it is its turn.
 pub async fn read_lists(node: Rc<EntryNode>) {
     let limit = TimeSpan(node.settings.times.platform_ms);
     let list = HttpList::new(&node.settings.list, limit);
     let period = TimeSpan(node.settings.times.list_ms).duration();
     loop {
-        if let Ok(records) = list.list().await {
-            take_records(&node, records);
+        if is_reader(&node)
+            && let Ok(records) = list.list().await
+        {
+            let wall = node.clock.wall();
+            let change = node.list.borrow_mut().take_read(records, wall);
+            pass_on(&node, &change);
+            apply(&node);
         }
         tokio::select! {
             () = actix_rt::time::sleep(period) => {}
             () = node.list_wanted.notified() => {
-                // A cut stream asks for a fresh list; many at once share one read.
-                actix_rt::time::sleep(TimeSpan(20).duration()).await;
+                actix_rt::time::sleep(WANTED_PAUSE.duration()).await;
             }
         }
     }
 }
 
-fn take_records(node: &EntryNode, records: Vec<oleander_kind::EndpointRecord>) {
-    let leaving: Vec<_> = records
-        .iter()
-        .filter(|record| record.ends_at.is_some())
-        .map(|record| (record.instance.clone(), record.ends_at))
-        .collect();
-    for (instance, ends_at) in leaving {
-        node.note_leaving(&instance, ends_at);
-    }
-    let now = node.clock.now();
-    node.board.borrow_mut().take_list(records, now);
+/// Whether this process reads the list itself: a relay, one that knows nothing yet, or one that
+/// heard of no read for long, because the relays of its domain are gone or cut off.
+fn is_reader(node: &EntryNode) -> bool {
+    let keeper = node.list.borrow();
+    let silent = node.clock.wall() - keeper.mark().stamp >= SILENT_LIMIT;
+    keeper.is_empty() || silent || is_relay(node)
 }
 
-/// Follows load and cache events for as long as the process lives.
-pub async fn follow_loads(node: Rc<EntryNode>) {
-    let mut round = 0;
-    loop {
-        let followed = followed(&node);
-        let mut reading = Vec::new();
-        for (key, address) in followed {
-            let node = node.clone();
-            reading.push(actix_rt::spawn(async move {
-                read_load(&node, key, &address).await;
-                if round % EVENTS_EVERY == 0 {
-                    read_cache_events(&node, key, &address).await;
-                }
-            }));
-        }
-        for task in reading {
-            let _ = task.await;
-        }
-        round += 1;
-        actix_rt::time::sleep(LOAD_PERIOD.duration()).await;
+/// Takes a change from a peer; what of it is news here is passed on.
+pub fn take_news(node: &Rc<EntryNode>, change: &ListChange) {
+    let news = node.list.borrow_mut().take_change(change);
+    pass_on(node, &news);
+    if !news.is_empty() {
+        apply(node);
     }
 }
 
-fn followed(node: &EntryNode) -> Vec<(EndpointKey, String)> {
-    let board = node.board.borrow();
-    let me = node.me().stable_hash();
-    let mut engines: Vec<_> = board
-        .endpoints
-        .iter()
-        .filter(|(_, fact)| fact.record.role == EndpointRole::Engine && !fact.leaving)
-        .filter(|(_, fact)| !fact.record.address.is_empty())
-        .map(|(key, fact)| {
-            let weight = rendezvous_weight(me, fact.record.instance.stable_hash());
-            (weight, key, fact.record.address.to_string())
-        })
-        .collect();
-    engines.sort_by_key(|(weight, ..)| std::cmp::Reverse(*weight));
-    engines.truncate(FOLLOWED);
-    engines.into_iter().map(|(_, key, address)| (key, address)).collect()
+/// Compares a peer's mark with ours and fills a gap from it.
+pub fn compare(node: &Rc<EntryNode>, mark: ListMark, address: &CompactString) {
+    let wall = node.clock.wall();
+    if node.list.borrow_mut().compare(mark, wall) {
+        actix_rt::spawn(fill_gap(node.clone(), address.clone()));
+    }
 }
 
-async fn read_load(node: &EntryNode, key: EndpointKey, address: &str) {
-    let url = format!("http://{address}/load");
-    let sent = node.client.get(url).timeout(LOAD_LIMIT.duration()).send().await;
-    let Ok(mut response) = sent else { return };
-    if let Ok(load) = response.json::<ReportedLoad>().await {
-        let now = node.clock.now();
-        note_load(&mut node.board.borrow_mut(), key, load, now);
+async fn fill_gap(node: Rc<EntryNode>, address: CompactString) {
+    let reply = node.call_peer(&address, PeerBody::AskList, PEER_LIMIT).await;
+    if let Ok(PeerBody::ListIs { stamp, records }) = reply {
+        node.list.borrow_mut().take_whole(records, stamp);
+        apply(&node);
     }
 }
 
-#[derive(Deserialize)]
-struct CacheEvent {
-    seq: u64,
-    block: u64,
-    added: bool,
+/// Answers a peer that has a gap.
+pub fn whole_list(node: &EntryNode) -> PeerBody {
+    let keeper = node.list.borrow();
+    PeerBody::ListIs { stamp: keeper.mark().stamp, records: keeper.records().cloned().collect() }
 }
 
-async fn read_cache_events(node: &EntryNode, key: EndpointKey, address: &str) {
-    let after = node.board.borrow().endpoints.get(key).map_or(0, |fact| fact.cache_seq);
-    let url = format!("http://{address}/events?after={after}");
-    let sent = node.client.get(url).timeout(LOAD_LIMIT.duration()).send().await;
-    let Ok(mut response) = sent else { return };
-    const EVENTS_LIMIT: usize = 1 << 20;
-    let Ok(events) = response.json::<Vec<CacheEvent>>().limit(EVENTS_LIMIT).await else {
+/// Tells a few members what changed. Each passes on only what is news to it, so a change reaches
+/// everybody in a few rounds and then dies out.
+fn pass_on(node: &Rc<EntryNode>, change: &ListChange) {
+    if change.is_empty() {
         return;
-    };
-    let events: Vec<_> = events.iter().map(|e| (e.seq, e.block, e.added)).collect();
-    let mut board = node.board.borrow_mut();
-    node.router.borrow_mut().take_events(&mut board, key, &events);
+    }
+    let seed = stable_hash(HASH_START, &change.stamp.0.to_le_bytes());
+    for target in news_targets(node, seed) {
+        let node = node.clone();
+        let body = PeerBody::ListNews { change: change.clone() };
+        actix_rt::spawn(async move {
+            let _ = node.call_peer(&target, body, PEER_LIMIT).await;
+        });
+    }
+}
+
+/// Writes the list to the board.
+fn apply(node: &EntryNode) {
+    let records: Vec<EndpointRecord> = node.list.borrow().records().cloned().collect();
+    let leaving: Vec<(_, Option<ClockTime>)> = records
+        .iter()
+        .filter(|record| record.ends_at.is_some())
+        .map(|record| (record.instance.clone(), record.ends_at))
+        .collect();
+    let now = node.clock.now();
+    node.board.borrow_mut().take_list(records, now);
+    for (instance, ends_at) in leaving {
+        node.note_leaving(&instance, ends_at);
+    }
 }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -13,6 +13,7 @@
 use oleander_flow::{BudgetSettings, RetryBudget};
 use oleander_kind::{InstanceId, ServiceName, TimeSpan};
 use oleander_limit::{LimitGate, LimitOwner};
+use oleander_list::ListKeeper;
 use oleander_member::{MemberRecord, MemberSettings, MemberStage, MemberTable};
 use oleander_plat::HttpStore;
 use oleander_route::{HealthSettings, RouteController, RoutePolicy, RouteSettings};
@@ -43,6 +44,8 @@
     pub meter: NodeMeter,
     /// The facts.
     pub board: RefCell<Blackboard>,
+    /// The endpoint list as read or heard.
+    pub list: RefCell<ListKeeper>,
     /// Lets bundles in.
     pub gate: RefCell<BundleGate>,
     /// Chooses endpoints.
@@ -117,6 +120,7 @@
             log,
             meter: NodeMeter::new(),
             board: RefCell::default(),
+            list: RefCell::default(),
             router: RefCell::new(router),
             health: HealthSettings::default(),
             limits: RefCell::new(LimitGate::new(1)),
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -4,7 +4,7 @@
 use crate::claims::AskClaim;
 use crate::node::EntryNode;
 use crate::shadow::refresh_holders;
-use crate::spread;
+use crate::{lists, spread};
 use compact_str::CompactString;
 use oleander_board::StopStage;
 use oleander_claim::{ClaimKey, ClaimVerdict, claim_key};
@@ -36,13 +36,15 @@
 
 async fn answer(node: Rc<EntryNode>, body: PeerBody) -> PeerBody {
     match body {
-        PeerBody::Probe { from, message } => {
+        PeerBody::Probe { from, list, message } => {
             let now = node.clock.now();
             let generation = node.generation();
             let reply = node.members.borrow_mut().probed(&from, &message, generation, now);
             spread::compare(&node, message.generation, &from.address);
+            lists::compare(&node, list, &from.address);
             let from = node.members.borrow().me().clone();
-            PeerBody::ProbeAnswer { from, message: reply }
+            let list = node.list.borrow().mark();
+            PeerBody::ProbeAnswer { from, list, message: reply }
         }
         PeerBody::HelpProbe { address } => help_probe(&node, &address).await,
         PeerBody::AskBundle { generation } => spread::answer_ask(&node, generation),
@@ -76,6 +78,11 @@
             leaving.iter().for_each(|(instance, ends_at)| node.note_leaving(instance, *ends_at));
             PeerBody::Done
         }
+        PeerBody::ListNews { change } => {
+            lists::take_news(&node, &change);
+            PeerBody::Done
+        }
+        PeerBody::AskList => lists::whole_list(&node),
         PeerBody::AskStatus => PeerBody::StatusIs { status: status(&node) },
         _ => PeerBody::Refused { code: ResultCode::PeerBadFrame.number() },
     }
@@ -171,12 +178,14 @@
                 return;
             };
             let from = node.members.borrow().me().clone();
-            let probe = PeerBody::Probe { from, message };
+            let list = node.list.borrow().mark();
+            let probe = PeerBody::Probe { from, list, message };
             let reply = node.call_peer(&address, probe, PROBE_LIMIT).await;
-            if let Ok(PeerBody::ProbeAnswer { from, message }) = reply {
+            if let Ok(PeerBody::ProbeAnswer { from, list, message }) = reply {
                 let now = node.clock.now();
                 node.members.borrow_mut().answered(&from, &message, now);
                 spread::compare(&node, message.generation, &from.address);
+                lists::compare(&node, list, &from.address);
             }
         }
         MemberAction::AskHelper { helper, target, number } => {
@@ -206,7 +215,8 @@
     for peer in peers {
         let node = node.clone();
         let from = node.members.borrow().me().clone();
-        let probe = PeerBody::Probe { from, message: message.clone() };
+        let list = node.list.borrow().mark();
+        let probe = PeerBody::Probe { from, list, message: message.clone() };
         told.push(actix_rt::spawn(async move {
             let _ = node.call_peer(&peer.address, probe, NEWS_LIMIT).await;
         }));
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -329,6 +329,10 @@
     let mut tried = Vec::new();
     let mut retries = 0;
     loop {
+        if choose(node, ask, &tried).is_none() {
+            // Everyone was tried once; an endpoint that cut one connection may keep the next.
+            tried.clear();
+        }
         let Some(endpoint) = choose(node, ask, &tried) else {
             return Err(flow.give_up(ResultCode::NoEndpoint));
         };
--- a/crates/oleandertack/src/lib.rs
+++ b/crates/oleandertack/src/lib.rs
@@ -15,6 +15,7 @@
 pub use oleander_kind as kind;
 pub use oleander_lease as lease;
 pub use oleander_limit as limit;
+pub use oleander_list as list;
 pub use oleander_load as load;
 pub use oleander_member as member;
 pub use oleander_plat as plat;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -5,9 +5,11 @@
 use compact_str::CompactString;
 use oleander_claim::{ClaimKey, ClaimRecord, ClaimVerdict};
 use oleander_kind::{
-    AccountName, ClockTime, InstanceId, RequestId, ResultCode, ServiceName, VersionName,
+    AccountName, ClockTime, EndpointRecord, InstanceId, RequestId, ResultCode, ServiceName,
+    VersionName,
 };
 use oleander_limit::{DemandReport, ShareGrant};
+use oleander_list::{ListChange, ListMark};
 use oleander_member::{MemberRecord, ProbeMessage};
 use serde::{Deserialize, Serialize};
 
@@ -151,6 +153,8 @@
     Probe {
         /// The sender.
         from: MemberRecord,
+        /// What it has of the endpoint list.
+        list: ListMark,
         /// Number, generation and news.
         message: ProbeMessage,
     },
@@ -158,6 +162,8 @@
     ProbeAnswer {
         /// The sender.
         from: MemberRecord,
+        /// What it has of the endpoint list.
+        list: ListMark,
         /// Number, generation and news.
         message: ProbeMessage,
     },
@@ -242,6 +248,20 @@
         /// Where the sender answers peers.
         address: CompactString,
     },
+    /// The endpoint list changed.
+    ListNews {
+        /// The change.
+        change: ListChange,
+    },
+    /// Give me your whole endpoint list.
+    AskList,
+    /// The whole endpoint list.
+    ListIs {
+        /// When it was read.
+        stamp: ClockTime,
+        /// Its records.
+        records: Vec<EndpointRecord>,
+    },
     /// How do you stand?
     AskStatus,
     /// How the process stands.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,3 +6,4 @@
 mod explore;
 mod flow;
 mod limit;
+mod list;
