Trust a prompt's home, and weigh recomputation twice

Each entry knows only its own sends: a prefix that another entry had sent to its home looked uncached there, so a less loaded engine won.

Change: a prompt counts as nine tenths cached at its first home, and a prompt token that would be computed again counts twice.

--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -67,6 +67,7 @@
   oleander-ctl roll start|pause|resume|status SERVICE --platform URL
   oleander-ctl status --admin ADDR               generation and age at each process
   oleander-ctl dump --admin ADDR                 the state of one process
+  oleander-ctl codes                             every result code
   oleander-ctl explain INSTANCE --platform URL   the decisions about an instance or start
 
 Options: --json for output that programs read; --help.
@@ -153,6 +154,7 @@
     let words: Vec<&str> = line.words.iter().map(String::as_str).collect();
     match words.as_slice() {
         [] | ["help"] => Ok(HELP.to_owned()),
+        ["codes"] => Ok(oleander_kind::code::code_table()),
         ["keygen"] => bundles::keygen(line),
         ["bundle", "init"] => bundles::init(),
         ["bundle", "check", _] => bundles::check(line),
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -243,18 +243,27 @@
     }
 }
 
-/// A few members, chosen differently by each process and each piece of news.
+/// The members that a piece of news is told to: a few, chosen differently by each process and each
+/// piece of news, and the next one in the order of names.
+///
+/// The few make it quick. Of those that everybody tells by chance, one in twenty would be told by
+/// nobody (e to the power of -3) and wait for a probe; the next in order makes sure of them.
 pub fn news_targets(node: &EntryNode, news: u64) -> Vec<CompactString> {
     let members = node.members.borrow();
     let key = mix_bits(news ^ node.me().stable_hash());
-    let mut others: Vec<_> = members
-        .takers()
-        .filter(|member| member.id != *node.me())
-        .map(|member| (rendezvous_weight(key, member.id.stable_hash()), member.address.clone()))
+    let others = || members.takers().filter(|member| member.id != *node.me());
+    let after = others().filter(|member| member.id > *node.me()).min_by_key(|member| &member.id);
+    let next = after.or_else(|| others().min_by_key(|member| &member.id));
+    let mut ranked: Vec<_> = others()
+        .map(|member| (rendezvous_weight(key, member.id.stable_hash()), &member.address))
         .collect();
-    others.sort();
-    others.truncate(NEWS_FAN_OUT);
-    others.into_iter().map(|(_, address)| address).collect()
+    ranked.sort();
+    let mut targets: Vec<CompactString> =
+        ranked.into_iter().take(NEWS_FAN_OUT).map(|(_, address)| address.clone()).collect();
+    if let Some(next) = next.filter(|next| !targets.contains(&next.address)) {
+        targets.push(next.address.clone());
+    }
+    targets
 }
 
 fn grant_shares(
--- a/crates/gauge/src/decide.rs
+++ b/crates/gauge/src/decide.rs
@@ -150,7 +150,7 @@
 
 /// Memory of one value made by `make`, from many of them.
 fn state_kb<T>(make: impl Fn() -> T) -> f64 {
-    state_kb_of(40, make)
+    state_kb_of(200, make)
 }
 
 fn state_kb_of<T>(copies: usize, make: impl Fn() -> T) -> f64 {
@@ -215,15 +215,16 @@
         cost("routing: one choice among 100", "µs", || choose(100)),
         cost("routing: board of 870", "KB", || state_kb(board)),
         cost("routing: 200,000 prefix blocks", "KB", || {
+            const PART: u64 = 5000;
+            let board = board();
+            let key = board.endpoints.iter().next().map(|(key, _)| key);
             state_kb(|| {
-                let board = board();
-                let key = board.endpoints.iter().next().map(|(key, _)| key);
-                let mut record = oleander_route::PrefixRecord::new(200_000 / 40);
+                let mut record = oleander_route::PrefixRecord::new(PART as usize);
                 if let Some(key) = key {
-                    (0..200_000 / 40).for_each(|block| record.note(mix_bits(block), key, 0));
+                    (0..PART).for_each(|block| record.note(mix_bits(block), key, 0));
                 }
                 record
-            }) * 40.0
+            }) * (200_000 / PART) as f64
         }),
     ]
 }
--- a/crates/gauge/src/lib.rs
+++ b/crates/gauge/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod latency;
 pub mod page;
 pub mod plot;
+pub mod policy;
 pub mod sample;
 
 pub use decide::{DecisionCost, measure_decisions};
--- a/crates/kind/src/chat.rs
+++ b/crates/kind/src/chat.rs
@@ -70,14 +70,27 @@
     }
 }
 
-fn hash_block(state: u64, block: &[u8]) -> u64 {
-    const WORD: usize = 8;
+const WORD: usize = 8;
+
+fn hash_word(state: u64, word: [u8; WORD]) -> u64 {
     const FACTOR: u64 = 0x9fb2_1c65_1e98_df25;
-    block.chunks(WORD).fold(state, |state, chunk| {
+    (state ^ u64::from_le_bytes(word)).wrapping_mul(FACTOR).rotate_left(29)
+}
+
+fn hash_block(state: u64, block: &[u8]) -> u64 {
+    let words = block.chunks_exact(WORD);
+    let tail = words.remainder();
+    let state = words.fold(state, |state, chunk| {
         let mut word = [0; WORD];
-        word[..chunk.len()].copy_from_slice(chunk);
-        (state ^ u64::from_le_bytes(word)).wrapping_mul(FACTOR).rotate_left(29)
-    })
+        word.copy_from_slice(chunk);
+        hash_word(state, word)
+    });
+    if tail.is_empty() {
+        return state;
+    }
+    let mut word = [0; WORD];
+    word[..tail.len()].copy_from_slice(tail);
+    hash_word(state, word)
 }
 
 impl PromptHasher {
@@ -86,19 +99,30 @@
         let mut rest = text.as_bytes();
         self.bytes += rest.len() as u64;
         while !rest.is_empty() {
+            if self.filled == 0 && rest.len() >= BLOCK_BYTES {
+                let (block, later) = rest.split_at(BLOCK_BYTES);
+                self.close_block(block);
+                rest = later;
+                continue;
+            }
             let room = BLOCK_BYTES - self.filled;
             let (now, later) = rest.split_at(room.min(rest.len()));
             self.block[self.filled..self.filled + now.len()].copy_from_slice(now);
             self.filled += now.len();
             if self.filled == BLOCK_BYTES {
-                self.state = hash_block(self.state, &self.block);
-                self.blocks.push(mix_bits(self.state));
+                let block = self.block;
+                self.close_block(&block);
                 self.filled = 0;
             }
             rest = later;
         }
     }
 
+    fn close_block(&mut self, block: &[u8]) {
+        self.state = hash_block(self.state, block);
+        self.blocks.push(mix_bits(self.state));
+    }
+
     /// The block hashes, the length in bytes and the hash of all.
     pub fn finish(self) -> (Vec<u64>, u64, u64) {
         let tail = hash_block(self.state, &self.block[..self.filled]);
--- a/crates/kind/src/code.rs
+++ b/crates/kind/src/code.rs
@@ -113,6 +113,27 @@
     }
 }
 
+/// All codes as a Markdown table: docs/RESULT-CODES.md is made from it.
+pub fn code_table() -> String {
+    let mut table =
+        String::from("| code | name | status | not run | meaning |\n|---|---|---|---|---|\n");
+    for code in ResultCode::ALL {
+        let not_run = match code.run_fact() {
+            RunFact::NotRun => "yes",
+            RunFact::MayHaveRun => "no",
+            RunFact::Unrelated => "-",
+        };
+        table.push_str(&format!(
+            "| {} | {} | {} | {not_run} | {} |\n",
+            code.number(),
+            code.name(),
+            code.status(),
+            code.text()
+        ));
+    }
+    table
+}
+
 impl std::fmt::Display for ResultCode {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(f, "{} {}: {}", self.number(), self.name(), self.text())
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -27,6 +27,13 @@
 pub struct RouteSettings {
     /// Engine time of one prompt token, in microseconds.
     pub prefill_token_us: u64,
+    /// Weight of prompt tokens that would be computed again, in percent of their own time. Above
+    /// 100, because the engine's other requests wait for them too, and because a further copy of a
+    /// prefix pushes others out of the cache.
+    pub recompute_percent: u64,
+    /// Part of a prompt that is taken for cached at its first home though nothing is known, in
+    /// percent: every process sends the prompt there.
+    pub home_trust_percent: u64,
     /// Delay a request suffers from each stream before it, in microseconds.
     pub stream_us: u64,
     /// Cost of leaving the failure domain, in microseconds.
@@ -43,6 +50,8 @@
     fn default() -> Self {
         RouteSettings {
             prefill_token_us: 20,
+            recompute_percent: 200,
+            home_trust_percent: 90,
             stream_us: 4000,
             cross_domain_us: 1500,
             slow_start: TimeSpan(5000),
@@ -139,9 +148,15 @@
         ask: &RouteAsk<'_>,
         (now, random): (ClockTime, u64),
     ) -> Option<EndpointKey> {
+        let home = ask
+            .blocks
+            .get(HOME_BLOCK)
+            .or(ask.blocks.last())
+            .and_then(|block| self.homes(board, usable, *block).first().copied());
         let candidates = self.candidates(board, usable, ask, random);
         candidates.into_iter().min_by_key(|key| {
-            board.endpoints.get(*key).map_or(u64::MAX, |fact| self.cost(*key, fact, ask, now))
+            let fact = board.endpoints.get(*key);
+            fact.map_or(u64::MAX, |fact| self.cost((*key, home), fact, ask, now))
         })
     }
 
@@ -186,7 +201,7 @@
 
     fn cost(
         &self,
-        key: EndpointKey,
+        (key, home): (EndpointKey, Option<EndpointKey>),
         fact: &EndpointFact,
         ask: &RouteAsk<'_>,
         now: ClockTime,
@@ -197,8 +212,12 @@
             waiting *= 2;
         }
         let held = self.record.cached_blocks(ask.blocks, key, fact.cache_epoch) as u64;
-        let missing = ask.prompt_tokens.saturating_sub(held * BLOCK_TOKENS);
-        let mut cost = waiting + missing * self.settings.prefill_token_us;
+        let mut missing = ask.prompt_tokens.saturating_sub(held * BLOCK_TOKENS);
+        if home == Some(key) {
+            missing = missing * (100 - self.settings.home_trust_percent.min(100)) / 100;
+        }
+        let recompute = missing * self.settings.prefill_token_us;
+        let mut cost = waiting + recompute * self.settings.recompute_percent / 100;
         if fact.record.domain != self.domain {
             cost += self.settings.cross_domain_us;
         }
--- a/src/bin/oleander-bench.rs
+++ b/src/bin/oleander-bench.rs
@@ -4,6 +4,7 @@
 use oleandertack::gauge::latency::{AddedLatency, measure_latency, measure_rate};
 use oleandertack::gauge::page::{CapacityData, capacity_tables};
 use oleandertack::gauge::plot::plot_samples;
+use oleandertack::gauge::policy::{policy_text, sweep_text};
 use oleandertack::gauge::{measure_decisions, sample_cluster, spread_time};
 use oleandertack::rig::{RigFault, matrix_text, run_chaos, run_matrix};
 use std::process::ExitCode;
@@ -14,6 +15,8 @@
   oleander-bench matrix [pairs]        every fault (or some pairs) at every step, as a table
   oleander-bench chaos FIRST COUNT     concurrent runs under random faults, a seed each
   oleander-bench claims                claims a second and latency against linger
+  oleander-bench policy                routing policies against one another
+  oleander-bench sweep                 the router's knobs against one another
   oleander-bench latency               what an entry adds to a call, and what it carries
   oleander-bench decisions FILE        costs of decisions at 370 nodes, into the capacity data
   oleander-bench sample FILE PHASE SECONDS STANDIN PID=ADMIN...
@@ -42,6 +45,14 @@
             print!("{}", curve_text(5));
             ExitCode::SUCCESS
         }
+        ["policy"] => {
+            print!("{}", policy_text(5));
+            ExitCode::SUCCESS
+        }
+        ["sweep"] => {
+            print!("{}", sweep_text(3));
+            ExitCode::SUCCESS
+        }
         ["latency"] => latency(),
         ["plot", file, svg] => plot(file, svg),
         ["page", file] => {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod board;
 mod claim;
 mod cluster;
+mod docs;
 mod explore;
 mod flow;
 mod limit;
