--- a/crates/bundle/src/store.rs
+++ b/crates/bundle/src/store.rs
@@ -36,6 +36,13 @@
     format!("bundle/{stored}/{index}").into()
 }
 
+impl BundleHead {
+    /// The names of its parts, in order.
+    pub fn part_names(&self) -> impl Iterator<Item = CompactString> + '_ {
+        (0..self.parts).map(|index| part_name(&self.stored, index))
+    }
+}
+
 /// One step of a submission: what to ask the store next, or how it ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SubmitStep {
--- a/crates/ctl/src/platform.rs
+++ b/crates/ctl/src/platform.rs
@@ -4,9 +4,9 @@
 use crate::command::CtlError;
 use bytes::Bytes;
 use oleander_bundle::store::StoreSaid;
-use oleander_bundle::{BundleHead, HEAD_NAME, SignedBundle, SubmitStep, SubmitTask, part_name};
+use oleander_bundle::{BundleHead, HEAD_NAME, SignedBundle, SubmitStep, SubmitTask};
 use oleander_kind::{ResultCode, TimeSpan};
-use oleander_plat::{HttpStore, ObjectStore, PlatError, VersionGuard};
+use oleander_plat::{HttpStore, ObjectStore, PlatError, VersionGuard, read_joined};
 
 /// The longest wait for one call.
 const CALL_LIMIT: TimeSpan = TimeSpan(5000);
@@ -25,14 +25,9 @@
         return Ok(None);
     };
     let head: BundleHead = serde_json::from_slice(&object.bytes).map_err(torn)?;
-    let mut bytes = Vec::new();
-    for index in 0..head.parts {
-        let part = store.read(&part_name(&head.stored, index)).await?;
-        let Some(part) = part else {
-            return Err(torn("a part is missing"));
-        };
-        bytes.extend_from_slice(&part.bytes);
-    }
+    let Some(bytes) = read_joined(store, head.part_names()).await? else {
+        return Err(torn("a part is missing"));
+    };
     Ok(Some(SignedBundle::parse(&bytes)?))
 }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod lists;
 pub mod loads;
 pub mod node;
+pub mod open;
 pub mod peers;
 pub mod plain;
 pub mod refuse;
--- a/crates/edge/src/spread.rs
+++ b/crates/edge/src/spread.rs
@@ -5,9 +5,9 @@
 use crate::peers::{is_relay, news_targets};
 use bytes::Bytes;
 use compact_str::CompactString;
-use oleander_bundle::{ApplyVerdict, BundleHead, HEAD_NAME, SignedBundle, part_name};
+use oleander_bundle::{ApplyVerdict, BundleHead, HEAD_NAME, SignedBundle};
 use oleander_kind::TimeSpan;
-use oleander_plat::{ObjectStore, PlatError, WatchAnswer};
+use oleander_plat::{ObjectStore, WatchAnswer, read_joined};
 use oleander_wire::PeerBody;
 use std::rc::Rc;
 
@@ -61,24 +61,11 @@
         note_newest(node);
         return true;
     }
-    let Ok(bytes) = read_parts(node, &head).await else {
-        return false;
-    };
+    let Ok(Some(bytes)) = read_joined(&node.store, head.part_names()).await else { return false };
     offer(node, &bytes);
     true
 }
 
-async fn read_parts(node: &EntryNode, head: &BundleHead) -> Result<Bytes, PlatError> {
-    let mut whole = Vec::new();
-    for index in 0..head.parts {
-        let name = part_name(&head.stored, index);
-        let part = node.store.read(&name).await?;
-        let missing = || PlatError::NotSent(format!("{name} is missing"));
-        whole.extend_from_slice(&part.ok_or_else(missing)?.bytes);
-    }
-    Ok(Bytes::from(whole))
-}
-
 /// Offers a bundle's bytes to the gate. A refused one changes nothing.
 pub fn offer(node: &Rc<EntryNode>, bytes: &[u8]) {
     let offered = SignedBundle::parse(bytes).and_then(|bundle| {
--- a/crates/fleetd/src/round.rs
+++ b/crates/fleetd/src/round.rs
@@ -6,7 +6,7 @@
 use actix_web::App;
 use bytes::Bytes;
 use oleander_board::NodeMeter;
-use oleander_bundle::{BundleGate, BundleHead, HEAD_NAME, ServiceEntry, SignedBundle, part_name};
+use oleander_bundle::{BundleGate, BundleHead, HEAD_NAME, ServiceEntry, SignedBundle};
 use oleander_conf::FleetSettings;
 use oleander_edge::clock::NodeClock;
 use oleander_edge::node::root_policy;
@@ -16,7 +16,7 @@
 use oleander_lease::{LeaseKeeper, lease_name};
 use oleander_plat::{
     CloudClient, EndpointList, EndpointOrder, HttpList, HttpStore, ObjectStore, OrderClient,
-    OrderKind, PlatError, StartOrder,
+    OrderKind, PlatError, StartOrder, read_joined,
 };
 use oleander_serve::{HttpSite, local_data, serve_app};
 use std::cell::{Cell, RefCell};
@@ -165,15 +165,9 @@
         if head.generation <= self.generation() {
             return;
         }
-        let mut bytes = Vec::new();
-        for index in 0..head.parts {
-            let name = part_name(&head.stored, index);
-            let Ok(Some(part)) = self.store.read(&name).await else {
-                return;
-            };
-            bytes.extend_from_slice(&part.bytes);
+        if let Ok(Some(bytes)) = read_joined(&self.store, head.part_names()).await {
+            self.offer(&bytes);
         }
-        self.offer(&bytes);
     }
 
     fn offer(&self, bytes: &[u8]) {
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -13,4 +13,5 @@
 pub use order::{EndpointOrder, OrderAnswer, OrderClient, OrderKind};
 pub use port::{
     EndpointList, ObjectStore, PlatError, Result, StoredObject, VersionGuard, WatchAnswer,
+    read_joined,
 };
--- a/crates/plat/src/port.rs
+++ b/crates/plat/src/port.rs
@@ -1,6 +1,7 @@
 //! The ports.
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use oleander_kind::{EndpointRecord, ResultCode};
 use quick_error::quick_error;
 use std::future::Future;
@@ -108,3 +109,19 @@
     /// The list as the platform shows it now.
     fn list(&self) -> impl Future<Output = Result<Vec<EndpointRecord>>>;
 }
+
+/// Reads the objects `names` and joins them; `None` if one is missing.
+///
+/// # Errors
+/// The first read's error.
+pub async fn read_joined(
+    store: &impl ObjectStore,
+    names: impl Iterator<Item = CompactString>,
+) -> Result<Option<Vec<u8>>> {
+    let mut joined = Vec::new();
+    for name in names {
+        let Some(part) = store.read(&name).await? else { return Ok(None) };
+        joined.extend_from_slice(&part.bytes);
+    }
+    Ok(Some(joined))
+}
