Cancel streams of callers that are gone, unless another entry has taken them

Cause: a new test showed two faults. The wait for a caller's return began anew with every token, so an engine worked to the end for nobody.

Change: the time of desertion is kept across rounds; an entry that takes a request over tells its owner, which then lets go without cancelling.

Ruled out: noticing the change when the owner is asked: the holder of the copy answers first, and the owner's reader is seen to be gone only at its next write.

--- a/crates/edge/src/again.rs
+++ b/crates/edge/src/again.rs
@@ -108,7 +108,13 @@
 
 /// Goes on with a request that another entry began.
 pub fn adopt(node: &Rc<EntryNode>, key: ClaimKey, mut record: ShadowRecord) -> Rc<LiveRequest> {
-    record.owner = node.me().clone();
+    let owner = std::mem::replace(&mut record.owner, node.me().clone());
+    if let Some(address) = node.peer_address(&owner).filter(|_| owner != *node.me()) {
+        let node = node.clone();
+        actix_rt::spawn(async move {
+            let _ = node.call_peer(&address, PeerBody::Taken { key }, FIND_LIMIT).await;
+        });
+    }
     let digest = body_digest("POST", crate::chat::CHAT_PATH, &record.body);
     let now = node.clock.now();
     let mut live = LiveRequest::new(record.id.clone(), record.account.clone(), digest, now);
--- a/crates/edge/src/book.rs
+++ b/crates/edge/src/book.rs
@@ -56,6 +56,7 @@
     kept: RefCell<Option<KeptAnswer>>,
     stage: Cell<LiveStage>,
     readers: Cell<usize>,
+    taken: Cell<bool>,
     changed: Notify,
     left: Notify,
 }
@@ -75,6 +76,7 @@
             kept: RefCell::new(None),
             stage: Cell::new(LiveStage::Trying),
             readers: Cell::new(0),
+            taken: Cell::new(false),
             changed: Notify::new(),
             left: Notify::new(),
         }
@@ -156,6 +158,16 @@
         }
     }
 
+    /// Notes that another entry goes on with it, because its caller came back there.
+    pub fn give_away(&self) {
+        self.taken.set(true);
+    }
+
+    /// Whether it is another entry's now: given away, and without a reader here.
+    pub fn is_given_away(&self) -> bool {
+        self.taken.get() && !self.has_reader()
+    }
+
     /// Counts a caller that reads it.
     pub fn attach(self: &Rc<Self>) -> ReaderGuard {
         self.readers.set(self.readers.get() + 1);
--- a/crates/edge/src/drive.rs
+++ b/crates/edge/src/drive.rs
@@ -171,9 +171,10 @@
     let mut reader = EventReader::default();
     let mut first = true;
     let mut half = false;
+    let mut deserted_since = None;
     loop {
         let move_at = move_time(node, endpoint);
-        let live = job.live.clone();
+        let desert_at = desert_time(node, &job.live, &mut deserted_since);
         tokio::select! {
             chunk = body.next() => {
                 let Some(Ok(bytes)) = chunk else { return cut_answer(node, job, flow, endpoint) };
@@ -201,10 +202,14 @@
                 return move_away(node, job, flow).await;
             }
             () = node.notices.notified() => {}
-            () = wait_deserted(&live) => {
+            () = job.live.deserted(), if desert_at.is_none() && !job.live.run_on => {}
+            () = sleep_until(node, desert_at) => {
                 return Attempt::Deserted(flow);
             }
         }
+        if job.live.is_given_away() {
+            job.live.set_stage(LiveStage::Moved);
+        }
         if job.live.stage() == LiveStage::Moved {
             return Attempt::Whole;
         }
@@ -222,17 +227,20 @@
     }
 }
 
-async fn wait_deserted(live: &Rc<LiveRequest>) {
-    if live.run_on {
-        std::future::pending::<()>().await;
-    }
-    loop {
-        live.deserted().await;
-        actix_rt::time::sleep(RETURN_LIMIT.duration()).await;
-        if !live.has_reader() {
-            return;
-        }
+/// When a stream whose caller has gone is given up; none while it is read or runs on without.
+///
+/// Kept as a time across the loop's rounds: a wait that began anew with every token would never end
+/// while the engine works for nobody.
+fn desert_time(
+    node: &EntryNode,
+    live: &LiveRequest,
+    since: &mut Option<ClockTime>,
+) -> Option<ClockTime> {
+    if live.run_on || live.has_reader() {
+        *since = None;
+        return None;
     }
+    Some(*since.get_or_insert(node.clock.now()) + RETURN_LIMIT)
 }
 
 /// When a stream must leave `endpoint`, as monotonic time; none while it may stay.
@@ -376,6 +384,9 @@
     node.book.borrow_mut().end(job.key);
     let bytes = job.live.record.borrow().as_ref().map_or(0, |record| record.body.len());
     node.held_bytes.set(node.held_bytes.get().saturating_sub(bytes));
-    node.limits.borrow_mut().release(&job.live.account);
+    // A request that another entry admitted was counted there.
+    if !job.adopted {
+        node.limits.borrow_mut().release(&job.live.account);
+    }
     shadow::drop_shadow(node, job.key, &job.live);
 }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -72,6 +72,15 @@
             keys.into_iter().for_each(|key| node.book.borrow_mut().drop_held(key));
             PeerBody::Done
         }
+        PeerBody::Taken { key } => {
+            // Its reader here is gone, though that may be noticed only later: its caller came back
+            // at the peer. Otherwise this process would wait for the caller in vain and then cancel
+            // the engine's stream under the peer.
+            if let Some(live) = node.book.borrow().live(key) {
+                live.give_away();
+            }
+            PeerBody::Done
+        }
         PeerBody::FindRequest { key } => PeerBody::Found { found: find_here(&node, key) },
         PeerBody::ReportDemand { entry, reports } => grant_shares(&node, &entry, reports),
         PeerBody::LeavingNews { leaving } => {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -214,6 +214,11 @@
         /// Their keys.
         keys: Vec<ClaimKey>,
     },
+    /// I go on with this request of yours.
+    Taken {
+        /// Its key.
+        key: ClaimKey,
+    },
     /// What do you know of this request?
     FindRequest {
         /// Its key, made of account and id.
--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -91,3 +91,82 @@
     assert_eq!(outcome.broken, []);
     assert_eq!(end_of(&outcome, CallKind::Rewrite), CallEnd::Answered);
 }
+
+/// Reads `response` until it holds `until`, and returns the number of its last event.
+async fn read_until(response: &mut awc::ClientResponse, until: &str) -> (String, u64) {
+    let mut text = String::new();
+    while !text.contains(until) {
+        match futures_util::StreamExt::next(response).await {
+            Some(Ok(bytes)) => text.push_str(&String::from_utf8_lossy(&bytes)),
+            _ => break,
+        }
+    }
+    let whole = text.rsplit_once("\n\n").map_or("", |(whole, _)| whole);
+    let mut ids = whole.lines().rev().filter_map(|line| line.strip_prefix("id: "));
+    let last = ids.next().and_then(|id| id.parse().ok()).unwrap_or(0);
+    (text, last)
+}
+
+#[actix_rt::test]
+async fn a_caller_that_changes_entries_keeps_its_engine_stream() {
+    // The caller sees one stream and nothing is computed again. Its connection breaks, and it comes
+    // back through another entry. The first entry, whose caller is gone, once waited five seconds
+    // for it and then cancelled the engine's stream under the second.
+    use oleandertack::rig::cluster::{CALLER_KEY, MODEL};
+    let rig = oleandertack::rig::Rig::start(Default::default(), |_, _| None).await.expect("up");
+    let client = awc::Client::builder().timeout(std::time::Duration::from_secs(30)).finish();
+    let auth = ("authorization", format!("Bearer {CALLER_KEY}"));
+    let body = serde_json::json!({
+        "model": MODEL, "stream": true, "max_tokens": 3500,
+        "messages": [{ "role": "user", "content": "soup" }],
+    });
+    let url = format!("http://{}/v1/chat/completions", rig.entries[0].address);
+    let request = client.post(url).insert_header(auth.clone());
+    let sent = request.insert_header(("idempotency-key", "moving")).send_json(&body).await;
+    let mut first = sent.expect("a stream");
+    let (_, seen) = read_until(&mut first, "id: 20\n").await;
+    drop(first);
+
+    let url = format!("http://{}/v1/requests/moving", rig.entries[1].address);
+    let request = client.get(url).insert_header(auth);
+    let sent = request.insert_header(("last-event-id", seen.to_string())).send().await;
+    let (text, last) = read_until(&mut sent.expect("a stream"), "[DONE]").await;
+
+    assert!(text.contains("[DONE]"));
+    assert_eq!(last, 3500);
+    let mut response = client.get(format!("{}/totals", rig.standin)).send().await.expect("totals");
+    let totals: serde_json::Value = response.json().await.expect("totals");
+    assert_eq!(
+        (&totals["engines"]["cancelled"], &totals["engines"]["recomputed"]),
+        (&0.into(), &0.into())
+    );
+}
+
+#[actix_rt::test]
+async fn a_stream_whose_caller_does_not_come_back_is_cancelled() {
+    // The engine stops working for a caller that hung up. The wait for its return once began anew
+    // with every token, so that the stream ran to its end for nobody.
+    use oleandertack::rig::cluster::{CALLER_KEY, MODEL};
+    let rig = oleandertack::rig::Rig::start(Default::default(), |_, _| None).await.expect("up");
+    let client = awc::Client::builder().timeout(std::time::Duration::from_secs(30)).finish();
+    let body = serde_json::json!({
+        "model": MODEL, "stream": true, "max_tokens": 100_000,
+        "messages": [{ "role": "user", "content": "soup" }],
+    });
+    let url = format!("http://{}/v1/chat/completions", rig.entries[0].address);
+    let request = client.post(url).insert_header(("authorization", format!("Bearer {CALLER_KEY}")));
+    let mut first = request.send_json(&body).await.expect("a stream");
+    read_until(&mut first, "id: 20\n").await;
+    drop(first);
+
+    let mut cancelled = 0;
+    while cancelled == 0 {
+        let mut totals =
+            client.get(format!("{}/totals", rig.standin)).send().await.expect("totals");
+        let totals: serde_json::Value = totals.json().await.expect("totals");
+        assert!(totals["engines"]["generated"].as_u64() < Some(50_000), "it runs for nobody");
+        cancelled = totals["engines"]["cancelled"].as_u64().unwrap_or(0);
+    }
+
+    assert_eq!(cancelled, 1);
+}
