Say "not run" of a first call only while claims cannot be read

Change: a call counts as first if its key was made here or the caller sends x-retry-count 0; others get 2008 and the advice to repeat with the same key. 1011 no longer says "not run".

Ruled out: asking the members that may have the answer: the one that ran it is dead, and their silence proves nothing.

--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -61,6 +61,8 @@
     headers: Vec<(String, Vec<u8>)>,
     body: Bytes,
     idempotent: bool,
+    /// Whether no earlier call can have had its key: the key was made here, or the caller says so.
+    first: bool,
     deadline: ClockTime,
 }
 
@@ -98,6 +100,7 @@
         headers,
         body,
         idempotent,
+        first: is_first(&request),
     };
     node.meter.count_request(ask.service.as_str());
     count_limits(node, &caller, 0, &ask.id)?;
@@ -197,6 +200,7 @@
         ClaimVerdict::Granted => send_claimed(&node, &ask, &live).await,
         ClaimVerdict::Held(record) => answer_held(&node, &ask, &record).await,
         ClaimVerdict::Unavailable(code) => {
+            let code = unclaimed_code(code, ask.first);
             live.set_stage(LiveStage::Failed(code));
             node.meter.count_result(code.number());
             RefusalNote::new(code).id(&ask.id).response()
@@ -210,6 +214,24 @@
     response
 }
 
+/// Whether the call is the first with its key.
+fn is_first(request: &HttpRequest) -> bool {
+    let retries = header(request, "x-retry-count");
+    let retries =
+        if retries.is_empty() { header(request, "x-stainless-retry-count") } else { retries };
+    header(request, "idempotency-key").is_empty() || retries == "0"
+}
+
+/// What a caller is told whose claim cannot be written. This call did not run; but with the store
+/// out of reach nobody knows whether an earlier one with its key did, whose entry may be dead.
+/// "Not run" would be false then, and the caller might ask with a new key for what it has already.
+fn unclaimed_code(code: ResultCode, first: bool) -> ResultCode {
+    match code {
+        ResultCode::StoreDown if !first => ResultCode::KeyUnsettled,
+        code => code,
+    }
+}
+
 /// Claims at the member that owns the key's shard, or here if that member is not reached. Both ask
 /// with the same nonce, so that it does not matter whose write was made.
 async fn claim(node: &EntryNode, ask: &PlainAsk, key_time: ClockTime) -> ClaimVerdict {
--- a/crates/edge/src/refuse.rs
+++ b/crates/edge/src/refuse.rs
@@ -85,6 +85,7 @@
 fn default_retry(code: ResultCode) -> Option<u64> {
     match code {
         ResultCode::NoBundle | ResultCode::StoreDown | ResultCode::BudgetSpent => Some(1000),
+        ResultCode::KeyUnsettled => Some(1000),
         ResultCode::NoEndpoint | ResultCode::LimitReached | ResultCode::StillRunning => Some(1000),
         ResultCode::Draining => Some(0),
         ResultCode::MemoryFull => Some(2000),
--- a/crates/kind/src/code.rs
+++ b/crates/kind/src/code.rs
@@ -58,7 +58,7 @@
     NoEndpoint = 1008, 503, NotRun, "no endpoint can take the request now";
     StoreDown = 1009, 503, NotRun, "the claim cannot be written, so the request is not sent";
     KeyConflict = 1010, 409, NotRun, "the idempotency key was used with another request";
-    KeyTooOld = 1011, 400, NotRun, "the idempotency key is older than keys are remembered";
+    KeyTooOld = 1011, 400, MayHaveRun, "the idempotency key is older than keys are remembered";
     UnknownRoute = 1012, 404, NotRun, "no such route";
     BadIdempotencyKey = 1013, 400, NotRun, "a non-idempotent route needs a version 7 UUID as its idempotency key";
     DeadlineNotRun = 1014, 504, NotRun, "the deadline passed before the request was sent";
@@ -74,6 +74,7 @@
     EndpointBroken = 2005, 502, MayHaveRun, "the endpoint answered outside its protocol";
     AnswerDropped = 2006, 410, MayHaveRun, "it ran; its answer is no longer kept";
     UnknownRequest = 2007, 404, MayHaveRun, "no process that was reached knows this request";
+    KeyUnsettled = 2008, 503, MayHaveRun, "not sent by this call; whether an earlier call with its key ran cannot be known now";
     BundleMalformed = 3001, 400, Unrelated, "the bundle cannot be read";
     BundleUnsigned = 3002, 403, Unrelated, "the bundle lacks the sign-offs the policy in force asks for";
     BundleConflict = 3003, 409, Unrelated, "another bundle was accepted first; start from the newest";
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -132,7 +132,8 @@
             .post(url)
             .insert_header(("authorization", format!("Bearer {}", self.key)))
             .insert_header(("content-type", "application/json"))
-            .insert_header(("idempotency-key", plan.id.as_str()));
+            .insert_header(("idempotency-key", plan.id.as_str()))
+            .insert_header(("x-retry-count", state.record.returns.to_string()));
         let sent = request.send_body(plan.body.clone()).await;
         self.take_answer(plan, state, sent).await
     }
--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -64,6 +64,20 @@
     assert_eq!(end_of(&outcome, CallKind::Rewrite), CallEnd::Answered);
 }
 
+#[test]
+fn a_repeat_is_not_told_not_run_while_nobody_can_know() {
+    // The caller sees "cannot be known now", or "uncertain" where a process that remembers the claim
+    // is reached; which one depends on the key's shard. Its call ran, its entry died before the answer was
+    // kept, and the store is down; the repeat reaches an entry that cannot read the claim. It once
+    // said "not run", and the caller would have asked with a new key.
+    let outcome = cell(EntryStep::CallAnswered, &[RigFault::StoreDown, RigFault::KillEntry]);
+
+    assert_eq!(outcome.broken, []);
+    let end = end_of(&outcome, CallKind::Code);
+    let told = matches!(end, CallEnd::Refused { code: 2001 | 2008, not_run: false });
+    assert!(told, "{end:?}");
+}
+
 #[test]
 fn a_claim_whose_answer_was_lost_is_settled_by_reading_back() {
     // The caller sees its batch code. The store writes the claim and loses the answer, three times;
