Remove state that nothing reads

Cause: read again, the change kept a wake-up nobody waits for, a token count nobody reports and an accessor nobody calls.

Change: the three are removed; behaviour is the same.

--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -81,8 +81,6 @@
     pub notices: Notify,
     /// Wakes the list reader.
     pub list_wanted: Notify,
-    /// Wakes who waits for a bundle.
-    pub bundle_changed: Notify,
     /// A test's hook; none in production.
     pub hook: Option<StepHook>,
     random: Cell<u64>,
@@ -137,7 +135,6 @@
             single_client: endpoint_client(Duration::ZERO),
             notices: Notify::new(),
             list_wanted: Notify::new(),
-            bundle_changed: Notify::new(),
             hook,
             random: Cell::new(rand::random()),
             settings,
--- a/crates/edge/src/spread.rs
+++ b/crates/edge/src/spread.rs
@@ -91,7 +91,6 @@
         board.bundle_seen = node.clock.now();
     }
     slog::info!(node.log, "a bundle is in force"; "generation" => generation);
-    node.bundle_changed.notify_waiters();
     tell_bundle(node, generation);
 }
 
--- a/crates/limit/src/share.rs
+++ b/crates/limit/src/share.rs
@@ -52,7 +52,6 @@
     tokens: TokenBucket,
     in_flight: u32,
     asked: u32,
-    asked_tokens: u64,
     grant: Option<(ShareGrant, ClockTime)>,
 }
 
@@ -85,7 +84,6 @@
         let entries = u64::from(self.entries);
         let state = self.account(account, now);
         state.asked += 1;
-        state.asked_tokens += tokens;
         let share = state.share_per_mille(entries, now);
         let of = |limit: u32| (u64::from(limit) * share).div_ceil(MILLI).max(1);
         let (requests, tokens_rate) = (of(limits.requests_per_s), of(limits.tokens_per_s));
@@ -143,7 +141,6 @@
             let report = DemandReport { asked: state.asked, in_flight: state.in_flight };
             reports.push((name.clone(), report));
             state.asked = 0;
-            state.asked_tokens = 0;
         }
         reports
     }
@@ -160,7 +157,6 @@
             tokens: TokenBucket { milli: u64::MAX / 4, filled_at: now },
             in_flight: 0,
             asked: 0,
-            asked_tokens: 0,
             grant: None,
         })
     }
--- a/crates/standin/src/engine_http.rs
+++ b/crates/standin/src/engine_http.rs
@@ -42,7 +42,6 @@
 /// What the handlers share.
 pub struct EngineSite {
     model: RefCell<EngineModel>,
-    shape: EngineShape,
     faults: Cell<EngineFaults>,
     stepped: Notify,
     submitted: Notify,
@@ -62,7 +61,6 @@
     ) -> Rc<Self> {
         Rc::new(EngineSite {
             model: RefCell::new(EngineModel::new(shape, version, checks_fence)),
-            shape,
             faults: Cell::default(),
             stepped: Notify::new(),
             submitted: Notify::new(),
@@ -384,8 +382,3 @@
         "fence": model.fence(),
     }))
 }
-
-/// The engine's speed, for those who build more of the same.
-pub fn shape_of(site: &EngineSite) -> EngineShape {
-    site.shape
-}
