--- /dev/null
+++ b/crates/conf/src/front.rs
@@ -0,0 +1,92 @@
+//! Settings of a front process.
+
+use crate::reader::{FieldCheck, FieldFault, require};
+use compact_str::CompactString;
+use oleander_kind::{DomainName, InstanceId};
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// A front process: serves callers, and does control work while it holds the lease for it.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FrontSettings {
+    /// This instance.
+    pub instance: InstanceId,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Where callers are served.
+    pub listen: SocketAddr,
+    /// Where the balancer asks whether the process is ready.
+    pub ready: SocketAddr,
+    /// Where peers connect.
+    pub peer: SocketAddr,
+    /// Where operators read state and metrics.
+    pub admin: SocketAddr,
+    /// Peers to ask first; any of them may be gone.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// The platform's cloud; none if endpoints are not ordered and usage is not reported.
+    #[serde(default)]
+    pub cloud: Option<SocketAddr>,
+    /// What control work there is.
+    #[serde(default)]
+    pub duties: Vec<CompactString>,
+    /// Bounds that the operators set.
+    pub bounds: FrontBounds,
+}
+
+/// Bounds of a front process. Names end in the unit.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FrontBounds {
+    /// From a stop signal to the end of the process.
+    pub grace_s: f64,
+    /// Within which a leaving endpoint gets its last new request.
+    pub drain_ms: u64,
+    /// How long a lease lasts.
+    pub lease_ms: u64,
+    /// Requests sent again, as a fraction of the requests of a service over all processes.
+    pub retry_ratio: f64,
+    /// Requests that may be sent again besides, over all processes.
+    pub retry_slack: u32,
+    /// The window over which repeats are counted.
+    pub retry_window_s: f64,
+    /// How far an account's limit may be passed, as a fraction.
+    pub limit_over: f64,
+    /// Tokens by which it may be passed besides.
+    pub limit_slack: u64,
+    /// The window over which limits are counted.
+    pub limit_window_s: f64,
+    /// The length of a usage window.
+    pub usage_window_s: f64,
+    /// How long after its end a window's usage is due.
+    pub usage_due_s: f64,
+    /// How soon after the store's return the endpoints that it forgot are listed again.
+    pub relist_ms: u64,
+}
+
+impl FieldCheck for FrontSettings {
+    fn check(&self) -> Result<(), FieldFault> {
+        require(!self.instance.as_str().is_empty(), "instance", "must not be empty")?;
+        require(!self.domain.as_str().is_empty(), "domain", "must not be empty")?;
+        self.bounds.check()
+    }
+}
+
+impl FrontBounds {
+    fn check(&self) -> Result<(), FieldFault> {
+        const SHORTEST_MS: u64 = 100;
+        const SHORTEST_S: f64 = 0.1;
+        let long = |ms: u64| ms >= SHORTEST_MS;
+        require(self.grace_s >= SHORTEST_S, "grace_s", "must be at least 0.1")?;
+        require(long(self.drain_ms), "drain_ms", "must be at least 100")?;
+        require(long(self.lease_ms), "lease_ms", "must be at least 100")?;
+        require(self.retry_window_s >= SHORTEST_S, "retry_window_s", "must be at least 0.1")?;
+        require(self.limit_window_s >= SHORTEST_S, "limit_window_s", "must be at least 0.1")?;
+        require(self.usage_window_s >= SHORTEST_S, "usage_window_s", "must be at least 0.1")?;
+        require((0.0..=1.0).contains(&self.retry_ratio), "retry_ratio", "must lie in 0 to 1")?;
+        require((0.0..=1.0).contains(&self.limit_over), "limit_over", "must lie in 0 to 1")
+    }
+}
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -4,8 +4,10 @@
 
 pub mod entry;
 pub mod fleet;
+pub mod front;
 pub mod reader;
 
 pub use entry::{EntrySettings, EntryTimes, PeerSetting, RequestBounds};
 pub use fleet::FleetSettings;
+pub use front::{FrontBounds, FrontSettings};
 pub use reader::{FieldCheck, Result, SettingsError, read_settings};
--- a/crates/edge/src/claims.rs
+++ b/crates/edge/src/claims.rs
@@ -1,12 +1,12 @@
 //! Carries out the claim keepers' reads and writes at the object API.
 
-use crate::clock::NodeClock;
 use actix::{
     Actor, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message, ResponseFuture,
     WrapFuture,
 };
 use bytes::Bytes;
 use compact_str::CompactString;
+use oleander_board::NodeClock;
 use oleander_claim::book::{BOOK_SPAN, decode};
 use oleander_claim::{
     BookKeeper, BookName, ClaimAction, ClaimAsk, ClaimRecord, ClaimSaid, ClaimSettings,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -9,7 +9,6 @@
 pub mod book;
 pub mod chat;
 pub mod claims;
-pub mod clock;
 pub mod drive;
 pub mod entry;
 pub mod kv;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -2,11 +2,11 @@
 
 use crate::book::RequestBook;
 use crate::claims::ClaimDesk;
-use crate::clock::NodeClock;
 use crate::steps::{EntryStep, StepHook};
 use actix::Addr;
 use awc::{Client, Connector};
 use compact_str::CompactString;
+use oleander_board::NodeClock;
 use oleander_board::{Blackboard, NodeMeter};
 use oleander_bundle::{BundleGate, SignPolicy, SignedBundle};
 use oleander_conf::EntrySettings;
--- /dev/null
+++ b/crates/front/src/answer.rs
@@ -0,0 +1,144 @@
+//! Writes one answer to a caller.
+
+use actix_codec::Encoder;
+use actix_http::body::BodySize;
+use actix_http::h1::{Codec, Message};
+use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
+use actix_http::{ConnectionType, Response, StatusCode};
+use bytes::{Bytes, BytesMut};
+use oleander_kind::{ResultCode, TimeSpan};
+use std::io;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::WriteHalf;
+
+/// How far an answer has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerStage {
+    /// Nothing was written.
+    Waiting,
+    /// The head was written.
+    Begun,
+    /// All of it was written.
+    Done,
+}
+
+/// The caller's side of one request. Dropping it before it is done closes the connection, so that
+/// an answer that ends early cannot look whole.
+pub struct AnswerWriter<'a> {
+    writer: WriteHalf<'a>,
+    codec: &'a mut Codec,
+    out: BytesMut,
+    stage: AnswerStage,
+    closes: bool,
+}
+
+impl<'a> AnswerWriter<'a> {
+    /// An answer that has not begun. If `closes`, the caller is told not to use the connection
+    /// again.
+    pub fn new(writer: WriteHalf<'a>, codec: &'a mut Codec, closes: bool) -> Self {
+        AnswerWriter { writer, codec, out: BytesMut::new(), stage: AnswerStage::Waiting, closes }
+    }
+
+    /// How far it has come.
+    pub fn stage(&self) -> AnswerStage {
+        self.stage
+    }
+
+    /// From now on tells the caller not to use the connection again.
+    pub fn close_after(&mut self) {
+        self.closes = true;
+    }
+
+    /// Begins an answer whose body comes in pieces. The head leaves with the first piece.
+    ///
+    /// # Errors
+    /// The system's.
+    pub fn begin(&mut self, status: StatusCode, headers: HeaderMap) -> io::Result<()> {
+        self.encode_head(status, headers, BodySize::Stream)
+    }
+
+    fn encode_head(
+        &mut self,
+        status: StatusCode,
+        headers: HeaderMap,
+        size: BodySize,
+    ) -> io::Result<()> {
+        let mut response = Response::with_body(status, ());
+        *response.headers_mut() = headers;
+        if self.closes {
+            response.head_mut().set_connection_type(ConnectionType::Close);
+        }
+        self.stage = AnswerStage::Begun;
+        self.codec.encode(Message::Item((response, size)), &mut self.out)
+    }
+
+    /// Writes a piece of the body.
+    ///
+    /// # Errors
+    /// The system's; the caller is gone then.
+    pub async fn piece(&mut self, bytes: Bytes) -> io::Result<()> {
+        self.codec.encode(Message::Chunk(Some(bytes)), &mut self.out)?;
+        self.flush().await
+    }
+
+    /// Ends a body that came in pieces.
+    ///
+    /// # Errors
+    /// The system's.
+    pub async fn finish(&mut self) -> io::Result<()> {
+        self.codec.encode(Message::Chunk(None), &mut self.out)?;
+        self.flush().await?;
+        self.stage = AnswerStage::Done;
+        Ok(())
+    }
+
+    /// Writes a whole answer.
+    ///
+    /// # Errors
+    /// The system's.
+    pub async fn whole(
+        &mut self,
+        status: StatusCode,
+        headers: HeaderMap,
+        body: Bytes,
+    ) -> io::Result<()> {
+        self.encode_head(status, headers, BodySize::Sized(body.len() as u64))?;
+        if !body.is_empty() {
+            self.codec.encode(Message::Chunk(Some(body)), &mut self.out)?;
+        }
+        self.flush().await?;
+        self.stage = AnswerStage::Done;
+        Ok(())
+    }
+
+    /// Writes a numbered refusal.
+    ///
+    /// # Errors
+    /// The system's.
+    pub async fn refuse(&mut self, code: ResultCode, retry: Option<TimeSpan>) -> io::Result<()> {
+        let status = StatusCode::from_u16(code.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+        let mut headers = HeaderMap::new();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Some(retry) = retry {
+            let seconds = format!("{:.3}", retry.0 as f64 / 1000.0);
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                headers.insert(RETRY_AFTER, value);
+            }
+        }
+        let body = serde_json::json!({
+            "code": code.number(), "name": code.name(), "error": code.text(),
+        });
+        self.whole(status, headers, Bytes::from(body.to_string())).await
+    }
+
+    /// Whether the connection may carry another request.
+    pub fn keeps_open(&self) -> bool {
+        self.stage == AnswerStage::Done && !self.closes && self.codec.keep_alive()
+    }
+
+    async fn flush(&mut self) -> io::Result<()> {
+        self.writer.write_all(&self.out).await?;
+        self.out.clear();
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/front/src/ingress.rs
@@ -0,0 +1,265 @@
+//! Callers' connections: reads requests within the operators' bounds, and notices a caller that
+//! leaves while its answer is made.
+//!
+//! The library's own connection loop takes its bounds when it is built; here they change with the
+//! rules in force. So the loop is ours and the codec is the library's.
+
+use crate::answer::AnswerWriter;
+use crate::drive::serve_call;
+use crate::node::FrontNode;
+use actix_codec::Decoder;
+use actix_http::error::ParseError;
+use actix_http::h1::{Codec, Message, MessageType};
+use actix_http::{Request, RequestHead};
+use bytes::{Bytes, BytesMut};
+use oleander_board::StopStage;
+use oleander_call::CallerBounds;
+use oleander_kind::ResultCode;
+use oleander_outlet::{SocketBounds, tune_socket};
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::ReadHalf;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, timeout_at};
+
+/// Bytes read at once.
+const READ_SIZE: usize = 4096;
+/// Bytes of following requests that are read while one is answered; more wait in the socket.
+const AHEAD_LIMIT: usize = 64 << 10;
+/// How long bytes of a refused request are still read, so that its caller sees the refusal instead
+/// of a reset.
+const LINGER_TIME: Duration = Duration::from_millis(500);
+/// How many of them.
+const LINGER_BYTES: usize = 1 << 20;
+
+/// A request as it was read.
+pub struct CallerRequest {
+    /// Its head.
+    pub head: RequestHead,
+    /// Its whole body.
+    pub body: Bytes,
+}
+
+/// Accepts callers until the task is ended.
+pub async fn accept_callers(node: Rc<FrontNode>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                actix_rt::spawn(serve_caller(node.clone(), stream));
+            }
+            Err(fault) => {
+                // Out of descriptors, most likely; those in use are given back within moments.
+                slog::warn!(node.log, "a caller was not accepted"; "fault" => fault.to_string());
+                actix_rt::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+enum HeadOutcome {
+    Read(Request),
+    Ended,
+    Refused(ResultCode),
+}
+
+async fn serve_caller(node: Rc<FrontNode>, mut stream: TcpStream) {
+    if let Err(fault) = tune_socket(&stream, SocketBounds::default()) {
+        slog::debug!(node.log, "a caller's socket"; "fault" => fault.to_string());
+    }
+    let mut codec = Codec::new(node.http.config().clone());
+    let mut buffer = BytesMut::new();
+    loop {
+        let bounds = caller_bounds(&node);
+        let outcome = read_head(&node, &mut stream, &mut codec, &mut buffer, bounds).await;
+        let request = match outcome {
+            HeadOutcome::Read(request) => request,
+            HeadOutcome::Ended => return,
+            HeadOutcome::Refused(code) => return refuse_and_close(stream, &mut codec, code).await,
+        };
+        let body = read_body(&mut stream, &mut codec, &mut buffer, &request, bounds).await;
+        let body = match body {
+            Ok(body) => body,
+            Err(Some(code)) => return refuse_and_close(stream, &mut codec, code).await,
+            Err(None) => return,
+        };
+        if !answer_request(&node, &mut stream, &mut codec, &mut buffer, (request, body)).await {
+            return;
+        }
+    }
+}
+
+fn caller_bounds(node: &FrontNode) -> CallerBounds {
+    node.rules.borrow().current().map_or_else(CallerBounds::default, |rules| rules.bounds())
+}
+
+/// Waits for a request and reads its head.
+async fn read_head(
+    node: &FrontNode,
+    stream: &mut TcpStream,
+    codec: &mut Codec,
+    buffer: &mut BytesMut,
+    bounds: CallerBounds,
+) -> HeadOutcome {
+    if buffer.is_empty() && !wait_first_byte(node, stream, buffer, bounds).await {
+        return HeadOutcome::Ended;
+    }
+    let until = Instant::now() + bounds.head_time.duration();
+    loop {
+        let held = buffer.len();
+        match codec.decode(buffer) {
+            Ok(Some(Message::Item(request))) => {
+                let too_long = held - buffer.len() > bounds.head_bytes;
+                let upgrade = codec.message_type() == MessageType::Stream;
+                return match (too_long, upgrade) {
+                    (true, _) => HeadOutcome::Refused(ResultCode::HeaderTooLarge),
+                    (_, true) => HeadOutcome::Refused(ResultCode::BadHead),
+                    _ => HeadOutcome::Read(request),
+                };
+            }
+            Ok(Some(Message::Chunk(_))) => return HeadOutcome::Refused(ResultCode::BadHead),
+            Ok(None) if held > bounds.head_bytes => {
+                return HeadOutcome::Refused(ResultCode::HeaderTooLarge);
+            }
+            Ok(None) => {}
+            Err(ParseError::TooLarge) => {
+                return HeadOutcome::Refused(ResultCode::HeaderTooLarge);
+            }
+            Err(_) => return HeadOutcome::Refused(ResultCode::BadHead),
+        }
+        buffer.reserve(READ_SIZE);
+        match timeout_at(until, stream.read_buf(buffer)).await {
+            Ok(Ok(0)) | Ok(Err(_)) => return HeadOutcome::Ended,
+            Ok(Ok(_)) => {}
+            Err(_) => return HeadOutcome::Refused(ResultCode::SlowHead),
+        }
+    }
+}
+
+/// Waits for the first byte of a request; says whether one came. An idle connection ends quietly
+/// after its time, or when the process stops.
+async fn wait_first_byte(
+    node: &FrontNode,
+    stream: &mut TcpStream,
+    buffer: &mut BytesMut,
+    bounds: CallerBounds,
+) -> bool {
+    buffer.reserve(READ_SIZE);
+    tokio::select! {
+        biased;
+        read = stream.read_buf(buffer) => matches!(read, Ok(count) if count > 0),
+        () = node.close_idle.notified() => false,
+        () = tokio::time::sleep(bounds.idle_time.duration()) => false,
+    }
+}
+
+/// Reads a request's body. `Err(None)` means that the caller is gone.
+async fn read_body(
+    stream: &mut TcpStream,
+    codec: &mut Codec,
+    buffer: &mut BytesMut,
+    request: &Request,
+    bounds: CallerBounds,
+) -> Result<Bytes, Option<ResultCode>> {
+    if codec.message_type() == MessageType::None {
+        return Ok(Bytes::new());
+    }
+    if request.head().expect() {
+        let go_on = stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+        go_on.map_err(|_| None)?;
+    }
+    let mut body = BytesMut::new();
+    loop {
+        match codec.decode(buffer) {
+            Ok(Some(Message::Chunk(Some(bytes)))) => body.extend_from_slice(&bytes),
+            Ok(Some(Message::Chunk(None))) => return Ok(body.freeze()),
+            Ok(Some(Message::Item(_))) | Err(_) => return Err(Some(ResultCode::BadHead)),
+            Ok(None) => {
+                buffer.reserve(READ_SIZE);
+                let read =
+                    tokio::time::timeout(bounds.idle_time.duration(), stream.read_buf(buffer));
+                match read.await {
+                    Ok(Ok(0)) | Ok(Err(_)) => return Err(None),
+                    Ok(Ok(_)) => {}
+                    Err(_) => return Err(Some(ResultCode::SlowBody)),
+                }
+            }
+        }
+        if body.len() > bounds.body_bytes {
+            return Err(Some(ResultCode::BodyTooLarge));
+        }
+    }
+}
+
+struct FlightGuard<'a>(&'a Cell<usize>);
+
+impl Drop for FlightGuard<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// Answers one request; says whether the connection may carry another.
+async fn answer_request(
+    node: &Rc<FrontNode>,
+    stream: &mut TcpStream,
+    codec: &mut Codec,
+    buffer: &mut BytesMut,
+    (mut request, body): (Request, Bytes),
+) -> bool {
+    node.in_flight.set(node.in_flight.get() + 1);
+    let _guard = FlightGuard(&node.in_flight);
+    let (mut reader, writer) = stream.split();
+    let closes = node.stop.get() != StopStage::Serving;
+    let mut answer = AnswerWriter::new(writer, codec, closes);
+    let head = std::mem::take(request.head_mut());
+    let request = CallerRequest { head, body };
+    tokio::select! {
+        biased;
+        outcome = serve_call(node, request, &mut answer) => {
+            outcome.is_ok() && answer.keeps_open()
+        }
+        () = wait_leaving(&mut reader, buffer) => false,
+    }
+}
+
+/// Waits until the caller closes its side. What it sends meanwhile is kept for later.
+async fn wait_leaving(reader: &mut ReadHalf<'_>, buffer: &mut BytesMut) {
+    while buffer.len() < AHEAD_LIMIT {
+        buffer.reserve(READ_SIZE);
+        match reader.read_buf(buffer).await {
+            Ok(0) | Err(_) => return,
+            Ok(_) => {}
+        }
+    }
+    std::future::pending().await
+}
+
+/// Refuses a request that was not read to its end. What is still on its way is read for a moment:
+/// closing a connection with unread bytes resets it, and the caller would never see why.
+async fn refuse_and_close(mut stream: TcpStream, codec: &mut Codec, code: ResultCode) {
+    let written = {
+        let (_, writer) = stream.split();
+        AnswerWriter::new(writer, codec, true).refuse(code, None).await
+    };
+    if written.is_ok() && stream.shutdown().await.is_ok() {
+        let lingering = tokio::time::timeout(LINGER_TIME, discard(&mut stream));
+        // Whatever comes of it, the connection is closed.
+        let _ = lingering.await;
+    }
+}
+
+async fn discard(stream: &mut TcpStream) -> io::Result<()> {
+    let mut left = LINGER_BYTES;
+    let mut scratch = [0; READ_SIZE];
+    while left > 0 {
+        let count = stream.read(&mut scratch).await?;
+        if count == 0 {
+            return Ok(());
+        }
+        left = left.saturating_sub(count);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,19 @@
+//! The front process: callers on one side, endpoints on the other, peers beside it.
+//!
+//! It carries out what the decision crates say and hands back what the outside said. It knows the
+//! platform only through [`PlatformDialect`] and the store's port; names and formats lie behind them.
+
+pub mod answer;
+pub mod drive;
+pub mod feeds;
+pub mod ingress;
+pub mod node;
+pub mod port;
+pub mod process;
+pub mod stream;
+pub mod whole;
+pub mod work;
+
+pub use node::FrontNode;
+pub use port::PlatformDialect;
+pub use process::{FrontProcess, start_front};
--- /dev/null
+++ b/crates/front/src/node.rs
@@ -0,0 +1,148 @@
+//! One front process: what its parts share.
+
+use crate::port::PlatformDialect;
+use oleander_board::{NodeClock, StopStage};
+use oleander_call::{RuleGate, RuleSet};
+use oleander_conf::FrontSettings;
+use oleander_flow::{BudgetSettings, RetryBudget};
+use oleander_kind::hash::mix_bits;
+use oleander_kind::{ClockTime, ServiceName};
+use oleander_outlet::{HttpCodec, LinkPool};
+use oleander_place::{EndpointBoard, PrefixRecord};
+use oleander_plat::FeedStore;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// Part of the allowed repeats that the processes share out; the rest is a margin for requests that
+/// a count of ours sees in another window than the endpoints do.
+const BUDGET_PART: f64 = 0.8;
+
+/// How the process stands with a feed of the store.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FeedState {
+    /// Whether the feed was read at least once.
+    pub known: bool,
+    /// Since when it brings nothing because the store does not answer; none while it does.
+    pub lost_since: Option<ClockTime>,
+}
+
+impl FeedState {
+    /// Whether what it brought is up to date.
+    pub fn is_fresh(&self) -> bool {
+        self.known && self.lost_since.is_none()
+    }
+}
+
+/// Everything one front process has. It lives in one thread.
+pub struct FrontNode {
+    /// Its settings.
+    pub settings: FrontSettings,
+    /// Its clocks.
+    pub clock: NodeClock,
+    /// Its log.
+    pub log: slog::Logger,
+    /// The platform's names and formats.
+    pub dialect: Box<dyn PlatformDialect>,
+    /// The platform's store.
+    pub store: Box<dyn FeedStore>,
+    /// Makes the codecs of connections.
+    pub http: HttpCodec,
+    /// The rules in force.
+    pub rules: RefCell<RuleGate>,
+    /// How the feed of rules stands.
+    pub rules_feed: Cell<FeedState>,
+    /// How the feed of endpoints stands.
+    pub endpoints_feed: Cell<FeedState>,
+    /// The endpoints.
+    pub endpoints: RefCell<EndpointBoard>,
+    /// Which prompt parts were sent where.
+    pub prefixes: RefCell<PrefixRecord>,
+    /// Idle connections to endpoints.
+    pub pool: RefCell<LinkPool>,
+    /// How far a planned stop has come.
+    pub stop: Cell<StopStage>,
+    /// Wakes idle connections when they are to be closed.
+    pub close_idle: Notify,
+    /// Requests under way.
+    pub in_flight: Cell<usize>,
+    /// How many processes serve callers, this one included.
+    pub process_count: Cell<u32>,
+    budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    random: Cell<u64>,
+}
+
+impl FrontNode {
+    /// A process that knows nothing yet.
+    pub fn new(
+        settings: FrontSettings,
+        log: slog::Logger,
+        dialect: Box<dyn PlatformDialect>,
+        store: Box<dyn FeedStore>,
+    ) -> Rc<Self> {
+        let seen = settings.seeds.len().max(1) as u32;
+        Rc::new(FrontNode {
+            settings,
+            clock: NodeClock::default(),
+            log,
+            dialect,
+            store,
+            http: HttpCodec::default(),
+            rules: RefCell::default(),
+            rules_feed: Cell::default(),
+            endpoints_feed: Cell::default(),
+            endpoints: RefCell::default(),
+            prefixes: RefCell::default(),
+            pool: RefCell::default(),
+            stop: Cell::default(),
+            close_idle: Notify::new(),
+            in_flight: Cell::default(),
+            process_count: Cell::new(seen),
+            budgets: RefCell::default(),
+            random: Cell::new(rand::random()),
+        })
+    }
+
+    /// The rules in force, if any are known.
+    pub fn current_rules(&self) -> Option<Rc<RuleSet>> {
+        self.rules.borrow().current().cloned()
+    }
+
+    /// Whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        let informed = self.rules.borrow().version() > 0 && self.endpoints_feed.get().known;
+        informed && self.stop.get() == StopStage::Serving
+    }
+
+    /// The next random number.
+    pub fn random(&self) -> u64 {
+        let next = mix_bits(self.random.get());
+        self.random.set(next);
+        next
+    }
+
+    /// Takes one repeat of `service` out of this process's part of the budget.
+    pub fn spend_retry(&self, service: &ServiceName) -> bool {
+        self.with_budget(service, RetryBudget::spend)
+    }
+
+    /// Counts a request for `service`.
+    pub fn earn_retry(&self, service: &ServiceName) {
+        self.with_budget(service, RetryBudget::earn);
+    }
+
+    fn with_budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_insert_with(|| {
+            let bounds = &self.settings.bounds;
+            let slack = f64::from(bounds.retry_slack) / f64::from(self.process_count.get().max(1));
+            RetryBudget::new(BudgetSettings {
+                earned_per_mille: (bounds.retry_ratio * BUDGET_PART * 1000.0) as u32,
+                most_kept: (slack * BUDGET_PART) as u32,
+                ..BudgetSettings::default()
+            })
+        });
+        act(budget)
+    }
+}
--- /dev/null
+++ b/crates/front/src/process.rs
@@ -0,0 +1,101 @@
+//! Starts a front process, and stops it without cutting anything.
+
+use crate::node::FrontNode;
+use crate::port::PlatformDialect;
+use crate::{feeds, ingress};
+use actix_web::{App, HttpResponse, web};
+use oleander_board::StopStage;
+use oleander_conf::FrontSettings;
+use oleander_kind::TimeSpan;
+use oleander_outlet::listen_socket;
+use oleander_plat::FeedStore;
+use oleander_serve::{HttpSite, local_data, serve_app};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+/// Where the balancer asks whether the process is ready.
+const READY_PATH: &str = "/-/ready";
+/// Time for the balancer to notice: it asks once a second and needs two misses.
+const ROTATION_TIME: Duration = Duration::from_millis(2600);
+/// Between two looks at what is left.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+/// Kept of the grace time for the end of the process itself.
+const END_MARGIN: Duration = Duration::from_millis(300);
+/// Between two rounds of forgetting what is old.
+const SWEEP_PAUSE: TimeSpan = TimeSpan(2000);
+
+/// A running front process.
+pub struct FrontProcess {
+    /// Its parts.
+    pub node: Rc<FrontNode>,
+    _ready: HttpSite,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+/// Starts a front process.
+///
+/// # Errors
+/// The system's, if it cannot listen at one of its addresses.
+pub async fn start_front(
+    settings: FrontSettings,
+    log: slog::Logger,
+    dialect: Box<dyn PlatformDialect>,
+    store: Box<dyn FeedStore>,
+) -> std::io::Result<FrontProcess> {
+    let callers = listen_socket(settings.listen)?;
+    let node = FrontNode::new(settings, log, dialect, store);
+    let app = App::new().app_data(local_data(node.clone())).route(READY_PATH, web::get().to(ready));
+    let ready = serve_app(node.settings.ready, app).await?;
+    let tasks = vec![
+        actix_rt::spawn(feeds::follow_rules(node.clone())),
+        actix_rt::spawn(feeds::follow_endpoints(node.clone())),
+        actix_rt::spawn(sweep(node.clone())),
+        actix_rt::spawn(ingress::accept_callers(node.clone(), callers)),
+    ];
+    slog::info!(node.log, "the front process has started"; "listen" => node.settings.listen.to_string());
+    Ok(FrontProcess { node, _ready: ready, tasks })
+}
+
+async fn ready(node: web::Data<Rc<FrontNode>>) -> HttpResponse {
+    if node.is_ready() {
+        HttpResponse::Ok().finish()
+    } else {
+        HttpResponse::ServiceUnavailable().finish()
+    }
+}
+
+async fn sweep(node: Rc<FrontNode>) {
+    loop {
+        actix_rt::time::sleep(SWEEP_PAUSE.duration()).await;
+        node.prefixes.borrow_mut().sweep(node.clock.now());
+        let endpoints = node.endpoints.borrow();
+        node.pool.borrow_mut().sweep(|instance| endpoints.key(instance).is_some());
+    }
+}
+
+impl FrontProcess {
+    /// Stops in order: readiness, idle connections, the rest.
+    ///
+    /// The balancer learns first, and callers are served until it has; each answer asks its caller
+    /// to open its next connection elsewhere. Connections that are still idle after that are
+    /// closed, and what is being answered is finished.
+    pub async fn stop(self) {
+        let node = &self.node;
+        let grace = Duration::from_secs_f64(node.settings.bounds.grace_s);
+        let until = Instant::now() + grace.saturating_sub(END_MARGIN);
+        slog::info!(node.log, "the front process is leaving"; "in_flight" => node.in_flight.get());
+        node.stop.set(StopStage::Unready);
+        tokio::time::sleep(ROTATION_TIME).await;
+        node.stop.set(StopStage::Draining);
+        node.close_idle.notify_waiters();
+        while node.in_flight.get() > 0 && Instant::now() < until {
+            tokio::time::sleep(LOOK_PAUSE).await;
+            node.close_idle.notify_waiters();
+        }
+        node.stop.set(StopStage::Stopped);
+        self.tasks.iter().for_each(JoinHandle::abort);
+        slog::info!(node.log, "the front process has stopped"; "left" => node.in_flight.get());
+    }
+}
--- a/crates/kind/src/code.rs
+++ b/crates/kind/src/code.rs
@@ -67,6 +67,9 @@
     StaleBundle = 1017, 503, NotRun, "this entry cannot know whether its bundle is still in force";
     SlowBody = 1019, 408, NotRun, "the body did not arrive in time";
     MemoryFull = 1020, 503, NotRun, "this entry holds as many request bytes as it may";
+    Overloaded = 1021, 503, NotRun, "the endpoints cannot answer in time now; come back later";
+    BadHead = 1022, 400, NotRun, "the request's head cannot be read";
+    SlowHead = 1023, 408, NotRun, "the request's head did not arrive in time";
     Uncertain = 2001, 502, MayHaveRun, "it may have run; its answer is lost";
     DeadlinePassed = 2002, 504, MayHaveRun, "the deadline passed after the request was sent";
     Cancelled = 2003, 499, MayHaveRun, "the caller went away";
--- a/crates/oleandertack/src/start.rs
+++ b/crates/oleandertack/src/start.rs
@@ -60,6 +60,18 @@
 pub fn read_or_exit<T: DeserializeOwned + FieldCheck>(
     program: &str,
     options: &[&str],
+) -> Result<(T, ProcessArguments), ExitCode> {
+    read_or_exit_with(program, options, None)
+}
+
+/// As [`read_or_exit`], with the settings file to read if the command line names none.
+///
+/// # Errors
+/// The exit code, after one line on standard error.
+pub fn read_or_exit_with<T: DeserializeOwned + FieldCheck>(
+    program: &str,
+    options: &[&str],
+    default_path: Option<PathBuf>,
 ) -> Result<(T, ProcessArguments), ExitCode> {
     let usage = || {
         eprintln!("usage: {program} --settings FILE [--check]");
@@ -69,7 +81,7 @@
         eprintln!("4002 {program}: {fault}");
         usage()
     })?;
-    let Some(path) = arguments.settings.clone() else {
+    let Some(path) = arguments.settings.clone().or(default_path) else {
         return Err(usage());
     };
     let settings: T = read_settings(&path).map_err(|fault| {
--- /dev/null
+++ b/crates/outlet/src/link.rs
@@ -0,0 +1,310 @@
+//! One HTTP/1.1 connection as a typestate: idle → sent → answering → idle again, or dropped.
+//!
+//! Dropping a link in any state closes its connection, which is how a request is cancelled.
+
+use crate::socket::{SocketBounds, tune_socket};
+use actix_codec::{Decoder, Encoder};
+use actix_http::body::BodySize;
+use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
+use actix_http::header::CONTENT_LENGTH;
+use actix_http::{
+    ConnectionType, KeepAlive, Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig,
+    StatusCode, Version,
+};
+use bytes::{Bytes, BytesMut};
+use quick_error::quick_error;
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Bytes read at once. Most events and small answers fit.
+const READ_SIZE: usize = 4096;
+
+quick_error! {
+    /// Why a connection is of no more use.
+    #[derive(Debug)]
+    pub enum LinkError {
+        /// No connection could be made.
+        Unreached(cause: io::Error) {
+            display("not reached: {}", cause)
+        }
+        /// It broke or ended before the answer was whole.
+        Cut(cause: io::Error) {
+            display("cut: {}", cause)
+        }
+        /// It brought bytes that are no HTTP.
+        Malformed(detail: String) {
+            display("not HTTP: {}", detail)
+        }
+        /// The time limit passed.
+        Late(limit: Duration) {
+            display("nothing for {:?}", limit)
+        }
+    }
+}
+
+/// The result of link operations.
+pub type Result<T> = std::result::Result<T, LinkError>;
+
+fn ended() -> LinkError {
+    LinkError::Cut(io::ErrorKind::UnexpectedEof.into())
+}
+
+/// Makes the codecs of links; one a process, because the library keeps a timer with each.
+#[derive(Clone)]
+pub struct HttpCodec {
+    config: ServiceConfig,
+}
+
+impl Default for HttpCodec {
+    fn default() -> Self {
+        // Enabled, so that the library does not ask to close after each answer; how long idle
+        // links are kept is decided by the pool.
+        let keep = KeepAlive::Timeout(Duration::from_secs(60));
+        HttpCodec { config: ServiceConfig::new(keep, Duration::ZERO, Duration::ZERO, false, None) }
+    }
+}
+
+impl HttpCodec {
+    /// The library's settings, for the codec of the callers' side.
+    pub fn config(&self) -> &ServiceConfig {
+        &self.config
+    }
+}
+
+/// A connection on which nothing is under way.
+pub struct IdleLink {
+    stream: TcpStream,
+    buffer: BytesMut,
+    answers: u32,
+    idle_since: Instant,
+}
+
+impl IdleLink {
+    /// Connects to `address` within `limit`.
+    ///
+    /// # Errors
+    /// [`LinkError::Unreached`]; no byte of a request has left.
+    pub async fn open(address: SocketAddr, limit: Duration, bounds: SocketBounds) -> Result<Self> {
+        let connecting = tokio::time::timeout(limit, TcpStream::connect(address)).await;
+        let late = |_| LinkError::Unreached(io::ErrorKind::TimedOut.into());
+        let stream = connecting.map_err(late)?.map_err(LinkError::Unreached)?;
+        tune_socket(&stream, bounds).map_err(LinkError::Unreached)?;
+        let buffer = BytesMut::new();
+        Ok(IdleLink { stream, buffer, answers: 0, idle_since: Instant::now() })
+    }
+
+    /// How many whole answers it has brought.
+    pub fn answers(&self) -> u32 {
+        self.answers
+    }
+
+    /// How long nothing has been under way.
+    pub fn idle_for(&self) -> Duration {
+        self.idle_since.elapsed()
+    }
+
+    /// Whether it is still open and holds no byte that nobody asked for.
+    ///
+    /// Sending on a connection that its endpoint has closed would leave a doubt whether the request
+    /// ran; a byte that waits here would be taken for the beginning of the next answer.
+    pub fn is_quiet(&self) -> bool {
+        let mut probe = [0; 1];
+        let read = self.stream.try_read(&mut probe);
+        self.buffer.is_empty()
+            && matches!(read, Err(fault) if fault.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Puts a request on the link. Nothing leaves before the answer's head is read.
+    ///
+    /// # Errors
+    /// [`LinkError::Malformed`] if the head cannot be written as HTTP/1.1.
+    pub fn send(self, codec: &HttpCodec, head: RequestHead, body: Bytes) -> Result<SentLink> {
+        let mut coder = ClientCodec::new(codec.config.clone());
+        let head_only = head.method == Method::HEAD;
+        let length = match (body.is_empty(), &head.method) {
+            (true, &Method::GET | &Method::HEAD) => BodySize::None,
+            _ => BodySize::Sized(body.len() as u64),
+        };
+        let mut unsent = BytesMut::with_capacity(512 + body.len());
+        let item = Message::Item((RequestHeadType::Owned(head), length));
+        let malformed = |fault: io::Error| LinkError::Malformed(fault.to_string());
+        coder.encode(item, &mut unsent).map_err(malformed)?;
+        unsent.extend_from_slice(&body);
+        Ok(SentLink { link: self, coder, unsent, byte_left: false, head_only })
+    }
+}
+
+/// A connection with a request under way whose answer has not begun.
+pub struct SentLink {
+    link: IdleLink,
+    coder: ClientCodec,
+    unsent: BytesMut,
+    byte_left: bool,
+    head_only: bool,
+}
+
+impl SentLink {
+    /// Whether a byte of the request may have left.
+    pub fn byte_left(&self) -> bool {
+        self.byte_left
+    }
+
+    /// Sends what is not sent yet and reads the head of the answer. An endpoint may answer before
+    /// it has read the whole body; the rest is then not sent, and the link is not used again.
+    ///
+    /// # Errors
+    /// Any; [`byte_left`](Self::byte_left) tells whether the endpoint may have got something.
+    pub async fn read_head(&mut self) -> Result<ResponseHead> {
+        loop {
+            let decoded = self.coder.decode(&mut self.link.buffer);
+            let head = decoded.map_err(|fault| LinkError::Malformed(fault.to_string()))?;
+            match head {
+                Some(head) if head.status.is_informational() => {}
+                Some(head) => return Ok(head),
+                None => self.progress().await?,
+            }
+        }
+    }
+
+    async fn progress(&mut self) -> Result<()> {
+        self.link.buffer.reserve(READ_SIZE);
+        let (mut reader, mut writer) = self.link.stream.split();
+        let read = if self.unsent.is_empty() {
+            reader.read_buf(&mut self.link.buffer).await
+        } else {
+            tokio::select! {
+                biased;
+                written = writer.write_buf(&mut self.unsent) => {
+                    let count = written.map_err(LinkError::Cut)?;
+                    self.byte_left |= count > 0;
+                    return Ok(());
+                }
+                read = reader.read_buf(&mut self.link.buffer) => read,
+            }
+        };
+        match read {
+            Ok(0) => Err(ended()),
+            Ok(_) => Ok(()),
+            Err(fault) => Err(LinkError::Cut(fault)),
+        }
+    }
+
+    /// The body that follows `head`.
+    pub fn into_body(self, head: &ResponseHead) -> BodyLink {
+        let closes = head.connection_type() == ConnectionType::Close;
+        let reusable = self.coder.keep_alive()
+            && !closes
+            && head.version == Version::HTTP_11
+            && self.unsent.is_empty();
+        let no_body = self.head_only
+            || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+        let has_length = head.headers().contains_key(CONTENT_LENGTH);
+        let framing = match self.coder.message_type() {
+            _ if no_body => BodyFraming::Over,
+            // The library takes an HTTP/1.1 answer without a length for an empty one; it ends with
+            // its connection (RFC 9112, section 6.3).
+            MessageType::None if has_length => BodyFraming::Over,
+            MessageType::None | MessageType::Stream => BodyFraming::UntilEnd,
+            MessageType::Payload if head.version == Version::HTTP_10 && !has_length => {
+                BodyFraming::UntilEnd
+            }
+            MessageType::Payload => BodyFraming::Coded(self.coder.into_payload_codec()),
+        };
+        BodyLink { link: self.link, framing, reusable }
+    }
+}
+
+enum BodyFraming {
+    /// By a length or in chunks.
+    Coded(ClientPayloadCodec),
+    /// Until the connection ends.
+    UntilEnd,
+    /// All of it was read.
+    Over,
+}
+
+/// A connection whose answer's body is being read.
+pub struct BodyLink {
+    link: IdleLink,
+    framing: BodyFraming,
+    reusable: bool,
+}
+
+impl BodyLink {
+    /// Whether the answer says how its body ends, so that a cut cannot look like an end.
+    pub fn is_framed(&self) -> bool {
+        !matches!(self.framing, BodyFraming::UntilEnd)
+    }
+
+    /// The next bytes of the body; `None` once it is whole.
+    ///
+    /// # Errors
+    /// [`LinkError::Cut`] if the connection ended too early or broke, [`LinkError::Malformed`] if
+    /// the framing is wrong.
+    pub async fn next(&mut self) -> Result<Option<Bytes>> {
+        loop {
+            match &mut self.framing {
+                BodyFraming::Over => return Ok(None),
+                BodyFraming::UntilEnd if !self.link.buffer.is_empty() => {
+                    return Ok(Some(self.link.buffer.split().freeze()));
+                }
+                BodyFraming::UntilEnd => {
+                    self.reusable = false;
+                    if self.read_more().await? == 0 {
+                        self.framing = BodyFraming::Over;
+                    }
+                }
+                BodyFraming::Coded(coder) => {
+                    let decoded = coder.decode(&mut self.link.buffer);
+                    match decoded.map_err(|fault| LinkError::Malformed(fault.to_string()))? {
+                        Some(Some(bytes)) => return Ok(Some(bytes)),
+                        Some(None) => self.framing = BodyFraming::Over,
+                        None => {
+                            if self.read_more().await? == 0 {
+                                return Err(ended());
+                            }
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    async fn read_more(&mut self) -> Result<usize> {
+        self.link.buffer.reserve(READ_SIZE);
+        self.link.stream.read_buf(&mut self.link.buffer).await.map_err(LinkError::Cut)
+    }
+
+    /// The link, if its answer was read whole and it can carry another request.
+    pub fn into_idle(self) -> Option<IdleLink> {
+        let whole = matches!(self.framing, BodyFraming::Over);
+        let mut link = self.link;
+        if !whole || !self.reusable || !link.buffer.is_empty() {
+            return None;
+        }
+        link.buffer = BytesMut::new();
+        link.answers += 1;
+        link.idle_since = Instant::now();
+        Some(link)
+    }
+
+    /// The link with a whole answer that belongs to nobody behind it: the answer that was asked
+    /// for may follow.
+    ///
+    /// An endpoint that answered an earlier request twice leaves the second answer where the next
+    /// one is expected. Giving up here would lose a request that must not repeat, although its own
+    /// answer comes right after.
+    pub fn into_waiting(self, codec: &HttpCodec) -> Option<SentLink> {
+        let whole = matches!(self.framing, BodyFraming::Over);
+        (whole && self.reusable).then(|| SentLink {
+            link: self.link,
+            coder: ClientCodec::new(codec.config.clone()),
+            unsent: BytesMut::new(),
+            byte_left: true,
+            head_only: false,
+        })
+    }
+}
--- /dev/null
+++ b/crates/place/src/board.rs
@@ -0,0 +1,152 @@
+//! What is known of each endpoint.
+
+use crate::health::HealthRecord;
+use compact_str::CompactString;
+use oleander_kind::endpoint::{EndpointStage, InstanceMarket};
+use oleander_kind::{ArenaKey, ClockTime, DomainName, InstanceId, ItemArena, ServiceName};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+/// The key of an endpoint on the board.
+pub type EndpointKey = ArenaKey<EndpointFact>;
+
+/// An endpoint as the platform's list shows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndpointEntry {
+    /// This life of the instance.
+    pub instance: InstanceId,
+    /// The service it answers for.
+    pub service: ServiceName,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub stage: EndpointStage,
+    /// How it was bought.
+    pub market: InstanceMarket,
+    /// When a leaving instance ends, on this process's steady clock.
+    pub ends_at: Option<ClockTime>,
+    /// The software version it runs.
+    pub release: CompactString,
+}
+
+/// Work at an endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WorkLoad {
+    /// Requests sent and not answered to the end.
+    pub requests: u32,
+    /// Prompt tokens sent that brought no first event yet.
+    pub unread_tokens: u64,
+}
+
+/// What is known of one endpoint.
+#[derive(Clone, Debug)]
+pub struct EndpointFact {
+    /// As the list shows it.
+    pub entry: EndpointEntry,
+    /// This process's work there.
+    pub own: WorkLoad,
+    /// The other processes' work there, as last heard.
+    pub others: WorkLoad,
+    /// How it has been answering.
+    pub health: HealthRecord,
+}
+
+impl EndpointFact {
+    /// Requests of all processes.
+    pub fn requests(&self) -> u32 {
+        self.own.requests + self.others.requests
+    }
+
+    /// Prompt tokens of all processes that wait to be read.
+    pub fn unread_tokens(&self) -> u64 {
+        self.own.unread_tokens + self.others.unread_tokens
+    }
+
+    /// Whether it takes new requests.
+    pub fn takes_work(&self) -> bool {
+        self.entry.stage == EndpointStage::Live
+    }
+}
+
+/// All endpoints.
+#[derive(Default)]
+pub struct EndpointBoard {
+    facts: ItemArena<EndpointFact>,
+    by_instance: HashMap<InstanceId, EndpointKey>,
+    by_service: BTreeMap<ServiceName, Vec<EndpointKey>>,
+}
+
+impl EndpointBoard {
+    /// Takes an entry, new or changed. An endpoint that is leaving stays so: no later news of the
+    /// same life can make it take work again.
+    pub fn put(&mut self, entry: EndpointEntry) -> EndpointKey {
+        if let Some(key) = self.key(&entry.instance)
+            && let Some(fact) = self.facts.get_mut(key)
+        {
+            let leaving = fact.entry.stage == EndpointStage::Leaving;
+            let ends_at = entry.ends_at.or(fact.entry.ends_at);
+            let stage = if leaving { EndpointStage::Leaving } else { entry.stage };
+            fact.entry = EndpointEntry { stage, ends_at, ..entry };
+            return key;
+        }
+        let (instance, service) = (entry.instance.clone(), entry.service.clone());
+        let key = self.facts.insert(EndpointFact {
+            entry,
+            own: WorkLoad::default(),
+            others: WorkLoad::default(),
+            health: HealthRecord::default(),
+        });
+        self.by_instance.insert(instance, key);
+        self.by_service.entry(service).or_default().push(key);
+        key
+    }
+
+    /// Takes an endpoint off the board.
+    pub fn remove(&mut self, instance: &InstanceId) -> Option<EndpointFact> {
+        let key = self.by_instance.remove(instance)?;
+        let fact = self.facts.remove(key)?;
+        if let Some(keys) = self.by_service.get_mut(&fact.entry.service) {
+            keys.retain(|other| *other != key);
+        }
+        Some(fact)
+    }
+
+    /// The key of an instance.
+    pub fn key(&self, instance: &InstanceId) -> Option<EndpointKey> {
+        self.by_instance.get(instance).copied()
+    }
+
+    /// What is known of an endpoint.
+    pub fn get(&self, key: EndpointKey) -> Option<&EndpointFact> {
+        self.facts.get(key)
+    }
+
+    /// What is known of an endpoint, for change.
+    pub fn get_mut(&mut self, key: EndpointKey) -> Option<&mut EndpointFact> {
+        self.facts.get_mut(key)
+    }
+
+    /// The endpoints of a service.
+    pub fn of_service(&self, service: &ServiceName) -> &[EndpointKey] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// All endpoints.
+    pub fn iter(&self) -> impl Iterator<Item = (EndpointKey, &EndpointFact)> {
+        self.facts.iter()
+    }
+
+    /// How many endpoints there are.
+    pub fn len(&self) -> usize {
+        self.facts.len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.facts.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/place/src/choose.rs
@@ -0,0 +1,148 @@
+//! The choice itself: the endpoint with the least expected cost.
+//!
+//! Costs are milliseconds that a caller, or the callers behind it, will wait.
+
+use crate::board::{EndpointBoard, EndpointFact, EndpointKey};
+use crate::prefix::PrefixRecord;
+use oleander_call::PromptPart;
+use oleander_kind::hash::{mix_bits, rendezvous_weight};
+use oleander_kind::{ClockTime, DomainName, ServiceName};
+
+/// Prompt tokens an engine reads in a millisecond; the users' sheets say so of all their engines.
+pub const READ_TOKENS_PER_MS: f64 = 125.0;
+/// Tokens read again count this often: once for the caller that waits, once for the callers behind
+/// it whose text they push out of the engine's memory.
+const REREAD_WEIGHT: f64 = 2.0;
+/// What a running stream costs the others of its engine: a step grows by about 0.08 ms a stream
+/// (users' sheets), and an event of 5 tokens takes 5 steps; spread over the 10 or so streams that
+/// feel it, about 2 ms each.
+const STREAM_COST_MS: f64 = 2.0;
+/// Time that a plain request takes at an idle endpoint.
+const PLAIN_WORK_MS: f64 = 15.0;
+/// What crossing failure domains costs: two crossings of about 1.5 ms, and bytes that are paid for.
+const CROSSING_MS: f64 = 5.0;
+/// An endpoint all of whose places are taken makes a request wait for a whole stream to end.
+const FULL_MS: f64 = 1500.0;
+/// What a certain failure would cost: the time to notice it and to begin again elsewhere.
+const FAILURE_MS: f64 = 400.0;
+
+/// A request that looks for an endpoint.
+#[derive(Clone, Debug)]
+pub struct PlaceAsk<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// Whether its endpoints are model engines.
+    pub engine: bool,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// The prompt's parts.
+    pub parts: &'a [PromptPart],
+    /// Endpoints that are not to be tried again.
+    pub tried: &'a [EndpointKey],
+    /// The failure domain of this process.
+    pub domain: &'a DomainName,
+    /// Breaks ties; differs between requests.
+    pub salt: u64,
+    /// The time.
+    pub now: ClockTime,
+}
+
+/// The endpoint chosen.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlaceChoice {
+    /// The endpoint.
+    pub key: EndpointKey,
+    /// Tokens that it has to read before it can answer this request, its queue included.
+    pub tokens_ahead: u64,
+    /// Tokens of this prompt that it has to read.
+    pub unread: u64,
+}
+
+/// Chooses an endpoint; none if the service has none that takes work.
+///
+/// Endpoints that rest after a failure are left out, unless that would leave nobody: a wrong
+/// suspicion of all of them must not refuse every request.
+pub fn choose_endpoint(
+    board: &EndpointBoard,
+    prefixes: &PrefixRecord,
+    ask: &PlaceAsk<'_>,
+) -> Option<PlaceChoice> {
+    let open: Vec<(EndpointKey, &EndpointFact)> = board
+        .of_service(ask.service)
+        .iter()
+        .filter_map(|key| board.get(*key).map(|fact| (*key, fact)))
+        .filter(|(key, fact)| fact.takes_work() && !ask.tried.contains(key))
+        .collect();
+    let awake = open.iter().filter(|(_, fact)| !fact.health.rests(ask.now));
+    let awake: Vec<_> = awake.copied().collect();
+    let candidates = if awake.is_empty() { open } else { awake };
+    let home = home_endpoint(&candidates, prefixes, ask);
+    candidates
+        .into_iter()
+        .map(|(key, fact)| weigh(key, fact, home, prefixes, ask))
+        .min_by(|a, b| a.0.total_cmp(&b.0))
+        .map(|(_, choice)| choice)
+}
+
+/// The endpoint at which all processes look for the shared parts of a prompt that this process has
+/// not placed yet. Rendezvous hashing makes them agree without a message.
+fn home_endpoint(
+    candidates: &[(EndpointKey, &EndpointFact)],
+    prefixes: &PrefixRecord,
+    ask: &PlaceAsk<'_>,
+) -> Option<EndpointKey> {
+    let shared = shared_parts(ask.parts);
+    let last = shared.last()?;
+    let placed = |(key, _): &(EndpointKey, &EndpointFact)| {
+        prefixes.held(shared, *key, ask.now) >= shared_tokens(shared)
+    };
+    if candidates.iter().any(placed) {
+        return None;
+    }
+    let weight = |(_, fact): &&(EndpointKey, &EndpointFact)| {
+        rendezvous_weight(last.id, fact.entry.instance.stable_hash())
+    };
+    candidates.iter().max_by_key(weight).map(|(key, _)| *key)
+}
+
+fn shared_parts(parts: &[PromptPart]) -> &[PromptPart] {
+    parts.split_last().map_or(&[], |(_, shared)| shared)
+}
+
+fn shared_tokens(parts: &[PromptPart]) -> u64 {
+    parts.iter().map(|part| part.tokens).sum()
+}
+
+fn weigh(
+    key: EndpointKey,
+    fact: &EndpointFact,
+    home: Option<EndpointKey>,
+    prefixes: &PrefixRecord,
+    ask: &PlaceAsk<'_>,
+) -> (f64, PlaceChoice) {
+    let held = if home == Some(key) {
+        shared_tokens(shared_parts(ask.parts))
+    } else {
+        prefixes.held(ask.parts, key, ask.now)
+    };
+    let unread = ask.prompt_tokens.saturating_sub(held);
+    let tokens_ahead = fact.unread_tokens() + unread;
+    let work = if ask.engine { engine_cost(fact, unread) } else { plain_cost(fact) };
+    let crossing = if fact.entry.domain == *ask.domain { 0.0 } else { CROSSING_MS };
+    let failing = FAILURE_MS * fact.health.failure_share(ask.now);
+    // Under a millisecond: only breaks ties, so that equal endpoints share what comes.
+    let tie = mix_bits(ask.salt ^ fact.entry.instance.stable_hash()) as f64 / u64::MAX as f64;
+    (work + crossing + failing + tie, PlaceChoice { key, tokens_ahead, unread })
+}
+
+fn engine_cost(fact: &EndpointFact, unread: u64) -> f64 {
+    let queue = fact.unread_tokens() as f64 / READ_TOKENS_PER_MS;
+    let own = REREAD_WEIGHT * unread as f64 / READ_TOKENS_PER_MS;
+    let full = if fact.requests() >= fact.entry.slots { FULL_MS } else { 0.0 };
+    queue + own + full + STREAM_COST_MS * f64::from(fact.requests())
+}
+
+fn plain_cost(fact: &EndpointFact) -> f64 {
+    let slots = f64::from(fact.entry.slots.max(1));
+    PLAIN_WORK_MS * f64::from(fact.requests()) / slots
+}
--- /dev/null
+++ b/crates/place/src/lib.rs
@@ -0,0 +1,15 @@
+//! Which endpoint takes a request.
+//!
+//! The [`EndpointBoard`] holds what is known of each endpoint: its entry in the platform's list, the
+//! work this process has there, the work others reported, and how it has been answering. Choosing is
+//! a pure function of the board, the request and the time.
+
+pub mod board;
+pub mod choose;
+pub mod health;
+pub mod prefix;
+
+pub use board::{EndpointBoard, EndpointEntry, EndpointFact, EndpointKey, WorkLoad};
+pub use choose::{PlaceAsk, PlaceChoice, choose_endpoint};
+pub use health::{AnswerGrade, HealthRecord};
+pub use prefix::PrefixRecord;
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -4,11 +4,15 @@
 //! must know: the call never left, it was refused, or its outcome is unknown.
 
 pub mod cloud;
+pub mod feed;
 pub mod http;
 pub mod order;
 pub mod port;
 
 pub use cloud::{CloudClient, CloudNotice, PriceEntry, StartAnswer, StartOrder};
+pub use feed::{
+    FeedAnswer, FeedEvent, FeedGuard, FeedKind, FeedObject, FeedPage, FeedStore, FeedWrite,
+};
 pub use http::{HttpList, HttpStore, never_sent};
 pub use order::{EndpointOrder, OrderAnswer, OrderClient, OrderKind};
 pub use port::{
--- /dev/null
+++ b/src/bin/oleander-front.rs
@@ -0,0 +1,32 @@
+//! A front process on the users' platform: serves callers, and does control work under a lease.
+
+use oleandertack::board::json_logger;
+use oleandertack::conf::FrontSettings;
+use oleandertack::front::start_front;
+use oleandertack::platform::{ObjectsDialect, SETTINGS_VARIABLE, StoreClient};
+use oleandertack::start::{read_or_exit_with, wait_stop};
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let default_path = std::env::var_os(SETTINGS_VARIABLE).map(Into::into);
+    let read = read_or_exit_with::<FrontSettings>("oleander-front", &[], default_path);
+    let (settings, _) = match read {
+        Ok(read) => read,
+        Err(code) => return code,
+    };
+    let log = json_logger("oleander-front", settings.instance.as_str());
+    actix_rt::System::new().block_on(async move {
+        let store = Box::new(StoreClient::new(settings.store));
+        match start_front(settings, log, Box::new(ObjectsDialect), store).await {
+            Ok(process) => {
+                wait_stop().await;
+                process.stop().await;
+                ExitCode::SUCCESS
+            }
+            Err(fault) => {
+                eprintln!("oleander-front: cannot listen: {fault}");
+                ExitCode::FAILURE
+            }
+        }
+    })
+}
