--- a/crates/conf/src/front.rs
+++ b/crates/conf/src/front.rs
@@ -1,7 +1,6 @@
 //! Settings of a front process.
 
 use crate::reader::{FieldCheck, FieldFault, require};
-use compact_str::CompactString;
 use oleander_kind::{DomainName, InstanceId};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -30,16 +29,13 @@
     /// The platform's cloud; none if endpoints are not ordered and usage is not reported.
     #[serde(default)]
     pub cloud: Option<SocketAddr>,
-    /// What control work there is.
-    #[serde(default)]
-    pub duties: Vec<CompactString>,
     /// Bounds that the operators set.
     pub bounds: FrontBounds,
 }
 
 /// Bounds of a front process. Names end in the unit.
 #[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(deny_unknown_fields, default)]
 pub struct FrontBounds {
     /// From a stop signal to the end of the process.
     pub grace_s: f64,
@@ -59,7 +55,7 @@
     pub limit_slack: u64,
     /// The window over which limits are counted.
     pub limit_window_s: f64,
-    /// The length of a usage window.
+    /// The length of a usage window; 0 if usage is not reported.
     pub usage_window_s: f64,
     /// How long after its end a window's usage is due.
     pub usage_due_s: f64,
@@ -67,6 +63,26 @@
     pub relist_ms: u64,
 }
 
+impl Default for FrontBounds {
+    /// The users' bounds of today.
+    fn default() -> Self {
+        FrontBounds {
+            grace_s: 8.0,
+            drain_ms: 2000,
+            lease_ms: 3000,
+            retry_ratio: 0.2,
+            retry_slack: 0,
+            retry_window_s: 10.0,
+            limit_over: 0.0,
+            limit_slack: 0,
+            limit_window_s: 8.0,
+            usage_window_s: 0.0,
+            usage_due_s: 10.0,
+            relist_ms: 2200,
+        }
+    }
+}
+
 impl FieldCheck for FrontSettings {
     fn check(&self) -> Result<(), FieldFault> {
         require(!self.instance.as_str().is_empty(), "instance", "must not be empty")?;
@@ -85,7 +101,9 @@
         require(long(self.lease_ms), "lease_ms", "must be at least 100")?;
         require(self.retry_window_s >= SHORTEST_S, "retry_window_s", "must be at least 0.1")?;
         require(self.limit_window_s >= SHORTEST_S, "limit_window_s", "must be at least 0.1")?;
-        require(self.usage_window_s >= SHORTEST_S, "usage_window_s", "must be at least 0.1")?;
+        let window = self.usage_window_s;
+        let reported = window == 0.0 || window >= SHORTEST_S;
+        require(reported, "usage_window_s", "must be 0, or at least 0.1")?;
         require((0.0..=1.0).contains(&self.retry_ratio), "retry_ratio", "must lie in 0 to 1")?;
         require((0.0..=1.0).contains(&self.limit_over), "limit_over", "must lie in 0 to 1")
     }
--- /dev/null
+++ b/crates/duty/src/scale.rs
@@ -0,0 +1,261 @@
+//! How many endpoints of a service to have, where, and how bought.
+//!
+//! Reclaimable endpoints cost a fraction and may go, all of a failure domain at once, on seconds of
+//! notice. So the plan keeps them spread with room for the loss of one domain, and buys on demand
+//! only what is missing while they are not to be had.
+
+use oleander_call::{EngineRule, ScaleRule};
+use oleander_kind::endpoint::InstanceMarket;
+use oleander_kind::{ClockTime, DomainName, ServiceName, TimeSpan};
+use oleander_plat::ScaleOrder;
+use std::collections::BTreeMap;
+
+/// Prompt tokens that an engine reads in a second if it does nothing else (users' sheets).
+const READ_TOKENS_PER_S: f64 = 125_000.0;
+/// Engine time of one answer token in a full batch: 3.27 ms a step and 0.082 ms a stream (users'
+/// sheets), shared by about 45 streams.
+const TOKEN_TIME_S: f64 = 0.000_155;
+/// The part of its time that an engine should be at work. Prompts come in clumps and of very
+/// different sizes; above about this part the wait for the first token grows past the objective.
+const WORK_PART: f64 = 0.65;
+/// The part of an engine's places that should be taken.
+const SLOT_PART: f64 = 0.7;
+/// How many endpoints to have in calm, as a factor of those needed: the loss of one of three domains
+/// leaves what is needed.
+const SPREAD_FACTOR: f64 = 1.4;
+/// Endpoints above that, against jumps of demand faster than a start.
+const SPREAD_EXTRA: u32 = 1;
+/// How long the highest need counts. Reclaimable endpoints are so cheap that going up and down with
+/// each wave costs more in late answers than it saves.
+const PEAK_TIME: TimeSpan = TimeSpan(15_000);
+/// Pause before a domain that had nothing to give is asked again.
+const REFUSED_PAUSE: TimeSpan = TimeSpan(2500);
+/// Time beyond the usual start after which an ordered endpoint that is not there is asked for again.
+const LATE_START: TimeSpan = TimeSpan(2500);
+
+/// Endpoints of one market.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct MarketCount {
+    /// Reclaimable.
+    pub reclaimable: u32,
+    /// On demand.
+    pub on_demand: u32,
+}
+
+impl MarketCount {
+    /// The count of a market.
+    pub fn of(self, market: InstanceMarket) -> u32 {
+        match market {
+            InstanceMarket::Reclaimable => self.reclaimable,
+            InstanceMarket::OnDemand => self.on_demand,
+        }
+    }
+}
+
+/// How a service stands in a failure domain.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DomainStand {
+    /// The domain.
+    pub domain: DomainName,
+    /// Price of a second on demand.
+    pub price: f64,
+    /// Endpoints that take work.
+    pub live: MarketCount,
+}
+
+/// What a service needs, as a running peak.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceNeed {
+    samples: Vec<(ClockTime, f64)>,
+}
+
+impl ServiceNeed {
+    /// Notes what is needed now, in endpoints.
+    pub fn note(&mut self, needed: f64, now: ClockTime) {
+        self.samples.retain(|(at, value)| now - *at < PEAK_TIME && *value > needed);
+        self.samples.push((now, needed));
+    }
+
+    /// The highest need of late.
+    pub fn peak(&self) -> f64 {
+        self.samples.iter().map(|(_, value)| *value).fold(0.0, f64::max)
+    }
+}
+
+/// Engines that the work asked for keeps busy to the wanted part.
+pub fn needed_engines(
+    engine: &EngineRule,
+    (unread_tokens_per_s, answer_tokens_per_s): (f64, f64),
+    running: u32,
+) -> f64 {
+    let work = unread_tokens_per_s / READ_TOKENS_PER_S + answer_tokens_per_s * TOKEN_TIME_S;
+    let places = f64::from(engine.slots.max(1)) * SLOT_PART;
+    (work / WORK_PART).max(f64::from(running) / places)
+}
+
+/// What a plan looks at.
+pub struct ScaleFacts<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// Its bounds and prices.
+    pub rule: &'a ScaleRule,
+    /// How it stands in each domain.
+    pub domains: &'a [DomainStand],
+    /// Endpoints needed; none while nothing is known of the demand.
+    pub needed: Option<f64>,
+    /// The time.
+    pub now: ClockTime,
+}
+
+type OrderKey = (ServiceName, DomainName, bool);
+
+#[derive(Clone, Copy, Debug)]
+struct PastOrder {
+    count: u32,
+    at: ClockTime,
+    refused: bool,
+}
+
+/// What was ordered, as far as this holder knows.
+#[derive(Clone, Debug, Default)]
+pub struct OrderMemory {
+    orders: BTreeMap<OrderKey, PastOrder>,
+}
+
+impl OrderMemory {
+    fn key(order: &ScaleOrder) -> OrderKey {
+        let reclaimable = order.market == InstanceMarket::Reclaimable;
+        (order.service.clone(), order.domain.clone(), reclaimable)
+    }
+
+    /// Notes an order that was sent; `refused` if none were to be had.
+    pub fn note(&mut self, order: &ScaleOrder, refused: bool, now: ClockTime) {
+        let past = PastOrder { count: order.count, at: now, refused };
+        self.orders.insert(Self::key(order), past);
+    }
+
+    fn refused_lately(&self, key: &OrderKey, now: ClockTime) -> bool {
+        self.orders.get(key).is_some_and(|past| past.refused && now - past.at < REFUSED_PAUSE)
+    }
+
+    /// Whether an order for `count` must be sent, given what is live.
+    fn is_due(
+        &self,
+        key: &OrderKey,
+        count: u32,
+        live: u32,
+        patience: TimeSpan,
+        now: ClockTime,
+    ) -> bool {
+        match self.orders.get(key) {
+            None => count != live,
+            Some(past) if past.refused => count != live && now - past.at >= REFUSED_PAUSE,
+            Some(past) if past.count != count => true,
+            // Asked for, and not there after the time of a start: taken away, or the order is lost.
+            Some(past) => count > live && now - past.at >= patience,
+        }
+    }
+}
+
+/// The orders to send now.
+pub fn plan_orders(facts: &ScaleFacts<'_>, memory: &OrderMemory) -> Vec<ScaleOrder> {
+    let wanted = wanted_counts(facts, memory);
+    let patience = facts.rule.boot + LATE_START;
+    let mut orders = Vec::new();
+    for (stand, want) in facts.domains.iter().zip(&wanted) {
+        for market in [InstanceMarket::Reclaimable, InstanceMarket::OnDemand] {
+            if market == InstanceMarket::Reclaimable && facts.rule.reclaimable_price.is_none() {
+                continue;
+            }
+            let count = want.of(market);
+            let live = stand.live.of(market);
+            let key = (
+                facts.service.clone(),
+                stand.domain.clone(),
+                market == InstanceMarket::Reclaimable,
+            );
+            if memory.is_due(&key, count, live, patience, facts.now) {
+                orders.push(ScaleOrder {
+                    service: facts.service.clone(),
+                    domain: stand.domain.clone(),
+                    market,
+                    count,
+                });
+            }
+        }
+    }
+    orders
+}
+
+/// The counts to have, by domain.
+fn wanted_counts(facts: &ScaleFacts<'_>, memory: &OrderMemory) -> Vec<MarketCount> {
+    let live = |market| facts.domains.iter().map(|stand| stand.live.of(market)).sum::<u32>();
+    let live_reclaimable = live(InstanceMarket::Reclaimable);
+    // While the demand is not known: as many as there are, bought cheaply. While both markets serve,
+    // one takes the place of the other.
+    let as_is = live_reclaimable.max(live(InstanceMarket::OnDemand));
+    let needed = facts.needed.map_or(as_is, |needed| needed.ceil() as u32).max(1);
+    let calm = match facts.needed {
+        Some(needed) => (needed * SPREAD_FACTOR).ceil() as u32 + SPREAD_EXTRA,
+        None => as_is,
+    };
+    let mut wanted = vec![MarketCount::default(); facts.domains.len()];
+    if facts.rule.reclaimable_price.is_some() {
+        spread_reclaimable(facts, calm, &mut wanted);
+    }
+    // On demand is bought for what is missing of the need, and given back once others serve.
+    let missing = needed.saturating_sub(live_reclaimable);
+    spread_on_demand(facts, memory, missing, &mut wanted);
+    wanted
+}
+
+/// Spreads reclaimable endpoints evenly, the cheap domains first; each domain gets its least.
+fn spread_reclaimable(facts: &ScaleFacts<'_>, total: u32, wanted: &mut [MarketCount]) {
+    let mut order: Vec<usize> = (0..facts.domains.len()).collect();
+    order.sort_by(|a, b| facts.domains[*a].price.total_cmp(&facts.domains[*b].price));
+    let mut left = total;
+    for want in wanted.iter_mut() {
+        want.reclaimable = facts.rule.least;
+        left = left.saturating_sub(facts.rule.least);
+    }
+    while left > 0 {
+        let open = order.iter().filter(|at| wanted[**at].reclaimable < facts.rule.most);
+        let Some(at) = open.min_by_key(|at| wanted[**at].reclaimable) else { return };
+        wanted[*at].reclaimable += 1;
+        left -= 1;
+    }
+}
+
+/// Puts `total` on-demand endpoints where some are already, then where they are cheap. Both markets
+/// together may not pass a domain's most, so reclaimable ones yield.
+fn spread_on_demand(
+    facts: &ScaleFacts<'_>,
+    memory: &OrderMemory,
+    total: u32,
+    wanted: &mut [MarketCount],
+) {
+    let mut order: Vec<usize> = (0..facts.domains.len()).collect();
+    let refused = |at: usize| {
+        let key = (facts.service.clone(), facts.domains[at].domain.clone(), false);
+        memory.refused_lately(&key, facts.now)
+    };
+    order.sort_by(|a, b| {
+        let rank = |at: usize| (refused(at), facts.domains[at].live.on_demand == 0);
+        let price = |at: usize| facts.domains[at].price;
+        rank(*a).cmp(&rank(*b)).then(price(*a).total_cmp(&price(*b)))
+    });
+    let mut left = total;
+    // Those that serve already first: moving them would empty and start engines for nothing.
+    for at in order.iter().copied() {
+        let count = left.min(facts.domains[at].live.on_demand).min(facts.rule.most);
+        wanted[at].on_demand = count;
+        left -= count;
+    }
+    for at in order {
+        let more = left.min(facts.rule.most - wanted[at].on_demand);
+        wanted[at].on_demand += more;
+        left -= more;
+        let room = facts.rule.most - wanted[at].on_demand;
+        wanted[at].reclaimable = wanted[at].reclaimable.min(room);
+    }
+}
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -8,7 +8,7 @@
 use oleander_conf::EntrySettings;
 use oleander_kind::TimeSpan;
 use oleander_serve::{HttpSite, local_data, serve_app};
-use oleander_wire::{PeerListener, bind_peers, listen_peers};
+use oleander_wire::{PeerHandler, PeerListener, bind_peers, listen_peers};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::task::JoinHandle;
@@ -61,7 +61,7 @@
         App::new().app_data(data.clone()).configure(admin::configure),
     )
     .await?;
-    let handler = Rc::new(peers::NodePeers(node.clone()));
+    let handler: Rc<dyn PeerHandler> = Rc::new(peers::NodePeers(node.clone()));
     let peers = listen_peers(peer_listener, handler, node.traffic.clone())?;
     let app = App::new()
         .app_data(data)
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -5,6 +5,7 @@
 
 use crate::answer::{AnswerStage, AnswerWriter};
 use crate::ingress::CallerRequest;
+use crate::mesh::pool_limit;
 use crate::node::FrontNode;
 use crate::work::WorkGuard;
 use crate::{stream, whole};
@@ -12,12 +13,13 @@
 use actix_http::{RequestHead, ResponseHead, StatusCode, Version};
 use bytes::Bytes;
 use oleander_call::{
-    AnswerMark, AnswerShape, AttemptEnd, AttemptRecord, AttemptStamp, CallHead, NextStep,
-    RepeatRule, RouteKey, RouteRule, RuleSet, RuleView, admit_call,
+    AccountRule, AnswerMark, AnswerShape, AttemptEnd, AttemptRecord, AttemptStamp, CallHead,
+    NextStep, RepeatRule, RouteKey, RouteRule, RuleSet, RuleView, TokenCount, admit_call,
 };
 use oleander_kind::endpoint::EndpointStage;
 use oleander_kind::hash::{HASH_START, mix_bits, stable_hash};
 use oleander_kind::{AccountName, InstanceId, ResultCode, ServiceName, TimeSpan};
+use oleander_limit::LimitVerdict;
 use oleander_outlet::{IdleLink, LinkError, SentLink, SocketBounds};
 use oleander_place::{AnswerGrade, EndpointKey, PlaceAsk, PlaceChoice, choose_endpoint};
 use std::io;
@@ -102,7 +104,7 @@
         Err(code) => return answer.refuse(code, None).await,
     };
     let rules = node.current_rules();
-    let view = RuleView { rules: rules.as_deref(), fresh: node.rules_feed.get().is_fresh() };
+    let view = RuleView { rules: rules.as_deref(), fresh: node.rules_are_fresh() };
     let admitted = match admit_call(view, &call) {
         Ok(admitted) => admitted,
         Err(code) => return answer.refuse(code, return_time(code)).await,
@@ -115,6 +117,11 @@
         return answer.refuse(ResultCode::NoEndpoint, Some(RETURN_TIME)).await;
     };
     let account = admitted.account.map(|key| rules.account(key));
+    if let Some(account) = account
+        && let Some(retry) = over_limit(node, account, &call)
+    {
+        return answer.refuse(ResultCode::LimitReached, Some(retry)).await;
+    }
     let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
     node.dialect.strip_request(&mut request.head.headers);
     node.earn_retry(&service);
@@ -141,6 +148,17 @@
     }
 }
 
+/// When a request beyond its account's limit may come back; none if it is within.
+fn over_limit(node: &FrontNode, account: &AccountRule, call: &CallHead) -> Option<TimeSpan> {
+    let limit = pool_limit(node, account)?;
+    let tokens = call.tokens.map_or(account.plain_tokens, TokenCount::total);
+    let at = (node.process_count.get(), node.clock.now());
+    match node.limits.borrow_mut().admit(&account.name, &limit, tokens, at) {
+        LimitVerdict::Pass => None,
+        LimitVerdict::Refuse { retry_ms } => Some(TimeSpan(retry_ms)),
+    }
+}
+
 /// When a refused caller may come back; none for refusals that are final.
 fn return_time(code: ResultCode) -> Option<TimeSpan> {
     (code.status() == StatusCode::SERVICE_UNAVAILABLE.as_u16()).then_some(RETURN_TIME)
@@ -244,12 +262,31 @@
             return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
         };
         self.current = Some(target.key);
+        self.note_demand(&choice);
         let mut work = WorkGuard::begin(self.node, target.key, choice.unread);
         let outcome = self.attempt_at(&target, &mut work).await;
         self.current = None;
         outcome
     }
 
+    fn note_demand(&self, choice: &PlaceChoice) {
+        let first = self.record.sent() == 0;
+        let answer = self.call.tokens.map_or(0, |tokens| tokens.answer);
+        let guess = self.call.length_hint.unwrap_or(answer).min(answer.max(1));
+        self.node.note_demand(&self.service, |demand| {
+            demand.requests += u64::from(first);
+            demand.unread_tokens += choice.unread;
+            demand.answer_tokens += guess;
+        });
+    }
+
+    /// Notes that the request began to run at its endpoint `ago`.
+    pub fn note_began(&self, ago: Duration) {
+        if let Some(account) = &self.account {
+            self.node.note_usage(account, TimeSpan(ago.as_millis() as u64));
+        }
+    }
+
     fn target(&self, key: EndpointKey) -> Option<AttemptTarget> {
         let board = self.node.endpoints.borrow();
         let entry = &board.get(key)?.entry;
@@ -268,8 +305,14 @@
             }
         };
         let limit = self.first_limit();
+        let sent_at = Instant::now();
         match self.read_own_head(&mut sent, limit).await {
-            Ok((sent, head, mark)) => self.take_answer(target, work, sent, (head, mark)).await,
+            Ok((sent, head, mark)) => {
+                if !mark.not_run && self.route().shape == AnswerShape::Whole {
+                    self.note_began(sent_at.elapsed());
+                }
+                self.take_answer(target, work, sent, (head, mark)).await
+            }
             Err(fault) => {
                 let byte_left = sent.is_none_or(|sent| sent.byte_left());
                 let end = match fault {
--- /dev/null
+++ b/crates/front/src/duties.rs
@@ -0,0 +1,414 @@
+//! Control work: kept under one lease by the process that collects.
+
+use crate::node::FrontNode;
+use bytes::Bytes;
+use oleander_call::{EngineRule, RuleSet, ScaleRule};
+use oleander_duty::usage::window_of;
+use oleander_duty::{
+    DomainStand, MarketCount, OrderMemory, ScaleFacts, ServiceNeed, UsageDuty, UsageStep,
+    needed_engines, plan_orders,
+};
+use oleander_kind::endpoint::InstanceMarket;
+use oleander_kind::{AccountName, ClockTime, ServiceName, TimeSpan};
+use oleander_lease::{LeaseAction, LeaseKeeper, LeaseRecord, LeaseSaid};
+use oleander_mesh::LeaseNotice;
+use oleander_plat::{
+    DutyAnswer, DutyPort, DutyStamp, FeedGuard, FeedKind, FeedObject, FeedWrite, PlatError,
+    ScaleOrder, UsageReport,
+};
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// The object that holds the lease of the control work.
+const LEASE_NAME: &str = "control";
+/// Between two looks at what is to be done.
+const DUTY_PERIOD: TimeSpan = TimeSpan(200);
+/// Lease time that must be left when a call is sent: the call is checked by its fencing token, so
+/// this only keeps calls that are sure to be refused from being made.
+const CALL_MARGIN: TimeSpan = TimeSpan(100);
+/// A process that began a moment ago does not know the others yet, and would take the lease from
+/// nobody's hands only to lose the collecting to another.
+const SETTLE_TIME: TimeSpan = TimeSpan(600);
+/// Usage reports that the store keeps; the oldest is overwritten. Two times what can be under way.
+const KEPT_REPORTS: u64 = 8;
+/// Demand is believed after this time: its averages have filled by then.
+const DEMAND_SETTLE: TimeSpan = TimeSpan(4000);
+
+/// The lease, shared by the tasks of the duties.
+pub struct DutyLease {
+    keeper: RefCell<LeaseKeeper>,
+}
+
+impl DutyLease {
+    fn stamp(&self, node: &FrontNode) -> Option<DutyStamp> {
+        let fence = self.keeper.borrow().fence(node.clock.now(), CALL_MARGIN)?;
+        Some(DutyStamp { holder: node.settings.instance.clone(), fence })
+    }
+}
+
+/// Does the control work until the task is ended.
+pub async fn do_duties(node: Rc<FrontNode>, cloud: Rc<dyn DutyPort>) {
+    let life = node.mesh.borrow().view.me().life;
+    let lasts = TimeSpan(node.settings.bounds.lease_ms);
+    let keeper = LeaseKeeper::new(node.settings.instance.clone(), life, lasts);
+    let lease = Rc::new(DutyLease { keeper: RefCell::new(keeper) });
+    if node.settings.bounds.usage_window_s > 0.0 {
+        actix_rt::spawn(report_usage(node.clone(), cloud.clone(), lease.clone()));
+    }
+    actix_rt::spawn(scale_services(node.clone(), cloud, lease.clone()));
+    loop {
+        keep_lease(&node, &lease).await;
+        actix_rt::time::sleep(DUTY_PERIOD.duration()).await;
+    }
+}
+
+fn collects(node: &FrontNode) -> bool {
+    let now = node.clock.now();
+    let mesh = node.mesh.borrow();
+    let settled = |since: ClockTime| now - since >= SETTLE_TIME;
+    !mesh.view.me().leaving
+        && mesh.view.collects(now)
+        && mesh.collector.as_ref().is_some_and(|collector| settled(collector.began_at()))
+}
+
+async fn keep_lease(node: &FrontNode, lease: &DutyLease) {
+    let now = node.clock.now();
+    if let Some(notice) = node.mesh.borrow().lease.clone() {
+        lease.keeper.borrow_mut().hear(notice.revision, notice.record, now);
+    }
+    if !collects(node) {
+        return;
+    }
+    let action = lease.keeper.borrow_mut().tick(now);
+    act_on_lease(node, lease, action).await;
+}
+
+async fn act_on_lease(node: &FrontNode, lease: &DutyLease, action: LeaseAction) {
+    let held = lease.stamp(node).is_some();
+    let said = match action {
+        LeaseAction::Wait => return,
+        LeaseAction::Read => read_lease(node).await,
+        LeaseAction::Write { version, record } => write_lease(node, version, &record).await,
+    };
+    let now = node.clock.now();
+    lease.keeper.borrow_mut().said(said, now);
+    let keeper = lease.keeper.borrow();
+    let seen = keeper.seen().cloned().zip(keeper.view(now).version);
+    if let Some((record, revision)) = seen {
+        node.mesh.borrow_mut().lease = Some(LeaseNotice { revision, record });
+    }
+    drop(keeper);
+    let holds = lease.stamp(node).map(|stamp| stamp.fence);
+    if held != holds.is_some() {
+        slog::info!(node.log, "the lease of the control work changed"; "fence" => holds);
+    }
+}
+
+async fn read_lease(node: &FrontNode) -> LeaseSaid {
+    match node.store.read(FeedKind::Leases, LEASE_NAME).await {
+        Ok(None) => LeaseSaid::Read(None),
+        Ok(Some(object)) => said_of(node, &object),
+        Err(fault) => not_done(node, &fault),
+    }
+}
+
+fn said_of(node: &FrontNode, object: &FeedObject) -> LeaseSaid {
+    match serde_json::from_slice::<LeaseRecord>(&object.body) {
+        Ok(record) => LeaseSaid::Read(Some((object.revision, record))),
+        Err(fault) => {
+            slog::error!(node.log, "the lease cannot be read"; "fault" => fault.to_string());
+            LeaseSaid::NotDone
+        }
+    }
+}
+
+fn not_done(node: &FrontNode, fault: &PlatError) -> LeaseSaid {
+    slog::info!(node.log, "a call for the lease failed"; "fault" => fault.to_string());
+    if fault.may_have_happened() { LeaseSaid::Unknown } else { LeaseSaid::NotDone }
+}
+
+async fn write_lease(node: &FrontNode, version: Option<u64>, record: &LeaseRecord) -> LeaseSaid {
+    let Some(body) = encode(node, record) else { return LeaseSaid::NotDone };
+    let guard = version.map_or(FeedGuard::Absent, FeedGuard::Is);
+    match node.store.write(FeedKind::Leases, LEASE_NAME, guard, body).await {
+        Ok(FeedWrite::Made(revision)) => LeaseSaid::Written(revision),
+        Ok(FeedWrite::Refused(_)) => LeaseSaid::Changed,
+        Err(fault) => not_done(node, &fault),
+    }
+}
+
+fn encode(node: &FrontNode, value: &impl Serialize) -> Option<Bytes> {
+    match serde_json::to_vec(value) {
+        Ok(text) => Some(Bytes::from(text)),
+        Err(fault) => {
+            slog::error!(node.log, "a record cannot be written"; "fault" => fault.to_string());
+            None
+        }
+    }
+}
+
+/// True time at this process.
+pub fn true_now(node: &FrontNode) -> ClockTime {
+    node.mesh.borrow().clock.read(node.clock.now(), node.clock.wall())
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct FixedReport {
+    window: u64,
+    counts: BTreeMap<AccountName, u64>,
+}
+
+/// Reports usage while the lease is held.
+async fn report_usage(node: Rc<FrontNode>, cloud: Rc<dyn DutyPort>, lease: Rc<DutyLease>) {
+    let bounds = &node.settings.bounds;
+    let length = TimeSpan((bounds.usage_window_s * 1000.0) as u64);
+    let due = TimeSpan((bounds.usage_due_s * 1000.0) as u64);
+    let mut duty: Option<(u64, UsageDuty)> = None;
+    loop {
+        actix_rt::time::sleep(DUTY_PERIOD.duration()).await;
+        let Some(stamp) = lease.stamp(&node).filter(|_| collects(&node)) else {
+            duty = None;
+            continue;
+        };
+        let now = true_now(&node);
+        let fence = stamp.fence;
+        let current = match duty.take() {
+            Some((known, duty)) if known == fence => duty,
+            _ => begin_usage(&node, length, due, now),
+        };
+        let (_, duty) = duty.insert((fence, current));
+        let UsageStep::Report(window) = duty.next(now, |since| all_reported(&node, since)) else {
+            continue;
+        };
+        if duty.is_late(window, now) || report_window(&node, cloud.as_ref(), &stamp, window).await {
+            duty.done(window);
+            let mut mesh = node.mesh.borrow_mut();
+            mesh.reported_window = mesh.reported_window.max(window);
+            if let Some(collector) = &mut mesh.collector {
+                collector.forget_usage(window);
+            }
+        }
+    }
+}
+
+/// A duty that goes on after the windows that are known to be reported.
+fn begin_usage(node: &FrontNode, length: TimeSpan, due: TimeSpan, now: ClockTime) -> UsageDuty {
+    let mut duty = UsageDuty::begin(length, due, now);
+    let reported = node.mesh.borrow().reported_window;
+    if reported <= window_of(now, length) {
+        duty.done(reported);
+    }
+    duty
+}
+
+fn all_reported(node: &FrontNode, since: ClockTime) -> bool {
+    let mesh = node.mesh.borrow();
+    let now = node.clock.now();
+    let true_now = mesh.clock.read(now, node.clock.wall());
+    let since = now - (true_now - since);
+    mesh.collector.as_ref().is_some_and(|collector| collector.all_reported_since(&mesh.view, since))
+}
+
+/// Reports one window; says whether nothing is left to do for it.
+///
+/// The counts are fixed in the store before they are sent. Whoever repeats the call, after a lost
+/// answer or as the next holder, sends the same; two different reports of a window would be billed
+/// twice.
+async fn report_window(
+    node: &FrontNode,
+    cloud: &dyn DutyPort,
+    stamp: &DutyStamp,
+    window: u64,
+) -> bool {
+    let counts = {
+        let mesh = node.mesh.borrow();
+        mesh.collector.as_ref().map(|collector| collector.usage_of(window)).unwrap_or_default()
+    };
+    let Some(fixed) = fix_report(node, FixedReport { window, counts }).await else {
+        return false;
+    };
+    if fixed.window != window || fixed.counts.is_empty() {
+        return true;
+    }
+    let report = UsageReport { window, counts: fixed.counts };
+    match cloud.report_usage(stamp, &report).await {
+        Ok(DutyAnswer::Done) => {
+            slog::info!(node.log, "usage is reported"; "window" => window,
+                "requests" => report.counts.values().sum::<u64>());
+            true
+        }
+        Ok(DutyAnswer::Refused(words)) => {
+            slog::warn!(node.log, "a usage report was refused";
+                "window" => window, "fence" => stamp.fence, "words" => words);
+            false
+        }
+        Err(fault) => {
+            slog::info!(node.log, "a usage report failed";
+                "window" => window, "fault" => fault.to_string());
+            false
+        }
+    }
+}
+
+/// Fixes a report in its place of the store; gives back what is fixed for the window. `None` if
+/// that is not known now.
+async fn fix_report(node: &FrontNode, report: FixedReport) -> Option<FixedReport> {
+    if report.counts.is_empty() {
+        return Some(report);
+    }
+    let name = format!("{}", report.window % KEPT_REPORTS);
+    let body = encode(node, &report)?;
+    let mut guard = FeedGuard::Absent;
+    if let Some(revision) = node.report_revisions.borrow().get(&name).copied() {
+        guard = FeedGuard::Is(revision);
+    }
+    for _ in 0..3 {
+        match node.store.write(FeedKind::UsageReports, &name, guard, body.clone()).await {
+            Ok(FeedWrite::Made(revision)) => {
+                node.report_revisions.borrow_mut().insert(name, revision);
+                return Some(report);
+            }
+            Ok(FeedWrite::Refused(Some(object))) => {
+                let known: FixedReport = serde_json::from_slice(&object.body).ok()?;
+                if known.window >= report.window {
+                    return Some(known);
+                }
+                guard = FeedGuard::Is(object.revision);
+            }
+            Ok(FeedWrite::Refused(None)) => guard = FeedGuard::Absent,
+            Err(fault) => {
+                slog::info!(node.log, "a usage report was not fixed";
+                    "window" => report.window, "fault" => fault.to_string());
+                return None;
+            }
+        }
+    }
+    None
+}
+
+#[derive(Default)]
+struct ServiceStand {
+    need: ServiceNeed,
+    asked_since: Option<ClockTime>,
+}
+
+/// Orders endpoints while the lease is held.
+async fn scale_services(node: Rc<FrontNode>, cloud: Rc<dyn DutyPort>, lease: Rc<DutyLease>) {
+    let mut memory = OrderMemory::default();
+    let mut stands: BTreeMap<ServiceName, ServiceStand> = BTreeMap::new();
+    let mut fence = 0;
+    loop {
+        actix_rt::time::sleep(DUTY_PERIOD.duration()).await;
+        let Some(stamp) = lease.stamp(&node).filter(|_| collects(&node)) else { continue };
+        if stamp.fence != fence {
+            // Another holder may have ordered meanwhile.
+            memory = OrderMemory::default();
+            fence = stamp.fence;
+        }
+        let Some(rules) = node.current_rules() else { continue };
+        if !node.endpoints_feed.get().known {
+            continue;
+        }
+        for order in due_orders(&node, &rules, &mut stands, &memory) {
+            send_order(&node, cloud.as_ref(), &stamp, &order, &mut memory).await;
+        }
+    }
+}
+
+fn due_orders(
+    node: &FrontNode,
+    rules: &RuleSet,
+    stands: &mut BTreeMap<ServiceName, ServiceStand>,
+    memory: &OrderMemory,
+) -> Vec<ScaleOrder> {
+    let mut orders = Vec::new();
+    for service in rules.services() {
+        let (Some(scale), Some(engine)) = (&service.scale, &service.engine) else { continue };
+        let stand = stands.entry(service.name.clone()).or_default();
+        let needed = needed_of(node, &service.name, engine, stand);
+        let domains = domain_stands(node, &service.name, scale);
+        let facts = ScaleFacts {
+            service: &service.name,
+            rule: scale,
+            domains: &domains,
+            needed,
+            now: node.clock.now(),
+        };
+        orders.extend(plan_orders(&facts, memory));
+    }
+    orders
+}
+
+fn needed_of(
+    node: &FrontNode,
+    service: &ServiceName,
+    engine: &EngineRule,
+    stand: &mut ServiceStand,
+) -> Option<f64> {
+    let now = node.clock.now();
+    let mesh = node.mesh.borrow();
+    let collector = mesh.collector.as_ref()?;
+    let demand = collector.demand_of(service, now);
+    let board = node.endpoints.borrow();
+    let is_ours = |instance| {
+        board
+            .key(instance)
+            .and_then(|key| board.get(key))
+            .is_some_and(|fact| fact.entry.service == *service)
+    };
+    let loads = collector.loads(now);
+    let running =
+        loads.iter().filter(|load| is_ours(&load.instance)).map(|load| load.requests).sum();
+    if demand.requests > 0.0 {
+        stand.asked_since.get_or_insert(now);
+    }
+    let tokens = (demand.unread_tokens, demand.answer_tokens);
+    stand.need.note(needed_engines(engine, tokens, running), now);
+    let since = stand.asked_since?;
+    (now - since >= DEMAND_SETTLE).then(|| stand.need.peak())
+}
+
+fn domain_stands(node: &FrontNode, service: &ServiceName, scale: &ScaleRule) -> Vec<DomainStand> {
+    let board = node.endpoints.borrow();
+    let live = |domain: &oleander_kind::DomainName| {
+        let mut count = MarketCount::default();
+        for key in board.of_service(service) {
+            let Some(fact) = board.get(*key) else { continue };
+            if fact.entry.domain != *domain || !fact.takes_work() {
+                continue;
+            }
+            match fact.entry.market {
+                InstanceMarket::Reclaimable => count.reclaimable += 1,
+                InstanceMarket::OnDemand => count.on_demand += 1,
+            }
+        }
+        count
+    };
+    let stand = |(domain, price): &(oleander_kind::DomainName, f64)| DomainStand {
+        domain: domain.clone(),
+        price: *price,
+        live: live(domain),
+    };
+    scale.domain_prices.iter().map(stand).collect()
+}
+
+async fn send_order(
+    node: &FrontNode,
+    cloud: &dyn DutyPort,
+    stamp: &DutyStamp,
+    order: &ScaleOrder,
+    memory: &mut OrderMemory,
+) {
+    let answer = cloud.order_endpoints(stamp, order).await;
+    let refused = match &answer {
+        Ok(DutyAnswer::Done) => false,
+        Ok(DutyAnswer::Refused(_)) | Err(_) => true,
+    };
+    slog::info!(node.log, "endpoints were ordered";
+        "service" => order.service.as_str(), "domain" => order.domain.as_str(),
+        "market" => format!("{:?}", order.market), "count" => order.count,
+        "fence" => stamp.fence, "answer" => format!("{answer:?}"));
+    memory.note(order, refused, node.clock.now());
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -5,8 +5,10 @@
 
 pub mod answer;
 pub mod drive;
+pub mod duties;
 pub mod feeds;
 pub mod ingress;
+pub mod mesh;
 pub mod node;
 pub mod port;
 pub mod process;
@@ -16,4 +18,4 @@
 
 pub use node::FrontNode;
 pub use port::PlatformDialect;
-pub use process::{FrontProcess, start_front};
+pub use process::{FrontPorts, FrontProcess, start_front};
--- /dev/null
+++ b/crates/front/src/mesh.rs
@@ -0,0 +1,314 @@
+//! Reports to the collector, takes its digests, and collects when it is this process's turn.
+
+use crate::feeds;
+use crate::node::FrontNode;
+use actix::Addr;
+use oleander_call::{AccountRule, RuleSet};
+use oleander_kind::{AccountName, ClockTime, TimeSpan};
+use oleander_limit::PoolLimit;
+use oleander_mesh::{
+    AccountSpend, CollectorFacts, EndpointLoad, FeedMark, LeaseNotice, MemberCard, MeshBody,
+    MeshCollector, MeshDigest, MeshView, NodeReport, ServiceDemand, TrueClock, UsageCount,
+};
+use oleander_place::WorkLoad;
+use oleander_wire::{CallPeer, ForgetPeer, PeerHandler, PeerHub};
+use std::collections::HashMap;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+
+/// Between two reports. An account whose demand jumps to 7.5 times its usual spends about one
+/// second's limit before the others hear of it; the operators' bounds allow twice that.
+const REPORT_PERIOD: TimeSpan = TimeSpan(250);
+/// How long a collector may take to answer. Longer than a pause for a slow machine's turn, shorter
+/// than two periods, so that the next one is asked before levels are too old to use.
+const ANSWER_LIMIT: TimeSpan = TimeSpan(400);
+/// Collectors asked in one round, if the first ones do not answer.
+const MOST_ASKED: usize = 3;
+/// A digest speaks for the present for this long: four periods.
+const DIGEST_LASTS: TimeSpan = TimeSpan(1000);
+
+/// What the process knows through the others.
+pub struct MeshState {
+    /// The members.
+    pub view: MeshView,
+    /// Present once somebody reports here.
+    pub collector: Option<MeshCollector>,
+    /// True time.
+    pub clock: TrueClock,
+    /// The lease of the control work, as last heard.
+    pub lease: Option<LeaseNotice>,
+    /// Usage windows up to this number are reported.
+    pub reported_window: u64,
+    digest_at: ClockTime,
+    digest_rules: FeedMark,
+    digest_roster: FeedMark,
+    wants_rules: bool,
+    wants_roster: bool,
+}
+
+impl MeshState {
+    /// A process that knows itself.
+    pub fn new(me: MemberCard) -> Self {
+        MeshState {
+            view: MeshView::new(me),
+            collector: None,
+            clock: TrueClock::default(),
+            lease: None,
+            reported_window: 0,
+            digest_at: ClockTime(0),
+            digest_rules: FeedMark::default(),
+            digest_roster: FeedMark::default(),
+            wants_rules: false,
+            wants_roster: false,
+        }
+    }
+
+    /// Whether the others know the rules of `version` to be the newest.
+    pub fn vouches_for_rules(&self, version: u64, now: ClockTime) -> bool {
+        let present = now - self.digest_at < DIGEST_LASTS;
+        present && self.digest_rules.fresh && version >= self.digest_rules.mark
+    }
+}
+
+/// An account's limit with what the operators allow beyond it.
+pub fn pool_limit(node: &FrontNode, account: &AccountRule) -> Option<PoolLimit> {
+    let bounds = &node.settings.bounds;
+    let rate_per_s = account.tokens_per_s? as f64;
+    let burst = account.burst_tokens as f64;
+    let window = rate_per_s * bounds.limit_window_s + burst;
+    let overshoot = window * bounds.limit_over + bounds.limit_slack as f64;
+    Some(PoolLimit { rate_per_s, burst, overshoot })
+}
+
+fn limit_by_name(node: &FrontNode, rules: &RuleSet, name: &AccountName) -> Option<PoolLimit> {
+    let account = rules.accounts().iter().find(|account| account.name == *name)?;
+    pool_limit(node, account)
+}
+
+/// Answers the reports of the others.
+pub struct MeshPeers(pub Rc<FrontNode>);
+
+impl PeerHandler<MeshBody> for MeshPeers {
+    fn answer(&self, body: MeshBody) -> Pin<Box<dyn Future<Output = MeshBody>>> {
+        let answer = match body {
+            MeshBody::Report(report) => collect(&self.0, *report),
+            MeshBody::Digest(_) | MeshBody::Leaving => MeshBody::Leaving,
+        };
+        Box::pin(std::future::ready(answer))
+    }
+}
+
+/// Takes a report as the collector.
+fn collect(node: &FrontNode, report: NodeReport) -> MeshBody {
+    let now = node.clock.now();
+    if let Some(rules) = &report.rules_text {
+        feeds::take_rules(node, rules);
+    }
+    if let Some(page) = &report.roster_page {
+        feeds::take_peer_roster(node, page);
+    }
+    let rules = node.current_rules();
+    let rules_text = node.rules_text.borrow().clone();
+    let limit_of = |name: &AccountName| limit_by_name(node, rules.as_ref()?, name);
+    let mut mesh = node.mesh.borrow_mut();
+    if mesh.view.me().leaving {
+        return MeshBody::Leaving;
+    }
+    mesh.view.take(report.card.clone(), true, now);
+    if mesh.collector.is_none() {
+        let levels = node.limits.borrow().expected_levels(limit_of, now);
+        mesh.collector = Some(MeshCollector::begin(levels, now));
+        slog::info!(node.log, "this process collects"; "members" => mesh.view.serving());
+    }
+    let facts = CollectorFacts {
+        rules: rules.as_deref(),
+        rules_text: rules_text.as_ref(),
+        rules_mark: rules_mark(node),
+        roster_mark: roster_mark(node),
+        roster: &|| node.roster.borrow().page(),
+        limit_of: &limit_of,
+        reported_window: mesh.reported_window,
+        lease: mesh.lease.clone(),
+        now,
+    };
+    let MeshState { view, collector, .. } = &mut *mesh;
+    match collector {
+        Some(collector) => MeshBody::Digest(Box::new(collector.take(report, view, &facts))),
+        None => MeshBody::Leaving,
+    }
+}
+
+fn rules_mark(node: &FrontNode) -> FeedMark {
+    let mark = node.rules.borrow().version();
+    FeedMark { mark, fresh: node.rules_feed.get().is_fresh() }
+}
+
+fn roster_mark(node: &FrontNode) -> FeedMark {
+    let mark = node.roster.borrow().mark();
+    FeedMark { mark, fresh: node.endpoints_feed.get().is_fresh() }
+}
+
+/// Reports to the collector until the task is ended.
+pub async fn report_period(node: Rc<FrontNode>, hub: Addr<PeerHub<MeshBody>>) {
+    loop {
+        report_once(&node, &hub).await;
+        feeds::sweep_doubts(&node);
+        actix_rt::time::sleep(REPORT_PERIOD.duration()).await;
+    }
+}
+
+async fn report_once(node: &Rc<FrontNode>, hub: &Addr<PeerHub<MeshBody>>) {
+    if node.mesh.borrow().view.others().next().is_none() {
+        ask_seeds(node, hub).await;
+    }
+    for _ in 0..MOST_ASKED {
+        let collector = {
+            let mut mesh = node.mesh.borrow_mut();
+            let now = node.clock.now();
+            mesh.view.sweep(now);
+            mesh.view.collector(now).clone()
+        };
+        let report = make_report(node);
+        if collector.id == node.settings.instance {
+            if let MeshBody::Digest(digest) = collect(node, report) {
+                take_digest(node, *digest, TimeSpan(0));
+            }
+            return;
+        }
+        if call_collector(node, hub, &collector, report).await {
+            return;
+        }
+    }
+}
+
+async fn ask_seeds(node: &Rc<FrontNode>, hub: &Addr<PeerHub<MeshBody>>) {
+    for seed in &node.settings.seeds {
+        if *seed != node.settings.peer {
+            let _answered = call_address(node, hub, *seed, make_report(node)).await;
+        }
+    }
+}
+
+async fn call_collector(
+    node: &Rc<FrontNode>,
+    hub: &Addr<PeerHub<MeshBody>>,
+    collector: &MemberCard,
+    report: NodeReport,
+) -> bool {
+    let answered = call_address(node, hub, collector.address, report).await;
+    if !answered {
+        slog::info!(node.log, "a collector did not answer"; "peer" => collector.id.as_str());
+        node.mesh.borrow_mut().view.shun(&collector.id, node.clock.now());
+    }
+    answered
+}
+
+async fn call_address(
+    node: &Rc<FrontNode>,
+    hub: &Addr<PeerHub<MeshBody>>,
+    address: std::net::SocketAddr,
+    report: NodeReport,
+) -> bool {
+    let sent_at = node.clock.now();
+    let address: compact_str::CompactString = address.to_string().into();
+    let body = MeshBody::Report(Box::new(report));
+    let call = CallPeer { address: address.clone(), body, limit: ANSWER_LIMIT };
+    match hub.send(call).await {
+        Ok(Ok(MeshBody::Digest(digest))) => {
+            take_digest(node, *digest, node.clock.now() - sent_at);
+            true
+        }
+        Ok(Ok(_)) => false,
+        Ok(Err(fault)) => {
+            slog::debug!(node.log, "a peer did not answer"; "fault" => fault.to_string());
+            hub.do_send(ForgetPeer(address));
+            false
+        }
+        Err(_) => false,
+    }
+}
+
+fn make_report(node: &FrontNode) -> NodeReport {
+    let mesh = node.mesh.borrow();
+    let spent = node.limits.borrow().spent().map(spend_of).collect();
+    let usage = node.usage.borrow().counts().map(usage_of).collect();
+    let roster_page = mesh.wants_roster.then(|| node.roster.borrow().page());
+    let rules_text = mesh.wants_rules.then(|| node.rules_text.borrow().clone()).flatten();
+    NodeReport {
+        card: mesh.view.me().clone(),
+        wall: node.clock.wall(),
+        members_mark: mesh.view.mark(),
+        rules: rules_mark(node),
+        roster: roster_mark(node),
+        spent,
+        usage,
+        loads: own_loads(node),
+        demand: own_demand(node),
+        rules_text,
+        roster_page,
+    }
+}
+
+fn spend_of((account, tokens): (&AccountName, u64)) -> AccountSpend {
+    AccountSpend { account: account.clone(), tokens }
+}
+
+fn usage_of((window, account, count): (u64, &AccountName, u64)) -> UsageCount {
+    UsageCount { window, account: account.clone(), count }
+}
+
+fn own_loads(node: &FrontNode) -> Vec<EndpointLoad> {
+    let board = node.endpoints.borrow();
+    let busy = board.iter().filter(|(_, fact)| fact.own.requests > 0);
+    let load = |fact: &oleander_place::EndpointFact| EndpointLoad {
+        instance: fact.entry.instance.clone(),
+        requests: fact.own.requests,
+        unread_tokens: fact.own.unread_tokens,
+    };
+    busy.map(|(_, fact)| load(fact)).collect()
+}
+
+fn own_demand(node: &FrontNode) -> Vec<ServiceDemand> {
+    node.demand.borrow().values().cloned().collect()
+}
+
+fn take_digest(node: &FrontNode, digest: MeshDigest, trip: TimeSpan) {
+    let now = node.clock.now();
+    if let Some(rules) = &digest.rules_text {
+        feeds::take_rules(node, rules);
+    }
+    if let Some(page) = &digest.roster_page {
+        feeds::take_peer_roster(node, page);
+    }
+    take_loads(node, &digest.loads);
+    let mut limits = node.limits.borrow_mut();
+    digest.levels.iter().for_each(|level| limits.take_news(&level.account, level.news, now));
+    node.usage.borrow_mut().forget(digest.reported_window);
+    node.process_count.set(digest.serving.max(1));
+    let mut mesh = node.mesh.borrow_mut();
+    mesh.view.take(digest.from, true, now);
+    if let Some(members) = digest.members {
+        mesh.view.adopt(members, now);
+    }
+    mesh.clock.set(digest.true_time, trip, now);
+    mesh.digest_at = now;
+    mesh.digest_rules = digest.rules;
+    mesh.digest_roster = digest.roster;
+    mesh.wants_rules = digest.wants_rules;
+    mesh.wants_roster = digest.wants_roster;
+    mesh.reported_window = mesh.reported_window.max(digest.reported_window);
+    let known = mesh.lease.as_ref().map_or(0, |lease| lease.revision);
+    if let Some(lease) = digest.lease.filter(|lease| lease.revision > known) {
+        mesh.lease = Some(lease);
+    }
+}
+
+fn take_loads(node: &FrontNode, loads: &[EndpointLoad]) {
+    let by_instance: HashMap<_, _> = loads.iter().map(|load| (&load.instance, load)).collect();
+    node.endpoints.borrow_mut().for_each_mut(|fact| {
+        fact.others = by_instance.get(&fact.entry.instance).map_or(WorkLoad::default(), |load| {
+            WorkLoad { requests: load.requests, unread_tokens: load.unread_tokens }
+        });
+    });
+}
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -1,17 +1,22 @@
 //! One front process: what its parts share.
 
+use crate::feeds::RosterCopy;
+use crate::mesh::MeshState;
 use crate::port::PlatformDialect;
 use oleander_board::{NodeClock, StopStage};
 use oleander_call::{RuleGate, RuleSet};
 use oleander_conf::FrontSettings;
+use oleander_duty::UsageBook;
 use oleander_flow::{BudgetSettings, RetryBudget};
 use oleander_kind::hash::mix_bits;
-use oleander_kind::{ClockTime, ServiceName};
+use oleander_kind::{AccountName, ClockTime, ServiceName, TimeSpan};
+use oleander_limit::PoolGate;
+use oleander_mesh::{MemberCard, ServiceDemand};
 use oleander_outlet::{HttpCodec, LinkPool};
 use oleander_place::{EndpointBoard, PrefixRecord};
-use oleander_plat::FeedStore;
+use oleander_plat::{FeedObject, FeedStore};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use tokio::sync::Notify;
 
@@ -26,6 +31,8 @@
     pub known: bool,
     /// Since when it brings nothing because the store does not answer; none while it does.
     pub lost_since: Option<ClockTime>,
+    /// When it last began to answer again.
+    pub back_at: Option<ClockTime>,
 }
 
 impl FeedState {
@@ -51,16 +58,30 @@
     pub http: HttpCodec,
     /// The rules in force.
     pub rules: RefCell<RuleGate>,
+    /// The text of the rules in force, for peers.
+    pub rules_text: RefCell<Option<FeedObject>>,
     /// How the feed of rules stands.
     pub rules_feed: Cell<FeedState>,
     /// How the feed of endpoints stands.
     pub endpoints_feed: Cell<FeedState>,
+    /// The endpoint list as it was read.
+    pub roster: RefCell<RosterCopy>,
     /// The endpoints.
     pub endpoints: RefCell<EndpointBoard>,
     /// Which prompt parts were sent where.
     pub prefixes: RefCell<PrefixRecord>,
     /// Idle connections to endpoints.
     pub pool: RefCell<LinkPool>,
+    /// Account limits.
+    pub limits: RefCell<PoolGate>,
+    /// Requests that began to run, by window and account.
+    pub usage: RefCell<UsageBook>,
+    /// What was asked of the services since this process began.
+    pub demand: RefCell<BTreeMap<ServiceName, ServiceDemand>>,
+    /// What is known through the other processes.
+    pub mesh: RefCell<MeshState>,
+    /// Revisions of the usage reports in the store, by their places.
+    pub report_revisions: RefCell<HashMap<String, u64>>,
     /// How far a planned stop has come.
     pub stop: Cell<StopStage>,
     /// Wakes idle connections when they are to be closed.
@@ -82,19 +103,35 @@
         store: Box<dyn FeedStore>,
     ) -> Rc<Self> {
         let seen = settings.seeds.len().max(1) as u32;
+        let clock = NodeClock::default();
+        let me = MemberCard {
+            id: settings.instance.clone(),
+            domain: settings.domain.clone(),
+            address: settings.peer,
+            life: clock.wall().0,
+            leaving: false,
+        };
+        let window = TimeSpan((settings.bounds.usage_window_s * 1000.0) as u64);
         Rc::new(FrontNode {
             settings,
-            clock: NodeClock::default(),
+            clock,
             log,
             dialect,
             store,
             http: HttpCodec::default(),
             rules: RefCell::default(),
+            rules_text: RefCell::default(),
             rules_feed: Cell::default(),
             endpoints_feed: Cell::default(),
+            roster: RefCell::default(),
             endpoints: RefCell::default(),
             prefixes: RefCell::default(),
             pool: RefCell::default(),
+            limits: RefCell::default(),
+            usage: RefCell::new(UsageBook::new(window)),
+            demand: RefCell::default(),
+            mesh: RefCell::new(MeshState::new(me)),
+            report_revisions: RefCell::default(),
             stop: Cell::default(),
             close_idle: Notify::new(),
             in_flight: Cell::default(),
@@ -115,6 +152,31 @@
         informed && self.stop.get() == StopStage::Serving
     }
 
+    /// Whether the rules in force are known to be the newest: the store says so here, or to others.
+    pub fn rules_are_fresh(&self) -> bool {
+        let version = self.rules.borrow().version();
+        let told = self.rules_feed.get().is_fresh();
+        told || self.mesh.borrow().vouches_for_rules(version, self.clock.now())
+    }
+
+    /// Counts a request of `account` that began to run `ago`.
+    pub fn note_usage(&self, account: &AccountName, ago: TimeSpan) {
+        let now = self.mesh.borrow().clock.read(self.clock.now(), self.clock.wall());
+        self.usage.borrow_mut().note(account, now - ago);
+    }
+
+    /// Counts what is asked of a service.
+    pub fn note_demand(&self, service: &ServiceName, act: impl FnOnce(&mut ServiceDemand)) {
+        let mut demand = self.demand.borrow_mut();
+        let fresh = || ServiceDemand {
+            service: service.clone(),
+            requests: 0,
+            unread_tokens: 0,
+            answer_tokens: 0,
+        };
+        act(demand.entry(service.clone()).or_insert_with(fresh));
+    }
+
     /// The next random number.
     pub fn random(&self) -> u64 {
         let next = mix_bits(self.random.get());
--- a/crates/front/src/process.rs
+++ b/crates/front/src/process.rs
@@ -2,14 +2,16 @@
 
 use crate::node::FrontNode;
 use crate::port::PlatformDialect;
-use crate::{feeds, ingress};
+use crate::{duties, feeds, ingress, mesh};
 use actix_web::{App, HttpResponse, web};
 use oleander_board::StopStage;
 use oleander_conf::FrontSettings;
 use oleander_kind::TimeSpan;
+use oleander_mesh::MeshBody;
 use oleander_outlet::listen_socket;
-use oleander_plat::FeedStore;
+use oleander_plat::{DutyPort, FeedStore};
 use oleander_serve::{HttpSite, local_data, serve_app};
+use oleander_wire::{PeerHandler, PeerHub, PeerListener, TrafficCount, listen_peers};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::JoinHandle;
@@ -31,9 +33,18 @@
     /// Its parts.
     pub node: Rc<FrontNode>,
     _ready: HttpSite,
+    _peers: PeerListener,
     tasks: Vec<JoinHandle<()>>,
 }
 
+/// The platform as a front process uses it.
+pub struct FrontPorts {
+    /// The store.
+    pub store: Box<dyn FeedStore>,
+    /// The cloud, if there is control work to do.
+    pub cloud: Option<Rc<dyn DutyPort>>,
+}
+
 /// Starts a front process.
 ///
 /// # Errors
@@ -42,20 +53,29 @@
     settings: FrontSettings,
     log: slog::Logger,
     dialect: Box<dyn PlatformDialect>,
-    store: Box<dyn FeedStore>,
+    ports: FrontPorts,
 ) -> std::io::Result<FrontProcess> {
     let callers = listen_socket(settings.listen)?;
-    let node = FrontNode::new(settings, log, dialect, store);
+    let peers = listen_socket(settings.peer)?;
+    let node = FrontNode::new(settings, log, dialect, ports.store);
+    let traffic = Rc::new(TrafficCount::default());
+    let hub = actix::Actor::start(PeerHub::<MeshBody>::new(traffic.clone()));
+    let handler: Rc<dyn PeerHandler<MeshBody>> = Rc::new(mesh::MeshPeers(node.clone()));
+    let peers = listen_peers(peers, handler, traffic)?;
     let app = App::new().app_data(local_data(node.clone())).route(READY_PATH, web::get().to(ready));
     let ready = serve_app(node.settings.ready, app).await?;
-    let tasks = vec![
+    let mut tasks = vec![
         actix_rt::spawn(feeds::follow_rules(node.clone())),
         actix_rt::spawn(feeds::follow_endpoints(node.clone())),
         actix_rt::spawn(sweep(node.clone())),
+        actix_rt::spawn(mesh::report_period(node.clone(), hub)),
         actix_rt::spawn(ingress::accept_callers(node.clone(), callers)),
     ];
+    if let Some(cloud) = ports.cloud {
+        tasks.push(actix_rt::spawn(duties::do_duties(node.clone(), cloud)));
+    }
     slog::info!(node.log, "the front process has started"; "listen" => node.settings.listen.to_string());
-    Ok(FrontProcess { node, _ready: ready, tasks })
+    Ok(FrontProcess { node, _ready: ready, _peers: peers, tasks })
 }
 
 async fn ready(node: web::Data<Rc<FrontNode>>) -> HttpResponse {
@@ -87,6 +107,7 @@
         let until = Instant::now() + grace.saturating_sub(END_MARGIN);
         slog::info!(node.log, "the front process is leaving"; "in_flight" => node.in_flight.get());
         node.stop.set(StopStage::Unready);
+        node.mesh.borrow_mut().view.leave();
         tokio::time::sleep(ROTATION_TIME).await;
         node.stop.set(StopStage::Draining);
         node.close_idle.notify_waiters();
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -8,6 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use oleander_call::{AttemptEnd, EventCutter, RepeatRule};
 use oleander_outlet::{BodyLink, IdleLink};
+use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
 /// Times the longest pause of an on-time stream after which a silent stream is gone on with
@@ -47,6 +48,9 @@
             continue;
         }
         work.prompt_read();
+        if run.answer.stage() == AnswerStage::Waiting {
+            run.note_began(Duration::ZERO);
+        }
         if write_piece(run, status, &mut headers, out).await.is_err() {
             return (AttemptOutcome::CallerGone, None);
         }
--- a/crates/kind/src/clock.rs
+++ b/crates/kind/src/clock.rs
@@ -36,6 +36,14 @@
     }
 }
 
+impl Add<TimeSpan> for TimeSpan {
+    type Output = TimeSpan;
+
+    fn add(self, other: TimeSpan) -> TimeSpan {
+        TimeSpan(self.0.saturating_add(other.0))
+    }
+}
+
 impl Sub<ClockTime> for ClockTime {
     type Output = TimeSpan;
 
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -225,6 +225,18 @@
         }
     }
 
+    /// Takes the object as the holder told of it. News of an older version, and any news while a
+    /// call of its own is under way, changes nothing.
+    ///
+    /// The time that the object stays unchanged counts from here, as if it had been read: the holder
+    /// wrote it earlier than anybody heard of it.
+    pub fn hear(&mut self, version: u64, record: LeaseRecord, now: ClockTime) {
+        let known = self.seen.as_ref().and_then(|seen| seen.version);
+        if self.pending.is_none() && known.is_none_or(|known| known < version) {
+            self.take_read(Some((version, record)), now);
+        }
+    }
+
     fn take_read(&mut self, found: Option<(u64, LeaseRecord)>, now: ClockTime) {
         let version = found.as_ref().map(|(version, _)| *version);
         let record = found.map(|(_, record)| record).unwrap_or_default();
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -4,7 +4,9 @@
 //! about once a second and get a share that expires. Between reports each entry counts alone.
 
 pub mod owner;
+pub mod pool;
 pub mod share;
 
 pub use owner::{DemandReport, LimitOwner, ShareGrant};
+pub use pool::{LevelNews, PoolGate, PoolLedger, PoolLimit, PoolSpender};
 pub use share::{AccountLimits, LimitGate, LimitVerdict};
--- /dev/null
+++ b/crates/mesh/src/clock.rs
@@ -0,0 +1,48 @@
+//! True time, from clocks of which some are wrong.
+//!
+//! Usage windows begin at fixed true times, and a machine's time of day may jump by seconds and back.
+//! The middle of all members' clocks stays right as long as fewer than half of them jump together;
+//! between two digests only steady clocks count.
+
+use oleander_kind::{ClockTime, TimeSpan};
+
+/// The middle of `offsets`; none if there are none.
+pub fn median_offset(mut offsets: Vec<i64>) -> Option<i64> {
+    let middle = offsets.len() / 2;
+    if offsets.is_empty() {
+        return None;
+    }
+    let (_, median, _) = offsets.select_nth_unstable(middle);
+    Some(*median)
+}
+
+/// How far a clock that says `wall` is ahead of a steady clock that says `now`.
+pub fn wall_offset(wall: ClockTime, now: ClockTime) -> i64 {
+    wall.0 as i64 - now.0 as i64
+}
+
+/// True time by a steady clock and an offset.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TrueClock {
+    offset: Option<i64>,
+}
+
+impl TrueClock {
+    /// Takes true time as a digest told it; `trip` is how long the exchange took.
+    pub fn set(&mut self, true_time: ClockTime, trip: TimeSpan, now: ClockTime) {
+        self.offset = Some(wall_offset(true_time + TimeSpan(trip.0 / 2), now));
+    }
+
+    /// Takes an offset that was worked out here.
+    pub fn set_offset(&mut self, offset: i64) {
+        self.offset = Some(offset);
+    }
+
+    /// True time at `now`; `wall`, the own time of day, until something better was heard.
+    pub fn read(&self, now: ClockTime, wall: ClockTime) -> ClockTime {
+        match self.offset {
+            Some(offset) => ClockTime((now.0 as i64 + offset).max(0) as u64),
+            None => wall,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/collector.rs
@@ -0,0 +1,291 @@
+//! What the collector makes of the reports.
+
+use crate::clock::{median_offset, wall_offset};
+use crate::message::{
+    AccountLevel, EndpointLoad, FeedMark, LeaseNotice, MeshDigest, NodeReport, ServiceDemand,
+};
+use crate::view::MeshView;
+use oleander_call::RuleSet;
+use oleander_kind::{AccountName, ClockTime, InstanceId, ServiceName, TimeSpan};
+use oleander_limit::{PoolLedger, PoolLimit, PoolSpender};
+use oleander_plat::{FeedObject, FeedPage};
+use std::collections::BTreeMap;
+
+/// A report counts for this long after it came: four times the period of reports.
+const REPORT_LASTS: TimeSpan = TimeSpan(1200);
+/// Time over which demand is averaged.
+const DEMAND_TIME: TimeSpan = TimeSpan(2000);
+
+/// What the collector's own process knows when it answers.
+pub struct CollectorFacts<'a> {
+    /// The rules in force there.
+    pub rules: Option<&'a RuleSet>,
+    /// The text of these rules.
+    pub rules_text: Option<&'a FeedObject>,
+    /// How far it has followed the rules.
+    pub rules_mark: FeedMark,
+    /// How far it has followed the endpoint list.
+    pub roster_mark: FeedMark,
+    /// Its endpoint list.
+    pub roster: &'a dyn Fn() -> FeedPage,
+    /// The limit of an account of the rules.
+    pub limit_of: &'a dyn Fn(&AccountName) -> Option<PoolLimit>,
+    /// Usage windows up to this number are reported.
+    pub reported_window: u64,
+    /// The lease as last seen.
+    pub lease: Option<LeaseNotice>,
+    /// The time.
+    pub now: ClockTime,
+}
+
+#[derive(Clone, Debug)]
+struct HeardNode {
+    report: NodeReport,
+    heard_at: ClockTime,
+    offset: i64,
+}
+
+/// What a service is asked for, all processes together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct DemandRate {
+    /// Requests a second.
+    pub requests: f64,
+    /// Prompt tokens a second that have to be read.
+    pub unread_tokens: f64,
+    /// Answer tokens a second.
+    pub answer_tokens: f64,
+}
+
+type UsageTable = BTreeMap<u64, BTreeMap<(InstanceId, u64), BTreeMap<AccountName, u64>>>;
+
+/// The collector's state.
+pub struct MeshCollector {
+    ledger: PoolLedger,
+    nodes: BTreeMap<InstanceId, HeardNode>,
+    usage: UsageTable,
+    demand: BTreeMap<ServiceName, (DemandRate, ClockTime)>,
+    began_at: ClockTime,
+}
+
+impl MeshCollector {
+    /// Begins to collect with the account levels that were expected before.
+    pub fn begin(levels: Vec<(AccountName, f64)>, now: ClockTime) -> Self {
+        MeshCollector {
+            ledger: PoolLedger::begin(levels, now),
+            nodes: BTreeMap::new(),
+            usage: BTreeMap::new(),
+            demand: BTreeMap::new(),
+            began_at: now,
+        }
+    }
+
+    /// Since when it collects.
+    pub fn began_at(&self) -> ClockTime {
+        self.began_at
+    }
+
+    /// Takes a report and answers it.
+    pub fn take(
+        &mut self,
+        report: NodeReport,
+        view: &MeshView,
+        facts: &CollectorFacts<'_>,
+    ) -> MeshDigest {
+        let now = facts.now;
+        self.note_usage(&report);
+        self.note_demand(&report, now);
+        let levels = self.levels(&report, view, facts);
+        let offset = wall_offset(report.wall, now);
+        let id = report.card.id.clone();
+        let digest = self.digest(&report, view, facts, levels);
+        self.nodes.insert(id, HeardNode { report, heard_at: now, offset });
+        digest
+    }
+
+    fn digest(
+        &self,
+        report: &NodeReport,
+        view: &MeshView,
+        facts: &CollectorFacts<'_>,
+        levels: Vec<AccountLevel>,
+    ) -> MeshDigest {
+        let now = facts.now;
+        let mine = facts.rules_mark.mark;
+        let roster_mine = facts.roster_mark.mark;
+        let stale_roster = !report.roster.fresh && report.roster.mark < roster_mine;
+        let rules_fresh = self.someone_fresh(now, |node| node.rules, facts.rules_mark);
+        let roster_fresh = self.someone_fresh(now, |node| node.roster, facts.roster_mark);
+        MeshDigest {
+            from: view.me().clone(),
+            members: (report.members_mark != view.mark()).then(|| view.cards()),
+            serving: view.serving(),
+            true_time: self.true_time(now).unwrap_or(report.wall),
+            rules: FeedMark { mark: mine, fresh: rules_fresh },
+            roster: FeedMark { mark: roster_mine, fresh: roster_fresh },
+            rules_text: facts.rules_text.filter(|_| report.rules.mark < mine).cloned(),
+            roster_page: stale_roster.then(|| (facts.roster)()),
+            wants_rules: report.rules.mark > mine,
+            wants_roster: !facts.roster_mark.fresh && report.roster.mark > roster_mine,
+            levels,
+            loads: self.other_loads(&report.card.id, now),
+            reported_window: facts.reported_window,
+            lease: facts.lease.clone(),
+        }
+    }
+
+    /// Whether the collector or a process that has all it has is told of changes by the store.
+    fn someone_fresh(
+        &self,
+        now: ClockTime,
+        mark_of: impl Fn(&NodeReport) -> FeedMark,
+        own: FeedMark,
+    ) -> bool {
+        let fresh = |node: &&HeardNode| {
+            let mark = mark_of(&node.report);
+            mark.fresh && mark.mark <= own.mark
+        };
+        own.fresh || self.recent(now).any(|node| fresh(&node))
+    }
+
+    fn recent(&self, now: ClockTime) -> impl Iterator<Item = &HeardNode> {
+        self.nodes.values().filter(move |node| now - node.heard_at < REPORT_LASTS)
+    }
+
+    /// True time as the members heard of lately have it.
+    pub fn true_time(&self, now: ClockTime) -> Option<ClockTime> {
+        let offset = median_offset(self.recent(now).map(|node| node.offset).collect())?;
+        Some(ClockTime((now.0 as i64 + offset).max(0) as u64))
+    }
+
+    fn levels(
+        &mut self,
+        report: &NodeReport,
+        view: &MeshView,
+        facts: &CollectorFacts<'_>,
+    ) -> Vec<AccountLevel> {
+        let spender = PoolSpender { instance: report.card.id.clone(), life: report.card.life };
+        let part = self.heard_part(report, view, facts.now);
+        let mut levels = Vec::new();
+        for spend in &report.spent {
+            let Some(limit) = (facts.limit_of)(&spend.account) else { continue };
+            let limit = PoolLimit { rate_per_s: limit.rate_per_s * part, ..limit };
+            let spent = (&spender, spend.tokens);
+            let news = self.ledger.report(&spend.account, &limit, spent, facts.now);
+            levels.push(AccountLevel { account: spend.account.clone(), news });
+        }
+        levels
+    }
+
+    /// The part of the serving processes that report here. The others let requests in by equal
+    /// shares of their own, or have another collector; their part is not given away.
+    fn heard_part(&self, report: &NodeReport, view: &MeshView, now: ClockTime) -> f64 {
+        /// A collector that just began has not heard everybody yet.
+        const SETTLED: TimeSpan = TimeSpan(2000);
+        if now - self.began_at < SETTLED {
+            return 1.0;
+        }
+        let mut heard = self.recent(now).filter(|node| !node.report.card.leaving).count();
+        if !self.nodes.contains_key(&report.card.id) {
+            heard += 1;
+        }
+        (heard as f64 / f64::from(view.serving().max(1))).min(1.0)
+    }
+
+    fn other_loads(&self, reporter: &InstanceId, now: ClockTime) -> Vec<EndpointLoad> {
+        let mut sums: BTreeMap<&InstanceId, (u32, u64)> = BTreeMap::new();
+        let others = self.recent(now).filter(|node| node.report.card.id != *reporter);
+        for load in others.flat_map(|node| &node.report.loads) {
+            let sum = sums.entry(&load.instance).or_default();
+            sum.0 += load.requests;
+            sum.1 += load.unread_tokens;
+        }
+        let load = |(instance, (requests, unread_tokens)): (&InstanceId, (u32, u64))| {
+            EndpointLoad { instance: instance.clone(), requests, unread_tokens }
+        };
+        sums.into_iter().map(load).collect()
+    }
+
+    /// Work at the endpoints, all processes together.
+    pub fn loads(&self, now: ClockTime) -> Vec<EndpointLoad> {
+        self.other_loads(&InstanceId::default(), now)
+    }
+
+    fn note_usage(&mut self, report: &NodeReport) {
+        let who = (report.card.id.clone(), report.card.life);
+        for usage in &report.usage {
+            let nodes = self.usage.entry(usage.window).or_default();
+            let counts = nodes.entry(who.clone()).or_default();
+            let count = counts.entry(usage.account.clone()).or_default();
+            *count = usage.count.max(*count);
+        }
+    }
+
+    /// What each account ran in `window`, as far as it was reported.
+    pub fn usage_of(&self, window: u64) -> BTreeMap<AccountName, u64> {
+        let mut sums = BTreeMap::new();
+        for counts in self.usage.get(&window).into_iter().flat_map(BTreeMap::values) {
+            for (account, count) in counts {
+                *sums.entry(account.clone()).or_insert(0) += count;
+            }
+        }
+        sums
+    }
+
+    /// Forgets windows up to `window`.
+    pub fn forget_usage(&mut self, window: u64) {
+        self.usage.retain(|known, _| *known > window);
+    }
+
+    /// The windows that something was reported of.
+    pub fn usage_windows(&self) -> impl Iterator<Item = u64> {
+        self.usage.keys().copied()
+    }
+
+    fn note_demand(&mut self, report: &NodeReport, now: ClockTime) {
+        let before = self.nodes.get(&report.card.id);
+        let before = before.filter(|node| node.report.card.life == report.card.life);
+        for asked in &report.demand {
+            let same = |known: &&ServiceDemand| known.service == asked.service;
+            let known = before.and_then(|node| node.report.demand.iter().find(same));
+            // A process that was not heard of before may have been asked long ago.
+            let Some(known) = known else { continue };
+            let new = |now: u64, then: u64| now.saturating_sub(then) as f64;
+            let (rate, at) = self
+                .demand
+                .entry(asked.service.clone())
+                .or_insert_with(|| (DemandRate::default(), now));
+            let kept = decay(now - *at);
+            let add = |rate: f64, new: f64| rate * kept + new * 1000.0 / DEMAND_TIME.0 as f64;
+            rate.requests = add(rate.requests, new(asked.requests, known.requests));
+            rate.unread_tokens =
+                add(rate.unread_tokens, new(asked.unread_tokens, known.unread_tokens));
+            rate.answer_tokens =
+                add(rate.answer_tokens, new(asked.answer_tokens, known.answer_tokens));
+            *at = now;
+        }
+    }
+
+    /// What `service` is asked for.
+    pub fn demand_of(&self, service: &ServiceName, now: ClockTime) -> DemandRate {
+        let Some((rate, at)) = self.demand.get(service) else {
+            return DemandRate::default();
+        };
+        let kept = decay(now - *at);
+        DemandRate {
+            requests: rate.requests * kept,
+            unread_tokens: rate.unread_tokens * kept,
+            answer_tokens: rate.answer_tokens * kept,
+        }
+    }
+
+    /// Whether every serving member has reported since `since`.
+    pub fn all_reported_since(&self, view: &MeshView, since: ClockTime) -> bool {
+        let reported =
+            |id: &InstanceId| self.nodes.get(id).is_some_and(|node| node.heard_at >= since);
+        view.cards().iter().all(|card| reported(&card.id))
+    }
+}
+
+fn decay(age: TimeSpan) -> f64 {
+    (-(age.0 as f64) / DEMAND_TIME.0 as f64).exp()
+}
--- /dev/null
+++ b/crates/mesh/src/lib.rs
@@ -0,0 +1,22 @@
+//! What the front processes tell one another.
+//!
+//! One of them, the *collector*, hears all the others several times a second and answers each with
+//! what the whole knows: account levels, load at the endpoints, the newest rules and endpoint list,
+//! the members, the time. Messages grow with the number of endpoints and accounts, not with the
+//! square of the processes, and no process needs the store for any of it. Any process can be the
+//! collector; which one is, follows from the members alone ([`MeshView`]).
+//!
+//! Everything here is a state machine over values; the links are elsewhere.
+
+pub mod clock;
+pub mod collector;
+pub mod message;
+pub mod view;
+
+pub use clock::{TrueClock, median_offset};
+pub use collector::{CollectorFacts, MeshCollector};
+pub use message::{
+    AccountLevel, AccountSpend, EndpointLoad, FeedMark, LeaseNotice, MemberCard, MeshBody,
+    MeshDigest, NodeReport, ServiceDemand, UsageCount,
+};
+pub use view::MeshView;
--- /dev/null
+++ b/crates/mesh/src/message.rs
@@ -0,0 +1,216 @@
+//! The messages. Fields have short names on the wire, because they travel several times a second.
+
+use oleander_kind::{AccountName, ClockTime, DomainName, InstanceId, ServiceName};
+use oleander_lease::LeaseRecord;
+use oleander_limit::LevelNews;
+use oleander_plat::{FeedObject, FeedPage};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Who a process is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberCard {
+    /// Its instance.
+    #[serde(rename = "i")]
+    pub id: InstanceId,
+    /// Its failure domain.
+    #[serde(rename = "d")]
+    pub domain: DomainName,
+    /// Where its peers connect.
+    #[serde(rename = "a")]
+    pub address: SocketAddr,
+    /// Tells two lives of it apart.
+    #[serde(rename = "l")]
+    pub life: u64,
+    /// Whether it is stopping.
+    #[serde(rename = "x")]
+    pub leaving: bool,
+}
+
+/// How far a process has followed a feed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FeedMark {
+    /// The version or revision it has; 0 for nothing.
+    #[serde(rename = "m")]
+    pub mark: u64,
+    /// Whether the store tells it of changes.
+    #[serde(rename = "f")]
+    pub fresh: bool,
+}
+
+/// What a process let in of an account since it began.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AccountSpend {
+    /// The account.
+    #[serde(rename = "a")]
+    pub account: AccountName,
+    /// Tokens.
+    #[serde(rename = "t")]
+    pub tokens: u64,
+}
+
+/// Requests of an account that began to run in a window, at one process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageCount {
+    /// The window's number.
+    #[serde(rename = "w")]
+    pub window: u64,
+    /// The account.
+    #[serde(rename = "a")]
+    pub account: AccountName,
+    /// Requests.
+    #[serde(rename = "n")]
+    pub count: u64,
+}
+
+/// Work at an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointLoad {
+    /// The endpoint.
+    #[serde(rename = "i")]
+    pub instance: InstanceId,
+    /// Requests under way.
+    #[serde(rename = "r")]
+    pub requests: u32,
+    /// Prompt tokens that wait to be read.
+    #[serde(rename = "u")]
+    pub unread_tokens: u64,
+}
+
+/// What a process asked of a service since it began.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceDemand {
+    /// The service.
+    #[serde(rename = "s")]
+    pub service: ServiceName,
+    /// Requests, those refused for want of room included.
+    #[serde(rename = "r")]
+    pub requests: u64,
+    /// Prompt tokens that had to be read.
+    #[serde(rename = "u")]
+    pub unread_tokens: u64,
+    /// Answer tokens.
+    #[serde(rename = "t")]
+    pub answer_tokens: u64,
+}
+
+/// What a process tells the collector.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NodeReport {
+    /// Who it is.
+    #[serde(rename = "c")]
+    pub card: MemberCard,
+    /// Its own time of day.
+    #[serde(rename = "w")]
+    pub wall: ClockTime,
+    /// What it knows of the members, as a mark.
+    #[serde(rename = "m")]
+    pub members_mark: u64,
+    /// Its rules.
+    #[serde(rename = "r")]
+    pub rules: FeedMark,
+    /// Its endpoint list.
+    #[serde(rename = "e")]
+    pub roster: FeedMark,
+    /// What it let in.
+    #[serde(rename = "s")]
+    pub spent: Vec<AccountSpend>,
+    /// What began to run, for the windows that are not reported yet.
+    #[serde(rename = "u")]
+    pub usage: Vec<UsageCount>,
+    /// Its work at the endpoints.
+    #[serde(rename = "l")]
+    pub loads: Vec<EndpointLoad>,
+    /// What it asked of the services that the system scales.
+    #[serde(rename = "q")]
+    pub demand: Vec<ServiceDemand>,
+    /// The rules, if the collector asked for them.
+    #[serde(rename = "R")]
+    pub rules_text: Option<FeedObject>,
+    /// The endpoint list, if the collector asked for it.
+    #[serde(rename = "E")]
+    pub roster_page: Option<FeedPage>,
+}
+
+/// An account's level, for one process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AccountLevel {
+    /// The account.
+    #[serde(rename = "a")]
+    pub account: AccountName,
+    /// Its level.
+    #[serde(rename = "n")]
+    pub news: LevelNews,
+}
+
+/// The lease of the control work as its holder last wrote it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseNotice {
+    /// The object's revision.
+    #[serde(rename = "v")]
+    pub revision: u64,
+    /// The record.
+    #[serde(rename = "r")]
+    pub record: LeaseRecord,
+}
+
+/// What the collector answers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MeshDigest {
+    /// The collector.
+    #[serde(rename = "c")]
+    pub from: MemberCard,
+    /// The members, if the mark of the report is another.
+    #[serde(rename = "M")]
+    pub members: Option<Vec<MemberCard>>,
+    /// Processes that serve callers.
+    #[serde(rename = "n")]
+    pub serving: u32,
+    /// True time, as the members' clocks have it in the middle.
+    #[serde(rename = "t")]
+    pub true_time: ClockTime,
+    /// The version of the rules that the collector has, and whether anybody is told of changes.
+    #[serde(rename = "r")]
+    pub rules: FeedMark,
+    /// The same for the endpoint list.
+    #[serde(rename = "e")]
+    pub roster: FeedMark,
+    /// The rules, if they are newer than the report's.
+    #[serde(rename = "R")]
+    pub rules_text: Option<FeedObject>,
+    /// The endpoint list, if the reporter is not told of changes and has an older one.
+    #[serde(rename = "E")]
+    pub roster_page: Option<FeedPage>,
+    /// Whether the next report should carry the rules.
+    #[serde(rename = "y")]
+    pub wants_rules: bool,
+    /// Whether the next report should carry the endpoint list.
+    #[serde(rename = "z")]
+    pub wants_roster: bool,
+    /// Levels of the accounts.
+    #[serde(rename = "a")]
+    pub levels: Vec<AccountLevel>,
+    /// The other processes' work at the endpoints.
+    #[serde(rename = "l")]
+    pub loads: Vec<EndpointLoad>,
+    /// Usage windows up to this number are reported.
+    #[serde(rename = "u")]
+    pub reported_window: u64,
+    /// The lease, if the collector knows it.
+    #[serde(rename = "h")]
+    pub lease: Option<LeaseNotice>,
+}
+
+/// A call or its answer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum MeshBody {
+    /// A process reports.
+    #[serde(rename = "r")]
+    Report(Box<NodeReport>),
+    /// The collector answers.
+    #[serde(rename = "d")]
+    Digest(Box<MeshDigest>),
+    /// The process asked cannot collect: it is stopping.
+    #[serde(rename = "x")]
+    Leaving,
+}
--- /dev/null
+++ b/crates/mesh/src/view.rs
@@ -0,0 +1,136 @@
+//! The members as one process knows them, and which of them collects.
+
+use crate::message::MemberCard;
+use oleander_kind::hash::{HASH_START, mix_bits, rendezvous_weight, stable_hash};
+use oleander_kind::{ClockTime, InstanceId, TimeSpan};
+use std::collections::{BTreeMap, HashMap};
+
+/// How long a member that did not answer is passed over. Long enough that a dead one costs few
+/// timeouts, short enough that a restarted one is used again.
+const SHUNNED: TimeSpan = TimeSpan(2500);
+/// A member that nobody has heard of for this long is forgotten; one that comes back says so.
+const FORGOTTEN: TimeSpan = TimeSpan(20_000);
+/// The key that members are ranked by.
+const COLLECTOR_KEY: &[u8] = b"collector";
+
+#[derive(Clone, Debug)]
+struct KnownMember {
+    card: MemberCard,
+    heard_at: ClockTime,
+}
+
+/// The members.
+#[derive(Clone, Debug)]
+pub struct MeshView {
+    me: MemberCard,
+    members: BTreeMap<InstanceId, KnownMember>,
+    shunned: HashMap<InstanceId, ClockTime>,
+}
+
+impl MeshView {
+    /// A process that knows itself.
+    pub fn new(me: MemberCard) -> Self {
+        MeshView { me, members: BTreeMap::new(), shunned: HashMap::new() }
+    }
+
+    /// Who this process is.
+    pub fn me(&self) -> &MemberCard {
+        &self.me
+    }
+
+    /// Notes that this process is stopping.
+    pub fn leave(&mut self) {
+        self.me.leaving = true;
+    }
+
+    /// Takes a member's card, from itself (`heard`) or by hearsay. A later life wins; a member that
+    /// is leaving stays so in that life.
+    pub fn take(&mut self, card: MemberCard, heard: bool, now: ClockTime) {
+        if card.id == self.me.id {
+            return;
+        }
+        let newer = match self.members.get(&card.id) {
+            Some(known) if known.card.life > card.life => return,
+            Some(known) => known.card.life < card.life,
+            None => true,
+        };
+        if newer {
+            self.shunned.remove(&card.id);
+            self.members.insert(card.id.clone(), KnownMember { card, heard_at: now });
+            return;
+        }
+        if let Some(known) = self.members.get_mut(&card.id) {
+            known.card.leaving |= card.leaving;
+            if heard {
+                known.heard_at = now;
+                self.shunned.remove(&card.id);
+            }
+        }
+    }
+
+    /// Takes the collector's list of members: those it does not name, and that did not speak for
+    /// themselves a moment ago, are gone.
+    pub fn adopt(&mut self, cards: Vec<MemberCard>, now: ClockTime) {
+        /// Longer than a collector takes to hear of a new member.
+        const SPOKE_LATELY: TimeSpan = TimeSpan(3000);
+        let named: Vec<InstanceId> = cards.iter().map(|card| card.id.clone()).collect();
+        cards.into_iter().for_each(|card| self.take(card, false, now));
+        self.members.retain(|id, known| named.contains(id) || now - known.heard_at < SPOKE_LATELY);
+    }
+
+    /// Notes that a member did not answer.
+    pub fn shun(&mut self, id: &InstanceId, now: ClockTime) {
+        self.shunned.insert(id.clone(), now + SHUNNED);
+    }
+
+    /// Forgets members that nobody has heard of for long.
+    pub fn sweep(&mut self, now: ClockTime) {
+        self.members.retain(|_, known| now - known.heard_at < FORGOTTEN);
+        self.shunned.retain(|_, until| *until > now);
+    }
+
+    /// All members but this process.
+    pub fn others(&self) -> impl Iterator<Item = &MemberCard> {
+        self.members.values().map(|known| &known.card)
+    }
+
+    /// All members that are not stopping, this process included.
+    pub fn cards(&self) -> Vec<MemberCard> {
+        let own = std::iter::once(&self.me);
+        own.chain(self.others()).filter(|card| !card.leaving).cloned().collect()
+    }
+
+    /// How many members are not stopping.
+    pub fn serving(&self) -> u32 {
+        let own = u32::from(!self.me.leaving);
+        own + self.others().filter(|card| !card.leaving).count() as u32
+    }
+
+    /// A mark that differs if the members do.
+    pub fn mark(&self) -> u64 {
+        let own = std::iter::once(&self.me);
+        own.chain(self.others()).fold(0, |mark, card| {
+            let leaving = u64::from(card.leaving);
+            mark ^ mix_bits(card.id.stable_hash() ^ mix_bits(card.life ^ leaving))
+        })
+    }
+
+    /// The member that collects, as this process sees it: the first by rank that is not stopping
+    /// and did not fail to answer a moment ago. Processes that see the same members agree.
+    pub fn collector(&self, now: ClockTime) -> &MemberCard {
+        let open = |card: &&MemberCard| {
+            !card.leaving && self.shunned.get(&card.id).is_none_or(|until| *until <= now)
+        };
+        let own = std::iter::once(&self.me);
+        own.chain(self.others()).filter(open).max_by_key(|card| rank(card)).unwrap_or(&self.me)
+    }
+
+    /// Whether this process collects.
+    pub fn collects(&self, now: ClockTime) -> bool {
+        self.collector(now).id == self.me.id
+    }
+}
+
+fn rank(card: &MemberCard) -> u64 {
+    rendezvous_weight(stable_hash(HASH_START, COLLECTOR_KEY), card.id.stable_hash())
+}
--- a/crates/place/src/board.rs
+++ b/crates/place/src/board.rs
@@ -53,6 +53,9 @@
     pub others: WorkLoad,
     /// How it has been answering.
     pub health: HealthRecord,
+    /// Whether the list lost it at a time when the store may have forgotten it by mistake. It is
+    /// used only if there is no other.
+    pub doubted: bool,
 }
 
 impl EndpointFact {
@@ -91,6 +94,7 @@
             let ends_at = entry.ends_at.or(fact.entry.ends_at);
             let stage = if leaving { EndpointStage::Leaving } else { entry.stage };
             fact.entry = EndpointEntry { stage, ends_at, ..entry };
+            fact.doubted = false;
             return key;
         }
         let (instance, service) = (entry.instance.clone(), entry.service.clone());
@@ -99,6 +103,7 @@
             own: WorkLoad::default(),
             others: WorkLoad::default(),
             health: HealthRecord::default(),
+            doubted: false,
         });
         self.by_instance.insert(instance, key);
         self.by_service.entry(service).or_default().push(key);
@@ -130,6 +135,15 @@
         self.facts.get_mut(key)
     }
 
+    /// Changes every endpoint's facts.
+    pub fn for_each_mut(&mut self, mut act: impl FnMut(&mut EndpointFact)) {
+        for key in self.by_instance.values() {
+            if let Some(fact) = self.facts.get_mut(*key) {
+                act(fact);
+            }
+        }
+    }
+
     /// The endpoints of a service.
     pub fn of_service(&self, service: &ServiceName) -> &[EndpointKey] {
         self.by_service.get(service).map_or(&[], Vec::as_slice)
--- a/crates/place/src/choose.rs
+++ b/crates/place/src/choose.rs
@@ -60,7 +60,7 @@
 
 /// Chooses an endpoint; none if the service has none that takes work.
 ///
-/// Endpoints that rest after a failure are left out, unless that would leave nobody: a wrong
+/// Endpoints that rest after a failure, and doubted ones, are left out, unless that would leave nobody: a wrong
 /// suspicion of all of them must not refuse every request.
 pub fn choose_endpoint(
     board: &EndpointBoard,
@@ -73,7 +73,7 @@
         .filter_map(|key| board.get(*key).map(|fact| (*key, fact)))
         .filter(|(key, fact)| fact.takes_work() && !ask.tried.contains(key))
         .collect();
-    let awake = open.iter().filter(|(_, fact)| !fact.health.rests(ask.now));
+    let awake = open.iter().filter(|(_, fact)| !fact.health.rests(ask.now) && !fact.doubted);
     let awake: Vec<_> = awake.copied().collect();
     let candidates = if awake.is_empty() { open } else { awake };
     let home = home_endpoint(&candidates, prefixes, ask);
--- a/crates/plat/src/feed.rs
+++ b/crates/plat/src/feed.rs
@@ -5,6 +5,7 @@
 use compact_str::CompactString;
 use futures_util::future::LocalBoxFuture;
 use oleander_kind::TimeSpan;
+use serde::{Deserialize, Serialize};
 
 /// The kinds of object that the system reads or writes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -22,7 +23,7 @@
 }
 
 /// One object.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FeedObject {
     /// Its name; unique within its kind.
     pub name: CompactString,
@@ -33,7 +34,7 @@
 }
 
 /// All objects of a kind at one revision.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FeedPage {
     /// The objects.
     pub objects: Vec<FeedObject>,
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -4,12 +4,14 @@
 //! must know: the call never left, it was refused, or its outcome is unknown.
 
 pub mod cloud;
+pub mod duty;
 pub mod feed;
 pub mod http;
 pub mod order;
 pub mod port;
 
 pub use cloud::{CloudClient, CloudNotice, PriceEntry, StartAnswer, StartOrder};
+pub use duty::{DutyAnswer, DutyPort, DutyStamp, ScaleOrder, UsageReport};
 pub use feed::{
     FeedAnswer, FeedEvent, FeedGuard, FeedKind, FeedObject, FeedPage, FeedStore, FeedWrite,
 };
--- a/crates/wire/src/hub.rs
+++ b/crates/wire/src/hub.rs
@@ -1,12 +1,15 @@
 //! Outgoing links: one a peer, made when first needed, closed when idle.
 
-use crate::message::{FRAME_LIMIT, PeerBody, decode_frame, encode_frame};
+use crate::message::{FRAME_LIMIT, PeerBody, encode_frame, read_frame};
 use crate::{Result, WireError};
 use actix::{Actor, AsyncContext, Context, Handler, Message, ResponseFuture};
 use bytes::Bytes;
 use compact_str::CompactString;
 use futures_util::{SinkExt, StreamExt};
 use oleander_kind::TimeSpan;
+use oleander_outlet::{SocketBounds, tune_socket};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -55,40 +58,51 @@
     WebSocketConfig::default().max_message_size(Some(FRAME_LIMIT)).max_frame_size(Some(FRAME_LIMIT))
 }
 
-type WaitingCalls = Rc<RefCell<HashMap<u64, oneshot::Sender<PeerBody>>>>;
+type WaitingCalls<B> = Rc<RefCell<HashMap<u64, oneshot::Sender<B>>>>;
 
-struct PeerLink {
+/// What travels on links.
+pub trait LinkBody: Serialize + DeserializeOwned + 'static {}
+
+impl<B: Serialize + DeserializeOwned + 'static> LinkBody for B {}
+
+struct PeerLink<B> {
     queue: mpsc::Sender<Bytes>,
-    waiting: WaitingCalls,
+    waiting: WaitingCalls<B>,
     used_at: Instant,
 }
 
 /// A call to the peer at `address`.
 #[derive(Message)]
-#[rtype(result = "Result<PeerBody>")]
-pub struct CallPeer {
+#[rtype(result = "Result<B>")]
+pub struct CallPeer<B: LinkBody = PeerBody> {
     /// `ip:port`.
     pub address: CompactString,
     /// The message.
-    pub body: PeerBody,
+    pub body: B,
     /// How long to wait for the answer.
     pub limit: TimeSpan,
 }
 
+/// Closes the link to a peer that does not answer. A connection may fall silent for good while new
+/// ones work; the next call then makes a new one.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct ForgetPeer(pub CompactString);
+
 /// Owns the outgoing links.
-pub struct PeerHub {
-    links: HashMap<CompactString, PeerLink>,
+pub struct PeerHub<B: LinkBody = PeerBody> {
+    links: HashMap<CompactString, PeerLink<B>>,
     next_number: u64,
     traffic: Rc<TrafficCount>,
 }
 
-impl PeerHub {
+impl<B: LinkBody> PeerHub<B> {
     /// A hub without links that counts into `traffic`.
     pub fn new(traffic: Rc<TrafficCount>) -> Self {
         PeerHub { links: HashMap::new(), next_number: 0, traffic }
     }
 
-    fn link(&mut self, address: &CompactString) -> &mut PeerLink {
+    fn link(&mut self, address: &CompactString) -> &mut PeerLink<B> {
         let closed = self.links.get(address).is_some_and(|link| link.queue.is_closed());
         if closed {
             self.links.remove(address);
@@ -105,7 +119,7 @@
     }
 }
 
-impl Actor for PeerHub {
+impl<B: LinkBody> Actor for PeerHub<B> {
     type Context = Context<Self>;
 
     fn started(&mut self, context: &mut Self::Context) {
@@ -113,10 +127,18 @@
     }
 }
 
-impl Handler<CallPeer> for PeerHub {
-    type Result = ResponseFuture<Result<PeerBody>>;
+impl<B: LinkBody> Handler<ForgetPeer> for PeerHub<B> {
+    type Result = ();
+
+    fn handle(&mut self, forget: ForgetPeer, _: &mut Self::Context) {
+        self.links.remove(&forget.0);
+    }
+}
+
+impl<B: LinkBody> Handler<CallPeer<B>> for PeerHub<B> {
+    type Result = ResponseFuture<Result<B>>;
 
-    fn handle(&mut self, call: CallPeer, _: &mut Self::Context) -> Self::Result {
+    fn handle(&mut self, call: CallPeer<B>, _: &mut Self::Context) -> Self::Result {
         self.next_number += 1;
         let number = self.next_number;
         let CallPeer { address, body, limit } = call;
@@ -144,9 +166,9 @@
     }
 }
 
-fn open_link(address: CompactString, traffic: Rc<TrafficCount>) -> PeerLink {
+fn open_link<B: LinkBody>(address: CompactString, traffic: Rc<TrafficCount>) -> PeerLink<B> {
     let (queue, frames) = mpsc::channel(LINK_QUEUE);
-    let waiting = WaitingCalls::default();
+    let waiting = WaitingCalls::<B>::default();
     let calls = waiting.clone();
     actix_rt::spawn(async move {
         let _ = run_link(&address, frames, &calls, &traffic).await;
@@ -156,16 +178,16 @@
     PeerLink { queue, waiting, used_at: Instant::now() }
 }
 
-async fn run_link(
+async fn run_link<B: LinkBody>(
     address: &str,
     mut frames: mpsc::Receiver<Bytes>,
-    calls: &WaitingCalls,
+    calls: &WaitingCalls<B>,
     traffic: &TrafficCount,
 ) -> Result<()> {
     let unreached = || WireError::Unreached(address.to_owned());
     let connecting = actix_rt::time::timeout(CONNECT_LIMIT, TcpStream::connect(address)).await;
     let stream = connecting.map_err(|_| unreached())?.map_err(|_| unreached())?;
-    let _ = stream.set_nodelay(true);
+    tune_socket(&stream, SocketBounds::default()).map_err(|_| unreached())?;
     let url = format!("ws://{address}/peer");
     let opening = tokio_tungstenite::client_async_with_config(url, stream, Some(link_config()));
     let opened = actix_rt::time::timeout(CONNECT_LIMIT, opening).await;
@@ -183,7 +205,7 @@
                 let message = message.ok_or_else(unreached)?.map_err(|_| unreached())?;
                 let WsMessage::Binary(bytes) = message else { continue };
                 traffic.count_received(bytes.len());
-                let frame = decode_frame(&bytes)?;
+                let frame = read_frame(&bytes)?;
                 let waiter = calls.borrow_mut().remove(&frame.number);
                 if let Some(waiter) = waiter {
                     let _ = waiter.send(frame.body);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,10 +7,10 @@
 pub mod message;
 pub mod serve;
 
-pub use hub::{CallPeer, PeerHub, TrafficCount};
+pub use hub::{CallPeer, ForgetPeer, LinkBody, PeerHub, TrafficCount};
 pub use message::{
     FoundRequest, KeptAnswer, NodeStatus, PeerBody, PeerFrame, PeerVerdict, ShadowRecord,
-    decode_frame, encode_frame,
+    decode_frame, encode_frame, read_frame,
 };
 pub use serve::{PeerHandler, PeerListener, bind_peers, listen_peers};
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -11,6 +11,7 @@
 use oleander_limit::{DemandReport, ShareGrant};
 use oleander_list::{ListChange, ListMark};
 use oleander_member::{MemberRecord, ProbeMessage};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 /// The message version this release speaks.
@@ -20,7 +21,7 @@
 
 /// One frame.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct PeerFrame {
+pub struct PeerFrame<B = PeerBody> {
     /// Message version.
     #[serde(rename = "v")]
     pub version: u16,
@@ -29,7 +30,7 @@
     pub number: u64,
     /// The message.
     #[serde(rename = "b")]
-    pub body: PeerBody,
+    pub body: B,
 }
 
 /// A request in flight, as another entry needs it to go on with it.
@@ -284,7 +285,7 @@
 }
 
 /// Writes a frame.
-pub fn encode_frame(number: u64, body: PeerBody) -> Bytes {
+pub fn encode_frame<B: Serialize>(number: u64, body: B) -> Bytes {
     let frame = PeerFrame { version: MESSAGE_VERSION, number, body };
     let mut bytes = Vec::new();
     // Writing to memory fails only for values that cannot be encoded at all, which these can.
@@ -292,11 +293,19 @@
     Bytes::from(bytes)
 }
 
-/// Reads a frame.
+/// Reads a frame of the entries' messages.
 ///
 /// # Errors
-/// [`WireError::BadFrame`] or [`WireError::Release`].
+/// As [`read_frame`].
 pub fn decode_frame(bytes: &[u8]) -> Result<PeerFrame> {
+    read_frame(bytes)
+}
+
+/// Reads a frame whose message is a `B`.
+///
+/// # Errors
+/// [`WireError::BadFrame`] or [`WireError::Release`].
+pub fn read_frame<B: DeserializeOwned>(bytes: &[u8]) -> Result<PeerFrame<B>> {
     #[derive(Deserialize)]
     struct VersionProbe {
         v: u16,
--- a/crates/wire/src/serve.rs
+++ b/crates/wire/src/serve.rs
@@ -1,9 +1,10 @@
 //! Incoming links.
 
-use crate::hub::{TrafficCount, link_config};
-use crate::message::{PeerBody, decode_frame, encode_frame};
+use crate::hub::{LinkBody, TrafficCount, link_config};
+use crate::message::{PeerBody, encode_frame, read_frame};
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
+use oleander_outlet::{SocketBounds, tune_socket};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -20,9 +21,9 @@
 const CALLS_AT_ONCE: usize = 256;
 
 /// Answers calls of peers.
-pub trait PeerHandler: 'static {
+pub trait PeerHandler<B = PeerBody>: 'static {
     /// Answers one call.
-    fn answer(&self, body: PeerBody) -> Pin<Box<dyn Future<Output = PeerBody>>>;
+    fn answer(&self, body: B) -> Pin<Box<dyn Future<Output = B>>>;
 }
 
 /// A listener for peers; dropping it closes it.
@@ -56,23 +57,29 @@
 ///
 /// # Errors
 /// The system's, if the listener has no address.
-pub fn listen_peers(
+pub fn listen_peers<B: LinkBody>(
     listener: TcpListener,
-    handler: Rc<dyn PeerHandler>,
+    handler: Rc<dyn PeerHandler<B>>,
     traffic: Rc<TrafficCount>,
 ) -> std::io::Result<PeerListener> {
     let address = listener.local_addr()?;
     let accepting = actix_rt::spawn(async move {
         loop {
             let Ok((stream, _)) = listener.accept().await else { continue };
-            let _ = stream.set_nodelay(true);
+            if tune_socket(&stream, SocketBounds::default()).is_err() {
+                continue;
+            }
             actix_rt::spawn(serve_link(stream, handler.clone(), traffic.clone()));
         }
     });
     Ok(PeerListener { address, accepting })
 }
 
-async fn serve_link(stream: TcpStream, handler: Rc<dyn PeerHandler>, traffic: Rc<TrafficCount>) {
+async fn serve_link<B: LinkBody>(
+    stream: TcpStream,
+    handler: Rc<dyn PeerHandler<B>>,
+    traffic: Rc<TrafficCount>,
+) {
     let opened = tokio_tungstenite::accept_async_with_config(stream, Some(link_config())).await;
     let Ok(socket) = opened else { return };
     let (mut sink, mut source) = socket.split();
@@ -91,7 +98,7 @@
                 let Some(Ok(message)) = message else { return };
                 let WsMessage::Binary(bytes) = message else { continue };
                 traffic.count_received(bytes.len());
-                let Ok(frame) = decode_frame(&bytes) else { return };
+                let Ok(frame) = read_frame(&bytes) else { return };
                 let Ok(place) = places.clone().acquire_owned().await else { return };
                 let answers = answers.clone();
                 let handler = handler.clone();
--- a/src/bin/oleander-front.rs
+++ b/src/bin/oleander-front.rs
@@ -2,10 +2,13 @@
 
 use oleandertack::board::json_logger;
 use oleandertack::conf::FrontSettings;
-use oleandertack::front::start_front;
-use oleandertack::platform::{ObjectsDialect, SETTINGS_VARIABLE, StoreClient};
+use oleandertack::front::{FrontPorts, start_front};
+use oleandertack::outlet::HttpCodec;
+use oleandertack::plat::DutyPort;
+use oleandertack::platform::{CloudClient, ObjectsDialect, SETTINGS_VARIABLE, StoreClient};
 use oleandertack::start::{read_or_exit_with, wait_stop};
 use std::process::ExitCode;
+use std::rc::Rc;
 
 fn main() -> ExitCode {
     let default_path = std::env::var_os(SETTINGS_VARIABLE).map(Into::into);
@@ -16,8 +19,14 @@
     };
     let log = json_logger("oleander-front", settings.instance.as_str());
     actix_rt::System::new().block_on(async move {
-        let store = Box::new(StoreClient::new(settings.store));
-        match start_front(settings, log, Box::new(ObjectsDialect), store).await {
+        let codec = HttpCodec::default();
+        let store = Box::new(StoreClient::new(settings.store, codec.clone()));
+        let cloud = settings.cloud.map(|address| {
+            let cloud: Rc<dyn DutyPort> = Rc::new(CloudClient::new(address, codec));
+            cloud
+        });
+        let ports = FrontPorts { store, cloud };
+        match start_front(settings, log, Box::new(ObjectsDialect), ports).await {
             Ok(process) => {
                 wait_stop().await;
                 process.stop().await;
