Count limits over the operators' sliding window, and keep replicas while demand is unknown

Change: limit::pool keeps a window in slots; a ledger that knows nothing takes it for spent evenly. Scale waits 3 s for the list and has as many replicas as served, bought cheaply, until demand is known; while none are to be had one failure domain at a time is asked.

--- a/crates/duty/src/scale.rs
+++ b/crates/duty/src/scale.rs
@@ -103,6 +103,8 @@
     pub domains: &'a [DomainStand],
     /// Endpoints needed; none while nothing is known of the demand.
     pub needed: Option<f64>,
+    /// The most endpoints that served at once while nothing was known of the demand.
+    pub baseline: u32,
     /// The time.
     pub now: ClockTime,
 }
@@ -134,20 +136,27 @@
         self.orders.insert(Self::key(order), past);
     }
 
+    /// Whether the newest answer of some domain about reclaimable endpoints was a refusal.
+    fn was_refused(&self, service: &ServiceName) -> bool {
+        let mut past = self.orders.iter().filter(|((name, _, cheap), _)| name == service && *cheap);
+        past.any(|(_, past)| past.refused)
+    }
+
     fn refused_lately(&self, key: &OrderKey, now: ClockTime) -> bool {
         self.orders.get(key).is_some_and(|past| past.refused && now - past.at < REFUSED_PAUSE)
     }
 
-    /// Whether an order for `count` must be sent, given what is live.
-    fn is_due(
-        &self,
-        key: &OrderKey,
-        count: u32,
-        live: u32,
-        patience: TimeSpan,
-        now: ClockTime,
-    ) -> bool {
-        match self.orders.get(key) {
+    /// Whether any domain refused reclaimable endpoints of `service` a moment ago.
+    fn dry_lately(&self, service: &ServiceName, now: ClockTime) -> bool {
+        self.orders.iter().any(|((name, _, reclaimable), past)| {
+            name == service && *reclaimable && past.refused && now - past.at < REFUSED_PAUSE
+        })
+    }
+
+    /// Whether an order must be sent, given that `live` endpoints serve.
+    fn is_due(&self, order: &ScaleOrder, live: u32, patience: TimeSpan, now: ClockTime) -> bool {
+        let count = order.count;
+        match self.orders.get(&Self::key(order)) {
             None => count != live,
             Some(past) if past.refused => count != live && now - past.at >= REFUSED_PAUSE,
             Some(past) if past.count != count => true,
@@ -158,30 +167,32 @@
 }
 
 /// The orders to send now.
+///
+/// While reclaimable endpoints are not to be had, one domain at a time is asked for them: mostly
+/// none has any then, and each question is paid for.
 pub fn plan_orders(facts: &ScaleFacts<'_>, memory: &OrderMemory) -> Vec<ScaleOrder> {
     let wanted = wanted_counts(facts, memory);
     let patience = facts.rule.boot + LATE_START;
+    let mut dry = memory.dry_lately(facts.service, facts.now);
     let mut orders = Vec::new();
     for (stand, want) in facts.domains.iter().zip(&wanted) {
-        for market in [InstanceMarket::Reclaimable, InstanceMarket::OnDemand] {
+        for market in [InstanceMarket::OnDemand, InstanceMarket::Reclaimable] {
             if market == InstanceMarket::Reclaimable && facts.rule.reclaimable_price.is_none() {
                 continue;
             }
-            let count = want.of(market);
-            let live = stand.live.of(market);
-            let key = (
-                facts.service.clone(),
-                stand.domain.clone(),
-                market == InstanceMarket::Reclaimable,
-            );
-            if memory.is_due(&key, count, live, patience, facts.now) {
-                orders.push(ScaleOrder {
-                    service: facts.service.clone(),
-                    domain: stand.domain.clone(),
-                    market,
-                    count,
-                });
+            let (count, live) = (want.of(market), stand.live.of(market));
+            let order = ScaleOrder {
+                service: facts.service.clone(),
+                domain: stand.domain.clone(),
+                market,
+                count,
+            };
+            let asks_more = market == InstanceMarket::Reclaimable && count > live;
+            if !memory.is_due(&order, live, patience, facts.now) || (asks_more && dry) {
+                continue;
             }
+            dry |= asks_more && memory.was_refused(facts.service);
+            orders.push(order);
         }
     }
     orders
@@ -189,15 +200,13 @@
 
 /// The counts to have, by domain.
 fn wanted_counts(facts: &ScaleFacts<'_>, memory: &OrderMemory) -> Vec<MarketCount> {
-    let live = |market| facts.domains.iter().map(|stand| stand.live.of(market)).sum::<u32>();
-    let live_reclaimable = live(InstanceMarket::Reclaimable);
-    // While the demand is not known: as many as there are, bought cheaply. While both markets serve,
-    // one takes the place of the other.
-    let as_is = live_reclaimable.max(live(InstanceMarket::OnDemand));
-    let needed = facts.needed.map_or(as_is, |needed| needed.ceil() as u32).max(1);
+    let live = |stand: &DomainStand| stand.live.reclaimable;
+    let live_reclaimable: u32 = facts.domains.iter().map(live).sum();
+    // While the demand is not known: as many as there were, bought cheaply.
+    let needed = facts.needed.map_or(facts.baseline, |needed| needed.ceil() as u32).max(1);
     let calm = match facts.needed {
         Some(needed) => (needed * SPREAD_FACTOR).ceil() as u32 + SPREAD_EXTRA,
-        None => as_is,
+        None => facts.baseline,
     };
     let mut wanted = vec![MarketCount::default(); facts.domains.len()];
     if facts.rule.reclaimable_price.is_some() {
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -155,7 +155,12 @@
     let at = (node.process_count.get(), node.clock.now());
     match node.limits.borrow_mut().admit(&account.name, &limit, tokens, at) {
         LimitVerdict::Pass => None,
-        LimitVerdict::Refuse { retry_ms } => Some(TimeSpan(retry_ms)),
+        LimitVerdict::Refuse { retry_ms } => {
+            slog::debug!(node.log, "a request is over its account's limit";
+                "request" => call.id.as_str(), "account" => account.name.as_str(),
+                "tokens" => tokens, "retry_ms" => retry_ms, "limit" => format!("{limit:?}"));
+            Some(TimeSpan(retry_ms))
+        }
     }
 }
 
--- a/crates/front/src/duties.rs
+++ b/crates/front/src/duties.rs
@@ -33,6 +33,9 @@
 const SETTLE_TIME: TimeSpan = TimeSpan(600);
 /// Usage reports that the store keeps; the oldest is overwritten. Two times what can be under way.
 const KEPT_REPORTS: u64 = 8;
+/// Endpoints that start together with this process enter the list within about two heartbeats;
+/// before that, "as many as there are" would be too few.
+const LIST_SETTLE: TimeSpan = TimeSpan(3000);
 /// Demand is believed after this time: its averages have filled by then.
 const DEMAND_SETTLE: TimeSpan = TimeSpan(4000);
 
@@ -292,6 +295,7 @@
 struct ServiceStand {
     need: ServiceNeed,
     asked_since: Option<ClockTime>,
+    baseline: u32,
 }
 
 /// Orders endpoints while the lease is held.
@@ -308,7 +312,8 @@
             fence = stamp.fence;
         }
         let Some(rules) = node.current_rules() else { continue };
-        if !node.endpoints_feed.get().known {
+        let known_since = node.endpoints_feed.get().known_since;
+        if known_since.is_none_or(|since| node.clock.now() - since < LIST_SETTLE) {
             continue;
         }
         for order in due_orders(&node, &rules, &mut stands, &memory) {
@@ -329,11 +334,15 @@
         let stand = stands.entry(service.name.clone()).or_default();
         let needed = needed_of(node, &service.name, engine, stand);
         let domains = domain_stands(node, &service.name, scale);
+        let sum = |market| domains.iter().map(|stand| stand.live.of(market)).sum();
+        let most = u32::max(sum(InstanceMarket::Reclaimable), sum(InstanceMarket::OnDemand));
+        stand.baseline = stand.baseline.max(most);
         let facts = ScaleFacts {
             service: &service.name,
             rule: scale,
             domains: &domains,
             needed,
+            baseline: stand.baseline,
             now: node.clock.now(),
         };
         orders.extend(plan_orders(&facts, memory));
--- a/crates/front/src/feeds.rs
+++ b/crates/front/src/feeds.rs
@@ -96,12 +96,12 @@
     let was = state.get();
     let now = match fault {
         None => FeedState {
-            known: true,
+            known_since: was.known_since.or_else(|| Some(node.clock.now())),
             lost_since: None,
             back_at: was.lost_since.map(|_| node.clock.now()).or(was.back_at),
         },
         Some(_) => FeedState {
-            known: was.known,
+            known_since: was.known_since,
             back_at: was.back_at,
             lost_since: was.lost_since.or_else(|| Some(node.clock.now())),
         },
@@ -111,7 +111,7 @@
         slog::debug!(node.log, "the store did not answer";
             "feed" => format!("{kind:?}"), "fault" => fault.to_string());
     }
-    if was.lost_since.is_some() != now.lost_since.is_some() || was.known != now.known {
+    if was.lost_since.is_some() != now.lost_since.is_some() || was.known_since != now.known_since {
         slog::info!(node.log, "a feed of the store changed";
             "feed" => format!("{kind:?}"), "fresh" => now.is_fresh(),
             "fault" => fault.map(ToString::to_string));
@@ -165,7 +165,8 @@
         return;
     }
     slog::info!(node.log, "the endpoint list comes from a peer"; "as_of" => page.as_of);
-    node.endpoints_feed.set(FeedState { known: true, ..known });
+    node.endpoints_feed
+        .set(FeedState { known_since: known.known_since.or(Some(node.clock.now())), ..known });
     take_endpoints(node, page);
 }
 
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -76,9 +76,10 @@
     let bounds = &node.settings.bounds;
     let rate_per_s = account.tokens_per_s? as f64;
     let burst = account.burst_tokens as f64;
-    let window = rate_per_s * bounds.limit_window_s + burst;
-    let overshoot = window * bounds.limit_over + bounds.limit_slack as f64;
-    Some(PoolLimit { rate_per_s, burst, overshoot })
+    let allowed = rate_per_s * bounds.limit_window_s + burst;
+    let overshoot = allowed * bounds.limit_over + bounds.limit_slack as f64;
+    let window = TimeSpan((bounds.limit_window_s * 1000.0) as u64);
+    Some(PoolLimit { rate_per_s, burst, overshoot, window })
 }
 
 fn limit_by_name(node: &FrontNode, rules: &RuleSet, name: &AccountName) -> Option<PoolLimit> {
@@ -117,8 +118,8 @@
     }
     mesh.view.take(report.card.clone(), true, now);
     if mesh.collector.is_none() {
-        let levels = node.limits.borrow().expected_levels(limit_of, now);
-        mesh.collector = Some(MeshCollector::begin(levels, now));
+        let rooms = node.limits.borrow().expected_rooms(now);
+        mesh.collector = Some(MeshCollector::begin(rooms, now));
         slog::info!(node.log, "this process collects"; "members" => mesh.view.serving());
     }
     let facts = CollectorFacts {
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -27,8 +27,8 @@
 /// How the process stands with a feed of the store.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FeedState {
-    /// Whether the feed was read at least once.
-    pub known: bool,
+    /// When the feed was first read; none if it was not.
+    pub known_since: Option<ClockTime>,
     /// Since when it brings nothing because the store does not answer; none while it does.
     pub lost_since: Option<ClockTime>,
     /// When it last began to answer again.
@@ -38,7 +38,7 @@
 impl FeedState {
     /// Whether what it brought is up to date.
     pub fn is_fresh(&self) -> bool {
-        self.known && self.lost_since.is_none()
+        self.known_since.is_some() && self.lost_since.is_none()
     }
 }
 
@@ -148,7 +148,8 @@
 
     /// Whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
-        let informed = self.rules.borrow().version() > 0 && self.endpoints_feed.get().known;
+        let informed =
+            self.rules.borrow().version() > 0 && self.endpoints_feed.get().known_since.is_some();
         informed && self.stop.get() == StopStage::Serving
     }
 
--- a/crates/limit/src/pool.rs
+++ b/crates/limit/src/pool.rs
@@ -1,19 +1,26 @@
-//! One bucket of tokens an account over all processes, without a call per request.
+//! One window of tokens an account over all processes, without a call per request.
 //!
-//! A ledger at one process keeps each account's bucket. The others tell it how much they have let in
-//! since they began, several times a second, and hear the level of the bucket and how fast the rest
-//! spend from it. Between two answers each judges by the level it expects. Equal shares would be
-//! wrong: connections are spread unevenly, and one large request is more than a small share's burst.
+//! Operators count an account's tokens over sliding windows. A ledger at one process keeps each
+//! account's window. The others tell it how much they have let in since they began, several times a
+//! second, and hear how much room is left, how fast the rest use it up and how fast old spending
+//! leaves the window. Between two answers each judges by the room it expects. Equal shares would be
+//! wrong: connections are spread unevenly, and one large request is more than a small share.
 
 use crate::share::LimitVerdict;
 use oleander_kind::{AccountName, ClockTime, InstanceId, TimeSpan};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
-/// Part of the allowed overshoot that single decisions may use; the rest is for what is let in
-/// between two answers of the ledger while demand jumps. At 7.5 times the usual demand and 250 ms
-/// between answers that is about one second's rate.
-const SINGLE_PART: f64 = 0.2;
+/// Seconds of an account's rate that are kept from the allowed overshoot: what is let in between
+/// two answers of the ledger while the demand jumps to 7.5 times the usual, or 4.2 times the rate.
+const JUMP_S: f64 = 1.8;
+/// Tokens kept besides: a large request at several processes at once.
+const JUMP_TOKENS: f64 = 30_000.0;
+/// How much longer than the operators' window spending counts here: a request reaches its endpoint
+/// up to this much later than it is let in, and slots are coarse.
+const WINDOW_MARGIN: TimeSpan = TimeSpan(400);
+/// Spending is kept in slots of this length.
+const SLOT_TIME: TimeSpan = TimeSpan(250);
 /// The time over which spending rates are averaged: long enough to hold a few requests.
 const RATE_TIME: TimeSpan = TimeSpan(1500);
 /// News older than this is not extrapolated any more: the ledger is gone or cut off.
@@ -28,14 +35,19 @@
     pub burst: f64,
     /// Tokens by which the limit may be passed in a window.
     pub overshoot: f64,
+    /// The window.
+    pub window: TimeSpan,
 }
 
-/// The level of an account's bucket as the ledger tells it to one process.
+/// An account's window as the ledger tells it to one process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LevelNews {
-    /// Tokens in the bucket; negative after an overshoot.
+    /// Tokens that may still be let in; negative after an overshoot.
     #[serde(rename = "l")]
-    pub level: i64,
+    pub room: i64,
+    /// Tokens a second that leave the window in the next second.
+    #[serde(rename = "f")]
+    pub freed_per_s: u64,
     /// Tokens a second that the other processes spend.
     #[serde(rename = "o")]
     pub others_per_s: u64,
@@ -75,16 +87,15 @@
         (processes, now): (u32, ClockTime),
     ) -> LimitVerdict {
         let state = self.accounts.entry(account.clone()).or_default();
-        let expected = state.expected_level(limit, now);
         let share = limit.scaled(1.0 / f64::from(processes.max(1)));
         state.fill_own(&share, now);
-        let (level, limit) = match expected {
-            Some(level) => (level, *limit),
-            None => (state.own_level, share),
+        let (room, refill) = match state.expected_room(now) {
+            Some((room, freed_per_s)) => (room, freed_per_s.max(limit.rate_per_s / 4.0)),
+            None => (state.own_level + share.overshoot, share.rate_per_s),
         };
-        let missing = tokens as f64 - limit.overshoot * SINGLE_PART - level;
+        let missing = tokens as f64 - room;
         if missing > 0.0 {
-            let retry_ms = (missing * 1000.0 / limit.rate_per_s.max(1.0)) as u64 + 1;
+            let retry_ms = (missing * 1000.0 / refill.max(1.0)) as u64 + 1;
             return LimitVerdict::Refuse { retry_ms };
         }
         state.spent += tokens;
@@ -103,30 +114,27 @@
         state.known = Some(KnownLevel { news, at: now });
     }
 
-    /// The level of each account's bucket as it is expected at `now`, for a ledger that begins.
-    pub fn expected_levels(
-        &self,
-        limit_of: impl Fn(&AccountName) -> Option<PoolLimit>,
-        now: ClockTime,
-    ) -> Vec<(AccountName, f64)> {
-        let level = |(name, state): (&AccountName, &GateAccount)| {
-            let level = state.expected_level(&limit_of(name)?, now)?;
-            Some((name.clone(), level))
+    /// The room that each account is expected to have at `now`, for a ledger that begins.
+    pub fn expected_rooms(&self, now: ClockTime) -> Vec<(AccountName, f64)> {
+        let room = |(name, state): (&AccountName, &GateAccount)| {
+            Some((name.clone(), state.expected_room(now)?.0))
         };
-        self.accounts.iter().filter_map(level).collect()
+        self.accounts.iter().filter_map(room).collect()
     }
 }
 
 impl GateAccount {
-    fn expected_level(&self, limit: &PoolLimit, now: ClockTime) -> Option<f64> {
+    /// The room expected, and how fast it grows by old spending that leaves the window.
+    fn expected_room(&self, now: ClockTime) -> Option<(f64, f64)> {
         let known = self.known.filter(|known| now - known.at < NEWS_LASTS)?;
         let seconds = (now - known.at).0 as f64 / 1000.0;
-        let flow = (limit.rate_per_s - known.news.others_per_s as f64) * seconds;
+        let freed_per_s = known.news.freed_per_s as f64;
+        let flow = (freed_per_s - known.news.others_per_s as f64) * seconds;
         let own = self.spent.saturating_sub(known.news.counted) as f64;
-        Some((known.news.level as f64 + flow).min(limit.burst) - own)
+        Some((known.news.room as f64 + flow - own, freed_per_s))
     }
 
-    /// This process's own share of the bucket, for the time without a ledger.
+    /// This process's own share as a bucket, for the time without a ledger.
     fn fill_own(&mut self, share: &PoolLimit, now: ClockTime) {
         let Some(at) = self.own_filled_at.replace(now) else {
             self.own_level = share.burst;
@@ -144,8 +152,17 @@
             rate_per_s: self.rate_per_s * part,
             burst: self.burst * part,
             overshoot: self.overshoot * part,
+            window: self.window,
         }
     }
+
+    /// Tokens that the ledger lets into a window: the limit and the allowed overshoot, without what
+    /// is kept for jumps of the demand.
+    fn capacity(&self) -> f64 {
+        let seconds = self.window.0 as f64 / 1000.0;
+        let kept = JUMP_S * self.rate_per_s + JUMP_TOKENS;
+        self.rate_per_s * seconds + self.burst + self.overshoot - kept
+    }
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -176,8 +193,8 @@
 
 #[derive(Debug, Default)]
 struct LedgerAccount {
-    level: f64,
-    filled_at: Option<ClockTime>,
+    /// What was spent, by the time at which a slot began.
+    slots: VecDeque<(ClockTime, f64)>,
     total: SpendRate,
     spenders: BTreeMap<InstanceId, SpenderState>,
 }
@@ -191,23 +208,25 @@
     pub life: u64,
 }
 
-/// The buckets of all accounts, at one process.
-#[derive(Debug, Default)]
+/// The windows of all accounts, at one process.
+#[derive(Debug)]
 pub struct PoolLedger {
     accounts: BTreeMap<AccountName, LedgerAccount>,
+    /// Rooms that were expected before this ledger began.
+    expected: BTreeMap<AccountName, f64>,
+    began_at: ClockTime,
 }
 
 impl PoolLedger {
-    /// Begins with the levels that were expected when the last ledger was heard of. A bucket that
-    /// began full would let an account that is at its limit in for another burst after every change
-    /// of the ledger.
-    pub fn begin(levels: Vec<(AccountName, f64)>, now: ClockTime) -> Self {
-        let account = |level| LedgerAccount { level, filled_at: Some(now), ..Default::default() };
-        let accounts = levels.into_iter().map(|(name, level)| (name, account(level))).collect();
-        PoolLedger { accounts }
+    /// Begins with the rooms that were expected when the last ledger was heard of. A window that
+    /// began empty would let an account that is at its limit in for another whole window after
+    /// every change of the ledger.
+    pub fn begin(rooms: Vec<(AccountName, f64)>, now: ClockTime) -> Self {
+        let expected = rooms.into_iter().collect();
+        PoolLedger { accounts: BTreeMap::new(), expected, began_at: now }
     }
 
-    /// Takes what `spender` has let in of `account` since it began, and tells it the level.
+    /// Takes what `spender` has let in of `account` since it began, and tells it the room.
     ///
     /// Counts are whole sums, so that a report that is lost or comes twice changes nothing.
     pub fn report(
@@ -217,14 +236,46 @@
         (spender, spent): (&PoolSpender, u64),
         now: ClockTime,
     ) -> LevelNews {
-        let owned = self.accounts.entry(account.clone()).or_default();
-        owned.fill(limit, now);
+        let capacity = limit.capacity();
+        let expected = self.expected.get(account).copied();
+        let began_at = self.began_at;
+        let owned = self.accounts.entry(account.clone()).or_insert_with(|| LedgerAccount {
+            slots: past_slots(capacity - expected.unwrap_or(0.0), limit.window, began_at),
+            ..LedgerAccount::default()
+        });
+        let new = owned.note_spender(spender, spent, now);
+        owned.spend(new, now);
+        owned.forget(now - (limit.window + WINDOW_MARGIN));
+        let state = owned.spenders.get(&spender.instance).copied().unwrap_or_default();
+        let others = (owned.total.now(now) - state.rate.now(now)).max(0.0);
+        LevelNews {
+            room: (capacity - owned.sum()) as i64,
+            freed_per_s: owned.freed_per_s(now, limit.window + WINDOW_MARGIN) as u64,
+            others_per_s: others as u64,
+            counted: spent,
+        }
+    }
+}
+
+/// A window in which `spent` tokens were spent evenly before `end`.
+///
+/// A ledger that knows nothing takes the window for spent to the limit. Evenly, so that an account
+/// at its usual demand, about half of its limit, goes on without a refusal.
+fn past_slots(spent: f64, window: TimeSpan, end: ClockTime) -> VecDeque<(ClockTime, f64)> {
+    let count = (window.0 / SLOT_TIME.0).max(1);
+    let share = spent.max(0.0) / count as f64;
+    let slot = |back: u64| (end - TimeSpan(back * SLOT_TIME.0), share);
+    (1..=count).rev().map(slot).collect()
+}
+
+impl LedgerAccount {
+    /// Notes a spender's whole sum; what is new of it.
+    fn note_spender(&mut self, spender: &PoolSpender, spent: u64, now: ClockTime) -> f64 {
+        let known = self.spenders.contains_key(&spender.instance);
         let fresh = || SpenderState { life: spender.life, ..Default::default() };
-        let known = owned.spenders.contains_key(&spender.instance);
-        let state = owned.spenders.entry(spender.instance.clone()).or_insert_with(fresh);
-        let same_life = state.life == spender.life;
-        // What a process spent before this ledger knew it is in the level it began with.
-        let before = match (known, same_life) {
+        let state = self.spenders.entry(spender.instance.clone()).or_insert_with(fresh);
+        // What a process spent before this ledger knew it is in what was expected of the window.
+        let before = match (known, state.life == spender.life) {
             (true, true) => state.spent,
             (true, false) => 0,
             (false, _) => spent,
@@ -233,20 +284,31 @@
         state.life = spender.life;
         state.spent = spent;
         state.rate.note(new, now);
-        owned.level -= new;
-        owned.total.note(new, now);
-        let others = (owned.total.now(now) - state.rate.now(now)).max(0.0);
-        LevelNews { level: owned.level as i64, others_per_s: others as u64, counted: spent }
+        self.total.note(new, now);
+        new
     }
-}
 
-impl LedgerAccount {
-    fn fill(&mut self, limit: &PoolLimit, now: ClockTime) {
-        let Some(at) = self.filled_at.replace(now) else {
-            self.level = limit.burst;
-            return;
-        };
-        let gained = limit.rate_per_s * (now - at).0 as f64 / 1000.0;
-        self.level = (self.level + gained).min(limit.burst);
+    fn spend(&mut self, tokens: f64, now: ClockTime) {
+        match self.slots.back_mut() {
+            Some((at, sum)) if now - *at < SLOT_TIME => *sum += tokens,
+            _ => self.slots.push_back((now, tokens)),
+        }
+    }
+
+    fn forget(&mut self, before: ClockTime) {
+        while self.slots.front().is_some_and(|(at, _)| *at < before) {
+            self.slots.pop_front();
+        }
+    }
+
+    fn sum(&self) -> f64 {
+        self.slots.iter().map(|(_, tokens)| tokens).sum()
+    }
+
+    /// Tokens that leave a window of `length` in the second after `now`.
+    fn freed_per_s(&self, now: ClockTime, length: TimeSpan) -> f64 {
+        let until = now + TimeSpan(1000);
+        let leaves = |at: &ClockTime| *at + length < until;
+        self.slots.iter().filter(|(at, _)| leaves(at)).map(|(_, tokens)| tokens).sum()
     }
 }
--- a/crates/mesh/src/collector.rs
+++ b/crates/mesh/src/collector.rs
@@ -68,10 +68,10 @@
 }
 
 impl MeshCollector {
-    /// Begins to collect with the account levels that were expected before.
-    pub fn begin(levels: Vec<(AccountName, f64)>, now: ClockTime) -> Self {
+    /// Begins to collect with the room that was expected of each account before.
+    pub fn begin(rooms: Vec<(AccountName, f64)>, now: ClockTime) -> Self {
         MeshCollector {
-            ledger: PoolLedger::begin(levels, now),
+            ledger: PoolLedger::begin(rooms, now),
             nodes: BTreeMap::new(),
             usage: BTreeMap::new(),
             demand: BTreeMap::new(),
@@ -168,7 +168,7 @@
         let mut levels = Vec::new();
         for spend in &report.spent {
             let Some(limit) = (facts.limit_of)(&spend.account) else { continue };
-            let limit = PoolLimit { rate_per_s: limit.rate_per_s * part, ..limit };
+            let limit = limit.scaled(part);
             let spent = (&spender, spend.tokens);
             let news = self.ledger.report(&spend.account, &limit, spent, facts.now);
             levels.push(AccountLevel { account: spend.account.clone(), news });
