Let two processes follow the store for all, and begin collecting with a fresh ledger

Change: watches wait 2.5 s at most; the collector and the next by rank follow the store, the others take changes from the digest; a collector without reports for 1 s ends; a stopping process refuses what would outlast it; members that do not answer are shunned for doubling times, after a second try on a new link.

--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -12,6 +12,7 @@
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, ResponseHead, StatusCode, Version};
 use bytes::Bytes;
+use oleander_board::StopStage;
 use oleander_call::{
     AccountRule, AnswerMark, AnswerShape, AttemptEnd, AttemptRecord, AttemptStamp, CallHead,
     NextStep, RepeatRule, RouteKey, RouteRule, RuleSet, RuleView, TokenCount, admit_call,
@@ -42,6 +43,9 @@
 /// or found again within about this time.
 const RETURN_TIME: TimeSpan = TimeSpan(300);
 
+/// When a caller that met a stopping process may come back: its next connection goes elsewhere.
+const LEAVING_RETURN: TimeSpan = TimeSpan(20);
+
 /// How the request is seen by its caller: an error means that the connection must be closed.
 pub type CallOutcome = io::Result<()>;
 
@@ -113,6 +117,11 @@
         return answer.refuse(ResultCode::NoBundle, Some(RETURN_TIME)).await;
     };
     let route = rules.route(admitted.route);
+    if node.stop.get() == StopStage::Draining {
+        // It would outlast the process. The balancer sends the next connection elsewhere.
+        answer.close_after();
+        return answer.refuse(ResultCode::Draining, Some(LEAVING_RETURN)).await;
+    }
     let Some(service) = route.service_for(call_salt(&call)).cloned() else {
         return answer.refuse(ResultCode::NoEndpoint, Some(RETURN_TIME)).await;
     };
@@ -329,6 +338,10 @@
                 if !reused || end == AttemptEnd::Silent {
                     self.note_fault(target, &fault);
                 }
+                if reused && end == AttemptEnd::Silent {
+                    // Kept connections fall silent together, when what lies between forgets them.
+                    self.node.pool.borrow_mut().clear();
+                }
                 if end != AttemptEnd::NotSent || !reused {
                     self.tried.push(target.key);
                 }
--- a/crates/front/src/feeds.rs
+++ b/crates/front/src/feeds.rs
@@ -1,16 +1,22 @@
 //! Follows the store's feeds of rules and endpoints.
 
+use crate::mesh;
 use crate::node::{FeedState, FrontNode};
 use compact_str::CompactString;
 use oleander_kind::{ClockTime, TimeSpan};
+use oleander_mesh::RosterState;
 use oleander_plat::{FeedAnswer, FeedEvent, FeedKind, FeedObject, FeedPage, PlatError};
 use std::cell::Cell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
-/// How long a watch waits for a change. A connection that falls silent is found by its probes, so
-/// this only bounds how many calls idle watches make.
-const WATCH_WAIT: TimeSpan = TimeSpan(25_000);
+/// How long a watch waits for a change. Connections fall silent for good, and neither probes nor
+/// unacknowledged bytes always show it; an answer every few seconds does. With the time limit of a
+/// call a silent one is found after 3.5 s, within the 3 s that a disturbance excuses and the 2 s in
+/// which a change must be in force.
+const WATCH_WAIT: TimeSpan = TimeSpan(2500);
+/// Between two looks at whether this process has to ask the store itself.
+const STANDBY_PAUSE: TimeSpan = TimeSpan(250);
 /// The first pause after the store did not answer; doubled each time, with jitter.
 const FIRST_PAUSE: TimeSpan = TimeSpan(50);
 /// The longest such pause: a config must be in force 2 s after its acknowledgement.
@@ -50,6 +56,11 @@
     let mut pause = FIRST_PAUSE;
     let mut from = None;
     loop {
+        if !mesh::must_watch(node) {
+            stand_by(node, state).await;
+            from = None;
+            continue;
+        }
         let fault = match from {
             None => match node.store.list(kind).await {
                 Ok(page) => {
@@ -92,16 +103,26 @@
     }
 }
 
+/// Waits until this process has to ask the store itself.
+async fn stand_by(node: &FrontNode, state: &Cell<FeedState>) {
+    state.set(FeedState { watching: false, lost_since: None, ..state.get() });
+    while !mesh::must_watch(node) {
+        actix_rt::time::sleep(STANDBY_PAUSE.duration()).await;
+    }
+}
+
 fn note_feed(node: &FrontNode, kind: FeedKind, state: &Cell<FeedState>, fault: Option<&PlatError>) {
     let was = state.get();
     let now = match fault {
         None => FeedState {
             known_since: was.known_since.or_else(|| Some(node.clock.now())),
             lost_since: None,
+            watching: true,
             back_at: was.lost_since.map(|_| node.clock.now()).or(was.back_at),
         },
         Some(_) => FeedState {
             known_since: was.known_since,
+            watching: true,
             back_at: was.back_at,
             lost_since: was.lost_since.or_else(|| Some(node.clock.now())),
         },
@@ -137,12 +158,19 @@
     }
 }
 
+/// Changes of the endpoint list that are kept for peers; who missed more gets the whole list.
+const CHANGES_KEPT: usize = 256;
+
 /// The endpoint list as it was read, for peers that the store does not serve.
 #[derive(Debug, Default)]
 pub struct RosterCopy {
     objects: BTreeMap<CompactString, FeedObject>,
     mark: u64,
     doubts: BTreeMap<CompactString, ClockTime>,
+    changes: VecDeque<FeedEvent>,
+    changed: u64,
+    /// The collector's state that this copy goes by, if it goes by one.
+    followed: Option<RosterState>,
 }
 
 impl RosterCopy {
@@ -155,35 +183,88 @@
     pub fn page(&self) -> FeedPage {
         FeedPage { objects: self.objects.values().cloned().collect(), as_of: self.mark }
     }
+
+    /// How many changes it has seen.
+    pub fn changed(&self) -> u64 {
+        self.changed
+    }
+
+    /// The state of a collector's list that this copy goes by.
+    pub fn followed(&self) -> Option<RosterState> {
+        self.followed
+    }
+
+    /// The changes after the one of this number; none if they are not kept.
+    pub fn changes_after(&self, number: u64) -> Option<Vec<FeedEvent>> {
+        let missing = usize::try_from(self.changed.checked_sub(number)?).ok()?;
+        let from = self.changes.len().checked_sub(missing)?;
+        Some(self.changes.range(from..).cloned().collect())
+    }
+
+    fn note_change(&mut self, event: FeedEvent) {
+        self.changes.push_back(event);
+        self.changed += 1;
+        if self.changes.len() > CHANGES_KEPT {
+            self.changes.pop_front();
+        }
+    }
 }
 
-/// Takes the list of a peer. It is used only while the store tells this process nothing, and only
-/// if it is newer.
-pub fn take_peer_roster(node: &FrontNode, page: &FeedPage) {
+/// Takes the list of a peer, whole. It is used only while the store tells this process nothing.
+/// `state` is given if the peer is the collector, whose changes are followed from there.
+pub fn take_peer_roster(node: &FrontNode, page: &FeedPage, state: Option<RosterState>) {
     let known = node.endpoints_feed.get();
-    if known.is_fresh() || page.as_of <= node.roster.borrow().mark {
+    if known.is_fresh() || (state.is_none() && page.as_of <= node.roster.borrow().mark) {
         return;
     }
     slog::info!(node.log, "the endpoint list comes from a peer"; "as_of" => page.as_of);
-    node.endpoints_feed
-        .set(FeedState { known_since: known.known_since.or(Some(node.clock.now())), ..known });
-    take_endpoints(node, page);
+    let now = node.clock.now();
+    node.endpoints_feed.set(FeedState { known_since: known.known_since.or(Some(now)), ..known });
+    take_list(node, page, true);
+    node.roster.borrow_mut().followed = state;
+}
+
+/// Takes the changes that the collector tells of.
+pub fn take_peer_changes(node: &FrontNode, changes: &[FeedEvent], state: RosterState) {
+    let followed = node.roster.borrow().followed;
+    let same = followed.is_some_and(|followed| followed.source == state.source);
+    if node.endpoints_feed.get().is_fresh() || !same {
+        return;
+    }
+    for change in changes {
+        match change {
+            FeedEvent::Put(object) => take_endpoint(node, object),
+            // The collector has doubted it long enough.
+            FeedEvent::Gone(name) => drop_endpoint(node, name),
+        }
+    }
+    node.roster.borrow_mut().followed = Some(state);
 }
 
 fn take_endpoints(node: &FrontNode, page: &FeedPage) {
+    node.roster.borrow_mut().followed = None;
+    take_list(node, page, false);
+}
+
+/// Takes a whole list. Endpoints that a peer's list lacks are doubted: the peer may have read it
+/// right after an outage, before the forgotten ones were back.
+fn take_list(node: &FrontNode, page: &FeedPage, from_peer: bool) {
     let known: Vec<_> = node.roster.borrow().objects.keys().cloned().collect();
-    for name in known {
-        if !page.objects.iter().any(|object| object.name == name) {
-            lose_endpoint(node, &name);
+    let lost = known.iter().filter(|name| !page.objects.iter().any(|object| object.name == **name));
+    for name in lost {
+        if from_peer {
+            doubt_endpoint(node, name, node.clock.now() + relist_time(node));
+        } else {
+            lose_endpoint(node, name);
         }
     }
     page.objects.iter().for_each(|object| take_endpoint(node, object));
-    note_mark(node, page.as_of);
+    let mut roster = node.roster.borrow_mut();
+    roster.mark = roster.mark.max(page.as_of);
 }
 
-fn note_mark(node: &FrontNode, mark: u64) {
-    let mut roster = node.roster.borrow_mut();
-    roster.mark = roster.mark.max(mark);
+fn relist_time(node: &FrontNode) -> TimeSpan {
+    TimeSpan(node.settings.bounds.relist_ms)
 }
 
 fn take_endpoint(node: &FrontNode, object: &FeedObject) {
@@ -192,7 +273,10 @@
             let mut roster = node.roster.borrow_mut();
             roster.doubts.remove(&object.name);
             roster.mark = roster.mark.max(object.revision);
-            roster.objects.insert(object.name.clone(), object.clone());
+            let known = roster.objects.insert(object.name.clone(), object.clone());
+            if known.as_ref() != Some(object) {
+                roster.note_change(FeedEvent::Put(object.clone()));
+            }
             let mut board = node.endpoints.borrow_mut();
             let was = board.key(&entry.instance).and_then(|key| board.get(key));
             if was.is_none_or(|fact| fact.entry.stage != entry.stage) {
@@ -217,14 +301,17 @@
 /// request of the service.
 fn lose_endpoint(node: &FrontNode, name: &CompactString) {
     let now = node.clock.now();
-    let relist = TimeSpan(node.settings.bounds.relist_ms);
     let feed = node.endpoints_feed.get();
-    let until = match (feed.lost_since, feed.back_at) {
-        (Some(_), _) => Some(now + relist),
-        (None, Some(back_at)) if now < back_at + relist => Some(back_at + relist),
-        _ => None,
-    };
-    let Some(until) = until else { return drop_endpoint(node, name) };
+    match (feed.lost_since, feed.back_at) {
+        (Some(_), _) => doubt_endpoint(node, name, now + relist_time(node)),
+        (None, Some(back_at)) if now < back_at + relist_time(node) => {
+            doubt_endpoint(node, name, back_at + relist_time(node));
+        }
+        _ => drop_endpoint(node, name),
+    }
+}
+
+fn doubt_endpoint(node: &FrontNode, name: &CompactString, until: ClockTime) {
     let mut roster = node.roster.borrow_mut();
     roster.doubts.entry(name.clone()).or_insert(until);
     let mut board = node.endpoints.borrow_mut();
@@ -253,8 +340,10 @@
 
 fn drop_endpoint(node: &FrontNode, name: &CompactString) {
     let mut roster = node.roster.borrow_mut();
-    roster.objects.remove(name);
     roster.doubts.remove(name);
+    if roster.objects.remove(name).is_some() {
+        roster.note_change(FeedEvent::Gone(name.clone()));
+    }
     if node.endpoints.borrow_mut().remove(&name.as_str().into()).is_some() {
         slog::info!(node.log, "an endpoint is gone"; "endpoint" => name.as_str());
     }
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -8,9 +8,11 @@
 use oleander_limit::PoolLimit;
 use oleander_mesh::{
     AccountSpend, CollectorFacts, EndpointLoad, FeedMark, LeaseNotice, MemberCard, MeshBody,
-    MeshCollector, MeshDigest, MeshView, NodeReport, ServiceDemand, TrueClock, UsageCount,
+    MeshCollector, MeshDigest, MeshView, NodeReport, RosterState, ServiceDemand, TrueClock,
+    UsageCount,
 };
 use oleander_place::WorkLoad;
+use oleander_plat::FeedEvent;
 use oleander_wire::{CallPeer, ForgetPeer, PeerHandler, PeerHub};
 use std::collections::HashMap;
 use std::future::Future;
@@ -22,7 +24,7 @@
 const REPORT_PERIOD: TimeSpan = TimeSpan(250);
 /// How long a collector may take to answer. Longer than a pause for a slow machine's turn, shorter
 /// than two periods, so that the next one is asked before levels are too old to use.
-const ANSWER_LIMIT: TimeSpan = TimeSpan(400);
+const ANSWER_LIMIT: TimeSpan = TimeSpan(300);
 /// Collectors asked in one round, if the first ones do not answer.
 const MOST_ASKED: usize = 3;
 /// A digest speaks for the present for this long: four periods.
@@ -107,7 +109,7 @@
         feeds::take_rules(node, rules);
     }
     if let Some(page) = &report.roster_page {
-        feeds::take_peer_roster(node, page);
+        feeds::take_peer_roster(node, page, None);
     }
     let rules = node.current_rules();
     let rules_text = node.rules_text.borrow().clone();
@@ -128,6 +130,11 @@
         rules_mark: rules_mark(node),
         roster_mark: roster_mark(node),
         roster: &|| node.roster.borrow().page(),
+        roster_changes: &|state| roster_changes(node, state),
+        roster_state: RosterState {
+            source: node.own_source,
+            number: node.roster.borrow().changed(),
+        },
         limit_of: &limit_of,
         reported_window: mesh.reported_window,
         lease: mesh.lease.clone(),
@@ -140,6 +147,28 @@
     }
 }
 
+fn roster_changes(node: &FrontNode, state: RosterState) -> Option<Vec<FeedEvent>> {
+    let own = node.own_source;
+    (state.source == own).then(|| node.roster.borrow().changes_after(state.number)).flatten()
+}
+
+/// Whether this process has to follow the store itself.
+///
+/// Two processes do it for all, so that neither calls nor wake-ups grow with the processes. The
+/// others go by the collector's digests, and ask the store once these stop or the collector is not
+/// told of changes either.
+pub fn must_watch(node: &FrontNode) -> bool {
+    /// The collector, and the one that follows it.
+    const WATCHERS: usize = 2;
+    let now = node.clock.now();
+    let mesh = node.mesh.borrow();
+    let told = now - mesh.digest_at < DIGEST_LASTS
+        && mesh.digest_rules.fresh
+        && mesh.digest_roster.fresh
+        && mesh.digest_rules.mark > 0;
+    !told || mesh.view.is_among_first(WATCHERS, now)
+}
+
 fn rules_mark(node: &FrontNode) -> FeedMark {
     let mark = node.rules.borrow().version();
     FeedMark { mark, fresh: node.rules_feed.get().is_fresh() }
@@ -177,12 +206,27 @@
             }
             return;
         }
+        drop_old_collector(node);
         if call_collector(node, hub, &collector, report).await {
             return;
         }
     }
 }
 
+/// Ends the collecting of a process to which nobody reports any more. What it knows of the account
+/// windows grows old; going on with that later would let accounts in as if they had spent nothing.
+fn drop_old_collector(node: &FrontNode) {
+    /// Longer than a report that is asked for again.
+    const UNUSED: TimeSpan = TimeSpan(1000);
+    let now = node.clock.now();
+    let mut mesh = node.mesh.borrow_mut();
+    let heard = mesh.collector.as_ref().and_then(MeshCollector::heard_at);
+    if heard.is_some_and(|at| now - at > UNUSED) {
+        mesh.collector = None;
+        slog::info!(node.log, "this process no longer collects");
+    }
+}
+
 async fn ask_seeds(node: &Rc<FrontNode>, hub: &Addr<PeerHub<MeshBody>>) {
     for seed in &node.settings.seeds {
         if *seed != node.settings.peer {
@@ -197,7 +241,10 @@
     collector: &MemberCard,
     report: NodeReport,
 ) -> bool {
-    let answered = call_address(node, hub, collector.address, report).await;
+    let again = report.clone();
+    // A link may have fallen silent while the process at its end lives: a new one tells.
+    let answered = call_address(node, hub, collector.address, report).await
+        || call_address(node, hub, collector.address, again).await;
     if !answered {
         slog::info!(node.log, "a collector did not answer"; "peer" => collector.id.as_str());
         node.mesh.borrow_mut().view.shun(&collector.id, node.clock.now());
@@ -242,6 +289,7 @@
         members_mark: mesh.view.mark(),
         rules: rules_mark(node),
         roster: roster_mark(node),
+        roster_state: node.roster.borrow().followed(),
         spent,
         usage,
         loads: own_loads(node),
@@ -279,8 +327,9 @@
     if let Some(rules) = &digest.rules_text {
         feeds::take_rules(node, rules);
     }
-    if let Some(page) = &digest.roster_page {
-        feeds::take_peer_roster(node, page);
+    match &digest.roster_page {
+        Some(page) => feeds::take_peer_roster(node, page, Some(digest.roster_state)),
+        None => feeds::take_peer_changes(node, &digest.roster_changes, digest.roster_state),
     }
     take_loads(node, &digest.loads);
     let mut limits = node.limits.borrow_mut();
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -33,12 +33,14 @@
     pub lost_since: Option<ClockTime>,
     /// When it last began to answer again.
     pub back_at: Option<ClockTime>,
+    /// Whether this process asks the store; if not, it goes by what the collector tells.
+    pub watching: bool,
 }
 
 impl FeedState {
     /// Whether what it brought is up to date.
     pub fn is_fresh(&self) -> bool {
-        self.known_since.is_some() && self.lost_since.is_none()
+        self.watching && self.known_since.is_some() && self.lost_since.is_none()
     }
 }
 
@@ -46,6 +48,8 @@
 pub struct FrontNode {
     /// Its settings.
     pub settings: FrontSettings,
+    /// Names this life of this process among collectors.
+    pub own_source: u64,
     /// Its clocks.
     pub clock: NodeClock,
     /// Its log.
@@ -113,6 +117,7 @@
         };
         let window = TimeSpan((settings.bounds.usage_window_s * 1000.0) as u64);
         Rc::new(FrontNode {
+            own_source: mix_bits(me.id.stable_hash() ^ me.life),
             settings,
             clock,
             log,
--- a/crates/mesh/src/collector.rs
+++ b/crates/mesh/src/collector.rs
@@ -2,13 +2,14 @@
 
 use crate::clock::{median_offset, wall_offset};
 use crate::message::{
-    AccountLevel, EndpointLoad, FeedMark, LeaseNotice, MeshDigest, NodeReport, ServiceDemand,
+    AccountLevel, EndpointLoad, FeedMark, LeaseNotice, MeshDigest, NodeReport, RosterState,
+    ServiceDemand,
 };
 use crate::view::MeshView;
 use oleander_call::RuleSet;
 use oleander_kind::{AccountName, ClockTime, InstanceId, ServiceName, TimeSpan};
 use oleander_limit::{PoolLedger, PoolLimit, PoolSpender};
-use oleander_plat::{FeedObject, FeedPage};
+use oleander_plat::{FeedEvent, FeedObject, FeedPage};
 use std::collections::BTreeMap;
 
 /// A report counts for this long after it came: four times the period of reports.
@@ -28,6 +29,10 @@
     pub roster_mark: FeedMark,
     /// Its endpoint list.
     pub roster: &'a dyn Fn() -> FeedPage,
+    /// The changes of its list after a state; none if it does not know that state.
+    pub roster_changes: &'a dyn Fn(RosterState) -> Option<Vec<FeedEvent>>,
+    /// The state of its list.
+    pub roster_state: RosterState,
     /// The limit of an account of the rules.
     pub limit_of: &'a dyn Fn(&AccountName) -> Option<PoolLimit>,
     /// Usage windows up to this number are reported.
@@ -112,7 +117,7 @@
         let now = facts.now;
         let mine = facts.rules_mark.mark;
         let roster_mine = facts.roster_mark.mark;
-        let stale_roster = !report.roster.fresh && report.roster.mark < roster_mine;
+        let (roster_page, roster_changes) = self.roster_news(report, facts);
         let rules_fresh = self.someone_fresh(now, |node| node.rules, facts.rules_mark);
         let roster_fresh = self.someone_fresh(now, |node| node.roster, facts.roster_mark);
         MeshDigest {
@@ -123,7 +128,9 @@
             rules: FeedMark { mark: mine, fresh: rules_fresh },
             roster: FeedMark { mark: roster_mine, fresh: roster_fresh },
             rules_text: facts.rules_text.filter(|_| report.rules.mark < mine).cloned(),
-            roster_page: stale_roster.then(|| (facts.roster)()),
+            roster_page,
+            roster_changes,
+            roster_state: facts.roster_state,
             wants_rules: report.rules.mark > mine,
             wants_roster: !facts.roster_mark.fresh && report.roster.mark > roster_mine,
             levels,
@@ -133,6 +140,27 @@
         }
     }
 
+    /// What a process needs that is not told of changes by the store itself.
+    fn roster_news(
+        &self,
+        report: &NodeReport,
+        facts: &CollectorFacts<'_>,
+    ) -> (Option<FeedPage>, Vec<FeedEvent>) {
+        let useful = facts.roster_mark.fresh || facts.roster_mark.mark > report.roster.mark;
+        if report.roster.fresh || !useful {
+            return (None, Vec::new());
+        }
+        match report.roster_state.and_then(facts.roster_changes) {
+            Some(changes) => (None, changes),
+            None => (Some((facts.roster)()), Vec::new()),
+        }
+    }
+
+    /// When the last report came.
+    pub fn heard_at(&self) -> Option<ClockTime> {
+        self.nodes.values().map(|node| node.heard_at).max()
+    }
+
     /// Whether the collector or a process that has all it has is told of changes by the store.
     fn someone_fresh(
         &self,
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -3,7 +3,7 @@
 use oleander_kind::{AccountName, ClockTime, DomainName, InstanceId, ServiceName};
 use oleander_lease::LeaseRecord;
 use oleander_limit::LevelNews;
-use oleander_plat::{FeedObject, FeedPage};
+use oleander_plat::{FeedEvent, FeedObject, FeedPage};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -94,6 +94,17 @@
     pub answer_tokens: u64,
 }
 
+/// Which state of a collector's endpoint list a process has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterState {
+    /// Names the collector and its life.
+    #[serde(rename = "c")]
+    pub source: u64,
+    /// The number of the last change.
+    #[serde(rename = "n")]
+    pub number: u64,
+}
+
 /// What a process tells the collector.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct NodeReport {
@@ -112,6 +123,9 @@
     /// Its endpoint list.
     #[serde(rename = "e")]
     pub roster: FeedMark,
+    /// The state of the collector's endpoint list that it has, if it goes by that.
+    #[serde(rename = "o")]
+    pub roster_state: Option<RosterState>,
     /// What it let in.
     #[serde(rename = "s")]
     pub spent: Vec<AccountSpend>,
@@ -178,9 +192,16 @@
     /// The rules, if they are newer than the report's.
     #[serde(rename = "R")]
     pub rules_text: Option<FeedObject>,
-    /// The endpoint list, if the reporter is not told of changes and has an older one.
+    /// The endpoint list, if the reporter is not told of changes and goes by none of this
+    /// collector's.
     #[serde(rename = "E")]
     pub roster_page: Option<FeedPage>,
+    /// Changes since the state that the reporter has.
+    #[serde(rename = "C")]
+    pub roster_changes: Vec<FeedEvent>,
+    /// The state that the list is in with these.
+    #[serde(rename = "o")]
+    pub roster_state: RosterState,
     /// Whether the next report should carry the rules.
     #[serde(rename = "y")]
     pub wants_rules: bool,
--- a/crates/mesh/src/view.rs
+++ b/crates/mesh/src/view.rs
@@ -5,8 +5,8 @@
 use oleander_kind::{ClockTime, InstanceId, TimeSpan};
 use std::collections::{BTreeMap, HashMap};
 
-/// How long a member that did not answer is passed over. Long enough that a dead one costs few
-/// timeouts, short enough that a restarted one is used again.
+/// How long a member that did not answer is passed over at first; doubled each time. A restarted one
+/// is used again after seconds, and a dead one costs a few timeouts before it is forgotten.
 const SHUNNED: TimeSpan = TimeSpan(2500);
 /// A member that nobody has heard of for this long is forgotten; one that comes back says so.
 const FORGOTTEN: TimeSpan = TimeSpan(20_000);
@@ -24,7 +24,13 @@
 pub struct MeshView {
     me: MemberCard,
     members: BTreeMap<InstanceId, KnownMember>,
-    shunned: HashMap<InstanceId, ClockTime>,
+    shunned: HashMap<InstanceId, ShunnedMember>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ShunnedMember {
+    until: ClockTime,
+    times: u32,
 }
 
 impl MeshView {
@@ -80,13 +86,16 @@
 
     /// Notes that a member did not answer.
     pub fn shun(&mut self, id: &InstanceId, now: ClockTime) {
-        self.shunned.insert(id.clone(), now + SHUNNED);
+        let times = self.shunned.get(id).map_or(0, |shunned| shunned.times);
+        let until = now + TimeSpan(SHUNNED.0 << times.min(4));
+        self.shunned.insert(id.clone(), ShunnedMember { until, times: times + 1 });
     }
 
     /// Forgets members that nobody has heard of for long.
     pub fn sweep(&mut self, now: ClockTime) {
         self.members.retain(|_, known| now - known.heard_at < FORGOTTEN);
-        self.shunned.retain(|_, until| *until > now);
+        let members = &self.members;
+        self.shunned.retain(|id, _| members.contains_key(id));
     }
 
     /// All members but this process.
@@ -118,11 +127,20 @@
     /// The member that collects, as this process sees it: the first by rank that is not stopping
     /// and did not fail to answer a moment ago. Processes that see the same members agree.
     pub fn collector(&self, now: ClockTime) -> &MemberCard {
-        let open = |card: &&MemberCard| {
-            !card.leaving && self.shunned.get(&card.id).is_none_or(|until| *until <= now)
-        };
+        self.open(now).max_by_key(|card| rank(card)).unwrap_or(&self.me)
+    }
+
+    /// Whether this process is among the first `count` by rank.
+    pub fn is_among_first(&self, count: usize, now: ClockTime) -> bool {
+        let own = rank(&self.me);
+        self.open(now).filter(|card| rank(card) > own).count() < count
+    }
+
+    fn open(&self, now: ClockTime) -> impl Iterator<Item = &MemberCard> {
         let own = std::iter::once(&self.me);
-        own.chain(self.others()).filter(open).max_by_key(|card| rank(card)).unwrap_or(&self.me)
+        own.chain(self.others()).filter(move |card| {
+            !card.leaving && self.shunned.get(&card.id).is_none_or(|shunned| shunned.until <= now)
+        })
     }
 
     /// Whether this process collects.
--- a/crates/outlet/src/pool.rs
+++ b/crates/outlet/src/pool.rs
@@ -47,6 +47,11 @@
         });
     }
 
+    /// Closes all.
+    pub fn clear(&mut self) {
+        self.links.clear();
+    }
+
     /// How many connections are kept.
     pub fn len(&self) -> usize {
         self.links.values().map(Vec::len).sum()
--- a/crates/plat/src/feed.rs
+++ b/crates/plat/src/feed.rs
@@ -43,7 +43,7 @@
 }
 
 /// One change.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FeedEvent {
     /// An object was created or changed.
     Put(FeedObject),
