--- a/crates/front/src/feeds.rs
+++ b/crates/front/src/feeds.rs
@@ -4,7 +4,7 @@
 use crate::node::{FeedState, FrontNode};
 use compact_str::CompactString;
 use oleander_kind::{ClockTime, TimeSpan};
-use oleander_mesh::RosterState;
+use oleander_mesh::{RosterNews, RosterState};
 use oleander_plat::{FeedAnswer, FeedEvent, FeedKind, FeedObject, FeedPage, PlatError};
 use std::cell::Cell;
 use std::collections::{BTreeMap, VecDeque};
@@ -171,6 +171,8 @@
     changed: u64,
     /// The collector's state that this copy goes by, if it goes by one.
     followed: Option<RosterState>,
+    /// Whether what the peer's list lacked is gone, if this copy came from a peer.
+    settled: bool,
 }
 
 impl RosterCopy {
@@ -212,7 +214,8 @@
 
 /// Takes the list of a peer, whole. It is used only while the store tells this process nothing.
 /// `state` is given if the peer is the collector, whose changes are followed from there.
-pub fn take_peer_roster(node: &FrontNode, page: &FeedPage, state: Option<RosterState>) {
+pub fn take_peer_roster(node: &FrontNode, news: &RosterNews, state: Option<RosterState>) {
+    let page = &news.page;
     let known = node.endpoints_feed.get();
     if known.is_fresh() || (state.is_none() && page.as_of <= node.roster.borrow().mark) {
         return;
@@ -220,8 +223,10 @@
     slog::info!(node.log, "the endpoint list comes from a peer"; "as_of" => page.as_of);
     let now = node.clock.now();
     node.endpoints_feed.set(FeedState { known_since: known.known_since.or(Some(now)), ..known });
-    take_list(node, page, true);
-    node.roster.borrow_mut().followed = state;
+    take_list(node, page, if news.settled { MissingMeans::Gone } else { MissingMeans::Doubt });
+    let mut roster = node.roster.borrow_mut();
+    roster.followed = state;
+    roster.settled = news.settled;
 }
 
 /// Takes the changes that the collector tells of.
@@ -243,19 +248,31 @@
 
 fn take_endpoints(node: &FrontNode, page: &FeedPage) {
     node.roster.borrow_mut().followed = None;
-    take_list(node, page, false);
+    take_list(node, page, MissingMeans::Lost);
+}
+
+/// What to make of an endpoint that a list lacks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum MissingMeans {
+    /// The store does not have it; how long ago the store was away decides.
+    Lost,
+    /// A peer that knows says that it is gone.
+    Gone,
+    /// A peer read the list right after an outage.
+    Doubt,
 }
 
-/// Takes a whole list. Endpoints that a peer's list lacks are doubted: the peer may have read it
-/// right after an outage, before the forgotten ones were back.
-fn take_list(node: &FrontNode, page: &FeedPage, from_peer: bool) {
+/// Takes a whole list.
+fn take_list(node: &FrontNode, page: &FeedPage, missing: MissingMeans) {
     let known: Vec<_> = node.roster.borrow().objects.keys().cloned().collect();
     let lost = known.iter().filter(|name| !page.objects.iter().any(|object| object.name == **name));
     for name in lost {
-        if from_peer {
-            doubt_endpoint(node, name, node.clock.now() + relist_time(node));
-        } else {
-            lose_endpoint(node, name);
+        match missing {
+            MissingMeans::Lost => lose_endpoint(node, name),
+            MissingMeans::Gone => drop_endpoint(node, name),
+            MissingMeans::Doubt => {
+                doubt_endpoint(node, name, node.clock.now() + relist_time(node));
+            }
         }
     }
     page.objects.iter().for_each(|object| take_endpoint(node, object));
@@ -263,6 +280,17 @@
     roster.mark = roster.mark.max(page.as_of);
 }
 
+/// The endpoint list for a peer.
+pub fn roster_news(node: &FrontNode) -> RosterNews {
+    let feed = node.endpoints_feed.get();
+    let settled_since =
+        |at: Option<ClockTime>| at.is_none_or(|at| at + relist_time(node) <= node.clock.now());
+    let own = settled_since(feed.back_at) && settled_since(feed.known_since);
+    let roster = node.roster.borrow();
+    let settled = if feed.watching { own } else { roster.settled };
+    RosterNews { page: roster.page(), settled }
+}
+
 fn relist_time(node: &FrontNode) -> TimeSpan {
     TimeSpan(node.settings.bounds.relist_ms)
 }
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -1,7 +1,7 @@
 //! Reports to the collector, takes its digests, and collects when it is this process's turn.
 
 use crate::feeds;
-use crate::node::FrontNode;
+use crate::node::{FeedState, FrontNode};
 use actix::Addr;
 use oleander_call::{AccountRule, RuleSet};
 use oleander_kind::{AccountName, ClockTime, TimeSpan};
@@ -129,7 +129,7 @@
         rules_text: rules_text.as_ref(),
         rules_mark: rules_mark(node),
         roster_mark: roster_mark(node),
-        roster: &|| node.roster.borrow().page(),
+        roster: &|| feeds::roster_news(node),
         roster_changes: &|state| roster_changes(node, state),
         roster_state: RosterState {
             source: node.own_source,
@@ -188,7 +188,29 @@
     }
 }
 
+/// Notes whether this process should leave the collecting to one that the store serves. Control
+/// work needs the store, and so do news of rules and endpoints.
+fn note_fitness(node: &FrontNode) {
+    /// Longer than a connection that is made anew.
+    const TURNED_AWAY: TimeSpan = TimeSpan(1000);
+    let now = node.clock.now();
+    let lost_long =
+        |feed: FeedState| feed.lost_since.is_some_and(|since| now - since > TURNED_AWAY);
+    let lost = lost_long(node.rules_feed.get()) || lost_long(node.endpoints_feed.get());
+    let mut mesh = node.mesh.borrow_mut();
+    let outdone = match &mesh.collector {
+        Some(collector) => collector.is_outdone(&node.settings.instance, now),
+        None => mesh.view.me().unfit,
+    };
+    let unfit = lost && outdone;
+    if unfit != mesh.view.me().unfit {
+        slog::info!(node.log, "the store serves others but not this process"; "so" => unfit);
+        mesh.view.set_unfit(unfit);
+    }
+}
+
 async fn report_once(node: &Rc<FrontNode>, hub: &Addr<PeerHub<MeshBody>>) {
+    note_fitness(node);
     if node.mesh.borrow().view.others().next().is_none() {
         ask_seeds(node, hub).await;
     }
@@ -281,7 +303,7 @@
     let mesh = node.mesh.borrow();
     let spent = node.limits.borrow().spent().map(spend_of).collect();
     let usage = node.usage.borrow().counts().map(usage_of).collect();
-    let roster_page = mesh.wants_roster.then(|| node.roster.borrow().page());
+    let roster_page = mesh.wants_roster.then(|| feeds::roster_news(node));
     let rules_text = mesh.wants_rules.then(|| node.rules_text.borrow().clone()).flatten();
     NodeReport {
         card: mesh.view.me().clone(),
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -114,6 +114,8 @@
             address: settings.peer,
             life: clock.wall().0,
             leaving: false,
+            unfit: false,
+            edition: 0,
         };
         let window = TimeSpan((settings.bounds.usage_window_s * 1000.0) as u64);
         Rc::new(FrontNode {
--- a/crates/limit/src/pool.rs
+++ b/crates/limit/src/pool.rs
@@ -141,7 +141,8 @@
             return;
         };
         let gained = share.rate_per_s * (now - at).0 as f64 / 1000.0;
-        self.own_level = (self.own_level + gained).min(share.burst);
+        // Not below a window's worth: what was let in from the whole is not owed by one share.
+        self.own_level = (self.own_level + gained).clamp(-share.burst, share.burst);
     }
 }
 
@@ -195,6 +196,8 @@
 struct LedgerAccount {
     /// What was spent, by the time at which a slot began.
     slots: VecDeque<(ClockTime, f64)>,
+    /// The part of the window that is taken for spent, evenly, before the ledger began.
+    prior_part: f64,
     total: SpendRate,
     spenders: BTreeMap<InstanceId, SpenderState>,
 }
@@ -226,48 +229,44 @@
         PoolLedger { accounts: BTreeMap::new(), expected, began_at: now }
     }
 
-    /// Takes what `spender` has let in of `account` since it began, and tells it the room.
+    /// Takes what `spender` has let in of `account` since it began, and tells it the room. `part`
+    /// of the limit is given out here; the rest belongs to processes that do not report.
     ///
-    /// Counts are whole sums, so that a report that is lost or comes twice changes nothing.
+    /// Counts are whole sums, so that a report that is lost or comes twice changes nothing. A ledger
+    /// that knows nothing takes the window for spent to the limit: evenly, so that an account at its
+    /// usual demand, about half of its limit, goes on without a refusal.
     pub fn report(
         &mut self,
         account: &AccountName,
-        limit: &PoolLimit,
+        (limit, part): (&PoolLimit, f64),
         (spender, spent): (&PoolSpender, u64),
         now: ClockTime,
     ) -> LevelNews {
-        let capacity = limit.capacity();
-        let expected = self.expected.get(account).copied();
-        let began_at = self.began_at;
+        let whole = limit.capacity();
+        let expected = self.expected.get(account).copied().unwrap_or(0.0);
         let owned = self.accounts.entry(account.clone()).or_insert_with(|| LedgerAccount {
-            slots: past_slots(capacity - expected.unwrap_or(0.0), limit.window, began_at),
+            prior_part: (1.0 - expected / whole).max(0.0),
             ..LedgerAccount::default()
         });
         let new = owned.note_spender(spender, spent, now);
         owned.spend(new, now);
-        owned.forget(now - (limit.window + WINDOW_MARGIN));
+        let length = limit.window + WINDOW_MARGIN;
+        owned.forget(now - length);
+        let capacity = whole * part;
+        let prior = owned.prior_part * capacity;
+        let prior_left = length.0.saturating_sub((now - self.began_at).0) as f64 / length.0 as f64;
+        let prior_freed = if prior_left > 0.0 { prior * 1000.0 / length.0 as f64 } else { 0.0 };
         let state = owned.spenders.get(&spender.instance).copied().unwrap_or_default();
         let others = (owned.total.now(now) - state.rate.now(now)).max(0.0);
         LevelNews {
-            room: (capacity - owned.sum()) as i64,
-            freed_per_s: owned.freed_per_s(now, limit.window + WINDOW_MARGIN) as u64,
+            room: (capacity - owned.sum() - prior * prior_left) as i64,
+            freed_per_s: (owned.freed_per_s(now, length) + prior_freed) as u64,
             others_per_s: others as u64,
             counted: spent,
         }
     }
 }
 
-/// A window in which `spent` tokens were spent evenly before `end`.
-///
-/// A ledger that knows nothing takes the window for spent to the limit. Evenly, so that an account
-/// at its usual demand, about half of its limit, goes on without a refusal.
-fn past_slots(spent: f64, window: TimeSpan, end: ClockTime) -> VecDeque<(ClockTime, f64)> {
-    let count = (window.0 / SLOT_TIME.0).max(1);
-    let share = spent.max(0.0) / count as f64;
-    let slot = |back: u64| (end - TimeSpan(back * SLOT_TIME.0), share);
-    (1..=count).rev().map(slot).collect()
-}
-
 impl LedgerAccount {
     /// Notes a spender's whole sum; what is new of it.
     fn note_spender(&mut self, spender: &PoolSpender, spent: u64, now: ClockTime) -> f64 {
--- a/crates/mesh/src/collector.rs
+++ b/crates/mesh/src/collector.rs
@@ -2,18 +2,21 @@
 
 use crate::clock::{median_offset, wall_offset};
 use crate::message::{
-    AccountLevel, EndpointLoad, FeedMark, LeaseNotice, MeshDigest, NodeReport, RosterState,
-    ServiceDemand,
+    AccountLevel, EndpointLoad, FeedMark, LeaseNotice, MeshDigest, NodeReport, RosterNews,
+    RosterState, ServiceDemand,
 };
 use crate::view::MeshView;
 use oleander_call::RuleSet;
 use oleander_kind::{AccountName, ClockTime, InstanceId, ServiceName, TimeSpan};
 use oleander_limit::{PoolLedger, PoolLimit, PoolSpender};
-use oleander_plat::{FeedEvent, FeedObject, FeedPage};
+use oleander_plat::{FeedEvent, FeedObject};
 use std::collections::BTreeMap;
 
 /// A report counts for this long after it came: four times the period of reports.
 const REPORT_LASTS: TimeSpan = TimeSpan(1200);
+/// A collector that just began has not heard everybody yet, and would give out too little. Until
+/// then the levels of its predecessor are good.
+const SETTLE_TIME: TimeSpan = TimeSpan(600);
 /// Time over which demand is averaged.
 const DEMAND_TIME: TimeSpan = TimeSpan(2000);
 
@@ -28,7 +31,7 @@
     /// How far it has followed the endpoint list.
     pub roster_mark: FeedMark,
     /// Its endpoint list.
-    pub roster: &'a dyn Fn() -> FeedPage,
+    pub roster: &'a dyn Fn() -> RosterNews,
     /// The changes of its list after a state; none if it does not know that state.
     pub roster_changes: &'a dyn Fn(RosterState) -> Option<Vec<FeedEvent>>,
     /// The state of its list.
@@ -99,7 +102,10 @@
         let now = facts.now;
         self.note_usage(&report);
         self.note_demand(&report, now);
-        let levels = self.levels(&report, view, facts);
+        let mut levels = self.levels(&report, view, facts);
+        if now - self.began_at < SETTLE_TIME {
+            levels.clear();
+        }
         let offset = wall_offset(report.wall, now);
         let id = report.card.id.clone();
         let digest = self.digest(&report, view, facts, levels);
@@ -145,7 +151,7 @@
         &self,
         report: &NodeReport,
         facts: &CollectorFacts<'_>,
-    ) -> (Option<FeedPage>, Vec<FeedEvent>) {
+    ) -> (Option<RosterNews>, Vec<FeedEvent>) {
         let useful = facts.roster_mark.fresh || facts.roster_mark.mark > report.roster.mark;
         if report.roster.fresh || !useful {
             return (None, Vec::new());
@@ -156,6 +162,12 @@
         }
     }
 
+    /// Whether the store tells another process of changes that does not tell this one.
+    pub fn is_outdone(&self, me: &InstanceId, now: ClockTime) -> bool {
+        let served = |node: &HeardNode| node.report.rules.fresh && node.report.roster.fresh;
+        self.recent(now).any(|node| node.report.card.id != *me && served(node))
+    }
+
     /// When the last report came.
     pub fn heard_at(&self) -> Option<ClockTime> {
         self.nodes.values().map(|node| node.heard_at).max()
@@ -196,9 +208,8 @@
         let mut levels = Vec::new();
         for spend in &report.spent {
             let Some(limit) = (facts.limit_of)(&spend.account) else { continue };
-            let limit = limit.scaled(part);
             let spent = (&spender, spend.tokens);
-            let news = self.ledger.report(&spend.account, &limit, spent, facts.now);
+            let news = self.ledger.report(&spend.account, (&limit, part), spent, facts.now);
             levels.push(AccountLevel { account: spend.account.clone(), news });
         }
         levels
@@ -207,11 +218,6 @@
     /// The part of the serving processes that report here. The others let requests in by equal
     /// shares of their own, or have another collector; their part is not given away.
     fn heard_part(&self, report: &NodeReport, view: &MeshView, now: ClockTime) -> f64 {
-        /// A collector that just began has not heard everybody yet.
-        const SETTLED: TimeSpan = TimeSpan(2000);
-        if now - self.began_at < SETTLED {
-            return 1.0;
-        }
         let mut heard = self.recent(now).filter(|node| !node.report.card.leaving).count();
         if !self.nodes.contains_key(&report.card.id) {
             heard += 1;
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -25,6 +25,12 @@
     /// Whether it is stopping.
     #[serde(rename = "x")]
     pub leaving: bool,
+    /// Whether it would rather not collect: the store serves others, but not it.
+    #[serde(rename = "u")]
+    pub unfit: bool,
+    /// Raised with each change of the card in one life; the highest is the newest.
+    #[serde(rename = "n")]
+    pub edition: u32,
 }
 
 /// How far a process has followed a feed.
@@ -94,6 +100,17 @@
     pub answer_tokens: u64,
 }
 
+/// A whole endpoint list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterNews {
+    /// The list.
+    #[serde(rename = "p")]
+    pub page: FeedPage,
+    /// Whether what it lacks is gone. Right after an outage of the store it may also be forgotten.
+    #[serde(rename = "s")]
+    pub settled: bool,
+}
+
 /// Which state of a collector's endpoint list a process has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RosterState {
@@ -143,7 +160,7 @@
     pub rules_text: Option<FeedObject>,
     /// The endpoint list, if the collector asked for it.
     #[serde(rename = "E")]
-    pub roster_page: Option<FeedPage>,
+    pub roster_page: Option<RosterNews>,
 }
 
 /// An account's level, for one process.
@@ -195,7 +212,7 @@
     /// The endpoint list, if the reporter is not told of changes and goes by none of this
     /// collector's.
     #[serde(rename = "E")]
-    pub roster_page: Option<FeedPage>,
+    pub roster_page: Option<RosterNews>,
     /// Changes since the state that the reporter has.
     #[serde(rename = "C")]
     pub roster_changes: Vec<FeedEvent>,
--- a/crates/mesh/src/view.rs
+++ b/crates/mesh/src/view.rs
@@ -47,31 +47,41 @@
     /// Notes that this process is stopping.
     pub fn leave(&mut self) {
         self.me.leaving = true;
+        self.me.edition += 1;
     }
 
-    /// Takes a member's card, from itself (`heard`) or by hearsay. A later life wins; a member that
-    /// is leaving stays so in that life.
+    /// Notes whether this process would rather not collect.
+    pub fn set_unfit(&mut self, unfit: bool) {
+        if self.me.unfit != unfit {
+            self.me.unfit = unfit;
+            self.me.edition += 1;
+        }
+    }
+
+    /// Takes a member's card, from itself (`heard`) or by hearsay. The newest edition of the latest
+    /// life wins.
     pub fn take(&mut self, card: MemberCard, heard: bool, now: ClockTime) {
         if card.id == self.me.id {
             return;
         }
-        let newer = match self.members.get(&card.id) {
-            Some(known) if known.card.life > card.life => return,
-            Some(known) => known.card.life < card.life,
-            None => true,
-        };
-        if newer {
-            self.shunned.remove(&card.id);
-            self.members.insert(card.id.clone(), KnownMember { card, heard_at: now });
-            return;
-        }
-        if let Some(known) = self.members.get_mut(&card.id) {
-            known.card.leaving |= card.leaving;
-            if heard {
+        let age = |card: &MemberCard| (card.life, card.edition);
+        let known = self.members.get_mut(&card.id);
+        if let Some(known) = known.filter(|known| age(&known.card) >= age(&card)) {
+            if heard && known.card.life == card.life {
                 known.heard_at = now;
                 self.shunned.remove(&card.id);
             }
+            return;
         }
+        let newborn = self.members.get(&card.id).is_none_or(|known| known.card.life < card.life);
+        if newborn || heard {
+            self.shunned.remove(&card.id);
+        }
+        let heard_at = match self.members.get(&card.id) {
+            Some(known) if !heard => known.heard_at,
+            _ => now,
+        };
+        self.members.insert(card.id.clone(), KnownMember { card, heard_at });
     }
 
     /// Takes the collector's list of members: those it does not name, and that did not speak for
@@ -119,21 +129,21 @@
     pub fn mark(&self) -> u64 {
         let own = std::iter::once(&self.me);
         own.chain(self.others()).fold(0, |mark, card| {
-            let leaving = u64::from(card.leaving);
-            mark ^ mix_bits(card.id.stable_hash() ^ mix_bits(card.life ^ leaving))
+            let edition = u64::from(card.edition);
+            mark ^ mix_bits(card.id.stable_hash() ^ mix_bits(card.life ^ mix_bits(edition)))
         })
     }
 
     /// The member that collects, as this process sees it: the first by rank that is not stopping
     /// and did not fail to answer a moment ago. Processes that see the same members agree.
     pub fn collector(&self, now: ClockTime) -> &MemberCard {
-        self.open(now).max_by_key(|card| rank(card)).unwrap_or(&self.me)
+        self.open(now).max_by_key(|card| (!card.unfit, rank(card))).unwrap_or(&self.me)
     }
 
     /// Whether this process is among the first `count` by rank.
     pub fn is_among_first(&self, count: usize, now: ClockTime) -> bool {
-        let own = rank(&self.me);
-        self.open(now).filter(|card| rank(card) > own).count() < count
+        let own = (!self.me.unfit, rank(&self.me));
+        self.open(now).filter(|card| (!card.unfit, rank(card)) > own).count() < count
     }
 
     fn open(&self, now: ClockTime) -> impl Iterator<Item = &MemberCard> {
