--- a/crates/front/src/duties.rs
+++ b/crates/front/src/duties.rs
@@ -11,7 +11,7 @@
 use oleander_kind::endpoint::InstanceMarket;
 use oleander_kind::{AccountName, ClockTime, ServiceName, TimeSpan};
 use oleander_lease::{LeaseAction, LeaseKeeper, LeaseRecord, LeaseSaid};
-use oleander_mesh::LeaseNotice;
+use oleander_mesh::{LeaseNotice, ServicePeak};
 use oleander_plat::{
     DutyAnswer, DutyPort, DutyStamp, FeedGuard, FeedKind, FeedObject, FeedWrite, PlatError,
     ScaleOrder, UsageReport,
@@ -72,7 +72,7 @@
     let mesh = node.mesh.borrow();
     let settled = |since: ClockTime| now - since >= SETTLE_TIME;
     !mesh.view.me().leaving
-        && mesh.view.collects(now)
+        && mesh.view.collects()
         && mesh.collector.as_ref().is_some_and(|collector| settled(collector.began_at()))
 }
 
@@ -81,6 +81,10 @@
     if let Some(notice) = node.mesh.borrow().lease.clone() {
         lease.keeper.borrow_mut().hear(notice.revision, notice.record, now);
     }
+    if node.mesh.borrow().view.me().leaving {
+        let action = lease.keeper.borrow_mut().release(now);
+        return act_on_lease(node, lease, action).await;
+    }
     if !collects(node) {
         return;
     }
@@ -296,6 +300,8 @@
     need: ServiceNeed,
     asked_since: Option<ClockTime>,
     baseline: u32,
+    /// Whether the need was told by the last holder.
+    inherited: bool,
 }
 
 /// Orders endpoints while the lease is held.
@@ -309,6 +315,7 @@
         if stamp.fence != fence {
             // Another holder may have ordered meanwhile.
             memory = OrderMemory::default();
+            stands = inherit_peaks(&node);
             fence = stamp.fence;
         }
         let Some(rules) = node.current_rules() else { continue };
@@ -316,7 +323,9 @@
         if known_since.is_none_or(|since| node.clock.now() - since < LIST_SETTLE) {
             continue;
         }
-        for order in due_orders(&node, &rules, &mut stands, &memory) {
+        let orders = due_orders(&node, &rules, &mut stands, &memory);
+        share_peaks(&node, &stands);
+        for order in orders {
             send_order(&node, cloud.as_ref(), &stamp, &order, &mut memory).await;
         }
     }
@@ -376,7 +385,30 @@
     let tokens = (demand.unread_tokens, demand.answer_tokens);
     stand.need.note(needed_engines(engine, tokens, running), now);
     let since = stand.asked_since?;
-    (now - since >= DEMAND_SETTLE).then(|| stand.need.peak())
+    let known = stand.inherited || now - since >= DEMAND_SETTLE;
+    known.then(|| stand.need.peak())
+}
+
+/// Tells the other processes what services need, so that the next holder knows it at once.
+fn share_peaks(node: &FrontNode, stands: &BTreeMap<ServiceName, ServiceStand>) {
+    let known = stands.iter().filter(|(_, stand)| stand.asked_since.is_some());
+    let peak = |(service, stand): (&ServiceName, &ServiceStand)| ServicePeak {
+        service: service.clone(),
+        needed: stand.need.peak(),
+    };
+    node.mesh.borrow_mut().peaks = known.map(peak).collect();
+}
+
+/// Begins with what the last holder told.
+fn inherit_peaks(node: &FrontNode) -> BTreeMap<ServiceName, ServiceStand> {
+    let now = node.clock.now();
+    let stand = |peak: &ServicePeak| {
+        let mut stand = ServiceStand { inherited: true, ..ServiceStand::default() };
+        stand.need.note(peak.needed, now);
+        stand.asked_since = Some(now);
+        (peak.service.clone(), stand)
+    };
+    node.mesh.borrow().peaks.iter().map(stand).collect()
 }
 
 fn domain_stands(node: &FrontNode, service: &ServiceName, scale: &ScaleRule) -> Vec<DomainStand> {
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -8,8 +8,8 @@
 use oleander_limit::PoolLimit;
 use oleander_mesh::{
     AccountSpend, CollectorFacts, EndpointLoad, FeedMark, LeaseNotice, MemberCard, MeshBody,
-    MeshCollector, MeshDigest, MeshView, NodeReport, RosterState, ServiceDemand, TrueClock,
-    UsageCount,
+    MeshCollector, MeshDigest, MeshView, NodeReport, RosterState, ServiceDemand, ServicePeak,
+    TrueClock, UsageCount,
 };
 use oleander_place::WorkLoad;
 use oleander_plat::FeedEvent;
@@ -42,6 +42,8 @@
     pub lease: Option<LeaseNotice>,
     /// Usage windows up to this number are reported.
     pub reported_window: u64,
+    /// What services needed of late.
+    pub peaks: Vec<ServicePeak>,
     digest_at: ClockTime,
     digest_rules: FeedMark,
     digest_roster: FeedMark,
@@ -58,6 +60,7 @@
             clock: TrueClock::default(),
             lease: None,
             reported_window: 0,
+            peaks: Vec::new(),
             digest_at: ClockTime(0),
             digest_rules: FeedMark::default(),
             digest_roster: FeedMark::default(),
@@ -96,7 +99,9 @@
     fn answer(&self, body: MeshBody) -> Pin<Box<dyn Future<Output = MeshBody>>> {
         let answer = match body {
             MeshBody::Report(report) => collect(&self.0, *report),
-            MeshBody::Digest(_) | MeshBody::Leaving => MeshBody::Leaving,
+            MeshBody::Digest(_) | MeshBody::Leaving(_) => {
+                MeshBody::Leaving(self.0.mesh.borrow().view.me().clone())
+            }
         };
         Box::pin(std::future::ready(answer))
     }
@@ -116,7 +121,7 @@
     let limit_of = |name: &AccountName| limit_by_name(node, rules.as_ref()?, name);
     let mut mesh = node.mesh.borrow_mut();
     if mesh.view.me().leaving {
-        return MeshBody::Leaving;
+        return MeshBody::Leaving(mesh.view.me().clone());
     }
     mesh.view.take(report.card.clone(), true, now);
     if mesh.collector.is_none() {
@@ -137,13 +142,14 @@
         },
         limit_of: &limit_of,
         reported_window: mesh.reported_window,
+        peaks: mesh.peaks.clone(),
         lease: mesh.lease.clone(),
         now,
     };
     let MeshState { view, collector, .. } = &mut *mesh;
     match collector {
         Some(collector) => MeshBody::Digest(Box::new(collector.take(report, view, &facts))),
-        None => MeshBody::Leaving,
+        None => MeshBody::Leaving(view.me().clone()),
     }
 }
 
@@ -219,7 +225,8 @@
             let mut mesh = node.mesh.borrow_mut();
             let now = node.clock.now();
             mesh.view.sweep(now);
-            mesh.view.collector(now).clone()
+            let true_now = mesh.clock.read(now, node.clock.wall());
+            mesh.view.choose_collector(true_now, now)
         };
         let report = make_report(node);
         if collector.id == node.settings.instance {
@@ -289,7 +296,11 @@
             take_digest(node, *digest, node.clock.now() - sent_at);
             true
         }
-        Ok(Ok(_)) => false,
+        Ok(Ok(MeshBody::Leaving(card))) => {
+            node.mesh.borrow_mut().view.take(card, true, node.clock.now());
+            true
+        }
+        Ok(Ok(MeshBody::Report(_))) => false,
         Ok(Err(fault)) => {
             slog::debug!(node.log, "a peer did not answer"; "fault" => fault.to_string());
             hub.do_send(ForgetPeer(address));
@@ -367,6 +378,9 @@
     mesh.digest_at = now;
     mesh.digest_rules = digest.rules;
     mesh.digest_roster = digest.roster;
+    if !digest.peaks.is_empty() {
+        mesh.peaks = digest.peaks;
+    }
     mesh.wants_rules = digest.wants_rules;
     mesh.wants_roster = digest.wants_roster;
     mesh.reported_window = mesh.reported_window.max(digest.reported_window);
--- a/crates/limit/src/pool.rs
+++ b/crates/limit/src/pool.rs
@@ -91,7 +91,7 @@
         state.fill_own(&share, now);
         let (room, refill) = match state.expected_room(now) {
             Some((room, freed_per_s)) => (room, freed_per_s.max(limit.rate_per_s / 4.0)),
-            None => (state.own_level + share.overshoot, share.rate_per_s),
+            None => (state.own_level, share.rate_per_s),
         };
         let missing = tokens as f64 - room;
         if missing > 0.0 {
--- a/crates/mesh/src/collector.rs
+++ b/crates/mesh/src/collector.rs
@@ -3,7 +3,7 @@
 use crate::clock::{median_offset, wall_offset};
 use crate::message::{
     AccountLevel, EndpointLoad, FeedMark, LeaseNotice, MeshDigest, NodeReport, RosterNews,
-    RosterState, ServiceDemand,
+    RosterState, ServiceDemand, ServicePeak,
 };
 use crate::view::MeshView;
 use oleander_call::RuleSet;
@@ -40,6 +40,8 @@
     pub limit_of: &'a dyn Fn(&AccountName) -> Option<PoolLimit>,
     /// Usage windows up to this number are reported.
     pub reported_window: u64,
+    /// What services needed of late.
+    pub peaks: Vec<ServicePeak>,
     /// The lease as last seen.
     pub lease: Option<LeaseNotice>,
     /// The time.
@@ -142,6 +144,7 @@
             levels,
             loads: self.other_loads(&report.card.id, now),
             reported_window: facts.reported_window,
+            peaks: facts.peaks.clone(),
             lease: facts.lease.clone(),
         }
     }
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -174,6 +174,17 @@
     pub news: LevelNews,
 }
 
+/// How many endpoints a service needed at the most of late.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServicePeak {
+    /// The service.
+    #[serde(rename = "s")]
+    pub service: ServiceName,
+    /// Endpoints.
+    #[serde(rename = "n")]
+    pub needed: f64,
+}
+
 /// The lease of the control work as its holder last wrote it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseNotice {
@@ -234,6 +245,9 @@
     /// Usage windows up to this number are reported.
     #[serde(rename = "u")]
     pub reported_window: u64,
+    /// What services needed, for the next holder of the control work.
+    #[serde(rename = "p")]
+    pub peaks: Vec<ServicePeak>,
     /// The lease, if the collector knows it.
     #[serde(rename = "h")]
     pub lease: Option<LeaseNotice>,
@@ -248,7 +262,7 @@
     /// The collector answers.
     #[serde(rename = "d")]
     Digest(Box<MeshDigest>),
-    /// The process asked cannot collect: it is stopping.
+    /// The process asked cannot collect: it is stopping, as its card says.
     #[serde(rename = "x")]
-    Leaving,
+    Leaving(MemberCard),
 }
--- a/crates/mesh/src/view.rs
+++ b/crates/mesh/src/view.rs
@@ -10,6 +10,8 @@
 const SHUNNED: TimeSpan = TimeSpan(2500);
 /// A member that nobody has heard of for this long is forgotten; one that comes back says so.
 const FORGOTTEN: TimeSpan = TimeSpan(20_000);
+/// How long a choice of the collector stays.
+const TURN_TIME: TimeSpan = TimeSpan(5000);
 /// The key that members are ranked by.
 const COLLECTOR_KEY: &[u8] = b"collector";
 
@@ -25,6 +27,8 @@
     me: MemberCard,
     members: BTreeMap<InstanceId, KnownMember>,
     shunned: HashMap<InstanceId, ShunnedMember>,
+    /// The collector chosen, and the turn in which it was.
+    chosen: Option<(InstanceId, u64)>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -36,7 +40,7 @@
 impl MeshView {
     /// A process that knows itself.
     pub fn new(me: MemberCard) -> Self {
-        MeshView { me, members: BTreeMap::new(), shunned: HashMap::new() }
+        MeshView { me, members: BTreeMap::new(), shunned: HashMap::new(), chosen: None }
     }
 
     /// Who this process is.
@@ -134,9 +138,23 @@
         })
     }
 
-    /// The member that collects, as this process sees it: the first by rank that is not stopping
-    /// and did not fail to answer a moment ago. Processes that see the same members agree.
-    pub fn collector(&self, now: ClockTime) -> &MemberCard {
+    /// Chooses the member that collects: the first by rank that is not stopping, did not fail to
+    /// answer a moment ago, and is fit. Processes that see the same members agree.
+    ///
+    /// The choice stays for a turn, which begins at the same true time everywhere, unless the member
+    /// chosen drops out. Otherwise each restart of a member of high rank would move the collecting
+    /// twice, and in between two collectors would each give out a part of every account's limit.
+    pub fn choose_collector(&mut self, true_now: ClockTime, now: ClockTime) -> MemberCard {
+        let turn = true_now.0 / TURN_TIME.0;
+        let kept = self.chosen.as_ref().filter(|(_, chosen_in)| *chosen_in == turn);
+        let kept = kept
+            .and_then(|(id, _)| self.open(now).find(|card| card.id == *id && !card.unfit).cloned());
+        let card = kept.unwrap_or_else(|| self.first_by_rank(now).clone());
+        self.chosen = Some((card.id.clone(), turn));
+        card
+    }
+
+    fn first_by_rank(&self, now: ClockTime) -> &MemberCard {
         self.open(now).max_by_key(|card| (!card.unfit, rank(card))).unwrap_or(&self.me)
     }
 
@@ -153,9 +171,9 @@
         })
     }
 
-    /// Whether this process collects.
-    pub fn collects(&self, now: ClockTime) -> bool {
-        self.collector(now).id == self.me.id
+    /// Whether this process is the collector that it chose.
+    pub fn collects(&self) -> bool {
+        self.chosen.as_ref().is_some_and(|(id, _)| *id == self.me.id)
     }
 }
 
