Keep account limits through changes of the collector

Cause: found by logging every level of one account over a cut with a lost collector: what was spent between the last news and the new ledger was not counted (0.6 M tokens of 2.6 M); two collectors stayed side by side for 3 s after the cut healed; with little room left every process used all of it.

Change: reports say what no ledger has counted; a process that goes by another collector names it; room is shared by spending once it is less than a second's.

Ruled out: a larger margin (1.2 to 1.8 s of rate) left the overshoot at 10 %.

--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -5,7 +5,7 @@
 use actix::Addr;
 use oleander_call::{AccountRule, RuleSet};
 use oleander_kind::{AccountName, ClockTime, TimeSpan};
-use oleander_limit::PoolLimit;
+use oleander_limit::{PoolLimit, SpendCount};
 use oleander_mesh::{
     AccountSpend, CollectorFacts, EndpointLoad, FeedMark, LeaseNotice, MemberCard, MeshBody,
     MeshCollector, MeshDigest, MeshView, NodeReport, RosterState, ServiceDemand, ServicePeak,
@@ -45,6 +45,7 @@
     /// What services needed of late.
     pub peaks: Vec<ServicePeak>,
     digest_at: ClockTime,
+    digest_from: Option<MemberCard>,
     digest_rules: FeedMark,
     digest_roster: FeedMark,
     wants_rules: bool,
@@ -62,6 +63,7 @@
             reported_window: 0,
             peaks: Vec::new(),
             digest_at: ClockTime(0),
+            digest_from: None,
             digest_rules: FeedMark::default(),
             digest_roster: FeedMark::default(),
             wants_rules: false,
@@ -99,7 +101,7 @@
     fn answer(&self, body: MeshBody) -> Pin<Box<dyn Future<Output = MeshBody>>> {
         let answer = match body {
             MeshBody::Report(report) => collect(&self.0, *report),
-            MeshBody::Digest(_) | MeshBody::Leaving(_) => {
+            MeshBody::Digest(_) | MeshBody::Leaving(_) | MeshBody::Follow(_) => {
                 MeshBody::Leaving(self.0.mesh.borrow().view.me().clone())
             }
         };
@@ -124,8 +126,14 @@
         return MeshBody::Leaving(mesh.view.me().clone());
     }
     mesh.view.take(report.card.clone(), true, now);
+    if let Some(card) = followed_collector(&mesh, now)
+        && report.card.id != card.id
+        && !report.unreached.contains(&card.id)
+    {
+        return MeshBody::Follow(card);
+    }
     if mesh.collector.is_none() {
-        let rooms = node.limits.borrow().expected_rooms(now);
+        let rooms = node.limits.borrow().last_rooms(now);
         mesh.collector = Some(MeshCollector::begin(rooms, now));
         slog::info!(node.log, "this process collects"; "members" => mesh.view.serving());
     }
@@ -175,6 +183,16 @@
     !told || mesh.view.is_among_first(WATCHERS, now)
 }
 
+/// The collector that this process goes by, if it is another and answered a moment ago.
+///
+/// After a cut heals, processes on its two sides know different collectors. Who is asked to collect
+/// although it reports to another names that one, so that they find together.
+fn followed_collector(mesh: &MeshState, now: ClockTime) -> Option<MemberCard> {
+    let present = now - mesh.digest_at < DIGEST_LASTS;
+    let from = mesh.digest_from.as_ref().filter(|card| card.id != mesh.view.me().id)?;
+    (present && !mesh.view.collects()).then(|| from.clone())
+}
+
 fn rules_mark(node: &FrontNode) -> FeedMark {
     let mark = node.rules.borrow().version();
     FeedMark { mark, fresh: node.rules_feed.get().is_fresh() }
@@ -272,13 +290,26 @@
 ) -> bool {
     let again = report.clone();
     // A link may have fallen silent while the process at its end lives: a new one tells.
-    let answered = call_address(node, hub, collector.address, report).await
-        || call_address(node, hub, collector.address, again).await;
-    if !answered {
+    let mut outcome = call_address(node, hub, collector.address, report).await;
+    if outcome == CallOutcome::Failed {
+        outcome = call_address(node, hub, collector.address, again).await;
+    }
+    if outcome == CallOutcome::Failed {
         slog::info!(node.log, "a collector did not answer"; "peer" => collector.id.as_str());
         node.mesh.borrow_mut().view.shun(&collector.id, node.clock.now());
     }
-    answered
+    outcome == CallOutcome::Taken
+}
+
+/// How a report to another process ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CallOutcome {
+    /// It was answered with a digest.
+    Taken,
+    /// Another process is to be asked.
+    Elsewhere,
+    /// It was not answered.
+    Failed,
 }
 
 async fn call_address(
@@ -286,7 +317,7 @@
     hub: &Addr<PeerHub<MeshBody>>,
     address: std::net::SocketAddr,
     report: NodeReport,
-) -> bool {
+) -> CallOutcome {
     let sent_at = node.clock.now();
     let address: compact_str::CompactString = address.to_string().into();
     let body = MeshBody::Report(Box::new(report));
@@ -294,19 +325,26 @@
     match hub.send(call).await {
         Ok(Ok(MeshBody::Digest(digest))) => {
             take_digest(node, *digest, node.clock.now() - sent_at);
-            true
+            CallOutcome::Taken
         }
         Ok(Ok(MeshBody::Leaving(card))) => {
             node.mesh.borrow_mut().view.take(card, true, node.clock.now());
-            true
+            CallOutcome::Elsewhere
+        }
+        Ok(Ok(MeshBody::Follow(card))) => {
+            let mut mesh = node.mesh.borrow_mut();
+            let now = node.clock.now();
+            let true_now = mesh.clock.read(now, node.clock.wall());
+            mesh.view.follow(card, true_now, now);
+            CallOutcome::Elsewhere
         }
-        Ok(Ok(MeshBody::Report(_))) => false,
+        Ok(Ok(MeshBody::Report(_))) => CallOutcome::Failed,
         Ok(Err(fault)) => {
             slog::debug!(node.log, "a peer did not answer"; "fault" => fault.to_string());
             hub.do_send(ForgetPeer(address));
-            false
+            CallOutcome::Failed
         }
-        Err(_) => false,
+        Err(_) => CallOutcome::Failed,
     }
 }
 
@@ -327,13 +365,14 @@
         usage,
         loads: own_loads(node),
         demand: own_demand(node),
+        unreached: mesh.view.unreached(node.clock.now()),
         rules_text,
         roster_page,
     }
 }
 
-fn spend_of((account, tokens): (&AccountName, u64)) -> AccountSpend {
-    AccountSpend { account: account.clone(), tokens }
+fn spend_of((account, count): (&AccountName, SpendCount)) -> AccountSpend {
+    AccountSpend { account: account.clone(), count }
 }
 
 fn usage_of((window, account, count): (u64, &AccountName, u64)) -> UsageCount {
@@ -370,6 +409,7 @@
     node.usage.borrow_mut().forget(digest.reported_window);
     node.process_count.set(digest.serving.max(1));
     let mut mesh = node.mesh.borrow_mut();
+    mesh.digest_from = Some(digest.from.clone());
     mesh.view.take(digest.from, true, now);
     if let Some(members) = digest.members {
         mesh.view.adopt(members, now);
--- a/crates/limit/src/pool.rs
+++ b/crates/limit/src/pool.rs
@@ -26,6 +26,9 @@
 /// News older than this is not extrapolated any more: the ledger is gone or cut off.
 const NEWS_LASTS: TimeSpan = TimeSpan(1500);
 
+/// A room that was told longer ago says nothing of the window any more.
+const ROOM_LASTS: TimeSpan = TimeSpan(6000);
+
 /// An account's limit, in tokens.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PoolLimit {
@@ -42,9 +45,12 @@
 /// An account's window as the ledger tells it to one process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LevelNews {
-    /// Tokens that may still be let in; negative after an overshoot.
+    /// Tokens that this process may still let in; negative after an overshoot.
     #[serde(rename = "l")]
     pub room: i64,
+    /// Tokens that all processes may still let in.
+    #[serde(rename = "w")]
+    pub whole_room: i64,
     /// Tokens a second that leave the window in the next second.
     #[serde(rename = "f")]
     pub freed_per_s: u64,
@@ -56,6 +62,17 @@
     pub counted: u64,
 }
 
+/// What a process let in of an account since it began.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SpendCount {
+    /// Tokens.
+    #[serde(rename = "t")]
+    pub tokens: u64,
+    /// What of them some ledger has counted.
+    #[serde(rename = "k")]
+    pub acked: u64,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct KnownLevel {
     news: LevelNews,
@@ -103,9 +120,9 @@
         LimitVerdict::Pass
     }
 
-    /// What each account was let in here since this process began, in tokens.
-    pub fn spent(&self) -> impl Iterator<Item = (&AccountName, u64)> {
-        self.accounts.iter().map(|(name, state)| (name, state.spent))
+    /// What each account was let in here since this process began.
+    pub fn spent(&self) -> impl Iterator<Item = (&AccountName, SpendCount)> {
+        self.accounts.iter().map(|(name, state)| (name, state.count()))
     }
 
     /// Takes the ledger's news of an account.
@@ -114,16 +131,23 @@
         state.known = Some(KnownLevel { news, at: now });
     }
 
-    /// The room that each account is expected to have at `now`, for a ledger that begins.
-    pub fn expected_rooms(&self, now: ClockTime) -> Vec<(AccountName, f64)> {
+    /// The room that each account had by the last news, for a ledger that begins. What was spent
+    /// since then is in the reports that it will get.
+    pub fn last_rooms(&self, now: ClockTime) -> Vec<(AccountName, f64)> {
         let room = |(name, state): (&AccountName, &GateAccount)| {
-            Some((name.clone(), state.expected_room(now)?.0))
+            let known = state.known.filter(|known| now - known.at < ROOM_LASTS)?;
+            Some((name.clone(), known.news.whole_room as f64))
         };
         self.accounts.iter().filter_map(room).collect()
     }
 }
 
 impl GateAccount {
+    fn count(&self) -> SpendCount {
+        let acked = self.known.map_or(0, |known| known.news.counted);
+        SpendCount { tokens: self.spent, acked }
+    }
+
     /// The room expected, and how fast it grows by old spending that leaves the window.
     fn expected_room(&self, now: ClockTime) -> Option<(f64, f64)> {
         let known = self.known.filter(|known| now - known.at < NEWS_LASTS)?;
@@ -215,13 +239,13 @@
 #[derive(Debug)]
 pub struct PoolLedger {
     accounts: BTreeMap<AccountName, LedgerAccount>,
-    /// Rooms that were expected before this ledger began.
+    /// Rooms as the last ledger told them.
     expected: BTreeMap<AccountName, f64>,
     began_at: ClockTime,
 }
 
 impl PoolLedger {
-    /// Begins with the rooms that were expected when the last ledger was heard of. A window that
+    /// Begins with the rooms that the last ledger told of. A window that
     /// began empty would let an account that is at its limit in for another whole window after
     /// every change of the ledger.
     pub fn begin(rooms: Vec<(AccountName, f64)>, now: ClockTime) -> Self {
@@ -239,7 +263,7 @@
         &mut self,
         account: &AccountName,
         (limit, part): (&PoolLimit, f64),
-        (spender, spent): (&PoolSpender, u64),
+        (spender, spent): (&PoolSpender, SpendCount),
         now: ClockTime,
     ) -> LevelNews {
         let whole = limit.capacity();
@@ -257,31 +281,46 @@
         let prior_left = length.0.saturating_sub((now - self.began_at).0) as f64 / length.0 as f64;
         let prior_freed = if prior_left > 0.0 { prior * 1000.0 / length.0 as f64 } else { 0.0 };
         let state = owned.spenders.get(&spender.instance).copied().unwrap_or_default();
-        let others = (owned.total.now(now) - state.rate.now(now)).max(0.0);
+        let (total, own) = (owned.total.now(now), state.rate.now(now));
+        let room = capacity - owned.sum() - prior * prior_left;
+        let share = own_share(room, (own, total), owned.spenders.len());
         LevelNews {
-            room: (capacity - owned.sum() - prior * prior_left) as i64,
-            freed_per_s: (owned.freed_per_s(now, length) + prior_freed) as u64,
-            others_per_s: others as u64,
-            counted: spent,
+            room: (room * share) as i64,
+            whole_room: room as i64,
+            freed_per_s: ((owned.freed_per_s(now, length) + prior_freed) * share) as u64,
+            others_per_s: ((total - own).max(0.0) * share) as u64,
+            counted: spent.tokens,
         }
     }
 }
 
+/// The part of the room that one process may use until it hears again.
+///
+/// All of it while there is plenty. When little is left and every process used all of it, they would
+/// let in several times what is left; so each gets its part of the spending, at least an equal one.
+fn own_share(room: f64, (own, total): (f64, f64), spenders: usize) -> f64 {
+    /// Room for this long at the present rate is plenty: four periods of reports.
+    const PLENTY_S: f64 = 1.0;
+    let equal = 1.0 / spenders.max(1) as f64;
+    if room < 0.0 || total <= 0.0 {
+        return if room < 0.0 { 1.0 } else { equal.max(room.min(1.0)) };
+    }
+    let part = (own / total).max(equal);
+    (room / (total * PLENTY_S)).clamp(part, 1.0)
+}
+
 impl LedgerAccount {
-    /// Notes a spender's whole sum; what is new of it.
-    fn note_spender(&mut self, spender: &PoolSpender, spent: u64, now: ClockTime) -> f64 {
+    /// Notes a spender's whole sum; what is new of it. Of a spender that is new to this ledger, that
+    /// is what no ledger has counted.
+    fn note_spender(&mut self, spender: &PoolSpender, spent: SpendCount, now: ClockTime) -> f64 {
         let known = self.spenders.contains_key(&spender.instance);
         let fresh = || SpenderState { life: spender.life, ..Default::default() };
         let state = self.spenders.entry(spender.instance.clone()).or_insert_with(fresh);
-        // What a process spent before this ledger knew it is in what was expected of the window.
-        let before = match (known, state.life == spender.life) {
-            (true, true) => state.spent,
-            (true, false) => 0,
-            (false, _) => spent,
-        };
-        let new = spent.saturating_sub(before) as f64;
+        let same_life = known && state.life == spender.life;
+        let before = if same_life { state.spent } else { spent.acked };
+        let new = spent.tokens.saturating_sub(before) as f64;
         state.life = spender.life;
-        state.spent = spent;
+        state.spent = spent.tokens;
         state.rate.note(new, now);
         self.total.note(new, now);
         new
--- a/crates/mesh/src/collector.rs
+++ b/crates/mesh/src/collector.rs
@@ -78,7 +78,7 @@
 }
 
 impl MeshCollector {
-    /// Begins to collect with the room that was expected of each account before.
+    /// Begins to collect with the room of each account as it was last told.
     pub fn begin(rooms: Vec<(AccountName, f64)>, now: ClockTime) -> Self {
         MeshCollector {
             ledger: PoolLedger::begin(rooms, now),
@@ -211,7 +211,7 @@
         let mut levels = Vec::new();
         for spend in &report.spent {
             let Some(limit) = (facts.limit_of)(&spend.account) else { continue };
-            let spent = (&spender, spend.tokens);
+            let spent = (&spender, spend.count);
             let news = self.ledger.report(&spend.account, (&limit, part), spent, facts.now);
             levels.push(AccountLevel { account: spend.account.clone(), news });
         }
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -2,7 +2,7 @@
 
 use oleander_kind::{AccountName, ClockTime, DomainName, InstanceId, ServiceName};
 use oleander_lease::LeaseRecord;
-use oleander_limit::LevelNews;
+use oleander_limit::{LevelNews, SpendCount};
 use oleander_plat::{FeedEvent, FeedObject, FeedPage};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -50,9 +50,9 @@
     /// The account.
     #[serde(rename = "a")]
     pub account: AccountName,
-    /// Tokens.
-    #[serde(rename = "t")]
-    pub tokens: u64,
+    /// What was let in.
+    #[serde(rename = "n")]
+    pub count: SpendCount,
 }
 
 /// Requests of an account that began to run in a window, at one process.
@@ -155,6 +155,9 @@
     /// What it asked of the services that the system scales.
     #[serde(rename = "q")]
     pub demand: Vec<ServiceDemand>,
+    /// Members that did not answer it a moment ago.
+    #[serde(rename = "x")]
+    pub unreached: Vec<InstanceId>,
     /// The rules, if the collector asked for them.
     #[serde(rename = "R")]
     pub rules_text: Option<FeedObject>,
@@ -265,4 +268,7 @@
     /// The process asked cannot collect: it is stopping, as its card says.
     #[serde(rename = "x")]
     Leaving(MemberCard),
+    /// The process asked goes by this collector, and so should the asker.
+    #[serde(rename = "f")]
+    Follow(MemberCard),
 }
--- a/crates/mesh/src/view.rs
+++ b/crates/mesh/src/view.rs
@@ -33,6 +33,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct ShunnedMember {
+    since: ClockTime,
     until: ClockTime,
     times: u32,
 }
@@ -101,8 +102,22 @@
     /// Notes that a member did not answer.
     pub fn shun(&mut self, id: &InstanceId, now: ClockTime) {
         let times = self.shunned.get(id).map_or(0, |shunned| shunned.times);
-        let until = now + TimeSpan(SHUNNED.0 << times.min(4));
-        self.shunned.insert(id.clone(), ShunnedMember { until, times: times + 1 });
+        let until = now + TimeSpan(SHUNNED.0 << times.min(2));
+        self.shunned.insert(id.clone(), ShunnedMember { since: now, until, times: times + 1 });
+    }
+
+    /// Members that did not answer a moment ago.
+    pub fn unreached(&self, now: ClockTime) -> Vec<InstanceId> {
+        /// Longer than it takes to be sent back to one of them.
+        const MOMENT: TimeSpan = TimeSpan(2000);
+        let lately = self.shunned.iter().filter(|(_, shunned)| now - shunned.since < MOMENT);
+        lately.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Takes a collector that another process goes by.
+    pub fn follow(&mut self, card: MemberCard, true_now: ClockTime, now: ClockTime) {
+        self.chosen = Some((card.id.clone(), true_now.0 / TURN_TIME.0));
+        self.take(card, true, now);
     }
 
     /// Forgets members that nobody has heard of for long.
