Find all processes at the start, and take hang-up signals as changed settings

Change: each process writes its card to the store and reads the others'; a collector asks the seeds every 4 s.

--- a/crates/conf/src/front.rs
+++ b/crates/conf/src/front.rs
@@ -34,7 +34,7 @@
 }
 
 /// Bounds of a front process. Names end in the unit.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct FrontBounds {
     /// From a stop signal to the end of the process.
--- /dev/null
+++ b/crates/front/src/discover.rs
@@ -0,0 +1,104 @@
+//! Finds the other processes through the store.
+//!
+//! Settings name a few peers at most, and all of them may be gone. Each process therefore writes its
+//! card to the store when it starts, and reads the others'. Nobody writes there again: who lives is
+//! known from the reports.
+
+use crate::node::FrontNode;
+use bytes::Bytes;
+use oleander_kind::{InstanceId, TimeSpan};
+use oleander_mesh::MemberCard;
+use oleander_plat::{FeedGuard, FeedKind, FeedWrite, PlatError};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+/// The first pause after the store did not answer; doubled each time.
+const FIRST_PAUSE: TimeSpan = TimeSpan(200);
+/// The longest such pause.
+const LONGEST_PAUSE: TimeSpan = TimeSpan(3000);
+/// Between two looks at cards that nobody stands behind any more.
+const SWEEP_PERIOD: TimeSpan = TimeSpan::secs(60);
+
+/// Makes this process known, learns of the others, and, while it collects, removes the cards of
+/// those that are gone, until the task is ended.
+pub async fn keep_discovered(node: Rc<FrontNode>) {
+    until_done(&node, || write_card(&node)).await;
+    until_done(&node, || read_cards(&node)).await;
+    let mut missing = BTreeSet::new();
+    loop {
+        actix_rt::time::sleep(SWEEP_PERIOD.duration()).await;
+        if node.mesh.borrow().view.collects() {
+            sweep_cards(&node, &mut missing).await;
+        }
+    }
+}
+
+async fn until_done<F>(node: &FrontNode, act: impl Fn() -> F)
+where
+    F: Future<Output = oleander_plat::Result<()>>,
+{
+    let mut pause = FIRST_PAUSE;
+    while let Err(fault) = act().await {
+        slog::debug!(node.log, "the members' cards are out of reach"; "fault" => fault.to_string());
+        let jitter = TimeSpan(pause.0 / 2 + node.random() % (pause.0 / 2 + 1));
+        actix_rt::time::sleep(jitter.duration()).await;
+        pause = TimeSpan(pause.0 * 2).min(LONGEST_PAUSE);
+    }
+}
+
+async fn write_card(node: &FrontNode) -> oleander_plat::Result<()> {
+    let card = node.mesh.borrow().view.me().clone();
+    let unwritable = |fault: serde_json::Error| PlatError::NotSent(fault.to_string());
+    let body = Bytes::from(serde_json::to_vec(&card).map_err(unwritable)?);
+    let name = node.settings.instance.as_str();
+    let mut guard = FeedGuard::Absent;
+    loop {
+        guard = match node.store.write(FeedKind::Members, name, guard, body.clone()).await? {
+            FeedWrite::Made(_) => return Ok(()),
+            FeedWrite::Refused(Some(known)) => FeedGuard::Is(known.revision),
+            FeedWrite::Refused(None) => FeedGuard::Absent,
+        };
+    }
+}
+
+async fn read_cards(node: &FrontNode) -> oleander_plat::Result<()> {
+    let cards = list_cards(node).await?;
+    let now = node.clock.now();
+    let mut mesh = node.mesh.borrow_mut();
+    slog::info!(node.log, "the members' cards are read"; "cards" => cards.len());
+    cards.into_iter().for_each(|card| mesh.view.take(card, false, now));
+    Ok(())
+}
+
+async fn list_cards(node: &FrontNode) -> oleander_plat::Result<Vec<MemberCard>> {
+    let page = node.store.list(FeedKind::Members).await?;
+    let mut cards = Vec::new();
+    for object in page.objects {
+        match serde_json::from_slice(&object.body) {
+            Ok(card) => cards.push(card),
+            Err(fault) => {
+                slog::warn!(node.log, "a member's card cannot be read";
+                    "member" => object.name.as_str(), "fault" => fault.to_string());
+            }
+        }
+    }
+    Ok(cards)
+}
+
+/// Removes the cards of members that were unknown at two looks in a row.
+async fn sweep_cards(node: &FrontNode, missing: &mut BTreeSet<InstanceId>) {
+    let Ok(cards) = list_cards(node).await else {
+        slog::info!(node.log, "old cards of members were not removed now");
+        return;
+    };
+    let known: BTreeSet<InstanceId> =
+        node.mesh.borrow().view.cards().into_iter().map(|card| card.id).collect();
+    let unknown: BTreeSet<InstanceId> =
+        cards.into_iter().map(|card| card.id).filter(|id| !known.contains(id)).collect();
+    for id in unknown.intersection(missing) {
+        let removed = node.store.remove(FeedKind::Members, id.as_str()).await;
+        slog::info!(node.log, "an old card was removed";
+            "member" => id.as_str(), "done" => removed.is_ok());
+    }
+    *missing = unknown;
+}
--- a/crates/front/src/duties.rs
+++ b/crates/front/src/duties.rs
@@ -54,10 +54,10 @@
 /// Does the control work until the task is ended.
 pub async fn do_duties(node: Rc<FrontNode>, cloud: Rc<dyn DutyPort>) {
     let life = node.mesh.borrow().view.me().life;
-    let lasts = TimeSpan(node.settings.bounds.lease_ms);
+    let lasts = TimeSpan(node.bounds().lease_ms);
     let keeper = LeaseKeeper::new(node.settings.instance.clone(), life, lasts);
     let lease = Rc::new(DutyLease { keeper: RefCell::new(keeper) });
-    if node.settings.bounds.usage_window_s > 0.0 {
+    if node.bounds().usage_window_s > 0.0 {
         actix_rt::spawn(report_usage(node.clone(), cloud.clone(), lease.clone()));
     }
     actix_rt::spawn(scale_services(node.clone(), cloud, lease.clone()));
@@ -169,7 +169,7 @@
 
 /// Reports usage while the lease is held.
 async fn report_usage(node: Rc<FrontNode>, cloud: Rc<dyn DutyPort>, lease: Rc<DutyLease>) {
-    let bounds = &node.settings.bounds;
+    let bounds = node.bounds();
     let length = TimeSpan((bounds.usage_window_s * 1000.0) as u64);
     let due = TimeSpan((bounds.usage_due_s * 1000.0) as u64);
     let mut duty: Option<(u64, UsageDuty)> = None;
--- a/crates/front/src/feeds.rs
+++ b/crates/front/src/feeds.rs
@@ -292,7 +292,7 @@
 }
 
 fn relist_time(node: &FrontNode) -> TimeSpan {
-    TimeSpan(node.settings.bounds.relist_ms)
+    TimeSpan(node.bounds().relist_ms)
 }
 
 fn take_endpoint(node: &FrontNode, object: &FeedObject) {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -4,6 +4,7 @@
 //! platform only through [`PlatformDialect`] and the store's port; names and formats lie behind them.
 
 pub mod answer;
+pub mod discover;
 pub mod drive;
 pub mod duties;
 pub mod feeds;
@@ -12,6 +13,7 @@
 pub mod node;
 pub mod port;
 pub mod process;
+pub mod reload;
 pub mod stream;
 pub mod whole;
 pub mod work;
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -27,6 +27,9 @@
 const ANSWER_LIMIT: TimeSpan = TimeSpan(300);
 /// Collectors asked in one round, if the first ones do not answer.
 const MOST_ASKED: usize = 3;
+/// How often a collector asks the seeds. Two groups of processes that know nothing of each other,
+/// after a cut or a start at the same moment, find together through them.
+const SEED_PERIOD: TimeSpan = TimeSpan(4000);
 /// A digest speaks for the present for this long: four periods.
 const DIGEST_LASTS: TimeSpan = TimeSpan(1000);
 
@@ -80,7 +83,7 @@
 
 /// An account's limit with what the operators allow beyond it.
 pub fn pool_limit(node: &FrontNode, account: &AccountRule) -> Option<PoolLimit> {
-    let bounds = &node.settings.bounds;
+    let bounds = node.bounds();
     let rate_per_s = account.tokens_per_s? as f64;
     let burst = account.burst_tokens as f64;
     let allowed = rate_per_s * bounds.limit_window_s + burst;
@@ -205,8 +208,14 @@
 
 /// Reports to the collector until the task is ended.
 pub async fn report_period(node: Rc<FrontNode>, hub: Addr<PeerHub<MeshBody>>) {
+    let mut seeds_asked = ClockTime(0);
     loop {
         report_once(&node, &hub).await;
+        let now = node.clock.now();
+        if node.mesh.borrow().view.collects() && now - seeds_asked > SEED_PERIOD {
+            seeds_asked = now;
+            ask_seeds(&node, &hub).await;
+        }
         feeds::sweep_doubts(&node);
         actix_rt::time::sleep(REPORT_PERIOD.duration()).await;
     }
@@ -275,9 +284,9 @@
 }
 
 async fn ask_seeds(node: &Rc<FrontNode>, hub: &Addr<PeerHub<MeshBody>>) {
-    for seed in &node.settings.seeds {
-        if *seed != node.settings.peer {
-            let _answered = call_address(node, hub, *seed, make_report(node)).await;
+    for seed in node.seeds() {
+        if seed != node.settings.peer {
+            let _answered = call_address(node, hub, seed, make_report(node)).await;
         }
     }
 }
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -5,7 +5,7 @@
 use crate::port::PlatformDialect;
 use oleander_board::{NodeClock, StopStage};
 use oleander_call::{RuleGate, RuleSet};
-use oleander_conf::FrontSettings;
+use oleander_conf::{FrontBounds, FrontSettings};
 use oleander_duty::UsageBook;
 use oleander_flow::{BudgetSettings, RetryBudget};
 use oleander_kind::hash::mix_bits;
@@ -17,6 +17,7 @@
 use oleander_plat::{FeedObject, FeedStore};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::Notify;
 
@@ -50,6 +51,8 @@
     pub settings: FrontSettings,
     /// Names this life of this process among collectors.
     pub own_source: u64,
+    bounds: RefCell<Rc<FrontBounds>>,
+    seeds: RefCell<Vec<SocketAddr>>,
     /// Its clocks.
     pub clock: NodeClock,
     /// Its log.
@@ -119,6 +122,8 @@
         };
         let window = TimeSpan((settings.bounds.usage_window_s * 1000.0) as u64);
         Rc::new(FrontNode {
+            bounds: RefCell::new(Rc::new(settings.bounds.clone())),
+            seeds: RefCell::new(settings.seeds.clone()),
             own_source: mix_bits(me.id.stable_hash() ^ me.life),
             settings,
             clock,
@@ -148,6 +153,33 @@
         })
     }
 
+    /// The operators' bounds as they are now.
+    pub fn bounds(&self) -> Rc<FrontBounds> {
+        self.bounds.borrow().clone()
+    }
+
+    /// Peers to ask if no other is known.
+    pub fn seeds(&self) -> Vec<SocketAddr> {
+        self.seeds.borrow().clone()
+    }
+
+    /// Takes settings that were read again. Bounds and seeds change at once; what is bound to
+    /// sockets and names stays until the next start, and is told.
+    pub fn take_settings(&self, settings: FrontSettings) {
+        if *self.bounds.borrow().as_ref() != settings.bounds || self.seeds() != settings.seeds {
+            slog::info!(self.log, "settings changed"; "bounds" => format!("{:?}", settings.bounds));
+            *self.bounds.borrow_mut() = Rc::new(settings.bounds.clone());
+            *self.seeds.borrow_mut() = settings.seeds.clone();
+        }
+        let fixed = |settings: &FrontSettings| {
+            let addresses = (settings.listen, settings.ready, settings.peer, settings.admin);
+            (settings.instance.clone(), addresses, settings.store, settings.cloud)
+        };
+        if fixed(&settings) != fixed(&self.settings) {
+            slog::warn!(self.log, "changed addresses or names wait for the next start");
+        }
+    }
+
     /// The rules in force, if any are known.
     pub fn current_rules(&self) -> Option<Rc<RuleSet>> {
         self.rules.borrow().current().cloned()
@@ -205,7 +237,7 @@
     fn with_budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            let bounds = &self.settings.bounds;
+            let bounds = self.bounds();
             let slack = f64::from(bounds.retry_slack) / f64::from(self.process_count.get().max(1));
             RetryBudget::new(BudgetSettings {
                 earned_per_mille: (bounds.retry_ratio * BUDGET_PART * 1000.0) as u32,
--- a/crates/front/src/process.rs
+++ b/crates/front/src/process.rs
@@ -2,7 +2,7 @@
 
 use crate::node::FrontNode;
 use crate::port::PlatformDialect;
-use crate::{duties, feeds, ingress, mesh};
+use crate::{discover, duties, feeds, ingress, mesh, reload};
 use actix_web::{App, HttpResponse, web};
 use oleander_board::StopStage;
 use oleander_conf::FrontSettings;
@@ -12,6 +12,7 @@
 use oleander_plat::{DutyPort, FeedStore};
 use oleander_serve::{HttpSite, local_data, serve_app};
 use oleander_wire::{PeerHandler, PeerHub, PeerListener, TrafficCount, listen_peers};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::JoinHandle;
@@ -45,7 +46,7 @@
     pub cloud: Option<Rc<dyn DutyPort>>,
 }
 
-/// Starts a front process.
+/// Starts a front process; `path` is the settings file to follow.
 ///
 /// # Errors
 /// The system's, if it cannot listen at one of its addresses.
@@ -54,6 +55,7 @@
     log: slog::Logger,
     dialect: Box<dyn PlatformDialect>,
     ports: FrontPorts,
+    path: Option<PathBuf>,
 ) -> std::io::Result<FrontProcess> {
     let callers = listen_socket(settings.listen)?;
     let peers = listen_socket(settings.peer)?;
@@ -69,8 +71,12 @@
         actix_rt::spawn(feeds::follow_endpoints(node.clone())),
         actix_rt::spawn(sweep(node.clone())),
         actix_rt::spawn(mesh::report_period(node.clone(), hub)),
+        actix_rt::spawn(discover::keep_discovered(node.clone())),
         actix_rt::spawn(ingress::accept_callers(node.clone(), callers)),
     ];
+    if let Some(path) = path {
+        tasks.push(actix_rt::spawn(reload::follow_settings(node.clone(), path)));
+    }
     if let Some(cloud) = ports.cloud {
         tasks.push(actix_rt::spawn(duties::do_duties(node.clone(), cloud)));
     }
@@ -103,7 +109,7 @@
     /// closed, and what is being answered is finished.
     pub async fn stop(self) {
         let node = &self.node;
-        let grace = Duration::from_secs_f64(node.settings.bounds.grace_s);
+        let grace = Duration::from_secs_f64(node.bounds().grace_s);
         let until = Instant::now() + grace.saturating_sub(END_MARGIN);
         slog::info!(node.log, "the front process is leaving"; "in_flight" => node.in_flight.get());
         node.stop.set(StopStage::Unready);
--- a/src/bin/oleander-front.rs
+++ b/src/bin/oleander-front.rs
@@ -7,13 +7,14 @@
 use oleandertack::plat::DutyPort;
 use oleandertack::platform::{CloudClient, ObjectsDialect, SETTINGS_VARIABLE, StoreClient};
 use oleandertack::start::{read_or_exit_with, wait_stop};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 
 fn main() -> ExitCode {
-    let default_path = std::env::var_os(SETTINGS_VARIABLE).map(Into::into);
-    let read = read_or_exit_with::<FrontSettings>("oleander-front", &[], default_path);
-    let (settings, _) = match read {
+    let default_path: Option<PathBuf> = std::env::var_os(SETTINGS_VARIABLE).map(Into::into);
+    let read = read_or_exit_with::<FrontSettings>("oleander-front", &[], default_path.clone());
+    let (settings, arguments) = match read {
         Ok(read) => read,
         Err(code) => return code,
     };
@@ -26,7 +27,8 @@
             cloud
         });
         let ports = FrontPorts { store, cloud };
-        match start_front(settings, log, Box::new(ObjectsDialect), ports).await {
+        let path = arguments.settings.or(default_path);
+        match start_front(settings, log, Box::new(ObjectsDialect), ports, path).await {
             Ok(process) => {
                 wait_stop().await;
                 process.stop().await;
