Count on no reclaimable failure domain while lost ones cannot be replaced

Change: while none are to be had, the domain with most reclaimable endpoints is taken for lost; endpoints that serve are kept; on-demand follows the need of the last 5 s.

--- a/crates/duty/src/scale.rs
+++ b/crates/duty/src/scale.rs
@@ -28,6 +28,9 @@
 /// How long the highest need counts. Reclaimable endpoints are so cheap that going up and down with
 /// each wave costs more in late answers than it saves.
 const PEAK_TIME: TimeSpan = TimeSpan(15_000);
+/// How long the highest need counts for endpoints on demand, which cost several times as much: one
+/// start and a clump of requests.
+const RECENT_TIME: TimeSpan = TimeSpan(5000);
 /// Pause before a domain that had nothing to give is asked again.
 const REFUSED_PAUSE: TimeSpan = TimeSpan(2500);
 /// Time beyond the usual start after which an ordered endpoint that is not there is asked for again.
@@ -70,6 +73,12 @@
 }
 
 impl ServiceNeed {
+    /// The highest need of the last seconds.
+    pub fn recent_peak(&self, now: ClockTime) -> f64 {
+        let recent = self.samples.iter().filter(|(at, _)| now - *at < RECENT_TIME);
+        recent.map(|(_, value)| *value).fold(0.0, f64::max)
+    }
+
     /// Notes what is needed now, in endpoints.
     pub fn note(&mut self, needed: f64, now: ClockTime) {
         self.samples.retain(|(at, value)| now - *at < PEAK_TIME && *value > needed);
@@ -101,8 +110,10 @@
     pub rule: &'a ScaleRule,
     /// How it stands in each domain.
     pub domains: &'a [DomainStand],
-    /// Endpoints needed; none while nothing is known of the demand.
+    /// Endpoints needed at the most of late; none while nothing is known of the demand.
     pub needed: Option<f64>,
+    /// Endpoints needed now.
+    pub needed_now: f64,
     /// The most endpoints that served at once while nothing was known of the demand.
     pub baseline: u32,
     /// The time.
@@ -200,24 +211,34 @@
 
 /// The counts to have, by domain.
 fn wanted_counts(facts: &ScaleFacts<'_>, memory: &OrderMemory) -> Vec<MarketCount> {
-    let live = |stand: &DomainStand| stand.live.reclaimable;
-    let live_reclaimable: u32 = facts.domains.iter().map(live).sum();
     // While the demand is not known: as many as there were, bought cheaply.
-    let needed = facts.needed.map_or(facts.baseline, |needed| needed.ceil() as u32).max(1);
-    let calm = match facts.needed {
-        Some(needed) => (needed * SPREAD_FACTOR).ceil() as u32 + SPREAD_EXTRA,
-        None => facts.baseline,
+    let (needed, calm) = match facts.needed {
+        Some(needed) => {
+            let calm = (needed * SPREAD_FACTOR).ceil() as u32 + SPREAD_EXTRA;
+            (facts.needed_now.ceil() as u32, calm)
+        }
+        None => (facts.baseline, facts.baseline),
     };
     let mut wanted = vec![MarketCount::default(); facts.domains.len()];
     if facts.rule.reclaimable_price.is_some() {
         spread_reclaimable(facts, calm, &mut wanted);
     }
-    // On demand is bought for what is missing of the need, and given back once others serve.
-    let missing = needed.saturating_sub(live_reclaimable);
+    let missing = needed.max(1).saturating_sub(safe_reclaimable(facts, memory));
     spread_on_demand(facts, memory, missing, &mut wanted);
     wanted
 }
 
+/// Reclaimable endpoints that can be counted on.
+///
+/// Reclaims come in waves. While lost ones cannot be replaced, the domain that has most of the rest
+/// is taken for lost as well: an endpoint on demand takes seconds to start, and in these the callers
+/// of a whole service would wait for what is left.
+fn safe_reclaimable(facts: &ScaleFacts<'_>, memory: &OrderMemory) -> u32 {
+    let live = facts.domains.iter().map(|stand| stand.live.reclaimable);
+    let total: u32 = live.clone().sum();
+    if memory.was_refused(facts.service) { total - live.max().unwrap_or(0) } else { total }
+}
+
 /// Spreads reclaimable endpoints evenly, the cheap domains first; each domain gets its least.
 fn spread_reclaimable(facts: &ScaleFacts<'_>, total: u32, wanted: &mut [MarketCount]) {
     let mut order: Vec<usize> = (0..facts.domains.len()).collect();
@@ -236,7 +257,7 @@
 }
 
 /// Puts `total` on-demand endpoints where some are already, then where they are cheap. Both markets
-/// together may not pass a domain's most, so reclaimable ones yield.
+/// together may not pass a domain's most, so reclaimable ones that do not serve yet yield.
 fn spread_on_demand(
     facts: &ScaleFacts<'_>,
     memory: &OrderMemory,
@@ -261,10 +282,12 @@
         left -= count;
     }
     for at in order {
-        let more = left.min(facts.rule.most - wanted[at].on_demand);
+        // Reclaimable endpoints that serve are not given up for dear ones that have yet to start.
+        let room = facts.rule.most.saturating_sub(facts.domains[at].live.reclaimable);
+        let more = left.min(room.saturating_sub(wanted[at].on_demand));
         wanted[at].on_demand += more;
         left -= more;
-        let room = facts.rule.most - wanted[at].on_demand;
-        wanted[at].reclaimable = wanted[at].reclaimable.min(room);
+        let rest = facts.rule.most.saturating_sub(wanted[at].on_demand);
+        wanted[at].reclaimable = wanted[at].reclaimable.min(rest);
     }
 }
--- a/crates/front/src/duties.rs
+++ b/crates/front/src/duties.rs
@@ -351,6 +351,7 @@
             rule: scale,
             domains: &domains,
             needed,
+            needed_now: stand.need.recent_peak(node.clock.now()),
             baseline: stand.baseline,
             now: node.clock.now(),
         };
