Hand the lease to the new collector, order while nobody reaches the store, count no doubted replicas

Change: stepping back needs 1 s of being outdone; a holder that another process succeeds gives the lease back; fenced calls go on for 10 s past a lease that nobody can have taken; counts that a stopped process told a former collector are passed on.

--- a/crates/conf/src/front.rs
+++ b/crates/conf/src/front.rs
@@ -43,6 +43,8 @@
     pub drain_ms: u64,
     /// How long a lease lasts.
     pub lease_ms: u64,
+    /// Whether the cloud refuses calls with an old fencing token.
+    pub fenced: bool,
     /// Requests sent again, as a fraction of the requests of a service over all processes.
     pub retry_ratio: f64,
     /// Requests that may be sent again besides, over all processes.
@@ -70,6 +72,7 @@
             grace_s: 8.0,
             drain_ms: 2000,
             lease_ms: 3000,
+            fenced: false,
             retry_ratio: 0.2,
             retry_slack: 0,
             retry_window_s: 10.0,
--- a/crates/front/src/duties.rs
+++ b/crates/front/src/duties.rs
@@ -11,7 +11,7 @@
 use oleander_kind::endpoint::InstanceMarket;
 use oleander_kind::{AccountName, ClockTime, ServiceName, TimeSpan};
 use oleander_lease::{LeaseAction, LeaseKeeper, LeaseRecord, LeaseSaid};
-use oleander_mesh::{LeaseNotice, ServicePeak};
+use oleander_mesh::{LeaseNotice, MeshCollector, ServicePeak};
 use oleander_plat::{
     DutyAnswer, DutyPort, DutyStamp, FeedGuard, FeedKind, FeedObject, FeedWrite, PlatError,
     ScaleOrder, UsageReport,
@@ -44,13 +44,32 @@
     keeper: RefCell<LeaseKeeper>,
 }
 
+/// How long a lease that could not be renewed because nobody reaches the store still stands. Nobody
+/// else can have taken it meanwhile, and where calls are fenced one that is sent too late is refused.
+const OVERDUE_TIME: TimeSpan = TimeSpan(10_000);
+
 impl DutyLease {
     fn stamp(&self, node: &FrontNode) -> Option<DutyStamp> {
-        let fence = self.keeper.borrow().fence(node.clock.now(), CALL_MARGIN)?;
+        let now = node.clock.now();
+        let keeper = self.keeper.borrow();
+        let overdue = || {
+            let stands = node.bounds().fenced && store_is_away(node);
+            keeper.overdue_fence(now, OVERDUE_TIME).filter(|_| stands)
+        };
+        let fence = keeper.fence(now, CALL_MARGIN).or_else(overdue)?;
         Some(DutyStamp { holder: node.settings.instance.clone(), fence })
     }
 }
 
+/// Whether the store answers neither this process nor any that reports here.
+fn store_is_away(node: &FrontNode) -> bool {
+    let now = node.clock.now();
+    let lost = node.rules_feed.get().lost_since.is_some();
+    let mesh = node.mesh.borrow();
+    let outdone = |collector: &MeshCollector| collector.is_outdone(&node.settings.instance, now);
+    lost && mesh.collector.as_ref().is_some_and(|collector| !outdone(collector))
+}
+
 /// Does the control work until the task is ended.
 pub async fn do_duties(node: Rc<FrontNode>, cloud: Rc<dyn DutyPort>) {
     let life = node.mesh.borrow().view.me().life;
@@ -81,7 +100,9 @@
     if let Some(notice) = node.mesh.borrow().lease.clone() {
         lease.keeper.borrow_mut().hear(notice.revision, notice.record, now);
     }
-    if node.mesh.borrow().view.me().leaving {
+    let succeeded = node.mesh.borrow().is_succeeded(now);
+    if node.mesh.borrow().view.me().leaving || succeeded {
+        // The process that collects now need not wait for the end of the lease.
         let action = lease.keeper.borrow_mut().release(now);
         return act_on_lease(node, lease, action).await;
     }
@@ -418,7 +439,7 @@
         let mut count = MarketCount::default();
         for key in board.of_service(service) {
             let Some(fact) = board.get(*key) else { continue };
-            if fact.entry.domain != *domain || !fact.takes_work() {
+            if fact.entry.domain != *domain || !fact.takes_work() || fact.doubted {
                 continue;
             }
             match fact.entry.market {
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -8,8 +8,8 @@
 use oleander_limit::{PoolLimit, SpendCount};
 use oleander_mesh::{
     AccountSpend, CollectorFacts, EndpointLoad, FeedMark, LeaseNotice, MemberCard, MeshBody,
-    MeshCollector, MeshDigest, MeshView, NodeReport, RosterState, ServiceDemand, ServicePeak,
-    TrueClock, UsageCount,
+    MeshCollector, MeshDigest, MeshView, NodeReport, NodeUsage, RosterState, ServiceDemand,
+    ServicePeak, TrueClock, UsageCount,
 };
 use oleander_place::WorkLoad;
 use oleander_plat::FeedEvent;
@@ -47,6 +47,10 @@
     pub reported_window: u64,
     /// What services needed of late.
     pub peaks: Vec<ServicePeak>,
+    /// Counts that were reported here while this process collected, and since when they are passed
+    /// on to its successor.
+    heritage: Option<(Vec<NodeUsage>, ClockTime)>,
+    outdone_since: Option<ClockTime>,
     digest_at: ClockTime,
     digest_from: Option<MemberCard>,
     digest_rules: FeedMark,
@@ -65,6 +69,8 @@
             lease: None,
             reported_window: 0,
             peaks: Vec::new(),
+            heritage: None,
+            outdone_since: None,
             digest_at: ClockTime(0),
             digest_from: None,
             digest_rules: FeedMark::default(),
@@ -74,6 +80,11 @@
         }
     }
 
+    /// Whether another process collects, and this one goes by it.
+    pub fn is_succeeded(&self, now: ClockTime) -> bool {
+        followed_collector(self, now).is_some()
+    }
+
     /// Whether the others know the rules of `version` to be the newest.
     pub fn vouches_for_rules(&self, version: u64, now: ClockTime) -> bool {
         let present = now - self.digest_at < DIGEST_LASTS;
@@ -130,7 +141,6 @@
     }
     mesh.view.take(report.card.clone(), true, now);
     if let Some(card) = followed_collector(&mesh, now)
-        && report.card.id != card.id
         && !report.unreached.contains(&card.id)
     {
         return MeshBody::Follow(card);
@@ -235,7 +245,11 @@
         Some(collector) => collector.is_outdone(&node.settings.instance, now),
         None => mesh.view.me().unfit,
     };
-    let unfit = lost && outdone;
+    // After an outage for all, some are served a moment before the others.
+    let since = if lost && outdone { mesh.outdone_since.or(Some(now)) } else { None };
+    mesh.outdone_since = since;
+    let unfit = mesh.view.me().unfit && since.is_some()
+        || since.is_some_and(|since| now - since > TURNED_AWAY);
     if unfit != mesh.view.me().unfit {
         slog::info!(node.log, "the store serves others but not this process"; "so" => unfit);
         mesh.view.set_unfit(unfit);
@@ -278,7 +292,8 @@
     let mut mesh = node.mesh.borrow_mut();
     let heard = mesh.collector.as_ref().and_then(MeshCollector::heard_at);
     if heard.is_some_and(|at| now - at > UNUSED) {
-        mesh.collector = None;
+        let usage = mesh.collector.take().map(|ended| ended.usage()).unwrap_or_default();
+        mesh.heritage = Some((usage, now));
         slog::info!(node.log, "this process no longer collects");
     }
 }
@@ -374,12 +389,28 @@
         usage,
         loads: own_loads(node),
         demand: own_demand(node),
+        heritage: heritage_of(&mesh, node.clock.now()),
         unreached: mesh.view.unreached(node.clock.now()),
         rules_text,
         roster_page,
     }
 }
 
+/// The counts of other processes that the next collector has to know.
+///
+/// A process that stopped has told its last counts to the collector alone. If that stops as well
+/// before the window is reported, they would be lost with it.
+fn heritage_of(mesh: &MeshState, now: ClockTime) -> Vec<NodeUsage> {
+    /// Long enough for the successor to be chosen and heard.
+    const PASSED_ON: TimeSpan = TimeSpan(3000);
+    let leaving = mesh.view.me().leaving;
+    match (&mesh.collector, &mesh.heritage) {
+        (Some(collector), _) if leaving => collector.usage(),
+        (_, Some((usage, since))) if now - *since < PASSED_ON => usage.clone(),
+        _ => Vec::new(),
+    }
+}
+
 fn spend_of((account, count): (&AccountName, SpendCount)) -> AccountSpend {
     AccountSpend { account: account.clone(), count }
 }
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -133,6 +133,14 @@
         held.then_some(mine.record.fence)
     }
 
+    /// The fencing token of a lease that ran out less than `grace` ago and was not seen to change.
+    /// Only for calls that are fenced, while nobody can have taken the lease.
+    pub fn overdue_fence(&self, now: ClockTime, grace: TimeSpan) -> Option<u64> {
+        let mine = self.seen.as_ref().filter(|seen| self.is_mine(&seen.record))?;
+        (self.held_until > ClockTime(0) && now < self.held_until + grace)
+            .then_some(mine.record.fence)
+    }
+
     /// The record as last seen.
     pub fn seen(&self) -> Option<&LeaseRecord> {
         self.seen.as_ref().map(|seen| &seen.record)
--- a/crates/mesh/src/collector.rs
+++ b/crates/mesh/src/collector.rs
@@ -2,8 +2,8 @@
 
 use crate::clock::{median_offset, wall_offset};
 use crate::message::{
-    AccountLevel, EndpointLoad, FeedMark, LeaseNotice, MeshDigest, NodeReport, RosterNews,
-    RosterState, ServiceDemand, ServicePeak,
+    AccountLevel, EndpointLoad, FeedMark, LeaseNotice, MeshDigest, NodeReport, NodeUsage,
+    RosterNews, RosterState, ServiceDemand, ServicePeak, UsageCount,
 };
 use crate::view::MeshView;
 use oleander_call::RuleSet;
@@ -249,14 +249,43 @@
 
     fn note_usage(&mut self, report: &NodeReport) {
         let who = (report.card.id.clone(), report.card.life);
-        for usage in &report.usage {
+        self.note_counts(&who, &report.usage);
+        for passed in &report.heritage {
+            self.note_counts(&(passed.id.clone(), passed.life), &passed.counts);
+        }
+    }
+
+    /// Notes counts of one process. They are whole sums, so the larger one is the newer.
+    fn note_counts(&mut self, who: &(InstanceId, u64), counts: &[UsageCount]) {
+        for usage in counts {
             let nodes = self.usage.entry(usage.window).or_default();
-            let counts = nodes.entry(who.clone()).or_default();
-            let count = counts.entry(usage.account.clone()).or_default();
+            let known = nodes.entry(who.clone()).or_default();
+            let count = known.entry(usage.account.clone()).or_default();
             *count = usage.count.max(*count);
         }
     }
 
+    /// All counts, by process.
+    pub fn usage(&self) -> Vec<NodeUsage> {
+        let mut nodes: BTreeMap<&(InstanceId, u64), Vec<UsageCount>> = BTreeMap::new();
+        for (window, counted) in &self.usage {
+            for (who, accounts) in counted {
+                let count = |(account, count): (&AccountName, &u64)| UsageCount {
+                    window: *window,
+                    account: account.clone(),
+                    count: *count,
+                };
+                nodes.entry(who).or_default().extend(accounts.iter().map(count));
+            }
+        }
+        let node = |((id, life), counts): (&(InstanceId, u64), Vec<UsageCount>)| NodeUsage {
+            id: id.clone(),
+            life: *life,
+            counts,
+        };
+        nodes.into_iter().map(node).collect()
+    }
+
     /// What each account ran in `window`, as far as it was reported.
     pub fn usage_of(&self, window: u64) -> BTreeMap<AccountName, u64> {
         let mut sums = BTreeMap::new();
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -17,6 +17,7 @@
 pub use collector::{CollectorFacts, MeshCollector};
 pub use message::{
     AccountLevel, AccountSpend, EndpointLoad, FeedMark, LeaseNotice, MemberCard, MeshBody,
-    MeshDigest, NodeReport, RosterNews, RosterState, ServiceDemand, ServicePeak, UsageCount,
+    MeshDigest, NodeReport, NodeUsage, RosterNews, RosterState, ServiceDemand, ServicePeak,
+    UsageCount,
 };
 pub use view::MeshView;
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -69,6 +69,20 @@
     pub count: u64,
 }
 
+/// What another process counted, passed on by a former collector.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeUsage {
+    /// The process.
+    #[serde(rename = "i")]
+    pub id: InstanceId,
+    /// Its life.
+    #[serde(rename = "l")]
+    pub life: u64,
+    /// Its counts.
+    #[serde(rename = "c")]
+    pub counts: Vec<UsageCount>,
+}
+
 /// Work at an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointLoad {
@@ -155,6 +169,9 @@
     /// What it asked of the services that the system scales.
     #[serde(rename = "q")]
     pub demand: Vec<ServiceDemand>,
+    /// Counts of other processes that it knows as a former collector.
+    #[serde(rename = "H")]
+    pub heritage: Vec<NodeUsage>,
     /// Members that did not answer it a moment ago.
     #[serde(rename = "x")]
     pub unreached: Vec<InstanceId>,
