--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -3,6 +3,7 @@
 use crate::feeds;
 use crate::node::{FeedState, FrontNode};
 use actix::Addr;
+use compact_str::CompactString;
 use oleander_call::{AccountRule, RuleSet};
 use oleander_kind::{AccountName, ClockTime, TimeSpan};
 use oleander_limit::{PoolLimit, SpendCount};
@@ -115,14 +116,25 @@
     fn answer(&self, body: MeshBody) -> Pin<Box<dyn Future<Output = MeshBody>>> {
         let answer = match body {
             MeshBody::Report(report) => collect(&self.0, *report),
-            MeshBody::Digest(_) | MeshBody::Leaving(_) | MeshBody::Follow(_) => {
-                MeshBody::Leaving(self.0.mesh.borrow().view.me().clone())
-            }
+            MeshBody::Greet(card) => greeted(&self.0, card),
+            MeshBody::Digest(_)
+            | MeshBody::Leaving(_)
+            | MeshBody::Follow(_)
+            | MeshBody::Members(_) => MeshBody::Leaving(self.0.mesh.borrow().view.me().clone()),
         };
         Box::pin(std::future::ready(answer))
     }
 }
 
+/// Answers a process that looks for the others.
+fn greeted(node: &FrontNode, card: MemberCard) -> MeshBody {
+    let now = node.clock.now();
+    let mut mesh = node.mesh.borrow_mut();
+    mesh.view.take(card, true, now);
+    let me = std::iter::once(mesh.view.me().clone());
+    MeshBody::Members(me.chain(mesh.view.others().cloned()).collect())
+}
+
 /// Takes a report as the collector.
 fn collect(node: &FrontNode, report: NodeReport) -> MeshBody {
     let now = node.clock.now();
@@ -146,8 +158,8 @@
         return MeshBody::Follow(card);
     }
     if mesh.collector.is_none() {
-        let rooms = node.limits.borrow().last_rooms(now);
-        mesh.collector = Some(MeshCollector::begin(rooms, now));
+        let windows = node.limits.borrow().known_windows(now);
+        mesh.collector = Some(MeshCollector::begin(windows, now));
         slog::info!(node.log, "this process collects"; "members" => mesh.view.serving());
     }
     let facts = CollectorFacts {
@@ -267,7 +279,12 @@
             let now = node.clock.now();
             mesh.view.sweep(now);
             let true_now = mesh.clock.read(now, node.clock.wall());
-            mesh.view.choose_collector(true_now, now)
+            let before = mesh.view.chosen().cloned();
+            let card = mesh.view.choose_collector(true_now, now);
+            if before.as_ref() != Some(&card.id) {
+                slog::info!(node.log, "goes by another collector"; "collector" => card.id.as_str());
+            }
+            card
         };
         let report = make_report(node);
         if collector.id == node.settings.instance {
@@ -298,10 +315,32 @@
     }
 }
 
+/// Asks the seeds for the members they know.
 async fn ask_seeds(node: &Rc<FrontNode>, hub: &Addr<PeerHub<MeshBody>>) {
     for seed in node.seeds() {
-        if seed != node.settings.peer {
-            let _answered = call_address(node, hub, seed, make_report(node)).await;
+        if seed == node.settings.peer {
+            continue;
+        }
+        let address: CompactString = seed.to_string().into();
+        let body = MeshBody::Greet(node.mesh.borrow().view.me().clone());
+        let call = CallPeer { address: address.clone(), body, limit: ANSWER_LIMIT };
+        match hub.send(call).await {
+            Ok(Ok(MeshBody::Members(cards))) => {
+                let now = node.clock.now();
+                let mut mesh = node.mesh.borrow_mut();
+                // The first is the seed itself.
+                for (at, card) in cards.into_iter().enumerate() {
+                    mesh.view.take(card, at == 0, now);
+                }
+            }
+            Ok(Ok(_)) => {}
+            Ok(Err(fault)) => {
+                slog::debug!(node.log, "a seed did not answer"; "fault" => fault.to_string());
+                hub.do_send(ForgetPeer(address));
+            }
+            Err(fault) => {
+                slog::error!(node.log, "the links are gone"; "fault" => fault.to_string());
+            }
         }
     }
 }
@@ -343,7 +382,7 @@
     report: NodeReport,
 ) -> CallOutcome {
     let sent_at = node.clock.now();
-    let address: compact_str::CompactString = address.to_string().into();
+    let address: CompactString = address.to_string().into();
     let body = MeshBody::Report(Box::new(report));
     let call = CallPeer { address: address.clone(), body, limit: ANSWER_LIMIT };
     match hub.send(call).await {
@@ -359,10 +398,13 @@
             let mut mesh = node.mesh.borrow_mut();
             let now = node.clock.now();
             let true_now = mesh.clock.read(now, node.clock.wall());
+            slog::info!(node.log, "is sent to another collector"; "collector" => card.id.as_str());
             mesh.view.follow(card, true_now, now);
             CallOutcome::Elsewhere
         }
-        Ok(Ok(MeshBody::Report(_))) => CallOutcome::Failed,
+        Ok(Ok(MeshBody::Report(_) | MeshBody::Greet(_) | MeshBody::Members(_))) => {
+            CallOutcome::Failed
+        }
         Ok(Err(fault)) => {
             slog::debug!(node.log, "a peer did not answer"; "fault" => fault.to_string());
             hub.do_send(ForgetPeer(address));
@@ -445,7 +487,10 @@
     }
     take_loads(node, &digest.loads);
     let mut limits = node.limits.borrow_mut();
-    digest.levels.iter().for_each(|level| limits.take_news(&level.account, level.news, now));
+    digest
+        .levels
+        .iter()
+        .for_each(|level| limits.take_news(&level.account, level.news.clone(), now));
     node.usage.borrow_mut().forget(digest.reported_window);
     node.process_count.set(digest.serving.max(1));
     let mut mesh = node.mesh.borrow_mut();
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -8,5 +8,5 @@
 pub mod share;
 
 pub use owner::{DemandReport, LimitOwner, ShareGrant};
-pub use pool::{LevelNews, PoolGate, PoolLedger, PoolLimit, PoolSpender, SpendCount};
+pub use pool::{LevelNews, PoolGate, PoolLedger, PoolLimit, PoolSpender, SpendCount, SpentSlots};
 pub use share::{AccountLimits, LimitGate, LimitVerdict};
--- a/crates/limit/src/pool.rs
+++ b/crates/limit/src/pool.rs
@@ -13,7 +13,7 @@
 
 /// Seconds of an account's rate that are kept from the allowed overshoot: what is let in between
 /// two answers of the ledger while the demand jumps to 7.5 times the usual, or 4.2 times the rate.
-const JUMP_S: f64 = 1.8;
+const JUMP_S: f64 = 2.0;
 /// Tokens kept besides: a large request at several processes at once.
 const JUMP_TOKENS: f64 = 30_000.0;
 /// How much longer than the operators' window spending counts here: a request reaches its endpoint
@@ -26,8 +26,11 @@
 /// News older than this is not extrapolated any more: the ledger is gone or cut off.
 const NEWS_LASTS: TimeSpan = TimeSpan(1500);
 
-/// A room that was told longer ago says nothing of the window any more.
-const ROOM_LASTS: TimeSpan = TimeSpan(6000);
+/// News that is older says too little of the window for a ledger to begin with.
+const NEWS_KEPT: TimeSpan = TimeSpan(6000);
+
+/// What was spent, by the time at which a slot began; the oldest first.
+pub type SpentSlots = VecDeque<(ClockTime, f64)>;
 
 /// An account's limit, in tokens.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -43,14 +46,15 @@
 }
 
 /// An account's window as the ledger tells it to one process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LevelNews {
     /// Tokens that this process may still let in; negative after an overshoot.
     #[serde(rename = "l")]
     pub room: i64,
-    /// Tokens that all processes may still let in.
-    #[serde(rename = "w")]
-    pub whole_room: i64,
+    /// What all processes spent in each second of the window, the last second first. The next ledger
+    /// begins with it.
+    #[serde(rename = "p")]
+    pub profile: Vec<u32>,
     /// Tokens a second that leave the window in the next second.
     #[serde(rename = "f")]
     pub freed_per_s: u64,
@@ -73,13 +77,13 @@
     pub acked: u64,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct KnownLevel {
     news: LevelNews,
     at: ClockTime,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct GateAccount {
     spent: u64,
     known: Option<KnownLevel>,
@@ -131,26 +135,29 @@
         state.known = Some(KnownLevel { news, at: now });
     }
 
-    /// The room that each account had by the last news, for a ledger that begins. What was spent
+    /// What was spent of each account by the last news, for a ledger that begins. What was spent
     /// since then is in the reports that it will get.
-    pub fn last_rooms(&self, now: ClockTime) -> Vec<(AccountName, f64)> {
-        let room = |(name, state): (&AccountName, &GateAccount)| {
-            let known = state.known.filter(|known| now - known.at < ROOM_LASTS)?;
-            Some((name.clone(), known.news.whole_room as f64))
+    pub fn known_windows(&self, now: ClockTime) -> Vec<(AccountName, SpentSlots)> {
+        let window = |(name, state): (&AccountName, &GateAccount)| {
+            let known = state.known.as_ref().filter(|known| now - known.at < NEWS_KEPT)?;
+            let second = |back: usize| known.at - TimeSpan::secs(back as u64 + 1);
+            let seconds = known.news.profile.iter().enumerate().rev();
+            let slots = seconds.map(|(back, tokens)| (second(back), f64::from(*tokens)));
+            Some((name.clone(), slots.collect()))
         };
-        self.accounts.iter().filter_map(room).collect()
+        self.accounts.iter().filter_map(window).collect()
     }
 }
 
 impl GateAccount {
     fn count(&self) -> SpendCount {
-        let acked = self.known.map_or(0, |known| known.news.counted);
+        let acked = self.known.as_ref().map_or(0, |known| known.news.counted);
         SpendCount { tokens: self.spent, acked }
     }
 
     /// The room expected, and how fast it grows by old spending that leaves the window.
     fn expected_room(&self, now: ClockTime) -> Option<(f64, f64)> {
-        let known = self.known.filter(|known| now - known.at < NEWS_LASTS)?;
+        let known = self.known.as_ref().filter(|known| now - known.at < NEWS_LASTS)?;
         let seconds = (now - known.at).0 as f64 / 1000.0;
         let freed_per_s = known.news.freed_per_s as f64;
         let flow = (freed_per_s - known.news.others_per_s as f64) * seconds;
@@ -218,8 +225,7 @@
 
 #[derive(Debug, Default)]
 struct LedgerAccount {
-    /// What was spent, by the time at which a slot began.
-    slots: VecDeque<(ClockTime, f64)>,
+    slots: SpentSlots,
     /// The part of the window that is taken for spent, evenly, before the ledger began.
     prior_part: f64,
     total: SpendRate,
@@ -239,18 +245,17 @@
 #[derive(Debug)]
 pub struct PoolLedger {
     accounts: BTreeMap<AccountName, LedgerAccount>,
-    /// Rooms as the last ledger told them.
-    expected: BTreeMap<AccountName, f64>,
+    /// Windows as the last ledger told them.
+    known: BTreeMap<AccountName, SpentSlots>,
     began_at: ClockTime,
 }
 
 impl PoolLedger {
-    /// Begins with the rooms that the last ledger told of. A window that
-    /// began empty would let an account that is at its limit in for another whole window after
-    /// every change of the ledger.
-    pub fn begin(rooms: Vec<(AccountName, f64)>, now: ClockTime) -> Self {
-        let expected = rooms.into_iter().collect();
-        PoolLedger { accounts: BTreeMap::new(), expected, began_at: now }
+    /// Begins with the windows that the last ledger told of. One that began empty would let an
+    /// account that is at its limit in for another whole window after every change of the ledger.
+    pub fn begin(known: Vec<(AccountName, SpentSlots)>, now: ClockTime) -> Self {
+        let known = known.into_iter().collect();
+        PoolLedger { accounts: BTreeMap::new(), known, began_at: now }
     }
 
     /// Takes what `spender` has let in of `account` since it began, and tells it the room. `part`
@@ -267,10 +272,11 @@
         now: ClockTime,
     ) -> LevelNews {
         let whole = limit.capacity();
-        let expected = self.expected.get(account).copied().unwrap_or(0.0);
-        let owned = self.accounts.entry(account.clone()).or_insert_with(|| LedgerAccount {
-            prior_part: (1.0 - expected / whole).max(0.0),
-            ..LedgerAccount::default()
+        let known = &mut self.known;
+        let owned = self.accounts.entry(account.clone()).or_insert_with(|| {
+            let slots = known.remove(account);
+            let prior_part = if slots.is_some() { 0.0 } else { 1.0 };
+            LedgerAccount { slots: slots.unwrap_or_default(), prior_part, ..Default::default() }
         });
         let new = owned.note_spender(spender, spent, now);
         owned.spend(new, now);
@@ -286,7 +292,7 @@
         let share = own_share(room, (own, total), owned.spenders.len());
         LevelNews {
             room: (room * share) as i64,
-            whole_room: room as i64,
+            profile: owned.profile(now, limit.window),
             freed_per_s: ((owned.freed_per_s(now, length) + prior_freed) * share) as u64,
             others_per_s: ((total - own).max(0.0) * share) as u64,
             counted: spent.tokens,
@@ -305,8 +311,9 @@
     if room < 0.0 || total <= 0.0 {
         return if room < 0.0 { 1.0 } else { equal.max(room.min(1.0)) };
     }
-    let part = (own / total).max(equal);
-    (room / (total * PLENTY_S)).clamp(part, 1.0)
+    // Rounding may make a lone spender's part a little more than all.
+    let part = (own / total).max(equal).min(1.0);
+    (room / (total * PLENTY_S)).max(part).min(1.0)
 }
 
 impl LedgerAccount {
@@ -343,6 +350,18 @@
         self.slots.iter().map(|(_, tokens)| tokens).sum()
     }
 
+    /// What was spent in each second of `window`, the last second first.
+    fn profile(&self, now: ClockTime, window: TimeSpan) -> Vec<u32> {
+        let mut seconds = vec![0.0; window.0.div_ceil(1000) as usize];
+        for (at, tokens) in &self.slots {
+            let back = (now - *at).0 as usize / 1000;
+            if let Some(sum) = seconds.get_mut(back) {
+                *sum += tokens;
+            }
+        }
+        seconds.into_iter().map(|sum| sum as u32).collect()
+    }
+
     /// Tokens that leave a window of `length` in the second after `now`.
     fn freed_per_s(&self, now: ClockTime, length: TimeSpan) -> f64 {
         let until = now + TimeSpan(1000);
--- a/crates/mesh/src/collector.rs
+++ b/crates/mesh/src/collector.rs
@@ -8,7 +8,7 @@
 use crate::view::MeshView;
 use oleander_call::RuleSet;
 use oleander_kind::{AccountName, ClockTime, InstanceId, ServiceName, TimeSpan};
-use oleander_limit::{PoolLedger, PoolLimit, PoolSpender};
+use oleander_limit::{PoolLedger, PoolLimit, PoolSpender, SpentSlots};
 use oleander_plat::{FeedEvent, FeedObject};
 use std::collections::BTreeMap;
 
@@ -16,7 +16,7 @@
 const REPORT_LASTS: TimeSpan = TimeSpan(1200);
 /// A collector that just began has not heard everybody yet, and would give out too little. Until
 /// then the levels of its predecessor are good.
-const SETTLE_TIME: TimeSpan = TimeSpan(600);
+const SETTLE_TIME: TimeSpan = TimeSpan(500);
 /// Time over which demand is averaged.
 const DEMAND_TIME: TimeSpan = TimeSpan(2000);
 
@@ -78,10 +78,10 @@
 }
 
 impl MeshCollector {
-    /// Begins to collect with the room of each account as it was last told.
-    pub fn begin(rooms: Vec<(AccountName, f64)>, now: ClockTime) -> Self {
+    /// Begins to collect with the window of each account as it was last told.
+    pub fn begin(windows: Vec<(AccountName, SpentSlots)>, now: ClockTime) -> Self {
         MeshCollector {
-            ledger: PoolLedger::begin(rooms, now),
+            ledger: PoolLedger::begin(windows, now),
             nodes: BTreeMap::new(),
             usage: BTreeMap::new(),
             demand: BTreeMap::new(),
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -285,6 +285,12 @@
     /// The process asked cannot collect: it is stopping, as its card says.
     #[serde(rename = "x")]
     Leaving(MemberCard),
+    /// A process looks for the others.
+    #[serde(rename = "g")]
+    Greet(MemberCard),
+    /// The members that the process asked knows, itself first.
+    #[serde(rename = "m")]
+    Members(Vec<MemberCard>),
     /// The process asked goes by this collector, and so should the asker.
     #[serde(rename = "f")]
     Follow(MemberCard),
--- a/crates/mesh/src/view.rs
+++ b/crates/mesh/src/view.rs
@@ -186,6 +186,11 @@
         })
     }
 
+    /// The collector that was chosen last.
+    pub fn chosen(&self) -> Option<&InstanceId> {
+        self.chosen.as_ref().map(|(id, _)| id)
+    }
+
     /// Whether this process is the collector that it chose.
     pub fn collects(&self) -> bool {
         self.chosen.as_ref().is_some_and(|(id, _)| *id == self.me.id)
--- a/tests/all/pool.rs
+++ b/tests/all/pool.rs
@@ -97,8 +97,8 @@
 
     /// Another process takes the ledger over.
     fn change_ledger(&mut self) {
-        let rooms = self.gates[1].last_rooms(ClockTime(self.now));
-        self.ledger = PoolLedger::begin(rooms, ClockTime(self.now));
+        let windows = self.gates[1].known_windows(ClockTime(self.now));
+        self.ledger = PoolLedger::begin(windows, ClockTime(self.now));
     }
 
     /// The most that was let in during any window.
@@ -145,6 +145,7 @@
     group.play(9_000, 0.55);
     group.play(1_000, 4.2);
 
+    // Spending was not even: the last second holds as much as four before it.
     for _ in 0..3 {
         // 600 ms without a ledger, then another.
         let all: Vec<usize> = (0..9).collect();
