--- a/tests/all/front.rs
+++ b/tests/all/front.rs
@@ -57,7 +57,7 @@
 
 const RULES: &str = r#"{"version":7,
 "routes":[
- {"name":"once","host":"h","path-prefix":"/once/","kind":"unsafe","timeout-ms":2000,"target-latency-ms":100,"priority":2,"service":"s","max-attempts":2},
+ {"name":"once","host":"h","path-prefix":"/once/","kind":"unsafe","timeout-ms":6000,"target-latency-ms":100,"priority":2,"service":"s","max-attempts":2},
  {"name":"any","host":"h","path-prefix":"/any/","kind":"safe","timeout-ms":2000,"target-latency-ms":100,"priority":2,"service":"s","max-attempts":2},
  {"name":"stream","host":"h","path-prefix":"/stream/","kind":"streaming","timeout-ms":4000,"target-latency-ms":500,"priority":1,"service":"s","max-attempts":2,"stream-resume":true,"gap-aim-ms":300},
  {"name":"open","host":"h","path-prefix":"/open/","kind":"safe","timeout-ms":2000,"target-latency-ms":100,"priority":2,"service":"s","max-attempts":1,"public":true}],
@@ -416,7 +416,8 @@
         assert!(!read_answer(&mut kept).await.has("connection: close"));
         // One request that takes long keeps the process from ending at once.
         let mut long = TcpStream::connect(address).await.expect("it listens");
-        long.write_all(text.as_bytes()).await.expect("written");
+        let patient = text.replace("Deadline-Ms: 2000", "Deadline-Ms: 6000");
+        long.write_all(patient.as_bytes()).await.expect("written");
         while count(&endpoint) < 2 {
             tokio::task::yield_now().await;
         }
