--- a/crates/board/src/log.rs
+++ b/crates/board/src/log.rs
@@ -1,4 +1,4 @@
-//! Logs: JSON lines on standard error, with result codes by number and name.
+//! Logs: JSON lines on standard output, with result codes by number and name.
 
 use oleander_kind::ResultCode;
 use slog::{Drain, Logger, o};
@@ -6,9 +6,9 @@
 /// Lines kept while the writer is behind; more are dropped and counted by the library.
 const LINES_KEPT: usize = 4096;
 
-/// A logger that writes JSON lines to standard error and names the process in each.
+/// A logger that writes JSON lines to standard output and names the process in each.
 pub fn json_logger(process: &'static str, instance: &str) -> Logger {
-    let drain = slog_json::Json::default(std::io::stderr()).fuse();
+    let drain = slog_json::Json::default(std::io::stdout()).fuse();
     let drain = slog_async::Async::new(drain).chan_size(LINES_KEPT).build().fuse();
     Logger::root(drain, o!("process" => process, "instance" => instance.to_owned()))
 }
--- a/crates/board/src/meter.rs
+++ b/crates/board/src/meter.rs
@@ -1,15 +1,57 @@
 //! Metrics by opentelemetry, told in Prometheus' text form.
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
-/// The instruments of one process.
-pub struct NodeMeter {
+/// Where a process's instruments are registered and told.
+pub struct MeterBase {
     registry: Registry,
     // Kept so that the instruments stay connected.
     provider: SdkMeterProvider,
+}
+
+impl MeterBase {
+    /// A base without instruments.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone()).build();
+        let builder = SdkMeterProvider::builder();
+        let provider = match exporter {
+            Ok(reader) => builder.with_reader(reader).build(),
+            Err(_) => builder.build(),
+        };
+        MeterBase { registry, provider }
+    }
+
+    /// Makes instruments.
+    pub fn meter(&self) -> Meter {
+        self.provider.meter("oleandertack")
+    }
+
+    /// All metrics in Prometheus' text form.
+    pub fn text(&self) -> String {
+        let mut out = Vec::new();
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut out);
+        String::from_utf8_lossy(&out).into_owned()
+    }
+
+    /// Flushes what is pending, before the process ends.
+    pub fn flush(&self) {
+        let _ = self.provider.force_flush();
+    }
+}
+
+impl Default for MeterBase {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// The instruments of one process.
+pub struct NodeMeter {
+    base: MeterBase,
     requests: Counter<u64>,
     results: Counter<u64>,
     retries: Counter<u64>,
@@ -22,14 +64,8 @@
 impl NodeMeter {
     /// New instruments, named after the crate's subject.
     pub fn new() -> Self {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone()).build();
-        let builder = SdkMeterProvider::builder();
-        let provider = match exporter {
-            Ok(reader) => builder.with_reader(reader).build(),
-            Err(_) => builder.build(),
-        };
-        let meter = provider.meter("oleandertack");
+        let base = MeterBase::new();
+        let meter = base.meter();
         NodeMeter {
             requests: meter.u64_counter("oleander_requests").build(),
             results: meter.u64_counter("oleander_results").build(),
@@ -38,8 +74,7 @@
             recomputed: meter.u64_counter("oleander_recomputed_tokens").build(),
             peer_bytes: meter.u64_counter("oleander_peer_bytes").build(),
             first_token: meter.f64_histogram("oleander_first_token_ms").build(),
-            registry,
-            provider,
+            base,
         }
     }
 
@@ -80,14 +115,12 @@
 
     /// All metrics in Prometheus' text form.
     pub fn text(&self) -> String {
-        let mut out = Vec::new();
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut out);
-        String::from_utf8_lossy(&out).into_owned()
+        self.base.text()
     }
 
     /// Flushes what is pending, before the process ends.
     pub fn flush(&self) {
-        let _ = self.provider.force_flush();
+        self.base.flush();
     }
 }
 
--- a/crates/call/src/attempt.rs
+++ b/crates/call/src/attempt.rs
@@ -19,6 +19,17 @@
 }
 
 impl AttemptEnd {
+    /// The name, for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            AttemptEnd::NotSent => "not_sent",
+            AttemptEnd::RefusedNotRun => "refused_not_run",
+            AttemptEnd::Failed => "failed",
+            AttemptEnd::Broken => "broken",
+            AttemptEnd::Silent => "silent",
+        }
+    }
+
     /// Whether the request may have run.
     pub fn may_have_run(self) -> bool {
         !matches!(self, AttemptEnd::NotSent | AttemptEnd::RefusedNotRun)
--- /dev/null
+++ b/crates/front/src/admin.rs
@@ -0,0 +1,82 @@
+//! What operators may read: metrics and a dump of the state.
+
+use crate::node::FrontNode;
+use actix_web::{HttpResponse, web};
+use serde_json::{Value, json};
+use std::rc::Rc;
+
+/// Adds the admin pages.
+pub fn configure(config: &mut web::ServiceConfig) {
+    config
+        .route("/metrics", web::get().to(metrics))
+        .route("/state", web::get().to(state))
+        .route("/healthz", web::get().to(HttpResponse::Ok));
+}
+
+async fn metrics(node: web::Data<Rc<FrontNode>>) -> HttpResponse {
+    HttpResponse::Ok().content_type("text/plain; version=0.0.4").body(node.meter.text())
+}
+
+async fn state(node: web::Data<Rc<FrontNode>>) -> HttpResponse {
+    HttpResponse::Ok().json(dump_state(&node))
+}
+
+/// All that the process knows, without keys and bodies. Bounded: at most
+/// [`MOST_LISTED`] endpoints and members are listed.
+pub fn dump_state(node: &FrontNode) -> Value {
+    let now = node.clock.now();
+    let feed = |state: crate::node::FeedState| {
+        json!({
+            "known_since_ms": state.known_since.map(|at| (now - at).0),
+            "lost_for_ms": state.lost_since.map(|at| (now - at).0),
+            "watching": state.watching,
+        })
+    };
+    let mesh = node.mesh.borrow();
+    json!({
+        "format": 1,
+        "instance": node.settings.instance.as_str(),
+        "stop": format!("{:?}", node.stop.get()),
+        "ready": node.is_ready(),
+        "in_flight": node.in_flight.get(),
+        "rules_version": node.rules.borrow().version(),
+        "rules_fresh": node.rules_are_fresh(),
+        "rules_feed": feed(node.rules_feed.get()),
+        "endpoints_feed": feed(node.endpoints_feed.get()),
+        "endpoints": dump_endpoints(node),
+        "idle_connections": node.pool.borrow().len(),
+        "known_prompt_parts": node.prefixes.borrow().len(),
+        "members": mesh.view.cards().iter().take(MOST_LISTED).map(|card| card.id.as_str().to_owned()).collect::<Vec<_>>(),
+        "collector": mesh.view.chosen().map(|id| id.as_str()),
+        "collects": mesh.collector.is_some(),
+        "lease": mesh.lease.as_ref().map(|lease| json!({
+            "holder": lease.record.holder.as_str(),
+            "fence": lease.record.fence,
+        })),
+        "reported_window": mesh.reported_window,
+    })
+}
+
+/// The most endpoints and members of a dump.
+const MOST_LISTED: usize = 1000;
+
+fn dump_endpoints(node: &FrontNode) -> Vec<Value> {
+    let now = node.clock.now();
+    let board = node.endpoints.borrow();
+    let endpoint = |fact: &oleander_place::EndpointFact| {
+        json!({
+            "instance": fact.entry.instance.as_str(),
+            "service": fact.entry.service.as_str(),
+            "domain": fact.entry.domain.as_str(),
+            "stage": format!("{:?}", fact.entry.stage),
+            "market": format!("{:?}", fact.entry.market),
+            "doubted": fact.doubted,
+            "rests": fact.health.rests(now),
+            "failure_share": fact.health.failure_share(now),
+            "own_requests": fact.own.requests,
+            "other_requests": fact.others.requests,
+            "unread_tokens": fact.unread_tokens(),
+        })
+    };
+    board.iter().take(MOST_LISTED).map(|(_, fact)| endpoint(fact)).collect()
+}
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -30,13 +30,23 @@
     out: BytesMut,
     stage: AnswerStage,
     closes: bool,
+    status: u16,
+    code: Option<ResultCode>,
 }
 
 impl<'a> AnswerWriter<'a> {
     /// An answer that has not begun. If `closes`, the caller is told not to use the connection
     /// again.
     pub fn new(writer: WriteHalf<'a>, codec: &'a mut Codec, closes: bool) -> Self {
-        AnswerWriter { writer, codec, out: BytesMut::new(), stage: AnswerStage::Waiting, closes }
+        AnswerWriter {
+            writer,
+            codec,
+            out: BytesMut::new(),
+            stage: AnswerStage::Waiting,
+            closes,
+            status: 0,
+            code: None,
+        }
     }
 
     /// How far it has come.
@@ -44,6 +54,16 @@
         self.stage
     }
 
+    /// The status it was begun with; 0 if it was not.
+    pub fn status(&self) -> u16 {
+        self.status
+    }
+
+    /// The code of the refusal; none if it is no refusal.
+    pub fn code(&self) -> Option<ResultCode> {
+        self.code
+    }
+
     /// From now on tells the caller not to use the connection again.
     pub fn close_after(&mut self) {
         self.closes = true;
@@ -69,6 +89,7 @@
             response.head_mut().set_connection_type(ConnectionType::Close);
         }
         self.stage = AnswerStage::Begun;
+        self.status = status.as_u16();
         self.codec.encode(Message::Item((response, size)), &mut self.out)
     }
 
@@ -116,6 +137,7 @@
     /// # Errors
     /// The system's.
     pub async fn refuse(&mut self, code: ResultCode, retry: Option<TimeSpan>) -> io::Result<()> {
+        self.code = Some(code);
         let status = StatusCode::from_u16(code.status()).unwrap_or(StatusCode::BAD_GATEWAY);
         let mut headers = HeaderMap::new();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- /dev/null
+++ b/crates/front/src/attempt.rs
@@ -0,0 +1,257 @@
+//! One attempt at one endpoint: a connection, the request on it, and the answer that came.
+
+use crate::drive::{AttemptOutcome, CallRun};
+use crate::events::event;
+use crate::work::WorkGuard;
+use crate::{stream, whole};
+use actix_http::{RequestHead, ResponseHead, Version};
+use oleander_call::{AnswerMark, AnswerShape, AttemptEnd, AttemptStamp, RepeatRule};
+use oleander_kind::endpoint::EndpointStage;
+use oleander_kind::{InstanceId, TimeSpan};
+use oleander_outlet::{IdleLink, LinkError, SentLink, SocketBounds};
+use oleander_place::{AnswerGrade, EndpointKey, PlaceChoice};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// Time to make a connection to an endpoint: a lost opening packet is sent again after a second,
+/// and by then another endpoint has answered.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+/// How long an idle connection to an endpoint is kept if the endpoint does not say.
+const IDLE_KEPT: Duration = Duration::from_millis(2000);
+/// The part of an endpoint's own idle time that is used, so that it does not close a connection
+/// while a request is on its way on it.
+const IDLE_PART: f64 = 0.6;
+/// The most idle connections to one endpoint.
+const IDLE_MOST: usize = 32;
+
+/// What an attempt needs to know of its endpoint.
+struct AttemptTarget {
+    key: EndpointKey,
+    instance: InstanceId,
+    address: SocketAddr,
+}
+
+impl CallRun<'_, '_> {
+    /// Makes an attempt at the endpoint chosen.
+    pub async fn attempt(&mut self, choice: PlaceChoice) -> AttemptOutcome {
+        let Some(target) = self.target(choice.key) else {
+            return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
+        };
+        self.current = Some(target.key);
+        self.endpoint = Some(target.instance.clone());
+        self.note_demand(&choice);
+        let mut work = WorkGuard::begin(self.node, target.key, choice.unread);
+        let outcome = self.attempt_at(&target, &mut work).await;
+        self.current = None;
+        outcome
+    }
+
+    fn note_demand(&self, choice: &PlaceChoice) {
+        let first = self.record.sent() == 0;
+        let answer = self.call.tokens.map_or(0, |tokens| tokens.answer);
+        let guess = self.call.length_hint.unwrap_or(answer).min(answer.max(1));
+        self.node.note_demand(&self.service, |demand| {
+            demand.requests += u64::from(first);
+            demand.unread_tokens += choice.unread;
+            demand.answer_tokens += guess;
+        });
+    }
+
+    /// Notes that the request began to run at its endpoint `ago`.
+    pub fn note_began(&self, ago: Duration) {
+        if let Some(account) = &self.account {
+            self.node.note_usage(account, TimeSpan(ago.as_millis() as u64));
+        }
+    }
+
+    fn target(&self, key: EndpointKey) -> Option<AttemptTarget> {
+        let board = self.node.endpoints.borrow();
+        let entry = &board.get(key)?.entry;
+        let usable = entry.stage == EndpointStage::Live;
+        let instance = entry.instance.clone();
+        usable.then_some(AttemptTarget { key, instance, address: entry.address })
+    }
+
+    async fn attempt_at(&mut self, target: &AttemptTarget, work: &mut WorkGuard) -> AttemptOutcome {
+        let (mut sent, reused) = match self.send(target).await {
+            Ok(sent) => sent,
+            Err(fault) => {
+                self.note_fault(target, &fault);
+                self.tried.push(target.key);
+                return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
+            }
+        };
+        let limit = self.first_limit();
+        let sent_at = Instant::now();
+        match self.read_own_head(&mut sent, limit).await {
+            Ok((sent, head, mark)) => {
+                self.node.meter.count_unread(work.unread_tokens());
+                if !mark.not_run && self.route().shape == AnswerShape::Whole {
+                    self.note_began(sent_at.elapsed());
+                }
+                self.take_answer(target, work, sent, (head, mark)).await
+            }
+            Err(fault) => {
+                let byte_left = sent.is_none_or(|sent| sent.byte_left());
+                let end = match fault {
+                    _ if !byte_left => AttemptEnd::NotSent,
+                    LinkError::Late(_) => AttemptEnd::Silent,
+                    _ => AttemptEnd::Broken,
+                };
+                // A kept connection that ends at once was most likely closed for its age.
+                if !reused || end == AttemptEnd::Silent {
+                    self.note_fault(target, &fault);
+                }
+                if reused && end == AttemptEnd::Silent {
+                    // Kept connections fall silent together, when what lies between forgets them.
+                    self.node.pool.borrow_mut().clear();
+                }
+                if end != AttemptEnd::NotSent || !reused {
+                    self.tried.push(target.key);
+                }
+                AttemptOutcome::Ended(end, None)
+            }
+        }
+    }
+
+    async fn send(
+        &mut self,
+        target: &AttemptTarget,
+    ) -> oleander_outlet::Result<(Option<SentLink>, bool)> {
+        let kept = self.node.pool.borrow_mut().take(&target.instance);
+        let reused = kept.is_some();
+        let link = match kept {
+            Some(link) => link,
+            None => IdleLink::open(target.address, CONNECT_LIMIT, SocketBounds::default()).await?,
+        };
+        let head = self.request_head(target);
+        let sent = link.send(&self.node.http, head, self.body.clone())?;
+        if !self.call.parts.is_empty() {
+            let now = self.node.clock.now();
+            self.node.prefixes.borrow_mut().note(&self.call.parts, target.key, now);
+        }
+        Ok((Some(sent), reused))
+    }
+
+    fn request_head(&self, target: &AttemptTarget) -> RequestHead {
+        let mut head = RequestHead::default();
+        head.method = self.request.method.clone();
+        head.uri = self.request.uri.clone();
+        head.version = Version::HTTP_11;
+        head.headers = self.request.headers.clone();
+        let stamp = AttemptStamp {
+            instance: target.instance.clone(),
+            account: self.account.clone(),
+            left: self.left(),
+            last_event: self.last_event,
+            rank: self.is_engine().then_some(self.rank),
+        };
+        self.node.dialect.stamp_request(&mut head.headers, &stamp);
+        head
+    }
+
+    fn left(&self) -> TimeSpan {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        TimeSpan(left.as_millis() as u64)
+    }
+
+    /// Until when an endpoint may be silent before its answer begins.
+    ///
+    /// Where another attempt is allowed, an endpoint that hangs is given up after a few times the
+    /// objective: late for this caller, but in time to be served. Where none is, waiting costs
+    /// nothing and the answer may still come.
+    pub fn first_limit(&self) -> Instant {
+        /// Times the objective; a queue of that length is no sign of a dead endpoint yet.
+        const PATIENCE: u32 = 3;
+        let route = self.route();
+        let last = self.record.sent() + 1 >= route.most_attempts;
+        if last || route.repeat == RepeatRule::Once {
+            return self.deadline;
+        }
+        self.deadline.min(Instant::now() + route.objective.duration() * PATIENCE)
+    }
+
+    /// Reads heads until one belongs to this request. `slot` is empty after an error that used the
+    /// link up.
+    async fn read_own_head(
+        &mut self,
+        slot: &mut Option<SentLink>,
+        limit: Instant,
+    ) -> oleander_outlet::Result<(SentLink, ResponseHead, AnswerMark)> {
+        /// Foreign answers that are read away; an endpoint that sends more is broken.
+        const MOST_FOREIGN: u32 = 2;
+        let late = |_| LinkError::Late(Duration::ZERO);
+        let spent = || LinkError::Malformed("answers to other requests".to_owned());
+        for _ in 0..=MOST_FOREIGN {
+            let sent = slot.as_mut().ok_or_else(spent)?;
+            let head = timeout_at(limit, sent.read_head()).await.map_err(late)??;
+            let mark = self.node.dialect.read_answer(&head);
+            let sent = slot.take().ok_or_else(spent)?;
+            if mark.belongs_to(&self.call.id) {
+                return Ok((sent, head, mark));
+            }
+            let mut foreign = sent.into_body(&head);
+            let reading = async {
+                while foreign.next().await?.is_some() {}
+                Ok(())
+            };
+            timeout_at(limit, reading).await.map_err(late)??;
+            *slot = foreign.into_waiting(&self.node.http);
+        }
+        Err(spent())
+    }
+
+    async fn take_answer(
+        &mut self,
+        target: &AttemptTarget,
+        work: &mut WorkGuard,
+        sent: SentLink,
+        (head, mark): (ResponseHead, AnswerMark),
+    ) -> AttemptOutcome {
+        let events = self.route().shape == AnswerShape::Events && mark.is_success();
+        if !mark.is_sound(&self.call.id) {
+            self.tried.push(target.key);
+            self.grade(target.key, AnswerGrade::Bad);
+            return AttemptOutcome::Ended(AttemptEnd::Broken, None);
+        }
+        let body = sent.into_body(&head);
+        let (outcome, link) = if events {
+            stream::pass_events(self, body, head, work).await
+        } else {
+            whole::pass_whole(self, body, head, &mark).await
+        };
+        match &outcome {
+            AttemptOutcome::Delivered => self.grade(target.key, AnswerGrade::Good),
+            AttemptOutcome::CallerGone => {}
+            AttemptOutcome::Ended(..) => {
+                self.tried.push(target.key);
+                self.grade(target.key, AnswerGrade::Bad);
+            }
+        }
+        if let Some(link) = link {
+            let said = mark.keeps_idle.map(|span| span.duration().mul_f64(IDLE_PART));
+            let keep = said.unwrap_or(IDLE_KEPT);
+            self.node.pool.borrow_mut().put(&target.instance, link, keep, IDLE_MOST);
+        }
+        outcome
+    }
+
+    fn note_fault(&self, target: &AttemptTarget, fault: &LinkError) {
+        let grade = match fault {
+            LinkError::Unreached(_) | LinkError::Late(_) => AnswerGrade::Dead,
+            LinkError::Cut(_) | LinkError::Malformed(_) => AnswerGrade::Bad,
+        };
+        self.grade(target.key, grade);
+        event!(self.node, AttemptFault;
+            "request" => self.call.id.as_str(), "endpoint" => target.instance.as_str(),
+            "fault" => fault.to_string());
+    }
+
+    pub(crate) fn grade(&self, key: EndpointKey, grade: AnswerGrade) {
+        let now = self.node.clock.now();
+        if let Some(fact) = self.node.endpoints.borrow_mut().get_mut(key) {
+            fact.health.note(grade, now);
+        }
+    }
+}
--- a/crates/front/src/discover.rs
+++ b/crates/front/src/discover.rs
@@ -4,6 +4,7 @@
 //! card to the store when it starts, and reads the others'. Nobody writes there again: who lives is
 //! known from the reports.
 
+use crate::events::event;
 use crate::node::FrontNode;
 use bytes::Bytes;
 use oleander_kind::{InstanceId, TimeSpan};
@@ -39,7 +40,7 @@
 {
     let mut pause = FIRST_PAUSE;
     while let Err(fault) = act().await {
-        slog::debug!(node.log, "the members' cards are out of reach"; "fault" => fault.to_string());
+        event!(node, MemberFault; "fault" => fault.to_string());
         let jitter = TimeSpan(pause.0 / 2 + node.random() % (pause.0 / 2 + 1));
         actix_rt::time::sleep(jitter.duration()).await;
         pause = TimeSpan(pause.0 * 2).min(LONGEST_PAUSE);
@@ -65,7 +66,7 @@
     let cards = list_cards(node).await?;
     let now = node.clock.now();
     let mut mesh = node.mesh.borrow_mut();
-    slog::info!(node.log, "the members' cards are read"; "cards" => cards.len());
+    event!(node, MembersRead; "cards" => cards.len());
     cards.into_iter().for_each(|card| mesh.view.take(card, false, now));
     Ok(())
 }
@@ -77,7 +78,7 @@
         match serde_json::from_slice(&object.body) {
             Ok(card) => cards.push(card),
             Err(fault) => {
-                slog::warn!(node.log, "a member's card cannot be read";
+                event!(node, MemberFault;
                     "member" => object.name.as_str(), "fault" => fault.to_string());
             }
         }
@@ -88,7 +89,7 @@
 /// Removes the cards of members that were unknown at two looks in a row.
 async fn sweep_cards(node: &FrontNode, missing: &mut BTreeSet<InstanceId>) {
     let Ok(cards) = list_cards(node).await else {
-        slog::info!(node.log, "old cards of members were not removed now");
+        event!(node, MemberFault; "fault" => "old cards were not removed now");
         return;
     };
     let known: BTreeSet<InstanceId> =
@@ -97,7 +98,7 @@
         cards.into_iter().map(|card| card.id).filter(|id| !known.contains(id)).collect();
     for id in unknown.intersection(missing) {
         let removed = node.store.remove(FeedKind::Members, id.as_str()).await;
-        slog::info!(node.log, "an old card was removed";
+        event!(node, MemberRemoved;
             "member" => id.as_str(), "done" => removed.is_ok());
     }
     *missing = unknown;
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -4,41 +4,27 @@
 //! into [`AttemptEnd`]s.
 
 use crate::answer::{AnswerStage, AnswerWriter};
+use crate::events::event;
 use crate::ingress::CallerRequest;
 use crate::mesh::pool_limit;
 use crate::node::FrontNode;
-use crate::work::WorkGuard;
-use crate::{stream, whole};
 use actix_http::header::HeaderMap;
-use actix_http::{RequestHead, ResponseHead, StatusCode, Version};
+use actix_http::{RequestHead, StatusCode};
 use bytes::Bytes;
+use compact_str::CompactString;
 use oleander_board::StopStage;
 use oleander_call::{
-    AccountRule, AnswerMark, AnswerShape, AttemptEnd, AttemptRecord, AttemptStamp, CallHead,
-    NextStep, RepeatRule, RouteKey, RouteRule, RuleSet, RuleView, TokenCount, admit_call,
+    AccountRule, AttemptEnd, AttemptRecord, CallHead, NextStep, RouteKey, RouteRule, RuleSet,
+    RuleView, TokenCount, admit_call,
 };
-use oleander_kind::endpoint::EndpointStage;
 use oleander_kind::hash::{HASH_START, mix_bits, stable_hash};
 use oleander_kind::{AccountName, InstanceId, ResultCode, ServiceName, TimeSpan};
 use oleander_limit::LimitVerdict;
-use oleander_outlet::{IdleLink, LinkError, SentLink, SocketBounds};
 use oleander_place::{AnswerGrade, EndpointKey, PlaceAsk, PlaceChoice, choose_endpoint};
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
-/// Time to make a connection to an endpoint: a lost opening packet is sent again after a second,
-/// and by then another endpoint has answered.
-const CONNECT_LIMIT: Duration = Duration::from_millis(400);
-/// How long an idle connection to an endpoint is kept if the endpoint does not say.
-const IDLE_KEPT: Duration = Duration::from_millis(2000);
-/// The part of an endpoint's own idle time that is used, so that it does not close a connection
-/// while a request is on its way on it.
-const IDLE_PART: f64 = 0.6;
-/// The most idle connections to one endpoint.
-const IDLE_MOST: usize = 32;
 /// When a caller that was refused for want of an endpoint may come back: a lost endpoint is replaced
 /// or found again within about this time.
 const RETURN_TIME: TimeSpan = TimeSpan(300);
@@ -81,34 +67,133 @@
     pub deadline: Instant,
     /// The last event that its caller has.
     pub last_event: Option<u64>,
-    rules: Rc<RuleSet>,
-    route: RouteKey,
-    service: ServiceName,
-    account: Option<AccountName>,
-    rank: u8,
-    request: RequestHead,
-    body: Bytes,
-    record: AttemptRecord,
-    tried: Vec<EndpointKey>,
-    current: Option<EndpointKey>,
+    pub(crate) rules: Rc<RuleSet>,
+    pub(crate) route: RouteKey,
+    pub(crate) service: ServiceName,
+    pub(crate) account: Option<AccountName>,
+    pub(crate) rank: u8,
+    pub(crate) request: RequestHead,
+    pub(crate) body: Bytes,
+    pub(crate) record: AttemptRecord,
+    pub(crate) tried: Vec<EndpointKey>,
+    pub(crate) current: Option<EndpointKey>,
+    /// The endpoint of the last attempt.
+    pub(crate) endpoint: Option<InstanceId>,
+    /// When the first part of an answer reached this process.
+    pub(crate) first_at: Option<Instant>,
 }
 
-/// Answers one request.
+/// What is told of a request once it is over.
+struct CallTrace {
+    arrived: Instant,
+    request: CompactString,
+    service: CompactString,
+    rules: u64,
+    fresh: bool,
+    sent: u32,
+    may_have_run: bool,
+    endpoint: Option<InstanceId>,
+    last_event: Option<u64>,
+    first_ms: Option<u64>,
+}
+
+impl CallTrace {
+    fn new() -> Self {
+        CallTrace {
+            arrived: Instant::now(),
+            request: CompactString::default(),
+            service: CompactString::default(),
+            rules: 0,
+            fresh: false,
+            sent: 0,
+            may_have_run: false,
+            endpoint: None,
+            last_event: None,
+            first_ms: None,
+        }
+    }
+
+    /// Writes the request's line and counts it.
+    fn tell(&self, node: &FrontNode, answer: &AnswerWriter<'_>, outcome: &CallOutcome) {
+        let total_ms = self.arrived.elapsed().as_millis() as u64;
+        let request = self.request.as_str();
+        let code = answer.code().map_or(0, ResultCode::number);
+        node.meter.count_request(&self.service, code, total_ms as f64);
+        if let Some(ms) = self.first_ms {
+            node.meter.note_first(&self.service, ms as f64);
+        }
+        let endpoint = self.endpoint.as_ref().map(|id| id.as_str());
+        match (outcome, answer.code()) {
+            (Err(fault), _) => event!(node, RequestCut;
+                "request" => request, "service" => self.service.as_str(),
+                "why" => fault.to_string(), "status" => answer.status(), "sent" => self.sent,
+                "endpoint" => endpoint, "last_event" => self.last_event, "total_ms" => total_ms,
+                "rules" => self.rules),
+            (Ok(()), Some(code)) => event!(node, RequestRefused;
+                "request" => request, "service" => self.service.as_str(),
+                "code" => code.number(), "name" => code.name(), "status" => code.status(),
+                "sent" => self.sent, "may_have_run" => self.may_have_run,
+                "endpoint" => endpoint, "total_ms" => total_ms, "rules" => self.rules,
+                "fresh" => self.fresh),
+            (Ok(()), None) => event!(node, RequestDone;
+                "request" => request, "service" => self.service.as_str(),
+                "status" => answer.status(), "sent" => self.sent, "endpoint" => endpoint,
+                "first_ms" => self.first_ms, "total_ms" => total_ms, "rules" => self.rules),
+        }
+    }
+}
+
+/// Answers one request, and tells of it.
 ///
 /// # Errors
 /// If the connection to the caller must be closed.
 pub async fn serve_call(
+    node: &Rc<FrontNode>,
+    request: CallerRequest,
+    answer: &mut AnswerWriter<'_>,
+) -> CallOutcome {
+    let mut trace = TraceGuard { node: node.clone(), trace: CallTrace::new(), told: false };
+    let outcome = answer_call(node, request, answer, &mut trace.trace).await;
+    trace.trace.tell(node, answer, &outcome);
+    trace.told = true;
+    outcome
+}
+
+/// Tells of a request whose caller left: its task ends without another word.
+struct TraceGuard {
+    node: Rc<FrontNode>,
+    trace: CallTrace,
+    told: bool,
+}
+
+impl Drop for TraceGuard {
+    fn drop(&mut self) {
+        if self.told {
+            return;
+        }
+        let total_ms = self.trace.arrived.elapsed().as_millis() as u64;
+        event!(self.node, RequestCut;
+            "request" => self.trace.request.as_str(), "service" => self.trace.service.as_str(),
+            "why" => "the caller left", "sent" => self.trace.sent, "total_ms" => total_ms);
+    }
+}
+
+async fn answer_call(
     node: &Rc<FrontNode>,
     mut request: CallerRequest,
     answer: &mut AnswerWriter<'_>,
+    trace: &mut CallTrace,
 ) -> CallOutcome {
-    let arrived = Instant::now();
+    let arrived = trace.arrived;
     let call = match node.dialect.read_call(&request.head) {
         Ok(call) => call,
         Err(code) => return answer.refuse(code, None).await,
     };
+    trace.request = call.id.clone();
     let rules = node.current_rules();
     let view = RuleView { rules: rules.as_deref(), fresh: node.rules_are_fresh() };
+    trace.rules = node.rules.borrow().version();
+    trace.fresh = view.fresh;
     let admitted = match admit_call(view, &call) {
         Ok(admitted) => admitted,
         Err(code) => return answer.refuse(code, return_time(code)).await,
@@ -125,6 +210,7 @@
     let Some(service) = route.service_for(call_salt(&call)).cloned() else {
         return answer.refuse(ResultCode::NoEndpoint, Some(RETURN_TIME)).await;
     };
+    trace.service = service.0.clone();
     let account = admitted.account.map(|key| rules.account(key));
     if let Some(account) = account
         && let Some(retry) = over_limit(node, account, &call)
@@ -150,11 +236,15 @@
         body: request.body,
         tried: Vec::new(),
         current: None,
+        endpoint: None,
+        first_at: None,
     };
-    match timeout_at(run.deadline, run.run()).await {
+    let outcome = match timeout_at(run.deadline, run.run()).await {
         Ok(outcome) => outcome,
         Err(_) => run.expire().await,
-    }
+    };
+    run.note_trace(trace);
+    outcome
 }
 
 /// When a request beyond its account's limit may come back; none if it is within.
@@ -165,7 +255,7 @@
     match node.limits.borrow_mut().admit(&account.name, &limit, tokens, at) {
         LimitVerdict::Pass => None,
         LimitVerdict::Refuse { retry_ms } => {
-            slog::debug!(node.log, "a request is over its account's limit";
+            event!(node, RequestOverLimit;
                 "request" => call.id.as_str(), "account" => account.name.as_str(),
                 "tokens" => tokens, "retry_ms" => retry_ms, "limit" => format!("{limit:?}"));
             Some(TimeSpan(retry_ms))
@@ -182,19 +272,21 @@
     mix_bits(stable_hash(HASH_START, call.id.as_bytes()))
 }
 
-/// What an attempt needs to know of its endpoint.
-struct AttemptTarget {
-    key: EndpointKey,
-    instance: InstanceId,
-    address: SocketAddr,
-}
-
 impl CallRun<'_, '_> {
     /// The request's route.
     pub fn route(&self) -> &RouteRule {
         self.rules.route(self.route)
     }
 
+    fn note_trace(&self, trace: &mut CallTrace) {
+        trace.sent = self.record.sent() + u32::from(self.first_at.is_some());
+        trace.may_have_run = self.record.may_have_run() || self.current.is_some();
+        trace.endpoint = self.endpoint.clone();
+        trace.last_event = self.last_event;
+        trace.first_ms =
+            self.first_at.map(|at| at.duration_since(trace.arrived).as_millis() as u64);
+    }
+
     async fn run(&mut self) -> CallOutcome {
         loop {
             let Some(choice) = self.choose() else {
@@ -218,6 +310,12 @@
         let again = self.record.may_send()
             && self.choose().is_some()
             && (self.record.sent() == 0 || self.node.spend_retry(&self.service));
+        self.node.meter.count_attempt(end.name());
+        event!(self.node, AttemptEnded;
+            "request" => self.call.id.as_str(),
+            "endpoint" => self.endpoint.as_ref().map(|id| id.as_str()),
+            "end" => end.name(), "sent" => self.record.sent(), "last_event" => self.last_event,
+            "again" => again);
         match (self.record.next_step(end, again), own) {
             (NextStep::SendAgain, _) => None,
             (NextStep::PassOn, Some(own)) if self.answer.stage() == AnswerStage::Waiting => {
@@ -267,226 +365,7 @@
         choose_endpoint(&self.node.endpoints.borrow(), &self.node.prefixes.borrow(), &ask)
     }
 
-    fn is_engine(&self) -> bool {
+    pub(crate) fn is_engine(&self) -> bool {
         self.rules.service(&self.service).is_some_and(|service| service.engine.is_some())
     }
-
-    async fn attempt(&mut self, choice: PlaceChoice) -> AttemptOutcome {
-        let Some(target) = self.target(choice.key) else {
-            return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
-        };
-        self.current = Some(target.key);
-        self.note_demand(&choice);
-        let mut work = WorkGuard::begin(self.node, target.key, choice.unread);
-        let outcome = self.attempt_at(&target, &mut work).await;
-        self.current = None;
-        outcome
-    }
-
-    fn note_demand(&self, choice: &PlaceChoice) {
-        let first = self.record.sent() == 0;
-        let answer = self.call.tokens.map_or(0, |tokens| tokens.answer);
-        let guess = self.call.length_hint.unwrap_or(answer).min(answer.max(1));
-        self.node.note_demand(&self.service, |demand| {
-            demand.requests += u64::from(first);
-            demand.unread_tokens += choice.unread;
-            demand.answer_tokens += guess;
-        });
-    }
-
-    /// Notes that the request began to run at its endpoint `ago`.
-    pub fn note_began(&self, ago: Duration) {
-        if let Some(account) = &self.account {
-            self.node.note_usage(account, TimeSpan(ago.as_millis() as u64));
-        }
-    }
-
-    fn target(&self, key: EndpointKey) -> Option<AttemptTarget> {
-        let board = self.node.endpoints.borrow();
-        let entry = &board.get(key)?.entry;
-        let usable = entry.stage == EndpointStage::Live;
-        let instance = entry.instance.clone();
-        usable.then_some(AttemptTarget { key, instance, address: entry.address })
-    }
-
-    async fn attempt_at(&mut self, target: &AttemptTarget, work: &mut WorkGuard) -> AttemptOutcome {
-        let (mut sent, reused) = match self.send(target).await {
-            Ok(sent) => sent,
-            Err(fault) => {
-                self.note_fault(target, &fault);
-                self.tried.push(target.key);
-                return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
-            }
-        };
-        let limit = self.first_limit();
-        let sent_at = Instant::now();
-        match self.read_own_head(&mut sent, limit).await {
-            Ok((sent, head, mark)) => {
-                if !mark.not_run && self.route().shape == AnswerShape::Whole {
-                    self.note_began(sent_at.elapsed());
-                }
-                self.take_answer(target, work, sent, (head, mark)).await
-            }
-            Err(fault) => {
-                let byte_left = sent.is_none_or(|sent| sent.byte_left());
-                let end = match fault {
-                    _ if !byte_left => AttemptEnd::NotSent,
-                    LinkError::Late(_) => AttemptEnd::Silent,
-                    _ => AttemptEnd::Broken,
-                };
-                // A kept connection that ends at once was most likely closed for its age.
-                if !reused || end == AttemptEnd::Silent {
-                    self.note_fault(target, &fault);
-                }
-                if reused && end == AttemptEnd::Silent {
-                    // Kept connections fall silent together, when what lies between forgets them.
-                    self.node.pool.borrow_mut().clear();
-                }
-                if end != AttemptEnd::NotSent || !reused {
-                    self.tried.push(target.key);
-                }
-                AttemptOutcome::Ended(end, None)
-            }
-        }
-    }
-
-    async fn send(
-        &mut self,
-        target: &AttemptTarget,
-    ) -> oleander_outlet::Result<(Option<SentLink>, bool)> {
-        let kept = self.node.pool.borrow_mut().take(&target.instance);
-        let reused = kept.is_some();
-        let link = match kept {
-            Some(link) => link,
-            None => IdleLink::open(target.address, CONNECT_LIMIT, SocketBounds::default()).await?,
-        };
-        let head = self.request_head(target);
-        let sent = link.send(&self.node.http, head, self.body.clone())?;
-        if !self.call.parts.is_empty() {
-            let now = self.node.clock.now();
-            self.node.prefixes.borrow_mut().note(&self.call.parts, target.key, now);
-        }
-        Ok((Some(sent), reused))
-    }
-
-    fn request_head(&self, target: &AttemptTarget) -> RequestHead {
-        let mut head = RequestHead::default();
-        head.method = self.request.method.clone();
-        head.uri = self.request.uri.clone();
-        head.version = Version::HTTP_11;
-        head.headers = self.request.headers.clone();
-        let stamp = AttemptStamp {
-            instance: target.instance.clone(),
-            account: self.account.clone(),
-            left: self.left(),
-            last_event: self.last_event,
-            rank: self.is_engine().then_some(self.rank),
-        };
-        self.node.dialect.stamp_request(&mut head.headers, &stamp);
-        head
-    }
-
-    fn left(&self) -> TimeSpan {
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        TimeSpan(left.as_millis() as u64)
-    }
-
-    /// Until when an endpoint may be silent before its answer begins.
-    ///
-    /// Where another attempt is allowed, an endpoint that hangs is given up after a few times the
-    /// objective: late for this caller, but in time to be served. Where none is, waiting costs
-    /// nothing and the answer may still come.
-    pub fn first_limit(&self) -> Instant {
-        /// Times the objective; a queue of that length is no sign of a dead endpoint yet.
-        const PATIENCE: u32 = 3;
-        let route = self.route();
-        let last = self.record.sent() + 1 >= route.most_attempts;
-        if last || route.repeat == RepeatRule::Once {
-            return self.deadline;
-        }
-        self.deadline.min(Instant::now() + route.objective.duration() * PATIENCE)
-    }
-
-    /// Reads heads until one belongs to this request. `slot` is empty after an error that used the
-    /// link up.
-    async fn read_own_head(
-        &mut self,
-        slot: &mut Option<SentLink>,
-        limit: Instant,
-    ) -> oleander_outlet::Result<(SentLink, ResponseHead, AnswerMark)> {
-        /// Foreign answers that are read away; an endpoint that sends more is broken.
-        const MOST_FOREIGN: u32 = 2;
-        let late = |_| LinkError::Late(Duration::ZERO);
-        let spent = || LinkError::Malformed("answers to other requests".to_owned());
-        for _ in 0..=MOST_FOREIGN {
-            let sent = slot.as_mut().ok_or_else(spent)?;
-            let head = timeout_at(limit, sent.read_head()).await.map_err(late)??;
-            let mark = self.node.dialect.read_answer(&head);
-            let sent = slot.take().ok_or_else(spent)?;
-            if mark.belongs_to(&self.call.id) {
-                return Ok((sent, head, mark));
-            }
-            let mut foreign = sent.into_body(&head);
-            let reading = async {
-                while foreign.next().await?.is_some() {}
-                Ok(())
-            };
-            timeout_at(limit, reading).await.map_err(late)??;
-            *slot = foreign.into_waiting(&self.node.http);
-        }
-        Err(spent())
-    }
-
-    async fn take_answer(
-        &mut self,
-        target: &AttemptTarget,
-        work: &mut WorkGuard,
-        sent: SentLink,
-        (head, mark): (ResponseHead, AnswerMark),
-    ) -> AttemptOutcome {
-        let events = self.route().shape == AnswerShape::Events && mark.is_success();
-        if !mark.is_sound(&self.call.id) {
-            self.tried.push(target.key);
-            self.grade(target.key, AnswerGrade::Bad);
-            return AttemptOutcome::Ended(AttemptEnd::Broken, None);
-        }
-        let body = sent.into_body(&head);
-        let (outcome, link) = if events {
-            stream::pass_events(self, body, head, work).await
-        } else {
-            whole::pass_whole(self, body, head, &mark).await
-        };
-        match &outcome {
-            AttemptOutcome::Delivered => self.grade(target.key, AnswerGrade::Good),
-            AttemptOutcome::CallerGone => {}
-            AttemptOutcome::Ended(..) => {
-                self.tried.push(target.key);
-                self.grade(target.key, AnswerGrade::Bad);
-            }
-        }
-        if let Some(link) = link {
-            let said = mark.keeps_idle.map(|span| span.duration().mul_f64(IDLE_PART));
-            let keep = said.unwrap_or(IDLE_KEPT);
-            self.node.pool.borrow_mut().put(&target.instance, link, keep, IDLE_MOST);
-        }
-        outcome
-    }
-
-    fn note_fault(&self, target: &AttemptTarget, fault: &LinkError) {
-        let grade = match fault {
-            LinkError::Unreached(_) | LinkError::Late(_) => AnswerGrade::Dead,
-            LinkError::Cut(_) | LinkError::Malformed(_) => AnswerGrade::Bad,
-        };
-        self.grade(target.key, grade);
-        slog::debug!(self.node.log, "an attempt failed";
-            "request" => self.call.id.as_str(), "endpoint" => target.instance.as_str(),
-            "fault" => fault.to_string());
-    }
-
-    fn grade(&self, key: EndpointKey, grade: AnswerGrade) {
-        let now = self.node.clock.now();
-        if let Some(fact) = self.node.endpoints.borrow_mut().get_mut(key) {
-            fact.health.note(grade, now);
-        }
-    }
 }
--- a/crates/front/src/duties.rs
+++ b/crates/front/src/duties.rs
@@ -1,5 +1,6 @@
 //! Control work: kept under one lease by the process that collects.
 
+use crate::events::event;
 use crate::node::FrontNode;
 use bytes::Bytes;
 use oleander_call::{EngineRule, RuleSet, ScaleRule};
@@ -130,7 +131,7 @@
     drop(keeper);
     let holds = lease.stamp(node).map(|stamp| stamp.fence);
     if held != holds.is_some() {
-        slog::info!(node.log, "the lease of the control work changed"; "fence" => holds);
+        event!(node, LeaseChanged; "fence" => holds);
     }
 }
 
@@ -146,14 +147,14 @@
     match serde_json::from_slice::<LeaseRecord>(&object.body) {
         Ok(record) => LeaseSaid::Read(Some((object.revision, record))),
         Err(fault) => {
-            slog::error!(node.log, "the lease cannot be read"; "fault" => fault.to_string());
+            event!(node, LeaseFault; "fault" => fault.to_string());
             LeaseSaid::NotDone
         }
     }
 }
 
 fn not_done(node: &FrontNode, fault: &PlatError) -> LeaseSaid {
-    slog::info!(node.log, "a call for the lease failed"; "fault" => fault.to_string());
+    event!(node, LeaseFault; "fault" => fault.to_string());
     if fault.may_have_happened() { LeaseSaid::Unknown } else { LeaseSaid::NotDone }
 }
 
@@ -171,7 +172,7 @@
     match serde_json::to_vec(value) {
         Ok(text) => Some(Bytes::from(text)),
         Err(fault) => {
-            slog::error!(node.log, "a record cannot be written"; "fault" => fault.to_string());
+            event!(node, InternalFault; "fault" => fault.to_string());
             None
         }
     }
@@ -263,17 +264,20 @@
     let report = UsageReport { window, counts: fixed.counts };
     match cloud.report_usage(stamp, &report).await {
         Ok(DutyAnswer::Done) => {
-            slog::info!(node.log, "usage is reported"; "window" => window,
+            node.meter.count_usage(true);
+            event!(node, UsageReported; "window" => window,
                 "requests" => report.counts.values().sum::<u64>());
             true
         }
         Ok(DutyAnswer::Refused(words)) => {
-            slog::warn!(node.log, "a usage report was refused";
+            node.meter.count_usage(false);
+            event!(node, UsageFault;
                 "window" => window, "fence" => stamp.fence, "words" => words);
             false
         }
         Err(fault) => {
-            slog::info!(node.log, "a usage report failed";
+            node.meter.count_usage(false);
+            event!(node, UsageFault;
                 "window" => window, "fault" => fault.to_string());
             false
         }
@@ -307,7 +311,7 @@
             }
             Ok(FeedWrite::Refused(None)) => guard = FeedGuard::Absent,
             Err(fault) => {
-                slog::info!(node.log, "a usage report was not fixed";
+                event!(node, UsageFault;
                     "window" => report.window, "fault" => fault.to_string());
                 return None;
             }
@@ -469,7 +473,8 @@
         Ok(DutyAnswer::Done) => false,
         Ok(DutyAnswer::Refused(_)) | Err(_) => true,
     };
-    slog::info!(node.log, "endpoints were ordered";
+    node.meter.count_order(!refused);
+    event!(node, EndpointsOrdered;
         "service" => order.service.as_str(), "domain" => order.domain.as_str(),
         "market" => format!("{:?}", order.market), "count" => order.count,
         "fence" => stamp.fence, "answer" => format!("{answer:?}"));
--- /dev/null
+++ b/crates/front/src/events.rs
@@ -0,0 +1,153 @@
+//! Typed log events: one line for each decision that touches a request or changes what the process
+//! believes.
+//!
+//! Each kind has a budget of lines a second, so that an overload cannot flood the log; what was left
+//! out is counted and told. Lines go to the log library's own thread by a bounded queue: a reader
+//! that does not read loses lines, and the process never waits for it.
+
+use oleander_kind::{ClockTime, TimeSpan};
+use std::cell::RefCell;
+
+macro_rules! event_kinds {
+    ($($kind:ident = $name:literal, $budget:literal, $text:literal;)*) => {
+        /// What a log line tells of.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum EventKind {
+            $(#[doc = $text] $kind,)*
+        }
+
+        impl EventKind {
+            /// Every kind.
+            pub const ALL: &[EventKind] = &[$(EventKind::$kind),*];
+
+            /// The name, as the `msg` field has it.
+            pub fn name(self) -> &'static str {
+                match self { $(EventKind::$kind => $name,)* }
+            }
+
+            /// The most lines a second of one process.
+            pub fn budget(self) -> u32 {
+                match self { $(EventKind::$kind => $budget,)* }
+            }
+
+            /// What it means.
+            pub fn text(self) -> &'static str {
+                match self { $(EventKind::$kind => $text,)* }
+            }
+        }
+    };
+}
+
+// Requests have a few tens of lines a second each at the users' sizes of today (16 to 40 requests a
+// second at one process). Failures have more than successes. Changes of belief are rare; their
+// budgets only stop a loop.
+event_kinds! {
+    ProcessStarted = "process_started", 10, "the process listens: `listen`, `peer`";
+    ProcessLeaving = "process_leaving", 10, "a stop signal came: `in_flight` requests are left";
+    ProcessStopped = "process_stopped", 10, "all is answered, or the grace time is over: `left` requests were cut";
+    SettingsRead = "settings_read", 10, "changed settings are in force: `bounds`; or `told` to read them again";
+    SettingsFault = "settings_fault", 10, "settings cannot be used, the old ones stay: `fault`";
+    RequestDone = "request_done", 40, "a caller has its whole answer: `status`, `endpoint`, `sent` attempts, `first_ms`, `total_ms`, `rules` version";
+    RequestRefused = "request_refused", 60, "a request was refused or failed: `code`, `name`, `status`, `sent` attempts, `may_have_run`, `total_ms`, `rules` version and whether they were `fresh`";
+    RequestCut = "request_cut", 60, "an answer could not be finished, or its caller left: `why`, `sent`, `last_event`, `total_ms`";
+    RequestOverLimit = "request_over_limit", 30, "an account is at its limit: `account`, `tokens`, `retry_ms`";
+    AttemptEnded = "attempt_ended", 80, "an attempt brought no whole answer: `endpoint`, `end`, `sent` so far, `last_event` shown, `again` if another may be tried";
+    AttemptFault = "attempt_fault", 80, "a connection to an endpoint failed: `endpoint`, `fault`";
+    StreamResumed = "stream_resumed", 40, "a stream goes on at another endpoint: `endpoint`, `last_event`";
+    CallerFault = "caller_fault", 20, "a caller's connection could not be served: `fault`, or the `code` it was refused with";
+    FeedChanged = "feed_changed", 20, "the store was lost or is back: `feed`, `fresh`, `fault`";
+    FeedFault = "feed_fault", 10, "a call to the store failed: `feed`, `fault`";
+    RulesInForce = "rules_in_force", 40, "a newer version of the rules is in force: `version`";
+    RulesUnreadable = "rules_unreadable", 10, "rules cannot be read, the old ones stay: `fault`";
+    RosterFromPeer = "roster_from_peer", 20, "the endpoint list was taken from a peer: `as_of` revision";
+    EndpointStage = "endpoint_stage", 200, "an endpoint is new or changed its stage: `endpoint`, `service`, `domain`, `stage`, `market`, `revision`";
+    EndpointDoubted = "endpoint_doubted", 200, "the list lost an endpoint while the store was away; it is the last resort: `endpoint`";
+    EndpointGone = "endpoint_gone", 200, "an endpoint is gone: `endpoint`";
+    EndpointUnreadable = "endpoint_unreadable", 20, "an endpoint's entry cannot be read: `endpoint`, `fault`";
+    MembersRead = "members_read", 10, "the other processes were read from the store: `cards`";
+    MemberFault = "member_fault", 20, "a member, its card or a seed is out of reach: `member`, `fault`";
+    MemberRemoved = "member_removed", 20, "the card of a process that is gone was removed: `member`, `done`";
+    CollectorChosen = "collector_chosen", 20, "this process goes by another collector: `collector`, `sent` there by one that was asked";
+    CollectorSilent = "collector_silent", 20, "the collector did not answer: `collector`";
+    CollectingBegan = "collecting_began", 20, "this process collects: `members`";
+    CollectingEnded = "collecting_ended", 20, "nobody reports here any more";
+    TurnedAway = "turned_away", 20, "whether the store serves others but not this process: `so`";
+    LeaseChanged = "lease_changed", 20, "the lease of the control work was taken or lost: `fence`";
+    LeaseFault = "lease_fault", 10, "a call for the lease failed: `fault`";
+    UsageReported = "usage_reported", 20, "a window's usage was taken: `window`, `requests`";
+    UsageFault = "usage_fault", 20, "a usage report failed and is tried again: `window`, `fault`";
+    EndpointsOrdered = "endpoints_ordered", 40, "replicas were ordered: `service`, `domain`, `market`, `count`, `needed`, `fence`, `answer`";
+    InternalFault = "internal_fault", 20, "something that should not happen: `fault`";
+    LinesLeftOut = "lines_left_out", 10, "lines of a kind were left out in the last second: `kind`, `count`";
+}
+
+/// The second in which a kind is counted.
+const SECOND: TimeSpan = TimeSpan(1000);
+
+#[derive(Clone, Copy, Debug, Default)]
+struct KindCount {
+    since: ClockTime,
+    written: u32,
+    left_out: u32,
+}
+
+/// Counts lines of each kind.
+#[derive(Debug)]
+pub struct EventBudget {
+    counts: RefCell<Vec<KindCount>>,
+}
+
+impl Default for EventBudget {
+    fn default() -> Self {
+        EventBudget { counts: RefCell::new(vec![KindCount::default(); EventKind::ALL.len()]) }
+    }
+}
+
+impl EventBudget {
+    /// Whether a line of `kind` may be written at `now`; and, at the first line of a new second, how
+    /// many were left out in the last one.
+    pub fn take(&self, kind: EventKind, now: ClockTime) -> (bool, Option<u32>) {
+        let mut counts = self.counts.borrow_mut();
+        let count = &mut counts[kind as usize];
+        let mut left_out = None;
+        if now - count.since >= SECOND {
+            left_out = (count.left_out > 0).then_some(count.left_out);
+            *count = KindCount { since: now, ..KindCount::default() };
+        }
+        if count.written >= kind.budget() {
+            count.left_out += 1;
+            return (false, left_out);
+        }
+        count.written += 1;
+        (true, left_out)
+    }
+}
+
+/// All kinds as a Markdown table: docs/EVENTS.md is made from it.
+pub fn event_table() -> String {
+    let mut table =
+        String::from("| event | lines a second | meaning and fields |\n|---|---|---|\n");
+    for kind in EventKind::ALL {
+        table.push_str(&format!("| `{}` | {} | {} |\n", kind.name(), kind.budget(), kind.text()));
+    }
+    table
+}
+
+/// Writes a line of a kind, within its budget.
+macro_rules! event {
+    ($node:expr, $kind:ident) => {
+        event!($node, $kind;)
+    };
+    ($node:expr, $kind:ident; $($fields:tt)*) => {{
+        let kind = $crate::events::EventKind::$kind;
+        let (write, left_out) = $node.events.take(kind, $node.clock.now());
+        if let Some(count) = left_out {
+            slog::info!($node.log, "{}", $crate::events::EventKind::LinesLeftOut.name();
+                "kind" => kind.name(), "count" => count);
+        }
+        if write {
+            slog::info!($node.log, "{}", kind.name(); $($fields)*);
+        }
+    }};
+}
+pub(crate) use event;
--- a/crates/front/src/feeds.rs
+++ b/crates/front/src/feeds.rs
@@ -1,5 +1,6 @@
 //! Follows the store's feeds of rules and endpoints.
 
+use crate::events::event;
 use crate::mesh;
 use crate::node::{FeedState, FrontNode};
 use compact_str::CompactString;
@@ -136,11 +137,12 @@
     };
     state.set(now);
     if let Some(fault) = fault {
-        slog::debug!(node.log, "the store did not answer";
+        node.meter.count_store_fault(kind.name());
+        event!(node, FeedFault;
             "feed" => format!("{kind:?}"), "fault" => fault.to_string());
     }
     if was.lost_since.is_some() != now.lost_since.is_some() || was.known_since != now.known_since {
-        slog::info!(node.log, "a feed of the store changed";
+        event!(node, FeedChanged;
             "feed" => format!("{kind:?}"), "fresh" => now.is_fresh(),
             "fault" => fault.map(ToString::to_string));
     }
@@ -156,11 +158,11 @@
             let version = rules.version();
             if node.rules.borrow_mut().offer(rules) {
                 *node.rules_text.borrow_mut() = Some(object.clone());
-                slog::info!(node.log, "rules are in force"; "version" => version);
+                event!(node, RulesInForce; "version" => version);
             }
         }
         Err(fault) => {
-            slog::error!(node.log, "rules cannot be read"; "fault" => fault);
+            event!(node, RulesUnreadable; "fault" => fault);
         }
     }
 }
@@ -229,7 +231,7 @@
     if (state.is_some() && known.is_fresh()) || (state.is_none() && older) {
         return;
     }
-    slog::info!(node.log, "the endpoint list comes from a peer"; "as_of" => page.as_of);
+    event!(node, RosterFromPeer; "as_of" => page.as_of);
     let now = node.clock.now();
     node.endpoints_feed.set(FeedState { known_since: known.known_since.or(Some(now)), ..known });
     take_list(node, page, if news.settled { MissingMeans::Gone } else { MissingMeans::Doubt });
@@ -317,7 +319,7 @@
             let mut board = node.endpoints.borrow_mut();
             let was = board.key(&entry.instance).and_then(|key| board.get(key));
             if was.is_none_or(|fact| fact.entry.stage != entry.stage) {
-                slog::info!(node.log, "an endpoint's stage";
+                event!(node, EndpointStage;
                     "endpoint" => entry.instance.as_str(), "service" => entry.service.as_str(),
                     "domain" => entry.domain.as_str(), "stage" => format!("{:?}", entry.stage),
                     "market" => format!("{:?}", entry.market), "revision" => object.revision);
@@ -325,7 +327,7 @@
             board.put(entry);
         }
         Err(fault) => {
-            slog::warn!(node.log, "an endpoint's entry cannot be read";
+            event!(node, EndpointUnreadable;
                 "endpoint" => object.name.as_str(), "fault" => fault);
         }
     }
@@ -356,7 +358,7 @@
         && let Some(fact) = board.get_mut(key)
     {
         fact.doubted = true;
-        slog::info!(node.log, "an endpoint is doubted"; "endpoint" => name.as_str());
+        event!(node, EndpointDoubted; "endpoint" => name.as_str());
     }
 }
 
@@ -382,6 +384,6 @@
         roster.note_change(FeedEvent::Gone(name.clone()));
     }
     if node.endpoints.borrow_mut().remove(&name.as_str().into()).is_some() {
-        slog::info!(node.log, "an endpoint is gone"; "endpoint" => name.as_str());
+        event!(node, EndpointGone; "endpoint" => name.as_str());
     }
 }
--- a/crates/front/src/ingress.rs
+++ b/crates/front/src/ingress.rs
@@ -6,6 +6,7 @@
 
 use crate::answer::AnswerWriter;
 use crate::drive::serve_call;
+use crate::events::event;
 use crate::node::FrontNode;
 use actix_codec::Decoder;
 use actix_http::error::ParseError;
@@ -52,7 +53,7 @@
             }
             Err(fault) => {
                 // Out of descriptors, most likely; those in use are given back within moments.
-                slog::warn!(node.log, "a caller was not accepted"; "fault" => fault.to_string());
+                event!(node, CallerFault; "fault" => fault.to_string());
                 actix_rt::time::sleep(Duration::from_millis(20)).await;
             }
         }
@@ -67,7 +68,7 @@
 
 async fn serve_caller(node: Rc<FrontNode>, mut stream: TcpStream) {
     if let Err(fault) = tune_socket(&stream, SocketBounds::default()) {
-        slog::debug!(node.log, "a caller's socket"; "fault" => fault.to_string());
+        event!(node, CallerFault; "fault" => fault.to_string());
     }
     let mut codec = Codec::new(node.http.config().clone());
     let mut buffer = BytesMut::new();
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -3,13 +3,17 @@
 //! It carries out what the decision crates say and hands back what the outside said. It knows the
 //! platform only through [`PlatformDialect`] and the store's port; names and formats lie behind them.
 
+pub mod admin;
 pub mod answer;
+pub mod attempt;
 pub mod discover;
 pub mod drive;
 pub mod duties;
+pub mod events;
 pub mod feeds;
 pub mod ingress;
 pub mod mesh;
+pub mod meter;
 pub mod node;
 pub mod port;
 pub mod process;
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -1,5 +1,6 @@
 //! Reports to the collector, takes its digests, and collects when it is this process's turn.
 
+use crate::events::event;
 use crate::feeds;
 use crate::node::{FeedState, FrontNode};
 use actix::Addr;
@@ -160,7 +161,7 @@
     if mesh.collector.is_none() {
         let windows = node.limits.borrow().known_windows(now);
         mesh.collector = Some(MeshCollector::begin(windows, now));
-        slog::info!(node.log, "this process collects"; "members" => mesh.view.serving());
+        event!(node, CollectingBegan; "members" => mesh.view.serving());
     }
     let facts = CollectorFacts {
         rules: rules.as_deref(),
@@ -263,7 +264,7 @@
     let unfit = mesh.view.me().unfit && since.is_some()
         || since.is_some_and(|since| now - since > TURNED_AWAY);
     if unfit != mesh.view.me().unfit {
-        slog::info!(node.log, "the store serves others but not this process"; "so" => unfit);
+        event!(node, TurnedAway; "so" => unfit);
         mesh.view.set_unfit(unfit);
     }
 }
@@ -282,7 +283,7 @@
             let before = mesh.view.chosen().cloned();
             let card = mesh.view.choose_collector(true_now, now);
             if before.as_ref() != Some(&card.id) {
-                slog::info!(node.log, "goes by another collector"; "collector" => card.id.as_str());
+                event!(node, CollectorChosen; "collector" => card.id.as_str());
             }
             card
         };
@@ -311,7 +312,7 @@
     if heard.is_some_and(|at| now - at > UNUSED) {
         let usage = mesh.collector.take().map(|ended| ended.usage()).unwrap_or_default();
         mesh.heritage = Some((usage, now));
-        slog::info!(node.log, "this process no longer collects");
+        event!(node, CollectingEnded);
     }
 }
 
@@ -335,11 +336,11 @@
             }
             Ok(Ok(_)) => {}
             Ok(Err(fault)) => {
-                slog::debug!(node.log, "a seed did not answer"; "fault" => fault.to_string());
+                event!(node, MemberFault; "fault" => fault.to_string());
                 hub.do_send(ForgetPeer(address));
             }
             Err(fault) => {
-                slog::error!(node.log, "the links are gone"; "fault" => fault.to_string());
+                event!(node, InternalFault; "fault" => fault.to_string());
             }
         }
     }
@@ -358,7 +359,7 @@
         outcome = call_address(node, hub, collector.address, again).await;
     }
     if outcome == CallOutcome::Failed {
-        slog::info!(node.log, "a collector did not answer"; "peer" => collector.id.as_str());
+        event!(node, CollectorSilent; "collector" => collector.id.as_str());
         node.mesh.borrow_mut().view.shun(&collector.id, node.clock.now());
     }
     outcome == CallOutcome::Taken
@@ -398,7 +399,7 @@
             let mut mesh = node.mesh.borrow_mut();
             let now = node.clock.now();
             let true_now = mesh.clock.read(now, node.clock.wall());
-            slog::info!(node.log, "is sent to another collector"; "collector" => card.id.as_str());
+            event!(node, CollectorChosen; "collector" => card.id.as_str(), "sent" => true);
             mesh.view.follow(card, true_now, now);
             CallOutcome::Elsewhere
         }
@@ -406,7 +407,7 @@
             CallOutcome::Failed
         }
         Ok(Err(fault)) => {
-            slog::debug!(node.log, "a peer did not answer"; "fault" => fault.to_string());
+            event!(node, MemberFault; "fault" => fault.to_string());
             hub.do_send(ForgetPeer(address));
             CallOutcome::Failed
         }
--- /dev/null
+++ b/crates/front/src/meter.rs
@@ -0,0 +1,98 @@
+//! Counters and latency histograms of a front process.
+//!
+//! Labels are services, result codes and kinds of ends: bounded by the rules in force and by the
+//! tables of this project. Accounts and endpoints are in the log, not here.
+
+use oleander_board::meter::MeterBase;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram};
+
+/// Upper bounds of latency buckets, in milliseconds: around the objectives of today's routes (100,
+/// 500 and 800 ms) and their timeouts.
+const LATENCY_BOUNDS: [f64; 13] =
+    [5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 350.0, 500.0, 800.0, 1500.0, 3000.0, 7000.0, 15_000.0];
+
+/// The instruments.
+pub struct FrontMeter {
+    base: MeterBase,
+    requests: Counter<u64>,
+    attempts: Counter<u64>,
+    resumes: Counter<u64>,
+    unread_tokens: Counter<u64>,
+    store_faults: Counter<u64>,
+    orders: Counter<u64>,
+    usage_reports: Counter<u64>,
+    first_ms: Histogram<f64>,
+    total_ms: Histogram<f64>,
+}
+
+impl Default for FrontMeter {
+    fn default() -> Self {
+        let base = MeterBase::new();
+        let meter = base.meter();
+        let latency = |name: &'static str| {
+            meter.f64_histogram(name).with_boundaries(LATENCY_BOUNDS.to_vec()).build()
+        };
+        FrontMeter {
+            requests: meter.u64_counter("oleander_front_requests").build(),
+            attempts: meter.u64_counter("oleander_front_attempts").build(),
+            resumes: meter.u64_counter("oleander_front_resumes").build(),
+            unread_tokens: meter.u64_counter("oleander_front_unread_tokens").build(),
+            store_faults: meter.u64_counter("oleander_front_store_faults").build(),
+            orders: meter.u64_counter("oleander_front_orders").build(),
+            usage_reports: meter.u64_counter("oleander_front_usage_reports").build(),
+            first_ms: latency("oleander_front_first_ms"),
+            total_ms: latency("oleander_front_total_ms"),
+            base,
+        }
+    }
+}
+
+impl FrontMeter {
+    /// Counts a request that is over. `code` is 0 for a whole answer, else a result code.
+    pub fn count_request(&self, service: &str, code: u16, total_ms: f64) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.total_ms.record(total_ms, std::slice::from_ref(&service));
+        self.requests.add(1, &[service, KeyValue::new("code", i64::from(code))]);
+    }
+
+    /// Notes the time to the first event, or to a whole answer.
+    pub fn note_first(&self, service: &str, ms: f64) {
+        self.first_ms.record(ms, &[KeyValue::new("service", service.to_owned())]);
+    }
+
+    /// Counts an attempt by its end.
+    pub fn count_attempt(&self, end: &'static str) {
+        self.attempts.add(1, &[KeyValue::new("end", end)]);
+    }
+
+    /// Counts a stream that goes on at another endpoint.
+    pub fn count_resume(&self) {
+        self.resumes.add(1, &[]);
+    }
+
+    /// Counts prompt tokens that an endpoint had to read.
+    pub fn count_unread(&self, tokens: u64) {
+        self.unread_tokens.add(tokens, &[]);
+    }
+
+    /// Counts a call to the store that failed.
+    pub fn count_store_fault(&self, feed: &'static str) {
+        self.store_faults.add(1, &[KeyValue::new("feed", feed)]);
+    }
+
+    /// Counts an order for endpoints.
+    pub fn count_order(&self, taken: bool) {
+        self.orders.add(1, &[KeyValue::new("taken", taken)]);
+    }
+
+    /// Counts a usage report.
+    pub fn count_usage(&self, taken: bool) {
+        self.usage_reports.add(1, &[KeyValue::new("taken", taken)]);
+    }
+
+    /// All metrics in Prometheus' text form.
+    pub fn text(&self) -> String {
+        self.base.text()
+    }
+}
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -1,7 +1,9 @@
 //! One front process: what its parts share.
 
+use crate::events::{EventBudget, event};
 use crate::feeds::RosterCopy;
 use crate::mesh::MeshState;
+use crate::meter::FrontMeter;
 use crate::port::PlatformDialect;
 use oleander_board::{NodeClock, StopStage};
 use oleander_call::{RuleGate, RuleSet};
@@ -57,6 +59,10 @@
     pub clock: NodeClock,
     /// Its log.
     pub log: slog::Logger,
+    /// Its metrics.
+    pub meter: FrontMeter,
+    /// How many lines of each kind the log may have.
+    pub events: EventBudget,
     /// The platform's names and formats.
     pub dialect: Box<dyn PlatformDialect>,
     /// The platform's store.
@@ -128,6 +134,8 @@
             settings,
             clock,
             log,
+            meter: FrontMeter::default(),
+            events: EventBudget::default(),
             dialect,
             store,
             http: HttpCodec::default(),
@@ -167,7 +175,7 @@
     /// sockets and names stays until the next start, and is told.
     pub fn take_settings(&self, settings: FrontSettings) {
         if *self.bounds.borrow().as_ref() != settings.bounds || self.seeds() != settings.seeds {
-            slog::info!(self.log, "settings changed"; "bounds" => format!("{:?}", settings.bounds));
+            event!(self, SettingsRead; "bounds" => format!("{:?}", settings.bounds));
             *self.bounds.borrow_mut() = Rc::new(settings.bounds.clone());
             *self.seeds.borrow_mut() = settings.seeds.clone();
         }
@@ -176,7 +184,7 @@
             (settings.instance.clone(), addresses, settings.store, settings.cloud)
         };
         if fixed(&settings) != fixed(&self.settings) {
-            slog::warn!(self.log, "changed addresses or names wait for the next start");
+            event!(self, SettingsFault; "fault" => "changed addresses or names wait for the next start");
         }
     }
 
--- a/crates/front/src/process.rs
+++ b/crates/front/src/process.rs
@@ -1,8 +1,9 @@
 //! Starts a front process, and stops it without cutting anything.
 
+use crate::events::event;
 use crate::node::FrontNode;
 use crate::port::PlatformDialect;
-use crate::{discover, duties, feeds, ingress, mesh, reload};
+use crate::{admin, discover, duties, feeds, ingress, mesh, reload};
 use actix_web::{App, HttpResponse, web};
 use oleander_board::StopStage;
 use oleander_conf::FrontSettings;
@@ -36,6 +37,7 @@
     pub node: Rc<FrontNode>,
     address: SocketAddr,
     _ready: HttpSite,
+    _admin: HttpSite,
     _peers: PeerListener,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -69,6 +71,8 @@
     let peers = listen_peers(peers, handler, traffic)?;
     let app = App::new().app_data(local_data(node.clone())).route(READY_PATH, web::get().to(ready));
     let ready = serve_app(node.settings.ready, app).await?;
+    let pages = App::new().app_data(local_data(node.clone())).configure(admin::configure);
+    let admin = serve_app(node.settings.admin, pages).await?;
     let mut tasks = vec![
         actix_rt::spawn(feeds::follow_rules(node.clone())),
         actix_rt::spawn(feeds::follow_endpoints(node.clone())),
@@ -83,8 +87,8 @@
     if let Some(cloud) = ports.cloud {
         tasks.push(actix_rt::spawn(duties::do_duties(node.clone(), cloud)));
     }
-    slog::info!(node.log, "the front process has started"; "listen" => node.settings.listen.to_string());
-    Ok(FrontProcess { node, address, _ready: ready, _peers: peers, tasks })
+    event!(node, ProcessStarted; "listen" => node.settings.listen.to_string());
+    Ok(FrontProcess { node, address, _ready: ready, _admin: admin, _peers: peers, tasks })
 }
 
 async fn ready(node: web::Data<Rc<FrontNode>>) -> HttpResponse {
@@ -119,7 +123,7 @@
         let node = &self.node;
         let grace = Duration::from_secs_f64(node.bounds().grace_s);
         let until = Instant::now() + grace.saturating_sub(END_MARGIN);
-        slog::info!(node.log, "the front process is leaving"; "in_flight" => node.in_flight.get());
+        event!(node, ProcessLeaving; "in_flight" => node.in_flight.get());
         node.stop.set(StopStage::Unready);
         node.mesh.borrow_mut().view.leave();
         tokio::time::sleep(ROTATION_TIME).await;
@@ -131,6 +135,6 @@
         }
         node.stop.set(StopStage::Stopped);
         self.tasks.iter().for_each(JoinHandle::abort);
-        slog::info!(node.log, "the front process has stopped"; "left" => node.in_flight.get());
+        event!(node, ProcessStopped; "left" => node.in_flight.get());
     }
 }
--- a/crates/front/src/reload.rs
+++ b/crates/front/src/reload.rs
@@ -1,5 +1,6 @@
 //! Takes changed settings while the process runs.
 
+use crate::events::event;
 use crate::node::FrontNode;
 use actix_rt::signal::unix::{SignalKind, signal};
 use oleander_conf::{FrontSettings, read_settings};
@@ -16,20 +17,20 @@
     let mut hang_up = match signal(SignalKind::hangup()) {
         Ok(stream) => stream,
         Err(fault) => {
-            slog::error!(node.log, "hang-up signals cannot be taken"; "fault" => fault.to_string());
+            event!(node, SettingsFault; "fault" => fault.to_string());
             return;
         }
     };
     loop {
         tokio::select! {
-            _ = hang_up.recv() => slog::info!(node.log, "told to read the settings again"),
+            _ = hang_up.recv() => event!(node, SettingsRead; "told" => true),
             () = actix_rt::time::sleep(LOOK_PERIOD.duration()) => {}
         }
         match read_settings::<FrontSettings>(&path) {
             Ok(settings) => node.take_settings(settings),
             // The old ones stay in force.
             Err(fault) => {
-                slog::warn!(node.log, "settings are at fault"; "fault" => fault.to_string())
+                event!(node, SettingsFault; "fault" => fault.to_string())
             }
         }
     }
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -2,6 +2,7 @@
 
 use crate::answer::AnswerStage;
 use crate::drive::{AttemptOutcome, CallRun};
+use crate::events::event;
 use crate::work::WorkGuard;
 use actix_http::ResponseHead;
 use actix_http::header::HeaderMap;
@@ -32,6 +33,7 @@
     run.node.dialect.strip_answer(&mut headers);
     let mut headers = Some(headers);
     let mut cutter = EventCutter::default();
+    let mut resumes = run.answer.stage() != AnswerStage::Waiting;
     let mut limit = run.first_limit();
     loop {
         let bytes = match timeout_at(limit, body.next()).await {
@@ -50,7 +52,15 @@
         work.prompt_read();
         if run.answer.stage() == AnswerStage::Waiting {
             run.note_began(Duration::ZERO);
+            run.first_at = Some(Instant::now());
+        } else if resumes {
+            run.node.meter.count_resume();
+            event!(run.node, StreamResumed;
+                "request" => run.call.id.as_str(),
+                "endpoint" => run.endpoint.as_ref().map(|id| id.as_str()),
+                "last_event" => run.last_event);
         }
+        resumes = false;
         if write_piece(run, status, &mut headers, out).await.is_err() {
             return (AttemptOutcome::CallerGone, None);
         }
--- a/crates/front/src/whole.rs
+++ b/crates/front/src/whole.rs
@@ -5,6 +5,7 @@
 use bytes::BytesMut;
 use oleander_call::{AnswerMark, AttemptEnd};
 use oleander_outlet::{BodyLink, IdleLink};
+use tokio::time::Instant;
 
 /// The longest body that is held until it is whole, in bytes. Holding it lets another attempt
 /// replace an answer that breaks off; answers of plain services are a few kilobytes.
@@ -41,6 +42,7 @@
     if head.status.is_server_error() {
         return (AttemptOutcome::Ended(AttemptEnd::Failed, Some(own)), link);
     }
+    run.first_at = Some(Instant::now());
     match run.answer.whole(own.status, own.headers, own.body).await {
         Ok(()) => (AttemptOutcome::Delivered, link),
         Err(_) => (AttemptOutcome::CallerGone, link),
--- a/crates/front/src/work.rs
+++ b/crates/front/src/work.rs
@@ -22,6 +22,11 @@
         guard
     }
 
+    /// Prompt tokens that are not known to be read yet.
+    pub fn unread_tokens(&self) -> u64 {
+        self.unread_tokens
+    }
+
     /// The prompt was read: the first event came.
     pub fn prompt_read(&mut self) {
         let tokens = std::mem::take(&mut self.unread_tokens);
--- a/crates/plat/src/feed.rs
+++ b/crates/plat/src/feed.rs
@@ -22,6 +22,19 @@
     UsageReports,
 }
 
+impl FeedKind {
+    /// The name, for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            FeedKind::Rules => "rules",
+            FeedKind::Endpoints => "endpoints",
+            FeedKind::Members => "members",
+            FeedKind::Leases => "leases",
+            FeedKind::UsageReports => "usage_reports",
+        }
+    }
+}
+
 /// One object.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FeedObject {
