Follow the store with four processes, and stay back until the store serves again

Change: four followers and one more for each 32 members; who stepped back goes on asking the store and returns when it is served.

--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -194,19 +194,27 @@
 
 /// Whether this process has to follow the store itself.
 ///
-/// Two processes do it for all, so that neither calls nor wake-ups grow with the processes. The
+/// A few processes do it for all, so that neither calls nor wake-ups grow with the processes. The
 /// others go by the collector's digests, and ask the store once these stop or the collector is not
 /// told of changes either.
+///
+/// A third of the processes may be cut off from the store without an end on their connections, which
+/// shows only after seconds. With two followers both were, and a revoked key was served for 2.2 s;
+/// a report of any other follower brings the news to all within 750 ms.
 pub fn must_watch(node: &FrontNode) -> bool {
-    /// The collector, and the one that follows it.
-    const WATCHERS: usize = 2;
+    /// One more than a third of today's nine processes.
+    const WATCHERS: usize = 4;
+    /// One more for each so many processes.
+    const MEMBERS_PER_WATCHER: usize = 32;
     let now = node.clock.now();
     let mesh = node.mesh.borrow();
     let told = now - mesh.digest_at < DIGEST_LASTS
         && mesh.digest_rules.fresh
         && mesh.digest_roster.fresh
         && mesh.digest_rules.mark > 0;
-    !told || mesh.view.is_among_first(WATCHERS, now)
+    let watchers = WATCHERS + mesh.view.serving() as usize / MEMBERS_PER_WATCHER;
+    // A process that the store turned away goes on asking, so that it learns when that is over.
+    !told || mesh.view.me().unfit || mesh.view.is_among_first(watchers, now)
 }
 
 /// The collector that this process goes by, if it is another and answered a moment ago.
@@ -254,16 +262,17 @@
         |feed: FeedState| feed.lost_since.is_some_and(|since| now - since > TURNED_AWAY);
     let lost = lost_long(node.rules_feed.get()) || lost_long(node.endpoints_feed.get());
     let mut mesh = node.mesh.borrow_mut();
-    let outdone = match &mesh.collector {
-        Some(collector) => collector.is_outdone(&node.settings.instance, now),
-        None => mesh.view.me().unfit,
-    };
+    let was = mesh.view.me().unfit;
+    let outdone = mesh
+        .collector
+        .as_ref()
+        .is_some_and(|collector| collector.is_outdone(&node.settings.instance, now));
     // After an outage for all, some are served a moment before the others.
     let since = if lost && outdone { mesh.outdone_since.or(Some(now)) } else { None };
     mesh.outdone_since = since;
-    let unfit = mesh.view.me().unfit && since.is_some()
-        || since.is_some_and(|since| now - since > TURNED_AWAY);
-    if unfit != mesh.view.me().unfit {
+    // Once it has stepped back nobody reports here; the store alone tells when it may return.
+    let unfit = (was && lost) || since.is_some_and(|since| now - since > TURNED_AWAY);
+    if unfit != was {
         event!(node, TurnedAway; "so" => unfit);
         mesh.view.set_unfit(unfit);
     }
