--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -1,6 +1,6 @@
 //! Reads the command line and runs one command.
 
-use crate::{Result, bundles, rolls, views};
+use crate::{Result, bundles, rolls, trace, views};
 use lexopt::Arg;
 use oleander_kind::ResultCode;
 use quick_error::quick_error;
@@ -68,6 +68,8 @@
   oleander-ctl status --admin ADDR               generation and age at each process
   oleander-ctl dump --admin ADDR                 the state of one process
   oleander-ctl codes                             every result code
+  oleander-ctl events                            every log event of the front process
+  oleander-ctl trace REQUEST FILE...             what the logs say of a request, in time order
   oleander-ctl explain INSTANCE --platform URL   the decisions about an instance or start
 
 Options: --json for output that programs read; --help.
@@ -155,6 +157,8 @@
     match words.as_slice() {
         [] | ["help"] => Ok(HELP.to_owned()),
         ["codes"] => Ok(oleander_kind::code::code_table()),
+        ["events"] => Ok(oleander_front::events::event_table()),
+        ["trace", id, files @ ..] if !files.is_empty() => trace::trace(id, files),
         ["keygen"] => bundles::keygen(line),
         ["bundle", "init"] => bundles::init(),
         ["bundle", "check", _] => bundles::check(line),
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod command;
 pub mod platform;
 pub mod rolls;
+pub mod trace;
 pub mod views;
 
 pub use command::{CtlError, run_command};
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -181,7 +181,8 @@
     ) -> oleander_outlet::Result<(SentLink, ResponseHead, AnswerMark)> {
         /// Foreign answers that are read away; an endpoint that sends more is broken.
         const MOST_FOREIGN: u32 = 2;
-        let late = |_| LinkError::Late(Duration::ZERO);
+        let began = Instant::now();
+        let late = |_| LinkError::Late(began.elapsed());
         let spent = || LinkError::Malformed("answers to other requests".to_owned());
         for _ in 0..=MOST_FOREIGN {
             let sent = slot.as_mut().ok_or_else(spent)?;
--- a/tests/all/docs.rs
+++ b/tests/all/docs.rs
@@ -16,6 +16,13 @@
     assert!(page("RESULT-CODES.md").contains(&code_table()), "make it with `oleander-ctl codes`");
 }
 
+#[test]
+fn the_page_of_events_is_the_events_table() {
+    let table = oleandertack::front::events::event_table();
+
+    assert!(page("EVENTS.md").contains(&table), "make it with `oleander-ctl events`");
+}
+
 #[test]
 fn result_code_numbers_are_unique() {
     let numbers: BTreeSet<u16> = ResultCode::ALL.iter().map(|code| code.number()).collect();
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -25,3 +25,4 @@
 mod pool;
 mod scripted;
 mod settings;
+mod trace;
