--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -9,9 +9,9 @@
 use oleander_kind::{AccountName, ClockTime, TimeSpan};
 use oleander_limit::{PoolLimit, SpendCount};
 use oleander_mesh::{
-    AccountSpend, CollectorFacts, EndpointLoad, FeedMark, LeaseNotice, MemberCard, MeshBody,
-    MeshCollector, MeshDigest, MeshView, NodeReport, NodeUsage, RosterState, ServiceDemand,
-    ServicePeak, TrueClock, UsageCount,
+    AccountSpend, CollectorFacts, EndpointLoad, FeedMark, LeaseNotice, MemberCard, MemberList,
+    MeshBody, MeshCollector, MeshDigest, MeshView, NodeReport, NodeUsage, RosterState,
+    ServiceDemand, ServicePeak, TrueClock, UsageCount,
 };
 use oleander_place::WorkLoad;
 use oleander_plat::FeedEvent;
@@ -133,7 +133,14 @@
     let mut mesh = node.mesh.borrow_mut();
     mesh.view.take(card, true, now);
     let me = std::iter::once(mesh.view.me().clone());
-    MeshBody::Members(me.chain(mesh.view.others().cloned()).collect())
+    let cards = me.chain(mesh.view.others().cloned()).collect();
+    let collector = match followed_collector(&mesh, now) {
+        Some(card) => Some(card),
+        // One that has others to collect for; a process that just began has only itself.
+        None if mesh.view.serving() > 1 && mesh.view.collects() => Some(mesh.view.me().clone()),
+        None => None,
+    };
+    MeshBody::Members(MemberList { cards, collector })
 }
 
 /// Takes a report as the collector.
@@ -280,7 +287,10 @@
 
 async fn report_once(node: &Rc<FrontNode>, hub: &Addr<PeerHub<MeshBody>>) {
     note_fitness(node);
-    if node.mesh.borrow().view.others().next().is_none() {
+    // A process that begins goes by the collector that the others go by. Choosing for itself, from
+    // what it knows then, half of the processes once stayed apart for a turn after they were killed.
+    let undecided = node.mesh.borrow().view.chosen().is_none();
+    if undecided || node.mesh.borrow().view.others().next().is_none() {
         ask_seeds(node, hub).await;
     }
     for _ in 0..MOST_ASKED {
@@ -335,14 +345,7 @@
         let body = MeshBody::Greet(node.mesh.borrow().view.me().clone());
         let call = CallPeer { address: address.clone(), body, limit: ANSWER_LIMIT };
         match hub.send(call).await {
-            Ok(Ok(MeshBody::Members(cards))) => {
-                let now = node.clock.now();
-                let mut mesh = node.mesh.borrow_mut();
-                // The first is the seed itself.
-                for (at, card) in cards.into_iter().enumerate() {
-                    mesh.view.take(card, at == 0, now);
-                }
-            }
+            Ok(Ok(MeshBody::Members(list))) => take_members(node, list),
             Ok(Ok(_)) => {}
             Ok(Err(fault)) => {
                 event!(node, MemberFault; "fault" => fault.to_string());
@@ -355,6 +358,21 @@
     }
 }
 
+fn take_members(node: &FrontNode, list: MemberList) {
+    let now = node.clock.now();
+    let mut mesh = node.mesh.borrow_mut();
+    // The first is the seed itself.
+    for (at, card) in list.cards.into_iter().enumerate() {
+        mesh.view.take(card, at == 0, now);
+    }
+    let undecided = mesh.view.chosen().is_none();
+    if let Some(card) = list.collector.filter(|_| undecided) {
+        let true_now = mesh.clock.read(now, node.clock.wall());
+        event!(node, CollectorChosen; "collector" => card.id.as_str(), "sent" => true);
+        mesh.view.follow(card, true_now, now);
+    }
+}
+
 async fn call_collector(
     node: &Rc<FrontNode>,
     hub: &Addr<PeerHub<MeshBody>>,
@@ -426,7 +444,8 @@
 
 fn make_report(node: &FrontNode) -> NodeReport {
     let mesh = node.mesh.borrow();
-    let spent = node.limits.borrow().spent().map(spend_of).collect();
+    let now = node.clock.now();
+    let spent = node.limits.borrow_mut().spent(now).map(spend_of).collect();
     let usage = node.usage.borrow().counts().map(usage_of).collect();
     let roster_page = mesh.wants_roster.then(|| feeds::roster_news(node));
     let rules_text = mesh.wants_rules.then(|| node.rules_text.borrow().clone()).flatten();
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -273,6 +273,17 @@
     pub lease: Option<LeaseNotice>,
 }
 
+/// The members as one process knows them.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MemberList {
+    /// Their cards, its own first.
+    #[serde(rename = "m")]
+    pub cards: Vec<MemberCard>,
+    /// The collector that it goes by, if it knows one.
+    #[serde(rename = "c")]
+    pub collector: Option<MemberCard>,
+}
+
 /// A call or its answer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum MeshBody {
@@ -288,9 +299,9 @@
     /// A process looks for the others.
     #[serde(rename = "g")]
     Greet(MemberCard),
-    /// The members that the process asked knows, itself first.
+    /// What the process asked knows of the members.
     #[serde(rename = "m")]
-    Members(Vec<MemberCard>),
+    Members(MemberList),
     /// The process asked goes by this collector, and so should the asker.
     #[serde(rename = "f")]
     Follow(MemberCard),
