--- a/crates/front/src/admin.rs
+++ b/crates/front/src/admin.rs
@@ -22,7 +22,7 @@
 }
 
 /// All that the process knows, without keys and bodies. Bounded: at most
-/// [`MOST_LISTED`] endpoints and members are listed.
+/// `MOST_LISTED` endpoints and members are listed.
 pub fn dump_state(node: &FrontNode) -> Value {
     let now = node.clock.now();
     let feed = |state: crate::node::FeedState| {
--- a/tests/all/mesh.rs
+++ b/tests/all/mesh.rs
@@ -249,7 +249,7 @@
     let digest = rig.take(NodeReport { roster: ahead, ..report("front-1") }, NOW);
 
     assert!(digest.wants_roster);
-    assert!(rig.collector.is_outdone(&"front-0".into(), NOW) == false);
+    assert!(!rig.collector.is_outdone(&"front-0".into(), NOW));
 }
 
 #[test]
