Settle a refused write of the lease by reading, never by old news

That was old, its write was refused, it forgot what it knew, took the same old news again, and so on for as long as it lived. No usage was reported and nobody ordered endpoints; the loop logged nothing. Ruled out: a hung call (the loop still made calls when the store fell silent), the process being succeeded (it collects), the store's rate. Change: news of the version that a write was to replace is old, however the write ended. A refused write is logged. The test of the keeper fails without.

--- a/crates/front/src/duties.rs
+++ b/crates/front/src/duties.rs
@@ -163,7 +163,10 @@
     let guard = version.map_or(FeedGuard::Absent, FeedGuard::Is);
     match node.store.write(FeedKind::Leases, LEASE_NAME, guard, body).await {
         Ok(FeedWrite::Made(revision)) => LeaseSaid::Written(revision),
-        Ok(FeedWrite::Refused(_)) => LeaseSaid::Changed,
+        Ok(FeedWrite::Refused(_)) => {
+            event!(node, LeaseFault; "fault" => "another wrote it meanwhile");
+            LeaseSaid::Changed
+        }
         Err(fault) => not_done(node, &fault),
     }
 }
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -84,6 +84,8 @@
     lasts: TimeSpan,
     inherits: bool,
     seen: Option<SeenLease>,
+    /// The version that the last write replaced or failed to replace; news of it is old.
+    settled: Option<u64>,
     pending: Option<PendingWrite>,
     held_until: ClockTime,
     next_at: ClockTime,
@@ -118,6 +120,7 @@
             lasts,
             inherits: false,
             seen: None,
+            settled: None,
             pending: None,
             held_until: ClockTime(0),
             next_at: ClockTime(0),
@@ -210,6 +213,7 @@
         }
         self.held_until = ClockTime(0);
         let record = LeaseRecord { holder: InstanceId::default(), ..seen.record };
+        self.settled = seen.version;
         self.pending = Some(PendingWrite { record: record.clone(), sent_at: now });
         LeaseAction::Write { version: seen.version, record }
     }
@@ -230,6 +234,7 @@
             renewals: seen.record.renewals + 1,
         };
         let version = seen.version;
+        self.settled = version;
         self.pending = Some(PendingWrite { record: record.clone(), sent_at: now });
         LeaseAction::Write { version, record }
     }
@@ -253,10 +258,14 @@
     /// Takes the object as the holder told of it. News of an older version, and any news while a
     /// call of its own is under way, changes nothing.
     ///
+    /// News of the version that a write of its own was to replace is old too, however that write
+    /// ended: going by it again, a process whose write was refused would repeat it without end.
+    ///
     /// The time that the object stays unchanged counts from here, as if it had been read: the holder
     /// wrote it earlier than anybody heard of it.
     pub fn hear(&mut self, version: u64, record: LeaseRecord, now: ClockTime) {
-        let known = self.seen.as_ref().and_then(|seen| seen.version);
+        let seen = self.seen.as_ref().and_then(|seen| seen.version);
+        let known = seen.max(self.settled);
         if self.pending.is_none() && known.is_none_or(|known| known < version) {
             self.take_read(Some((version, record)), now);
         }
--- a/tests/all/lease.rs
+++ b/tests/all/lease.rs
@@ -100,3 +100,32 @@
     assert_eq!((in_grace, after), (Some(taken.fence), None));
     assert_eq!(keeper.fence(end, TimeSpan(0)), None);
 }
+
+/// The collecting process goes by what another told of the lease, and that is old: the lease has
+/// changed hands since. Its write is refused. If it then goes by the same old news again, it writes
+/// and is refused for as long as it lives: no usage is reported and nobody orders endpoints, and
+/// callers are refused once reclaims have used up what there is. Only reading settles it.
+#[test]
+fn a_refused_write_is_settled_by_reading_and_not_by_old_news() {
+    let mut keeper = keeper(20);
+    keeper.hear(9, LeaseRecord::default(), START);
+    assert!(written(keeper.tick(START)).is_some());
+    keeper.said(LeaseSaid::Changed, START);
+
+    keeper.hear(9, LeaseRecord::default(), START);
+    let action = keeper.tick(START);
+
+    assert_eq!(action, LeaseAction::Read);
+}
+
+#[test]
+fn news_later_than_a_refused_write_saves_the_reading() {
+    let mut keeper = keeper(20);
+    keeper.hear(9, LeaseRecord::default(), START);
+    assert!(written(keeper.tick(START)).is_some());
+    keeper.said(LeaseSaid::Unknown, START);
+
+    keeper.hear(10, LeaseRecord::default(), START);
+
+    assert!(written(keeper.tick(START)).is_some());
+}
