Keep members that the collector goes on naming

Two groups gave out every account's limit by parts of their own for 5 s. Ruled out: a cut, members turned away by the store, a difference in rank. Change: a list, and a digest that says the list is unchanged, keep the members known. Two tests of the view fail without.

--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -524,8 +524,9 @@
     let mut mesh = node.mesh.borrow_mut();
     mesh.digest_from = Some(digest.from.clone());
     mesh.view.take(digest.from, true, now);
-    if let Some(members) = digest.members {
-        mesh.view.adopt(members, now);
+    match digest.members {
+        Some(members) => mesh.view.adopt(members, now),
+        None => mesh.view.confirm(now),
     }
     mesh.clock.set(digest.true_time, trip, now);
     mesh.digest_at = now;
--- a/crates/mesh/src/view.rs
+++ b/crates/mesh/src/view.rs
@@ -18,7 +18,10 @@
 #[derive(Clone, Debug)]
 struct KnownMember {
     card: MemberCard,
+    /// When it spoke for itself, or was first named.
     heard_at: ClockTime,
+    /// When the collector last named it.
+    named_at: ClockTime,
 }
 
 /// The members.
@@ -86,7 +89,8 @@
             Some(known) if !heard => known.heard_at,
             _ => now,
         };
-        self.members.insert(card.id.clone(), KnownMember { card, heard_at });
+        let named_at = self.members.get(&card.id).map_or(heard_at, |known| known.named_at);
+        self.members.insert(card.id.clone(), KnownMember { card, heard_at, named_at });
     }
 
     /// Takes the collector's list of members: those it does not name, and that did not speak for
@@ -97,6 +101,15 @@
         let named: Vec<InstanceId> = cards.iter().map(|card| card.id.clone()).collect();
         cards.into_iter().for_each(|card| self.take(card, false, now));
         self.members.retain(|id, known| named.contains(id) || now - known.heard_at < SPOKE_LATELY);
+        self.confirm(now);
+    }
+
+    /// Notes that the collector names just the members that are known.
+    ///
+    /// A process hears of most members from the collector alone. Without this it forgot each one
+    /// 20 s after it was first named, at another moment than the other processes did.
+    pub fn confirm(&mut self, now: ClockTime) {
+        self.members.values_mut().for_each(|known| known.named_at = now);
     }
 
     /// Notes that a member did not answer.
@@ -122,7 +135,7 @@
 
     /// Forgets members that nobody has heard of for long.
     pub fn sweep(&mut self, now: ClockTime) {
-        self.members.retain(|_, known| now - known.heard_at < FORGOTTEN);
+        self.members.retain(|_, known| now - known.heard_at.max(known.named_at) < FORGOTTEN);
         let members = &self.members;
         self.shunned.retain(|id, _| members.contains_key(id));
     }
--- a/tests/all/mesh.rs
+++ b/tests/all/mesh.rs
@@ -265,3 +265,41 @@
     // But not for longer than its report counts.
     assert!(!rig.take(report("front-1"), NOW + TimeSpan(1500)).rules.fresh);
 }
+
+/// The collector dies 20 s after a follower first heard of the others. The follower knew them by the
+/// collector's list alone, which named them all the time, and forgot each 20 s after it had first
+/// heard of it. It chooses another collector than those that heard of a member later; two groups
+/// give out every account's limit by parts of their own, and an account runs 8 % too much.
+#[test]
+fn members_that_the_collector_goes_on_naming_are_not_forgotten() {
+    let mut view = MeshView::new(card("front-1"));
+    let others = || vec![card("front-0"), card("front-2"), card("front-3")];
+    view.adopt(others(), NOW);
+    view.adopt(others(), NOW + TimeSpan(19_000));
+
+    view.sweep(NOW + TimeSpan(21_000));
+
+    assert_eq!(view.serving(), 4);
+}
+
+#[test]
+fn a_list_that_is_unchanged_is_as_good_as_one_that_is_sent() {
+    let mut view = MeshView::new(card("front-1"));
+    view.adopt(vec![card("front-0"), card("front-2")], NOW);
+    view.confirm(NOW + TimeSpan(19_000));
+
+    view.sweep(NOW + TimeSpan(21_000));
+
+    assert_eq!(view.serving(), 3);
+}
+
+#[test]
+fn members_that_nobody_names_any_more_are_forgotten() {
+    let mut view = MeshView::new(card("front-1"));
+    view.adopt(vec![card("front-0"), card("front-2")], NOW);
+    view.confirm(NOW + TimeSpan(1000));
+
+    view.sweep(NOW + TimeSpan(21_000));
+
+    assert_eq!(view.serving(), 1);
+}
