--- /dev/null
+++ b/crates/front/src/duties/orders.rs
@@ -0,0 +1,186 @@
+//! Orders of endpoints, by what is asked of each service.
+
+use super::{DUTY_PERIOD, DutyLease, collects};
+use crate::events::event;
+use crate::node::FrontNode;
+use oleander_call::{EngineRule, RuleSet, ScaleRule};
+use oleander_duty::{
+    DomainStand, MarketCount, OrderMemory, ScaleFacts, ServiceNeed, needed_engines, plan_orders,
+};
+use oleander_kind::endpoint::InstanceMarket;
+use oleander_kind::{ClockTime, DomainName, ServiceName, TimeSpan};
+use oleander_mesh::ServicePeak;
+use oleander_plat::{DutyAnswer, DutyPort, DutyStamp, ScaleOrder};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// Endpoints that start together with this process enter the list within about two heartbeats;
+/// before that, "as many as there are" would be too few.
+const LIST_SETTLE: TimeSpan = TimeSpan(3000);
+/// Demand is believed after this time: its averages have filled by then.
+const DEMAND_SETTLE: TimeSpan = TimeSpan(4000);
+
+#[derive(Default)]
+struct ServiceStand {
+    need: ServiceNeed,
+    asked_since: Option<ClockTime>,
+    baseline: u32,
+    /// Whether the need was told by the last holder.
+    inherited: bool,
+}
+
+/// Orders endpoints while the lease is held.
+pub(super) async fn scale_services(
+    node: Rc<FrontNode>,
+    cloud: Rc<dyn DutyPort>,
+    lease: Rc<DutyLease>,
+) {
+    let mut memory = OrderMemory::default();
+    let mut stands: BTreeMap<ServiceName, ServiceStand> = BTreeMap::new();
+    let mut fence = 0;
+    loop {
+        actix_rt::time::sleep(DUTY_PERIOD.duration()).await;
+        let Some(stamp) = lease.stamp(&node).filter(|_| collects(&node)) else { continue };
+        if stamp.fence != fence {
+            // Another holder may have ordered meanwhile.
+            memory = OrderMemory::default();
+            stands = inherit_peaks(&node);
+            fence = stamp.fence;
+        }
+        let Some(rules) = node.current_rules() else { continue };
+        let known_since = node.endpoints_feed.get().known_since;
+        if known_since.is_none_or(|since| node.clock.now() - since < LIST_SETTLE) {
+            continue;
+        }
+        let orders = due_orders(&node, &rules, &mut stands, &memory);
+        share_peaks(&node, &stands);
+        for order in orders {
+            send_order(&node, cloud.as_ref(), &stamp, &order, &mut memory).await;
+        }
+    }
+}
+
+fn due_orders(
+    node: &FrontNode,
+    rules: &RuleSet,
+    stands: &mut BTreeMap<ServiceName, ServiceStand>,
+    memory: &OrderMemory,
+) -> Vec<ScaleOrder> {
+    let mut orders = Vec::new();
+    for service in rules.services() {
+        let (Some(scale), Some(engine)) = (&service.scale, &service.engine) else { continue };
+        let stand = stands.entry(service.name.clone()).or_default();
+        let needed = needed_of(node, &service.name, engine, stand);
+        let domains = domain_stands(node, &service.name, scale);
+        let sum = |market| domains.iter().map(|stand| stand.live.of(market)).sum();
+        let most = u32::max(sum(InstanceMarket::Reclaimable), sum(InstanceMarket::OnDemand));
+        stand.baseline = stand.baseline.max(most);
+        let facts = ScaleFacts {
+            service: &service.name,
+            rule: scale,
+            domains: &domains,
+            needed,
+            needed_now: stand.need.recent_peak(node.clock.now()),
+            baseline: stand.baseline,
+            now: node.clock.now(),
+        };
+        orders.extend(plan_orders(&facts, memory));
+    }
+    orders
+}
+
+fn needed_of(
+    node: &FrontNode,
+    service: &ServiceName,
+    engine: &EngineRule,
+    stand: &mut ServiceStand,
+) -> Option<f64> {
+    let now = node.clock.now();
+    let mesh = node.mesh.borrow();
+    let collector = mesh.collector.as_ref()?;
+    let demand = collector.demand_of(service, now);
+    let board = node.endpoints.borrow();
+    let is_ours = |instance| {
+        board
+            .key(instance)
+            .and_then(|key| board.get(key))
+            .is_some_and(|fact| fact.entry.service == *service)
+    };
+    let loads = collector.loads(now);
+    let running =
+        loads.iter().filter(|load| is_ours(&load.instance)).map(|load| load.requests).sum();
+    if demand.requests > 0.0 {
+        stand.asked_since.get_or_insert(now);
+    }
+    let tokens = (demand.unread_tokens, demand.answer_tokens);
+    stand.need.note(needed_engines(engine, tokens, running), now);
+    let since = stand.asked_since?;
+    let known = stand.inherited || now - since >= DEMAND_SETTLE;
+    known.then(|| stand.need.peak())
+}
+
+/// Tells the other processes what services need, so that the next holder knows it at once.
+fn share_peaks(node: &FrontNode, stands: &BTreeMap<ServiceName, ServiceStand>) {
+    let known = stands.iter().filter(|(_, stand)| stand.asked_since.is_some());
+    let peak = |(service, stand): (&ServiceName, &ServiceStand)| ServicePeak {
+        service: service.clone(),
+        needed: stand.need.peak(),
+    };
+    node.mesh.borrow_mut().peaks = known.map(peak).collect();
+}
+
+/// Begins with what the last holder told.
+fn inherit_peaks(node: &FrontNode) -> BTreeMap<ServiceName, ServiceStand> {
+    let now = node.clock.now();
+    let stand = |peak: &ServicePeak| {
+        let mut stand = ServiceStand { inherited: true, ..ServiceStand::default() };
+        stand.need.note(peak.needed, now);
+        stand.asked_since = Some(now);
+        (peak.service.clone(), stand)
+    };
+    node.mesh.borrow().peaks.iter().map(stand).collect()
+}
+
+fn domain_stands(node: &FrontNode, service: &ServiceName, scale: &ScaleRule) -> Vec<DomainStand> {
+    let board = node.endpoints.borrow();
+    let live = |domain: &DomainName| {
+        let mut count = MarketCount::default();
+        for key in board.of_service(service) {
+            let Some(fact) = board.get(*key) else { continue };
+            if fact.entry.domain != *domain || !fact.takes_work() || fact.doubted {
+                continue;
+            }
+            match fact.entry.market {
+                InstanceMarket::Reclaimable => count.reclaimable += 1,
+                InstanceMarket::OnDemand => count.on_demand += 1,
+            }
+        }
+        count
+    };
+    let stand = |(domain, price): &(DomainName, f64)| DomainStand {
+        domain: domain.clone(),
+        price: *price,
+        live: live(domain),
+    };
+    scale.domain_prices.iter().map(stand).collect()
+}
+
+async fn send_order(
+    node: &FrontNode,
+    cloud: &dyn DutyPort,
+    stamp: &DutyStamp,
+    order: &ScaleOrder,
+    memory: &mut OrderMemory,
+) {
+    let answer = cloud.order_endpoints(stamp, order).await;
+    let refused = match &answer {
+        Ok(DutyAnswer::Done) => false,
+        Ok(DutyAnswer::Refused(_)) | Err(_) => true,
+    };
+    node.meter.count_order(!refused);
+    event!(node, EndpointsOrdered;
+        "service" => order.service.as_str(), "domain" => order.domain.as_str(),
+        "market" => format!("{:?}", order.market), "count" => order.count,
+        "fence" => stamp.fence, "answer" => format!("{answer:?}"));
+    memory.note(order, refused, node.clock.now());
+}
--- /dev/null
+++ b/crates/front/src/duties/usage.rs
@@ -0,0 +1,156 @@
+//! Reports of usage, fixed in the store before they are sent.
+
+use super::{DUTY_PERIOD, DutyLease, collects, encode, true_now};
+use crate::events::event;
+use crate::node::FrontNode;
+use oleander_duty::usage::window_of;
+use oleander_duty::{UsageDuty, UsageStep};
+use oleander_kind::{AccountName, ClockTime, TimeSpan};
+use oleander_plat::{DutyAnswer, DutyPort, DutyStamp, FeedGuard, FeedKind, FeedWrite, UsageReport};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// Usage reports that the store keeps; the oldest is overwritten. Two times what can be under way.
+const KEPT_REPORTS: u64 = 8;
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct FixedReport {
+    window: u64,
+    counts: BTreeMap<AccountName, u64>,
+}
+
+/// Reports usage while the lease is held.
+pub(super) async fn report_usage(
+    node: Rc<FrontNode>,
+    cloud: Rc<dyn DutyPort>,
+    lease: Rc<DutyLease>,
+) {
+    let bounds = node.bounds();
+    let length = TimeSpan((bounds.usage_window_s * 1000.0) as u64);
+    let due = TimeSpan((bounds.usage_due_s * 1000.0) as u64);
+    let mut duty: Option<(u64, UsageDuty)> = None;
+    loop {
+        actix_rt::time::sleep(DUTY_PERIOD.duration()).await;
+        let Some(stamp) = lease.stamp(&node).filter(|_| collects(&node)) else {
+            duty = None;
+            continue;
+        };
+        let now = true_now(&node);
+        let fence = stamp.fence;
+        let current = match duty.take() {
+            Some((known, duty)) if known == fence => duty,
+            _ => begin_usage(&node, length, due, now),
+        };
+        let (_, duty) = duty.insert((fence, current));
+        let UsageStep::Report(window) = duty.next(now, |since| all_reported(&node, since)) else {
+            continue;
+        };
+        if duty.is_late(window, now) || report_window(&node, cloud.as_ref(), &stamp, window).await {
+            duty.done(window);
+            let mut mesh = node.mesh.borrow_mut();
+            mesh.reported_window = mesh.reported_window.max(window);
+            if let Some(collector) = &mut mesh.collector {
+                collector.forget_usage(window);
+            }
+        }
+    }
+}
+
+/// A duty that goes on after the windows that are known to be reported.
+fn begin_usage(node: &FrontNode, length: TimeSpan, due: TimeSpan, now: ClockTime) -> UsageDuty {
+    let mut duty = UsageDuty::begin(length, due, now);
+    let reported = node.mesh.borrow().reported_window;
+    if reported <= window_of(now, length) {
+        duty.done(reported);
+    }
+    duty
+}
+
+fn all_reported(node: &FrontNode, since: ClockTime) -> bool {
+    let mesh = node.mesh.borrow();
+    let now = node.clock.now();
+    let true_now = mesh.clock.read(now, node.clock.wall());
+    let since = now - (true_now - since);
+    mesh.collector.as_ref().is_some_and(|collector| collector.all_reported_since(&mesh.view, since))
+}
+
+/// Reports one window; says whether nothing is left to do for it.
+///
+/// The counts are fixed in the store before they are sent. Whoever repeats the call, after a lost
+/// answer or as the next holder, sends the same; two different reports of a window would be billed
+/// twice.
+async fn report_window(
+    node: &FrontNode,
+    cloud: &dyn DutyPort,
+    stamp: &DutyStamp,
+    window: u64,
+) -> bool {
+    let counts = {
+        let mesh = node.mesh.borrow();
+        mesh.collector.as_ref().map(|collector| collector.usage_of(window)).unwrap_or_default()
+    };
+    let Some(fixed) = fix_report(node, FixedReport { window, counts }).await else {
+        return false;
+    };
+    if fixed.window != window || fixed.counts.is_empty() {
+        return true;
+    }
+    let report = UsageReport { window, counts: fixed.counts };
+    match cloud.report_usage(stamp, &report).await {
+        Ok(DutyAnswer::Done) => {
+            node.meter.count_usage(true);
+            event!(node, UsageReported; "window" => window,
+                "requests" => report.counts.values().sum::<u64>());
+            true
+        }
+        Ok(DutyAnswer::Refused(words)) => {
+            node.meter.count_usage(false);
+            event!(node, UsageFault;
+                "window" => window, "fence" => stamp.fence, "words" => words);
+            false
+        }
+        Err(fault) => {
+            node.meter.count_usage(false);
+            event!(node, UsageFault;
+                "window" => window, "fault" => fault.to_string());
+            false
+        }
+    }
+}
+
+/// Fixes a report in its place of the store; gives back what is fixed for the window. `None` if
+/// that is not known now.
+async fn fix_report(node: &FrontNode, report: FixedReport) -> Option<FixedReport> {
+    if report.counts.is_empty() {
+        return Some(report);
+    }
+    let name = format!("{}", report.window % KEPT_REPORTS);
+    let body = encode(node, &report)?;
+    let mut guard = FeedGuard::Absent;
+    if let Some(revision) = node.report_revisions.borrow().get(&name).copied() {
+        guard = FeedGuard::Is(revision);
+    }
+    for _ in 0..3 {
+        match node.store.write(FeedKind::UsageReports, &name, guard, body.clone()).await {
+            Ok(FeedWrite::Made(revision)) => {
+                node.report_revisions.borrow_mut().insert(name, revision);
+                return Some(report);
+            }
+            Ok(FeedWrite::Refused(Some(object))) => {
+                let known: FixedReport = serde_json::from_slice(&object.body).ok()?;
+                if known.window >= report.window {
+                    return Some(known);
+                }
+                guard = FeedGuard::Is(object.revision);
+            }
+            Ok(FeedWrite::Refused(None)) => guard = FeedGuard::Absent,
+            Err(fault) => {
+                event!(node, UsageFault;
+                    "window" => report.window, "fault" => fault.to_string());
+                return None;
+            }
+        }
+    }
+    None
+}
