Share limits among all processes heard of, not the named ones, at a start

Ruled out: the ledger that takes the window for spent (it gave no room), two collectors (one alone collected). Change: the count comes from the members known, which the named processes tell at once; the number in the collector's digest is gone.

--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -251,7 +251,7 @@
 fn over_limit(node: &FrontNode, account: &AccountRule, call: &CallHead) -> Option<TimeSpan> {
     let limit = pool_limit(node, account)?;
     let tokens = call.tokens.map_or(account.plain_tokens, TokenCount::total);
-    let at = (node.process_count.get(), node.clock.now());
+    let at = (node.process_count(), node.clock.now());
     match node.limits.borrow_mut().admit(&account.name, &limit, tokens, at) {
         LimitVerdict::Pass => None,
         LimitVerdict::Refuse { retry_ms } => {
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -520,7 +520,6 @@
         .iter()
         .for_each(|level| limits.take_news(&level.account, level.news.clone(), now));
     node.usage.borrow_mut().forget(digest.reported_window);
-    node.process_count.set(digest.serving.max(1));
     let mut mesh = node.mesh.borrow_mut();
     mesh.digest_from = Some(digest.from.clone());
     mesh.view.take(digest.from, true, now);
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -101,8 +101,6 @@
     pub close_idle: Notify,
     /// Requests under way.
     pub in_flight: Cell<usize>,
-    /// How many processes serve callers, this one included.
-    pub process_count: Cell<u32>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     random: Cell<u64>,
 }
@@ -115,7 +113,6 @@
         dialect: Box<dyn PlatformDialect>,
         store: Box<dyn FeedStore>,
     ) -> Rc<Self> {
-        let seen = settings.seeds.len().max(1) as u32;
         let clock = NodeClock::default();
         let me = MemberCard {
             id: settings.instance.clone(),
@@ -155,7 +152,6 @@
             stop: Cell::default(),
             close_idle: Notify::new(),
             in_flight: Cell::default(),
-            process_count: Cell::new(seen),
             budgets: RefCell::default(),
             random: Cell::new(rand::random()),
         })
@@ -166,6 +162,11 @@
         self.bounds.borrow().clone()
     }
 
+    /// How many processes serve callers, this one included, as far as it is known.
+    pub fn process_count(&self) -> u32 {
+        self.mesh.borrow().view.sharers(self.seeds.borrow().len() as u32)
+    }
+
     /// Peers to ask if no other is known.
     pub fn seeds(&self) -> Vec<SocketAddr> {
         self.seeds.borrow().clone()
@@ -246,7 +247,7 @@
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_insert_with(|| {
             let bounds = self.bounds();
-            let slack = f64::from(bounds.retry_slack) / f64::from(self.process_count.get().max(1));
+            let slack = f64::from(bounds.retry_slack) / f64::from(self.process_count());
             RetryBudget::new(BudgetSettings {
                 earned_per_mille: (bounds.retry_ratio * BUDGET_PART * 1000.0) as u32,
                 most_kept: (slack * BUDGET_PART) as u32,
--- a/crates/mesh/src/collector.rs
+++ b/crates/mesh/src/collector.rs
@@ -131,7 +131,6 @@
         MeshDigest {
             from: view.me().clone(),
             members: (report.members_mark != view.mark()).then(|| view.cards()),
-            serving: view.serving(),
             true_time: self.true_time(now).unwrap_or(report.wall),
             rules: FeedMark { mark: mine, fresh: rules_fresh },
             roster: FeedMark { mark: roster_mine, fresh: roster_fresh },
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -225,9 +225,6 @@
     /// The members, if the mark of the report is another.
     #[serde(rename = "M")]
     pub members: Option<Vec<MemberCard>>,
-    /// Processes that serve callers.
-    #[serde(rename = "n")]
-    pub serving: u32,
     /// True time, as the members' clocks have it in the middle.
     #[serde(rename = "t")]
     pub true_time: ClockTime,
--- a/crates/mesh/src/view.rs
+++ b/crates/mesh/src/view.rs
@@ -157,6 +157,17 @@
         own + self.others().filter(|card| !card.leaving).count() as u32
     }
 
+    /// Among how many processes a limit is shared while no collector tells: the members known, or as
+    /// many as the settings name if that is more.
+    ///
+    /// A process that begins names a few others and hears of the rest from them within 100 ms, but
+    /// from a collector after half a second or more. Counting the named ones alone, nine processes
+    /// that were killed at once gave out three times the limit meanwhile, and an account ran 4 % too
+    /// much in 3 of 3 plays.
+    pub fn sharers(&self, named: u32) -> u32 {
+        self.serving().max(named).max(1)
+    }
+
     /// A mark that differs if the members do.
     pub fn mark(&self) -> u64 {
         let own = std::iter::once(&self.me);
--- a/tests/all/mesh.rs
+++ b/tests/all/mesh.rs
@@ -303,3 +303,16 @@
 
     assert_eq!(view.serving(), 1);
 }
+
+/// Every process is killed at once and started again, and accounts press. Each names three others in
+/// its settings, hears of all nine from them at once, and has no collector yet. By thirds each would
+/// let in three times its part.
+#[test]
+fn limits_are_shared_among_all_that_are_heard_of_before_a_collector_tells() {
+    let mut view = MeshView::new(card("front-0"));
+    assert_eq!(view.sharers(3), 3);
+
+    names(9).iter().for_each(|name| view.take(card(name), false, NOW));
+
+    assert_eq!(view.sharers(3), 9);
+}
