Keep the reading speed of engines in one place

Cause: placing and scaling each had the users' figure, 125 tokens a millisecond and 125,000 a second; a change of one would have left the other behind. Ruled out: a setting; the sheets give one figure for all engines.

--- a/crates/duty/src/scale.rs
+++ b/crates/duty/src/scale.rs
@@ -4,14 +4,12 @@
 //! notice. So the plan keeps them spread with room for the loss of one domain, and buys on demand
 //! only what is missing while they are not to be had.
 
-use oleander_call::{EngineRule, ScaleRule};
+use oleander_call::{EngineRule, READ_TOKENS_PER_MS, ScaleRule};
 use oleander_kind::endpoint::InstanceMarket;
 use oleander_kind::{ClockTime, DomainName, ServiceName, TimeSpan};
 use oleander_plat::ScaleOrder;
 use std::collections::BTreeMap;
 
-/// Prompt tokens that an engine reads in a second if it does nothing else (users' sheets).
-const READ_TOKENS_PER_S: f64 = 125_000.0;
 /// Engine time of one answer token in a full batch: 3.27 ms a step and 0.082 ms a stream (users'
 /// sheets), shared by about 45 streams.
 const TOKEN_TIME_S: f64 = 0.000_155;
@@ -97,7 +95,8 @@
     (unread_tokens_per_s, answer_tokens_per_s): (f64, f64),
     running: u32,
 ) -> f64 {
-    let work = unread_tokens_per_s / READ_TOKENS_PER_S + answer_tokens_per_s * TOKEN_TIME_S;
+    let reading = unread_tokens_per_s / (READ_TOKENS_PER_MS * 1000.0);
+    let work = reading + answer_tokens_per_s * TOKEN_TIME_S;
     let places = f64::from(engine.slots.max(1)) * SLOT_PART;
     (work / WORK_PART).max(f64::from(running) / places)
 }
--- a/crates/place/src/choose.rs
+++ b/crates/place/src/choose.rs
@@ -4,12 +4,10 @@
 
 use crate::board::{EndpointBoard, EndpointFact, EndpointKey};
 use crate::prefix::PrefixRecord;
-use oleander_call::PromptPart;
+use oleander_call::{PromptPart, READ_TOKENS_PER_MS};
 use oleander_kind::hash::{mix_bits, rendezvous_weight};
 use oleander_kind::{ClockTime, DomainName, ServiceName};
 
-/// Prompt tokens an engine reads in a millisecond; the users' sheets say so of all their engines.
-pub const READ_TOKENS_PER_MS: f64 = 125.0;
 /// Tokens read again count this often: once for the caller that waits, once for the callers behind
 /// it whose text they push out of the engine's memory.
 const REREAD_WEIGHT: f64 = 2.0;
