--- a/crates/call/src/events.rs
+++ b/crates/call/src/events.rs
@@ -34,11 +34,6 @@
         self.buffer.extend_from_slice(bytes);
     }
 
-    /// Whether bytes of an unfinished event are held.
-    pub fn has_rest(&self) -> bool {
-        !self.buffer.is_empty()
-    }
-
     /// The bytes of an unfinished event.
     pub fn take_rest(&mut self) -> Bytes {
         self.searched = 0;
--- a/crates/mesh/src/clock.rs
+++ b/crates/mesh/src/clock.rs
@@ -33,11 +33,6 @@
         self.offset = Some(wall_offset(true_time + TimeSpan(trip.0 / 2), now));
     }
 
-    /// Takes an offset that was worked out here.
-    pub fn set_offset(&mut self, offset: i64) {
-        self.offset = Some(offset);
-    }
-
     /// True time at `now`; `wall`, the own time of day, until something better was heard.
     pub fn read(&self, now: ClockTime, wall: ClockTime) -> ClockTime {
         match self.offset {
--- a/crates/mesh/src/collector.rs
+++ b/crates/mesh/src/collector.rs
@@ -301,11 +301,6 @@
         self.usage.retain(|known, _| *known > window);
     }
 
-    /// The windows that something was reported of.
-    pub fn usage_windows(&self) -> impl Iterator<Item = u64> {
-        self.usage.keys().copied()
-    }
-
     fn note_demand(&mut self, report: &NodeReport, now: ClockTime) {
         let before = self.nodes.get(&report.card.id);
         let before = before.filter(|node| node.report.card.life == report.card.life);
--- a/crates/outlet/src/link.rs
+++ b/crates/outlet/src/link.rs
@@ -234,11 +234,6 @@
 }
 
 impl BodyLink {
-    /// Whether the answer says how its body ends, so that a cut cannot look like an end.
-    pub fn is_framed(&self) -> bool {
-        !matches!(self.framing, BodyFraming::UntilEnd)
-    }
-
     /// The next bytes of the body; `None` once it is whole.
     ///
     /// # Errors
