Ask peers, back off and read true time by one piece of code each

Cause: a call to a peer with the handling of its faults stood twice, and one of the two swallowed a dead mailbox without a log line; the pause with jitter stood twice, going by a named collector twice, true time three times. Ruled out: one back-off with the edge's spread, which waits at least its whole pause; its behaviour would change. Change: call_peer, follow_collector, FrontNode::back_off, FrontNode::true_now. Behaviour stays, but for that log line.

--- a/crates/front/src/discover.rs
+++ b/crates/front/src/discover.rs
@@ -41,9 +41,7 @@
     let mut pause = FIRST_PAUSE;
     while let Err(fault) = act().await {
         event!(node, MemberFault; "fault" => fault.to_string());
-        let jitter = TimeSpan(pause.0 / 2 + node.random() % (pause.0 / 2 + 1));
-        actix_rt::time::sleep(jitter.duration()).await;
-        pause = TimeSpan(pause.0 * 2).min(LONGEST_PAUSE);
+        pause = node.back_off(pause, LONGEST_PAUSE).await;
     }
 }
 
--- a/crates/front/src/duties.rs
+++ b/crates/front/src/duties.rs
@@ -167,8 +167,3 @@
         }
     }
 }
-
-/// True time at this process.
-pub fn true_now(node: &FrontNode) -> ClockTime {
-    node.mesh.borrow().clock.read(node.clock.now(), node.clock.wall())
-}
--- a/crates/front/src/duties/usage.rs
+++ b/crates/front/src/duties/usage.rs
@@ -1,6 +1,6 @@
 //! Reports of usage, fixed in the store before they are sent.
 
-use super::{DUTY_PERIOD, DutyLease, collects, encode, true_now};
+use super::{DUTY_PERIOD, DutyLease, collects, encode};
 use crate::events::event;
 use crate::node::FrontNode;
 use oleander_duty::usage::window_of;
@@ -36,7 +36,7 @@
             duty = None;
             continue;
         };
-        let now = true_now(&node);
+        let now = node.true_now();
         let fence = stamp.fence;
         let current = match duty.take() {
             Some((known, duty)) if known == fence => duty,
@@ -70,8 +70,7 @@
 fn all_reported(node: &FrontNode, since: ClockTime) -> bool {
     let mesh = node.mesh.borrow();
     let now = node.clock.now();
-    let true_now = mesh.clock.read(now, node.clock.wall());
-    let since = now - (true_now - since);
+    let since = now - (node.true_now() - since);
     mesh.collector.as_ref().is_some_and(|collector| collector.all_reported_since(&mesh.view, since))
 }
 
--- a/crates/front/src/feeds.rs
+++ b/crates/front/src/feeds.rs
@@ -103,9 +103,7 @@
                 // although its history is gone meanwhile; what changed in between would be missed
                 // until then. A list says how things stand.
                 from = None;
-                let jitter = TimeSpan(pause.0 / 2 + node.random() % (pause.0 / 2 + 1));
-                actix_rt::time::sleep(jitter.duration()).await;
-                pause = TimeSpan(pause.0 * 2).min(LONGEST_PAUSE);
+                pause = node.back_off(pause, LONGEST_PAUSE).await;
             }
         }
     }
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -343,21 +343,42 @@
         }
         let address: CompactString = seed.to_string().into();
         let body = MeshBody::Greet(node.mesh.borrow().view.me().clone());
-        let call = CallPeer { address: address.clone(), body, limit: ANSWER_LIMIT };
-        match hub.send(call).await {
-            Ok(Ok(MeshBody::Members(list))) => take_members(node, list),
-            Ok(Ok(_)) => {}
-            Ok(Err(fault)) => {
-                event!(node, MemberFault; "fault" => fault.to_string());
-                hub.do_send(ForgetPeer(address));
-            }
-            Err(fault) => {
-                event!(node, InternalFault; "fault" => fault.to_string());
-            }
+        if let Some(MeshBody::Members(list)) = call_peer(node, hub, address, body).await {
+            take_members(node, list);
+        }
+    }
+}
+
+/// Asks another process; none if it did not answer, which is logged.
+async fn call_peer(
+    node: &FrontNode,
+    hub: &Addr<PeerHub<MeshBody>>,
+    address: CompactString,
+    body: MeshBody,
+) -> Option<MeshBody> {
+    let call = CallPeer { address: address.clone(), body, limit: ANSWER_LIMIT };
+    match hub.send(call).await {
+        Ok(Ok(answer)) => Some(answer),
+        Ok(Err(fault)) => {
+            event!(node, MemberFault; "fault" => fault.to_string());
+            hub.do_send(ForgetPeer(address));
+            None
+        }
+        Err(fault) => {
+            event!(node, InternalFault; "fault" => fault.to_string());
+            None
         }
     }
 }
 
+/// Goes by the collector that another process named.
+fn follow_collector(mesh: &mut MeshState, node: &FrontNode, card: MemberCard) {
+    let now = node.clock.now();
+    let true_now = mesh.clock.read(now, node.clock.wall());
+    event!(node, CollectorChosen; "collector" => card.id.as_str(), "sent" => true);
+    mesh.view.follow(card, true_now, now);
+}
+
 fn take_members(node: &FrontNode, list: MemberList) {
     let now = node.clock.now();
     let mut mesh = node.mesh.borrow_mut();
@@ -367,9 +388,7 @@
     }
     let undecided = mesh.view.chosen().is_none();
     if let Some(card) = list.collector.filter(|_| undecided) {
-        let true_now = mesh.clock.read(now, node.clock.wall());
-        event!(node, CollectorChosen; "collector" => card.id.as_str(), "sent" => true);
-        mesh.view.follow(card, true_now, now);
+        follow_collector(&mut mesh, node, card);
     }
 }
 
@@ -412,33 +431,22 @@
     let sent_at = node.clock.now();
     let address: CompactString = address.to_string().into();
     let body = MeshBody::Report(Box::new(report));
-    let call = CallPeer { address: address.clone(), body, limit: ANSWER_LIMIT };
-    match hub.send(call).await {
-        Ok(Ok(MeshBody::Digest(digest))) => {
+    match call_peer(node, hub, address, body).await {
+        Some(MeshBody::Digest(digest)) => {
             take_digest(node, *digest, node.clock.now() - sent_at);
             CallOutcome::Taken
         }
-        Ok(Ok(MeshBody::Leaving(card))) => {
+        Some(MeshBody::Leaving(card)) => {
             node.mesh.borrow_mut().view.take(card, true, node.clock.now());
             CallOutcome::Elsewhere
         }
-        Ok(Ok(MeshBody::Follow(card))) => {
-            let mut mesh = node.mesh.borrow_mut();
-            let now = node.clock.now();
-            let true_now = mesh.clock.read(now, node.clock.wall());
-            event!(node, CollectorChosen; "collector" => card.id.as_str(), "sent" => true);
-            mesh.view.follow(card, true_now, now);
+        Some(MeshBody::Follow(card)) => {
+            follow_collector(&mut node.mesh.borrow_mut(), node, card);
             CallOutcome::Elsewhere
         }
-        Ok(Ok(MeshBody::Report(_) | MeshBody::Greet(_) | MeshBody::Members(_))) => {
-            CallOutcome::Failed
-        }
-        Ok(Err(fault)) => {
-            event!(node, MemberFault; "fault" => fault.to_string());
-            hub.do_send(ForgetPeer(address));
+        Some(MeshBody::Report(_) | MeshBody::Greet(_) | MeshBody::Members(_)) | None => {
             CallOutcome::Failed
         }
-        Err(_) => CallOutcome::Failed,
     }
 }
 
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -162,6 +162,19 @@
         self.bounds.borrow().clone()
     }
 
+    /// True time at this process.
+    pub fn true_now(&self) -> ClockTime {
+        self.mesh.borrow().clock.read(self.clock.now(), self.clock.wall())
+    }
+
+    /// Waits between half of `pause` and all of it, so that processes that failed together do not
+    /// come back together; gives the pause after that, twice as long and `longest` at the most.
+    pub async fn back_off(&self, pause: TimeSpan, longest: TimeSpan) -> TimeSpan {
+        let jitter = TimeSpan(pause.0 / 2 + self.random() % (pause.0 / 2 + 1));
+        actix_rt::time::sleep(jitter.duration()).await;
+        TimeSpan(pause.0 * 2).min(longest)
+    }
+
     /// How many processes serve callers, this one included, as far as it is known.
     pub fn process_count(&self) -> u32 {
         self.mesh.borrow().view.sharers(self.seeds.borrow().len() as u32)
@@ -210,7 +223,7 @@
 
     /// Counts a request of `account` that began to run `ago`.
     pub fn note_usage(&self, account: &AccountName, ago: TimeSpan) {
-        let now = self.mesh.borrow().clock.read(self.clock.now(), self.clock.wall());
+        let now = self.true_now();
         self.usage.borrow_mut().note(account, now - ago);
     }
 
