Keep a jump in its window when the ledger of limits changes hands

Cause: the next ledger begins with each account's window as it was told, by the second. Each second was dated to its beginning, so what an account let in at a jump left the window up to 1 s early and its room was given out once more. A process that had let in nothing of an account was not told of it at all, took its window for spent evenly, and as the next ledger let the jump in twice.

Change: seconds are dated to their end; the collector tells levels of every account it knows of.

--- a/crates/limit/src/pool.rs
+++ b/crates/limit/src/pool.rs
@@ -140,7 +140,11 @@
     pub fn known_windows(&self, now: ClockTime) -> Vec<(AccountName, SpentSlots)> {
         let window = |(name, state): (&AccountName, &GateAccount)| {
             let known = state.known.as_ref().filter(|known| now - known.at < NEWS_KEPT)?;
-            let second = |back: usize| known.at - TimeSpan::secs(back as u64 + 1);
+            // Dated to the end of each second, so that no spending leaves the window early. Dated to
+            // the beginning, a jump left up to 1 s too soon and its room was given out once more: with
+            // a change of the ledger windows reached 96 % of what operators allow, now 88 % (virtual
+            // time, 64 processes), and 1 to 3 % too much in played days.
+            let second = |back: usize| known.at - TimeSpan::secs(back as u64);
             let seconds = known.news.profile.iter().enumerate().rev();
             let slots = seconds.map(|(back, tokens)| (second(back), f64::from(*tokens)));
             Some((name.clone(), slots.collect()))
@@ -251,6 +255,11 @@
 }
 
 impl PoolLedger {
+    /// Whether anything was told or reported of `account`.
+    pub fn knows(&self, account: &AccountName) -> bool {
+        self.accounts.contains_key(account) || self.known.contains_key(account)
+    }
+
     /// Begins with the windows that the last ledger told of. One that began empty would let an
     /// account that is at its limit in for another whole window after every change of the ledger.
     pub fn begin(known: Vec<(AccountName, SpentSlots)>, now: ClockTime) -> Self {
--- a/crates/mesh/src/collector.rs
+++ b/crates/mesh/src/collector.rs
@@ -8,7 +8,7 @@
 use crate::view::MeshView;
 use oleander_call::RuleSet;
 use oleander_kind::{AccountName, ClockTime, InstanceId, ServiceName, TimeSpan};
-use oleander_limit::{PoolLedger, PoolLimit, PoolSpender, SpentSlots};
+use oleander_limit::{PoolLedger, PoolLimit, PoolSpender, SpendCount, SpentSlots};
 use oleander_plat::{FeedEvent, FeedObject};
 use std::collections::BTreeMap;
 
@@ -208,15 +208,34 @@
         let spender = PoolSpender { instance: report.card.id.clone(), life: report.card.life };
         let part = self.heard_part(report, view, facts.now);
         let mut levels = Vec::new();
-        for spend in &report.spent {
-            let Some(limit) = (facts.limit_of)(&spend.account) else { continue };
-            let spent = (&spender, spend.count);
-            let news = self.ledger.report(&spend.account, (&limit, part), spent, facts.now);
-            levels.push(AccountLevel { account: spend.account.clone(), news });
+        for (account, count) in self.reported_accounts(report, facts) {
+            let Some(limit) = (facts.limit_of)(&account) else { continue };
+            let news = self.ledger.report(&account, (&limit, part), (&spender, count), facts.now);
+            levels.push(AccountLevel { account, news });
         }
         levels
     }
 
+    /// The accounts that `report` counts, and those that only others let in.
+    ///
+    /// Any process may collect next, and begins with the windows it was told of. One that was not told
+    /// of an account, as it had let in nothing of it, took its window for spent evenly and let a jump
+    /// of that account in twice.
+    fn reported_accounts(
+        &self,
+        report: &NodeReport,
+        facts: &CollectorFacts<'_>,
+    ) -> Vec<(AccountName, SpendCount)> {
+        let counted: Vec<_> =
+            report.spent.iter().map(|spend| (spend.account.clone(), spend.count)).collect();
+        let accounts = facts.rules.map_or(&[][..], RuleSet::accounts);
+        let lacks = |name: &AccountName| counted.iter().all(|(known, _)| known != name);
+        let others = accounts.iter().map(|account| &account.name);
+        let others = others.filter(|name| self.ledger.knows(name) && lacks(name));
+        let others: Vec<_> = others.map(|name| (name.clone(), SpendCount::default())).collect();
+        counted.into_iter().chain(others).collect()
+    }
+
     /// The part of the serving processes that report here. The others let requests in by equal
     /// shares of their own, or have another collector; their part is not given away.
     fn heard_part(&self, report: &NodeReport, view: &MeshView, now: ClockTime) -> f64 {
--- a/tests/all/mesh.rs
+++ b/tests/all/mesh.rs
@@ -1,10 +1,12 @@
 //! Who collects, and what the collector makes of the reports.
 
-use oleandertack::call::{CallerBounds, RuleSet};
+use oleandertack::call::{AccountRule, CallerBounds, RuleSet};
 use oleandertack::kind::{AccountName, ClockTime, InstanceId, TimeSpan};
+use oleandertack::limit::{PoolLimit, SpendCount};
 use oleandertack::mesh::{
-    CollectorFacts, FeedMark, MemberCard, MeshCollector, MeshDigest, MeshView, NodeReport,
-    NodeUsage, RosterNews, RosterState, TrueClock, UsageCount, collect_strength, median_offset,
+    AccountSpend, CollectorFacts, FeedMark, MemberCard, MeshCollector, MeshDigest, MeshView,
+    NodeReport, NodeUsage, RosterNews, RosterState, TrueClock, UsageCount, collect_strength,
+    median_offset,
 };
 use oleandertack::plat::{FeedEvent, FeedPage};
 
@@ -187,6 +189,7 @@
     collector: MeshCollector,
     rules: RuleSet,
     own: FeedMark,
+    limit: Option<PoolLimit>,
 }
 
 fn rig() -> CollectorRig {
@@ -195,6 +198,7 @@
         collector: MeshCollector::begin(Vec::new(), NOW),
         rules: RuleSet::new(1, CallerBounds::default()),
         own: FeedMark { mark: 5, fresh: true },
+        limit: None,
     }
 }
 
@@ -212,7 +216,7 @@
             roster: &|| RosterNews { page: FeedPage::default(), settled: true },
             roster_changes: &changes,
             roster_state: RosterState { source: 9, number: 3 },
-            limit_of: &|_: &AccountName| None,
+            limit_of: &|_: &AccountName| self.limit,
             reported_window: 0,
             peaks: Vec::new(),
             lease: None,
@@ -340,3 +344,31 @@
 
     assert_eq!(view.sharers(3), 9);
 }
+
+/// The collector dies while an account presses, and a process follows it that let in nothing of that
+/// account. It can begin with the account's window only if it was told of it.
+#[test]
+fn a_process_is_told_of_accounts_that_only_others_let_in() {
+    let mut rig = rig();
+    let account = AccountRule {
+        name: "tartu".into(),
+        keys: Vec::new(),
+        rank: None,
+        tokens_per_s: Some(1000),
+        burst_tokens: 1000,
+        plain_tokens: 200,
+    };
+    rig.rules = RuleSet::new(1, CallerBounds::default()).with_account(account);
+    let window = TimeSpan(8000);
+    rig.limit = Some(PoolLimit { rate_per_s: 1000.0, burst: 1000.0, overshoot: 100_000.0, window });
+    let count = SpendCount { tokens: 5000, acked: 0 };
+    let spent = vec![AccountSpend { account: "tartu".into(), count }];
+    let settled = NOW + TimeSpan(600);
+
+    rig.take(NodeReport { spent, ..report("front-1") }, settled);
+    let digest = rig.take(report("front-2"), settled + TimeSpan(10));
+
+    let news = digest.levels.first().map(|level| level.news.clone());
+    let told = news.map(|news| (news.profile.first().copied(), news.counted));
+    assert_eq!(told, Some((Some(5000), 0)));
+}
--- a/tests/all/pool.rs
+++ b/tests/all/pool.rs
@@ -9,19 +9,23 @@
 const WINDOW_MS: u64 = 8000;
 const START: u64 = 1_000_000;
 
-fn limit() -> PoolLimit {
-    let (rate_per_s, burst) = (RATE as f64, RATE as f64);
+/// The largest account of 64 processes; what operators allow besides is small against it.
+const LARGE_RATE: u64 = 1_350_000;
+
+fn limit(rate: u64) -> PoolLimit {
+    let (rate_per_s, burst) = (rate as f64, rate as f64);
     let window = TimeSpan(WINDOW_MS);
     let overshoot = (rate_per_s * 8.0 + burst) * 0.1 + 140_000.0;
     PoolLimit { rate_per_s, burst, overshoot, window }
 }
 
 /// What the operators allow in any window.
-fn allowed() -> u64 {
-    (RATE * 8 + RATE) * 11 / 10 + 140_000
+fn allowed(rate: u64) -> u64 {
+    (rate * 8 + rate) * 11 / 10 + 140_000
 }
 
 struct Group {
+    rate: u64,
     gates: Vec<PoolGate>,
     ledger: PoolLedger,
     /// Processes that the ledger does not hear.
@@ -35,6 +39,7 @@
 
 fn group(count: usize) -> Group {
     Group {
+        rate: RATE,
         gates: (0..count).map(|_| PoolGate::default()).collect(),
         ledger: PoolLedger::begin(Vec::new(), ClockTime(START)),
         cut: Vec::new(),
@@ -55,7 +60,7 @@
     fn play(&mut self, ms: u64, times: f64) {
         for _ in 0..ms {
             self.now += 1;
-            self.owed += RATE as f64 * times / 1000.0;
+            self.owed += self.rate as f64 * times / 1000.0;
             while self.owed >= TOKENS as f64 {
                 self.owed -= TOKENS as f64;
                 self.ask();
@@ -75,7 +80,7 @@
         // A third of all requests come to the first process.
         let at = if self.asked.is_multiple_of(3) { 0 } else { turn as usize % self.gates.len() };
         let processes = (self.gates.len() as u32, ClockTime(self.now));
-        match self.gates[at].admit(&account(), &limit(), TOKENS, processes) {
+        match self.gates[at].admit(&account(), &limit(self.rate), TOKENS, processes) {
             LimitVerdict::Pass => self.spent.push((self.now, TOKENS)),
             LimitVerdict::Refuse { .. } => self.refused += 1,
         }
@@ -88,11 +93,11 @@
         let part = (self.gates.len() - self.cut.len()) as f64 / self.gates.len() as f64;
         let spender = PoolSpender { instance: format!("front-{at}").as_str().into(), life: 1 };
         let now = ClockTime(self.now);
-        let counts: Vec<_> = self.gates[at].spent().map(|(_, count)| count).collect();
-        for count in counts {
-            let news = self.ledger.report(&account(), (&limit(), part), (&spender, count), now);
-            self.gates[at].take_news(&account(), news, now);
-        }
+        // A ledger tells of every account, also to processes that let none of its requests in.
+        let count = self.gates[at].spent().map(|(_, count)| count).next().unwrap_or_default();
+        let known = (&limit(self.rate), part);
+        let news = self.ledger.report(&account(), known, (&spender, count), now);
+        self.gates[at].take_news(&account(), news, now);
     }
 
     /// Another process takes the ledger over.
@@ -132,7 +137,7 @@
     group.play(15_000, 4.2);
 
     let worst = group.worst_window();
-    assert!(worst <= allowed(), "{worst} of {}", allowed());
+    assert!(worst <= allowed(RATE), "{worst} of {}", allowed(RATE));
     // And it is not starved: it gets most of its limit.
     assert!(worst >= RATE * 8, "{worst}");
 }
@@ -157,7 +162,7 @@
     }
 
     let worst = group.worst_window();
-    assert!(worst <= allowed(), "{worst} of {}", allowed());
+    assert!(worst <= allowed(RATE), "{worst} of {}", allowed(RATE));
 }
 
 #[test]
@@ -171,7 +176,7 @@
     group.play(12_000, 4.2);
 
     let worst = group.worst_window();
-    assert!(worst <= allowed(), "{worst} of {}", allowed());
+    assert!(worst <= allowed(RATE), "{worst} of {}", allowed(RATE));
 }
 
 #[test]
@@ -188,5 +193,23 @@
     group.play(10_000, 4.2);
 
     let worst = group.worst_window();
-    assert!(worst <= allowed(), "{worst} of {}", allowed());
+    assert!(worst <= allowed(RATE), "{worst} of {}", allowed(RATE));
+}
+
+/// An account jumps to 4.2 times its limit, and three seconds later a process takes the ledger over
+/// that has let in no request of that account. It was never told of the window, took it for spent
+/// evenly, and gave out again what had been let in at the jump: 2 % beyond what operators allow.
+#[test]
+fn a_new_ledger_knows_windows_of_accounts_that_its_process_let_nothing_in_of() {
+    for offset in (0..1000).step_by(250) {
+        let mut group = Group { rate: LARGE_RATE, ..group(64) };
+        group.play(9_000, 0.55);
+        group.play(3_000 + offset, 4.2);
+
+        group.change_ledger();
+        group.play(9_000, 4.2);
+
+        let worst = group.worst_window();
+        assert!(worst <= allowed(LARGE_RATE), "{offset}: {worst} of {}", allowed(LARGE_RATE));
+    }
 }
