Refuse at once what would wait for half again its objective at every engine

Cause: an overloaded service took everything, and each prompt waited behind more than can be read in time.

Ruled out: a limit at the objective itself.

Change: what is known to wait at an engine, times 2.2 (measured on 110,000 requests), is judged against 1.6 times the objective, 1.2 for all ranks but the first; engines with less are looked for before anything is refused; by lot if more is offered than engines read. Retry-After is the wait, spread over as long again. What is refused counts as demand. Its line in the log says what it was decided by.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -48,7 +48,8 @@
         outcome
     }
 
-    fn note_demand(&self, choice: &PlaceChoice) {
+    /// Counts what the request asks of its service.
+    pub(crate) fn note_demand(&self, choice: &PlaceChoice) {
         let first = self.record.sent() == 0;
         let answer = self.call.tokens.map_or(0, |tokens| tokens.answer);
         let guess = self.call.length_hint.unwrap_or(answer).min(answer.max(1));
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -20,7 +20,9 @@
 use oleander_kind::hash::{HASH_START, mix_bits, stable_hash};
 use oleander_kind::{AccountName, InstanceId, ResultCode, ServiceName, TimeSpan};
 use oleander_limit::LimitVerdict;
-use oleander_place::{AnswerGrade, EndpointKey, PlaceAsk, PlaceChoice, choose_endpoint};
+use oleander_place::{
+    AnswerGrade, EndpointKey, PlaceAsk, PlaceChoice, choose_endpoint, queue_limit, shed_until,
+};
 use std::io;
 use std::rc::Rc;
 use tokio::time::{Instant, timeout_at};
@@ -138,7 +140,8 @@
                 "code" => code.number(), "name" => code.name(), "status" => code.status(),
                 "sent" => self.sent, "may_have_run" => self.may_have_run,
                 "endpoint" => endpoint, "total_ms" => total_ms, "rules" => self.rules,
-                "fresh" => self.fresh),
+                "fresh" => self.fresh, "ahead" => self.chosen.map(|choice| choice.tokens_ahead),
+                "running" => self.chosen.map(|choice| choice.running)),
             (Ok(()), None) => event!(node, RequestDone;
                 "request" => request, "service" => self.service.as_str(),
                 "status" => answer.status(), "sent" => self.sent, "endpoint" => endpoint,
@@ -301,6 +304,12 @@
             let Some(choice) = self.choose() else {
                 return self.give_up(ResultCode::NoEndpoint).await;
             };
+            if let Some(back_in) = self.overloaded(&choice) {
+                // What is refused is needed all the same: more endpoints are ordered for it.
+                self.note_demand(&choice);
+                self.chosen = Some(choice);
+                return self.answer.refuse(ResultCode::Overloaded, Some(back_in)).await;
+            }
             match self.attempt(choice).await {
                 AttemptOutcome::Delivered => return Ok(()),
                 AttemptOutcome::CallerGone => return Err(io::ErrorKind::ConnectionAborted.into()),
@@ -368,12 +377,28 @@
             parts: &self.call.parts,
             tried: &self.tried,
             domain: &self.node.settings.domain,
+            queue_limit: self.queue_limit(),
             salt: call_salt(&self.call),
             now: self.node.clock.now(),
         };
         choose_endpoint(&self.node.endpoints.borrow(), &self.node.prefixes.borrow(), &ask)
     }
 
+    fn queue_limit(&self) -> u64 {
+        queue_limit(self.route().objective, self.rank)
+    }
+
+    /// When the caller should come back if the service is overloaded. A stream that its caller has a
+    /// part of is gone on with in any case: the part would be lost.
+    fn overloaded(&self, choice: &PlaceChoice) -> Option<TimeSpan> {
+        let fresh = self.record.sent() == 0 && self.last_event.is_none();
+        if !fresh || !self.is_engine() {
+            return None;
+        }
+        let pressure = self.node.note_offered(&self.service, choice.unread);
+        shed_until(choice, &pressure, self.queue_limit(), call_salt(&self.call))
+    }
+
     pub(crate) fn is_engine(&self) -> bool {
         self.rules.service(&self.service).is_some_and(|service| service.engine.is_some())
     }
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -15,7 +15,7 @@
 use oleander_limit::PoolGate;
 use oleander_mesh::{MemberCard, ServiceDemand, collect_strength};
 use oleander_outlet::{HttpCodec, LinkPool};
-use oleander_place::{EndpointBoard, PrefixRecord};
+use oleander_place::{EndpointBoard, OfferedRate, PrefixRecord, ServicePressure};
 use oleander_plat::{FeedObject, FeedStore};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -91,6 +91,8 @@
     pub usage: RefCell<UsageBook>,
     /// What was asked of the services since this process began.
     pub demand: RefCell<BTreeMap<ServiceName, ServiceDemand>>,
+    /// Prompt tokens that callers of this process ask the services to read.
+    pub offered: RefCell<HashMap<ServiceName, OfferedRate>>,
     /// What is known through the other processes.
     pub mesh: RefCell<MeshState>,
     /// Revisions of the usage reports in the store, by their places.
@@ -148,6 +150,7 @@
             limits: RefCell::default(),
             usage: RefCell::new(UsageBook::new(window)),
             demand: RefCell::default(),
+            offered: RefCell::default(),
             mesh: RefCell::new(MeshState::new(me)),
             report_revisions: RefCell::default(),
             stop: Cell::default(),
@@ -240,6 +243,17 @@
         act(demand.entry(service.clone()).or_insert_with(fresh));
     }
 
+    /// Counts prompt tokens that `service` is asked to read, and says how it stands.
+    pub fn note_offered(&self, service: &ServiceName, tokens: u64) -> ServicePressure {
+        let mut offered = self.offered.borrow_mut();
+        let rate = offered.entry(service.clone()).or_default();
+        rate.note(tokens, self.clock.now());
+        let (queue, engines) = self.endpoints.borrow().queue_of(service);
+        // Callers are spread over the processes by chance; each takes the others' share for its own.
+        let offered_per_s = rate.per_s() * f64::from(self.process_count());
+        ServicePressure { queue, engines, offered_per_s }
+    }
+
     /// The next random number.
     pub fn random(&self) -> u64 {
         let next = mix_bits(self.random.get());
--- a/crates/place/src/board.rs
+++ b/crates/place/src/board.rs
@@ -149,6 +149,13 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Prompt tokens that wait at the endpoints of a service that take work, and how many these are.
+    pub fn queue_of(&self, service: &ServiceName) -> (u64, u32) {
+        let facts = self.of_service(service).iter().filter_map(|key| self.get(*key));
+        let working = facts.filter(|fact| fact.takes_work());
+        working.fold((0, 0), |(queue, count), fact| (queue + fact.unread_tokens(), count + 1))
+    }
+
     /// All endpoints.
     pub fn iter(&self) -> impl Iterator<Item = (EndpointKey, &EndpointFact)> {
         self.facts.iter()
--- a/crates/place/src/choose.rs
+++ b/crates/place/src/choose.rs
@@ -39,6 +39,8 @@
     pub tried: &'a [EndpointKey],
     /// The failure domain of this process.
     pub domain: &'a DomainName,
+    /// Tokens that may wait to be read at an engine before it is passed over while others have fewer.
+    pub queue_limit: u64,
     /// Breaks ties; differs between requests.
     pub salt: u64,
     /// The time.
@@ -58,6 +60,13 @@
     pub running: u32,
 }
 
+impl PlaceChoice {
+    /// Tokens that wait to be read at the endpoint before this request's own.
+    pub fn queue(&self) -> u64 {
+        self.tokens_ahead - self.unread
+    }
+}
+
 /// Chooses an endpoint; none if the service has none that takes work.
 ///
 /// Endpoints that rest after a failure, and doubted ones, are left out, unless that would leave nobody: a wrong
@@ -77,12 +86,20 @@
     let awake: Vec<_> = awake.copied().collect();
     let candidates = if awake.is_empty() { open } else { awake };
     let home = home_endpoint(&candidates, ask);
-    let weighed = if ask.engine { engine_pair(candidates, home, ask) } else { candidates };
-    weighed
-        .into_iter()
-        .map(|(key, fact)| weigh(key, fact, home, prefixes, ask))
-        .min_by(|a, b| a.0.total_cmp(&b.0))
-        .map(|(_, choice)| choice)
+    let best = |few: Vec<(EndpointKey, &EndpointFact)>| {
+        let weighed = few.into_iter().map(|(key, fact)| weigh(key, fact, home, prefixes, ask));
+        weighed.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, choice)| choice)
+    };
+    if !ask.engine {
+        return best(candidates);
+    }
+    let choice = best(engine_pair(candidates.clone(), home, ask))?;
+    if choice.queue() <= ask.queue_limit {
+        return Some(choice);
+    }
+    let short = |(_, fact): &(EndpointKey, &EndpointFact)| fact.unread_tokens() <= ask.queue_limit;
+    let short: Vec<_> = candidates.into_iter().filter(short).collect();
+    best(engine_pair(short, None, ask)).or(Some(choice))
 }
 
 /// The two engines that one request looks at: its home, and one drawn by lot; two by lot if it has no
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -8,8 +8,10 @@
 pub mod choose;
 pub mod health;
 pub mod prefix;
+pub mod shed;
 
 pub use board::{EndpointBoard, EndpointEntry, EndpointFact, EndpointKey, WorkLoad};
 pub use choose::{PlaceAsk, PlaceChoice, choose_endpoint};
 pub use health::{AnswerGrade, HealthRecord};
 pub use prefix::PrefixRecord;
+pub use shed::{OfferedRate, ServicePressure, queue_limit, shed_until};
--- a/tests/all/place.rs
+++ b/tests/all/place.rs
@@ -53,6 +53,7 @@
             parts,
             tried: &[],
             domain: &self.domain,
+            queue_limit: u64::MAX,
             salt,
             now: NOW,
         };
--- a/tests/all/placing.rs
+++ b/tests/all/placing.rs
@@ -3,9 +3,10 @@
 use oleandertack::call::{PromptPart, READ_TOKENS_PER_MS};
 use oleandertack::kind::endpoint::{EndpointStage, InstanceMarket};
 use oleandertack::kind::hash::mix_bits;
-use oleandertack::kind::{ClockTime, DomainName, ServiceName};
+use oleandertack::kind::{ClockTime, DomainName, ServiceName, TimeSpan};
 use oleandertack::place::{
-    EndpointBoard, EndpointEntry, EndpointKey, PlaceAsk, PrefixRecord, WorkLoad, choose_endpoint,
+    EndpointBoard, EndpointEntry, EndpointKey, OfferedRate, PlaceAsk, PrefixRecord,
+    ServicePressure, WorkLoad, choose_endpoint, queue_limit, shed_until,
 };
 use std::collections::HashMap;
 
@@ -16,12 +17,15 @@
 const REPORT_MS: u64 = 250;
 /// How long an engine keeps a part that is not used.
 const KEPT_MS: u64 = 9000;
+/// The objective until the first token.
+const OBJECTIVE: TimeSpan = TimeSpan(500);
 const START: u64 = 1_000_000;
 
 struct Process {
     board: EndpointBoard,
     keys: Vec<EndpointKey>,
     prefixes: PrefixRecord,
+    offered: OfferedRate,
 }
 
 fn process() -> Process {
@@ -38,7 +42,7 @@
         release: "v1".into(),
     };
     let keys = (0..ENGINES).map(|at| board.put(entry(at))).collect();
-    Process { board, keys, prefixes: PrefixRecord::default() }
+    Process { board, keys, prefixes: PrefixRecord::default(), offered: OfferedRate::default() }
 }
 
 /// A prompt under way at an engine.
@@ -49,35 +53,47 @@
     done_ms: f64,
 }
 
+/// How a play goes.
+struct PlayPlan {
+    seconds: u64,
+    /// The part of their time that the engines are kept reading if nothing is read twice.
+    part: f64,
+    /// How many times as long as the reading alone a prompt takes.
+    slowness: f64,
+    /// Whether requests that would be late are refused.
+    sheds: bool,
+}
+
 struct Played {
+    refused: usize,
     reading_ms: Vec<f64>,
     shared_tokens: u64,
     read_again: u64,
 }
 
-/// Plays `seconds` of prompts that keep the engines reading for `part` of their time if nothing is
-/// read twice: a sixth of them long, of 420 sessions, the others short, of 3,800.
-fn play(seconds: u64, part: f64) -> Played {
+/// Plays prompts: a sixth of them long, of 420 sessions, the others short, of 3,800.
+fn play(plan: &PlayPlan) -> Played {
     let (service, domain) = (ServiceName::from("engine"), DomainName::from("kopli"));
     let mut processes: Vec<Process> = (0..PROCESSES).map(|_| process()).collect();
     let mut free_at = vec![0.0_f64; ENGINES];
     let mut kept: Vec<HashMap<u64, u64>> = vec![HashMap::new(); ENGINES];
     let mut reports = vec![vec![WorkLoad::default(); ENGINES]; PROCESSES];
     let mut under_way: Vec<Reading> = Vec::new();
-    let mut played = Played { reading_ms: Vec::new(), shared_tokens: 0, read_again: 0 };
+    let mut played = Played { refused: 0, reading_ms: Vec::new(), shared_tokens: 0, read_again: 0 };
     let mut random = 7_u64;
     let mut draw = |most: u64| {
         random = mix_bits(random.wrapping_add(1));
         random % most
     };
+    let limit = if plan.sheds { queue_limit(OBJECTIVE, 0) } else { u64::MAX };
     let mut owed = 0.0;
-    for ms in 0..seconds * 1000 {
+    for ms in 0..plan.seconds * 1000 {
         let now = START + ms;
         finish(&mut under_way, &mut processes, ms as f64);
         let told: Vec<usize> =
             (0..PROCESSES).filter(|at| (now + *at as u64 * 37).is_multiple_of(REPORT_MS)).collect();
         told.into_iter().for_each(|at| report(&mut processes, &mut reports, at));
-        owed += READ_TOKENS_PER_MS * ENGINES as f64 * part;
+        owed += READ_TOKENS_PER_MS / plan.slowness * ENGINES as f64 * plan.part;
         while owed > 0.0 {
             let long = draw(6) == 0;
             let session = if long { draw(420) } else { 1000 + draw(3800) };
@@ -90,6 +106,7 @@
             ];
             owed -= own as f64;
             let at = draw(PROCESSES as u64) as usize;
+            let salt = draw(u64::MAX);
             let ask = PlaceAsk {
                 service: &service,
                 engine: true,
@@ -97,11 +114,20 @@
                 parts: &parts,
                 tried: &[],
                 domain: &domain,
-                salt: draw(u64::MAX),
+                queue_limit: limit,
+                salt,
                 now: ClockTime(now),
             };
             let one = &mut processes[at];
             let choice = choose_endpoint(&one.board, &one.prefixes, &ask).expect("one of them");
+            one.offered.note(choice.unread, ClockTime(now));
+            let queue = one.board.iter().map(|(_, fact)| fact.unread_tokens()).sum();
+            let offered_per_s = one.offered.per_s() * PROCESSES as f64;
+            let pressure = ServicePressure { queue, engines: ENGINES as u32, offered_per_s };
+            if plan.sheds && shed_until(&choice, &pressure, limit, salt).is_some() {
+                played.refused += 1;
+                continue;
+            }
             one.prefixes.note(&parts, choice.key, ClockTime(now));
             let fact = one.board.get_mut(choice.key).expect("known");
             fact.own.requests += 1;
@@ -111,7 +137,7 @@
             let lies_there = last.is_some_and(|at| now - at < KEPT_MS);
             let unread = own + if lies_there { 0 } else { shared };
             let begin = free_at[engine].max(ms as f64);
-            free_at[engine] = begin + unread as f64 / READ_TOKENS_PER_MS;
+            free_at[engine] = begin + unread as f64 / READ_TOKENS_PER_MS * plan.slowness;
             played.reading_ms.push(free_at[engine] - ms as f64);
             played.shared_tokens += shared;
             played.read_again += if lies_there { 0 } else { shared };
@@ -156,7 +182,7 @@
 /// 1159 ms and 76 in 100 shared tokens read again; of two, within 225 ms and 36 in 100.
 #[test]
 fn many_processes_with_old_news_do_not_run_to_one_engine() {
-    let mut played = play(12, 0.6);
+    let mut played = play(&PlayPlan { seconds: 12, part: 0.6, slowness: 1.0, sheds: false });
 
     played.reading_ms.sort_by(f64::total_cmp);
     let late = played.reading_ms[played.reading_ms.len() * 95 / 100];
@@ -164,3 +190,62 @@
     assert!(late < 300.0, "{late}");
     assert!(again < 0.4, "{again}");
 }
+
+/// Most callers of an overloaded service give up: engines take everything, and each prompt waits behind
+/// more than can be read in time. With a third more than the engines can read, 11 in 100 were answered
+/// within twice their objective and 23 within four times it; refusing at once what would wait too long,
+/// 41 and 59 are.
+#[test]
+fn an_overloaded_service_answers_what_it_does_not_refuse() {
+    let answered = |sheds| {
+        let played = play(&PlayPlan { seconds: 10, part: 1.33, slowness: 2.2, sheds });
+        let asked = (played.reading_ms.len() + played.refused) as f64;
+        [2.0, 4.0].map(|times| {
+            let limit = times * OBJECTIVE.0 as f64;
+            played.reading_ms.iter().filter(|ms| **ms <= limit).count() as f64 / asked
+        })
+    };
+
+    let (all, few) = (answered(false), answered(true));
+
+    assert!(few[0] > 0.35 && few[0] > 3.0 * all[0], "{few:?} {all:?}");
+    assert!(few[1] > 0.5 && few[1] > 2.0 * all[1], "{few:?} {all:?}");
+}
+
+/// A service that is asked for less than its engines read.
+const CALM: ServicePressure =
+    ServicePressure { queue: 0, engines: ENGINES as u32, offered_per_s: 0.0 };
+
+#[test]
+fn the_less_urgent_are_refused_first_and_returns_are_spread() {
+    let service = ServiceName::from("engine");
+    let (domain, one) = (DomainName::from("kopli"), process());
+    let mut board = one.board;
+    for key in &one.keys {
+        board.get_mut(*key).expect("known").others.unread_tokens = 40_000;
+    }
+    let back_in = |rank, salt| {
+        let limit = queue_limit(OBJECTIVE, rank);
+        let ask = PlaceAsk {
+            service: &service,
+            engine: true,
+            prompt_tokens: 50_000,
+            parts: &[],
+            tried: &[],
+            domain: &domain,
+            queue_limit: limit,
+            salt,
+            now: ClockTime(START),
+        };
+        let choice = choose_endpoint(&board, &one.prefixes, &ask).expect("one of them");
+        shed_until(&choice, &CALM, limit, salt)
+    };
+
+    // 320 ms of reading wait: too many before a request of the second rank. A long prompt of the first
+    // is taken, however long it is itself.
+    assert_eq!(back_in(0, 1), None);
+    let returns: Vec<_> = (0..20).filter_map(|salt| back_in(1, salt * 31)).collect();
+    assert_eq!(returns.len(), 20);
+    assert!(returns.iter().all(|back| (700..=1500).contains(&back.0)), "{returns:?}");
+    assert!(returns.iter().max() > returns.iter().min(), "{returns:?}");
+}
