Split the mesh of the front process by what its parts do

Cause: one file of 564 lines held state, collecting, reports, digests and the search for others.

Largest file 207 lines.

--- /dev/null
+++ b/crates/front/src/mesh/collect.rs
@@ -0,0 +1,113 @@
+//! Collecting: answers the reports of the others while it is this process's turn.
+
+use super::{MeshState, followed_collector, pool_limit, roster_mark, rules_mark};
+use crate::events::event;
+use crate::feeds;
+use crate::node::FrontNode;
+use oleander_call::RuleSet;
+use oleander_kind::AccountName;
+use oleander_limit::PoolLimit;
+use oleander_mesh::{
+    CollectorFacts, MemberCard, MemberList, MeshBody, MeshCollector, NodeReport, RosterState,
+};
+use oleander_plat::FeedEvent;
+use oleander_wire::PeerHandler;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+
+fn limit_by_name(node: &FrontNode, rules: &RuleSet, name: &AccountName) -> Option<PoolLimit> {
+    let account = rules.accounts().iter().find(|account| account.name == *name)?;
+    pool_limit(node, account)
+}
+
+/// Answers the reports of the others.
+pub struct MeshPeers(pub Rc<FrontNode>);
+
+impl PeerHandler<MeshBody> for MeshPeers {
+    fn answer(&self, body: MeshBody) -> Pin<Box<dyn Future<Output = MeshBody>>> {
+        let answer = match body {
+            MeshBody::Report(report) => collect(&self.0, *report),
+            MeshBody::Greet(card) => greeted(&self.0, card),
+            MeshBody::Digest(_)
+            | MeshBody::Leaving(_)
+            | MeshBody::Follow(_)
+            | MeshBody::Members(_) => MeshBody::Leaving(self.0.mesh.borrow().view.me().clone()),
+        };
+        Box::pin(std::future::ready(answer))
+    }
+}
+
+/// Answers a process that looks for the others.
+fn greeted(node: &FrontNode, card: MemberCard) -> MeshBody {
+    let now = node.clock.now();
+    let mut mesh = node.mesh.borrow_mut();
+    mesh.view.take(card, true, now);
+    let me = std::iter::once(mesh.view.me().clone());
+    let cards = me.chain(mesh.view.others().cloned()).collect();
+    let collector = match followed_collector(&mesh, now) {
+        Some(card) => Some(card),
+        // One that has others to collect for; a process that just began has only itself.
+        None if mesh.view.serving() > 1 && mesh.view.collects() => Some(mesh.view.me().clone()),
+        None => None,
+    };
+    MeshBody::Members(MemberList { cards, collector })
+}
+
+/// Takes a report as the collector.
+pub(super) fn collect(node: &FrontNode, report: NodeReport) -> MeshBody {
+    let now = node.clock.now();
+    if let Some(rules) = &report.rules_text {
+        feeds::take_rules(node, rules);
+    }
+    if let Some(page) = &report.roster_page {
+        feeds::take_peer_roster(node, page, None);
+    }
+    let rules = node.current_rules();
+    let rules_text = node.rules_text.borrow().clone();
+    let limit_of = |name: &AccountName| limit_by_name(node, rules.as_ref()?, name);
+    let mut mesh = node.mesh.borrow_mut();
+    if mesh.view.me().leaving {
+        return MeshBody::Leaving(mesh.view.me().clone());
+    }
+    mesh.view.take(report.card.clone(), true, now);
+    let true_now = mesh.clock.read(now, node.clock.wall());
+    mesh.view.enter_turn(report.turn, true_now, now);
+    if let Some(card) = followed_collector(&mesh, now)
+        && !report.unreached.contains(&card.id)
+    {
+        return MeshBody::Follow(card);
+    }
+    if mesh.collector.is_none() {
+        let windows = node.limits.borrow().known_windows(now);
+        mesh.collector = Some(MeshCollector::begin(windows, now));
+        event!(node, CollectingBegan; "members" => mesh.view.serving());
+    }
+    let facts = CollectorFacts {
+        rules: rules.as_deref(),
+        rules_text: rules_text.as_ref(),
+        rules_mark: rules_mark(node),
+        roster_mark: roster_mark(node),
+        roster: &|| feeds::roster_news(node),
+        roster_changes: &|state| roster_changes(node, state),
+        roster_state: RosterState {
+            source: node.own_source,
+            number: node.roster.borrow().changed(),
+        },
+        limit_of: &limit_of,
+        reported_window: mesh.reported_window,
+        peaks: mesh.peaks.clone(),
+        lease: mesh.lease.clone(),
+        now,
+    };
+    let MeshState { view, collector, .. } = &mut *mesh;
+    match collector {
+        Some(collector) => MeshBody::Digest(Box::new(collector.take(report, view, &facts))),
+        None => MeshBody::Leaving(view.me().clone()),
+    }
+}
+
+fn roster_changes(node: &FrontNode, state: RosterState) -> Option<Vec<FeedEvent>> {
+    let own = node.own_source;
+    (state.source == own).then(|| node.roster.borrow().changes_after(state.number)).flatten()
+}
--- /dev/null
+++ b/crates/front/src/mesh/make.rs
@@ -0,0 +1,72 @@
+//! What this process tells the collector.
+
+use super::{MeshState, roster_mark, rules_mark};
+use crate::feeds;
+use crate::node::FrontNode;
+use oleander_kind::{AccountName, ClockTime, TimeSpan};
+use oleander_limit::SpendCount;
+use oleander_mesh::{AccountSpend, EndpointLoad, NodeReport, NodeUsage, ServiceDemand, UsageCount};
+
+/// This process's report.
+pub(super) fn make_report(node: &FrontNode) -> NodeReport {
+    let mesh = node.mesh.borrow();
+    let spent = node.limits.borrow().spent().map(spend_of).collect();
+    let usage = node.usage.borrow().counts().map(usage_of).collect();
+    let roster_page = mesh.wants_roster.then(|| feeds::roster_news(node));
+    let rules_text = mesh.wants_rules.then(|| node.rules_text.borrow().clone()).flatten();
+    NodeReport {
+        card: mesh.view.me().clone(),
+        wall: node.clock.wall(),
+        turn: mesh.view.turn(),
+        members_mark: mesh.view.mark(),
+        rules: rules_mark(node),
+        roster: roster_mark(node),
+        roster_state: node.roster.borrow().followed(),
+        spent,
+        usage,
+        loads: own_loads(node),
+        demand: own_demand(node),
+        heritage: heritage_of(&mesh, node.clock.now()),
+        unreached: mesh.view.unreached(node.clock.now()),
+        rules_text,
+        roster_page,
+    }
+}
+
+/// The counts of other processes that the next collector has to know.
+///
+/// A process that stopped has told its last counts to the collector alone. If that stops as well
+/// before the window is reported, they would be lost with it.
+fn heritage_of(mesh: &MeshState, now: ClockTime) -> Vec<NodeUsage> {
+    /// Long enough for the successor to be chosen and heard.
+    const PASSED_ON: TimeSpan = TimeSpan(3000);
+    let leaving = mesh.view.me().leaving;
+    match (&mesh.collector, &mesh.heritage) {
+        (Some(collector), _) if leaving => collector.usage(),
+        (_, Some((usage, since))) if now - *since < PASSED_ON => usage.clone(),
+        _ => Vec::new(),
+    }
+}
+
+fn spend_of((account, count): (&AccountName, SpendCount)) -> AccountSpend {
+    AccountSpend { account: account.clone(), count }
+}
+
+fn usage_of((window, account, count): (u64, &AccountName, u64)) -> UsageCount {
+    UsageCount { window, account: account.clone(), count }
+}
+
+fn own_loads(node: &FrontNode) -> Vec<EndpointLoad> {
+    let board = node.endpoints.borrow();
+    let busy = board.iter().filter(|(_, fact)| fact.own.requests > 0);
+    let load = |fact: &oleander_place::EndpointFact| EndpointLoad {
+        instance: fact.entry.instance.clone(),
+        requests: fact.own.requests,
+        unread_tokens: fact.own.unread_tokens,
+    };
+    busy.map(|(_, fact)| load(fact)).collect()
+}
+
+fn own_demand(node: &FrontNode) -> Vec<ServiceDemand> {
+    node.demand.borrow().values().cloned().collect()
+}
--- /dev/null
+++ b/crates/front/src/mesh/report.rs
@@ -0,0 +1,207 @@
+//! Reports to the collector four times a second, and looks for the others.
+
+use super::collect::collect;
+use super::digest::take_digest;
+use super::make::make_report;
+use super::{MeshState, note_fitness};
+use crate::events::event;
+use crate::feeds;
+use crate::node::FrontNode;
+use actix::Addr;
+use compact_str::CompactString;
+use oleander_kind::{ClockTime, TimeSpan};
+use oleander_mesh::{MemberCard, MemberList, MeshBody, MeshCollector, NodeReport};
+use oleander_wire::{CallPeer, ForgetPeer, PeerHub};
+use std::rc::Rc;
+
+/// Between two reports. An account whose demand jumps to 7.5 times its usual spends about one
+/// second's limit before the others hear of it; the operators' bounds allow twice that.
+const REPORT_PERIOD: TimeSpan = TimeSpan(250);
+/// How long a collector may take to answer. Longer than a pause for a slow machine's turn, shorter
+/// than two periods, so that the next one is asked before levels are too old to use.
+const ANSWER_LIMIT: TimeSpan = TimeSpan(300);
+/// Collectors asked in one round, if the first ones do not answer.
+const MOST_ASKED: usize = 3;
+/// How often a collector asks the seeds. Two groups of processes that know nothing of each other,
+/// after a cut or a start at the same moment, find together through them.
+const SEED_PERIOD: TimeSpan = TimeSpan(4000);
+
+/// Reports to the collector until the task is ended.
+pub async fn report_period(node: Rc<FrontNode>, hub: Addr<PeerHub<MeshBody>>) {
+    let mut seeds_asked = ClockTime(0);
+    loop {
+        report_once(&node, &hub).await;
+        let now = node.clock.now();
+        if node.mesh.borrow().view.collects() && now - seeds_asked > SEED_PERIOD {
+            seeds_asked = now;
+            ask_seeds(&node, &hub).await;
+        }
+        feeds::sweep_doubts(&node);
+        actix_rt::time::sleep(REPORT_PERIOD.duration()).await;
+    }
+}
+
+async fn report_once(node: &Rc<FrontNode>, hub: &Addr<PeerHub<MeshBody>>) {
+    note_fitness(node);
+    // A process that begins goes by the collector that the others go by. Choosing for itself, from
+    // what it knows then, half of the processes once stayed apart for a turn after they were killed.
+    let undecided = node.mesh.borrow().view.chosen().is_none();
+    if undecided || node.mesh.borrow().view.others().next().is_none() {
+        ask_seeds(node, hub).await;
+    }
+    for _ in 0..MOST_ASKED {
+        let collector = {
+            let mut mesh = node.mesh.borrow_mut();
+            let now = node.clock.now();
+            mesh.view.sweep(now);
+            let true_now = mesh.clock.read(now, node.clock.wall());
+            let before = mesh.view.chosen().cloned();
+            let card = mesh.view.choose_collector(true_now, now);
+            if before.as_ref() != Some(&card.id) {
+                event!(node, CollectorChosen; "collector" => card.id.as_str());
+            }
+            card
+        };
+        let report = make_report(node);
+        if collector.id == node.settings.instance {
+            if let MeshBody::Digest(digest) = collect(node, report) {
+                take_digest(node, *digest, TimeSpan(0));
+            }
+            return;
+        }
+        drop_old_collector(node);
+        if call_collector(node, hub, &collector, report).await {
+            return;
+        }
+    }
+}
+
+/// Ends the collecting of a process to which nobody reports any more. What it knows of the account
+/// windows grows old; going on with that later would let accounts in as if they had spent nothing.
+fn drop_old_collector(node: &FrontNode) {
+    /// Longer than a report that is asked for again.
+    const UNUSED: TimeSpan = TimeSpan(1000);
+    let now = node.clock.now();
+    let mut mesh = node.mesh.borrow_mut();
+    let heard = mesh.collector.as_ref().and_then(MeshCollector::heard_at);
+    if heard.is_some_and(|at| now - at > UNUSED) {
+        let usage = mesh.collector.take().map(|ended| ended.usage()).unwrap_or_default();
+        mesh.heritage = Some((usage, now));
+        event!(node, CollectingEnded);
+    }
+}
+
+/// Asks the seeds for the members they know.
+async fn ask_seeds(node: &Rc<FrontNode>, hub: &Addr<PeerHub<MeshBody>>) {
+    for seed in node.seeds() {
+        if seed == node.settings.peer {
+            continue;
+        }
+        let address: CompactString = seed.to_string().into();
+        let body = MeshBody::Greet(node.mesh.borrow().view.me().clone());
+        if let Some(MeshBody::Members(list)) = call_peer(node, hub, address, body).await {
+            take_members(node, list);
+        }
+    }
+}
+
+/// Asks another process; none if it did not answer, which is logged.
+async fn call_peer(
+    node: &FrontNode,
+    hub: &Addr<PeerHub<MeshBody>>,
+    address: CompactString,
+    body: MeshBody,
+) -> Option<MeshBody> {
+    let call = CallPeer { address: address.clone(), body, limit: ANSWER_LIMIT };
+    match hub.send(call).await {
+        Ok(Ok(answer)) => Some(answer),
+        Ok(Err(fault)) => {
+            event!(node, MemberFault; "fault" => fault.to_string());
+            hub.do_send(ForgetPeer(address));
+            None
+        }
+        Err(fault) => {
+            event!(node, InternalFault; "fault" => fault.to_string());
+            None
+        }
+    }
+}
+
+/// Goes by the collector that another process named.
+fn follow_collector(mesh: &mut MeshState, node: &FrontNode, card: MemberCard) {
+    let now = node.clock.now();
+    let true_now = mesh.clock.read(now, node.clock.wall());
+    event!(node, CollectorChosen; "collector" => card.id.as_str(), "sent" => true);
+    mesh.view.follow(card, true_now, now);
+}
+
+fn take_members(node: &FrontNode, list: MemberList) {
+    let now = node.clock.now();
+    let mut mesh = node.mesh.borrow_mut();
+    // The first is the seed itself.
+    for (at, card) in list.cards.into_iter().enumerate() {
+        mesh.view.take(card, at == 0, now);
+    }
+    let undecided = mesh.view.chosen().is_none();
+    if let Some(card) = list.collector.filter(|_| undecided) {
+        follow_collector(&mut mesh, node, card);
+    }
+}
+
+async fn call_collector(
+    node: &Rc<FrontNode>,
+    hub: &Addr<PeerHub<MeshBody>>,
+    collector: &MemberCard,
+    report: NodeReport,
+) -> bool {
+    let again = report.clone();
+    // A link may have fallen silent while the process at its end lives: a new one tells.
+    let mut outcome = call_address(node, hub, collector.address, report).await;
+    if outcome == CallOutcome::Failed {
+        outcome = call_address(node, hub, collector.address, again).await;
+    }
+    if outcome == CallOutcome::Failed {
+        event!(node, CollectorSilent; "collector" => collector.id.as_str());
+        node.mesh.borrow_mut().view.shun(&collector.id, node.clock.now());
+    }
+    outcome == CallOutcome::Taken
+}
+
+/// How a report to another process ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CallOutcome {
+    /// It was answered with a digest.
+    Taken,
+    /// Another process is to be asked.
+    Elsewhere,
+    /// It was not answered.
+    Failed,
+}
+
+async fn call_address(
+    node: &Rc<FrontNode>,
+    hub: &Addr<PeerHub<MeshBody>>,
+    address: std::net::SocketAddr,
+    report: NodeReport,
+) -> CallOutcome {
+    let sent_at = node.clock.now();
+    let address: CompactString = address.to_string().into();
+    let body = MeshBody::Report(Box::new(report));
+    match call_peer(node, hub, address, body).await {
+        Some(MeshBody::Digest(digest)) => {
+            take_digest(node, *digest, node.clock.now() - sent_at);
+            CallOutcome::Taken
+        }
+        Some(MeshBody::Leaving(card)) => {
+            node.mesh.borrow_mut().view.take(card, true, node.clock.now());
+            CallOutcome::Elsewhere
+        }
+        Some(MeshBody::Follow(card)) => {
+            follow_collector(&mut node.mesh.borrow_mut(), node, card);
+            CallOutcome::Elsewhere
+        }
+        Some(MeshBody::Report(_) | MeshBody::Greet(_) | MeshBody::Members(_)) | None => {
+            CallOutcome::Failed
+        }
+    }
+}
