Take what another ledger counted as spent over time, and begin anew after standing still

Ruled out: a change of limits (the same before and after), a new ledger (none began).

Change: what another ledger counted since a spender was last heard is spread over that time; a collector whose time of day and steady clock part by 0.8 s begins anew.

--- a/crates/front/src/events.rs
+++ b/crates/front/src/events.rs
@@ -70,7 +70,7 @@
     CollectorChosen = "collector_chosen", 20, "this process goes by another collector: `collector`, `sent` there by one that was asked";
     CollectorSilent = "collector_silent", 20, "the collector did not answer: `collector`";
     CollectingBegan = "collecting_began", 20, "this process collects: `members`";
-    CollectingEnded = "collecting_ended", 20, "nobody reports here any more";
+    CollectingEnded = "collecting_ended", 20, "nobody reports here any more, or this process stood still: `slept`";
     TurnedAway = "turned_away", 20, "whether the store serves others but not this process: `so`";
     LeaseChanged = "lease_changed", 20, "the lease of the control work was taken or lost: `fence`";
     LeaseFault = "lease_fault", 10, "a call for the lease failed: `fault`";
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -15,7 +15,8 @@
 use oleander_kind::{ClockTime, TimeSpan};
 use oleander_limit::PoolLimit;
 use oleander_mesh::{
-    FeedMark, LeaseNotice, MemberCard, MeshCollector, MeshView, NodeUsage, ServicePeak, TrueClock,
+    FeedMark, LeaseNotice, MemberCard, MeshCollector, MeshView, NodeUsage, ServicePeak, SleepWatch,
+    TrueClock,
 };
 
 /// A digest speaks for the present for this long: four periods.
@@ -35,6 +36,7 @@
     pub reported_window: u64,
     /// What services needed of late.
     pub peaks: Vec<ServicePeak>,
+    sleep: SleepWatch,
     /// Counts that were reported here while this process collected, and since when they are passed
     /// on to its successor.
     heritage: Option<(Vec<NodeUsage>, ClockTime)>,
@@ -57,6 +59,7 @@
             lease: None,
             reported_window: 0,
             peaks: Vec::new(),
+            sleep: SleepWatch::default(),
             heritage: None,
             outdone_since: None,
             digest_at: ClockTime(0),
@@ -68,6 +71,12 @@
         }
     }
 
+    /// Ends the collecting; what was counted is passed on for a while.
+    fn end_collecting(&mut self, now: ClockTime) {
+        let usage = self.collector.take().map(|ended| ended.usage()).unwrap_or_default();
+        self.heritage = Some((usage, now));
+    }
+
     /// Whether another process collects, and this one goes by it.
     pub fn is_succeeded(&self, now: ClockTime) -> bool {
         followed_collector(self, now).is_some()
@@ -80,6 +89,16 @@
     }
 }
 
+/// Ends the collecting of a process that stood still for longer than its reporters wait.
+fn end_after_sleep(node: &FrontNode) {
+    let now = node.clock.now();
+    let mut mesh = node.mesh.borrow_mut();
+    if mesh.sleep.slept(node.clock.wall(), now) && mesh.collector.is_some() {
+        mesh.end_collecting(now);
+        event!(node, CollectingEnded; "slept" => true);
+    }
+}
+
 /// An account's limit with what the operators allow beyond it.
 pub fn pool_limit(node: &FrontNode, account: &AccountRule) -> Option<PoolLimit> {
     let bounds = node.bounds();
--- a/crates/front/src/mesh/collect.rs
+++ b/crates/front/src/mesh/collect.rs
@@ -1,6 +1,6 @@
 //! Collecting: answers the reports of the others while it is this process's turn.
 
-use super::{MeshState, followed_collector, pool_limit, roster_mark, rules_mark};
+use super::{MeshState, end_after_sleep, followed_collector, pool_limit, roster_mark, rules_mark};
 use crate::events::event;
 use crate::feeds;
 use crate::node::FrontNode;
@@ -56,6 +56,7 @@
 
 /// Takes a report as the collector.
 pub(super) fn collect(node: &FrontNode, report: NodeReport) -> MeshBody {
+    end_after_sleep(node);
     let now = node.clock.now();
     if let Some(rules) = &report.rules_text {
         feeds::take_rules(node, rules);
--- a/crates/front/src/mesh/report.rs
+++ b/crates/front/src/mesh/report.rs
@@ -3,7 +3,7 @@
 use super::collect::collect;
 use super::digest::take_digest;
 use super::make::make_report;
-use super::{MeshState, note_fitness};
+use super::{MeshState, end_after_sleep, note_fitness};
 use crate::events::event;
 use crate::feeds;
 use crate::node::FrontNode;
@@ -42,6 +42,7 @@
 }
 
 async fn report_once(node: &Rc<FrontNode>, hub: &Addr<PeerHub<MeshBody>>) {
+    end_after_sleep(node);
     note_fitness(node);
     // A process that begins goes by the collector that the others go by. Choosing for itself, from
     // what it knows then, half of the processes once stayed apart for a turn after they were killed.
@@ -85,8 +86,7 @@
     let mut mesh = node.mesh.borrow_mut();
     let heard = mesh.collector.as_ref().and_then(MeshCollector::heard_at);
     if heard.is_some_and(|at| now - at > UNUSED) {
-        let usage = mesh.collector.take().map(|ended| ended.usage()).unwrap_or_default();
-        mesh.heritage = Some((usage, now));
+        mesh.end_collecting(now);
         event!(node, CollectingEnded);
     }
 }
--- a/crates/limit/src/pool.rs
+++ b/crates/limit/src/pool.rs
@@ -287,8 +287,7 @@
             let prior_part = if slots.is_some() { 0.0 } else { 1.0 };
             LedgerAccount { slots: slots.unwrap_or_default(), prior_part, ..Default::default() }
         });
-        let new = owned.note_spender(spender, spent, now);
-        owned.spend(new, now);
+        owned.note_spender(spender, spent, (limit.window, now));
         let length = limit.window + WINDOW_MARGIN;
         owned.forget(now - length);
         let capacity = whole * part;
@@ -326,20 +325,43 @@
 }
 
 impl LedgerAccount {
-    /// Notes a spender's whole sum; what is new of it. Of a spender that is new to this ledger, that
-    /// is what no ledger has counted.
-    fn note_spender(&mut self, spender: &PoolSpender, spent: SpendCount, now: ClockTime) -> f64 {
-        let known = self.spenders.contains_key(&spender.instance);
+    /// Notes a spender's whole sum, and spends what is new of it. Of a spender that is new to this ledger,
+    /// that is what no ledger has counted.
+    ///
+    /// What another ledger counted since this one last heard the spender was spent all that time. Taken
+    /// for spent just now, 20 s of it filled the window, and every account was refused for 4 s (played).
+    fn note_spender(
+        &mut self,
+        spender: &PoolSpender,
+        spent: SpendCount,
+        (window, now): (TimeSpan, ClockTime),
+    ) {
         let fresh = || SpenderState { life: spender.life, ..Default::default() };
+        let known = self.spenders.get(&spender.instance).copied();
+        let known = known.filter(|state| state.life == spender.life);
+        let before = known.map_or(spent.acked, |state| state.spent);
+        let elsewhere = spent.acked.min(spent.tokens).saturating_sub(before) as f64;
+        let new = spent.tokens.saturating_sub(before.max(spent.acked)) as f64;
+        if let Some(state) = known.filter(|_| elsewhere > 0.0) {
+            self.spend_since(elsewhere, state.rate.at, (window, now));
+        }
         let state = self.spenders.entry(spender.instance.clone()).or_insert_with(fresh);
-        let same_life = known && state.life == spender.life;
-        let before = if same_life { state.spent } else { spent.acked };
-        let new = spent.tokens.saturating_sub(before) as f64;
         state.life = spender.life;
         state.spent = spent.tokens;
         state.rate.note(new, now);
         self.total.note(new, now);
-        new
+        self.spend(new, now);
+    }
+
+    /// Spends `tokens` evenly from `since` until `now`; what lies before the window is left out.
+    fn spend_since(&mut self, tokens: f64, since: ClockTime, (window, now): (TimeSpan, ClockTime)) {
+        let span = (now - since).max(SLOT_TIME);
+        let pieces = span.0.div_ceil(SLOT_TIME.0);
+        let piece = tokens / pieces as f64;
+        let kept = pieces.min(window.0 / SLOT_TIME.0);
+        let slots = (0..kept).map(|back| (now - TimeSpan(back * SLOT_TIME.0), piece));
+        self.slots.extend(slots);
+        self.slots.make_contiguous().sort_by_key(|(at, _)| *at);
     }
 
     fn spend(&mut self, tokens: f64, now: ClockTime) {
--- a/crates/mesh/src/clock.rs
+++ b/crates/mesh/src/clock.rs
@@ -41,3 +41,25 @@
         }
     }
 }
+
+/// Notices that this process stood still: its steady clock does not count that time, its time of day
+/// does.
+///
+/// A collector that was suspended for seconds takes its accounts' windows and its reports for new when
+/// it wakes, while another collects. It has to begin anew. A time of day that was set looks the same,
+/// and beginning anew costs little then.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SleepWatch {
+    offset: Option<i64>,
+}
+
+impl SleepWatch {
+    /// Whether the process stood still since the last look.
+    pub fn slept(&mut self, wall: ClockTime, now: ClockTime) -> bool {
+        /// Longer than a collector is silent before its reporters leave it, in milliseconds.
+        const LONG: u64 = 800;
+        let offset = wall_offset(wall, now);
+        let last = self.offset.replace(offset);
+        last.is_some_and(|last| offset.abs_diff(last) > LONG)
+    }
+}
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod message;
 pub mod view;
 
-pub use clock::{TrueClock, median_offset};
+pub use clock::{SleepWatch, TrueClock, median_offset};
 pub use collector::{CollectorFacts, MeshCollector};
 pub use message::{
     AccountLevel, AccountSpend, EndpointLoad, FeedMark, LeaseNotice, MemberCard, MemberList,
--- a/tests/all/mesh.rs
+++ b/tests/all/mesh.rs
@@ -5,8 +5,8 @@
 use oleandertack::limit::{PoolLimit, SpendCount};
 use oleandertack::mesh::{
     AccountSpend, CollectorFacts, EndpointLoad, FeedMark, MemberCard, MeshBody, MeshCollector,
-    MeshDigest, MeshView, NodeReport, NodeUsage, RosterNews, RosterState, TrueClock, UsageCount,
-    collect_strength, median_offset,
+    MeshDigest, MeshView, NodeReport, NodeUsage, RosterNews, RosterState, SleepWatch, TrueClock,
+    UsageCount, collect_strength, median_offset,
 };
 use oleandertack::plat::{FeedEvent, FeedPage};
 use oleandertack::wire::encode_frame;
@@ -453,3 +453,17 @@
     let bytes = encode_frame(1, digest).len();
     assert!((2500..3000).contains(&bytes), "{bytes}");
 }
+
+/// Accounts are refused for seconds below their limits. The collector was suspended; the others chose
+/// another, and it went on with its old windows when it woke, as its steady clock had stood still too.
+#[test]
+fn a_process_notices_that_it_stood_still() {
+    let mut watch = SleepWatch::default();
+    let later = |ms: u64| ClockTime(TRUE_NOW.0 + ms);
+
+    assert!(!watch.slept(TRUE_NOW, NOW));
+    assert!(!watch.slept(later(250), NOW + TimeSpan(250)));
+    // Suspended for 4 s between two looks.
+    assert!(watch.slept(later(4500), NOW + TimeSpan(500)));
+    assert!(!watch.slept(later(4750), NOW + TimeSpan(750)));
+}
--- a/tests/all/pool.rs
+++ b/tests/all/pool.rs
@@ -28,6 +28,8 @@
     rate: u64,
     gates: Vec<PoolGate>,
     ledger: PoolLedger,
+    /// A second ledger, and the processes that report to it.
+    aside: Option<(PoolLedger, Vec<usize>)>,
     /// Processes that the ledger does not hear.
     cut: Vec<usize>,
     spent: Vec<(u64, u64)>,
@@ -42,6 +44,7 @@
         rate: RATE,
         gates: (0..count).map(|_| PoolGate::default()).collect(),
         ledger: PoolLedger::begin(Vec::new(), ClockTime(START)),
+        aside: None,
         cut: Vec::new(),
         spent: Vec::new(),
         asked: 0,
@@ -96,7 +99,11 @@
         // A ledger tells of every account, also to processes that let none of its requests in.
         let count = self.gates[at].spent().map(|(_, count)| count).next().unwrap_or_default();
         let known = (&limit(self.rate), part);
-        let news = self.ledger.report(&account(), known, (&spender, count), now);
+        let ledger = match &mut self.aside {
+            Some((ledger, reporters)) if reporters.contains(&at) => ledger,
+            _ => &mut self.ledger,
+        };
+        let news = ledger.report(&account(), known, (&spender, count), now);
         self.gates[at].take_news(&account(), news, now);
     }
 
@@ -213,3 +220,39 @@
         assert!(worst <= allowed(LARGE_RATE), "{offset}: {worst} of {}", allowed(LARGE_RATE));
     }
 }
+
+/// Callers of every account are refused for a whole window although none is near its limit. Half of the
+/// processes went by another ledger for 20 s; when they came back, the first one took all they had let
+/// in since it last heard them for spent just now.
+#[test]
+fn processes_that_return_from_another_ledger_are_not_taken_to_have_spent_all_at_once() {
+    let mut group = group(9);
+    group.play(10_000, 0.5);
+    let windows = group.gates[0].known_windows(ClockTime(group.now));
+    let other = PoolLedger::begin(windows, ClockTime(group.now));
+    group.aside = Some((other, vec![0, 2, 4, 6]));
+    group.play(20_000, 0.5);
+    let before = group.refused;
+
+    group.aside = None;
+    group.play(10_000, 0.5);
+
+    assert_eq!(group.refused, before);
+}
+
+/// The same while the account presses: what was counted elsewhere counts here as well.
+#[test]
+fn processes_that_return_from_another_ledger_have_not_spent_nothing() {
+    let mut group = group(9);
+    group.play(10_000, 0.55);
+    let windows = group.gates[0].known_windows(ClockTime(group.now));
+    let other = PoolLedger::begin(windows, ClockTime(group.now));
+    group.aside = Some((other, vec![0, 2, 4, 6]));
+    group.play(12_000, 0.5);
+
+    group.aside = None;
+    group.play(10_000, 4.2);
+
+    let worst = group.worst_window();
+    assert!(worst <= allowed(RATE), "{worst} of {}", allowed(RATE));
+}
