Take no spending from reports that were sent before the collector stood still

The collector was frozen from 21.7 to 29.2 s, its steady clock running. When it woke it found reports of 21.8 s in its sockets; by these it had heard the spenders a moment ago, and 8 s of what they had let in since counted as spent within 0.8 s.

Change: a report of a turn that everybody left half a second ago brings no news of spending. Test: mesh::a_report_of_an_earlier_turn_is_not_taken_for_news_of_spending (fails without the change).

--- a/crates/front/src/mesh/collect.rs
+++ b/crates/front/src/mesh/collect.rs
@@ -9,6 +9,7 @@
 use oleander_limit::PoolLimit;
 use oleander_mesh::{
     CollectorFacts, MemberCard, MemberList, MeshBody, MeshCollector, NodeReport, RosterState,
+    settled_turn,
 };
 use oleander_plat::FeedEvent;
 use oleander_wire::PeerHandler;
@@ -99,6 +100,7 @@
         reported_window: mesh.reported_window,
         peaks: mesh.peaks.clone(),
         lease: mesh.lease.clone(),
+        oldest_turn: settled_turn(true_now),
         now,
     };
     let MeshState { view, collector, .. } = &mut *mesh;
--- a/crates/mesh/src/collector.rs
+++ b/crates/mesh/src/collector.rs
@@ -44,6 +44,8 @@
     pub peaks: Vec<ServicePeak>,
     /// The lease as last seen.
     pub lease: Option<LeaseNotice>,
+    /// Reports of an earlier turn than this were sent long ago.
+    pub oldest_turn: u64,
     /// The time.
     pub now: ClockTime,
 }
@@ -104,7 +106,10 @@
         let now = facts.now;
         self.note_usage(&report);
         self.note_demand(&report, now);
-        let mut levels = self.levels(&report, view, facts);
+        // A collector that stood still finds reports in its sockets that were sent before it did. By them
+        // its spenders were heard a moment ago, and all they let in meanwhile would count as spent since.
+        let old = report.turn < facts.oldest_turn;
+        let mut levels = if old { Vec::new() } else { self.levels(&report, view, facts) };
         if now - self.began_at < SETTLE_TIME {
             levels.clear();
         }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -20,4 +20,4 @@
     MeshBody, MeshDigest, NodeReport, NodeUsage, RosterNews, RosterState, ServiceDemand,
     ServicePeak, UsageCount,
 };
-pub use view::{MeshView, collect_strength};
+pub use view::{MeshView, collect_strength, settled_turn};
--- a/crates/mesh/src/view.rs
+++ b/crates/mesh/src/view.rs
@@ -250,6 +250,13 @@
     }
 }
 
+/// The turn that every process was in a moment before `true_now`, as far as clocks agree.
+pub fn settled_turn(true_now: ClockTime) -> u64 {
+    /// Two periods of reports.
+    const MOMENT: TimeSpan = TimeSpan(500);
+    turn_at(true_now - MOMENT)
+}
+
 fn turn_at(true_now: ClockTime) -> u64 {
     true_now.0 / TURN_TIME.0
 }
--- a/tests/all/mesh.rs
+++ b/tests/all/mesh.rs
@@ -192,6 +192,7 @@
     rules: RuleSet,
     own: FeedMark,
     limit: Option<PoolLimit>,
+    oldest_turn: u64,
 }
 
 fn rig() -> CollectorRig {
@@ -201,6 +202,7 @@
         rules: RuleSet::new(1, CallerBounds::default()),
         own: FeedMark { mark: 5, fresh: true },
         limit: None,
+        oldest_turn: 0,
     }
 }
 
@@ -222,12 +224,31 @@
             reported_window: 0,
             peaks: Vec::new(),
             lease: None,
+            oldest_turn: self.oldest_turn,
             now,
         };
         self.collector.take(report, &self.view, &facts)
     }
 }
 
+impl CollectorRig {
+    /// Gives the rules an account with a limit.
+    fn limit_account(&mut self) {
+        let account = AccountRule {
+            name: "tartu".into(),
+            keys: Vec::new(),
+            rank: None,
+            tokens_per_s: Some(1000),
+            burst_tokens: 1000,
+            plain_tokens: 200,
+        };
+        self.rules = RuleSet::new(1, CallerBounds::default()).with_account(account);
+        let window = TimeSpan(8000);
+        self.limit =
+            Some(PoolLimit { rate_per_s: 1000.0, burst: 1000.0, overshoot: 100_000.0, window });
+    }
+}
+
 #[test]
 fn counts_that_come_twice_or_out_of_order_count_once() {
     let mut rig = rig();
@@ -352,17 +373,7 @@
 #[test]
 fn a_process_is_told_of_accounts_that_only_others_let_in() {
     let mut rig = rig();
-    let account = AccountRule {
-        name: "tartu".into(),
-        keys: Vec::new(),
-        rank: None,
-        tokens_per_s: Some(1000),
-        burst_tokens: 1000,
-        plain_tokens: 200,
-    };
-    rig.rules = RuleSet::new(1, CallerBounds::default()).with_account(account);
-    let window = TimeSpan(8000);
-    rig.limit = Some(PoolLimit { rate_per_s: 1000.0, burst: 1000.0, overshoot: 100_000.0, window });
+    rig.limit_account();
     let count = SpendCount { tokens: 5000, acked: 0 };
     let spent = vec![AccountSpend { account: "tartu".into(), count }];
     let settled = NOW + TimeSpan(600);
@@ -467,3 +478,28 @@
     assert!(watch.slept(later(4500), NOW + TimeSpan(500)));
     assert!(!watch.slept(later(4750), NOW + TimeSpan(750)));
 }
+
+/// Accounts are refused for 4 s below their limits. The collector stood still for 7 s while another
+/// collected; when it woke it found reports in its sockets from before, and took all that their senders
+/// had let in since for spent in the moment after.
+#[test]
+fn a_report_of_an_earlier_turn_is_not_taken_for_news_of_spending() {
+    let mut rig = rig();
+    rig.limit_account();
+    let spent = |tokens, acked| {
+        let count = SpendCount { tokens, acked };
+        vec![AccountSpend { account: "tartu".into(), count }]
+    };
+    let began = NOW + TimeSpan(600);
+    rig.take(NodeReport { turn: 5, spent: spent(10_000, 9_000), ..report("front-1") }, began);
+
+    let woke = began + TimeSpan(7000);
+    rig.oldest_turn = 6;
+    rig.take(NodeReport { turn: 5, spent: spent(10_200, 10_000), ..report("front-1") }, woke);
+    let news = NodeReport { turn: 6, spent: spent(17_000, 16_900), ..report("front-1") };
+    let digest = rig.take(news, woke + TimeSpan(800));
+
+    let profile = digest.levels.first().map(|level| level.news.profile.clone()).unwrap_or_default();
+    assert_eq!(profile.len(), 8);
+    assert!(profile.iter().all(|second| *second < 2000), "{profile:?}");
+}
