Look up the right to call as the call leaves

Cause: the holder of the control work took its stamp, waited for the store (fixing a usage report) or for a connection, and sent by the stamp from before. Ruled out: the lease's own clock arithmetic; the search over keepers finds no two holders. Change: a port is given a permit and asks it for the stamp after the last wait before the first byte; unchecked platforms need a second of lease left; a holder that got the lease back waits out its own last act; the lease is judged by the clock that counts suspension. Tests: two stand-stills of a real front process (store, connection), three of the keeper, and the search with looks and orders apart finds the failure.

--- a/crates/explore/src/leases.rs
+++ b/crates/explore/src/leases.rs
@@ -14,6 +14,8 @@
     CountFromAnswer,
     /// Orders are sent however little of the lease is left.
     OrderAtTheEnd,
+    /// The holder looks at its lease, waits for something else, and orders by that look.
+    OrderByOldLook,
 }
 
 /// The model's bounds.
@@ -25,6 +27,8 @@
     pub units: u64,
     /// The mistake.
     pub bug: LeaseBug,
+    /// Whether the endpoint refuses orders with an old token.
+    pub checked: bool,
 }
 
 /// One unit of time, in milliseconds.
@@ -60,6 +64,8 @@
     object: Option<(u64, LeaseRecord)>,
     next_version: u64,
     orders: Vec<FlyingOrder>,
+    /// The tokens that the keepers saw when they last looked, of those that order by that.
+    looks: Vec<Option<u64>>,
     highest_arrived: u64,
     stale_arrived: bool,
     faults: u32,
@@ -78,6 +84,8 @@
     Deliver(usize),
     /// The answer is lost.
     Lose(usize),
+    /// The holder looks whether it may order.
+    Look(usize),
     /// The holder sends an order.
     Order(usize),
     /// An order arrives.
@@ -117,6 +125,14 @@
         if self.bug == LeaseBug::OrderAtTheEnd { 2 * ORDER_LIMIT } else { ORDER_LIMIT }
     }
 
+    /// The token by which a keeper orders now.
+    fn order_fence(&self, state: &LeaseState, keeper: usize) -> Option<u64> {
+        match self.bug {
+            LeaseBug::OrderByOldLook => state.looks[keeper],
+            _ => state.keepers[keeper].fence(self.clock(state), self.needed()),
+        }
+    }
+
     fn expire_orders(&self, state: &mut LeaseState) {
         let now = state.now;
         state.orders.retain(|order| now <= order.sent_at + self.order_limit());
@@ -143,6 +159,7 @@
             object: None,
             next_version: 0,
             orders: Vec::new(),
+            looks: vec![None, None],
             highest_arrived: 0,
             stale_arrived: false,
             faults: 0,
@@ -171,7 +188,11 @@
                     }
                 }
             }
-            let may_order = state.keepers[keeper].fence(now, self.needed()).is_some();
+            let looks = self.bug == LeaseBug::OrderByOldLook && state.looks[keeper].is_none();
+            if looks && state.keepers[keeper].fence(now, self.needed()).is_some() {
+                steps.push(LeaseStep::Look(keeper));
+            }
+            let may_order = self.order_fence(state, keeper).is_some();
             if may_order && !state.orders.iter().any(|order| order.by == keeper) {
                 steps.push(LeaseStep::Order(keeper));
             }
@@ -217,14 +238,18 @@
                     next.keepers[keeper].said(said, now);
                 }
             }
+            LeaseStep::Look(keeper) => {
+                next.looks[keeper] = next.keepers[keeper].fence(now, self.needed());
+            }
             LeaseStep::Order(keeper) => {
-                if let Some(fence) = next.keepers[keeper].fence(now, self.needed()) {
+                if let Some(fence) = self.order_fence(state, keeper) {
+                    next.looks[keeper] = None;
                     next.orders.push(FlyingOrder { by: keeper, fence, sent_at: next.now });
                 }
             }
             LeaseStep::Arrive(at) => {
                 let order = next.orders.remove(at);
-                next.stale_arrived |= order.fence < next.highest_arrived;
+                next.stale_arrived |= !self.checked && order.fence < next.highest_arrived;
                 next.highest_arrived = next.highest_arrived.max(order.fence);
             }
         }
@@ -240,13 +265,14 @@
         let age = |fence: u64| (newest_fence + 1).saturating_sub(fence).min(OLDEST_FENCE);
         let record = |record: &LeaseRecord| (record.holder.clone(), age(record.fence));
         let mut text = format!(
-            "{:?} {:?} {} {} ",
+            "{:?} {:?} {:?} {} {} ",
             state.object.as_ref().map(|(at, found)| (version(*at), record(found))),
             state
                 .orders
                 .iter()
                 .map(|o| (o.by, age(o.fence), state.now - o.sent_at))
                 .collect::<Vec<_>>(),
+            state.looks.iter().map(|look| look.map(age)).collect::<Vec<_>>(),
             age(state.highest_arrived),
             state.stale_arrived,
         );
--- a/crates/front/src/duties.rs
+++ b/crates/front/src/duties.rs
@@ -9,7 +9,9 @@
 use oleander_kind::{ClockTime, TimeSpan};
 use oleander_lease::{LeaseAction, LeaseKeeper, LeaseRecord, LeaseSaid};
 use oleander_mesh::{LeaseNotice, MeshCollector};
-use oleander_plat::{DutyPort, DutyStamp, FeedGuard, FeedKind, FeedObject, FeedWrite, PlatError};
+use oleander_plat::{
+    DutyPermit, DutyPort, DutyStamp, FeedGuard, FeedKind, FeedObject, FeedWrite, PlatError,
+};
 use orders::scale_services;
 use serde::Serialize;
 use std::cell::RefCell;
@@ -20,15 +22,20 @@
 const LEASE_NAME: &str = "control";
 /// Between two looks at what is to be done.
 const DUTY_PERIOD: TimeSpan = TimeSpan(200);
-/// Lease time that must be left when a call is sent: the call is checked by its fencing token, so
-/// this only keeps calls that are sure to be refused from being made.
+/// Lease time that must be left when a call is sent to a platform that checks its fencing token: this
+/// only keeps calls that are sure to be refused from being made.
 const CALL_MARGIN: TimeSpan = TimeSpan(100);
+/// The same for a platform that does not check. The call takes effect whenever it arrives, and a lost
+/// packet is sent again after up to a second; by then nobody else may hold the lease. At most a third of
+/// the lease: it is renewed after as long, so that this much is left also after a renewal that failed.
+const UNCHECKED_MARGIN: TimeSpan = TimeSpan(1000);
 /// A process that began a moment ago does not know the others yet, and would take the lease from
 /// nobody's hands only to lose the collecting to another.
 const SETTLE_TIME: TimeSpan = TimeSpan(600);
 
 /// The lease, shared by the tasks of the duties.
 pub struct DutyLease {
+    node: Rc<FrontNode>,
     keeper: RefCell<LeaseKeeper>,
 }
 
@@ -37,15 +44,39 @@
 const OVERDUE_TIME: TimeSpan = TimeSpan(10_000);
 
 impl DutyLease {
-    fn stamp(&self, node: &FrontNode) -> Option<DutyStamp> {
-        let now = node.clock.now();
+    /// The token of the lease, if it is held and this process collects. It says what to begin, and is
+    /// no right to call: that is looked up as a call leaves.
+    fn fence(&self) -> Option<u64> {
+        let now = self.node.clock.lease_now();
         let keeper = self.keeper.borrow();
-        let overdue = || {
-            let stands = node.bounds().fenced && store_is_away(node);
-            keeper.overdue_fence(now, OVERDUE_TIME).filter(|_| stands)
-        };
-        let fence = keeper.fence(now, CALL_MARGIN).or_else(overdue)?;
-        Some(DutyStamp { holder: node.settings.instance.clone(), fence })
+        let overdue = || keeper.overdue_fence(now, OVERDUE_TIME).filter(|_| self.stands_overdue());
+        keeper.fence(now, self.margin()).or_else(overdue).filter(|_| collects(&self.node))
+    }
+
+    fn margin(&self) -> TimeSpan {
+        let bounds = self.node.bounds();
+        if bounds.fenced {
+            CALL_MARGIN
+        } else {
+            UNCHECKED_MARGIN.min(TimeSpan(bounds.lease_ms / 3))
+        }
+    }
+
+    fn stands_overdue(&self) -> bool {
+        self.node.bounds().fenced && store_is_away(&self.node)
+    }
+}
+
+impl DutyPermit for DutyLease {
+    fn stamp(&self) -> Option<DutyStamp> {
+        self.fence()?;
+        let now = self.node.clock.lease_now();
+        let mut keeper = self.keeper.borrow_mut();
+        let fence = match keeper.act(now, self.margin()) {
+            None if self.stands_overdue() => keeper.act_overdue(now, OVERDUE_TIME),
+            held => held,
+        }?;
+        Some(DutyStamp { holder: self.node.settings.instance.clone(), fence })
     }
 }
 
@@ -63,7 +94,7 @@
     let life = node.mesh.borrow().view.me().life;
     let lasts = TimeSpan(node.bounds().lease_ms);
     let keeper = LeaseKeeper::new(node.settings.instance.clone(), life, lasts).inheriting();
-    let lease = Rc::new(DutyLease { keeper: RefCell::new(keeper) });
+    let lease = Rc::new(DutyLease { node: node.clone(), keeper: RefCell::new(keeper) });
     if node.bounds().usage_window_s > 0.0 {
         actix_rt::spawn(report_usage(node.clone(), cloud.clone(), lease.clone()));
     }
@@ -84,11 +115,11 @@
 }
 
 async fn keep_lease(node: &FrontNode, lease: &DutyLease) {
-    let now = node.clock.now();
+    let now = node.clock.lease_now();
     if let Some(notice) = node.mesh.borrow().lease.clone() {
         lease.keeper.borrow_mut().hear(notice.revision, notice.record, now);
     }
-    let succeeded = node.mesh.borrow().is_succeeded(now);
+    let succeeded = node.mesh.borrow().is_succeeded(node.clock.now());
     if node.mesh.borrow().view.me().leaving || succeeded {
         // The process that collects now need not wait for the end of the lease.
         let action = lease.keeper.borrow_mut().release(now);
@@ -102,13 +133,13 @@
 }
 
 async fn act_on_lease(node: &FrontNode, lease: &DutyLease, action: LeaseAction) {
-    let held = lease.stamp(node).is_some();
+    let held = lease.fence().is_some();
     let said = match action {
         LeaseAction::Wait => return,
         LeaseAction::Read => read_lease(node).await,
         LeaseAction::Write { version, record } => write_lease(node, version, &record).await,
     };
-    let now = node.clock.now();
+    let now = node.clock.lease_now();
     lease.keeper.borrow_mut().said(said, now);
     let keeper = lease.keeper.borrow();
     let seen = keeper.seen().cloned().zip(keeper.view(now).version);
@@ -116,7 +147,7 @@
         node.mesh.borrow_mut().lease = Some(LeaseNotice { revision, record });
     }
     drop(keeper);
-    let holds = lease.stamp(node).map(|stamp| stamp.fence);
+    let holds = lease.fence();
     if held != holds.is_some() {
         event!(node, LeaseChanged; "fence" => holds);
     }
--- a/crates/front/src/duties/orders.rs
+++ b/crates/front/src/duties/orders.rs
@@ -1,6 +1,6 @@
 //! Orders of endpoints, by what is asked of each service.
 
-use super::{DUTY_PERIOD, DutyLease, collects};
+use super::{DUTY_PERIOD, DutyLease};
 use crate::events::event;
 use crate::node::FrontNode;
 use oleander_call::{EngineRule, RuleSet, ScaleRule};
@@ -10,7 +10,7 @@
 use oleander_kind::endpoint::InstanceMarket;
 use oleander_kind::{ClockTime, DomainName, ServiceName, TimeSpan};
 use oleander_mesh::ServicePeak;
-use oleander_plat::{DutyAnswer, DutyPort, DutyStamp, ScaleOrder};
+use oleander_plat::{DutyAnswer, DutyPort, ScaleOrder};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -40,12 +40,12 @@
     let mut fence = 0;
     loop {
         actix_rt::time::sleep(DUTY_PERIOD.duration()).await;
-        let Some(stamp) = lease.stamp(&node).filter(|_| collects(&node)) else { continue };
-        if stamp.fence != fence {
+        let Some(held) = lease.fence() else { continue };
+        if held != fence {
             // Another holder may have ordered meanwhile.
             memory = OrderMemory::default();
             stands = inherit_peaks(&node);
-            fence = stamp.fence;
+            fence = held;
         }
         let Some(rules) = node.current_rules() else { continue };
         let known_since = node.endpoints_feed.get().known_since;
@@ -55,7 +55,7 @@
         let orders = due_orders(&node, &rules, &mut stands, &memory);
         share_peaks(&node, &stands);
         for order in orders {
-            send_order(&node, cloud.as_ref(), &stamp, &order, &mut memory).await;
+            send_order(&node, cloud.as_ref(), lease.as_ref(), &order, &mut memory).await;
         }
     }
 }
@@ -168,11 +168,11 @@
 async fn send_order(
     node: &FrontNode,
     cloud: &dyn DutyPort,
-    stamp: &DutyStamp,
+    lease: &DutyLease,
     order: &ScaleOrder,
     memory: &mut OrderMemory,
 ) {
-    let answer = cloud.order_endpoints(stamp, order).await;
+    let answer = cloud.order_endpoints(lease, order).await;
     let refused = match &answer {
         Ok(DutyAnswer::Done) => false,
         Ok(DutyAnswer::Refused(_)) | Err(_) => true,
@@ -181,6 +181,6 @@
     event!(node, EndpointsOrdered;
         "service" => order.service.as_str(), "domain" => order.domain.as_str(),
         "market" => format!("{:?}", order.market), "count" => order.count,
-        "fence" => stamp.fence, "answer" => format!("{answer:?}"));
+        "fence" => lease.fence(), "answer" => format!("{answer:?}"));
     memory.note(order, refused, node.clock.now());
 }
--- a/crates/front/src/duties/usage.rs
+++ b/crates/front/src/duties/usage.rs
@@ -1,12 +1,12 @@
 //! Reports of usage, fixed in the store before they are sent.
 
-use super::{DUTY_PERIOD, DutyLease, collects, encode};
+use super::{DUTY_PERIOD, DutyLease, encode};
 use crate::events::event;
 use crate::node::FrontNode;
 use oleander_duty::usage::window_of;
 use oleander_duty::{UsageDuty, UsageStep};
 use oleander_kind::{AccountName, ClockTime, TimeSpan};
-use oleander_plat::{DutyAnswer, DutyPort, DutyStamp, FeedGuard, FeedKind, FeedWrite, UsageReport};
+use oleander_plat::{DutyAnswer, DutyPort, FeedGuard, FeedKind, FeedWrite, UsageReport};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -32,12 +32,11 @@
     let mut duty: Option<(u64, UsageDuty)> = None;
     loop {
         actix_rt::time::sleep(DUTY_PERIOD.duration()).await;
-        let Some(stamp) = lease.stamp(&node).filter(|_| collects(&node)) else {
+        let Some(fence) = lease.fence() else {
             duty = None;
             continue;
         };
         let now = node.true_now();
-        let fence = stamp.fence;
         let current = match duty.take() {
             Some((known, duty)) if known == fence => duty,
             _ => begin_usage(&node, length, due, now),
@@ -46,7 +45,9 @@
         let UsageStep::Report(window) = duty.next(now, |since| all_reported(&node, since)) else {
             continue;
         };
-        if duty.is_late(window, now) || report_window(&node, cloud.as_ref(), &stamp, window).await {
+        if duty.is_late(window, now)
+            || report_window(&node, cloud.as_ref(), lease.as_ref(), window).await
+        {
             duty.done(window);
             let mut mesh = node.mesh.borrow_mut();
             mesh.reported_window = mesh.reported_window.max(window);
@@ -82,7 +83,7 @@
 async fn report_window(
     node: &FrontNode,
     cloud: &dyn DutyPort,
-    stamp: &DutyStamp,
+    lease: &DutyLease,
     window: u64,
 ) -> bool {
     let counts = {
@@ -96,7 +97,7 @@
         return true;
     }
     let report = UsageReport { window, counts: fixed.counts };
-    match cloud.report_usage(stamp, &report).await {
+    match cloud.report_usage(lease, &report).await {
         Ok(DutyAnswer::Done) => {
             node.meter.count_usage(true);
             event!(node, UsageReported; "window" => window,
@@ -106,7 +107,7 @@
         Ok(DutyAnswer::Refused(words)) => {
             node.meter.count_usage(false);
             event!(node, UsageFault;
-                "window" => window, "fence" => stamp.fence, "words" => words);
+                "window" => window, "fence" => lease.fence(), "words" => words);
             false
         }
         Err(fault) => {
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -89,6 +89,16 @@
     pending: Option<PendingWrite>,
     held_until: ClockTime,
     next_at: ClockTime,
+    /// When this life was first asked what to do.
+    began_at: Option<ClockTime>,
+    last_act: Option<PastAct>,
+}
+
+/// When this process last acted, and by which token.
+#[derive(Clone, Copy, Debug)]
+struct PastAct {
+    fence: u64,
+    at: ClockTime,
 }
 
 /// A keeper as it looks at one moment, with times as spans from it.
@@ -124,6 +134,8 @@
             pending: None,
             held_until: ClockTime(0),
             next_at: ClockTime(0),
+            began_at: None,
+            last_act: None,
         }
     }
 
@@ -149,6 +161,31 @@
         held.then_some(mine.record.fence)
     }
 
+    /// The fencing token for a call that leaves at `now`, with at least `needed` of the lease left.
+    ///
+    /// A process that gave the lease up and got it back from another does not act within the length
+    /// of a lease of its own last act: calls of one holder, another, and the first again in so short
+    /// a time look like two holders at once, whatever their tokens.
+    pub fn act(&mut self, now: ClockTime, needed: TimeSpan) -> Option<u64> {
+        let fence = self.fence(now, needed)?;
+        self.note_act(fence, now)
+    }
+
+    /// The same by a lease that ran out, as for [`overdue_fence`](Self::overdue_fence).
+    pub fn act_overdue(&mut self, now: ClockTime, grace: TimeSpan) -> Option<u64> {
+        let fence = self.overdue_fence(now, grace)?;
+        self.note_act(fence, now)
+    }
+
+    fn note_act(&mut self, fence: u64, now: ClockTime) -> Option<u64> {
+        let soon = |last: PastAct| last.fence != fence && now - last.at < self.lasts;
+        if self.last_act.is_some_and(soon) {
+            return None;
+        }
+        self.last_act = Some(PastAct { fence, at: now });
+        Some(fence)
+    }
+
     /// The fencing token of a lease that ran out less than `grace` ago and was not seen to change.
     /// Only for calls that are fenced, while nobody can have taken the lease.
     pub fn overdue_fence(&self, now: ClockTime, grace: TimeSpan) -> Option<u64> {
@@ -188,6 +225,7 @@
 
     /// What to do at `now`.
     pub fn tick(&mut self, now: ClockTime) -> LeaseAction {
+        self.began_at.get_or_insert(now);
         if self.pending.is_some() || now < self.next_at {
             return LeaseAction::Wait;
         }
@@ -227,6 +265,11 @@
             return LeaseAction::Read;
         };
         let mine = self.is_mine(&seen.record);
+        let from_another = !mine && !self.inherits_from(&seen.record) && seen.record.fence > 0;
+        if from_another && self.last_act.is_none() {
+            // An earlier life may have acted until this one began.
+            self.last_act = self.began_at.map(|at| PastAct { fence: 0, at });
+        }
         let record = LeaseRecord {
             holder: self.me.clone(),
             incarnation: self.incarnation,
--- a/crates/plat/src/duty.rs
+++ b/crates/plat/src/duty.rs
@@ -15,6 +15,17 @@
     pub fence: u64,
 }
 
+/// The right to make one call, looked up as the call leaves.
+///
+/// A holder that looks at its lease, waits for a connection or for another call, and then sends by
+/// that look may have stood still for seconds in between: another process holds the lease by then and
+/// has acted, and a platform that does not check fencing tokens takes both. So a port is never given a
+/// stamp; it asks for one once nothing is left to wait for.
+pub trait DutyPermit {
+    /// The stamp of a call that leaves at once; none if the lease is not held now.
+    fn stamp(&self) -> Option<DutyStamp>;
+}
+
 /// What the platform said.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum DutyAnswer {
@@ -46,19 +57,20 @@
     pub count: u32,
 }
 
-/// The cloud. Every call is bounded in time by its implementation.
+/// The cloud. Every call is bounded in time by its implementation, and takes its stamp from the permit
+/// after the last wait before its first byte leaves; without a stamp nothing is sent.
 pub trait DutyPort {
     /// Sends a usage report.
     fn report_usage<'a>(
         &'a self,
-        stamp: &'a DutyStamp,
+        permit: &'a dyn DutyPermit,
         report: &'a UsageReport,
     ) -> LocalBoxFuture<'a, Result<DutyAnswer>>;
 
     /// Orders endpoints.
     fn order_endpoints<'a>(
         &'a self,
-        stamp: &'a DutyStamp,
+        permit: &'a dyn DutyPermit,
         order: &'a ScaleOrder,
     ) -> LocalBoxFuture<'a, Result<DutyAnswer>>;
 }
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod port;
 
 pub use cloud::{CloudClient, CloudNotice, PriceEntry, StartAnswer, StartOrder};
-pub use duty::{DutyAnswer, DutyPort, DutyStamp, ScaleOrder, UsageReport};
+pub use duty::{DutyAnswer, DutyPermit, DutyPort, DutyStamp, ScaleOrder, UsageReport};
 pub use feed::{
     FeedAnswer, FeedEvent, FeedGuard, FeedKind, FeedObject, FeedPage, FeedStore, FeedWrite,
 };
--- a/tests/all/explore.rs
+++ b/tests/all/explore.rs
@@ -43,22 +43,37 @@
 
 #[test]
 fn one_process_holds_a_lease_and_no_old_order_arrives_late() {
-    let model = LeaseModel { faults: 2, units: 14, bug: LeaseBug::None };
+    let model = LeaseModel { faults: 2, units: 14, bug: LeaseBug::None, checked: false };
     held(&explore(&model, MOST_STATES));
 }
 
 #[test]
 fn a_lease_counted_from_the_answer_is_held_twice() {
-    let model = LeaseModel { faults: 1, units: 14, bug: LeaseBug::CountFromAnswer };
+    let model = LeaseModel { faults: 1, units: 14, bug: LeaseBug::CountFromAnswer, checked: false };
     found(&explore(&model, MOST_STATES));
 }
 
 #[test]
 fn an_order_sent_at_the_end_of_a_lease_arrives_after_its_successors() {
-    let model = LeaseModel { faults: 1, units: u64::MAX, bug: LeaseBug::OrderAtTheEnd };
+    let bug = LeaseBug::OrderAtTheEnd;
+    let model = LeaseModel { faults: 1, units: u64::MAX, bug, checked: false };
     found(&explore(&model, MOST_STATES));
 }
 
+#[test]
+fn a_holder_that_orders_by_an_old_look_acts_after_its_successor() {
+    let bug = LeaseBug::OrderByOldLook;
+    let model = LeaseModel { faults: 1, units: 14, bug, checked: false };
+    found(&explore(&model, MOST_STATES));
+}
+
+#[test]
+fn an_endpoint_that_checks_tokens_refuses_what_is_ordered_by_an_old_look() {
+    let bug = LeaseBug::OrderByOldLook;
+    let model = LeaseModel { faults: 0, units: 6, bug, checked: true };
+    held(&explore(&model, MOST_STATES));
+}
+
 #[test]
 fn racing_operators_get_one_winner_and_are_told_the_truth() {
     let model = SubmitModel { faults: 3, bug: SubmitBug::None };
--- a/tests/all/front.rs
+++ b/tests/all/front.rs
@@ -19,7 +19,7 @@
 use tokio::net::TcpStream;
 
 /// A store that never changes.
-struct StillStore {
+pub struct StillStore {
     objects: Vec<(FeedKind, FeedObject)>,
 }
 
@@ -126,7 +126,7 @@
     front_at(Box::new(still_store(endpoints))).await
 }
 
-fn still_store(endpoints: &[SocketAddr]) -> StillStore {
+pub fn still_store(endpoints: &[SocketAddr]) -> StillStore {
     let mut objects = vec![(FeedKind::Rules, object("main", RULES.to_owned()))];
     for (at, address) in endpoints.iter().enumerate() {
         let zone = if at == 0 { "near" } else { "far" };
@@ -139,6 +139,12 @@
 }
 
 async fn front_at(store: Box<dyn FeedStore>) -> (FrontProcess, SocketAddr) {
+    let bounds = FrontBounds { retry_slack: 100, grace_s: 4.0, ..FrontBounds::default() };
+    front_with(FrontPorts { store, cloud: None }, bounds).await
+}
+
+/// A ready process with these ports and bounds.
+pub async fn front_with(ports: FrontPorts, bounds: FrontBounds) -> (FrontProcess, SocketAddr) {
     let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
     let settings = FrontSettings {
         instance: "front-0".into(),
@@ -152,10 +158,9 @@
         cloud: None,
         link_mbps: 1000.0,
         cores: 0.25,
-        bounds: FrontBounds { retry_slack: 100, grace_s: 4.0, ..FrontBounds::default() },
+        bounds,
     };
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    let ports = FrontPorts { store, cloud: None };
     let process = start_front(settings, log, Box::new(ObjectsDialect), ports, None);
     let process = process.await.expect("it listens");
     while !process.node.is_ready() {
@@ -165,11 +170,11 @@
     (process, address)
 }
 
-fn run<F: Future>(test: F) -> F::Output {
+pub fn run<F: Future>(test: F) -> F::Output {
     actix_rt::System::new().block_on(test)
 }
 
-fn request(method: &str, path: &str, id: &str, extra: &str, body: &str) -> String {
+pub fn request(method: &str, path: &str, id: &str, extra: &str, body: &str) -> String {
     format!(
         "{method} {path} HTTP/1.1\r\nHost: h\r\nX-Oleandertack-Request-Id: {id}\r\n\
          X-Oleandertack-Key: key-1\r\nX-Oleandertack-Deadline-Ms: 2000\r\n{extra}\
@@ -180,13 +185,13 @@
 
 /// What came back until the answer was whole, or the connection ended.
 #[derive(Debug)]
-struct Came {
+pub struct Came {
     text: String,
     ended: bool,
 }
 
 impl Came {
-    fn status(&self) -> &str {
+    pub fn status(&self) -> &str {
         self.text.get(9..12).unwrap_or_default()
     }
 
@@ -222,7 +227,7 @@
     }
 }
 
-async fn ask(address: SocketAddr, text: &str) -> Came {
+pub async fn ask(address: SocketAddr, text: &str) -> Came {
     let mut stream = TcpStream::connect(address).await.expect("it listens");
     stream.write_all(text.as_bytes()).await.expect("written");
     read_answer(&mut stream).await
@@ -241,7 +246,7 @@
     )
 }
 
-async fn good(body: &str) -> Scripted {
+pub async fn good(body: &str) -> Scripted {
     scripted(vec![vec![say(&sound(body))]]).await
 }
 
--- /dev/null
+++ b/tests/all/holder.rs
@@ -0,0 +1,165 @@
+//! Control work of a holder that stands still between its look at the lease and its call.
+
+use crate::front::{StillStore, ask, front_with, good, request, run, still_store};
+use bytes::Bytes;
+use futures_util::future::{FutureExt, LocalBoxFuture};
+use oleandertack::conf::FrontBounds;
+use oleandertack::front::FrontPorts;
+use oleandertack::kind::TimeSpan;
+use oleandertack::plat::{
+    DutyAnswer, DutyPermit, DutyPort, FeedAnswer, FeedGuard, FeedKind, FeedObject, FeedPage,
+    FeedStore, FeedWrite, PlatError, Result, ScaleOrder, UsageReport,
+};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+
+const LEASE_MS: u64 = 600;
+/// Longer than the lease and what others wait besides.
+const STANDSTILL: Duration = Duration::from_millis(800);
+
+/// Blocks the only thread of the process, once.
+#[derive(Default)]
+struct StandStill {
+    over: Cell<bool>,
+}
+
+impl StandStill {
+    fn happen(&self) {
+        if !self.over.replace(true) {
+            std::thread::sleep(STANDSTILL);
+        }
+    }
+}
+
+/// A store in front of whose answer to a usage report the process stands still.
+struct FrozenStore {
+    still: StillStore,
+    freeze: Rc<StandStill>,
+}
+
+impl FeedStore for FrozenStore {
+    fn list(&self, kind: FeedKind) -> LocalBoxFuture<'_, Result<FeedPage>> {
+        self.still.list(kind)
+    }
+
+    fn watch(&self, k: FeedKind, from: u64, t: TimeSpan) -> LocalBoxFuture<'_, Result<FeedAnswer>> {
+        self.still.watch(k, from, t)
+    }
+
+    fn read<'a>(
+        &'a self,
+        kind: FeedKind,
+        name: &'a str,
+    ) -> LocalBoxFuture<'a, Result<Option<FeedObject>>> {
+        self.still.read(kind, name)
+    }
+
+    fn write<'a>(
+        &'a self,
+        kind: FeedKind,
+        name: &'a str,
+        guard: FeedGuard,
+        body: Bytes,
+    ) -> LocalBoxFuture<'a, Result<FeedWrite>> {
+        if kind == FeedKind::UsageReports {
+            self.freeze.happen();
+        }
+        self.still.write(kind, name, guard, body)
+    }
+
+    fn remove<'a>(&'a self, kind: FeedKind, name: &'a str) -> LocalBoxFuture<'a, Result<()>> {
+        self.still.remove(kind, name)
+    }
+}
+
+/// A cloud that notes whether each call had a right to leave.
+#[derive(Default)]
+struct NotingCloud {
+    /// Before the first call leaves, the process stands still.
+    freeze: Option<Rc<StandStill>>,
+    stamped: RefCell<Vec<bool>>,
+    called: Notify,
+}
+
+impl NotingCloud {
+    fn take(&self, permit: &dyn DutyPermit) -> Result<DutyAnswer> {
+        if let Some(freeze) = &self.freeze {
+            freeze.happen();
+        }
+        let stamp = permit.stamp();
+        self.stamped.borrow_mut().push(stamp.is_some());
+        self.called.notify_one();
+        stamp.map(|_| DutyAnswer::Done).ok_or(PlatError::NotSent("no right".to_owned()))
+    }
+}
+
+impl DutyPort for NotingCloud {
+    fn report_usage<'a>(
+        &'a self,
+        permit: &'a dyn DutyPermit,
+        _: &'a UsageReport,
+    ) -> LocalBoxFuture<'a, Result<DutyAnswer>> {
+        async move { self.take(permit) }.boxed_local()
+    }
+
+    fn order_endpoints<'a>(
+        &'a self,
+        permit: &'a dyn DutyPermit,
+        _: &'a ScaleOrder,
+    ) -> LocalBoxFuture<'a, Result<DutyAnswer>> {
+        async move { self.take(permit) }.boxed_local()
+    }
+}
+
+/// Whether each of the first two calls of a process had a right to leave.
+async fn first_calls(store: Box<dyn FeedStore>, cloud: Rc<NotingCloud>) -> Vec<bool> {
+    let bounds = FrontBounds {
+        lease_ms: LEASE_MS,
+        usage_window_s: 0.3,
+        fenced: false,
+        ..FrontBounds::default()
+    };
+    let ports = FrontPorts { store, cloud: Some(cloud.clone()) };
+    let (_process, address) = front_with(ports, bounds).await;
+    assert_eq!(ask(address, &request("POST", "/once/a", "r", "", "")).await.status(), "200");
+    while cloud.stamped.borrow().len() < 2 {
+        cloud.called.notified().await;
+    }
+    cloud.stamped.borrow().clone()
+}
+
+/// An account is billed by two processes at once. The holder fixes a window's usage in the store and
+/// stands still for longer than its lease while it waits for the answer. Another process takes the
+/// lease and reports. The first wakes and reports by the lease that it looked at before, and a platform
+/// that does not check tokens takes both.
+#[test]
+fn a_holder_that_stands_still_while_it_waits_for_the_store_does_not_act_when_it_wakes() {
+    run(async {
+        let endpoint = good("hello").await;
+        let freeze = Rc::new(StandStill::default());
+        let still = still_store(&[endpoint.address]);
+        let store = FrozenStore { still, freeze };
+
+        let stamped = first_calls(Box::new(store), Rc::default()).await;
+
+        // The window is reported later, by the lease as it is then.
+        assert_eq!(stamped, [false, true]);
+    });
+}
+
+/// The same while it waits for a connection to the platform: the call is begun by the lease, and would
+/// leave after it.
+#[test]
+fn a_holder_that_stands_still_while_it_connects_does_not_act_when_it_wakes() {
+    run(async {
+        let endpoint = good("hello").await;
+        let freeze = Some(Rc::new(StandStill::default()));
+        let cloud = Rc::new(NotingCloud { freeze, ..NotingCloud::default() });
+
+        let stamped = first_calls(Box::new(still_store(&[endpoint.address])), cloud).await;
+
+        assert_eq!(stamped, [false, true]);
+    });
+}
--- a/tests/all/lease.rs
+++ b/tests/all/lease.rs
@@ -129,3 +129,61 @@
 
     assert!(written(keeper.tick(START)).is_some());
 }
+
+/// The holder of the lease as it takes it at `now`, with the version that its write makes.
+fn taken(keeper: &mut LeaseKeeper, version: u64, now: ClockTime) -> u64 {
+    let record = written(keeper.tick(now)).expect("the lease is taken");
+    keeper.said(LeaseSaid::Written(version), now);
+    record.fence
+}
+
+/// Two processes act on one matter within a second, and the platform takes them for two holders at
+/// once. The first gives the lease back, as another collects now; the second acts and leaves; the first
+/// takes it again under a higher token and acts. It must wait until its own last act is a lease ago.
+#[test]
+fn a_holder_that_got_the_lease_back_does_not_act_right_after_another() {
+    let mut keeper = reader(keeper(20), LeaseRecord::default());
+    taken(&mut keeper, 6, START);
+    assert!(keeper.act(START, TimeSpan(0)).is_some());
+    let released = written(keeper.release(START)).expect("it is given back");
+    keeper.said(LeaseSaid::Written(7), START);
+    let second = LeaseRecord { fence: released.fence + 1, ..released };
+    keeper.hear(8, second, START + TimeSpan(100));
+    let back = START + TimeSpan(1400);
+    let fence = taken(&mut keeper, 9, back);
+
+    let early = keeper.act(START + LASTS - TimeSpan(1), TimeSpan(0));
+    let late = keeper.act(START + LASTS, TimeSpan(0));
+
+    assert_eq!((early, late), (None, Some(fence)));
+}
+
+/// The same over a restart: the earlier life acted, another process took the lease and gave it back
+/// while this one started.
+#[test]
+fn a_restarted_process_does_not_act_right_after_another() {
+    let given_back = LeaseRecord { holder: "".into(), ..record("front-1", 10) };
+    let mut keeper = reader(keeper(20), given_back);
+    let fence = taken(&mut keeper, 6, START);
+
+    let early = keeper.act(START + TimeSpan(100), TimeSpan(0));
+    keeper.tick(START + TimeSpan(3000));
+    keeper.said(LeaseSaid::Written(7), START + TimeSpan(3000));
+    let late = keeper.act(START + LASTS, TimeSpan(0));
+
+    assert_eq!((early, late), (None, Some(fence)));
+}
+
+/// A process that goes on under the token it has, or that takes the lease of its own earlier life, acts
+/// at once: nobody acted in between.
+#[test]
+fn a_holder_that_was_not_followed_by_another_acts_at_once() {
+    let mut first = reader(keeper(20), LeaseRecord::default());
+    let mut restarted = reader(keeper(20), record("front-0", 10));
+    let at = START + TimeSpan(10);
+    let fences = [taken(&mut first, 6, START), taken(&mut restarted, 6, START)];
+
+    let acts = [&mut first, &mut restarted].map(|keeper| keeper.act(at, TimeSpan(0)));
+
+    assert_eq!(acts, fences.map(Some));
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -16,6 +16,7 @@
 mod fleet;
 mod flow;
 mod front;
+mod holder;
 mod lease;
 mod limit;
 mod list;
