Take no dropped endpoint back from a peer, and pass doubts on with the list

Ruled out: lost news of leaving; all but one process heard of it within 60 ms. Change: what was dropped is remembered with its revision for 60 s, and a peer's word that is no newer changes nothing; the store's own does. A list that is passed on says which of its names are doubted. Two tests, the first seen to fail without the change.

--- a/crates/front/src/feeds.rs
+++ b/crates/front/src/feeds.rs
@@ -51,7 +51,7 @@
     let change = |events: Vec<FeedEvent>, as_of| {
         for event in events {
             match event {
-                FeedEvent::Put(object) => take_endpoint(&node, &object),
+                FeedEvent::Put(object) => take_endpoint(&node, &object, NewsSource::Store),
                 FeedEvent::Gone { name, .. } => lose_endpoint(&node, &name),
             }
             node.roster.borrow_mut().mark = as_of;
@@ -178,12 +178,34 @@
 /// Changes of the endpoint list that are kept for peers; who missed more gets the whole list.
 const CHANGES_KEPT: usize = 256;
 
+/// How long an entry that was dropped is remembered. A process that was cut off, or doubts what the store
+/// did not show it, may tell of such an entry for about as long as cuts last.
+const GONE_KEPT: TimeSpan = TimeSpan::secs(60);
+
+/// An entry that was dropped.
+#[derive(Clone, Copy, Debug)]
+struct GoneEntry {
+    revision: u64,
+    at: ClockTime,
+}
+
+/// Who tells of an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NewsSource {
+    /// The store itself.
+    Store,
+    /// Another process. It may tell of what is gone.
+    Peer,
+}
+
 /// The endpoint list as it was read, for peers that the store does not serve.
 #[derive(Debug, Default)]
 pub struct RosterCopy {
     objects: BTreeMap<CompactString, FeedObject>,
     mark: u64,
     doubts: BTreeMap<CompactString, ClockTime>,
+    /// What was dropped of late.
+    gone: BTreeMap<CompactString, GoneEntry>,
     changes: VecDeque<FeedEvent>,
     changed: u64,
     /// The collector's state that this copy goes by, if it goes by one.
@@ -220,6 +242,17 @@
         Some(self.changes.range(from..).cloned().collect())
     }
 
+    /// Whether `object` is no newer than what was dropped under its name.
+    fn is_gone(&self, object: &FeedObject) -> bool {
+        self.gone.get(&object.name).is_some_and(|gone| gone.revision >= object.revision)
+    }
+
+    fn note_gone(&mut self, name: &CompactString, revision: u64, now: ClockTime) {
+        self.gone.retain(|_, gone| now - gone.at < GONE_KEPT);
+        self.gone.insert(name.clone(), GoneEntry { revision, at: now });
+        self.note_change(FeedEvent::Gone { name: name.clone(), revision });
+    }
+
     fn note_change(&mut self, event: FeedEvent) {
         self.changes.push_back(event);
         self.changed += 1;
@@ -243,6 +276,9 @@
     let now = node.clock.now();
     node.endpoints_feed.set(FeedState { known_since: known.known_since.or(Some(now)), ..known });
     take_list(node, page, if news.settled { MissingMeans::Gone } else { MissingMeans::Doubt });
+    for name in &news.doubted {
+        doubt_endpoint(node, name, now + relist_time(node));
+    }
     let mut roster = node.roster.borrow_mut();
     roster.followed = state;
     roster.settled = news.settled;
@@ -257,7 +293,7 @@
     }
     for change in changes {
         match change {
-            FeedEvent::Put(object) => take_endpoint(node, object),
+            FeedEvent::Put(object) => take_endpoint(node, object, NewsSource::Peer),
             FeedEvent::Gone { name, revision } => {
                 // The collector has doubted it long enough. An instance that started again since has
                 // an entry that was written later.
@@ -305,7 +341,8 @@
             }
         }
     }
-    page.objects.iter().for_each(|object| take_endpoint(node, object));
+    let source = if missing == MissingMeans::Lost { NewsSource::Store } else { NewsSource::Peer };
+    page.objects.iter().for_each(|object| take_endpoint(node, object, source));
     let mut roster = node.roster.borrow_mut();
     roster.mark = roster.mark.max(page.as_of);
 }
@@ -318,7 +355,7 @@
     let own = settled_since(feed.back_at) && settled_since(feed.known_since);
     let roster = node.roster.borrow();
     let settled = if feed.watching { own } else { roster.settled };
-    RosterNews { page: roster.page(), settled }
+    RosterNews { page: roster.page(), settled, doubted: roster.doubts.keys().cloned().collect() }
 }
 
 fn relist_time(node: &FrontNode) -> TimeSpan {
@@ -327,10 +364,22 @@
 
 /// Takes one entry. News that is older than what is known of the name changes nothing: a peer tells of
 /// it late, or a write of a former life was carried out after the new life had entered itself.
-fn take_endpoint(node: &FrontNode, object: &FeedObject) {
-    let known = node.roster.borrow().objects.get(&object.name).map(|known| known.revision);
-    if known.is_some_and(|revision| revision > object.revision) {
-        return;
+///
+/// Nor does a peer bring back what was dropped. After a cut, or while it does not know what the store lost
+/// in an outage, it goes on naming entries that the store does not have any more; if it collects then, all
+/// others took them for new and sent requests to endpoints that had left two seconds before.
+fn take_endpoint(node: &FrontNode, object: &FeedObject, source: NewsSource) {
+    {
+        let mut roster = node.roster.borrow_mut();
+        let known = roster.objects.get(&object.name).map(|known| known.revision);
+        if known.is_some_and(|revision| revision > object.revision) {
+            return;
+        }
+        match source {
+            NewsSource::Store => drop(roster.gone.remove(&object.name)),
+            NewsSource::Peer if roster.is_gone(object) => return,
+            NewsSource::Peer => {}
+        }
     }
     match node.dialect.decode_endpoint(object, node.clock.now()) {
         Ok(entry) => take_entry(node, object, entry),
@@ -395,6 +444,9 @@
 
 fn doubt_endpoint(node: &FrontNode, name: &CompactString, until: ClockTime) {
     let mut roster = node.roster.borrow_mut();
+    if !roster.objects.contains_key(name) {
+        return;
+    }
     roster.doubts.entry(name.clone()).or_insert(until);
     let mut board = node.endpoints.borrow_mut();
     if let Some(key) = board.key(&name.as_str().into())
@@ -424,7 +476,7 @@
     let mut roster = node.roster.borrow_mut();
     roster.doubts.remove(name);
     if let Some(FeedObject { revision, .. }) = roster.objects.remove(name) {
-        roster.note_change(FeedEvent::Gone { name: name.clone(), revision });
+        roster.note_gone(name, revision, node.clock.now());
     }
     if node.endpoints.borrow_mut().remove(&name.as_str().into()).is_some() {
         event!(node, EndpointGone; "endpoint" => name.as_str());
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -1,5 +1,6 @@
 //! The messages. Fields have short names on the wire, because they travel several times a second.
 
+use compact_str::CompactString;
 use oleander_kind::{AccountName, ClockTime, DomainName, InstanceId, ServiceName};
 use oleander_lease::LeaseRecord;
 use oleander_limit::{LevelNews, SpendCount};
@@ -156,6 +157,9 @@
     /// Whether what it lacks is gone. Right after an outage of the store it may also be forgotten.
     #[serde(rename = "s")]
     pub settled: bool,
+    /// Names on the list that the store did not show when it was last read, and that may be gone.
+    #[serde(rename = "d", default)]
+    pub doubted: Vec<CompactString>,
 }
 
 /// Which state of a collector's endpoint list a process has.
--- a/tests/all/lives.rs
+++ b/tests/all/lives.rs
@@ -8,9 +8,11 @@
 use bytes::Bytes;
 use futures_util::future::{FutureExt, LocalBoxFuture};
 use oleandertack::conf::FrontBounds;
+use oleandertack::front::feeds::take_peer_roster;
 use oleandertack::front::{FrontPorts, PlatformDialect};
 use oleandertack::kind::endpoint::{EndpointStage, InstanceMarket};
 use oleandertack::kind::{ClockTime, TimeSpan};
+use oleandertack::mesh::RosterNews;
 use oleandertack::outlet::HttpCodec;
 use oleandertack::place::{AnswerGrade, EndpointBoard, EndpointEntry, WorkLoad};
 use oleandertack::plat::{
@@ -312,3 +314,59 @@
         assert_eq!((names, page.objects.len(), page.as_of), (vec![("i-0", 4)], 4, 9));
     });
 }
+
+fn news(entries: &[FeedObject], as_of: u64, doubted: &[&str]) -> RosterNews {
+    RosterNews {
+        page: FeedPage { objects: entries.to_vec(), as_of },
+        settled: false,
+        doubted: doubted.iter().map(|name| (*name).into()).collect(),
+    }
+}
+
+/// A request reaches an endpoint two seconds after it left. A process that was cut off comes back, finds
+/// the entry missing and doubts it, as the store may have lost it in an outage. It collects next, and the
+/// others, who had dropped the entry, take it for new from its list.
+#[test]
+fn a_peer_does_not_bring_back_what_the_store_has_dropped() {
+    run(async {
+        let (near, far) = (good("near").await, good("far").await);
+        let (ports, pushed) = pushed(&[near.address, far.address]);
+        let (process, _address) = front_with(ports, FrontBounds::default()).await;
+        let board = || process.node.endpoints.borrow();
+        pushed.push(FeedEvent::Gone { name: "i-0".into(), revision: 1 });
+        while board().key(&"i-0".into()).is_some() {
+            tokio::task::yield_now().await;
+        }
+        let old = object("i-0", entry_text(near.address, 1, "ready"));
+        let other = object("i-1", entry_text(far.address, 1, "ready"));
+
+        take_peer_roster(&process.node, &news(&[old.clone(), other.clone()], 50, &["i-0"]), None);
+        let brought_back = board().key(&"i-0".into()).is_some();
+        // It enters itself again: a new revision.
+        let again = FeedObject { revision: 60, ..old };
+        take_peer_roster(&process.node, &news(&[again, other], 60, &[]), None);
+
+        assert!(!brought_back && board().key(&"i-0".into()).is_some());
+    });
+}
+
+/// A process that has just begun knows no entry that was dropped. What a peer doubts it uses only if there
+/// is nothing else.
+#[test]
+fn what_a_peer_doubts_is_doubted_here() {
+    run(async {
+        let far = good("far").await;
+        let (ports, _pushed) = pushed(&[]);
+        let (process, _address) = front_with(ports, FrontBounds::default()).await;
+        let entries = ["i-0", "i-1"].map(|name| object(name, entry_text(far.address, 1, "ready")));
+
+        take_peer_roster(&process.node, &news(&entries, 50, &["i-0"]), None);
+
+        let board = process.node.endpoints.borrow();
+        let doubted = ["i-0", "i-1"].map(|name| {
+            let key = board.key(&name.into()).expect("known");
+            board.get(key).is_some_and(|fact| fact.doubted)
+        });
+        assert_eq!(doubted, [true, false]);
+    });
+}
--- a/tests/all/mesh.rs
+++ b/tests/all/mesh.rs
@@ -223,7 +223,11 @@
             rules_text: None,
             rules_mark: self.own,
             roster_mark: self.own,
-            roster: &|| RosterNews { page: FeedPage::default(), settled: true },
+            roster: &|| RosterNews {
+                page: FeedPage::default(),
+                settled: true,
+                doubted: Vec::new(),
+            },
             roster_changes: &changes,
             roster_state: RosterState { source: 9, number: 3 },
             limit_of: &|_: &AccountName| self.limit,
