Take as many domains for lost as the last wave of reclaims took

Besides, a call to the cloud that did not leave or was not answered counted as a refusal, and on-demand engines were ordered in place of ones that served. Change: the memory of orders knows which domains lost all their reclaimable endpoints within 3 s; as many are taken for lost while none are to be had. Orders end made, refused or unknown.

--- a/crates/duty/src/scale.rs
+++ b/crates/duty/src/scale.rs
@@ -36,6 +36,9 @@
 const RECENT_TIME: TimeSpan = TimeSpan(5000);
 /// Pause before a domain that had nothing to give is asked again.
 const REFUSED_PAUSE: TimeSpan = TimeSpan(2500);
+/// Domains whose reclaimable endpoints go within this time are lost in one wave. Two that went 0.6 s apart
+/// were followed by the two others 6 s later.
+const WAVE_TIME: TimeSpan = TimeSpan(3000);
 /// Time beyond the usual start after which an ordered endpoint that is not there is asked for again.
 const LATE_START: TimeSpan = TimeSpan(2500);
 
@@ -128,17 +131,38 @@
 
 type OrderKey = (ServiceName, DomainName, bool);
 
+/// How an order ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderEnd {
+    /// It was taken.
+    Made,
+    /// None of that kind are to be had there.
+    Refused,
+    /// It did not leave, or its answer is lost. It says nothing of what is to be had: taken for a refusal,
+    /// a day without a reclaim on which the platform's store fell silent had on-demand engines ordered in
+    /// the place of those that served.
+    Unknown,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct PastOrder {
     count: u32,
     at: ClockTime,
-    refused: bool,
+    end: OrderEnd,
 }
 
-/// What was ordered, as far as this holder knows.
+/// What was ordered, and what was lost, as far as this holder knows.
 #[derive(Clone, Debug, Default)]
 pub struct OrderMemory {
     orders: BTreeMap<OrderKey, PastOrder>,
+    domains: BTreeMap<(ServiceName, DomainName), DomainPast>,
+}
+
+/// What a domain's reclaimable endpoints were.
+#[derive(Clone, Copy, Debug, Default)]
+struct DomainPast {
+    live: u32,
+    lost_at: Option<ClockTime>,
 }
 
 impl OrderMemory {
@@ -147,33 +171,56 @@
         (order.service.clone(), order.domain.clone(), reclaimable)
     }
 
-    /// Notes an order that was sent; `refused` if none were to be had.
-    pub fn note(&mut self, order: &ScaleOrder, refused: bool, now: ClockTime) {
-        let past = PastOrder { count: order.count, at: now, refused };
+    /// Notes an order and how it ended.
+    pub fn note(&mut self, order: &ScaleOrder, end: OrderEnd, now: ClockTime) {
+        let past = PastOrder { count: order.count, at: now, end };
         self.orders.insert(Self::key(order), past);
     }
 
+    /// Notes how a service stands, and which domains have lost all their reclaimable endpoints since the
+    /// last look.
+    pub fn note_stand(&mut self, service: &ServiceName, domains: &[DomainStand], now: ClockTime) {
+        for stand in domains {
+            let key = (service.clone(), stand.domain.clone());
+            let past = self.domains.entry(key).or_default();
+            if past.live > 0 && stand.live.reclaimable == 0 {
+                past.lost_at = Some(now);
+            }
+            past.live = stand.live.reclaimable;
+        }
+    }
+
+    /// How many domains of `service` the last wave of reclaims took.
+    fn last_wave(&self, service: &ServiceName) -> usize {
+        let own = self.domains.iter().filter(|((name, _), _)| name == service);
+        let losses: Vec<ClockTime> = own.filter_map(|(_, past)| past.lost_at).collect();
+        let latest = losses.iter().max().copied();
+        losses.iter().filter(|at| latest.is_some_and(|latest| latest - **at < WAVE_TIME)).count()
+    }
+
     /// Whether the newest answer of some domain about reclaimable endpoints was a refusal.
     fn was_refused(&self, service: &ServiceName) -> bool {
         let mut past = self.orders.iter().filter(|((name, _, cheap), _)| name == service && *cheap);
-        past.any(|(_, past)| past.refused)
+        past.any(|(_, past)| past.end == OrderEnd::Refused)
     }
 
     /// Endpoints that were ordered so lately that they may still be starting.
     fn starting(&self, key: &OrderKey, patience: TimeSpan, now: ClockTime) -> u32 {
         let past = self.orders.get(key);
-        let lately = past.filter(|past| !past.refused && now - past.at < patience);
+        let lately = past.filter(|past| past.end == OrderEnd::Made && now - past.at < patience);
         lately.map_or(0, |past| past.count)
     }
 
     fn refused_lately(&self, key: &OrderKey, now: ClockTime) -> bool {
-        self.orders.get(key).is_some_and(|past| past.refused && now - past.at < REFUSED_PAUSE)
+        let lately = |past: &PastOrder| now - past.at < REFUSED_PAUSE;
+        self.orders.get(key).is_some_and(|past| past.end == OrderEnd::Refused && lately(past))
     }
 
     /// Whether any domain refused reclaimable endpoints of `service` a moment ago.
     fn dry_lately(&self, service: &ServiceName, now: ClockTime) -> bool {
         self.orders.iter().any(|((name, _, reclaimable), past)| {
-            name == service && *reclaimable && past.refused && now - past.at < REFUSED_PAUSE
+            let refused = past.end == OrderEnd::Refused;
+            name == service && *reclaimable && refused && now - past.at < REFUSED_PAUSE
         })
     }
 
@@ -182,7 +229,9 @@
         let count = order.count;
         match self.orders.get(&Self::key(order)) {
             None => count != live,
-            Some(past) if past.refused => count != live && now - past.at >= REFUSED_PAUSE,
+            Some(past) if past.end != OrderEnd::Made => {
+                count != live && now - past.at >= REFUSED_PAUSE
+            }
             Some(past) if past.count != count => true,
             // Asked for, and not there after the time of a start: taken away, or the order is lost.
             Some(past) => count > live && now - past.at >= patience,
@@ -243,13 +292,15 @@
 
 /// Reclaimable endpoints that can be counted on.
 ///
-/// Reclaims come in waves. While lost ones cannot be replaced, the domain that has most of the rest
-/// is taken for lost as well: an endpoint on demand takes seconds to start, and in these the callers
-/// of a whole service would wait for what is left.
+/// Reclaims come in waves. While lost ones cannot be replaced, as many domains as the last wave took, and
+/// one at the least, are taken for lost as well, those with most endpoints first: an endpoint on demand
+/// takes seconds to start, and in these the callers of a whole service would wait for what is left.
 fn safe_reclaimable(facts: &ScaleFacts<'_>, memory: &OrderMemory) -> u32 {
-    let live = facts.domains.iter().map(|stand| stand.live.reclaimable);
-    let total: u32 = live.clone().sum();
-    if memory.was_refused(facts.service) { total - live.max().unwrap_or(0) } else { total }
+    let mut live: Vec<u32> = facts.domains.iter().map(|stand| stand.live.reclaimable).collect();
+    live.sort_unstable_by(|a, b| b.cmp(a));
+    let lost =
+        if memory.was_refused(facts.service) { memory.last_wave(facts.service).max(1) } else { 0 };
+    live.iter().skip(lost).sum()
 }
 
 /// Spreads reclaimable endpoints evenly, the cheap domains first; each domain gets its least.
--- a/crates/front/src/duties/orders.rs
+++ b/crates/front/src/duties/orders.rs
@@ -5,7 +5,8 @@
 use crate::node::FrontNode;
 use oleander_call::{EngineRule, RuleSet, ScaleRule};
 use oleander_duty::{
-    DomainStand, MarketCount, OrderMemory, ScaleFacts, ServiceNeed, needed_engines, plan_orders,
+    DomainStand, MarketCount, OrderEnd, OrderMemory, ScaleFacts, ServiceNeed, needed_engines,
+    plan_orders,
 };
 use oleander_kind::endpoint::InstanceMarket;
 use oleander_kind::{ClockTime, DomainName, ServiceName, TimeSpan};
@@ -53,7 +54,7 @@
         if known_since.is_none_or(|since| node.clock.now() - since < LIST_SETTLE) {
             continue;
         }
-        let orders = due_orders(&node, &rules, &mut stands, &memory);
+        let orders = due_orders(&node, &rules, &mut stands, &mut memory);
         share_peaks(&node, &stands);
         for order in orders {
             send_order(&node, cloud.as_ref(), lease.as_ref(), &order, &mut memory).await;
@@ -65,7 +66,7 @@
     node: &FrontNode,
     rules: &RuleSet,
     stands: &mut BTreeMap<ServiceName, ServiceStand>,
-    memory: &OrderMemory,
+    memory: &mut OrderMemory,
 ) -> Vec<ScaleOrder> {
     let mut orders = Vec::new();
     for service in rules.services() {
@@ -76,6 +77,7 @@
         let sum = |market| domains.iter().map(|stand| stand.live.of(market)).sum();
         let most = u32::max(sum(InstanceMarket::Reclaimable), sum(InstanceMarket::OnDemand));
         stand.baseline = stand.baseline.max(most);
+        memory.note_stand(&service.name, &domains, node.clock.now());
         let facts = ScaleFacts {
             service: &service.name,
             rule: scale,
@@ -181,14 +183,15 @@
     memory: &mut OrderMemory,
 ) {
     let answer = cloud.order_endpoints(lease, order).await;
-    let refused = match &answer {
-        Ok(DutyAnswer::Done) => false,
-        Ok(DutyAnswer::Refused(_)) | Err(_) => true,
+    let end = match &answer {
+        Ok(DutyAnswer::Done) => OrderEnd::Made,
+        Ok(DutyAnswer::Refused(_)) => OrderEnd::Refused,
+        Err(_) => OrderEnd::Unknown,
     };
-    node.meter.count_order(!refused);
+    node.meter.count_order(end == OrderEnd::Made);
     event!(node, EndpointsOrdered;
         "service" => order.service.as_str(), "domain" => order.domain.as_str(),
         "market" => format!("{:?}", order.market), "count" => order.count,
         "fence" => lease.fence(), "answer" => format!("{answer:?}"));
-    memory.note(order, refused, node.clock.now());
+    memory.note(order, end, node.clock.now());
 }
--- a/tests/all/duty.rs
+++ b/tests/all/duty.rs
@@ -3,7 +3,7 @@
 use oleandertack::call::{EngineRule, ScaleRule};
 use oleandertack::duty::scale::needed_engines;
 use oleandertack::duty::{
-    DomainStand, MarketCount, OrderMemory, ScaleFacts, ServiceNeed, UsageBook, UsageDuty,
+    DomainStand, MarketCount, OrderEnd, OrderMemory, ScaleFacts, ServiceNeed, UsageBook, UsageDuty,
     UsageStep, plan_orders,
 };
 use oleandertack::kind::endpoint::InstanceMarket;
@@ -95,12 +95,14 @@
 
     /// Plans and notes the orders; reclaimable ones above what serves are refused if `dry`.
     fn round(&mut self, domains: &[DomainStand], needed: f64, dry: bool) -> Vec<ScaleOrder> {
+        self.memory.note_stand(&self.service, domains, self.now);
         let orders = self.plan(domains, Some(needed));
         for order in &orders {
             let live = domains.iter().find(|stand| stand.domain == order.domain);
             let live = live.map_or(0, |stand| stand.live.of(order.market));
             let more = order.market == InstanceMarket::Reclaimable && order.count > live;
-            self.memory.note(order, dry && more, self.now);
+            let end = if dry && more { OrderEnd::Refused } else { OrderEnd::Made };
+            self.memory.note(order, end, self.now);
         }
         self.now = self.now + TimeSpan(200);
         orders
@@ -194,6 +196,42 @@
     assert_eq!(count(&second, "a", OnDemand), Some(3), "{second:?}");
 }
 
+/// Callers of a whole service wait for 4 s: two of four domains were reclaimed within a second, and 6 s
+/// later the two others. While one domain was taken for lost, half of the engines needed were on their way
+/// by then; a wave of two may be followed by another of two.
+#[test]
+fn as_many_domains_as_the_last_wave_took_are_taken_for_lost_next() {
+    let mut planner = planner();
+    let four = |counts: [u32; 4]| {
+        let domains = ["a", "b", "c", "d"].into_iter().zip(counts);
+        domains.map(|(name, count)| stand(name, 1.0, count, 0)).collect::<Vec<_>>()
+    };
+    planner.round(&four([5, 5, 4, 4]), 8.0, false);
+    planner.round(&four([5, 0, 4, 4]), 8.0, true);
+    planner.round(&four([0, 0, 4, 4]), 8.0, true);
+
+    let orders = planner.round(&four([0, 0, 4, 4]), 8.0, true);
+
+    let bought = |domain| count(&orders, domain, OnDemand).unwrap_or(0);
+    let sum: u32 = ["a", "b", "c", "d"].into_iter().map(bought).sum();
+    assert_eq!(sum, 8, "{orders:?}");
+}
+
+/// Engines on demand are ordered beside reclaimable ones that all serve: calls to the platform got no
+/// answer for some seconds, and that was taken for a sign that none are to be had.
+#[test]
+fn a_call_without_an_answer_says_nothing_of_what_is_to_be_had() {
+    let mut planner = planner();
+    let stands = [stand("a", 0.85, 3, 0), stand("b", 1.2, 3, 0), stand("c", 1.0, 3, 0)];
+    for order in planner.plan(&stands, Some(6.0)) {
+        planner.memory.note(&order, OrderEnd::Unknown, NOW);
+    }
+
+    let orders = planner.plan(&stands, Some(6.0));
+
+    assert!(orders.iter().all(|order| order.market != OnDemand || order.count == 0), "{orders:?}");
+}
+
 #[test]
 fn while_none_are_to_be_had_few_questions_are_asked() {
     let mut planner = planner();
