--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -8,10 +8,10 @@
 use crate::ingress::CallerRequest;
 use crate::mesh::pool_limit;
 use crate::node::FrontNode;
+use crate::trace::{CallTrace, TraceGuard};
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, StatusCode};
 use bytes::Bytes;
-use compact_str::CompactString;
 use oleander_board::StopStage;
 use oleander_call::{
     AccountRule, AttemptEnd, AttemptRecord, CallHead, NextStep, RouteKey, RouteRule, RuleSet,
@@ -89,72 +89,6 @@
     pub(crate) first_at: Option<Instant>,
 }
 
-/// What is told of a request once it is over.
-struct CallTrace {
-    arrived: Instant,
-    request: CompactString,
-    service: CompactString,
-    rules: u64,
-    fresh: bool,
-    sent: u32,
-    may_have_run: bool,
-    endpoint: Option<InstanceId>,
-    chosen: Option<PlaceChoice>,
-    last_event: Option<u64>,
-    first_ms: Option<u64>,
-}
-
-impl CallTrace {
-    fn new() -> Self {
-        CallTrace {
-            arrived: Instant::now(),
-            request: CompactString::default(),
-            service: CompactString::default(),
-            rules: 0,
-            fresh: false,
-            sent: 0,
-            may_have_run: false,
-            endpoint: None,
-            chosen: None,
-            last_event: None,
-            first_ms: None,
-        }
-    }
-
-    /// Writes the request's line and counts it.
-    fn tell(&self, node: &FrontNode, answer: &AnswerWriter<'_>, outcome: &CallOutcome) {
-        let total_ms = self.arrived.elapsed().as_millis() as u64;
-        let request = self.request.as_str();
-        let code = answer.code().map_or(0, ResultCode::number);
-        node.meter.count_request(&self.service, code, total_ms as f64);
-        if let Some(ms) = self.first_ms {
-            node.meter.note_first(&self.service, ms as f64);
-        }
-        let endpoint = self.endpoint.as_ref().map(|id| id.as_str());
-        match (outcome, answer.code()) {
-            (Err(fault), _) => event!(node, RequestCut;
-                "request" => request, "service" => self.service.as_str(),
-                "why" => fault.to_string(), "status" => answer.status(), "sent" => self.sent,
-                "endpoint" => endpoint, "last_event" => self.last_event, "total_ms" => total_ms,
-                "rules" => self.rules),
-            (Ok(()), Some(code)) => event!(node, RequestRefused;
-                "request" => request, "service" => self.service.as_str(),
-                "code" => code.number(), "name" => code.name(), "status" => code.status(),
-                "sent" => self.sent, "may_have_run" => self.may_have_run,
-                "endpoint" => endpoint, "total_ms" => total_ms, "rules" => self.rules,
-                "fresh" => self.fresh, "ahead" => self.chosen.map(|choice| choice.tokens_ahead),
-                "running" => self.chosen.map(|choice| choice.running)),
-            (Ok(()), None) => event!(node, RequestDone;
-                "request" => request, "service" => self.service.as_str(),
-                "status" => answer.status(), "sent" => self.sent, "endpoint" => endpoint,
-                "first_ms" => self.first_ms, "total_ms" => total_ms, "rules" => self.rules,
-                "ahead" => self.chosen.map(|choice| choice.tokens_ahead),
-                "unread" => self.chosen.map(|choice| choice.unread),
-                "running" => self.chosen.map(|choice| choice.running)),
-        }
-    }
-}
-
 /// Answers one request, and tells of it.
 ///
 /// # Errors
@@ -164,32 +98,12 @@
     request: CallerRequest,
     answer: &mut AnswerWriter<'_>,
 ) -> CallOutcome {
-    let mut trace = TraceGuard { node: node.clone(), trace: CallTrace::new(), told: false };
+    let mut trace = TraceGuard::new(node);
     let outcome = answer_call(node, request, answer, &mut trace.trace).await;
-    trace.trace.tell(node, answer, &outcome);
-    trace.told = true;
+    trace.tell(answer, &outcome);
     outcome
 }
 
-/// Tells of a request whose caller left: its task ends without another word.
-struct TraceGuard {
-    node: Rc<FrontNode>,
-    trace: CallTrace,
-    told: bool,
-}
-
-impl Drop for TraceGuard {
-    fn drop(&mut self) {
-        if self.told {
-            return;
-        }
-        let total_ms = self.trace.arrived.elapsed().as_millis() as u64;
-        event!(self.node, RequestCut;
-            "request" => self.trace.request.as_str(), "service" => self.trace.service.as_str(),
-            "why" => "the caller left", "sent" => self.trace.sent, "total_ms" => total_ms);
-    }
-}
-
 async fn answer_call(
     node: &Rc<FrontNode>,
     mut request: CallerRequest,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -18,7 +18,9 @@
 pub mod port;
 pub mod process;
 pub mod reload;
+pub mod roster;
 pub mod stream;
+mod trace;
 pub mod whole;
 pub mod work;
 
--- a/crates/front/src/mesh/collect.rs
+++ b/crates/front/src/mesh/collect.rs
@@ -2,8 +2,8 @@
 
 use super::{MeshState, end_after_sleep, followed_collector, pool_limit, roster_mark, rules_mark};
 use crate::events::event;
-use crate::feeds;
 use crate::node::FrontNode;
+use crate::{feeds, roster};
 use oleander_call::RuleSet;
 use oleander_kind::AccountName;
 use oleander_limit::PoolLimit;
@@ -63,7 +63,7 @@
         feeds::take_rules(node, rules);
     }
     if let Some(page) = &report.roster_page {
-        feeds::take_peer_roster(node, page, None);
+        roster::take_peer_roster(node, page, None);
     }
     let rules = node.current_rules();
     let rules_text = node.rules_text.borrow().clone();
@@ -90,7 +90,7 @@
         rules_text: rules_text.as_ref(),
         rules_mark: rules_mark(node),
         roster_mark: roster_mark(node),
-        roster: &|| feeds::roster_news(node),
+        roster: &|| roster::roster_news(node),
         roster_changes: &|state| roster_changes(node, state),
         roster_state: RosterState {
             source: node.own_source,
--- a/crates/front/src/mesh/digest.rs
+++ b/crates/front/src/mesh/digest.rs
@@ -1,8 +1,8 @@
 //! Takes what the collector answers.
 
 use crate::events::event;
-use crate::feeds;
 use crate::node::FrontNode;
+use crate::{feeds, roster};
 use oleander_kind::TimeSpan;
 use oleander_mesh::{EndpointLoad, LifeMark, MeshDigest, ServicePace};
 use oleander_place::WorkLoad;
@@ -15,8 +15,8 @@
         feeds::take_rules(node, rules);
     }
     match &digest.roster_page {
-        Some(page) => feeds::take_peer_roster(node, page, Some(digest.roster_state)),
-        None => feeds::take_peer_changes(node, &digest.roster_changes, digest.roster_state),
+        Some(page) => roster::take_peer_roster(node, page, Some(digest.roster_state)),
+        None => roster::take_peer_changes(node, &digest.roster_changes, digest.roster_state),
     }
     take_loads(node, &digest.loads);
     let mut limits = node.limits.borrow_mut();
--- a/crates/front/src/mesh/make.rs
+++ b/crates/front/src/mesh/make.rs
@@ -1,8 +1,8 @@
 //! What this process tells the collector.
 
 use super::{MeshState, roster_mark, rules_mark};
-use crate::feeds;
 use crate::node::FrontNode;
+use crate::roster;
 use oleander_kind::{AccountName, ClockTime, ServiceName, TimeSpan};
 use oleander_limit::SpendCount;
 use oleander_mesh::{
@@ -16,7 +16,7 @@
     let mesh = node.mesh.borrow();
     let spent = node.limits.borrow().spent().map(spend_of).collect();
     let usage = node.usage.borrow().counts().map(usage_of).collect();
-    let roster_page = mesh.wants_roster.then(|| feeds::roster_news(node));
+    let roster_page = mesh.wants_roster.then(|| roster::roster_news(node));
     let rules_text = mesh.wants_rules.then(|| node.rules_text.borrow().clone()).flatten();
     NodeReport {
         card: mesh.view.me().clone(),
--- a/crates/front/src/mesh/report.rs
+++ b/crates/front/src/mesh/report.rs
@@ -5,8 +5,8 @@
 use super::make::make_report;
 use super::{MeshState, end_after_sleep, note_fitness};
 use crate::events::event;
-use crate::feeds;
 use crate::node::FrontNode;
+use crate::roster;
 use actix::Addr;
 use compact_str::CompactString;
 use oleander_kind::{ClockTime, TimeSpan};
@@ -36,7 +36,7 @@
             seeds_asked = now;
             ask_seeds(&node, &hub).await;
         }
-        feeds::sweep_doubts(&node);
+        roster::sweep_doubts(&node);
         actix_rt::time::sleep(REPORT_PERIOD.duration()).await;
     }
 }
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -1,10 +1,10 @@
 //! One front process: what its parts share.
 
 use crate::events::{EventBudget, event};
-use crate::feeds::RosterCopy;
 use crate::mesh::MeshState;
 use crate::meter::FrontMeter;
 use crate::port::PlatformDialect;
+use crate::roster::RosterCopy;
 use oleander_board::{NodeClock, StopStage};
 use oleander_call::{RuleGate, RuleSet};
 use oleander_conf::{FrontBounds, FrontSettings};
--- /dev/null
+++ b/crates/front/src/trace.rs
@@ -0,0 +1,121 @@
+//! What is told of a request once it is over: one line, whatever became of it.
+
+use crate::answer::AnswerWriter;
+use crate::drive::CallOutcome;
+use crate::events::event;
+use crate::node::FrontNode;
+use compact_str::CompactString;
+use oleander_kind::{InstanceId, ResultCode};
+use oleander_place::PlaceChoice;
+use std::rc::Rc;
+use tokio::time::Instant;
+
+/// What is told of a request once it is over.
+pub struct CallTrace {
+    /// When its head had been read.
+    pub(crate) arrived: Instant,
+    /// Its id.
+    pub(crate) request: CompactString,
+    /// The service it goes to.
+    pub(crate) service: CompactString,
+    /// The version of the rules that it was judged by.
+    pub(crate) rules: u64,
+    /// Whether they were known to be the newest.
+    pub(crate) fresh: bool,
+    /// Attempts that were sent.
+    pub(crate) sent: u32,
+    /// Whether an endpoint may have run it.
+    pub(crate) may_have_run: bool,
+    /// The endpoint of the last attempt.
+    pub(crate) endpoint: Option<InstanceId>,
+    /// What that was chosen by.
+    pub(crate) chosen: Option<PlaceChoice>,
+    /// The last event that its caller has.
+    pub(crate) last_event: Option<u64>,
+    /// From its arrival to the first part of its answer.
+    pub(crate) first_ms: Option<u64>,
+}
+
+impl CallTrace {
+    fn new() -> Self {
+        CallTrace {
+            arrived: Instant::now(),
+            request: CompactString::default(),
+            service: CompactString::default(),
+            rules: 0,
+            fresh: false,
+            sent: 0,
+            may_have_run: false,
+            endpoint: None,
+            chosen: None,
+            last_event: None,
+            first_ms: None,
+        }
+    }
+
+    /// Writes the request's line and counts it.
+    fn tell(&self, node: &FrontNode, answer: &AnswerWriter<'_>, outcome: &CallOutcome) {
+        let total_ms = self.arrived.elapsed().as_millis() as u64;
+        let request = self.request.as_str();
+        let code = answer.code().map_or(0, ResultCode::number);
+        node.meter.count_request(&self.service, code, total_ms as f64);
+        if let Some(ms) = self.first_ms {
+            node.meter.note_first(&self.service, ms as f64);
+        }
+        let endpoint = self.endpoint.as_ref().map(|id| id.as_str());
+        match (outcome, answer.code()) {
+            (Err(fault), _) => event!(node, RequestCut;
+                "request" => request, "service" => self.service.as_str(),
+                "why" => fault.to_string(), "status" => answer.status(), "sent" => self.sent,
+                "endpoint" => endpoint, "last_event" => self.last_event, "total_ms" => total_ms,
+                "rules" => self.rules),
+            (Ok(()), Some(code)) => event!(node, RequestRefused;
+                "request" => request, "service" => self.service.as_str(),
+                "code" => code.number(), "name" => code.name(), "status" => code.status(),
+                "sent" => self.sent, "may_have_run" => self.may_have_run,
+                "endpoint" => endpoint, "total_ms" => total_ms, "rules" => self.rules,
+                "fresh" => self.fresh, "ahead" => self.chosen.map(|choice| choice.tokens_ahead),
+                "running" => self.chosen.map(|choice| choice.running)),
+            (Ok(()), None) => event!(node, RequestDone;
+                "request" => request, "service" => self.service.as_str(),
+                "status" => answer.status(), "sent" => self.sent, "endpoint" => endpoint,
+                "first_ms" => self.first_ms, "total_ms" => total_ms, "rules" => self.rules,
+                "ahead" => self.chosen.map(|choice| choice.tokens_ahead),
+                "unread" => self.chosen.map(|choice| choice.unread),
+                "running" => self.chosen.map(|choice| choice.running)),
+        }
+    }
+}
+
+/// Tells of a request also if its caller leaves: its task ends without another word then.
+pub struct TraceGuard {
+    node: Rc<FrontNode>,
+    /// What there is to tell so far.
+    pub(crate) trace: CallTrace,
+    told: bool,
+}
+
+impl TraceGuard {
+    /// Begins with a request that arrived now.
+    pub fn new(node: &Rc<FrontNode>) -> Self {
+        TraceGuard { node: node.clone(), trace: CallTrace::new(), told: false }
+    }
+
+    /// Tells how the request ended.
+    pub fn tell(mut self, answer: &AnswerWriter<'_>, outcome: &CallOutcome) {
+        self.trace.tell(&self.node, answer, outcome);
+        self.told = true;
+    }
+}
+
+impl Drop for TraceGuard {
+    fn drop(&mut self) {
+        if self.told {
+            return;
+        }
+        let total_ms = self.trace.arrived.elapsed().as_millis() as u64;
+        event!(self.node, RequestCut;
+            "request" => self.trace.request.as_str(), "service" => self.trace.service.as_str(),
+            "why" => "the caller left", "sent" => self.trace.sent, "total_ms" => total_ms);
+    }
+}
--- a/tests/all/lives.rs
+++ b/tests/all/lives.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use futures_util::future::{FutureExt, LocalBoxFuture};
 use oleandertack::conf::FrontBounds;
-use oleandertack::front::feeds::take_peer_roster;
+use oleandertack::front::roster::take_peer_roster;
 use oleandertack::front::{FrontPorts, PlatformDialect};
 use oleandertack::kind::endpoint::{EndpointStage, InstanceMarket};
 use oleandertack::kind::{ClockTime, TimeSpan};
