List the limit that a jump right before a kill of all passes as known red

Cause: what processes let in lies in their memory alone; after a kill of all the next ledger takes the window for spent evenly. A jump to 4.2 times the limit 1.0 to 1.5 s before the kill passes what is allowed by 0.5 and 1.4 % (virtual time). A window that outlasts the processes would mend it and give back what a cold ledger refuses.

--- a/tests/all/pool.rs
+++ b/tests/all/pool.rs
@@ -256,3 +256,23 @@
     let worst = group.worst_window();
     assert!(worst <= allowed(RATE), "{worst} of {}", allowed(RATE));
 }
+
+/// Operators see an account 1 % above what they allow. It jumps to 4.2 times its limit, and a second later
+/// all processes are killed at once. What they let in lies in their memory alone; the next ledger takes the
+/// window for spent evenly, and gives the jump's room out again before it has left the window.
+#[test]
+fn a_jump_right_before_all_processes_began_anew_is_not_forgotten() {
+    for pressed in [1_500, 1_000] {
+        let mut group = group(9);
+        group.play(9_000, 0.55);
+        group.play(pressed, 4.2);
+
+        group.now += 500;
+        group.gates = (0..9).map(|_| PoolGate::default()).collect();
+        group.ledger = PoolLedger::begin(Vec::new(), ClockTime(group.now));
+        group.play(10_000, 4.2);
+
+        let worst = group.worst_window();
+        assert!(worst <= allowed(RATE), "{pressed}: {worst} of {}", allowed(RATE));
+    }
+}
