--- a/crates/front/src/duties.rs
+++ b/crates/front/src/duties.rs
@@ -93,7 +93,8 @@
 pub async fn do_duties(node: Rc<FrontNode>, cloud: Rc<dyn DutyPort>) {
     let life = node.mesh.borrow().view.me().life;
     let lasts = TimeSpan(node.bounds().lease_ms);
-    let keeper = LeaseKeeper::new(node.settings.instance.clone(), life, lasts).inheriting();
+    let keeper = LeaseKeeper::new(node.settings.instance.clone(), life, lasts);
+    let keeper = keeper.inheriting().begun(node.clock.lease_now());
     let lease = Rc::new(DutyLease { node: node.clone(), keeper: RefCell::new(keeper) });
     if node.bounds().usage_window_s > 0.0 {
         actix_rt::spawn(report_usage(node.clone(), cloud.clone(), lease.clone()));
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -89,7 +89,7 @@
     pending: Option<PendingWrite>,
     held_until: ClockTime,
     next_at: ClockTime,
-    /// When this life was first asked what to do.
+    /// When this life began, if its calls count against those of an earlier one.
     began_at: Option<ClockTime>,
     last_act: Option<PastAct>,
 }
@@ -150,6 +150,13 @@
         self
     }
 
+    /// Says that this life began at `at`. An earlier one may have acted until then, and where another
+    /// process has held the lease since, this one does not act within the length of a lease from there.
+    pub fn begun(mut self, at: ClockTime) -> Self {
+        self.began_at = Some(at);
+        self
+    }
+
     /// The fencing token, if the lease is held at `now` and for at least `needed` more.
     ///
     /// An order to an endpoint that ignores fencing takes effect whenever it arrives. It is sent
@@ -225,7 +232,6 @@
 
     /// What to do at `now`.
     pub fn tick(&mut self, now: ClockTime) -> LeaseAction {
-        self.began_at.get_or_insert(now);
         if self.pending.is_some() || now < self.next_at {
             return LeaseAction::Wait;
         }
--- a/tests/all/lease.rs
+++ b/tests/all/lease.rs
@@ -163,7 +163,7 @@
 #[test]
 fn a_restarted_process_does_not_act_right_after_another() {
     let given_back = LeaseRecord { holder: "".into(), ..record("front-1", 10) };
-    let mut keeper = reader(keeper(20), given_back);
+    let mut keeper = reader(keeper(20).begun(START), given_back);
     let fence = taken(&mut keeper, 6, START);
 
     let early = keeper.act(START + TimeSpan(100), TimeSpan(0));
@@ -174,6 +174,18 @@
     assert_eq!((early, late), (None, Some(fence)));
 }
 
+/// Usage of a window is not told, and no endpoint is ordered for 3 s: a process that began long ago takes
+/// the lease for the first time, and waits as if its life had begun then.
+#[test]
+fn a_process_that_began_long_ago_acts_at_once() {
+    let given_back = LeaseRecord { holder: "".into(), ..record("front-1", 10) };
+    let begun = ClockTime(START.0 - LASTS.0);
+    let mut keeper = reader(keeper(20).begun(begun), given_back);
+    let fence = taken(&mut keeper, 6, START);
+
+    assert_eq!(keeper.act(START, TimeSpan(0)), Some(fence));
+}
+
 /// A process that goes on under the token it has, or that takes the lease of its own earlier life, acts
 /// at once: nobody acted in between.
 #[test]
