--- a/crates/duty/src/scale.rs
+++ b/crates/duty/src/scale.rs
@@ -20,8 +20,9 @@
 const SLOT_PART: f64 = 0.7;
 /// How many endpoints to have in calm, as a factor of those needed: the loss of one of three domains
 /// leaves a third more than is needed. Reclaimable ones cost a fifth of those on demand, and one on
-/// demand that is ordered at the loss takes seconds to start. Played at 83 and 64 processes, 1.4 then
-/// 2.0: worth 0.550 to 0.609 and 0.478 to 0.481 (quiet-1), 0.518 to 0.626 and 0.478 to 0.483 (scale-1).
+/// demand that is ordered at the loss takes seconds to start. Worth of what callers got, less prices, at
+/// 1.4 and at 2.0: 0.550 and 0.609 in calm load, 0.518 and 0.626 in a wave of it (72 engines, 83
+/// processes); at 1.6 and at 2.0: 0.543 and 0.570 (9 engines, 9 processes).
 const SPREAD_FACTOR: f64 = 2.0;
 /// The same while nothing is known of the demand, on what there was at the start: the loss of one of
 /// three domains leaves that.
@@ -139,8 +140,7 @@
     /// None of that kind are to be had there.
     Refused,
     /// It did not leave, or its answer is lost. It says nothing of what is to be had: taken for a refusal,
-    /// a day without a reclaim on which the platform's store fell silent had on-demand engines ordered in
-    /// the place of those that served.
+    /// silence of the platform's store had on-demand endpoints ordered in the place of ones that served.
     Unknown,
 }
 
--- a/crates/front/src/duties/orders.rs
+++ b/crates/front/src/duties/orders.rs
@@ -118,8 +118,8 @@
     let tokens = (demand.unread_tokens, demand.answer_tokens);
     let since = stand.asked_since?;
     let per_ms = node.seen_per_ms(service);
-    // A need by the careful figure would count for as long as the highest need does. By then the figure
-    // is known: 0.05 of worth went for engines that a whole deployment did not need.
+    // A need by the careful figure would count for as long as the highest need does, and order engines
+    // that nobody needs; the speed is known before these have started.
     if per_ms.is_none() && now - since < DEMAND_SETTLE {
         return None;
     }
--- a/crates/limit/src/pool.rs
+++ b/crates/limit/src/pool.rs
@@ -143,7 +143,7 @@
             // Dated to the end of each second, so that no spending leaves the window early. Dated to
             // the beginning, a jump left up to 1 s too soon and its room was given out once more: with
             // a change of the ledger windows reached 96 % of what operators allow, now 88 % (virtual
-            // time, 64 processes), and 1 to 3 % too much in played days.
+            // time, 64 processes), and 1 to 3 % too much with 64 real ones.
             let second = |back: usize| known.at - TimeSpan::secs(back as u64);
             let seconds = known.news.profile.iter().enumerate().rev();
             let slots = seconds.map(|(back, tokens)| (second(back), f64::from(*tokens)));
@@ -329,7 +329,7 @@
     /// that is what no ledger has counted.
     ///
     /// What another ledger counted since this one last heard the spender was spent all that time. Taken
-    /// for spent just now, 20 s of it filled the window, and every account was refused for 4 s (played).
+    /// for spent just now, 20 s of it filled the window, and every account was refused for 4 s (64 processes).
     fn note_spender(
         &mut self,
         spender: &PoolSpender,
--- a/crates/mesh/src/view.rs
+++ b/crates/mesh/src/view.rs
@@ -13,8 +13,8 @@
 /// How long a choice of the collector stays.
 const TURN_TIME: TimeSpan = TimeSpan(5000);
 /// What the collecting for 83 processes and 75 endpoints takes: 7.8 Mbit/s of a link (332 digests a
-/// second of 2,831 bytes, measured by encoding one, and their packets) and 0.03 of a core (highest of 83
-/// in a played day).
+/// second of 2,831 bytes, measured by encoding one, and their packets) and 0.03 of a core (the
+/// highest of 83 processes under their usual load).
 const COLLECT_LINK_MBPS: f64 = 7.8;
 const COLLECT_CORES: f64 = 0.03;
 /// The key that members are ranked by.
--- a/crates/place/src/choose.rs
+++ b/crates/place/src/choose.rs
@@ -109,11 +109,11 @@
 ///
 /// What is known of the other processes' work is up to half a second old, longer than most prompts
 /// take to be read. If every process looks at every engine, all go to the one that looked idle: in
-/// 100 ms one engine of 60 got 300 to 780 ms of reading while half of them got none (64 processes, a
-/// played day). Two choices spread prompts by hash and by lot, and still avoid a busy engine. See
-/// `placing::many_processes_with_old_news_do_not_run_to_one_engine` for what callers get. Played at 83
-/// and 64 processes, all engines then two: worth 0.609 to 0.633 and 0.481 to 0.601 (quiet-1), 0.626 to
-/// 0.686 and 0.483 to 0.632 (scale-1).
+/// 100 ms one engine of 60 got 300 to 780 ms of reading while half of them got none (64
+/// processes in a wave of load). Two choices spread prompts by hash and by lot, and still avoid a busy engine. See
+/// `placing::many_processes_with_old_news_do_not_run_to_one_engine` for what callers get.
+/// Worth of what callers got, less prices, with all engines and with two: 0.609 and 0.633 at 83 processes,
+/// 0.481 and 0.601 at 64 (calm load), 0.532 and 0.570, 0.506 and 0.518, 0.536 and 0.544 at 8 and 9.
 fn engine_pair<'a>(
     open: Vec<(EndpointKey, &'a EndpointFact)>,
     home: Option<EndpointKey>,
--- a/crates/place/src/shed.rs
+++ b/crates/place/src/shed.rs
@@ -9,10 +9,10 @@
 
 /// The first token takes this many times as long as the prompts ahead take to be read: engines make
 /// tokens of running streams in between, and prompts come that a process has not heard of. Measured on
-/// 110,000 requests of played days of overload: 464 to 638 ms at 300 ms ahead, 1008 to 1167 at 500.
+/// 110,000 requests in overload: 464 to 638 ms at 300 ms ahead, 1008 to 1167 at 500.
 const WAIT_FACTOR: f64 = 2.2;
 /// Times the objective that the most urgent rank may wait behind others. Half of the requests that are
-/// expected to take the objective take less; refusing these cost more than it brought (played, 64
+/// expected to take the objective take less; refusing these cost more than it brought (64
 /// processes, quiet-1: worth 0.600 without refusing, 0.492 with a limit of 0.8, 0.602 with 1.6).
 const URGENT_TIMES: f64 = 1.6;
 /// The same for all other ranks, which make room for the most urgent one.
