--- a/crates/pace/src/lib.rs
+++ b/crates/pace/src/lib.rs
@@ -81,7 +81,7 @@
 
 /// Samples of one service, as weights of speeds that fade.
 ///
-/// A quick one of them is used, see [`QUICK_PART`]: engines that have turned slow do not spoil the figure,
+/// A quick one of them is used: engines that have turned slow do not spoil the figure,
 /// and those that answer without reading only if a fifth of the prompts go to them.
 #[derive(Clone, Debug)]
 pub struct PaceBook {
