--- a/crates/board/src/clock.rs
+++ b/crates/board/src/clock.rs
@@ -2,12 +2,14 @@
 
 use nix::time::{ClockId, clock_gettime};
 use oleander_kind::ClockTime;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
 
 /// Clocks of a process start well above zero, so that "long ago" can be written as zero.
 const HEAD_START_MS: u64 = 1_000_000;
 
-/// The clocks of one process.
+/// The clocks of one process. The monotonic one is the runtime's, by which timers fire too: tests that
+/// move it play minutes in moments.
 #[derive(Clone, Copy, Debug)]
 pub struct NodeClock {
     started: Instant,
--- a/tests/all/front.rs
+++ b/tests/all/front.rs
@@ -106,7 +106,7 @@
     }
 }
 
-const RULES: &str = r#"{"version":7,
+pub const RULES: &str = r#"{"version":7,
 "routes":[
  {"name":"once","host":"h","path-prefix":"/once/","kind":"unsafe","timeout-ms":6000,"target-latency-ms":100,"priority":2,"service":"s","max-attempts":2},
  {"name":"any","host":"h","path-prefix":"/any/","kind":"safe","timeout-ms":2000,"target-latency-ms":100,"priority":2,"service":"s","max-attempts":2},
--- /dev/null
+++ b/tests/all/plays.rs
@@ -0,0 +1,326 @@
+//! Several front processes before one store, in virtual time: what each goes by when the store is
+//! silent to some, refuses others, or forgets.
+//!
+//! The processes and their links are the real ones, on one thread and over loopback. Only the store
+//! and time are made: a step of a millisecond is taken whenever nothing else is to be done.
+
+use crate::front::{RULES, object};
+use bytes::Bytes;
+use futures_util::future::{FutureExt, LocalBoxFuture};
+use oleandertack::conf::{FrontBounds, FrontSettings};
+use oleandertack::front::{FrontPorts, FrontProcess, start_front};
+use oleandertack::kind::{ResultCode, TimeSpan};
+use oleandertack::plat::{
+    FeedAnswer, FeedEvent, FeedGuard, FeedKind, FeedObject, FeedPage, FeedStore, FeedWrite,
+    PlatError, Result,
+};
+use oleandertack::platform::ObjectsDialect;
+use std::cell::{Cell, RefCell};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// How long the store takes to answer.
+const ANSWER_TIME: Duration = Duration::from_millis(4);
+/// How long a call may go without an answer besides the time that it asks the store to wait.
+const CALL_LIMIT: Duration = Duration::from_millis(1000);
+/// Between two looks of a waiting watch, or of a play.
+const STEP: Duration = Duration::from_millis(5);
+/// Until all processes know one another and have a collector.
+const SETTLE: Duration = Duration::from_secs(7);
+
+/// How the store stands with one process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreMode {
+    /// It answers.
+    Served,
+    /// It refuses each call at once, and ends the waiting ones.
+    Refused,
+    /// Calls get no answer.
+    Silent,
+}
+
+/// One process's way to the store.
+#[derive(Debug)]
+pub struct StoreWay {
+    mode: Cell<StoreMode>,
+    /// Calls that were under way when it was raised get no answer any more.
+    connection: Cell<u32>,
+}
+
+impl StoreWay {
+    pub fn set(&self, mode: StoreMode) {
+        self.mode.set(mode);
+    }
+}
+
+/// What the store holds.
+#[derive(Default)]
+struct StoreState {
+    revision: Cell<u64>,
+    objects: RefCell<Vec<(FeedKind, FeedObject)>>,
+    history: RefCell<Vec<(FeedKind, FeedEvent, u64)>>,
+}
+
+impl StoreState {
+    fn put(&self, kind: FeedKind, name: &str, body: Bytes) -> u64 {
+        let revision = self.revision.get() + 1;
+        self.revision.set(revision);
+        let object = FeedObject { name: name.into(), revision, body };
+        let mut objects = self.objects.borrow_mut();
+        objects.retain(|(other, known)| *other != kind || known.name != name);
+        objects.push((kind, object.clone()));
+        self.history.borrow_mut().push((kind, FeedEvent::Put(object), revision));
+        revision
+    }
+
+    fn remove(&self, kind: FeedKind, name: &str) {
+        let revision = self.revision.get() + 1;
+        self.revision.set(revision);
+        self.objects.borrow_mut().retain(|(other, known)| *other != kind || known.name != name);
+        let event = FeedEvent::Gone { name: name.into(), revision };
+        self.history.borrow_mut().push((kind, event, revision));
+    }
+
+    fn page(&self, kind: FeedKind) -> FeedPage {
+        let objects = self.objects.borrow();
+        let of_kind = objects.iter().filter(|(other, _)| *other == kind);
+        let objects = of_kind.map(|(_, object)| object.clone()).collect();
+        FeedPage { objects, as_of: self.revision.get() }
+    }
+
+    fn changes(&self, kind: FeedKind, from: u64) -> Vec<FeedEvent> {
+        let history = self.history.borrow();
+        let later = history.iter().filter(|(other, _, at)| *other == kind && *at > from);
+        later.map(|(_, event, _)| event.clone()).collect()
+    }
+}
+
+struct PlayStore {
+    state: Rc<StoreState>,
+    way: Rc<StoreWay>,
+}
+
+fn unanswered() -> PlatError {
+    PlatError::OutcomeUnknown("no answer in time".to_owned())
+}
+
+impl PlayStore {
+    /// Makes a call that the store answers with `answer` once it has one, after `wait` at the latest.
+    async fn call<T>(&self, wait: TimeSpan, answer: impl Fn(bool) -> Option<T>) -> Result<T> {
+        let began = Instant::now();
+        let connection = self.way.connection.get();
+        let mut answered = began + ANSWER_TIME;
+        loop {
+            let waited = began.elapsed();
+            if waited >= wait.duration() + CALL_LIMIT {
+                return Err(unanswered());
+            }
+            match self.way.mode.get() {
+                StoreMode::Refused if connection == self.way.connection.get() => {
+                    sleep(ANSWER_TIME).await;
+                    return Err(PlatError::Refused(ResultCode::StoreRefused, "503".to_owned()));
+                }
+                StoreMode::Served if connection == self.way.connection.get() => {
+                    if Instant::now() >= answered
+                        && let Some(answer) = answer(waited >= wait.duration())
+                    {
+                        return Ok(answer);
+                    }
+                }
+                // What it said meanwhile is lost.
+                _ => answered = began + wait.duration() + 2 * CALL_LIMIT,
+            }
+            sleep(STEP).await;
+        }
+    }
+}
+
+impl FeedStore for PlayStore {
+    fn list(&self, kind: FeedKind) -> LocalBoxFuture<'_, Result<FeedPage>> {
+        self.call(TimeSpan(0), move |_| Some(self.state.page(kind))).boxed_local()
+    }
+
+    fn watch(
+        &self,
+        kind: FeedKind,
+        from: u64,
+        wait: TimeSpan,
+    ) -> LocalBoxFuture<'_, Result<FeedAnswer>> {
+        let answer = move |over: bool| {
+            let changes = self.state.changes(kind, from);
+            let as_of = self.state.revision.get();
+            (over || !changes.is_empty()).then_some(FeedAnswer::Changes(changes, as_of))
+        };
+        self.call(wait, answer).boxed_local()
+    }
+
+    fn read<'a>(
+        &'a self,
+        kind: FeedKind,
+        name: &'a str,
+    ) -> LocalBoxFuture<'a, Result<Option<FeedObject>>> {
+        let find =
+            move |_| Some(self.state.page(kind).objects.into_iter().find(|o| o.name == name));
+        self.call(TimeSpan(0), find).boxed_local()
+    }
+
+    fn write<'a>(
+        &'a self,
+        kind: FeedKind,
+        name: &'a str,
+        _: FeedGuard,
+        body: Bytes,
+    ) -> LocalBoxFuture<'a, Result<FeedWrite>> {
+        async move {
+            self.call(TimeSpan(0), |_| Some(())).await?;
+            Ok(FeedWrite::Made(self.state.put(kind, name, body)))
+        }
+        .boxed_local()
+    }
+
+    fn remove<'a>(&'a self, kind: FeedKind, name: &'a str) -> LocalBoxFuture<'a, Result<()>> {
+        async move {
+            self.call(TimeSpan(0), |_| Some(())).await?;
+            self.state.remove(kind, name);
+            Ok(())
+        }
+        .boxed_local()
+    }
+}
+
+/// Front processes that know one another.
+pub struct PlayGroup {
+    pub processes: Vec<FrontProcess>,
+    pub ways: Vec<Rc<StoreWay>>,
+    state: Rc<StoreState>,
+}
+
+/// Runs a play in virtual time.
+pub fn play<F: Future>(play: F) -> F::Output {
+    actix_rt::System::new().block_on(async {
+        tokio::time::pause();
+        // Time passes in small steps: what is on its way between processes arrives before the next one.
+        actix_rt::spawn(async {
+            loop {
+                sleep(Duration::from_millis(1)).await;
+                std::thread::yield_now();
+            }
+        });
+        play.await
+    })
+}
+
+/// A loopback address that no other test has, in this run or in one beside it.
+fn own_address() -> Ipv4Addr {
+    static COUNT: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 64 | (high & 0x7f), low, COUNT.fetch_add(1, Ordering::Relaxed))
+}
+
+fn settings(name: String, peer: SocketAddr, seeds: Vec<SocketAddr>) -> FrontSettings {
+    let any = SocketAddr::new(peer.ip(), 0);
+    FrontSettings {
+        instance: name.as_str().into(),
+        domain: "near".into(),
+        listen: any,
+        ready: any,
+        peer,
+        admin: any,
+        seeds,
+        store: any,
+        cloud: None,
+        link_mbps: 1000.0,
+        cores: 0.25,
+        bounds: FrontBounds::default(),
+    }
+}
+
+/// An entry of the endpoint list; `state` as the platform has it.
+pub fn entry(state: &str) -> Bytes {
+    let text = format!(
+        r#"{{"service":"s","address":"127.0.0.1:1","zone":"near","version":"v1","slots":6,"state":"{state}","seq":1}}"#
+    );
+    Bytes::from(text)
+}
+
+impl PlayGroup {
+    /// Starts `count` processes before a store with three endpoints, and lets them find together.
+    pub async fn start(count: usize) -> Self {
+        const PEER_PORT: u16 = 7471;
+        let state = Rc::new(StoreState::default());
+        let rules = object("main", RULES.to_owned());
+        state.put(FeedKind::Rules, "main", rules.body);
+        for name in ["i-0", "i-1", "i-2"] {
+            state.put(FeedKind::Endpoints, name, entry("ready"));
+        }
+        let peers: Vec<SocketAddr> =
+            (0..count).map(|_| SocketAddr::from((own_address(), PEER_PORT))).collect();
+        let mut group = PlayGroup { processes: Vec::new(), ways: Vec::new(), state };
+        for (at, peer) in peers.iter().enumerate() {
+            let way =
+                Rc::new(StoreWay { mode: Cell::new(StoreMode::Served), connection: Cell::new(0) });
+            let store = PlayStore { state: group.state.clone(), way: way.clone() };
+            let seeds = peers.iter().copied().take(3).collect();
+            let settings = settings(format!("front-{at}"), *peer, seeds);
+            let log = slog::Logger::root(slog::Discard, slog::o!());
+            let ports = FrontPorts { store: Box::new(store), cloud: None };
+            let process = start_front(settings, log, Box::new(ObjectsDialect), ports, None);
+            group.processes.push(process.await.expect("it listens"));
+            group.ways.push(way);
+        }
+        sleep(SETTLE).await;
+        group
+    }
+
+    /// The store stands so with every process.
+    pub fn set_all(&self, mode: StoreMode) {
+        self.ways.iter().for_each(|way| way.set(mode));
+    }
+
+    /// Which process collects.
+    pub fn collector(&self) -> usize {
+        let collects = |process: &FrontProcess| process.node.mesh.borrow().view.collects();
+        self.processes.iter().position(collects).expect("one collects")
+    }
+
+    /// Which processes follow the store.
+    pub fn watchers(&self) -> Vec<usize> {
+        let follows = |at: &usize| self.processes[*at].node.endpoints_feed.get().watching;
+        (0..self.processes.len()).filter(follows).collect()
+    }
+
+    /// The store takes an entry.
+    pub fn put(&self, name: &str, state: &str) {
+        self.state.put(FeedKind::Endpoints, name, entry(state));
+    }
+
+    /// The store takes an entry away.
+    pub fn remove(&self, name: &str) {
+        self.state.remove(FeedKind::Endpoints, name);
+    }
+
+    /// Whether process `at` may send requests to `name`, if only as the last resort.
+    pub fn uses(&self, at: usize, name: &str) -> bool {
+        let board = self.processes[at].node.endpoints.borrow();
+        board.key(&name.into()).and_then(|key| board.get(key)).is_some_and(|f| f.takes_work())
+    }
+
+    /// For how long, in milliseconds from now, each process may still send requests to `name`. Ends
+    /// after `most`.
+    pub async fn uses_for(&self, name: &str, most: Duration) -> Vec<u64> {
+        let began = Instant::now();
+        let mut last = vec![0; self.processes.len()];
+        while began.elapsed() < most {
+            for (at, last) in last.iter_mut().enumerate() {
+                if self.uses(at, name) {
+                    *last = began.elapsed().as_millis() as u64;
+                }
+            }
+            sleep(STEP).await;
+        }
+        last
+    }
+}
