Tell how old the endpoint list is, and who heard of the store

Cause: logs could not tell an endpoint that a list brought back from news that came late: no line had the age of the list that a process chose by, nor who vouched for it. Change: reports and digests carry when the store last spoke for rules and endpoints and to whom; requests' lines, the dump and a histogram tell it. No decision goes by it yet.

--- a/crates/front/src/admin.rs
+++ b/crates/front/src/admin.rs
@@ -2,7 +2,9 @@
 
 use crate::node::FrontNode;
 use actix_web::{HttpResponse, web};
+use oleander_list::StoreVouch;
 use serde_json::{Value, json};
+use std::cell::RefCell;
 use std::rc::Rc;
 
 /// Adds the admin pages.
@@ -25,8 +27,11 @@
 /// `MOST_LISTED` endpoints and members are listed.
 pub fn dump_state(node: &FrontNode) -> Value {
     let now = node.clock.now();
-    let feed = |state: crate::node::FeedState| {
+    let feed = |state: crate::node::FeedState, vouch: &RefCell<Option<StoreVouch>>| {
+        let vouch = vouch.borrow();
         json!({
+            "age_ms": vouch.as_ref().map(|vouch| vouch.age(now).0),
+            "vouched_by": vouch.as_ref().map(|vouch| vouch.by.as_str()),
             "known_since_ms": state.known_since.map(|at| (now - at).0),
             "lost_for_ms": state.lost_since.map(|at| (now - at).0),
             "watching": state.watching,
@@ -41,8 +46,8 @@
         "in_flight": node.in_flight.get(),
         "rules_version": node.rules.borrow().version(),
         "rules_fresh": node.rules_are_fresh(),
-        "rules_feed": feed(node.rules_feed.get()),
-        "endpoints_feed": feed(node.endpoints_feed.get()),
+        "rules_feed": feed(node.rules_feed.get(), &node.rules_vouch),
+        "endpoints_feed": feed(node.endpoints_feed.get(), &node.roster_vouch),
         "endpoints": dump_endpoints(node),
         "idle_connections": node.pool.borrow().len(),
         "known_prompt_parts": node.prefixes.borrow().len(),
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -43,6 +43,7 @@
         self.current = Some(target.key);
         self.endpoint = Some(target.instance.clone());
         self.chosen = Some(choice);
+        self.note_list_age();
         self.note_demand(&choice);
         let mut work = WorkGuard::begin(self.node, target.key, choice.unread);
         let outcome = self.attempt_at(&target, &mut work).await;
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -83,6 +83,8 @@
     pub(crate) endpoint: Option<InstanceId>,
     /// What the last choice of an endpoint went by.
     pub(crate) chosen: Option<PlaceChoice>,
+    /// How old the endpoint list was then.
+    pub(crate) list_age: Option<TimeSpan>,
     /// When the request was last sent.
     pub(crate) sent_at: Option<Instant>,
     /// When the first part of an answer reached this process.
@@ -164,6 +166,7 @@
         current: None,
         endpoint: None,
         chosen: None,
+        list_age: None,
         sent_at: None,
         first_at: None,
     };
@@ -211,6 +214,7 @@
         trace.may_have_run = self.record.may_have_run() || self.current.is_some();
         trace.endpoint = self.endpoint.clone();
         trace.chosen = self.chosen;
+        trace.list_age = self.list_age;
         trace.last_event = self.last_event;
         trace.first_ms =
             self.first_at.map(|at| at.duration_since(trace.arrived).as_millis() as u64);
@@ -250,7 +254,7 @@
             "request" => self.call.id.as_str(),
             "endpoint" => self.endpoint.as_ref().map(|id| id.as_str()),
             "end" => end.name(), "sent" => self.record.sent(), "last_event" => self.last_event,
-            "again" => again);
+            "again" => again, "list_ms" => self.list_age.map(|age| age.0));
         match (self.record.next_step(end, again), own) {
             (NextStep::SendAgain, _) => None,
             (NextStep::PassOn, Some(own)) if self.answer.stage() == AnswerStage::Waiting => {
@@ -302,6 +306,14 @@
         choose_endpoint(&self.node.endpoints.borrow(), &self.node.prefixes.borrow(), &ask)
     }
 
+    /// Notes how old the list was that an endpoint was chosen from.
+    pub(crate) fn note_list_age(&mut self) {
+        self.list_age = self.node.roster_age();
+        if let Some(age) = self.list_age {
+            self.node.meter.note_list_age(age.0 as f64);
+        }
+    }
+
     fn queue_limit(&self) -> u64 {
         queue_limit(self.route().objective, self.rank, self.node.read_per_ms(&self.service))
     }
--- a/crates/front/src/events.rs
+++ b/crates/front/src/events.rs
@@ -47,11 +47,11 @@
     ProcessStopped = "process_stopped", 10, "all is answered, or the grace time is over: `left` requests were cut";
     SettingsRead = "settings_read", 10, "changed settings are in force: `bounds`; or `told` to read them again";
     SettingsFault = "settings_fault", 10, "settings cannot be used, the old ones stay: `fault`";
-    RequestDone = "request_done", 40, "a caller has its whole answer: `status`, `endpoint`, `sent` attempts, `first_ms`, `total_ms`, `rules` version; what its endpoint was chosen by: tokens to be read before it (`ahead`) and of it (`unread`), requests `running` there";
+    RequestDone = "request_done", 40, "a caller has its whole answer: `status`, `endpoint`, `sent` attempts, `first_ms`, `total_ms`, `rules` version; what its endpoint was chosen by: tokens to be read before it (`ahead`) and of it (`unread`), requests `running` there, the age of the endpoint list (`list_ms`)";
     RequestRefused = "request_refused", 60, "a request was refused or failed: `code`, `name`, `status`, `sent` attempts, `may_have_run`, `total_ms`, `rules` version and whether they were `fresh`; `ahead` and `running` as in `request_done`";
     RequestCut = "request_cut", 60, "an answer could not be finished, or its caller left: `why`, `sent`, `last_event`, `total_ms`";
     RequestOverLimit = "request_over_limit", 30, "an account is at its limit: `account`, `tokens`, `retry_ms`";
-    AttemptEnded = "attempt_ended", 80, "an attempt brought no whole answer: `endpoint`, `end`, `sent` so far, `last_event` shown, `again` if another may be tried";
+    AttemptEnded = "attempt_ended", 80, "an attempt brought no whole answer: `endpoint`, `end`, `sent` so far, `last_event` shown, `again` if another may be tried, `list_ms` as in `request_done`";
     AttemptFault = "attempt_fault", 80, "a connection to an endpoint failed: `endpoint`, `fault`";
     StreamResumed = "stream_resumed", 40, "a stream goes on at another endpoint: `endpoint`, `last_event`";
     CallerFault = "caller_fault", 20, "a caller's connection could not be served: `fault`, or the `code` it was refused with";
@@ -59,7 +59,7 @@
     FeedFault = "feed_fault", 10, "a call to the store failed: `feed`, `fault`";
     RulesInForce = "rules_in_force", 40, "a newer version of the rules is in force: `version`";
     RulesUnreadable = "rules_unreadable", 10, "rules cannot be read, the old ones stay: `fault`";
-    RosterFromPeer = "roster_from_peer", 20, "the endpoint list was taken from a peer: `as_of` revision";
+    RosterFromPeer = "roster_from_peer", 20, "the endpoint list was taken from a peer: `as_of` revision, how many entries the peer doubts (`doubted`), whether what it lacks is gone (`settled`)";
     EndpointStage = "endpoint_stage", 200, "an endpoint is new or changed its stage: `endpoint`, `service`, `domain`, `stage`, `market`, `revision`, `life`";
     EndpointOutlived = "endpoint_outlived", 20, "news of a former life of an endpoint was left out: `endpoint`, `lives` known and told, `revision`";
     EndpointDoubted = "endpoint_doubted", 200, "the list lost an endpoint while the store was away; it is the last resort: `endpoint`";
--- a/crates/front/src/feeds.rs
+++ b/crates/front/src/feeds.rs
@@ -4,7 +4,9 @@
 use crate::mesh;
 use crate::node::{FeedState, FrontNode};
 use crate::roster;
-use oleander_kind::TimeSpan;
+use oleander_kind::{ClockTime, TimeSpan};
+use oleander_list::StoreVouch;
+use oleander_list::vouch::{renew, spoken_at};
 use oleander_plat::{FeedAnswer, FeedEvent, FeedKind, FeedObject, FeedPage, PlatError};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -71,12 +73,14 @@
             from = None;
             continue;
         }
+        let sent = node.clock.now();
         let fault = match from {
             None => match node.store.list(kind).await {
                 Ok(page) => {
                     from = Some(page.as_of);
                     note_feed(node, kind, state, None);
                     take(page);
+                    note_vouch(node, kind, spoken_at(sent, TimeSpan(0), node.clock.now()));
                     None
                 }
                 Err(fault) => Some(fault),
@@ -87,6 +91,7 @@
                     note_feed(node, kind, state, None);
                     let gathers = kind == FeedKind::Endpoints && !events.is_empty();
                     change(events, as_of);
+                    note_vouch(node, kind, spoken_at(sent, WATCH_WAIT, node.clock.now()));
                     if gathers {
                         actix_rt::time::sleep(GATHER_TIME.duration()).await;
                     }
@@ -115,6 +120,16 @@
     }
 }
 
+/// Notes that the store spoke for a feed at `at`.
+fn note_vouch(node: &FrontNode, kind: FeedKind, at: ClockTime) {
+    let by = node.settings.instance.clone();
+    let (vouch, mark) = match kind {
+        FeedKind::Rules => (&node.rules_vouch, node.rules.borrow().version()),
+        _ => (&node.roster_vouch, node.roster.borrow().mark()),
+    };
+    renew(&mut vouch.borrow_mut(), StoreVouch { mark, at, by });
+}
+
 /// Waits until this process has to ask the store itself.
 async fn stand_by(node: &FrontNode, state: &Cell<FeedState>) {
     state.set(FeedState { watching: false, lost_since: None, ..state.get() });
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -14,10 +14,12 @@
 use oleander_call::AccountRule;
 use oleander_kind::{ClockTime, TimeSpan};
 use oleander_limit::PoolLimit;
+use oleander_list::{StoreVouch, VouchNote};
 use oleander_mesh::{
     FeedMark, LeaseNotice, MemberCard, MeshCollector, MeshView, NodeUsage, ServicePace,
     ServicePeak, SleepWatch, TrueClock,
 };
+use std::cell::RefCell;
 
 /// A digest speaks for the present for this long: four periods.
 const DIGEST_LASTS: TimeSpan = TimeSpan(1000);
@@ -150,12 +152,18 @@
 
 fn rules_mark(node: &FrontNode) -> FeedMark {
     let mark = node.rules.borrow().version();
-    FeedMark { mark, fresh: node.rules_feed.get().is_fresh() }
+    let vouch = note_of(&node.rules_vouch, node.clock.now());
+    FeedMark { mark, fresh: node.rules_feed.get().is_fresh(), vouch }
+}
+
+fn note_of(vouch: &RefCell<Option<StoreVouch>>, now: ClockTime) -> Option<VouchNote> {
+    vouch.borrow().as_ref().map(|vouch| vouch.note(now))
 }
 
 fn roster_mark(node: &FrontNode) -> FeedMark {
     let mark = node.roster.borrow().mark();
-    FeedMark { mark, fresh: node.endpoints_feed.get().is_fresh() }
+    let vouch = note_of(&node.roster_vouch, node.clock.now());
+    FeedMark { mark, fresh: node.endpoints_feed.get().is_fresh(), vouch }
 }
 
 /// Notes whether this process should leave the collecting to one that the store serves. Control
--- a/crates/front/src/mesh/digest.rs
+++ b/crates/front/src/mesh/digest.rs
@@ -4,7 +4,8 @@
 use crate::node::FrontNode;
 use crate::{feeds, roster};
 use oleander_kind::TimeSpan;
-use oleander_mesh::{EndpointLoad, LifeMark, MeshDigest, ServicePace};
+use oleander_list::vouch::renew;
+use oleander_mesh::{EndpointLoad, FeedMark, LifeMark, MeshDigest, ServicePace};
 use oleander_place::WorkLoad;
 use std::collections::HashMap;
 
@@ -18,6 +19,7 @@
         Some(page) => roster::take_peer_roster(node, page, Some(digest.roster_state)),
         None => roster::take_peer_changes(node, &digest.roster_changes, digest.roster_state),
     }
+    take_vouches(node, &digest, trip);
     take_loads(node, &digest.loads);
     let mut limits = node.limits.borrow_mut();
     digest
@@ -52,6 +54,18 @@
     }
 }
 
+/// Takes when the store last spoke to anybody, for what this process has of the collector now.
+fn take_vouches(node: &FrontNode, digest: &MeshDigest, trip: TimeSpan) {
+    let now = node.clock.now();
+    let told = |mark: &FeedMark| mark.vouch.as_ref().map(|note| note.received(trip, now));
+    if let Some(vouch) = told(&digest.rules).filter(|v| v.mark <= node.rules.borrow().version()) {
+        renew(&mut node.rules_vouch.borrow_mut(), vouch);
+    }
+    if let Some(vouch) = told(&digest.roster).filter(|v| v.mark <= node.roster.borrow().mark()) {
+        renew(&mut node.roster_vouch.borrow_mut(), vouch);
+    }
+}
+
 /// Logs speeds that differ by more than a tenth from what was known.
 fn tell_paces(node: &FrontNode, known: &[ServicePace], news: &[ServicePace]) {
     const TOLD_CHANGE: f32 = 0.1;
--- a/crates/front/src/meter.rs
+++ b/crates/front/src/meter.rs
@@ -24,6 +24,7 @@
     usage_reports: Counter<u64>,
     first_ms: Histogram<f64>,
     total_ms: Histogram<f64>,
+    list_age_ms: Histogram<f64>,
 }
 
 impl Default for FrontMeter {
@@ -43,6 +44,7 @@
             usage_reports: meter.u64_counter("oleander_front_usage_reports").build(),
             first_ms: latency("oleander_front_first_ms"),
             total_ms: latency("oleander_front_total_ms"),
+            list_age_ms: latency("oleander_front_list_age_ms"),
             base,
         }
     }
@@ -66,6 +68,11 @@
         self.attempts.add(1, &[KeyValue::new("end", end)]);
     }
 
+    /// Notes how old the endpoint list was by which an endpoint was chosen.
+    pub fn note_list_age(&self, ms: f64) {
+        self.list_age_ms.record(ms, &[]);
+    }
+
     /// Counts a stream that goes on at another endpoint.
     pub fn count_resume(&self) {
         self.resumes.add(1, &[]);
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -13,6 +13,7 @@
 use oleander_kind::hash::mix_bits;
 use oleander_kind::{AccountName, ClockTime, ServiceName, TimeSpan};
 use oleander_limit::PoolGate;
+use oleander_list::StoreVouch;
 use oleander_mesh::{MemberCard, ServiceDemand, collect_strength};
 use oleander_outlet::{HttpCodec, LinkPool};
 use oleander_pace::{ASSUMED_PER_MS, PaceBook, ReadPace, ReadSample};
@@ -78,6 +79,10 @@
     pub rules_feed: Cell<FeedState>,
     /// How the feed of endpoints stands.
     pub endpoints_feed: Cell<FeedState>,
+    /// When the store last spoke for the rules.
+    pub rules_vouch: RefCell<Option<StoreVouch>>,
+    /// When the store last spoke for the endpoint list.
+    pub roster_vouch: RefCell<Option<StoreVouch>>,
     /// The endpoint list as it was read.
     pub roster: RefCell<RosterCopy>,
     /// The endpoints.
@@ -148,6 +153,8 @@
             rules_text: RefCell::default(),
             rules_feed: Cell::default(),
             endpoints_feed: Cell::default(),
+            rules_vouch: RefCell::default(),
+            roster_vouch: RefCell::default(),
             roster: RefCell::default(),
             endpoints: RefCell::default(),
             prefixes: RefCell::default(),
@@ -225,6 +232,11 @@
         informed && self.stop.get() == StopStage::Serving
     }
 
+    /// How old the endpoint list is; none if the store never spoke for it.
+    pub fn roster_age(&self) -> Option<TimeSpan> {
+        self.roster_vouch.borrow().as_ref().map(|vouch| vouch.age(self.clock.now()))
+    }
+
     /// Whether the rules in force are known to be the newest: the store says so here, or to others.
     pub fn rules_are_fresh(&self) -> bool {
         let version = self.rules.borrow().version();
--- a/crates/front/src/roster.rs
+++ b/crates/front/src/roster.rs
@@ -107,7 +107,8 @@
     if (state.is_some() && known.is_fresh()) || (state.is_none() && older) {
         return;
     }
-    event!(node, RosterFromPeer; "as_of" => page.as_of);
+    event!(node, RosterFromPeer;
+        "as_of" => page.as_of, "doubted" => news.doubted.len(), "settled" => news.settled);
     let now = node.clock.now();
     node.endpoints_feed.set(FeedState { known_since: known.known_since.or(Some(now)), ..known });
     take_list(node, page, if news.settled { MissingMeans::Gone } else { MissingMeans::Doubt });
--- a/crates/front/src/trace.rs
+++ b/crates/front/src/trace.rs
@@ -5,7 +5,7 @@
 use crate::events::event;
 use crate::node::FrontNode;
 use compact_str::CompactString;
-use oleander_kind::{InstanceId, ResultCode};
+use oleander_kind::{InstanceId, ResultCode, TimeSpan};
 use oleander_place::PlaceChoice;
 use std::rc::Rc;
 use tokio::time::Instant;
@@ -30,6 +30,8 @@
     pub(crate) endpoint: Option<InstanceId>,
     /// What that was chosen by.
     pub(crate) chosen: Option<PlaceChoice>,
+    /// How old the endpoint list was then.
+    pub(crate) list_age: Option<TimeSpan>,
     /// The last event that its caller has.
     pub(crate) last_event: Option<u64>,
     /// From its arrival to the first part of its answer.
@@ -48,6 +50,7 @@
             may_have_run: false,
             endpoint: None,
             chosen: None,
+            list_age: None,
             last_event: None,
             first_ms: None,
         }
@@ -82,6 +85,7 @@
                 "first_ms" => self.first_ms, "total_ms" => total_ms, "rules" => self.rules,
                 "ahead" => self.chosen.map(|choice| choice.tokens_ahead),
                 "unread" => self.chosen.map(|choice| choice.unread),
+                "list_ms" => self.list_age.map(|age| age.0),
                 "running" => self.chosen.map(|choice| choice.running)),
         }
     }
--- a/crates/list/src/lib.rs
+++ b/crates/list/src/lib.rs
@@ -5,5 +5,7 @@
 //! read it, pass on what changed, and probes carry a digest by which a gap is noticed.
 
 pub mod keeper;
+pub mod vouch;
 
 pub use keeper::{ListChange, ListKeeper, ListMark};
+pub use vouch::{StoreVouch, VouchNote};
--- a/crates/mesh/src/collector.rs
+++ b/crates/mesh/src/collector.rs
@@ -134,14 +134,14 @@
         let mine = facts.rules_mark.mark;
         let roster_mine = facts.roster_mark.mark;
         let (roster_page, roster_changes) = self.roster_news(report, facts);
-        let rules_fresh = self.someone_fresh(now, |node| node.rules, facts.rules_mark);
-        let roster_fresh = self.someone_fresh(now, |node| node.roster, facts.roster_mark);
+        let rules_fresh = self.someone_fresh(now, |node| &node.rules, &facts.rules_mark);
+        let roster_fresh = self.someone_fresh(now, |node| &node.roster, &facts.roster_mark);
         MeshDigest {
             from: view.me().clone(),
             members: (report.members_mark != view.mark()).then(|| view.cards()),
             true_time: self.true_time(now).unwrap_or(report.wall),
-            rules: FeedMark { mark: mine, fresh: rules_fresh },
-            roster: FeedMark { mark: roster_mine, fresh: roster_fresh },
+            rules: FeedMark { fresh: rules_fresh, ..facts.rules_mark.clone() },
+            roster: FeedMark { fresh: roster_fresh, ..facts.roster_mark.clone() },
             rules_text: facts.rules_text.filter(|_| report.rules.mark < mine).cloned(),
             roster_page,
             roster_changes,
@@ -188,8 +188,8 @@
     fn someone_fresh(
         &self,
         now: ClockTime,
-        mark_of: impl Fn(&NodeReport) -> FeedMark,
-        own: FeedMark,
+        mark_of: impl Fn(&NodeReport) -> &FeedMark,
+        own: &FeedMark,
     ) -> bool {
         let fresh = |node: &&HeardNode| {
             let mark = mark_of(&node.report);
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -4,6 +4,7 @@
 use oleander_kind::{AccountName, ClockTime, DomainName, InstanceId, ServiceName};
 use oleander_lease::LeaseRecord;
 use oleander_limit::{LevelNews, SpendCount};
+use oleander_list::VouchNote;
 use oleander_pace::ReadPace;
 use oleander_plat::{FeedEvent, FeedObject, FeedPage};
 use serde::{Deserialize, Serialize};
@@ -39,7 +40,7 @@
 }
 
 /// How far a process has followed a feed.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FeedMark {
     /// The version or revision it has; 0 for nothing.
     #[serde(rename = "m")]
@@ -47,6 +48,9 @@
     /// Whether the store tells it of changes.
     #[serde(rename = "f")]
     pub fresh: bool,
+    /// When the store last spoke for it, to this process or one that told it.
+    #[serde(rename = "v", default)]
+    pub vouch: Option<VouchNote>,
 }
 
 /// What a process let in of an account since it began.
--- a/tests/all/mesh.rs
+++ b/tests/all/mesh.rs
@@ -169,8 +169,8 @@
         wall: TRUE_NOW,
         turn: 0,
         members_mark: 0,
-        rules: FeedMark { mark: 1, fresh: false },
-        roster: FeedMark { mark: 1, fresh: false },
+        rules: FeedMark { mark: 1, fresh: false, vouch: None },
+        roster: FeedMark { mark: 1, fresh: false, vouch: None },
         roster_state: None,
         spent: Vec::new(),
         usage: Vec::new(),
@@ -203,7 +203,7 @@
         view: views(3).remove(0),
         collector: MeshCollector::begin(Vec::new(), NOW),
         rules: RuleSet::new(1, CallerBounds::default()),
-        own: FeedMark { mark: 5, fresh: true },
+        own: FeedMark { mark: 5, fresh: true, vouch: None },
         limit: None,
         oldest_turn: 0,
         paces: Vec::new(),
@@ -221,8 +221,8 @@
         let facts = CollectorFacts {
             rules: Some(&self.rules),
             rules_text: None,
-            rules_mark: self.own,
-            roster_mark: self.own,
+            rules_mark: self.own.clone(),
+            roster_mark: self.own.clone(),
             roster: &|| RosterNews {
                 page: FeedPage::default(),
                 settled: true,
@@ -307,7 +307,7 @@
     // an end, and it took itself for informed while another process had the news.
     let mut rig = rig();
 
-    let ahead = FeedMark { mark: 6, fresh: true };
+    let ahead = FeedMark { mark: 6, fresh: true, vouch: None };
     let digest = rig.take(NodeReport { roster: ahead, ..report("front-1") }, NOW);
 
     assert!(digest.wants_roster);
@@ -317,12 +317,12 @@
 #[test]
 fn nobody_vouches_for_rules_when_the_store_tells_nobody() {
     let mut rig = rig();
-    rig.own = FeedMark { mark: 5, fresh: false };
+    rig.own = FeedMark { mark: 5, fresh: false, vouch: None };
 
     assert!(!rig.take(report("front-1"), NOW).rules.fresh);
 
-    let told = FeedMark { mark: 5, fresh: true };
-    rig.take(NodeReport { rules: told, roster: told, ..report("front-2") }, NOW);
+    let told = FeedMark { mark: 5, fresh: true, vouch: None };
+    rig.take(NodeReport { rules: told.clone(), roster: told, ..report("front-2") }, NOW);
     assert!(rig.take(report("front-1"), NOW).rules.fresh);
     // But not for longer than its report counts.
     assert!(!rig.take(report("front-1"), NOW + TimeSpan(1500)).rules.fresh);
@@ -468,7 +468,7 @@
     let known = NodeReport {
         roster_state: state,
         members_mark: rig.view.mark(),
-        rules: FeedMark { mark: 5, fresh: false },
+        rules: FeedMark { mark: 5, fresh: false, vouch: None },
         ..report("front-2")
     };
     let digest = MeshBody::Digest(Box::new(rig.take(known, settled + TimeSpan(10))));
