Search the orders of events of endpoint lists; a woken process's doubts do not spread

Cause: found by the search, shortest way: the collector stands still, an endpoint leaves, the collector wakes after a gap in which entries can lapse and doubts what it missed; a follower that heard the store meanwhile took the doubt over, with a fresh vouch, and used the endpoint for over 2 s. Ruled out: that the follower should ask the store; its list was as new as the collector's. Change: who heard the store all the time takes what a peer doubts for gone; an unsettled process asks one that is settled for its list. crates/explore plays a store, two followers, of which one collects, and one that goes by it. Three mistakes put in on purpose are found: silence taken for news, any return taken for an outage, lapses taken for removals.

--- a/crates/explore/src/lib.rs
+++ b/crates/explore/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod claims;
 pub mod leases;
+pub mod rosters;
 pub mod search;
 pub mod submits;
 
--- a/crates/list/src/roster.rs
+++ b/crates/list/src/roster.rs
@@ -154,7 +154,7 @@
 }
 
 /// The endpoint list of one process.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct RosterBook {
     items: BTreeMap<CompactString, RosterItem>,
     sum: u64,
@@ -236,9 +236,12 @@
         }
     }
 
-    /// Whether a process that stands as `theirs` has a newer list with something else on it.
-    pub fn lacks(&self, theirs: &RosterStand) -> bool {
-        theirs.mark() > self.revision() && theirs.sum != self.sum
+    /// Whether a process that stands as `theirs` has something else on a list that is newer, or as new and without
+    /// doubt.
+    pub fn lacks(&self, theirs: &RosterStand, now: ClockTime) -> bool {
+        let unsure = self.unsettled_until.is_some_and(|until| now < until);
+        let surer = unsure && theirs.unsettled.is_none() && theirs.mark() == self.revision();
+        theirs.sum != self.sum && (surer || theirs.mark() > self.revision())
     }
 
     /// The changes after the one of this number; none if they are not kept.
@@ -332,7 +335,8 @@
             return Vec::new();
         }
         let mut taker = self.taker(news);
-        taker.settle(stand, &vouch, late);
+        let close = taker.follows_closely(&vouch);
+        taker.settle(stand, close, late);
         match update {
             RosterUpdate::Behind => {}
             RosterUpdate::Changes(events) => events.iter().for_each(|event| taker.follow(event)),
@@ -346,7 +350,12 @@
             }
         }
         for doubt in &stand.doubted {
-            taker.doubt(&doubt.name, news.now + doubt.left - late);
+            // A process that stood still doubts what it missed. Who heard the store meanwhile knows better; it would
+            // go on using an endpoint that has left, for as long as the other doubts.
+            match close {
+                true => taker.miss(&doubt.name),
+                false => taker.doubt(&doubt.name, news.now + doubt.left - late),
+            }
         }
         let actions = taker.finish(vouch);
         if state.is_some() {
@@ -398,13 +407,10 @@
 
     /// Judges by another process's stand whether what is missing may have lapsed. One of the two that
     /// heard the store all the time knows that nothing has.
-    fn settle(&mut self, stand: &RosterStand, vouch: &StoreVouch, late: TimeSpan) {
+    fn settle(&mut self, stand: &RosterStand, close: bool, late: TimeSpan) {
         let told = stand.unsettled.map(|left| self.news.now + left - late);
-        self.book.unsettled_until = if self.follows_closely(vouch) {
-            self.book.unsettled_until.filter(|_| told.is_some())
-        } else {
-            told
-        };
+        self.book.unsettled_until =
+            if close { self.book.unsettled_until.filter(|_| told.is_some()) } else { told };
     }
 
     /// Notes what a list as of `mark` lacks. Entries that were written later it does not speak of.
--- a/crates/mesh/src/collector.rs
+++ b/crates/mesh/src/collector.rs
@@ -143,7 +143,7 @@
             ),
             roster_state: RosterState { source: facts.source, number: facts.roster.changed() },
             wants_rules: report.rules.version > mine,
-            wants_roster: facts.roster.lacks(&report.roster),
+            wants_roster: facts.roster.lacks(&report.roster, now),
             levels,
             loads: self.other_loads(&report.card.id, now),
             reported_window: facts.reported_window,
--- a/tests/all/explore.rs
+++ b/tests/all/explore.rs
@@ -2,10 +2,13 @@
 
 use oleandertack::explore::claims::{ClaimBug, ClaimModel};
 use oleandertack::explore::leases::{LeaseBug, LeaseModel};
+use oleandertack::explore::rosters::{RosterBug, RosterModel};
 use oleandertack::explore::submits::{SubmitBug, SubmitModel};
 use oleandertack::explore::{ExploreReport, explore};
 
 const MOST_STATES: usize = 400_000;
+/// Rounds multiply the histories of endpoint lists.
+const MOST_LIST_STATES: usize = 1_500_000;
 
 fn held(report: &ExploreReport) {
     assert_eq!(report.broken, None, "after {} states", report.states);
@@ -85,3 +88,27 @@
     let model = SubmitModel { faults: 1, bug: SubmitBug::NoFence };
     found(&explore(&model, MOST_STATES));
 }
+
+#[test]
+fn calm_processes_send_nothing_to_an_endpoint_that_has_left_and_drop_none_that_lives() {
+    let model = RosterModel { faults: 2, rounds: 18, bug: RosterBug::None };
+    held(&explore(&model, MOST_LIST_STATES));
+}
+
+#[test]
+fn taking_silence_for_news_keeps_an_endpoint_that_has_left() {
+    let model = RosterModel { faults: 2, rounds: 26, bug: RosterBug::SilenceIsNews };
+    found(&explore(&model, MOST_STATES));
+}
+
+#[test]
+fn taking_any_return_of_the_store_for_an_outage_keeps_an_endpoint_that_has_left() {
+    let model = RosterModel { faults: 1, rounds: 26, bug: RosterBug::AnyReturnIsOutage };
+    found(&explore(&model, MOST_STATES));
+}
+
+#[test]
+fn taking_lapsed_entries_for_removed_ones_drops_an_endpoint_that_lives() {
+    let model = RosterModel { faults: 1, rounds: 26, bug: RosterBug::NothingLapses };
+    found(&explore(&model, MOST_STATES));
+}
