--- a/crates/front/src/admin.rs
+++ b/crates/front/src/admin.rs
@@ -37,7 +37,7 @@
         })
     };
     let mesh = node.mesh.borrow();
-    let roster = node.roster.borrow();
+    let (rules, roster) = (node.rules.borrow(), node.roster.borrow());
     let stand = roster.stand(now);
     json!({
         "format": 1,
@@ -45,9 +45,9 @@
         "stop": format!("{:?}", node.stop.get()),
         "ready": node.is_ready(),
         "in_flight": node.in_flight.get(),
-        "rules_version": node.rules.borrow().version(),
+        "rules_version": rules.version(),
         "rules_fresh": node.rules_are_fresh(),
-        "rules_feed": feed(node.rules_feed.get(), node.rules_vouch.borrow().as_ref()),
+        "rules_feed": feed(node.rules_feed.get(), rules.vouch()),
         "endpoints_feed": feed(node.endpoints_feed.get(), roster.vouch()),
         "list_unsettled_ms": stand.unsettled.map(|left| left.0),
         "doubts": stand.doubted.iter().take(MOST_LISTED).map(|doubt| json!({
--- a/crates/front/src/feeds.rs
+++ b/crates/front/src/feeds.rs
@@ -4,10 +4,10 @@
 use crate::mesh;
 use crate::node::{FeedState, FrontNode};
 use crate::roster;
+use crate::rules::take_rules;
 use oleander_kind::{ClockTime, TimeSpan};
-use oleander_list::StoreVouch;
-use oleander_list::vouch::{renew, spoken_at};
-use oleander_plat::{FeedAnswer, FeedEvent, FeedKind, FeedObject, FeedPage, PlatError};
+use oleander_list::vouch::spoken_at;
+use oleander_plat::{FeedAnswer, FeedEvent, FeedKind, FeedPage, PlatError};
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -31,14 +31,11 @@
 /// 4,799 calls without it, 2,737 with it. A leaving endpoint has to be known within 2 s.
 const GATHER_TIME: TimeSpan = TimeSpan(250);
 
-/// The object that holds the operators' rules.
-pub const RULES_NAME: &str = "main";
-
 /// Follows the rules until the task is ended.
 pub async fn follow_rules(node: Rc<FrontNode>) {
     let take = |page: FeedPage, at| {
         page.objects.iter().for_each(|object| take_rules(&node, object));
-        vouch_for_rules(&node, at);
+        node.rules.borrow_mut().hear(at, node.settings.instance.clone());
     };
     let change = |events: Vec<FeedEvent>, _, at| {
         for event in events {
@@ -46,7 +43,7 @@
                 take_rules(&node, &object);
             }
         }
-        vouch_for_rules(&node, at);
+        node.rules.borrow_mut().hear(at, node.settings.instance.clone());
     };
     follow(&node, FeedKind::Rules, &node.rules_feed, take, change).await;
 }
@@ -161,12 +158,6 @@
     }
 }
 
-/// Notes that the store spoke for the rules in force here.
-fn vouch_for_rules(node: &FrontNode, at: ClockTime) {
-    let (mark, by) = (node.rules.borrow().version(), node.settings.instance.clone());
-    renew(&mut node.rules_vouch.borrow_mut(), StoreVouch { mark, at, by });
-}
-
 /// Waits until this process has to ask the store itself.
 async fn stand_by(node: &FrontNode, kind: FeedKind, state: &Cell<FeedState>) {
     state.set(FeedState { watching: false, lost_since: None, ..state.get() });
@@ -204,22 +195,3 @@
             "fault" => fault.map(ToString::to_string));
     }
 }
-
-/// Takes rules, from the store or a peer.
-pub fn take_rules(node: &FrontNode, object: &FeedObject) {
-    if object.name != RULES_NAME {
-        return;
-    }
-    match node.dialect.decode_rules(object) {
-        Ok(rules) => {
-            let version = rules.version();
-            if node.rules.borrow_mut().offer(rules) {
-                *node.rules_text.borrow_mut() = Some(object.clone());
-                event!(node, RulesInForce; "version" => version);
-            }
-        }
-        Err(fault) => {
-            event!(node, RulesUnreadable; "fault" => fault);
-        }
-    }
-}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod process;
 pub mod reload;
 pub mod roster;
+pub mod rules;
 pub mod stream;
 mod trace;
 pub mod whole;
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -5,85 +5,20 @@
 mod digest;
 mod make;
 mod report;
+pub mod state;
 
 pub use collect::MeshPeers;
 pub use report::report_period;
+pub use state::MeshState;
 
 use crate::events::event;
 use crate::node::{FeedState, FrontNode};
 use oleander_call::AccountRule;
-use oleander_kind::{ClockTime, TimeSpan};
+use oleander_kind::TimeSpan;
 use oleander_limit::PoolLimit;
 use oleander_list::AgeLimits;
-use oleander_list::vouch::renew;
-use oleander_mesh::{
-    LeaseNotice, MemberCard, MeshCollector, MeshView, NodeUsage, RulesStand, ServicePace,
-    ServicePeak, SleepWatch, TrueClock,
-};
 use oleander_plat::FeedKind;
-
-/// A digest speaks for the present for this long: four periods.
-const DIGEST_LASTS: TimeSpan = TimeSpan(1000);
-
-/// What the process knows through the others.
-pub struct MeshState {
-    /// The members.
-    pub view: MeshView,
-    /// Present once somebody reports here.
-    pub collector: Option<MeshCollector>,
-    /// True time.
-    pub clock: TrueClock,
-    /// The lease of the control work, as last heard.
-    pub lease: Option<LeaseNotice>,
-    /// Usage windows up to this number are reported.
-    pub reported_window: u64,
-    /// What services needed of late.
-    pub peaks: Vec<ServicePeak>,
-    /// How fast all processes together saw engines read.
-    pub paces: Vec<ServicePace>,
-    sleep: SleepWatch,
-    /// Counts that were reported here while this process collected, and since when they are passed
-    /// on to its successor.
-    heritage: Option<(Vec<NodeUsage>, ClockTime)>,
-    outdone_since: Option<ClockTime>,
-    digest_at: ClockTime,
-    digest_from: Option<MemberCard>,
-    wants_rules: bool,
-    wants_roster: bool,
-}
-
-impl MeshState {
-    /// A process that knows itself.
-    pub fn new(me: MemberCard) -> Self {
-        MeshState {
-            view: MeshView::new(me),
-            collector: None,
-            clock: TrueClock::default(),
-            lease: None,
-            reported_window: 0,
-            peaks: Vec::new(),
-            paces: Vec::new(),
-            sleep: SleepWatch::default(),
-            heritage: None,
-            outdone_since: None,
-            digest_at: ClockTime(0),
-            digest_from: None,
-            wants_rules: false,
-            wants_roster: false,
-        }
-    }
-
-    /// Ends the collecting; what was counted is passed on for a while.
-    fn end_collecting(&mut self, now: ClockTime) {
-        let usage = self.collector.take().map(|ended| ended.usage()).unwrap_or_default();
-        self.heritage = Some((usage, now));
-    }
-
-    /// Whether another process collects, and this one goes by it.
-    pub fn is_succeeded(&self, now: ClockTime) -> bool {
-        followed_collector(self, now).is_some()
-    }
-}
+use state::DIGEST_LASTS;
 
 /// Ends the collecting of a process that stood still for longer than its reporters wait.
 fn end_after_sleep(node: &FrontNode) {
@@ -151,29 +86,6 @@
     mesh.view.collects() || node.clock.now() - mesh.digest_at >= DIGEST_LASTS
 }
 
-/// The collector that this process goes by, if it is another and answered a moment ago.
-///
-/// After a cut heals, processes on its two sides know different collectors. Who is asked to collect
-/// although it reports to another names that one, so that they find together.
-fn followed_collector(mesh: &MeshState, now: ClockTime) -> Option<MemberCard> {
-    let present = now - mesh.digest_at < DIGEST_LASTS;
-    let from = mesh.digest_from.as_ref().filter(|card| card.id != mesh.view.me().id)?;
-    (present && !mesh.view.collects()).then(|| from.clone())
-}
-
-fn rules_stand(node: &FrontNode) -> RulesStand {
-    let vouch = node.rules_vouch.borrow().as_ref().map(|vouch| vouch.note(node.clock.now()));
-    RulesStand { version: node.rules.borrow().version(), vouch }
-}
-
-/// Takes when the store last spoke to another process, if this one has the same rules.
-fn take_rules_vouch(node: &FrontNode, stand: &RulesStand, late: TimeSpan) {
-    let told = stand.vouch.as_ref().map(|note| note.received(late, node.clock.now()));
-    if let Some(vouch) = told.filter(|vouch| vouch.mark == node.rules.borrow().version()) {
-        renew(&mut node.rules_vouch.borrow_mut(), vouch);
-    }
-}
-
 /// Notes whether this process should leave the collecting to one that the store serves. Control
 /// work needs the store, and so do news of rules and endpoints.
 fn note_fitness(node: &FrontNode) {
--- a/crates/front/src/mesh/collect.rs
+++ b/crates/front/src/mesh/collect.rs
@@ -1,11 +1,11 @@
 //! Collecting: answers the reports of the others while it is this process's turn.
 
-use super::{
-    MeshState, end_after_sleep, followed_collector, pool_limit, rules_stand, take_rules_vouch,
-};
+use super::state::{MeshState, followed_collector};
+use super::{end_after_sleep, pool_limit};
 use crate::events::event;
 use crate::node::FrontNode;
-use crate::{feeds, roster};
+use crate::roster;
+use crate::rules::take_rules;
 use oleander_call::RuleSet;
 use oleander_kind::AccountName;
 use oleander_limit::PoolLimit;
@@ -62,9 +62,9 @@
     end_after_sleep(node);
     let now = node.clock.now();
     take_feeds(node, &report);
-    let rules = node.current_rules();
-    let rules_text = node.rules_text.borrow().clone();
-    let limit_of = |name: &AccountName| limit_by_name(node, rules.as_ref()?, name);
+    let known = node.rules.borrow();
+    let rules = known.current();
+    let limit_of = |name: &AccountName| limit_by_name(node, rules?, name);
     let mut mesh = node.mesh.borrow_mut();
     if mesh.view.me().leaving {
         return MeshBody::Leaving(mesh.view.me().clone());
@@ -84,9 +84,9 @@
     }
     let roster = node.roster.borrow();
     let facts = CollectorFacts {
-        rules: rules.as_deref(),
-        rules_text: rules_text.as_ref(),
-        rules_stand: rules_stand(node),
+        rules: rules.map(AsRef::as_ref),
+        rules_text: known.text(),
+        rules_stand: known.stand(now),
         roster: &roster,
         source: node.own_source,
         limit_of: &limit_of,
@@ -107,7 +107,7 @@
 /// Takes what a reporter knows of rules and endpoints, or that the store has spoken to it for what is known here.
 fn take_feeds(node: &FrontNode, report: &NodeReport) {
     if let Some(rules) = &report.rules_text {
-        feeds::take_rules(node, rules);
+        take_rules(node, rules);
     }
     if report.card.id == node.settings.instance {
         return;
@@ -118,7 +118,7 @@
         let unheard = || wall_lag(report.wall, true_now);
         mesh.collector.as_ref().map_or_else(unheard, |c| c.lateness(report, true_now, now))
     };
-    take_rules_vouch(node, &report.rules, late);
+    node.rules.borrow_mut().take_vouch(&report.rules, late, node.clock.now());
     match &report.roster_objects {
         Some(objects) => {
             let whole = RosterUpdate::Whole(objects.clone());
--- a/crates/front/src/mesh/digest.rs
+++ b/crates/front/src/mesh/digest.rs
@@ -1,9 +1,9 @@
 //! Takes what the collector answers.
 
-use super::take_rules_vouch;
 use crate::events::event;
 use crate::node::FrontNode;
-use crate::{feeds, roster};
+use crate::roster;
+use crate::rules::take_rules;
 use oleander_kind::TimeSpan;
 use oleander_mesh::{EndpointLoad, LifeMark, MeshDigest, ServicePace};
 use oleander_place::WorkLoad;
@@ -13,10 +13,10 @@
 pub(super) fn take_digest(node: &FrontNode, digest: MeshDigest, trip: TimeSpan) {
     let now = node.clock.now();
     if let Some(rules) = &digest.rules_text {
-        feeds::take_rules(node, rules);
+        take_rules(node, rules);
     }
     if digest.from.id != node.settings.instance {
-        take_rules_vouch(node, &digest.rules, trip);
+        node.rules.borrow_mut().take_vouch(&digest.rules, trip, now);
         let told = (&digest.roster, trip);
         roster::take_peer_update(node, &digest.roster_update, told, Some(digest.roster_state));
     }
--- a/crates/front/src/mesh/make.rs
+++ b/crates/front/src/mesh/make.rs
@@ -1,6 +1,6 @@
 //! What this process tells the collector.
 
-use super::{MeshState, rules_stand};
+use super::state::MeshState;
 use crate::node::FrontNode;
 use oleander_kind::{AccountName, ClockTime, ServiceName, TimeSpan};
 use oleander_limit::SpendCount;
@@ -17,14 +17,14 @@
     let usage = node.usage.borrow().counts().map(usage_of).collect();
     let roster = node.roster.borrow();
     let roster_objects = mesh.wants_roster.then(|| roster.objects());
-    let rules_text = mesh.wants_rules.then(|| node.rules_text.borrow().clone()).flatten();
+    let rules_text = mesh.wants_rules.then(|| node.rules.borrow().text().cloned()).flatten();
     NodeReport {
         card: mesh.view.me().clone(),
         wall: node.clock.wall(),
         turn: mesh.view.turn(),
         members_mark: mesh.view.mark(),
         served: node.rules_feed.get().is_served() && node.endpoints_feed.get().is_served(),
-        rules: rules_stand(node),
+        rules: node.rules.borrow().stand(node.clock.now()),
         roster: roster.stand(node.clock.now()),
         roster_state: roster.followed(),
         spent,
--- /dev/null
+++ b/crates/front/src/mesh/state.rs
@@ -0,0 +1,80 @@
+//! What one process knows through the others.
+
+use oleander_kind::{ClockTime, TimeSpan};
+use oleander_mesh::{
+    LeaseNotice, MemberCard, MeshCollector, MeshView, NodeUsage, ServicePace, ServicePeak,
+    SleepWatch, TrueClock,
+};
+
+/// A digest speaks for the present for this long: four periods.
+pub(super) const DIGEST_LASTS: TimeSpan = TimeSpan(1000);
+
+/// What the process knows through the others.
+pub struct MeshState {
+    /// The members.
+    pub view: MeshView,
+    /// Present once somebody reports here.
+    pub collector: Option<MeshCollector>,
+    /// True time.
+    pub clock: TrueClock,
+    /// The lease of the control work, as last heard.
+    pub lease: Option<LeaseNotice>,
+    /// Usage windows up to this number are reported.
+    pub reported_window: u64,
+    /// What services needed of late.
+    pub peaks: Vec<ServicePeak>,
+    /// How fast all processes together saw engines read.
+    pub paces: Vec<ServicePace>,
+    pub(super) sleep: SleepWatch,
+    /// Counts that were reported here while this process collected, and since when they are passed
+    /// on to its successor.
+    pub(super) heritage: Option<(Vec<NodeUsage>, ClockTime)>,
+    pub(super) outdone_since: Option<ClockTime>,
+    pub(super) digest_at: ClockTime,
+    pub(super) digest_from: Option<MemberCard>,
+    pub(super) wants_rules: bool,
+    pub(super) wants_roster: bool,
+}
+
+impl MeshState {
+    /// A process that knows itself.
+    pub fn new(me: MemberCard) -> Self {
+        MeshState {
+            view: MeshView::new(me),
+            collector: None,
+            clock: TrueClock::default(),
+            lease: None,
+            reported_window: 0,
+            peaks: Vec::new(),
+            paces: Vec::new(),
+            sleep: SleepWatch::default(),
+            heritage: None,
+            outdone_since: None,
+            digest_at: ClockTime(0),
+            digest_from: None,
+            wants_rules: false,
+            wants_roster: false,
+        }
+    }
+
+    /// Ends the collecting; what was counted is passed on for a while.
+    pub(super) fn end_collecting(&mut self, now: ClockTime) {
+        let usage = self.collector.take().map(|ended| ended.usage()).unwrap_or_default();
+        self.heritage = Some((usage, now));
+    }
+
+    /// Whether another process collects, and this one goes by it.
+    pub fn is_succeeded(&self, now: ClockTime) -> bool {
+        followed_collector(self, now).is_some()
+    }
+}
+
+/// The collector that this process goes by, if it is another and answered a moment ago.
+///
+/// After a cut heals, processes on its two sides know different collectors. Who is asked to collect
+/// although it reports to another names that one, so that they find together.
+pub(super) fn followed_collector(mesh: &MeshState, now: ClockTime) -> Option<MemberCard> {
+    let present = now - mesh.digest_at < DIGEST_LASTS;
+    let from = mesh.digest_from.as_ref().filter(|card| card.id != mesh.view.me().id)?;
+    (present && !mesh.view.collects()).then(|| from.clone())
+}
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -1,23 +1,23 @@
 //! One front process: what its parts share.
 
 use crate::events::{EventBudget, event};
-use crate::mesh::MeshState;
+use crate::mesh::state::MeshState;
 use crate::meter::FrontMeter;
 use crate::port::PlatformDialect;
 use oleander_board::{NodeClock, StopStage};
-use oleander_call::{RuleGate, RuleSet};
+use oleander_call::RuleSet;
 use oleander_conf::{FrontBounds, FrontSettings};
 use oleander_duty::UsageBook;
 use oleander_flow::{BudgetSettings, RetryBudget};
 use oleander_kind::hash::mix_bits;
 use oleander_kind::{AccountName, ClockTime, ServiceName, TimeSpan};
 use oleander_limit::PoolGate;
-use oleander_list::{AgeLimits, RosterBook, StoreVouch};
-use oleander_mesh::{MemberCard, ServiceDemand, collect_strength};
+use oleander_list::{AgeLimits, RosterBook};
+use oleander_mesh::{MemberCard, RulesBook, ServiceDemand, collect_strength};
 use oleander_outlet::{HttpCodec, LinkPool};
 use oleander_pace::{ASSUMED_PER_MS, PaceBook, ReadPace, ReadSample};
 use oleander_place::{EndpointBoard, EndpointKey, OfferedRate, PrefixRecord, ServicePressure};
-use oleander_plat::{FeedObject, FeedStore};
+use oleander_plat::FeedStore;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -68,16 +68,12 @@
     pub store: Box<dyn FeedStore>,
     /// Makes the codecs of connections.
     pub http: HttpCodec,
-    /// The rules in force.
-    pub rules: RefCell<RuleGate>,
-    /// The text of the rules in force, for peers.
-    pub rules_text: RefCell<Option<FeedObject>>,
+    /// The operators' rules.
+    pub rules: RefCell<RulesBook>,
     /// How the feed of rules stands.
     pub rules_feed: Cell<FeedState>,
     /// How the feed of endpoints stands.
     pub endpoints_feed: Cell<FeedState>,
-    /// When the store last spoke for the rules.
-    pub rules_vouch: RefCell<Option<StoreVouch>>,
     /// The endpoint list as it was read.
     pub roster: RefCell<RosterBook>,
     /// The endpoints.
@@ -145,10 +141,8 @@
             store,
             http: HttpCodec::default(),
             rules: RefCell::default(),
-            rules_text: RefCell::default(),
             rules_feed: Cell::default(),
             endpoints_feed: Cell::default(),
-            rules_vouch: RefCell::default(),
             roster: RefCell::default(),
             endpoints: RefCell::default(),
             prefixes: RefCell::default(),
@@ -233,7 +227,7 @@
 
     /// How old the rules are; none if the store never spoke for them.
     pub fn rules_age(&self) -> Option<TimeSpan> {
-        self.rules_vouch.borrow().as_ref().map(|vouch| vouch.age(self.clock.now()))
+        self.rules.borrow().age(self.clock.now())
     }
 
     /// How old the endpoint list may grow.
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod clock;
 pub mod collector;
 pub mod message;
+pub mod rules;
 pub mod view;
 
 pub use clock::{SleepWatch, TrueClock, median_offset, wall_lag};
@@ -20,4 +21,5 @@
     MeshBody, MeshDigest, NodeReport, NodeUsage, RulesStand, ServiceDemand, ServicePace,
     ServicePeak, UsageCount,
 };
+pub use rules::RulesBook;
 pub use view::{MeshView, collect_strength, settled_turn};
--- a/tests/all/plays.rs
+++ b/tests/all/plays.rs
@@ -19,7 +19,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -220,10 +220,13 @@
 }
 
 /// A loopback address that no other test has, in this run or in one beside it.
-fn own_address() -> Ipv4Addr {
-    static COUNT: AtomicU8 = AtomicU8::new(1);
+fn own_address() -> SocketAddr {
+    const FIRST_PORT: u16 = 7471;
+    static COUNT: AtomicU16 = AtomicU16::new(0);
     let [.., high, low] = std::process::id().to_be_bytes();
-    Ipv4Addr::new(127, 64 | (high & 0x7f), low, COUNT.fetch_add(1, Ordering::Relaxed))
+    let [ports, last] = COUNT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let ip = Ipv4Addr::new(127, 64 | (high & 0x7f), low, last);
+    SocketAddr::from((ip, FIRST_PORT + u16::from(ports)))
 }
 
 fn settings(name: String, peer: SocketAddr, seeds: Vec<SocketAddr>) -> FrontSettings {
@@ -255,15 +258,13 @@
 impl PlayGroup {
     /// Starts `count` processes before a store with three endpoints, and lets them find together.
     pub async fn start(count: usize) -> Self {
-        const PEER_PORT: u16 = 7471;
         let state = Rc::new(StoreState::default());
         let rules = object("main", RULES.to_owned());
         state.put(FeedKind::Rules, "main", rules.body);
         for name in ["i-0", "i-1", "i-2"] {
             state.put(FeedKind::Endpoints, name, entry("ready"));
         }
-        let peers: Vec<SocketAddr> =
-            (0..count).map(|_| SocketAddr::from((own_address(), PEER_PORT))).collect();
+        let peers: Vec<SocketAddr> = (0..count).map(|_| own_address()).collect();
         let mut group = PlayGroup { processes: Vec::new(), ways: Vec::new(), state };
         for (at, peer) in peers.iter().enumerate() {
             let way =
