--- a/tests/all/leaving.rs
+++ b/tests/all/leaving.rs
@@ -9,6 +9,8 @@
 
 /// The operators' bound for the last request to an endpoint that leaves, in milliseconds.
 const DRAIN_MS: u64 = 2000;
+/// The operators' bound for a change of the rules to be in force, in milliseconds.
+const APPLY_MS: u64 = 2000;
 /// How soon after the store's return the entries that it forgot are back, in milliseconds.
 const RELIST_MS: u64 = 2200;
 /// How long a play looks on.
@@ -86,7 +88,7 @@
             group.set_all(StoreMode::Refused);
             group.remove("i-0");
             sleep(Duration::from_secs(5)).await;
-            let kept = (0..6).all(|at| group.uses(at, "i-0"));
+            let kept = group.all_use("i-0");
             group.set_all(StoreMode::Served);
             group.ways[group.collector()].set(StoreMode::Silent);
 
@@ -161,3 +163,41 @@
         });
     }
 }
+
+/// A key that was taken away goes on being served, by processes that the store would tell at once. They go by four
+/// others whose calls fell silent a moment before the rules changed.
+#[test]
+fn rules_change_everywhere_though_all_followers_fell_silent() {
+    for moment in moments() {
+        play(async {
+            let group = start(7, moment).await;
+            let watchers = group.watchers();
+            for at in &watchers {
+                group.ways[*at].set(StoreMode::Silent);
+            }
+
+            group.change_rules(9);
+            let older = group.older_for(9, LOOK).await;
+
+            let others = (0..7).filter(|at| !watchers.contains(at));
+            let others: Vec<u64> = others.map(|at| older[at]).collect();
+            assert!(longest(&others) < APPLY_MS, "{moment:?}: {older:?} of {watchers:?}");
+        });
+    }
+}
+
+/// The same where connections fall silent at every process, and new ones work.
+#[test]
+fn rules_change_everywhere_though_connections_fell_silent() {
+    for moment in moments() {
+        play(async {
+            let group = start(7, moment).await;
+            group.ways.iter().for_each(|way| way.silence_open());
+
+            group.change_rules(9);
+            let older = group.older_for(9, LOOK).await;
+
+            assert!(longest(&older) < APPLY_MS, "{moment:?}: {older:?}");
+        });
+    }
+}
--- a/tests/all/plays.rs
+++ b/tests/all/plays.rs
@@ -300,6 +300,17 @@
         (0..self.processes.len()).filter(follows).collect()
     }
 
+    /// The operators put a newer version of the rules into the store.
+    pub fn change_rules(&self, version: u64) {
+        let text = RULES.replace("\"version\":7", &format!("\"version\":{version}"));
+        self.state.put(FeedKind::Rules, "main", Bytes::from(text));
+    }
+
+    /// For how long, in milliseconds from now, each process still goes by rules older than `version`.
+    pub async fn older_for(&self, version: u64, most: Duration) -> Vec<u64> {
+        self.lasts(most, |process| process.node.rules.borrow().version() < version).await
+    }
+
     /// The store takes an entry.
     pub fn put(&self, name: &str, state: &str) {
         self.state.put(FeedKind::Endpoints, name, entry(state));
@@ -310,20 +321,23 @@
         self.state.remove(FeedKind::Endpoints, name);
     }
 
-    /// Whether process `at` may send requests to `name`, if only as the last resort.
-    pub fn uses(&self, at: usize, name: &str) -> bool {
-        let board = self.processes[at].node.endpoints.borrow();
-        board.key(&name.into()).and_then(|key| board.get(key)).is_some_and(|f| f.takes_work())
+    /// Whether every process may send requests to `name`.
+    pub fn all_use(&self, name: &str) -> bool {
+        self.processes.iter().all(|process| uses(process, name))
     }
 
-    /// For how long, in milliseconds from now, each process may still send requests to `name`. Ends
-    /// after `most`.
+    /// For how long, in milliseconds from now, each process may still send requests to `name`, if only as
+    /// the last resort. Ends after `most`.
     pub async fn uses_for(&self, name: &str, most: Duration) -> Vec<u64> {
+        self.lasts(most, |process| uses(process, name)).await
+    }
+
+    async fn lasts(&self, most: Duration, holds: impl Fn(&FrontProcess) -> bool) -> Vec<u64> {
         let began = Instant::now();
         let mut last = vec![0; self.processes.len()];
         while began.elapsed() < most {
-            for (at, last) in last.iter_mut().enumerate() {
-                if self.uses(at, name) {
+            for (process, last) in self.processes.iter().zip(&mut last) {
+                if holds(process) {
                     *last = began.elapsed().as_millis() as u64;
                 }
             }
@@ -332,3 +346,8 @@
         last
     }
 }
+
+fn uses(process: &FrontProcess, name: &str) -> bool {
+    let board = process.node.endpoints.borrow();
+    board.key(&name.into()).and_then(|key| board.get(key)).is_some_and(|fact| fact.takes_work())
+}
--- a/tests/all/roster.rs
+++ b/tests/all/roster.rs
@@ -3,7 +3,7 @@
 use arbtest::arbtest;
 use bytes::Bytes;
 use oleandertack::kind::{ClockTime, TimeSpan};
-use oleandertack::list::vouch::renew;
+use oleandertack::list::vouch::{renew, spoken_at};
 use oleandertack::list::{
     DecodedEntry, DoubtNote, LapseTimes, RosterAction, RosterBook, RosterNews, RosterStand,
     RosterUpdate, StoreVouch, VouchNote,
@@ -169,3 +169,16 @@
 
     assert_eq!((first, older, newer), (Some(TimeSpan(400)), first, Some(TimeSpan(10))));
 }
+
+/// Requests go to endpoints that left seconds ago. A process stood still while its watch waited, and found the
+/// answer when it woke; it was taken for what the store says now.
+#[test]
+fn an_answer_found_after_a_standstill_is_as_old_as_it_can_be() {
+    let wait = TimeSpan(500);
+
+    let in_time = spoken_at(NOW, wait, at(120));
+    let woken = spoken_at(NOW, wait, at(4000));
+    let listed = spoken_at(NOW, TimeSpan(0), at(250));
+
+    assert_eq!((in_time, woken, listed), (at(120), at(500), NOW));
+}
