A list with a gap does not pass for the newest one

A peer that heard of no relay for 3 s took its list whole and dropped an endpoint that lives, for 15 s. Ruled out: the front processes, which do not use this list. Change: a change carries the digest of the list that it was read with; only a list that it makes whole is as new as it.

--- a/crates/gauge/src/decide.rs
+++ b/crates/gauge/src/decide.rs
@@ -248,6 +248,7 @@
         cost("list: one change sent", "bytes", || {
             let change = oleander_list::ListChange {
                 stamp: NOW,
+                digest: u64::MAX,
                 records: vec![replica(1)],
                 gone: Vec::new(),
             };
--- a/crates/list/src/keeper.rs
+++ b/crates/list/src/keeper.rs
@@ -18,6 +18,9 @@
 pub struct ListChange {
     /// When the list was read (wall clock).
     pub stamp: ClockTime,
+    /// Digest of the whole list then.
+    #[serde(default)]
+    pub digest: u64,
     /// New and changed records.
     pub records: Vec<EndpointRecord>,
     /// Instances that are gone.
@@ -98,13 +101,15 @@
                 change.gone.push(id);
             }
         }
+        change.digest = self.mark.digest;
         self.mark.stamp = self.mark.stamp.max(now);
         change
     }
 
     /// Takes a change that a peer passed on. Returns what of it was news, to be passed on again.
     pub fn take_change(&mut self, change: &ListChange) -> ListChange {
-        let mut news = ListChange { stamp: change.stamp, ..ListChange::default() };
+        let mut news =
+            ListChange { stamp: change.stamp, digest: change.digest, ..ListChange::default() };
         for record in &change.records {
             if self.put(record, change.stamp) {
                 news.records.push(record.clone());
@@ -116,7 +121,11 @@
                 news.gone.push(id.clone());
             }
         }
-        self.mark.stamp = self.mark.stamp.max(change.stamp);
+        // Only a list that is whole as of a read is as new as it. One that missed an earlier change
+        // would pass for the newest; who took it whole dropped what it lacks for `BURIED_LIMIT`.
+        if self.mark.digest == change.digest {
+            self.mark.stamp = self.mark.stamp.max(change.stamp);
+        }
         news
     }
 
@@ -124,8 +133,9 @@
     pub fn take_whole(&mut self, whole: Vec<EndpointRecord>, stamp: ClockTime) -> ListChange {
         let listed: Vec<InstanceId> = whole.iter().map(|record| record.instance.clone()).collect();
         let gone = self.records.keys().filter(|id| !listed.contains(id)).cloned().collect();
+        let digest = whole.iter().fold(0, |digest, record| digest ^ record_hash(record));
         self.differs_since = None;
-        self.take_change(&ListChange { stamp, records: whole, gone })
+        self.take_change(&ListChange { stamp, digest, records: whole, gone })
     }
 
     /// Compares a peer's mark with ours. Returns whether to ask the peer for its whole list: its
--- a/tests/all/list.rs
+++ b/tests/all/list.rs
@@ -81,3 +81,24 @@
     assert!(!at_once && later);
     assert_eq!(gapped.mark(), full.mark());
 }
+
+/// Callers lose an endpoint that lives for 15 s. A process missed the change that named it and got a later one; it then
+/// passed for one that had heard of a later read than the others, and another, which heard of no
+/// relay for 3 s, took its list for the whole and dropped what it lacks.
+#[test]
+fn a_process_with_a_gap_does_not_pass_for_one_that_knows_the_newest_read() {
+    let later = |seconds| NOW + TimeSpan::secs(seconds);
+    let (mut relay, mut full, mut gapped) =
+        (ListKeeper::default(), ListKeeper::default(), ListKeeper::default());
+    let first = relay.take_read(live(&["a"]), NOW);
+    let second = relay.take_read(live(&["a", "b"]), later(1));
+    let third = relay.take_read(live(&["a", "b", "c"]), later(2));
+    [&first, &second].iter().for_each(|change| drop(full.take_change(change)));
+    [&first, &third].iter().for_each(|change| drop(gapped.take_change(change)));
+
+    let asks = [later(2), later(6)].map(|now| full.compare(gapped.mark(), now));
+    let repairs = [later(2), later(6)].map(|now| gapped.compare(relay.mark(), now));
+
+    assert_eq!((asks, full.len()), ([false, false], 2));
+    assert_eq!(repairs, [false, true]);
+}
