Assert that a play of silent followers has others in it; say what was read and what was played

Cause: two plays picked the processes that do not follow the store by the same lines, and the one of rules did not check that there are any, so that it could have passed with none. Change: one fixture does both and checks. No product code changed.

--- a/tests/all/leaving.rs
+++ b/tests/all/leaving.rs
@@ -1,7 +1,8 @@
 //! Requests to endpoints that have left: how long each of several processes goes by old news of them,
 //! whatever the store is to it.
 //!
-//! Each play is made at several moments of the processes' own periods, and the worst one counts.
+//! Each play is made at several moments of the processes' own periods, and the worst one counts. Time
+//! is virtual: a sleep moves the clock of the play and waits for nothing of the machine.
 
 use crate::plays::{PlayGroup, StoreMode, play};
 use std::time::Duration;
@@ -28,6 +29,16 @@
     group
 }
 
+/// The store answers none of the processes that follow it any more; gives the others.
+fn silence_followers(group: &PlayGroup) -> Vec<usize> {
+    let watchers = group.watchers();
+    watchers.iter().for_each(|at| group.ways[*at].set(StoreMode::Silent));
+    let others = (0..group.processes.len()).filter(|at| !watchers.contains(at));
+    let others: Vec<usize> = others.collect();
+    assert!(!others.is_empty(), "all follow the store");
+    others
+}
+
 fn longest(uses: &[u64]) -> u64 {
     uses.iter().copied().max().unwrap_or_default()
 }
@@ -132,18 +143,13 @@
     for moment in moments() {
         play(async {
             let group = start(7, moment).await;
-            let watchers = group.watchers();
-            for at in &watchers {
-                group.ways[*at].set(StoreMode::Silent);
-            }
+            let others = silence_followers(&group);
 
             group.put("i-0", "draining");
             let uses = group.uses_for("i-0", LOOK).await;
 
-            let others = (0..7).filter(|at| !watchers.contains(at));
-            let others: Vec<u64> = others.map(|at| uses[at]).collect();
-            assert!(!others.is_empty(), "all follow the store");
-            assert!(longest(&others) < DRAIN_MS, "{moment:?}: {uses:?} of {watchers:?}");
+            let theirs: Vec<u64> = others.iter().map(|at| uses[*at]).collect();
+            assert!(longest(&theirs) < DRAIN_MS, "{moment:?}: {uses:?}, of {others:?} {theirs:?}");
         });
     }
 }
@@ -172,17 +178,13 @@
     for moment in moments() {
         play(async {
             let group = start(7, moment).await;
-            let watchers = group.watchers();
-            for at in &watchers {
-                group.ways[*at].set(StoreMode::Silent);
-            }
+            let others = silence_followers(&group);
 
             group.change_rules(9);
             let older = group.older_for(9, LOOK).await;
 
-            let others = (0..7).filter(|at| !watchers.contains(at));
-            let others: Vec<u64> = others.map(|at| older[at]).collect();
-            assert!(longest(&others) < APPLY_MS, "{moment:?}: {older:?} of {watchers:?}");
+            let theirs: Vec<u64> = others.iter().map(|at| older[*at]).collect();
+            assert!(longest(&theirs) < APPLY_MS, "{moment:?}: {older:?}, of {others:?} {theirs:?}");
         });
     }
 }
