Judge endpoints that are set aside by what came since, and never more than a quarter

Change: proof is used up by its verdict, slowness needs 4.5 deviations of chance, kept verdicts count within the quarter.

--- a/crates/judge/src/book.rs
+++ b/crates/judge/src/book.rs
@@ -78,6 +78,11 @@
         self.sums.get(endpoint).map(|sum| sum.faded(now)).unwrap_or_default()
     }
 
+    /// Forgets what was seen of an endpoint.
+    pub fn forget(&mut self, endpoint: &K) {
+        self.sums.remove(endpoint);
+    }
+
     /// Forgets endpoints of which hardly anything is left.
     pub fn sweep(&mut self, now: ClockTime) {
         self.sums.retain(|_, sum| sum.faded(now).seen() >= LEAST_KEPT);
--- a/crates/judge/src/lib.rs
+++ b/crates/judge/src/lib.rs
@@ -15,4 +15,4 @@
 
 pub use book::{EvidenceBook, EvidenceSum};
 pub use tally::{AnswerSample, EvidenceTally, MOST_COUNTED};
-pub use verdict::{BadTrait, ServiceEvidence, judge_service};
+pub use verdict::{BadTrait, LEAST_SEEN, ServiceEvidence, judge_service, most_aside};
--- a/crates/judge/src/tally.rs
+++ b/crates/judge/src/tally.rs
@@ -6,9 +6,9 @@
 /// The most answers of one endpoint that a report can truly count: a process reports four times a second and
 /// serves some hundred requests a second at the most. Reports with more are not believed.
 pub const MOST_COUNTED: u16 = 1000;
-/// The most by which one answer counts as slower or quicker than expected, in powers of two. Beyond sixteen
-/// times it says no more; one answer that took a minute must not outweigh fifty.
-const MOST_SLOWNESS: f32 = 4.0;
+/// The most by which one answer counts as slower or quicker than expected, in powers of two. Beyond six times
+/// it says no more: a short prompt behind a long one that nobody had heard of must not outweigh five.
+const MOST_SLOWNESS: f32 = 2.6;
 
 /// How one answer came.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/judge/src/verdict.rs
+++ b/crates/judge/src/verdict.rs
@@ -6,7 +6,7 @@
 /// Answers that must be known of an endpoint. Those of a large service answer some ten requests a second.
 const ENOUGH_SEEN: f64 = 6.0;
 /// The same of one that was set aside, and is asked little since.
-const LEAST_SEEN: f64 = 1.0;
+pub const LEAST_SEEN: f64 = 1.5;
 /// Endpoints of a service that must be known for a comparison: of two, none is the middle one.
 const FEWEST_COMPARED: usize = 3;
 /// How much larger a part than the middle one's must fail. An endpoint that fails less costs its callers
@@ -23,9 +23,13 @@
 /// The same in median deviations of the service's endpoints: where sound ones differ a lot, more is needed.
 /// Six are four standard deviations of a normal spread.
 const SLOWER_DEVIATIONS: f64 = 6.0;
+/// The same by chance, over the square root of the answers: 4.5 standard deviations of one answer, whose
+/// slowness varies by about one. With seven answers and without this, 10 sound engines of 68 were taken for
+/// slow within half a minute.
+const SLOWER_BY_CHANCE: f64 = 4.5;
 /// An endpoint that was set aside stays so until it is this part of the way back to the others, so that it
 /// does not come and go with each answer.
-const WAY_BACK: f64 = 0.5;
+const WAY_BACK: f64 = 0.75;
 /// At most this part of a service's endpoints is set aside, and one of three or more. Were there more, those left would be
 /// overloaded by the load of the others, and seem bad next.
 const MOST_ASIDE: f64 = 0.25;
@@ -65,11 +69,16 @@
         })
         .collect();
     bad.sort_by(|a, b| b.0.total_cmp(&a.0));
-    let most = (known.len() as f64 * MOST_ASIDE) as usize;
-    bad.truncate(most.max(usize::from(known.len() >= FEWEST_COMPARED)));
+    bad.truncate(most_aside(known.len()));
     bad.into_iter().map(|(_, endpoint, bad_trait)| (endpoint, bad_trait)).collect()
 }
 
+/// How many of so many endpoints of a service may be set aside at once.
+pub fn most_aside(endpoints: usize) -> usize {
+    let most = (endpoints as f64 * MOST_ASIDE) as usize;
+    most.max(usize::from(endpoints >= FEWEST_COMPARED))
+}
+
 fn is_known<K>(one: &&ServiceEvidence<K>) -> bool {
     one.sum.seen() >= ENOUGH_SEEN
 }
@@ -117,7 +126,9 @@
     let compared = compared?;
     let is_known = is_timed(&one) || (was_aside && one.sum.came >= LEAST_SEEN);
     let slowness = one.sum.slowness().filter(|_| is_known)?;
-    Some((slowness - compared.middle) / SLOWER.max(SLOWER_DEVIATIONS * compared.deviation))
+    let spread = SLOWER_DEVIATIONS * compared.deviation;
+    let by_chance = if was_aside { 0.0 } else { SLOWER_BY_CHANCE / one.sum.came.sqrt() };
+    Some((slowness - compared.middle) / SLOWER.max(spread).max(by_chance))
 }
 
 /// The middle value of a service's endpoints, and how far they lie from it in the middle.
--- a/crates/mesh/src/evidence.rs
+++ b/crates/mesh/src/evidence.rs
@@ -1,18 +1,20 @@
 //! What the processes report of endpoints, and what the collector makes of it.
 
 use crate::message::{EndpointEvidence, EndpointVerdict, LifeMark, NodeReport};
-use oleander_judge::{BadTrait, EvidenceBook, EvidenceSum, ServiceEvidence, judge_service};
+use oleander_judge::{
+    BadTrait, EvidenceBook, EvidenceSum, EvidenceTally, LEAST_SEEN, ServiceEvidence, judge_service,
+    most_aside,
+};
 use oleander_kind::{ClockTime, InstanceId, TimeSpan};
 use std::collections::BTreeMap;
 
 /// Between two comparisons. Reports of all processes come four times a second; to compare at each of them
 /// would take 780 comparisons a second of 195 processes for news that is a quarter of a second old.
 const JUDGE_PERIOD: TimeSpan = TimeSpan(200);
-/// How long an endpoint stays set aside of which nothing is heard any more: nobody asks it, or a new
-/// collector has not heard of it yet. Then callers try it again.
+/// How long an endpoint stays set aside of which hardly anything is heard: nobody asks it, or a new
+/// collector has not heard of it yet. Then callers try it again, and it is found again within some two
+/// seconds if it is still bad.
 const UNPROVED_KEPT: TimeSpan = TimeSpan(5000);
-/// Less than this many answers, faded ones counted less, say nothing.
-const NOTHING_SEEN: f64 = 1.0;
 
 /// Names a life of an endpoint.
 pub type EndpointLife = (InstanceId, LifeMark);
@@ -64,7 +66,7 @@
         for EndpointEvidence { instance, life, tally } in &report.evidence {
             let endpoint = (instance.clone(), *life);
             if tally.is_possible() && knows(&endpoint) {
-                self.book.note(endpoint, *tally, now);
+                self.note_tally(endpoint, *tally, now);
             } else {
                 left_out += 1;
             }
@@ -72,6 +74,11 @@
         left_out
     }
 
+    /// Takes what a process saw of one endpoint.
+    pub fn note_tally(&mut self, endpoint: EndpointLife, tally: EvidenceTally, now: ClockTime) {
+        self.book.note(endpoint, tally, now);
+    }
+
     /// Whether it is time to compare again.
     pub fn is_due(&self, now: ClockTime) -> bool {
         now - self.judged_at >= JUDGE_PERIOD
@@ -95,7 +102,12 @@
             bad_trait: is(endpoint),
             sum: self.book.sum(endpoint, now),
         };
-        changed.map(change).collect()
+        let changes = changed.map(change).collect();
+        // Each time it is judged by what came since: what put it aside would keep it there for a quarter of a
+        // minute after it is well again.
+        let proved = self.aside.iter().filter(|(_, mark)| mark.proved_at == now);
+        proved.for_each(|(endpoint, _)| self.book.forget(endpoint));
+        changes
     }
 
     fn judge_one(
@@ -110,16 +122,18 @@
             before: self.aside.get(&endpoints[at]).map(|mark| mark.bad_trait),
         };
         let known: Vec<_> = (0..endpoints.len()).map(evidence).collect();
-        for (at, bad_trait) in judge_service(&known) {
-            aside.insert(endpoints[at].clone(), AsideMark { bad_trait, proved_at: now });
-        }
-        for one in known.iter().filter(|one| one.sum.seen() < NOTHING_SEEN) {
+        let mut left = most_aside(endpoints.len());
+        for one in known.iter().filter(|one| one.sum.seen() < LEAST_SEEN) {
             let endpoint = &endpoints[one.endpoint];
             let kept = self.aside.get(endpoint).filter(|mark| now - mark.proved_at < UNPROVED_KEPT);
             if let Some(mark) = kept {
                 aside.insert(endpoint.clone(), *mark);
+                left = left.saturating_sub(1);
             }
         }
+        for (at, bad_trait) in judge_service(&known).into_iter().take(left) {
+            aside.insert(endpoints[at].clone(), AsideMark { bad_trait, proved_at: now });
+        }
     }
 
     /// The endpoints that are set aside.
--- a/tests/all/evidence.rs
+++ b/tests/all/evidence.rs
@@ -6,7 +6,8 @@
 };
 use oleandertack::kind::hash::mix_bits;
 use oleandertack::kind::{ClockTime, TimeSpan};
-use std::collections::BTreeMap;
+use oleandertack::mesh::{EndpointJudge, EndpointLife, LifeMark};
+use std::collections::{BTreeMap, BTreeSet};
 
 const START: u64 = 1_000_000;
 /// How often a process reports.
@@ -84,10 +85,13 @@
         }
     }
 
-    /// Plays `seconds`; an endpoint that is set aside is asked twice a second.
+    /// Plays `seconds`; an endpoint that is set aside is asked once in two seconds.
     fn run(&self, seconds: u64) -> SaidTimes {
-        let mut book = EvidenceBook::default();
-        let mut said: BTreeMap<usize, BadTrait> = BTreeMap::new();
+        let name = |at: usize| (format!("i-{at}").as_str().into(), LifeMark::default());
+        let names: Vec<EndpointLife> = (0..self.endpoints).map(name).collect();
+        let services = [names.clone()];
+        let mut judge = EndpointJudge::default();
+        let mut said: BTreeSet<usize> = BTreeSet::new();
         let mut times = SaidTimes::new();
         let mut on_the_way: BTreeMap<u64, Vec<(usize, AnswerSample)>> = BTreeMap::new();
         let mut random = 7_u64;
@@ -106,22 +110,17 @@
             for (at, sample) in on_the_way.remove(&ms).unwrap_or_default() {
                 let mut tally = EvidenceTally::default();
                 tally.note(sample);
-                book.note(at, tally, now);
+                judge.note_tally(names[at].clone(), tally, now);
             }
-            if ms % 200 == 0 {
-                let known = |at| ServiceEvidence {
-                    endpoint: at,
-                    sum: book.sum(&at, now),
-                    before: said.get(&at).copied(),
-                };
-                let known: Vec<_> = (0..self.endpoints).map(known).collect();
-                let judged: BTreeMap<_, _> = judge_service(&known).into_iter().collect();
-                for at in 0..self.endpoints {
-                    if judged.get(&at) != said.get(&at) {
-                        times.entry(at).or_default().push((ms, judged.get(&at).copied()));
-                    }
+            if judge.is_due(now) {
+                for change in judge.judge(&services, now) {
+                    let at = names.iter().position(|name| *name == change.endpoint).expect("known");
+                    times.entry(at).or_default().push((ms, change.bad_trait));
+                    match change.bad_trait {
+                        Some(_) => said.insert(at),
+                        None => said.remove(&at),
+                    };
                 }
-                said = judged;
             }
         }
         times
@@ -129,14 +128,14 @@
 
     fn ask(
         &self,
-        said: &BTreeMap<usize, BadTrait>,
+        said: &BTreeSet<usize>,
         ms: u64,
         draw: &mut impl FnMut(u64) -> u64,
         on_the_way: &mut BTreeMap<u64, Vec<(usize, AnswerSample)>>,
     ) {
         let at = draw(self.endpoints as u64) as usize;
         // One in twenty of the ten a second.
-        if said.contains_key(&at) && draw(20) != 0 {
+        if said.contains(&at) && draw(20) != 0 {
             return;
         }
         let process = draw(self.processes as u64);
@@ -161,8 +160,9 @@
 
 /// A label check waits on a slow replica as often as before, for as long as it is slow: each of hundreds of
 /// processes meets it once a minute and forgets within seconds. By what all saw together, each of the slow
-/// ones of 9, 63 and 300 endpoints is set aside within 1.6 s (0.8 to 1.6 s; by one process alone never),
-/// mute ones within 4.2 s, of which two pass until an answer is overdue and reported.
+/// ones of 9, 63 and 300 endpoints is set aside within 2 s, failing and flapping ones within 1.8 s, mute ones
+/// within 2.8 s, of which one passes until an answer is overdue. Within 3 s they are to be found, thirty of
+/// their requests; mute ones may take until their first answers are overdue and reported besides.
 #[test]
 fn bad_endpoints_are_found_by_what_all_processes_saw() {
     for endpoints in [9, 63, 300] {
@@ -177,7 +177,6 @@
             let said = play.run(8);
 
             let found = play.found(&said);
-            eprintln!("{endpoints} {} {found} {}", kind as u32, play.wronged(&said));
             assert!(found <= limit, "{endpoints}: {found} ms");
             assert!(play.wronged(&said) <= endpoints / 50, "{endpoints}: {said:?}");
         }
@@ -185,7 +184,7 @@
 }
 
 /// A mended endpoint stands idle for good, because nobody asks it any more. A few real requests go on
-/// going there; two a second bring it back.
+/// going there, and ten seconds after the end of its trouble all may.
 #[test]
 fn a_mended_endpoint_takes_its_share_again() {
     let play = JudgePlay { mended_ms: 6000, ..play(63, BadKind::Slow) };
@@ -195,7 +194,7 @@
     for at in &play.bad {
         let (back, bad_trait) = said[at].last().copied().expect("found");
         assert_eq!(bad_trait, None, "{said:?}");
-        assert!(back <= 21_000, "{back}");
+        assert!(back <= 16_000, "{back}");
     }
 }
 
