--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -6,12 +6,14 @@
 
 pub mod board;
 pub mod choose;
+pub mod cost;
 pub mod health;
 pub mod prefix;
 pub mod shed;
 
 pub use board::{EndpointBoard, EndpointEntry, EndpointFact, EndpointKey, WorkLoad};
-pub use choose::{PlaceAsk, PlaceChoice, choose_endpoint, expected_first};
+pub use choose::{PlaceAsk, PlaceChoice, choose_endpoint};
+pub use cost::expected_first;
 pub use health::{AnswerGrade, HealthRecord};
 pub use prefix::PrefixRecord;
 pub use shed::{OfferedRate, ServicePressure, queue_limit, shed_until};
--- a/tests/all/evidence.rs
+++ b/tests/all/evidence.rs
@@ -80,7 +80,7 @@
             BadKind::Slow => came(5 * sound),
             BadKind::Failing if half => (5, AnswerSample::Failed),
             BadKind::Mute if half => (OVERDUE_MS, AnswerSample::Overdue),
-            BadKind::Flapping if ms / 1000 % 2 == 0 => (5, AnswerSample::Failed),
+            BadKind::Flapping if (ms / 1000).is_multiple_of(2) => (5, AnswerSample::Failed),
             BadKind::Failing | BadKind::Mute | BadKind::Flapping => came(sound),
         }
     }
