Forget evidence of endpoints that could not be told within a second

Test: what is not told within a second is forgotten (fails without: 2 for 1), what a lost report told is told again; an overdue answer counts once.

--- a/crates/front/src/evidence.rs
+++ b/crates/front/src/evidence.rs
@@ -2,11 +2,16 @@
 
 use crate::node::FrontNode;
 use oleander_judge::{AnswerSample, EvidenceTally};
-use oleander_kind::ClockTime;
+use oleander_kind::{ClockTime, TimeSpan};
 use oleander_mesh::{EndpointEvidence, LifeMark};
 use oleander_place::EndpointKey;
 use std::collections::HashMap;
 
+/// How long evidence that could not be told is kept. The collector takes what it is told for new: a process
+/// that comes back from a cut would tell of the failures of all that time, its own doing, at once. Three
+/// reports, which a change of the collector takes.
+const TOLD_WITHIN: TimeSpan = TimeSpan(1000);
+
 /// Names a request that waits for the first part of its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct WaitTicket(u64);
@@ -24,6 +29,7 @@
     seen: HashMap<EndpointKey, EvidenceTally>,
     /// In a report that is not answered yet; told again if it is lost.
     sent: HashMap<EndpointKey, EvidenceTally>,
+    sent_since: ClockTime,
     waiting: HashMap<WaitTicket, WaitingAnswer>,
     tickets: u64,
 }
@@ -52,13 +58,19 @@
     }
 
     /// What the next report tells.
-    fn next(&mut self, now: ClockTime) -> &HashMap<EndpointKey, EvidenceTally> {
+    pub fn next(&mut self, now: ClockTime) -> &HashMap<EndpointKey, EvidenceTally> {
         for waiting in self.waiting.values_mut() {
             if !waiting.is_told && now >= waiting.due_at {
                 waiting.is_told = true;
                 self.seen.entry(waiting.endpoint).or_default().note(AnswerSample::Overdue);
             }
         }
+        if now - self.sent_since > TOLD_WITHIN {
+            self.sent.clear();
+        }
+        if self.sent.is_empty() {
+            self.sent_since = now;
+        }
         for (endpoint, tally) in self.seen.drain() {
             self.sent.entry(endpoint).or_default().add(tally);
         }
--- a/tests/all/evidence.rs
+++ b/tests/all/evidence.rs
@@ -1,12 +1,15 @@
 //! Bad endpoints of a service, found by what many processes saw together, in virtual time.
 
+use crate::place::entry_of;
 use arbtest::arbtest;
+use oleandertack::front::evidence::EvidenceOutbox;
 use oleandertack::judge::{
     AnswerSample, BadTrait, EvidenceBook, EvidenceTally, ServiceEvidence, judge_service,
 };
 use oleandertack::kind::hash::mix_bits;
 use oleandertack::kind::{ClockTime, TimeSpan};
 use oleandertack::mesh::{EndpointJudge, EndpointLife, LifeMark};
+use oleandertack::place::EndpointBoard;
 use std::collections::{BTreeMap, BTreeSet};
 
 const START: u64 = 1_000_000;
@@ -218,6 +221,43 @@
     }
 }
 
+/// A process that was cut off from everybody comes back, and tells of the failures of all that time as if
+/// they were new: sound endpoints are set aside for all. What could not be told within a second is
+/// forgotten; what a report lost on the way told is told again.
+#[test]
+fn evidence_that_could_not_be_told_is_forgotten() {
+    let mut board = EndpointBoard::default();
+    let key = board.put(entry_of("i-0", "kopli"));
+    let mut outbox = EvidenceOutbox::default();
+    let at = |ms| ClockTime(START + ms);
+    outbox.next(at(0));
+
+    outbox.note(key, AnswerSample::Failed);
+    assert_eq!(outbox.next(at(100)).get(&key).map(|tally| tally.failed), Some(1));
+    assert_eq!(outbox.next(at(600)).get(&key).map(|tally| tally.failed), Some(1));
+    outbox.note(key, AnswerSample::Failed);
+    assert_eq!(outbox.next(at(1200)).get(&key).map(|tally| tally.failed), Some(1));
+    outbox.taken();
+    assert!(outbox.next(at(1300)).is_empty());
+}
+
+/// A mute endpoint shows only once its callers give up, after seconds. Its answer counts as overdue before,
+/// and once.
+#[test]
+fn an_overdue_answer_counts_once() {
+    let mut board = EndpointBoard::default();
+    let key = board.put(entry_of("i-0", "kopli"));
+    let mut outbox = EvidenceOutbox::default();
+    let at = |ms| ClockTime(START + ms);
+    let ticket = outbox.wait(key, at(500));
+
+    assert!(outbox.next(at(400)).is_empty());
+    assert_eq!(outbox.next(at(600)).get(&key).map(|tally| tally.failed), Some(1));
+    outbox.taken();
+    outbox.settle(ticket, Some(AnswerSample::Failed));
+    assert!(outbox.next(at(700)).is_empty());
+}
+
 /// One report with a count that cannot be true sets a sound endpoint aside for all. It is not believed.
 #[test]
 fn impossible_evidence_is_not_believed() {
--- a/tests/all/place.rs
+++ b/tests/all/place.rs
@@ -11,7 +11,8 @@
 
 const NOW: ClockTime = ClockTime(100_000);
 
-fn entry(name: &str, domain: &str) -> EndpointEntry {
+/// An engine that takes work.
+pub fn entry_of(name: &str, domain: &str) -> EndpointEntry {
     EndpointEntry {
         life: 0,
         instance: name.into(),
@@ -28,7 +29,7 @@
 
 fn board(count: usize) -> (EndpointBoard, Vec<EndpointKey>) {
     let mut board = EndpointBoard::default();
-    let keys = (0..count).map(|n| board.put(entry(&format!("i-{n}"), "kopli"))).collect();
+    let keys = (0..count).map(|n| board.put(entry_of(&format!("i-{n}"), "kopli"))).collect();
     (board, keys)
 }
 
@@ -124,8 +125,8 @@
     // Requests reach an endpoint seconds after it said that it leaves: an older entry of the same
     // life came later, by another way.
     let (mut board, keys) = board(1);
-    board.put(EndpointEntry { stage: EndpointStage::Leaving, ..entry("i-0", "kopli") });
-    board.put(entry("i-0", "kopli"));
+    board.put(EndpointEntry { stage: EndpointStage::Leaving, ..entry_of("i-0", "kopli") });
+    board.put(entry_of("i-0", "kopli"));
 
     assert_eq!(chooser().choose(&board, &[], 1), None);
     assert!(board.get(keys[0]).is_some_and(|fact| !fact.takes_work()));
