--- a/tests/all/mesh.rs
+++ b/tests/all/mesh.rs
@@ -672,6 +672,6 @@
     assert_eq!(told.loads.len(), 128);
     assert!(told.loads.iter().all(|load| load.unread_tokens >= 2872), "{:?}", told.loads);
     assert!(told.loads.contains(&load(2999, 2999)));
-    let bytes = encode_frame(1, &MeshBody::Digest(Box::new(told))).len();
+    let bytes = encode_frame(1, MeshBody::Digest(Box::new(told))).len();
     assert!(bytes < 5000, "{bytes}");
 }
