Weigh pauses by what streams show; take back bounded digests and the watch rule

Reverted: digests of the 128 longest queues, and that informed processes do not ask the store for want of a digest.

--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -311,6 +311,7 @@
             queue_limit: self.queue_limit(),
             read_per_ms: self.node.read_per_ms(&self.service),
             pause: self.route().pause,
+            pause_weight: self.node.pause_weight(&self.service),
             repeatable: self.route().repeat.may_run_again(),
             salt: call_salt(&self.call),
             now: self.node.clock.now(),
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -44,11 +44,9 @@
 /// Whether this process has to follow a feed of the store itself.
 ///
 /// A few processes do it for all, so that neither calls nor wake-ups grow with the processes. The
-/// others go by the collector's digests, and ask the store once the news in them has grown old: the
-/// digests stopped, or none of the few has heard of the store lately, whatever they take themselves
-/// for. A process that was not told anything for a moment goes by its own last answer as long. When
-/// each of 195 asked at once that no digest had reached for a second, their start took 1,690 calls
-/// in four seconds, half of them watches of processes that heard from the collector a moment later.
+/// others go by the collector's digests, and ask the store once these stop, or once the news in
+/// them has grown old: then none of the few has heard of the store lately, whatever they take
+/// themselves for.
 ///
 /// A third of the processes may be cut off from the store without an end on their connections. With
 /// two followers both were, and a revoked key was served for 2.2 s; a report of any other follower
@@ -62,9 +60,10 @@
     let informed = informed && node.rules.borrow().version() > 0;
     let now = node.clock.now();
     let mesh = node.mesh.borrow();
+    let told = now - mesh.digest_at < DIGEST_LASTS;
     let watchers = WATCHERS + mesh.view.serving() as usize / MEMBERS_PER_WATCHER;
     // A process that the store turned away goes on asking, so that it learns when that is over.
-    !informed || mesh.view.me().unfit || mesh.view.is_among_first(watchers, now)
+    !told || !informed || mesh.view.me().unfit || mesh.view.is_among_first(watchers, now)
 }
 
 /// For how much longer the news of a feed is younger than a limit; none if it is older.
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -17,7 +17,9 @@
 use oleander_mesh::{MemberCard, RulesBook, ServiceDemand, collect_strength};
 use oleander_outlet::{HttpCodec, LinkPool};
 use oleander_pace::{ASSUMED_PER_MS, PaceBook, ReadPace, ReadSample};
-use oleander_place::{EndpointBoard, EndpointKey, OfferedRate, PrefixRecord, ServicePressure};
+use oleander_place::{
+    EndpointBoard, EndpointKey, OfferedRate, PauseRecord, PrefixRecord, ServicePressure,
+};
 use oleander_plat::FeedStore;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -93,6 +95,8 @@
     pub offered: RefCell<HashMap<ServiceName, OfferedRate>>,
     /// How fast this process saw the services' engines read.
     pub paces: RefCell<HashMap<ServiceName, PaceBook>>,
+    /// How often streams of this process paused for too long, by service.
+    pub pauses: RefCell<HashMap<ServiceName, PauseRecord>>,
     /// What this process sees of endpoints, until the collector has it.
     pub evidence: RefCell<EvidenceOutbox>,
     /// What is known through the other processes.
@@ -155,6 +159,7 @@
             demand: RefCell::default(),
             offered: RefCell::default(),
             paces: RefCell::default(),
+            pauses: RefCell::default(),
             evidence: RefCell::default(),
             mesh: RefCell::new(MeshState::new(me)),
             report_revisions: RefCell::default(),
@@ -284,6 +289,17 @@
         joined.or_else(own).map(|read| f64::from(read.per_ms))
     }
 
+    /// How much pauses of streams of `service` are weighed.
+    pub fn pause_weight(&self, service: &ServiceName) -> f64 {
+        self.pauses.borrow().get(service).map_or(0.0, PauseRecord::weight)
+    }
+
+    /// Notes a stream of `service` that ended, and whether it paused for too long.
+    pub fn note_paused(&self, service: &ServiceName, is_late: bool) {
+        let mut pauses = self.pauses.borrow_mut();
+        pauses.entry(service.clone()).or_default().note(is_late, self.clock.now());
+    }
+
     /// Notes a prompt that an engine of `service` has read.
     pub fn note_read(&self, service: &ServiceName, sample: ReadSample) {
         let mut paces = self.paces.borrow_mut();
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -79,7 +79,10 @@
         run.answer.finish().await
     };
     match written.await {
-        Ok(()) => (AttemptOutcome::Delivered, body.into_idle()),
+        Ok(()) => {
+            note_ended(run);
+            (AttemptOutcome::Delivered, body.into_idle())
+        }
         Err(_) => (AttemptOutcome::CallerGone, None),
     }
 }
@@ -124,6 +127,15 @@
     }
 }
 
+/// Notes of a stream that came to its end whether it paused for too long. One that ran for less than twice the
+/// longest pause says nothing: hardly any prompt was read meanwhile.
+fn note_ended(run: &CallRun<'_, '_>) {
+    let (Some(longest), Some(first_at)) = (run.route().pause, run.first_at) else { return };
+    if first_at.elapsed() >= 2 * longest.duration() {
+        run.node.note_paused(&run.service, run.pause > Some(longest));
+    }
+}
+
 fn pause_limit(run: &CallRun<'_, '_>) -> Instant {
     let route = run.route();
     match (route.repeat, route.pause) {
--- a/crates/mesh/src/collector.rs
+++ b/crates/mesh/src/collector.rs
@@ -2,10 +2,9 @@
 
 use crate::clock::{median_offset, wall_offset};
 use crate::evidence::{EndpointJudge, EndpointLife, VerdictChange};
-use crate::load::{LoadTable, sum_loads};
 use crate::message::{
-    AccountLevel, EndpointLoad, EndpointVerdict, LeaseNotice, MeshDigest, NodeReport, NodeUsage,
-    RulesStand, ServiceDemand, ServicePace, ServicePeak, UsageCount,
+    AccountLevel, EndpointLoad, EndpointVerdict, LeaseNotice, LifeMark, MeshDigest, NodeReport,
+    NodeUsage, RulesStand, ServiceDemand, ServicePace, ServicePeak, UsageCount,
 };
 use crate::view::MeshView;
 use oleander_call::RuleSet;
@@ -78,7 +77,6 @@
     nodes: BTreeMap<InstanceId, HeardNode>,
     usage: UsageTable,
     demand: BTreeMap<ServiceName, (DemandRate, ClockTime)>,
-    loads: LoadTable,
     judge: EndpointJudge,
     began_at: ClockTime,
 }
@@ -91,7 +89,6 @@
             nodes: BTreeMap::new(),
             usage: BTreeMap::new(),
             demand: BTreeMap::new(),
-            loads: LoadTable::default(),
             judge: EndpointJudge::default(),
             began_at: now,
         }
@@ -155,7 +152,6 @@
         }
         let offset = wall_offset(report.wall, now);
         let id = report.card.id.clone();
-        self.refresh_loads(now);
         let digest = self.digest(&report, view, facts, levels);
         self.nodes.insert(id, HeardNode { report, heard_at: now, offset });
         digest
@@ -170,13 +166,6 @@
     ) -> MeshDigest {
         let now = facts.now;
         let mine = facts.rules_stand.version;
-        // Of the reporter, the sums hold what it reported last if that counted when they were made.
-        let is_summed = |node: &&HeardNode| {
-            let made_at = self.loads.at();
-            node.heard_at <= made_at && made_at - node.heard_at < REPORT_LASTS
-        };
-        let known = self.nodes.get(&report.card.id).filter(is_summed);
-        let known = known.map_or(&[][..], |node| &node.report.loads);
         MeshDigest {
             from: view.me().clone(),
             members: (report.members_mark != view.mark()).then(|| view.cards()),
@@ -193,7 +182,7 @@
             wants_rules: report.rules.version > mine,
             wants_roster: facts.roster.lacks(&report.roster, now),
             levels,
-            loads: self.loads.without(known),
+            loads: self.other_loads(&report.card.id, now),
             reported_window: facts.reported_window,
             peaks: facts.peaks.clone(),
             paces: self.paces(&facts.paces, now),
@@ -280,6 +269,21 @@
         (heard as f64 / f64::from(view.serving().max(1))).min(1.0)
     }
 
+    fn other_loads(&self, reporter: &InstanceId, now: ClockTime) -> Vec<EndpointLoad> {
+        let mut sums: BTreeMap<(&InstanceId, LifeMark), (u32, u64)> = BTreeMap::new();
+        let others = self.recent(now).filter(|node| node.report.card.id != *reporter);
+        for load in others.flat_map(|node| &node.report.loads) {
+            let sum = sums.entry((&load.instance, load.life)).or_default();
+            sum.0 += load.requests;
+            sum.1 += load.unread_tokens;
+        }
+        let load = |((instance, life), (requests, unread_tokens))| {
+            let instance = InstanceId::clone(instance);
+            EndpointLoad { instance, life, requests, unread_tokens }
+        };
+        sums.into_iter().map(load).collect()
+    }
+
     /// How fast engines read, all processes together; of a service that none of them has seen
     /// enough of, what was `told` before. After a change of the collector the figure stands until
     /// reports bring it.
@@ -301,14 +305,7 @@
 
     /// Work at the endpoints, all processes together.
     pub fn loads(&self, now: ClockTime) -> Vec<EndpointLoad> {
-        sum_loads(self.recent(now).map(|node| node.report.loads.as_slice()))
-    }
-
-    fn refresh_loads(&mut self, now: ClockTime) {
-        if self.loads.is_due(now) {
-            let told = self.recent(now).map(|node| node.report.loads.len()).sum();
-            self.loads = LoadTable::of(self.loads(now), told, now);
-        }
+        self.other_loads(&InstanceId::default(), now)
     }
 
     fn note_usage(&mut self, report: &NodeReport) {
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod clock;
 pub mod collector;
 pub mod evidence;
-pub mod load;
 pub mod message;
 pub mod rules;
 pub mod view;
@@ -19,7 +18,6 @@
 pub use clock::{SleepWatch, TrueClock, median_offset, wall_lag};
 pub use collector::{CollectorFacts, MeshCollector};
 pub use evidence::{EndpointJudge, EndpointLife, VerdictChange};
-pub use load::LoadTable;
 pub use message::{
     AccountLevel, AccountSpend, EndpointEvidence, EndpointLoad, EndpointVerdict, LeaseNotice,
     LifeMark, MemberCard, MemberList, MeshBody, MeshDigest, NodeReport, NodeUsage, RulesStand,
--- a/crates/place/src/choose.rs
+++ b/crates/place/src/choose.rs
@@ -37,6 +37,8 @@
     pub read_per_ms: f64,
     /// The longest pause of an on-time stream; none if the request is no stream.
     pub pause: Option<TimeSpan>,
+    /// How much pauses of streams are weighed, in 0 to 1; see [`PauseRecord`](crate::PauseRecord).
+    pub pause_weight: f64,
     /// Whether it may run again elsewhere if its endpoint fails it.
     pub repeatable: bool,
     /// Breaks ties; differs between requests.
--- a/crates/place/src/cost.rs
+++ b/crates/place/src/cost.rs
@@ -36,10 +36,9 @@
 /// The length of reading, in times the longest pause, beside which no stream is on time.
 const PAUSE_SURE: f64 = 1.9;
 /// Each token of a prompt is weighed against all before it. At this length that takes as long as the rest
-/// of the reading: engines of two kinds take 61,000 and 285,000 tokens, by their makers' figures. Counted
-/// by its length alone, a prompt of 55,000 tokens stood for half of the time that it takes, and short
-/// questions that were put behind it waited for over two seconds.
-const SQUARE_TOKENS: f64 = 120_000.0;
+/// of the reading: engines of two kinds take 61,000 and 285,000 tokens, by their makers' figures. The
+/// careful one of the two: counted as too long, prompts are refused that could be read in time.
+const SQUARE_TOKENS: f64 = 285_000.0;
 
 /// How long the first part of the answer of an endpoint chosen usually takes.
 pub fn expected_first(choice: &PlaceChoice, engine: bool, read_per_ms: f64) -> TimeSpan {
@@ -75,7 +74,7 @@
     let Some(pause) = ask.pause else { return 0.0 };
     let reading = tokens as f64 / ask.read_per_ms * READING_FACTOR;
     let filled = reading / (pause.0 as f64).max(1.0);
-    ((filled - PAUSE_BEGIN) / (PAUSE_SURE - PAUSE_BEGIN)).clamp(0.0, 1.0)
+    ask.pause_weight * ((filled - PAUSE_BEGIN) / (PAUSE_SURE - PAUSE_BEGIN)).clamp(0.0, 1.0)
 }
 
 /// What a plain service costs.
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod choose;
 pub mod cost;
 pub mod health;
+pub mod pause;
 pub mod prefix;
 pub mod shed;
 
@@ -15,5 +16,6 @@
 pub use choose::{PlaceAsk, PlaceChoice, choose_endpoint};
 pub use cost::expected_first;
 pub use health::{AnswerGrade, HealthRecord};
+pub use pause::PauseRecord;
 pub use prefix::PrefixRecord;
 pub use shed::{OfferedRate, ServicePressure, queue_limit, shed_until};
--- a/tests/all/place.rs
+++ b/tests/all/place.rs
@@ -68,6 +68,7 @@
             queue_limit: u64::MAX,
             read_per_ms: 125.0,
             pause: None,
+            pause_weight: 0.0,
             repeatable: self.repeatable,
             salt,
             now: self.now,
