One half-life, one failure, one fixture of engines

Cause: read in the whole change. Behaviour, bounds and assertions unchanged. Ruled out: the sleep in holder.rs as virtual time, as it must block the thread: moving the runtime's clock lets the lease be renewed before the held call goes on (read, not run).

--- a/crates/front/src/admin.rs
+++ b/crates/front/src/admin.rs
@@ -82,7 +82,7 @@
             "stage": format!("{:?}", fact.entry.stage),
             "market": format!("{:?}", fact.entry.market),
             "doubted": fact.doubted,
-            "aside": fact.aside.filter(|_| fact.is_aside(now)).map(|(bad_trait, _)| format!("{bad_trait:?}")),
+            "aside": fact.bad_trait(now).map(|bad_trait| format!("{bad_trait:?}")),
             "rests": fact.health.rests(now),
             "failure_share": fact.health.failure_share(now),
             "own_requests": fact.own.requests,
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -113,8 +113,7 @@
         let (mut sent, reused) = match self.send(target).await {
             Ok(sent) => sent,
             Err(fault) => {
-                self.note_fault(target, &fault);
-                work.failed();
+                self.note_fault(target, work, &fault);
                 self.tried.push(target.key);
                 return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
             }
@@ -140,8 +139,7 @@
                 };
                 // A kept connection that ends at once was most likely closed for its age.
                 if !reused || end == AttemptEnd::Silent {
-                    self.note_fault(target, &fault);
-                    work.failed();
+                    self.note_fault(target, work, &fault);
                 }
                 if reused && end == AttemptEnd::Silent {
                     // Kept connections fall silent together, when what lies between forgets them.
@@ -261,8 +259,7 @@
         let events = self.route().shape == AnswerShape::Events && mark.is_success();
         if !mark.is_sound(&self.call.id) {
             self.tried.push(target.key);
-            self.grade(target.key, AnswerGrade::Bad);
-            work.failed();
+            self.note_failure(target, work, AnswerGrade::Bad);
             return AttemptOutcome::Ended(AttemptEnd::Broken, None);
         }
         let body = sent.into_body(&head);
@@ -279,8 +276,7 @@
             AttemptOutcome::CallerGone => {}
             AttemptOutcome::Ended(..) => {
                 self.tried.push(target.key);
-                self.grade(target.key, AnswerGrade::Bad);
-                work.failed();
+                self.note_failure(target, work, AnswerGrade::Bad);
             }
         }
         // A connection to a life that has ended since is of no use to the next one.
@@ -293,12 +289,18 @@
         outcome
     }
 
-    fn note_fault(&self, target: &AttemptTarget, fault: &LinkError) {
+    /// Notes a failure of the endpoint, for this process and for all.
+    fn note_failure(&self, target: &AttemptTarget, work: &mut WorkGuard, grade: AnswerGrade) {
+        self.grade(target.key, grade);
+        work.failed();
+    }
+
+    fn note_fault(&self, target: &AttemptTarget, work: &mut WorkGuard, fault: &LinkError) {
         let grade = match fault {
             LinkError::Unreached(_) | LinkError::Late(_) => AnswerGrade::Dead,
             LinkError::Cut(_) | LinkError::Malformed(_) => AnswerGrade::Bad,
         };
-        self.grade(target.key, grade);
+        self.note_failure(target, work, grade);
         event!(self.node, AttemptFault;
             "request" => self.call.id.as_str(), "endpoint" => target.instance.as_str(),
             "fault" => fault.to_string());
--- a/crates/front/src/mesh/collect.rs
+++ b/crates/front/src/mesh/collect.rs
@@ -114,7 +114,7 @@
     let now = node.clock.now();
     let board = node.endpoints.borrow();
     let verdict = |fact: &EndpointFact| {
-        let (bad_trait, _) = fact.aside.filter(|_| fact.is_aside(now))?;
+        let bad_trait = fact.bad_trait(now)?;
         let (instance, life) = (fact.entry.instance.clone(), LifeMark::of(fact.entry.life));
         Some(EndpointVerdict { instance, life, bad_trait })
     };
--- a/crates/judge/src/book.rs
+++ b/crates/judge/src/book.rs
@@ -25,7 +25,7 @@
 
 impl EvidenceSum {
     fn faded(&self, now: ClockTime) -> EvidenceSum {
-        let kept = 0.5_f64.powf((now - self.at).0 as f64 / HALF_LIFE.0 as f64);
+        let kept = (now - self.at).part_left(HALF_LIFE);
         EvidenceSum {
             came: self.came * kept,
             failed: self.failed * kept,
@@ -87,14 +87,4 @@
     pub fn sweep(&mut self, now: ClockTime) {
         self.sums.retain(|_, sum| sum.faded(now).seen() >= LEAST_KEPT);
     }
-
-    /// How many endpoints are known.
-    pub fn len(&self) -> usize {
-        self.sums.len()
-    }
-
-    /// Whether nothing is known.
-    pub fn is_empty(&self) -> bool {
-        self.sums.is_empty()
-    }
 }
--- a/crates/kind/src/clock.rs
+++ b/crates/kind/src/clock.rs
@@ -22,6 +22,11 @@
         TimeSpan(seconds * 1000)
     }
 
+    /// What is left after this span of a value that halves in each `half_life`, in 0 to 1.
+    pub fn part_left(self, half_life: TimeSpan) -> f64 {
+        0.5_f64.powf(self.0 as f64 / half_life.0 as f64)
+    }
+
     /// The span as the standard library's duration.
     pub const fn duration(self) -> std::time::Duration {
         std::time::Duration::from_millis(self.0)
--- a/crates/pace/src/lib.rs
+++ b/crates/pace/src/lib.rs
@@ -118,8 +118,7 @@
     }
 
     fn fade(&mut self, now: ClockTime) {
-        let age = (now - self.faded_at).0 as f64 / HALF_LIFE.0 as f64;
-        let factor = 0.5_f64.powf(age);
+        let factor = (now - self.faded_at).part_left(HALF_LIFE);
         self.weights.iter_mut().for_each(|weight| *weight *= factor);
         self.faded_at = now;
     }
--- a/crates/place/src/board.rs
+++ b/crates/place/src/board.rs
@@ -77,9 +77,9 @@
         self.own.unread_tokens + self.others.unread_tokens
     }
 
-    /// Whether it is set aside for answering worse than the others.
-    pub fn is_aside(&self, now: ClockTime) -> bool {
-        self.aside.is_some_and(|(_, until)| now < until)
+    /// In what it answers worse than the others; none if it is not set aside.
+    pub fn bad_trait(&self, now: ClockTime) -> Option<BadTrait> {
+        self.aside.filter(|(_, until)| now < *until).map(|(bad_trait, _)| bad_trait)
     }
 
     /// Whether it takes new requests.
--- a/crates/place/src/choose.rs
+++ b/crates/place/src/choose.rs
@@ -71,8 +71,8 @@
 
 /// Chooses an endpoint; none if the service has none that takes work.
 ///
-/// Endpoints that rest after a failure, doubted ones and those that are set aside are left out, unless that would leave nobody: a wrong
-/// suspicion of all of them must not refuse every request.
+/// Endpoints that rest after a failure, doubted ones and those that are set aside are left out, unless that
+/// would leave nobody: a wrong suspicion of all of them must not refuse every request.
 pub fn choose_endpoint(
     board: &EndpointBoard,
     prefixes: &PrefixRecord,
@@ -85,7 +85,7 @@
         .filter(|(key, fact)| fact.takes_work() && !ask.tried.contains(key))
         .collect();
     let tries_again = ask.repeatable && mix_bits(ask.salt ^ TRIAL_SALT).is_multiple_of(TRIAL_PART);
-    let is_sound = |fact: &EndpointFact| tries_again || !fact.is_aside(ask.now);
+    let is_sound = |fact: &EndpointFact| tries_again || fact.bad_trait(ask.now).is_none();
     let awake = open
         .iter()
         .filter(|(_, fact)| !fact.health.rests(ask.now) && !fact.doubted && is_sound(fact));
--- a/crates/place/src/health.rs
+++ b/crates/place/src/health.rs
@@ -56,7 +56,7 @@
     }
 
     fn decay(&mut self, now: ClockTime) {
-        let factor = decay_factor(now - self.counted_at);
+        let factor = (now - self.counted_at).part_left(HALF_LIFE);
         self.good *= factor;
         self.bad *= factor;
         self.counted_at = now;
@@ -64,7 +64,7 @@
 
     /// The share of its answers that failed, in 0 to 1; one good answer is assumed besides.
     pub fn failure_share(&self, now: ClockTime) -> f64 {
-        let factor = decay_factor(now - self.counted_at);
+        let factor = (now - self.counted_at).part_left(HALF_LIFE);
         let (good, bad) = (self.good * factor, self.bad * factor);
         bad / (good + bad + 1.0)
     }
@@ -74,7 +74,3 @@
         now < self.rests_until
     }
 }
-
-fn decay_factor(age: TimeSpan) -> f64 {
-    0.5_f64.powf(age.0 as f64 / HALF_LIFE.0 as f64)
-}
--- a/tests/all/evidence.rs
+++ b/tests/all/evidence.rs
@@ -1,5 +1,6 @@
 //! Bad endpoints of a service, found by what many processes saw together, in virtual time.
 
+use crate::mesh::{CollectorRig, NOW, TRUE_NOW, report, rig};
 use crate::place::entry_of;
 use arbtest::arbtest;
 use oleandertack::front::evidence::EvidenceOutbox;
@@ -8,7 +9,9 @@
 };
 use oleandertack::kind::hash::mix_bits;
 use oleandertack::kind::{ClockTime, TimeSpan};
-use oleandertack::mesh::{EndpointJudge, EndpointLife, LifeMark};
+use oleandertack::mesh::{
+    EndpointEvidence, EndpointJudge, EndpointLife, LifeMark, MeshCollector, NodeReport,
+};
 use oleandertack::place::EndpointBoard;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -294,3 +297,68 @@
     })
     .size_min(256);
 }
+
+fn evidence(instance: &str, life: u64, failed: u16) -> EndpointEvidence {
+    let tally = EvidenceTally { came: 3, failed, slowness: 0.0 };
+    EndpointEvidence { instance: instance.into(), life: LifeMark::of(life), tally }
+}
+
+/// Sound endpoints of which one process after the other tells the same.
+fn tell_of(rig: &mut CollectorRig, names: &[&str], failed: u16, now: ClockTime) -> usize {
+    let reporters = ["front-1", "front-2", "front-3"];
+    let told = reporters.iter().map(|reporter| {
+        let evidence = names.iter().map(|name| evidence(name, 1, failed)).collect();
+        let report = NodeReport { evidence, ..report(reporter) };
+        let known = |(instance, life): &EndpointLife| {
+            instance.as_str().starts_with("i-") && *life == LifeMark::of(1)
+        };
+        let left_out = rig.collector.note_evidence(&report, known, now);
+        rig.take(report, now);
+        left_out
+    });
+    told.sum()
+}
+
+fn four_endpoints() -> [Vec<EndpointLife>; 1] {
+    [["i-0", "i-1", "i-2", "i-3"].map(|name| (name.into(), LifeMark::of(1))).to_vec()]
+}
+
+/// Callers of every process go on to a replica that fails, as each of them saw it fail once only. The
+/// collector knows the sum; a report that is sent a second time, as its answer was lost, counts once, and
+/// what is told of endpoints that nobody knows, or of another life, not at all.
+#[test]
+fn the_collector_tells_all_of_a_replica_that_fails() {
+    let mut rig = rig();
+    tell_of(&mut rig, &["i-0", "i-1", "i-2"], 0, NOW);
+    let later = NOW + TimeSpan(300);
+    let bad = vec![evidence("i-3", 1, 2), evidence("i-9", 2, 3), evidence("j-0", 1, 3)];
+    let wall = TRUE_NOW + TimeSpan(300);
+    let knows = |(instance, life): &EndpointLife| {
+        instance.as_str().starts_with("i-") && *life == LifeMark::of(1)
+    };
+    let again = NodeReport { wall, evidence: bad, ..report("front-1") };
+    assert_eq!(rig.collector.note_evidence(&again, knows, later), 2);
+    rig.take(again.clone(), later);
+    assert_eq!(rig.collector.note_evidence(&again, knows, later), 0);
+    assert_eq!(rig.collector.judge(&four_endpoints(), later), []);
+
+    for name in ["front-2", "front-3"] {
+        let report = NodeReport { evidence: vec![evidence("i-3", 1, 4)], wall, ..report(name) };
+        rig.collector.note_evidence(&report, knows, later);
+        rig.take(report, later);
+    }
+    let changes = rig.collector.judge(&four_endpoints(), later);
+
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].bad_trait, Some(BadTrait::Failing));
+    let told = rig.take(report("front-2"), later).verdicts;
+    assert_eq!(told.len(), 1);
+    assert_eq!(told[0].instance, "i-3".into());
+
+    // The next collector goes on from what it was told, and not for good.
+    let next = MeshCollector::begin(Vec::new(), later).with_verdicts(told.into_iter());
+    rig.collector = next;
+    assert_eq!(rig.collector.judge(&four_endpoints(), later + TimeSpan(1000)), []);
+    assert_eq!(rig.take(report("front-2"), later + TimeSpan(1000)).verdicts.len(), 1);
+    assert_eq!(rig.collector.judge(&four_endpoints(), later + TimeSpan(6000)).len(), 1);
+}
--- a/tests/all/mesh.rs
+++ b/tests/all/mesh.rs
@@ -2,21 +2,20 @@
 
 use crate::roster::{listed, roster_news};
 use oleandertack::call::{AccountRule, CallerBounds, RuleSet};
-use oleandertack::judge::{BadTrait, EvidenceTally};
 use oleandertack::kind::{AccountName, ClockTime, InstanceId, TimeSpan};
 use oleandertack::limit::{PoolLimit, SpendCount};
 use oleandertack::list::{RosterBook, RosterStand, RosterState, RosterUpdate, VouchNote};
 use oleandertack::mesh::{
-    AccountSpend, CollectorFacts, EndpointEvidence, EndpointLife, EndpointLoad, LifeMark,
-    MemberCard, MeshBody, MeshCollector, MeshDigest, MeshView, NodeReport, NodeUsage, RulesStand,
-    ServicePace, SleepWatch, TrueClock, UsageCount, collect_strength, median_offset,
+    AccountSpend, CollectorFacts, EndpointLoad, LifeMark, MemberCard, MeshBody, MeshCollector,
+    MeshDigest, MeshView, NodeReport, NodeUsage, RulesStand, ServicePace, SleepWatch, TrueClock,
+    UsageCount, collect_strength, median_offset,
 };
 use oleandertack::pace::ReadPace;
 use oleandertack::plat::FeedEvent;
 use oleandertack::wire::encode_frame;
 
-const NOW: ClockTime = ClockTime(1_000_000);
-const TRUE_NOW: ClockTime = ClockTime(1_700_000_000_000);
+pub const NOW: ClockTime = ClockTime(1_000_000);
+pub const TRUE_NOW: ClockTime = ClockTime(1_700_000_000_000);
 
 fn card(name: &str) -> MemberCard {
     MemberCard {
@@ -166,7 +165,8 @@
     assert_eq!(clock.read(NOW + TimeSpan(1000), jumped), TRUE_NOW + TimeSpan(1005));
 }
 
-fn report(name: &str) -> NodeReport {
+/// A report that tells of nothing.
+pub fn report(name: &str) -> NodeReport {
     NodeReport {
         card: card(name),
         wall: TRUE_NOW,
@@ -193,9 +193,10 @@
     UsageCount { window, account: "tartu".into(), count }
 }
 
-struct CollectorRig {
+/// A collector and what its process knows.
+pub struct CollectorRig {
     view: MeshView,
-    collector: MeshCollector,
+    pub collector: MeshCollector,
     rules: RuleSet,
     roster: RosterBook,
     limit: Option<PoolLimit>,
@@ -203,7 +204,8 @@
     paces: Vec<ServicePace>,
 }
 
-fn rig() -> CollectorRig {
+/// A collector that has heard nobody.
+pub fn rig() -> CollectorRig {
     CollectorRig {
         view: views(3).remove(0),
         collector: MeshCollector::begin(Vec::new(), NOW),
@@ -216,7 +218,7 @@
 }
 
 impl CollectorRig {
-    fn take(&mut self, report: NodeReport, now: ClockTime) -> MeshDigest {
+    pub fn take(&mut self, report: NodeReport, now: ClockTime) -> MeshDigest {
         let facts = CollectorFacts {
             rules: Some(&self.rules),
             rules_text: None,
@@ -584,68 +586,3 @@
         digest.paces.iter().map(|pace| (pace.service.0.as_str(), pace.read.per_ms)).collect();
     assert_eq!(told, [("a", 110.0), ("b", 70.0)]);
 }
-
-fn evidence(instance: &str, life: u64, failed: u16) -> EndpointEvidence {
-    let tally = EvidenceTally { came: 3, failed, slowness: 0.0 };
-    EndpointEvidence { instance: instance.into(), life: LifeMark::of(life), tally }
-}
-
-/// Sound endpoints of which one process after the other tells the same.
-fn tell_of(rig: &mut CollectorRig, names: &[&str], failed: u16, now: ClockTime) -> usize {
-    let reporters = ["front-1", "front-2", "front-3"];
-    let told = reporters.iter().map(|reporter| {
-        let evidence = names.iter().map(|name| evidence(name, 1, failed)).collect();
-        let report = NodeReport { evidence, ..report(reporter) };
-        let known = |(instance, life): &EndpointLife| {
-            instance.as_str().starts_with("i-") && *life == LifeMark::of(1)
-        };
-        let left_out = rig.collector.note_evidence(&report, known, now);
-        rig.take(report, now);
-        left_out
-    });
-    told.sum()
-}
-
-fn four_endpoints() -> [Vec<EndpointLife>; 1] {
-    [["i-0", "i-1", "i-2", "i-3"].map(|name| (name.into(), LifeMark::of(1))).to_vec()]
-}
-
-/// Callers of every process go on to a replica that fails, as each of them saw it fail once only. The
-/// collector knows the sum; a report that is sent a second time, as its answer was lost, counts once, and
-/// what is told of endpoints that nobody knows, or of another life, not at all.
-#[test]
-fn the_collector_tells_all_of_a_replica_that_fails() {
-    let mut rig = rig();
-    tell_of(&mut rig, &["i-0", "i-1", "i-2"], 0, NOW);
-    let later = NOW + TimeSpan(300);
-    let bad = vec![evidence("i-3", 1, 2), evidence("i-9", 2, 3), evidence("j-0", 1, 3)];
-    let wall = TRUE_NOW + TimeSpan(300);
-    let knows = |(instance, life): &EndpointLife| {
-        instance.as_str().starts_with("i-") && *life == LifeMark::of(1)
-    };
-    let again = NodeReport { wall, evidence: bad, ..report("front-1") };
-    assert_eq!(rig.collector.note_evidence(&again, knows, later), 2);
-    rig.take(again.clone(), later);
-    assert_eq!(rig.collector.note_evidence(&again, knows, later), 0);
-    assert_eq!(rig.collector.judge(&four_endpoints(), later), []);
-
-    for name in ["front-2", "front-3"] {
-        let report = NodeReport { evidence: vec![evidence("i-3", 1, 4)], wall, ..report(name) };
-        rig.collector.note_evidence(&report, knows, later);
-        rig.take(report, later);
-    }
-    let changes = rig.collector.judge(&four_endpoints(), later);
-
-    assert_eq!(changes.len(), 1);
-    assert_eq!(changes[0].bad_trait, Some(BadTrait::Failing));
-    let told = rig.take(report("front-2"), later).verdicts;
-    assert_eq!(told.len(), 1);
-    assert_eq!(told[0].instance, "i-3".into());
-
-    // The next collector goes on from what it was told, and not for good.
-    let next = MeshCollector::begin(Vec::new(), later).with_verdicts(told.into_iter());
-    rig.collector = next;
-    assert_eq!(rig.collector.judge(&four_endpoints(), later + TimeSpan(1000)), []);
-    assert_eq!(rig.take(report("front-2"), later + TimeSpan(1000)).verdicts.len(), 1);
-    assert_eq!(rig.collector.judge(&four_endpoints(), later + TimeSpan(6000)).len(), 1);
-}
--- a/tests/all/pauses.rs
+++ b/tests/all/pauses.rs
@@ -1,11 +1,10 @@
 //! Streams beside long prompts, at many engines that read in pieces, in virtual time.
 
-use oleandertack::kind::endpoint::{EndpointStage, InstanceMarket};
+use crate::place::engines;
 use oleandertack::kind::hash::mix_bits;
 use oleandertack::kind::{ClockTime, DomainName, ServiceName, TimeSpan};
 use oleandertack::place::{
-    EndpointBoard, EndpointEntry, EndpointKey, PauseRecord, PlaceAsk, PrefixRecord, WorkLoad,
-    choose_endpoint,
+    EndpointBoard, EndpointKey, PauseRecord, PlaceAsk, PrefixRecord, WorkLoad, choose_endpoint,
 };
 use std::collections::VecDeque;
 
@@ -123,20 +122,7 @@
 }
 
 fn process() -> PlacingProcess {
-    let mut board = EndpointBoard::default();
-    let entry = |at: usize| EndpointEntry {
-        instance: format!("i-{at}").as_str().into(),
-        life: 0,
-        service: "engine".into(),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        domain: "kopli".into(),
-        slots: 12,
-        stage: EndpointStage::Live,
-        market: InstanceMarket::Reclaimable,
-        ends_at: None,
-        release: "v1".into(),
-    };
-    let keys = (0..ENGINES).map(|at| board.put(entry(at))).collect();
+    let (board, keys) = engines(ENGINES, 12);
     PlacingProcess { board, keys }
 }
 
--- a/tests/all/place.rs
+++ b/tests/all/place.rs
@@ -11,6 +11,14 @@
 
 const NOW: ClockTime = ClockTime(100_000);
 
+/// A board of `count` engines with so many places each.
+pub fn engines(count: usize, slots: u32) -> (EndpointBoard, Vec<EndpointKey>) {
+    let mut board = EndpointBoard::default();
+    let entry = |at: usize| EndpointEntry { slots, ..entry_of(&format!("i-{at}"), "kopli") };
+    let keys = (0..count).map(|at| board.put(entry(at))).collect();
+    (board, keys)
+}
+
 /// An engine that takes work.
 pub fn entry_of(name: &str, domain: &str) -> EndpointEntry {
     EndpointEntry {
@@ -28,9 +36,7 @@
 }
 
 fn board(count: usize) -> (EndpointBoard, Vec<EndpointKey>) {
-    let mut board = EndpointBoard::default();
-    let keys = (0..count).map(|n| board.put(entry_of(&format!("i-{n}"), "kopli"))).collect();
-    (board, keys)
+    engines(count, 64)
 }
 
 struct Chooser {
--- a/tests/all/placing.rs
+++ b/tests/all/placing.rs
@@ -1,13 +1,13 @@
 //! Many processes place requests at engines by old news of one another, in virtual time.
 
+use crate::place::engines;
 use oleandertack::call::PromptPart;
-use oleandertack::kind::endpoint::{EndpointStage, InstanceMarket};
 use oleandertack::kind::hash::mix_bits;
 use oleandertack::kind::{ClockTime, DomainName, ServiceName, TimeSpan};
 use oleandertack::pace::{ASSUMED_PER_MS, PaceBook, ReadSample, join_paces};
 use oleandertack::place::{
-    EndpointBoard, EndpointEntry, EndpointKey, OfferedRate, PlaceAsk, PrefixRecord,
-    ServicePressure, WorkLoad, choose_endpoint, queue_limit, shed_until,
+    EndpointBoard, EndpointKey, OfferedRate, PlaceAsk, PrefixRecord, ServicePressure, WorkLoad,
+    choose_endpoint, queue_limit, shed_until,
 };
 use std::collections::HashMap;
 
@@ -32,20 +32,7 @@
 }
 
 fn process() -> Process {
-    let mut board = EndpointBoard::default();
-    let entry = |at: usize| EndpointEntry {
-        instance: format!("i-{at}").as_str().into(),
-        life: 0,
-        service: "engine".into(),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        domain: "kopli".into(),
-        slots: 32,
-        stage: EndpointStage::Live,
-        market: InstanceMarket::Reclaimable,
-        ends_at: None,
-        release: "v1".into(),
-    };
-    let keys = (0..ENGINES).map(|at| board.put(entry(at))).collect();
+    let (board, keys) = engines(ENGINES, 32);
     Process { board, keys, prefixes: PrefixRecord::default(), offered: OfferedRate::default() }
 }
 
