Sight: lines of requests and attempts tell which requests are the same

No change of logic. Ruled out: the id, the time left and Last-Event-Id as parts of it (they differ from attempt to attempt); the prompt's parts (headers of the platform).

--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -23,6 +23,7 @@
 use oleander_place::{
     AnswerGrade, EndpointKey, PlaceAsk, PlaceChoice, choose_endpoint, queue_limit, shed_until,
 };
+use oleander_suspect::{RequestContent, RequestPrint};
 use std::io;
 use std::rc::Rc;
 use tokio::time::{Instant, timeout_at};
@@ -65,6 +66,8 @@
     pub answer: &'a mut AnswerWriter<'b>,
     /// The request in the engine's terms.
     pub call: CallHead,
+    /// What tells that it is the same as another.
+    pub print: RequestPrint,
     /// When it must be answered.
     pub deadline: Instant,
     /// The last event that its caller has.
@@ -151,6 +154,8 @@
     {
         return answer.refuse(ResultCode::LimitReached, Some(retry)).await;
     }
+    let print = print_of(account, &call, &request);
+    trace.print = Some(print);
     let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
     node.dialect.strip_request(&mut request.head.headers);
     node.earn_retry(&service);
@@ -160,6 +165,7 @@
         deadline: arrived + patience.duration(),
         last_event: call.last_event,
         call,
+        print,
         rank: account.and_then(|account| account.rank).unwrap_or(route.rank),
         account: account.map(|account| account.name.clone()),
         record: AttemptRecord::new(route.repeat, route.most_attempts),
@@ -203,6 +209,21 @@
     }
 }
 
+fn print_of(
+    account: Option<&AccountRule>,
+    call: &CallHead,
+    request: &CallerRequest,
+) -> RequestPrint {
+    let uri = &request.head.uri;
+    RequestPrint::of(RequestContent {
+        account: account.map(|account| &account.name),
+        method: request.head.method.as_str(),
+        host: &call.host,
+        path: uri.path_and_query().map_or(call.path.as_str(), |path| path.as_str()),
+        body: &request.body,
+    })
+}
+
 /// When a refused caller may come back; none for refusals that are final.
 fn return_time(code: ResultCode) -> Option<TimeSpan> {
     (code.status() == StatusCode::SERVICE_UNAVAILABLE.as_u16()).then_some(RETURN_TIME)
@@ -264,6 +285,8 @@
             "request" => self.call.id.as_str(),
             "endpoint" => self.endpoint.as_ref().map(|id| id.as_str()),
             "end" => end.name(), "sent" => self.record.sent(), "last_event" => self.last_event,
+            "print" => self.print.to_string(),
+            "ran_ms" => self.sent_at.map(|at| at.elapsed().as_millis() as u64),
             "again" => again, "list_ms" => self.list_age.map(|age| age.0));
         match (self.record.next_step(end, again), own) {
             (NextStep::SendAgain, _) => None,
--- a/crates/front/src/events.rs
+++ b/crates/front/src/events.rs
@@ -47,11 +47,11 @@
     ProcessStopped = "process_stopped", 10, "all is answered, or the grace time is over: `left` requests were cut";
     SettingsRead = "settings_read", 10, "changed settings are in force: `bounds`; or `told` to read them again";
     SettingsFault = "settings_fault", 10, "settings cannot be used, the old ones stay: `fault`";
-    RequestDone = "request_done", 40, "a caller has its whole answer: `status`, `endpoint`, `sent` attempts, `first_ms`, the longest pause of a stream (`pause_ms`), `total_ms`, `rules` version; what its endpoint was chosen by: tokens to be read before it (`ahead`) and of it (`unread`), requests `running` there, the age of the endpoint list (`list_ms`)";
-    RequestRefused = "request_refused", 60, "a request was refused or failed: `code`, `name`, `status`, `sent` attempts, `may_have_run`, `total_ms`, `rules` version and whether they were `fresh`; `ahead` and `running` as in `request_done`";
-    RequestCut = "request_cut", 60, "an answer could not be finished, or its caller left: `why`, `sent`, `last_event`, `total_ms`";
+    RequestDone = "request_done", 40, "a caller has its whole answer: the digest of its content (`print`), the same whenever its caller sends it again; `status`, `endpoint`, `sent` attempts, `first_ms`, the longest pause of a stream (`pause_ms`), `total_ms`, `rules` version; what its endpoint was chosen by: tokens to be read before it (`ahead`) and of it (`unread`), requests `running` there, the age of the endpoint list (`list_ms`)";
+    RequestRefused = "request_refused", 60, "a request was refused or failed: `print` as in `request_done`, `code`, `name`, `status`, `sent` attempts, `may_have_run`, `total_ms`, `rules` version and whether they were `fresh`; `ahead` and `running` as in `request_done`";
+    RequestCut = "request_cut", 60, "an answer could not be finished, or its caller left: `print` as in `request_done`, `why`, `sent`, `last_event`, `total_ms`";
     RequestOverLimit = "request_over_limit", 30, "an account is at its limit: `account`, `tokens`, `retry_ms`";
-    AttemptEnded = "attempt_ended", 80, "an attempt brought no whole answer: `endpoint`, `end`, `sent` so far, `last_event` shown, `again` if another may be tried, `list_ms` as in `request_done`";
+    AttemptEnded = "attempt_ended", 80, "an attempt brought no whole answer: `print` as in `request_done`, `endpoint`, how long it had run there (`ran_ms`), `end`, `sent` so far, `last_event` shown, `again` if another may be tried, `list_ms` as in `request_done`";
     AttemptFault = "attempt_fault", 80, "a connection to an endpoint failed: `endpoint`, `fault`";
     StreamResumed = "stream_resumed", 40, "a stream goes on at another endpoint: `endpoint`, `last_event`";
     CallerFault = "caller_fault", 20, "a caller's connection could not be served: `fault`, or the `code` it was refused with";
--- a/crates/front/src/trace.rs
+++ b/crates/front/src/trace.rs
@@ -7,6 +7,7 @@
 use compact_str::CompactString;
 use oleander_kind::{InstanceId, ResultCode, TimeSpan};
 use oleander_place::PlaceChoice;
+use oleander_suspect::RequestPrint;
 use std::rc::Rc;
 use tokio::time::Instant;
 
@@ -16,6 +17,8 @@
     pub(crate) arrived: Instant,
     /// Its id.
     pub(crate) request: CompactString,
+    /// What tells that it is the same as another; none if it was refused before.
+    pub(crate) print: Option<RequestPrint>,
     /// The service it goes to.
     pub(crate) service: CompactString,
     /// The version of the rules that it was judged by.
@@ -45,6 +48,7 @@
         CallTrace {
             arrived: Instant::now(),
             request: CompactString::default(),
+            print: None,
             service: CompactString::default(),
             rules: 0,
             fresh: false,
@@ -69,21 +73,22 @@
             node.meter.note_first(&self.service, ms as f64);
         }
         let endpoint = self.endpoint.as_ref().map(|id| id.as_str());
+        let print = self.print.map(|print| print.to_string());
         match (outcome, answer.code()) {
             (Err(fault), _) => event!(node, RequestCut;
-                "request" => request, "service" => self.service.as_str(),
+                "request" => request, "print" => print, "service" => self.service.as_str(),
                 "why" => fault.to_string(), "status" => answer.status(), "sent" => self.sent,
                 "endpoint" => endpoint, "last_event" => self.last_event, "total_ms" => total_ms,
                 "rules" => self.rules),
             (Ok(()), Some(code)) => event!(node, RequestRefused;
-                "request" => request, "service" => self.service.as_str(),
+                "request" => request, "print" => print, "service" => self.service.as_str(),
                 "code" => code.number(), "name" => code.name(), "status" => code.status(),
                 "sent" => self.sent, "may_have_run" => self.may_have_run,
                 "endpoint" => endpoint, "total_ms" => total_ms, "rules" => self.rules,
                 "fresh" => self.fresh, "ahead" => self.chosen.map(|choice| choice.tokens_ahead),
                 "running" => self.chosen.map(|choice| choice.running)),
             (Ok(()), None) => event!(node, RequestDone;
-                "request" => request, "service" => self.service.as_str(),
+                "request" => request, "print" => print, "service" => self.service.as_str(),
                 "status" => answer.status(), "sent" => self.sent, "endpoint" => endpoint,
                 "first_ms" => self.first_ms, "pause_ms" => self.pause.map(|pause| pause.0),
                 "total_ms" => total_ms, "rules" => self.rules,
--- a/crates/oleandertack/src/lib.rs
+++ b/crates/oleandertack/src/lib.rs
@@ -33,6 +33,7 @@
 pub use oleander_route as route;
 pub use oleander_serve as serve;
 pub use oleander_standin as standin;
+pub use oleander_suspect as suspect;
 pub use oleander_wire as wire;
 
 pub mod start;
