--- /dev/null
+++ b/tests/all/mortal.rs
@@ -0,0 +1,142 @@
+//! Endpoints that end under some requests and come back under another name, for plays.
+
+use crate::plays::EndpointRegistry;
+use crate::scripted::read_request;
+use bytes::BytesMut;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+/// A body that begins so ends the endpoint that runs it.
+pub const FATAL: &str = "fatal";
+/// How long a fatal request runs until its endpoint ends.
+const FATAL_TIME: Duration = Duration::from_millis(40);
+/// How long any other one runs.
+const RUN_TIME: Duration = Duration::from_millis(300);
+/// Until the store misses an endpoint that ended.
+const LAPSE_TIME: Duration = Duration::from_millis(2200);
+/// Until another one takes its place.
+const RETURN_TIME: Duration = Duration::from_millis(3000);
+
+/// A request as it reached an endpoint.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub at: Instant,
+    pub body: String,
+}
+
+/// Endpoints of one service.
+pub struct MortalFleet {
+    registry: EndpointRegistry,
+    lives: Cell<u32>,
+    pub arrivals: RefCell<Vec<Arrival>>,
+    /// When an endpoint ended, and under which requests.
+    pub ends: RefCell<Vec<(Instant, Vec<String>)>>,
+}
+
+struct Life {
+    name: String,
+    fleet: Rc<MortalFleet>,
+    tasks: RefCell<Vec<JoinHandle<()>>>,
+    running: RefCell<Vec<String>>,
+}
+
+impl MortalFleet {
+    /// Starts `count` endpoints.
+    pub async fn start(registry: EndpointRegistry, count: usize) -> Rc<Self> {
+        let fleet = Rc::new(MortalFleet {
+            registry,
+            lives: Cell::new(0),
+            arrivals: RefCell::default(),
+            ends: RefCell::default(),
+        });
+        for _ in 0..count {
+            fleet.begin_life().await;
+        }
+        fleet
+    }
+
+    async fn begin_life(self: &Rc<Self>) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let number = self.lives.replace(self.lives.get() + 1);
+        let life = Rc::new(Life {
+            name: format!("m-{number}"),
+            fleet: self.clone(),
+            tasks: RefCell::default(),
+            running: RefCell::default(),
+        });
+        self.registry.put(&life.name, entry_at(address));
+        let accepting = accept(life.clone(), listener);
+        life.tasks.borrow_mut().push(tokio::task::spawn_local(accepting));
+    }
+
+    /// When the `count`-th endpoint ended under `body`.
+    pub fn end_under(&self, body: &str, count: usize) -> Option<Instant> {
+        let ends = self.ends.borrow();
+        let under = ends.iter().filter(|(_, running)| running.iter().any(|other| other == body));
+        under.map(|(at, _)| *at).nth(count - 1)
+    }
+
+    /// How often `body` reached endpoints later than `from`.
+    pub fn arrivals_after(&self, body: &str, from: Instant) -> usize {
+        let arrivals = self.arrivals.borrow();
+        arrivals.iter().filter(|came| came.body == body && came.at > from).count()
+    }
+}
+
+fn entry_at(address: SocketAddr) -> String {
+    format!(
+        r#"{{"service":"s","address":"{address}","zone":"near","version":"v1","slots":64,"state":"ready","seq":1}}"#
+    )
+}
+
+async fn accept(life: Rc<Life>, listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let serving = tokio::task::spawn_local(serve(life.clone(), stream));
+        life.tasks.borrow_mut().push(serving);
+    }
+}
+
+async fn serve(life: Rc<Life>, mut stream: TcpStream) {
+    let mut buffer = BytesMut::new();
+    while let Some(request) = read_request(&mut stream, &mut buffer).await {
+        let id = request.header("x-oleandertack-request-id").unwrap_or_default().to_owned();
+        let body = String::from_utf8_lossy(&request.body).into_owned();
+        let arrival = Arrival { at: Instant::now(), body: body.clone() };
+        life.fleet.arrivals.borrow_mut().push(arrival);
+        life.running.borrow_mut().push(body.clone());
+        if body.starts_with(FATAL) {
+            sleep(FATAL_TIME).await;
+            return end(&life);
+        }
+        sleep(RUN_TIME).await;
+        life.running.borrow_mut().retain(|other| *other != body);
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nX-Oleandertack-Request-Id: {id}\r\n\
+             X-Oleandertack-Response-Seal: seal\r\nContent-Length: 2\r\n\r\nok"
+        );
+        if stream.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Ends a life: its port closes and all its connections break at once.
+fn end(life: &Rc<Life>) {
+    let running = life.running.take();
+    life.fleet.ends.borrow_mut().push((Instant::now(), running));
+    let (fleet, name) = (life.fleet.clone(), life.name.clone());
+    tokio::task::spawn_local(async move {
+        sleep(LAPSE_TIME).await;
+        fleet.registry.remove(&name);
+        sleep(RETURN_TIME - LAPSE_TIME).await;
+        fleet.begin_life().await;
+    });
+    life.tasks.take().iter().for_each(JoinHandle::abort);
+}
--- a/tests/all/plays.rs
+++ b/tests/all/plays.rs
@@ -197,6 +197,20 @@
     }
 }
 
+/// Where endpoints put their entries.
+#[derive(Clone)]
+pub struct EndpointRegistry(Rc<StoreState>);
+
+impl EndpointRegistry {
+    pub fn put(&self, name: &str, body: String) {
+        self.0.put(FeedKind::Endpoints, name, Bytes::from(body));
+    }
+
+    pub fn remove(&self, name: &str) {
+        self.0.remove(FeedKind::Endpoints, name);
+    }
+}
+
 /// Front processes that know one another.
 pub struct PlayGroup {
     pub processes: Vec<FrontProcess>,
@@ -316,6 +330,11 @@
         self.state.put(FeedKind::Endpoints, name, entry(state));
     }
 
+    /// The way of endpoints to the store.
+    pub fn registry(&self) -> EndpointRegistry {
+        EndpointRegistry(self.state.clone())
+    }
+
     /// The store takes an entry away.
     pub fn remove(&self, name: &str) {
         self.state.remove(FeedKind::Endpoints, name);
--- a/tests/all/scripted.rs
+++ b/tests/all/scripted.rs
@@ -107,7 +107,7 @@
     }
 }
 
-async fn read_request(stream: &mut TcpStream, buffer: &mut BytesMut) -> Option<SeenRequest> {
+pub async fn read_request(stream: &mut TcpStream, buffer: &mut BytesMut) -> Option<SeenRequest> {
     loop {
         if let Some(at) = buffer.windows(4).position(|window| window == b"\r\n\r\n") {
             let head = String::from_utf8_lossy(&buffer[..at]).into_owned();
