Hold back requests under which endpoints ended three times, at all processes

What callers saw: one request ended each endpoint that ran it and came again at any process; streams beside it broke, up to 17 at a time. Cause: a request was known by the id of one attempt only, and ends spoke of endpoints only. Nothing joined what nine processes saw of one request. Change: a digest of its content names a request (crate suspect). A process notes attempts that broke and counts them once the endpoint is known to have ended: its port is closed (looked for by a connection that serves the next request if it is accepted), its entry lapsed, or its next life began. Notes go with reports and digests, joined without an owner, so that a change of the collector loses nothing. Ends are charged to as few requests as explain them; who is to blame is refused at once, 503 with code 1024 and the time until it may come again. Why it holds: content is what the caller sends again whatever its id; a third end is known everywhere within two reports (0.5 s) of the closed port, where the users allow 3 s and three more arrivals. A whole answer clears a request, ends of one moment count once, requests always together with another wait up to two more ends. Ruled out: ids or headers of attempts; counting broken connections without the end of the endpoint (resets and lost answers of sound endpoints would hold back honest requests); a state of the collector's own (lost with it).

--- a/crates/front/src/admin.rs
+++ b/crates/front/src/admin.rs
@@ -3,6 +3,7 @@
 use crate::node::FrontNode;
 use actix_web::{HttpResponse, web};
 use oleander_list::StoreVouch;
+use oleander_suspect::{RequestPrint, SuspectRecord};
 use serde_json::{Value, json};
 use std::rc::Rc;
 
@@ -55,6 +56,8 @@
             "for_ms": doubt.left.0,
         })).collect::<Vec<_>>(),
         "endpoints": dump_endpoints(node),
+        "suspects": node.suspects.borrow().len(),
+        "held_requests": dump_held(node),
         "idle_connections": node.pool.borrow().len(),
         "known_prompt_parts": node.prefixes.borrow().len(),
         "members": mesh.view.cards().iter().take(MOST_LISTED).map(|card| card.id.as_str().to_owned()).collect::<Vec<_>>(),
@@ -71,6 +74,23 @@
 /// The most endpoints and members of a dump.
 const MOST_LISTED: usize = 1000;
 
+fn dump_held(node: &FrontNode) -> Vec<Value> {
+    let now = node.clock.now();
+    let suspects = node.suspects.borrow();
+    let held = |(print, record): (RequestPrint, &SuspectRecord)| {
+        json!({
+            "print": print.to_string(),
+            "for_ms": suspects.held_for(&print, now).map(|left| left.0),
+            "ends": record.ends().iter().map(|end| json!({
+                "endpoint": end.life.instance.as_str(),
+                "life": end.life.life,
+                "ago_ms": (now - end.at).0,
+            })).collect::<Vec<_>>(),
+        })
+    };
+    suspects.held().take(MOST_LISTED).map(held).collect()
+}
+
 fn dump_endpoints(node: &FrontNode) -> Vec<Value> {
     let now = node.clock.now();
     let board = node.endpoints.borrow();
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -3,14 +3,15 @@
 use crate::drive::{AttemptOutcome, CallRun};
 use crate::events::event;
 use crate::work::{FirstWait, WorkGuard};
-use crate::{stream, whole};
+use crate::{stream, suspects, whole};
 use actix_http::{RequestHead, ResponseHead, Version};
 use oleander_call::{AnswerMark, AnswerShape, AttemptEnd, AttemptStamp, RepeatRule};
+use oleander_kind::TimeSpan;
 use oleander_kind::endpoint::EndpointStage;
-use oleander_kind::{InstanceId, TimeSpan};
 use oleander_outlet::{IdleLink, LinkError, SentLink, SocketBounds};
 use oleander_pace::ReadSample;
 use oleander_place::{AnswerGrade, EndpointKey, PlaceChoice, expected_first};
+use oleander_suspect::EndedLife;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -34,7 +35,7 @@
 /// What an attempt needs to know of its endpoint.
 struct AttemptTarget {
     key: EndpointKey,
-    instance: InstanceId,
+    life: EndedLife,
     address: SocketAddr,
 }
 
@@ -45,7 +46,8 @@
             return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
         };
         self.current = Some(target.key);
-        self.endpoint = Some(target.instance.clone());
+        self.endpoint = Some(target.life.instance.clone());
+        self.ran_at = Some((target.life.clone(), target.address));
         self.chosen = Some(choice);
         self.note_list_age();
         self.note_demand(&choice);
@@ -53,9 +55,31 @@
             WorkGuard::begin(self.node, target.key, choice.unread, self.first_wait(&choice));
         let outcome = self.attempt_at(&target, &mut work).await;
         self.current = None;
+        match &outcome {
+            AttemptOutcome::Delivered => suspects::note_answer(self.node, self.print),
+            AttemptOutcome::Ended(end, _) if !work.is_borne() => self.note_broken(target.key, *end),
+            AttemptOutcome::Ended(..) | AttemptOutcome::CallerGone => {}
+        }
         outcome
     }
 
+    /// Notes an attempt that broke: its endpoint may have ended under the request. One that said that it leaves
+    /// ends whatever it runs.
+    pub(crate) fn note_broken(&self, key: EndpointKey, end: AttemptEnd) {
+        let Some(endpoint) = self.ran_at.clone() else { return };
+        let stage = self.node.endpoints.borrow().get(key).map(|fact| fact.entry.stage);
+        if stage == Some(EndpointStage::Leaving) {
+            return;
+        }
+        let was_cut = match end {
+            AttemptEnd::Broken => true,
+            AttemptEnd::Silent => false,
+            AttemptEnd::NotSent | AttemptEnd::RefusedNotRun | AttemptEnd::Failed => return,
+        };
+        let may_look = was_cut && stage.is_some();
+        suspects::note_broken(self.node, self.print, endpoint, may_look);
+    }
+
     fn first_wait(&self, choice: &PlaceChoice) -> FirstWait {
         let read_per_ms = self.node.read_per_ms(&self.service);
         let expected = expected_first(choice, self.is_engine(), read_per_ms);
@@ -105,8 +129,8 @@
         let board = self.node.endpoints.borrow();
         let entry = &board.get(key)?.entry;
         let usable = entry.stage == EndpointStage::Live;
-        let instance = entry.instance.clone();
-        usable.then_some(AttemptTarget { key, instance, address: entry.address })
+        let life = suspects::life_of(entry);
+        usable.then_some(AttemptTarget { key, life, address: entry.address })
     }
 
     async fn attempt_at(&mut self, target: &AttemptTarget, work: &mut WorkGuard) -> AttemptOutcome {
@@ -162,7 +186,7 @@
         &mut self,
         target: &AttemptTarget,
     ) -> oleander_outlet::Result<(Option<SentLink>, bool)> {
-        let kept = self.node.pool.borrow_mut().take(&target.instance);
+        let kept = self.node.pool.borrow_mut().take(&target.life.instance);
         let reused = kept.is_some();
         let link = match kept {
             Some(link) => link,
@@ -184,7 +208,7 @@
         head.version = Version::HTTP_11;
         head.headers = self.request.headers.clone();
         let stamp = AttemptStamp {
-            instance: target.instance.clone(),
+            instance: target.life.instance.clone(),
             account: self.account.clone(),
             left: self.left(),
             last_event: self.last_event,
@@ -284,7 +308,7 @@
         if let Some(link) = link.filter(|_| lives) {
             let said = mark.keeps_idle.map(|span| span.duration().mul_f64(IDLE_PART));
             let keep = said.unwrap_or(IDLE_KEPT);
-            self.node.pool.borrow_mut().put(&target.instance, link, keep, IDLE_MOST);
+            self.node.pool.borrow_mut().put(&target.life.instance, link, keep, IDLE_MOST);
         }
         outcome
     }
@@ -301,8 +325,11 @@
             LinkError::Cut(_) | LinkError::Malformed(_) => AnswerGrade::Bad,
         };
         self.note_failure(target, work, grade);
+        if suspects::is_closed(fault) && self.node.takes_work(target.key) {
+            suspects::note_ended(self.node, &target.life, "port closed");
+        }
         event!(self.node, AttemptFault;
-            "request" => self.call.id.as_str(), "endpoint" => target.instance.as_str(),
+            "request" => self.call.id.as_str(), "endpoint" => target.life.instance.as_str(),
             "fault" => fault.to_string());
     }
 
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -8,6 +8,7 @@
 use crate::ingress::CallerRequest;
 use crate::mesh::pool_limit;
 use crate::node::FrontNode;
+use crate::suspects;
 use crate::trace::{CallTrace, TraceGuard};
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, StatusCode};
@@ -23,8 +24,9 @@
 use oleander_place::{
     AnswerGrade, EndpointKey, PlaceAsk, PlaceChoice, choose_endpoint, queue_limit, shed_until,
 };
-use oleander_suspect::{RequestContent, RequestPrint};
+use oleander_suspect::{EndedLife, RequestContent, RequestPrint};
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::time::{Instant, timeout_at};
 
@@ -84,6 +86,8 @@
     pub(crate) current: Option<EndpointKey>,
     /// The endpoint of the last attempt.
     pub(crate) endpoint: Option<InstanceId>,
+    /// Its life, and where it listens.
+    pub(crate) ran_at: Option<(EndedLife, SocketAddr)>,
     /// What the last choice of an endpoint went by.
     pub(crate) chosen: Option<PlaceChoice>,
     /// How old the endpoint list was then.
@@ -149,13 +153,16 @@
     };
     trace.service = service.0.clone();
     let account = admitted.account.map(|key| rules.account(key));
+    let print = print_of(account, &call, &request);
+    trace.print = Some(print);
+    if let Some(left) = suspects::held_for(node, &print) {
+        return answer.refuse(ResultCode::RequestHeld, Some(left)).await;
+    }
     if let Some(account) = account
         && let Some(retry) = over_limit(node, account, &call)
     {
         return answer.refuse(ResultCode::LimitReached, Some(retry)).await;
     }
-    let print = print_of(account, &call, &request);
-    trace.print = Some(print);
     let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
     node.dialect.strip_request(&mut request.head.headers);
     node.earn_retry(&service);
@@ -177,6 +184,7 @@
         tried: Vec::new(),
         current: None,
         endpoint: None,
+        ran_at: None,
         chosen: None,
         list_age: None,
         has_begun: false,
@@ -278,6 +286,7 @@
     async fn after(&mut self, end: AttemptEnd, own: Option<OwnAnswer>) -> Option<CallOutcome> {
         self.record.note(end);
         let again = self.record.may_send()
+            && suspects::held_for(self.node, &self.print).is_none()
             && self.choose().is_some()
             && (self.record.sent() == 0 || self.node.spend_retry(&self.service));
         self.node.meter.count_attempt(end.name());
@@ -316,6 +325,9 @@
     async fn expire(&mut self) -> CallOutcome {
         if let Some(key) = self.current {
             self.grade(key, AnswerGrade::Bad);
+            if self.piece_at.is_none() {
+                self.note_broken(key, AttemptEnd::Silent);
+            }
         }
         let sent = self.current.is_some() || self.record.sent() > 0;
         let code = if sent { ResultCode::DeadlinePassed } else { ResultCode::DeadlineNotRun };
--- a/crates/front/src/events.rs
+++ b/crates/front/src/events.rs
@@ -68,6 +68,10 @@
     EndpointUnreadable = "endpoint_unreadable", 20, "an endpoint's entry cannot be read: `endpoint`, `fault`";
     EnginesPaced = "engines_paced", 10, "engines of a service read at another speed than told before, in prompt tokens a millisecond: `service`, `per_ms`, `seen` tokens";
     EndpointJudged = "endpoint_judged", 40, "what the collector says of an endpoint has changed: `bad` in what (`Failing`, `Slow`), or none if it is as good as the others; by answers that `came` and `failed` at all processes, faded, and how much slower than expected they came (`slowness`, in powers of two)";
+    EndpointEnded = "endpoint_ended", 60, "an endpoint ended while it ran requests of this process: `endpoint`, how it showed (`by`), how many requests it ran (`under`)";
+    RequestHeld = "request_held", 40, "a request is held back at this process from now on, as endpoints ended each time they ran it: `print`, the `endpoints`, how long ago the first and the last of them ended (`first_ms`, `last_ms`)";
+    RequestReleased = "request_released", 40, "a request is held back no more: it was answered, or another one explains its ends: `print`, how many ends are left (`ends`)";
+    SuspectForgotten = "suspect_forgotten", 10, "a request under which an endpoint ended was forgotten, to bound the memory: `print`";
     EvidenceLeftOut = "evidence_left_out", 10, "a report told of endpoints or lives that are not known here, or what cannot be true: `member`, `count`, `code`";
     EvidenceWithheld = "evidence_withheld", 10, "this process woke late (`late_ms`), and does not speak against endpoints for that time";
     MembersRead = "members_read", 10, "the other processes were read from the store: `cards`";
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod roster;
 pub mod rules;
 pub mod stream;
+pub mod suspects;
 mod trace;
 pub mod whole;
 pub mod work;
--- a/crates/front/src/mesh/collect.rs
+++ b/crates/front/src/mesh/collect.rs
@@ -6,6 +6,7 @@
 use crate::node::FrontNode;
 use crate::roster;
 use crate::rules::take_rules;
+use crate::suspects;
 use oleander_call::RuleSet;
 use oleander_kind::{AccountName, ResultCode};
 use oleander_limit::PoolLimit;
@@ -63,6 +64,8 @@
     end_after_sleep(node);
     let now = node.clock.now();
     take_feeds(node, &report);
+    suspects::take_notes(node, &report.suspects);
+    let suspects = node.suspects.borrow();
     let known = node.rules.borrow();
     let rules = known.current();
     let limit_of = |name: &AccountName| limit_by_name(node, rules?, name);
@@ -98,6 +101,7 @@
         reported_window: mesh.reported_window,
         peaks: mesh.peaks.clone(),
         paces: mesh.paces.clone(),
+        suspects: &suspects,
         lease: mesh.lease.clone(),
         oldest_turn: settled_turn(true_now),
         now,
--- a/crates/front/src/mesh/digest.rs
+++ b/crates/front/src/mesh/digest.rs
@@ -4,8 +4,9 @@
 use crate::node::FrontNode;
 use crate::roster;
 use crate::rules::take_rules;
+use crate::suspects;
 use oleander_kind::TimeSpan;
-use oleander_mesh::{EndpointLoad, EndpointVerdict, LifeMark, MeshDigest, ServicePace};
+use oleander_mesh::{EndpointLoad, EndpointVerdict, LifeMark, MemberCard, MeshDigest, ServicePace};
 use oleander_place::WorkLoad;
 use std::collections::HashMap;
 
@@ -22,6 +23,9 @@
     }
     take_loads(node, &digest.loads);
     take_verdicts(node, &digest.verdicts);
+    if let Some(notes) = &digest.suspects {
+        suspects::take_notes(node, notes);
+    }
     let mut limits = node.limits.borrow_mut();
     digest
         .levels
@@ -29,6 +33,10 @@
         .for_each(|level| limits.take_news(&level.account, level.news.clone(), now));
     node.usage.borrow_mut().forget(digest.reported_window);
     let mut mesh = node.mesh.borrow_mut();
+    let collector = |card: &MemberCard| (card.id.clone(), card.life);
+    if mesh.digest_from.as_ref().map(collector) != Some(collector(&digest.from)) {
+        node.suspects.borrow_mut().tell_anew();
+    }
     mesh.digest_from = Some(digest.from.clone());
     mesh.view.take(digest.from, true, now);
     match digest.members {
--- a/crates/front/src/mesh/make.rs
+++ b/crates/front/src/mesh/make.rs
@@ -18,6 +18,7 @@
     let usage = node.usage.borrow().counts().map(usage_of).collect();
     let roster = node.roster.borrow();
     let roster_objects = mesh.wants_roster.then(|| roster.objects());
+    let mut suspects = node.suspects.borrow_mut();
     let rules_text = mesh.wants_rules.then(|| node.rules.borrow().text().cloned()).flatten();
     NodeReport {
         card: mesh.view.me().clone(),
@@ -34,6 +35,8 @@
         demand: own_demand(node),
         paces: own_paces(node),
         evidence: own_evidence(node),
+        suspects: suspects.next_told(node.clock.now()),
+        suspects_mark: suspects.shared_mark(),
         heritage: heritage_of(&mesh, node.clock.now()),
         unreached: mesh.view.unreached(node.clock.now()),
         rules_text,
--- a/crates/front/src/mesh/report.rs
+++ b/crates/front/src/mesh/report.rs
@@ -73,7 +73,7 @@
         let report = make_report(node);
         if collector.id == node.settings.instance {
             if let MeshBody::Digest(digest) = collect(node, report) {
-                node.evidence.borrow_mut().taken();
+                note_taken(node);
                 take_digest(node, *digest, TimeSpan(0));
             }
             return;
@@ -85,6 +85,12 @@
     }
 }
 
+/// Notes that the collector has what the last report told.
+fn note_taken(node: &FrontNode) {
+    node.evidence.borrow_mut().taken();
+    node.suspects.borrow_mut().note_taken();
+}
+
 /// Ends the collecting of a process to which nobody reports any more. What it knows of the account
 /// windows grows old; going on with that later would let accounts in as if they had spent nothing.
 fn drop_old_collector(node: &FrontNode) {
@@ -197,7 +203,7 @@
     let body = MeshBody::Report(Box::new(report));
     match call_peer(node, hub, address, body).await {
         Some(MeshBody::Digest(digest)) => {
-            node.evidence.borrow_mut().taken();
+            note_taken(node);
             take_digest(node, *digest, node.clock.now() - sent_at);
             CallOutcome::Taken
         }
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -18,9 +18,11 @@
 use oleander_outlet::{HttpCodec, LinkPool};
 use oleander_pace::{ASSUMED_PER_MS, PaceBook, ReadPace, ReadSample};
 use oleander_place::{
-    EndpointBoard, EndpointKey, OfferedRate, PauseRecord, PrefixRecord, ServicePressure,
+    EndpointBoard, EndpointFact, EndpointKey, OfferedRate, PauseRecord, PrefixRecord,
+    ServicePressure,
 };
 use oleander_plat::FeedStore;
+use oleander_suspect::{EndWatch, SuspectBook};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -99,6 +101,10 @@
     pub pauses: RefCell<HashMap<ServiceName, PauseRecord>>,
     /// What this process sees of endpoints, until the collector has it.
     pub evidence: RefCell<EvidenceOutbox>,
+    /// Attempts of this process that broke, until their endpoints are known to have ended.
+    pub ends: RefCell<EndWatch>,
+    /// Requests under which endpoints ended.
+    pub suspects: RefCell<SuspectBook>,
     /// What is known through the other processes.
     pub mesh: RefCell<MeshState>,
     /// Revisions of the usage reports in the store, by their places.
@@ -161,6 +167,8 @@
             paces: RefCell::default(),
             pauses: RefCell::default(),
             evidence: RefCell::default(),
+            ends: RefCell::default(),
+            suspects: RefCell::default(),
             mesh: RefCell::new(MeshState::new(me)),
             report_revisions: RefCell::default(),
             stop: Cell::default(),
@@ -217,6 +225,11 @@
         }
     }
 
+    /// Whether an endpoint is on the list and did not say that it leaves.
+    pub fn takes_work(&self, key: EndpointKey) -> bool {
+        self.endpoints.borrow().get(key).is_some_and(EndpointFact::takes_work)
+    }
+
     /// The rules in force, if any are known.
     pub fn current_rules(&self) -> Option<Rc<RuleSet>> {
         self.rules.borrow().current().cloned()
--- a/crates/front/src/process.rs
+++ b/crates/front/src/process.rs
@@ -3,7 +3,7 @@
 use crate::events::event;
 use crate::node::FrontNode;
 use crate::port::PlatformDialect;
-use crate::{admin, discover, duties, feeds, ingress, mesh, reload};
+use crate::{admin, discover, duties, feeds, ingress, mesh, reload, suspects};
 use actix_web::{App, HttpResponse, web};
 use oleander_board::{NodeClock, StopStage};
 use oleander_conf::FrontSettings;
@@ -105,6 +105,7 @@
     loop {
         actix_rt::time::sleep(SWEEP_PAUSE.duration()).await;
         node.prefixes.borrow_mut().sweep(node.clock.now());
+        suspects::settle(&node);
         let endpoints = node.endpoints.borrow();
         node.pool.borrow_mut().sweep(|instance| endpoints.key(instance).is_some());
     }
--- a/crates/front/src/roster.rs
+++ b/crates/front/src/roster.rs
@@ -2,6 +2,7 @@
 
 use crate::events::event;
 use crate::node::FrontNode;
+use crate::suspects;
 use oleander_kind::{ClockTime, TimeSpan};
 use oleander_list::{
     DecodedEntry, LapseTimes, RosterAction, RosterBook, RosterNews, RosterStand, RosterState,
@@ -92,7 +93,11 @@
                 "endpoint" => name.as_str(), "for_ms" => (until - node.clock.now()).0);
         }
         RosterAction::Drop { name } => {
-            if node.endpoints.borrow_mut().remove(&name.as_str().into()).is_some() {
+            let gone = node.endpoints.borrow_mut().remove(&name.as_str().into());
+            if let Some(fact) = gone {
+                if fact.takes_work() {
+                    suspects::note_ended(node, &suspects::life_of(&fact.entry), "entry gone");
+                }
                 event!(node, EndpointGone;
                     "endpoint" => name.as_str(), "as_of" => node.roster.borrow().revision());
             }
@@ -118,10 +123,16 @@
             "market" => format!("{:?}", entry.market), "revision" => revision,
             "life" => entry.life);
     }
+    let former =
+        was.filter(|fact| born_again && fact.takes_work()).map(|f| suspects::life_of(&f.entry));
     if born_again {
         // Connections of the former life are dead, and some will never say so.
         node.pool.borrow_mut().forget(&entry.instance);
         node.life_ended.notify_waiters();
     }
     board.put(entry);
+    drop(board);
+    if let Some(life) = former {
+        suspects::note_ended(node, &life, "later life");
+    }
 }
--- /dev/null
+++ b/crates/front/src/suspects.rs
@@ -0,0 +1,131 @@
+//! Requests under which endpoints end: notes what attempts show of them, and says which are held back.
+
+use crate::events::event;
+use crate::node::FrontNode;
+use oleander_kind::TimeSpan;
+use oleander_outlet::{IdleLink, LinkError, SocketBounds};
+use oleander_place::EndpointEntry;
+use oleander_suspect::{
+    EndedLife, RequestEnd, RequestPrint, SuspectChange, SuspectNote, SuspectRecord,
+};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How long an endpoint may take to accept a connection by which it shows that it lives.
+const LOOK_LIMIT: Duration = Duration::from_millis(400);
+/// How long the connection made for it is kept for the next request.
+const LOOK_KEPT: Duration = Duration::from_millis(2000);
+/// The most idle connections beside it.
+const LOOK_MOST: usize = 32;
+
+/// The life of an endpoint as its entry says.
+pub fn life_of(entry: &EndpointEntry) -> EndedLife {
+    EndedLife { instance: entry.instance.clone(), life: entry.life }
+}
+
+/// For how much longer a request is held back; none if it is not.
+pub fn held_for(node: &FrontNode, print: &RequestPrint) -> Option<TimeSpan> {
+    node.suspects.borrow().held_for(print, node.clock.now())
+}
+
+/// Takes what another process tells.
+pub fn take_notes(node: &FrontNode, notes: &[SuspectNote]) {
+    if notes.is_empty() {
+        return;
+    }
+    node.suspects.borrow_mut().take(notes, node.clock.now());
+    settle(node);
+}
+
+/// Notes that a request was answered: an endpoint bore it.
+pub fn note_answer(node: &FrontNode, print: RequestPrint) {
+    let was_held = held_for(node, &print).is_some();
+    node.suspects.borrow_mut().note_answer(print, node.clock.now());
+    if was_held {
+        settle(node);
+    }
+}
+
+/// Notes that an attempt broke at an endpoint that did not say it leaves.
+///
+/// Whether the endpoint ended, its list tells after some two seconds, in which the request comes again up to four
+/// times. A connection that it refuses tells at once; one that it accepts serves the next request.
+pub fn note_broken(
+    node: &Rc<FrontNode>,
+    print: RequestPrint,
+    (life, address): (EndedLife, SocketAddr),
+    was_cut: bool,
+) {
+    let now = node.clock.now();
+    if node.ends.borrow_mut().note_broken(print, &life, now) {
+        node.suspects.borrow_mut().note_end(print, RequestEnd { life, at: now });
+        settle(node);
+    } else if was_cut && node.ends.borrow_mut().begin_look(&life, now) {
+        actix_rt::spawn(look_for_end(node.clone(), life, address));
+    }
+}
+
+async fn look_for_end(node: Rc<FrontNode>, life: EndedLife, address: SocketAddr) {
+    match IdleLink::open(address, LOOK_LIMIT, SocketBounds::default()).await {
+        Ok(link) => {
+            let lives = node.endpoints.borrow().key(&life.instance).is_some();
+            if lives {
+                node.pool.borrow_mut().put(&life.instance, link, LOOK_KEPT, LOOK_MOST);
+            }
+        }
+        Err(fault) if is_closed(&fault) => note_ended(&node, &life, "port closed"),
+        // Whoever is silent may be cut off from here; the list tells.
+        Err(_) => {}
+    }
+}
+
+/// Whether nobody listens any more where an endpoint did.
+pub fn is_closed(fault: &LinkError) -> bool {
+    matches!(fault, LinkError::Unreached(cause) if cause.kind() == io::ErrorKind::ConnectionRefused)
+}
+
+/// Notes that a life of an endpoint ended which had not said that it leaves; `by` says how it showed.
+pub fn note_ended(node: &FrontNode, life: &EndedLife, by: &'static str) {
+    let now = node.clock.now();
+    let under = node.ends.borrow_mut().note_ended(life, now);
+    if under.is_empty() {
+        return;
+    }
+    event!(node, EndpointEnded;
+        "endpoint" => life.instance.as_str(), "by" => by, "under" => under.len());
+    for (print, at) in under {
+        let end = RequestEnd { life: life.clone(), at };
+        node.suspects.borrow_mut().note_end(print, end);
+    }
+    settle(node);
+}
+
+/// Forgets what is old, judges anew, and tells what changed.
+pub fn settle(node: &FrontNode) {
+    let changes = node.suspects.borrow_mut().settle(node.clock.now());
+    changes.into_iter().for_each(|change| tell(node, change));
+}
+
+fn tell(node: &FrontNode, change: SuspectChange) {
+    let suspects = node.suspects.borrow();
+    let now = node.clock.now();
+    match change {
+        SuspectChange::Held(print) => {
+            let ends = suspects.record(&print).map_or(&[][..], SuspectRecord::ends);
+            let endpoints: Vec<_> = ends.iter().map(|end| end.life.instance.as_str()).collect();
+            event!(node, RequestHeld;
+                "print" => print.to_string(), "endpoints" => endpoints.join(" "),
+                "first_ms" => ends.first().map(|end| (now - end.at).0),
+                "last_ms" => ends.last().map(|end| (now - end.at).0));
+        }
+        SuspectChange::Released(print) => {
+            let ends = suspects.record(&print).map_or(0, |record| record.ends().len());
+            event!(node, RequestReleased; "print" => print.to_string(), "ends" => ends);
+        }
+        SuspectChange::Forgotten(print) => {
+            event!(node, SuspectForgotten; "print" => print.to_string());
+        }
+    }
+}
--- a/crates/front/src/work.rs
+++ b/crates/front/src/work.rs
@@ -32,6 +32,7 @@
     unread_tokens: u64,
     wait: FirstWait,
     began_at: ClockTime,
+    answered_at: Option<ClockTime>,
     ticket: Option<WaitTicket>,
 }
 
@@ -45,7 +46,9 @@
     ) -> Self {
         let began_at = node.clock.now();
         let ticket = Some(node.evidence.borrow_mut().wait(key, wait.overdue_at(began_at)));
-        let guard = WorkGuard { node: node.clone(), key, unread_tokens, wait, began_at, ticket };
+        let node = node.clone();
+        let answered_at = None;
+        let guard = WorkGuard { node, key, unread_tokens, wait, began_at, answered_at, ticket };
         guard.change(|own| {
             own.requests += 1;
             own.unread_tokens += unread_tokens;
@@ -65,10 +68,20 @@
 
     /// The first part of the answer came.
     pub fn answered(&mut self) {
-        let took = self.node.clock.now() - self.began_at;
+        let now = self.node.clock.now();
+        self.answered_at.get_or_insert(now);
+        let took = now - self.began_at;
         self.settle(Some(AnswerSample::Came { took, expected: self.wait.expected }));
     }
 
+    /// Whether the endpoint has borne the request for a while: its answer began long ago.
+    pub fn is_borne(&self) -> bool {
+        /// A request that ends its endpoint was seen to do so 34 to 94 ms after it began; ten times that.
+        const BORNE_AFTER: TimeSpan = TimeSpan(1000);
+        let now = self.node.clock.now();
+        self.answered_at.is_some_and(|at| now - at > BORNE_AFTER)
+    }
+
     /// The attempt failed by the endpoint's fault, perhaps after its answer had begun.
     pub fn failed(&mut self) {
         if self.ticket.is_none() {
--- a/crates/mesh/src/collector.rs
+++ b/crates/mesh/src/collector.rs
@@ -13,6 +13,7 @@
 use oleander_list::{RosterBook, RosterState};
 use oleander_pace::{ReadPace, join_paces};
 use oleander_plat::FeedObject;
+use oleander_suspect::SuspectBook;
 use std::collections::BTreeMap;
 
 /// A report counts for this long after it came: four times the period of reports.
@@ -43,6 +44,8 @@
     pub peaks: Vec<ServicePeak>,
     /// How fast engines read, as it was told before it collected.
     pub paces: Vec<ServicePace>,
+    /// Requests under which endpoints ended.
+    pub suspects: &'a SuspectBook,
     /// The lease as last seen.
     pub lease: Option<LeaseNotice>,
     /// Reports of an earlier turn than this were sent long ago.
@@ -187,6 +190,8 @@
             peaks: facts.peaks.clone(),
             paces: self.paces(&facts.paces, now),
             verdicts: self.judge.verdicts(),
+            suspects: (report.suspects_mark != facts.suspects.shared_mark())
+                .then(|| facts.suspects.shared(now)),
             lease: facts.lease.clone(),
         }
     }
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -7,6 +7,7 @@
 use oleander_list::{RosterStand, RosterState, RosterUpdate, VouchNote};
 use oleander_pace::ReadPace;
 use oleander_plat::FeedObject;
+use oleander_suspect::SuspectNote;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -235,6 +236,12 @@
     /// What it saw of endpoints since its last report that was answered.
     #[serde(rename = "j", default)]
     pub evidence: Vec<EndpointEvidence>,
+    /// What it saw of requests under which endpoints ended, since its last report that was answered.
+    #[serde(rename = "d", default)]
+    pub suspects: Vec<SuspectNote>,
+    /// What it knows of such requests of all processes, as a mark.
+    #[serde(rename = "k", default)]
+    pub suspects_mark: u64,
     /// Counts of other processes that it knows as a former collector.
     #[serde(rename = "H")]
     pub heritage: Vec<NodeUsage>,
@@ -344,6 +351,9 @@
     /// Endpoints that answer worse than the others of their service.
     #[serde(rename = "j", default)]
     pub verdicts: Vec<EndpointVerdict>,
+    /// Requests under which endpoints ended, if the mark of the report is another.
+    #[serde(rename = "k", default)]
+    pub suspects: Option<Vec<SuspectNote>>,
     /// The lease, if the collector knows it.
     #[serde(rename = "h")]
     pub lease: Option<LeaseNotice>,
--- /dev/null
+++ b/crates/suspect/src/record.rs
@@ -0,0 +1,135 @@
+//! What is known of one request under which endpoints ended.
+
+use crate::print::RequestPrint;
+use oleander_kind::{ClockTime, InstanceId, TimeSpan};
+use serde::{Deserialize, Serialize};
+
+/// How long an end speaks against a request. Long enough for a caller that comes back after minutes; a
+/// request that a newer model version can bear is tried again after it.
+pub const ENDS_KEPT: TimeSpan = TimeSpan(600_000);
+/// A request that was answered is not to blame for ends up to this much later: a key that many ask for runs
+/// at several endpoints at once, and all of them may lose their power together.
+pub const ANSWER_COVERS: TimeSpan = TimeSpan(30_000);
+/// Ends within this time of one another are one moment: the loss of a failure domain, or copies of a request
+/// that were under way together. A caller that sends a request again has lost its answer first, which takes the
+/// request's own time and a crossing of the network.
+const MOMENT: TimeSpan = TimeSpan(100);
+
+/// A life of an endpoint that ended.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct EndedLife {
+    /// The instance.
+    #[serde(rename = "i")]
+    pub instance: InstanceId,
+    /// Which life of it, as its entry says.
+    #[serde(rename = "l")]
+    pub life: u64,
+}
+
+/// An end of an endpoint that ran a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestEnd {
+    /// Whose end.
+    pub life: EndedLife,
+    /// When the request's connection broke.
+    pub at: ClockTime,
+}
+
+/// What all processes saw of one request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SuspectRecord {
+    ends: Vec<RequestEnd>,
+    answered_at: Option<ClockTime>,
+}
+
+impl SuspectRecord {
+    /// Notes an end; says whether it is news.
+    pub fn note_end(&mut self, end: RequestEnd) -> bool {
+        let known = self.ends.iter().any(|known| known.life == end.life);
+        if known || self.is_covered(&end) {
+            return false;
+        }
+        self.ends.push(end);
+        self.ends.sort_by(|one, other| (one.at, &one.life).cmp(&(other.at, &other.life)));
+        true
+    }
+
+    /// Notes that the request was answered at `at`; says whether that is news.
+    pub fn note_answer(&mut self, at: ClockTime) -> bool {
+        if self.answered_at.is_some_and(|known| at <= known) {
+            return false;
+        }
+        self.answered_at = Some(at);
+        let answered = SuspectRecord { ends: Vec::new(), answered_at: self.answered_at };
+        self.ends.retain(|end| !answered.is_covered(end));
+        true
+    }
+
+    fn is_covered(&self, end: &RequestEnd) -> bool {
+        self.answered_at.is_some_and(|at| end.at <= at + ANSWER_COVERS)
+    }
+
+    /// The ends, the oldest first.
+    pub fn ends(&self) -> &[RequestEnd] {
+        &self.ends
+    }
+
+    /// When it was answered.
+    pub fn answered_at(&self) -> Option<ClockTime> {
+        self.answered_at
+    }
+
+    /// When the last thing was seen of it.
+    pub fn seen_at(&self) -> ClockTime {
+        let ended_at = self.ends.last().map(|end| end.at);
+        ended_at.max(self.answered_at).unwrap_or_default()
+    }
+
+    /// Forgets what is too old; says whether anything is left.
+    pub fn sweep(&mut self, now: ClockTime) -> bool {
+        self.ends.retain(|end| now - end.at < ENDS_KEPT);
+        // Kept for longer than it covers, so that it reaches processes that were cut off meanwhile.
+        let stale = |at: ClockTime| now - at > TimeSpan(2 * ANSWER_COVERS.0);
+        self.answered_at = self.answered_at.filter(|at| !stale(*at));
+        !self.ends.is_empty() || self.answered_at.is_some()
+    }
+}
+
+/// How many moments `ends` are, which are in the order of their times.
+pub fn count_moments<'a>(ends: impl IntoIterator<Item = &'a RequestEnd>) -> usize {
+    let mut moments = 0;
+    let mut since = None;
+    for end in ends {
+        if since.is_none_or(|since| end.at - since > MOMENT) {
+            moments += 1;
+            since = Some(end.at);
+        }
+    }
+    moments
+}
+
+/// What one process tells another of a request. Ages, as the processes' clocks differ.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectNote {
+    /// The request.
+    #[serde(rename = "p")]
+    pub print: RequestPrint,
+    /// Lives that ended under it, and how long ago.
+    #[serde(rename = "e")]
+    pub ends: Vec<(EndedLife, TimeSpan)>,
+    /// How long ago it was answered.
+    #[serde(rename = "a")]
+    pub answered: Option<TimeSpan>,
+}
+
+impl SuspectNote {
+    /// What `record` says at `now`.
+    pub fn of(print: RequestPrint, record: &SuspectRecord, now: ClockTime) -> Self {
+        let end = |end: &RequestEnd| (end.life.clone(), now - end.at);
+        SuspectNote {
+            print,
+            ends: record.ends.iter().map(end).collect(),
+            answered: record.answered_at.map(|at| now - at),
+        }
+    }
+}
--- a/tests/all/mesh.rs
+++ b/tests/all/mesh.rs
@@ -12,6 +12,7 @@
 };
 use oleandertack::pace::ReadPace;
 use oleandertack::plat::FeedEvent;
+use oleandertack::suspect::SuspectBook;
 use oleandertack::wire::encode_frame;
 
 pub const NOW: ClockTime = ClockTime(1_000_000);
@@ -183,6 +184,8 @@
         heritage: Vec::new(),
         paces: Vec::new(),
         evidence: Vec::new(),
+        suspects: Vec::new(),
+        suspects_mark: 0,
         unreached: Vec::new(),
         rules_text: None,
         roster_objects: None,
@@ -219,7 +222,9 @@
 
 impl CollectorRig {
     pub fn take(&mut self, report: NodeReport, now: ClockTime) -> MeshDigest {
+        let suspects = SuspectBook::default();
         let facts = CollectorFacts {
+            suspects: &suspects,
             rules: Some(&self.rules),
             rules_text: None,
             rules_stand: RulesStand { version: 5, vouch: None },
