Soak of a request that ends endpoints, and what it found

Cause, from its logs: an end was known only when the next life was (2.5 s later), as something before the endpoint went on accepting connections; ends that a process itself brought about one after the other counted as one moment; requests sent to endpoints that were gone already became suspects with two ends and made the verdict wait; two ends were forgotten in a kill of all.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::drive::{AttemptOutcome, CallRun};
 use crate::events::event;
+use crate::suspects::BrokenAttempt;
 use crate::work::{FirstWait, WorkGuard};
 use crate::{stream, suspects, whole};
 use actix_http::{RequestHead, ResponseHead, Version};
@@ -11,7 +12,7 @@
 use oleander_outlet::{IdleLink, LinkError, SentLink, SocketBounds};
 use oleander_pace::ReadSample;
 use oleander_place::{AnswerGrade, EndpointKey, PlaceChoice, expected_first};
-use oleander_suspect::EndedLife;
+use oleander_suspect::{BrokenTimes, EndedLife};
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -66,8 +67,15 @@
     /// Notes an attempt that broke: its endpoint may have ended under the request. One that said that it leaves
     /// ends whatever it runs.
     pub(crate) fn note_broken(&self, key: EndpointKey, end: AttemptEnd) {
-        let Some(endpoint) = self.ran_at.clone() else { return };
-        let stage = self.node.endpoints.borrow().get(key).map(|fact| fact.entry.stage);
+        let (Some((life, address)), Some(sent_at)) = (self.ran_at.clone(), self.sent_at) else {
+            return;
+        };
+        let (stage, lived_at) = {
+            let board = self.node.endpoints.borrow();
+            let fact = board.get(key);
+            let lived_at = fact.map(|fact| fact.health.good_at()).unwrap_or_default();
+            (fact.map(|fact| fact.entry.stage), lived_at)
+        };
         if stage == Some(EndpointStage::Leaving) {
             return;
         }
@@ -76,8 +84,12 @@
             AttemptEnd::Silent => false,
             AttemptEnd::NotSent | AttemptEnd::RefusedNotRun | AttemptEnd::Failed => return,
         };
+        let at = self.node.clock.now();
+        let ran = TimeSpan(sent_at.elapsed().as_millis() as u64);
+        let times = BrokenTimes { sent_at: at - ran, lived_at, at };
         let may_look = was_cut && stage.is_some();
-        suspects::note_broken(self.node, self.print, endpoint, may_look);
+        let broken = BrokenAttempt { life, address, times, may_look };
+        suspects::note_broken(self.node, self.print, broken);
     }
 
     fn first_wait(&self, choice: &PlaceChoice) -> FirstWait {
--- a/crates/front/src/events.rs
+++ b/crates/front/src/events.rs
@@ -72,7 +72,7 @@
     RequestHeld = "request_held", 40, "a request is held back at this process from now on, as endpoints ended each time they ran it: `print`, the `endpoints`, how long ago the first and the last of them ended (`first_ms`, `last_ms`)";
     RequestReleased = "request_released", 40, "a request is held back no more: it was answered, or another one explains its ends: `print`, how many ends are left (`ends`)";
     SuspectForgotten = "suspect_forgotten", 10, "a request under which an endpoint ended was forgotten, to bound the memory: `print`";
-    HeldFault = "held_fault", 10, "the record of requests that are held back could not be read from the store or written there; it is tried again: `fault`";
+    SuspectFault = "suspect_fault", 10, "the record of requests under which endpoints ended could not be read from the store or written there; it is tried again: `fault`";
     EvidenceLeftOut = "evidence_left_out", 10, "a report told of endpoints or lives that are not known here, or what cannot be true: `member`, `count`, `code`";
     EvidenceWithheld = "evidence_withheld", 10, "this process woke late (`late_ms`), and does not speak against endpoints for that time";
     MembersRead = "members_read", 10, "the other processes were read from the store: `cards`";
--- a/crates/front/src/suspects.rs
+++ b/crates/front/src/suspects.rs
@@ -6,7 +6,8 @@
 use oleander_outlet::{IdleLink, LinkError, SocketBounds};
 use oleander_place::EndpointEntry;
 use oleander_suspect::{
-    EndedLife, RequestEnd, RequestPrint, SuspectChange, SuspectNote, SuspectRecord,
+    BrokenMark, BrokenTimes, EndedLife, RequestEnd, RequestPrint, SuspectChange, SuspectNote,
+    SuspectRecord,
 };
 use std::io;
 use std::net::SocketAddr;
@@ -15,6 +16,8 @@
 
 /// How long an endpoint may take to accept a connection by which it shows that it lives.
 const LOOK_LIMIT: Duration = Duration::from_millis(400);
+/// How long it is watched whether that connection stays: ten crossings of failure domains and back.
+const LOOK_TIME: Duration = Duration::from_millis(30);
 /// How long the connection made for it is kept for the next request.
 const LOOK_KEPT: Duration = Duration::from_millis(2000);
 /// The most idle connections beside it.
@@ -48,36 +51,55 @@
     }
 }
 
+/// An attempt that broke.
+pub struct BrokenAttempt {
+    /// The life of the endpoint that it was sent to.
+    pub life: EndedLife,
+    /// Where that listens.
+    pub address: SocketAddr,
+    /// When what happened to it.
+    pub times: BrokenTimes,
+    /// Whether a connection to the endpoint may tell more: this one was cut, and the endpoint is on the list.
+    pub may_look: bool,
+}
+
 /// Notes that an attempt broke at an endpoint that did not say it leaves.
 ///
 /// Whether the endpoint ended, its list tells after some two seconds, in which the request comes again up to four
 /// times. A connection that it refuses tells at once; one that it accepts serves the next request.
-pub fn note_broken(
-    node: &Rc<FrontNode>,
-    print: RequestPrint,
-    (life, address): (EndedLife, SocketAddr),
-    was_cut: bool,
-) {
-    let now = node.clock.now();
-    if node.ends.borrow_mut().note_broken(print, &life, now) {
-        node.suspects.borrow_mut().note_end(print, RequestEnd { life, at: now });
-        settle(node);
-    } else if was_cut && node.ends.borrow_mut().begin_look(&life, now) {
-        actix_rt::spawn(look_for_end(node.clone(), life, address));
+pub fn note_broken(node: &Rc<FrontNode>, print: RequestPrint, broken: BrokenAttempt) {
+    let BrokenAttempt { life, address, times, may_look } = broken;
+    let now = times.at;
+    let mark = node.ends.borrow_mut().note_broken(print, &life, times);
+    match mark {
+        BrokenMark::Ended => {
+            node.suspects
+                .borrow_mut()
+                .note_end(print, RequestEnd { life, at: now, ran: now - times.sent_at });
+            settle(node);
+        }
+        BrokenMark::Open if may_look && node.ends.borrow_mut().begin_look(&life, now) => {
+            actix_rt::spawn(look_for_end(node.clone(), life, address));
+        }
+        BrokenMark::Open | BrokenMark::Late => {}
     }
 }
 
 async fn look_for_end(node: Rc<FrontNode>, life: EndedLife, address: SocketAddr) {
-    match IdleLink::open(address, LOOK_LIMIT, SocketBounds::default()).await {
-        Ok(link) => {
-            let lives = node.endpoints.borrow().key(&life.instance).is_some();
-            if lives {
-                node.pool.borrow_mut().put(&life.instance, link, LOOK_KEPT, LOOK_MOST);
-            }
-        }
-        Err(fault) if is_closed(&fault) => note_ended(&node, &life, "port closed"),
+    let link = match IdleLink::open(address, LOOK_LIMIT, SocketBounds::default()).await {
+        Ok(link) => link,
+        Err(fault) if is_closed(&fault) => return note_ended(&node, &life, "port closed"),
         // Whoever is silent may be cut off from here; the list tells.
-        Err(_) => {}
+        Err(_) => return,
+    };
+    actix_rt::time::sleep(LOOK_TIME).await;
+    if !link.is_quiet() {
+        // Something before the endpoint accepts connections in its place, and finds nobody there.
+        return note_ended(&node, &life, "connection closed");
+    }
+    let lives = node.endpoints.borrow().key(&life.instance).is_some();
+    if lives {
+        node.pool.borrow_mut().put(&life.instance, link, LOOK_KEPT, LOOK_MOST);
     }
 }
 
@@ -95,8 +117,7 @@
     }
     event!(node, EndpointEnded;
         "endpoint" => life.instance.as_str(), "by" => by, "under" => under.len());
-    for (print, at) in under {
-        let end = RequestEnd { life: life.clone(), at };
+    for (print, end) in under {
         node.suspects.borrow_mut().note_end(print, end);
     }
     settle(node);
--- a/crates/place/src/health.rs
+++ b/crates/place/src/health.rs
@@ -30,6 +30,7 @@
     counted_at: ClockTime,
     rests: u32,
     rests_until: ClockTime,
+    good_at: ClockTime,
 }
 
 impl HealthRecord {
@@ -39,6 +40,7 @@
         match grade {
             AnswerGrade::Good => {
                 self.good += 1.0;
+                self.good_at = now;
                 self.rests = 0;
                 self.rests_until = ClockTime(0);
             }
@@ -69,6 +71,11 @@
         bad / (good + bad + 1.0)
     }
 
+    /// When it last gave a whole, sound answer; 0 if it never did.
+    pub fn good_at(&self) -> ClockTime {
+        self.good_at
+    }
+
     /// Whether it is left alone after it could not be reached.
     pub fn rests(&self, now: ClockTime) -> bool {
         now < self.rests_until
--- a/crates/plat/src/feed.rs
+++ b/crates/plat/src/feed.rs
@@ -20,8 +20,8 @@
     Leases,
     /// Usage reports, as they were fixed before they were sent.
     UsageReports,
-    /// Requests that are held back, as endpoints ended under them.
-    HeldRequests,
+    /// Requests under which endpoints ended.
+    Suspects,
 }
 
 impl FeedKind {
@@ -33,7 +33,7 @@
             FeedKind::Members => "members",
             FeedKind::Leases => "leases",
             FeedKind::UsageReports => "usage_reports",
-            FeedKind::HeldRequests => "held_requests",
+            FeedKind::Suspects => "suspects",
         }
     }
 }
--- a/crates/suspect/src/blame.rs
+++ b/crates/suspect/src/blame.rs
@@ -12,7 +12,7 @@
 /// From so many moments on a request may be what ended an endpoint under another one too. Nearly all that ran
 /// beside a request at fault have one.
 const PLAUSIBLE_MOMENTS: usize = 2;
-/// Moments that a request must have for itself, no other plausible one beside it. Without this, 8 of 224,377
+/// Moments that a request must have for itself, none beside it that has as many or one less. Without this, 8 of 224,377
 /// honest requests were refused in 400 plays of two requests that end three endpoints a second of nine; with it
 /// and [`TOLD_WITHIN`] 1 of 219,055, for 11 in 100 more ends (`suspect::no_honest_request_is_held_back`).
 const LEAST_OWN: usize = 1;
@@ -58,7 +58,8 @@
         if self.moments() >= MOST_TIED_MOMENTS {
             return true;
         }
-        let shared = others.clone().flat_map(Candidate::lives).collect();
+        let is_near = |other: &&Candidate<'_>| other.moments() + 1 >= self.moments();
+        let shared = others.clone().filter(is_near).flat_map(Candidate::lives).collect();
         let mut others = others;
         self.moments_without(&shared) >= LEAST_OWN
             && !others.any(|other| self.is_rivalled_by(other))
--- a/crates/suspect/src/book.rs
+++ b/crates/suspect/src/book.rs
@@ -115,8 +115,9 @@
         {
             self.untold.insert(print);
         }
-        for (life, age) in note.ends.iter().filter(|(_, age)| *age < ENDS_KEPT) {
-            record.note_end(RequestEnd { life: life.clone(), at: now - *age });
+        for end in note.ends.iter().filter(|end| end.age < ENDS_KEPT) {
+            let (life, at) = (end.life.clone(), now - end.age);
+            record.note_end(RequestEnd { life, at, ran: end.ran });
         }
     }
 
--- a/crates/suspect/src/lib.rs
+++ b/crates/suspect/src/lib.rs
@@ -20,5 +20,7 @@
 pub use blame::{LEAST_MOMENTS, MOST_TIED_MOMENTS, blame};
 pub use book::{SuspectBook, SuspectChange};
 pub use print::{RequestContent, RequestPrint};
-pub use record::{ANSWER_COVERS, ENDS_KEPT, EndedLife, RequestEnd, SuspectNote, SuspectRecord};
-pub use watch::EndWatch;
+pub use record::{
+    ANSWER_COVERS, ENDS_KEPT, EndNote, EndedLife, RequestEnd, SuspectNote, SuspectRecord,
+};
+pub use watch::{BrokenMark, BrokenTimes, EndWatch};
--- a/crates/suspect/src/record.rs
+++ b/crates/suspect/src/record.rs
@@ -10,9 +10,8 @@
 /// A request that was answered is not to blame for ends up to this much later: a key that many ask for runs
 /// at several endpoints at once, and all of them may lose their power together.
 pub const ANSWER_COVERS: TimeSpan = TimeSpan(30_000);
-/// Ends within this time of one another are one moment: the loss of a failure domain, or copies of a request
-/// that were under way together. A caller that sends a request again has lost its answer first, which takes the
-/// request's own time and a crossing of the network.
+/// Ends within this time of one another are one moment, if the request was at both endpoints then: the loss of a
+/// failure domain, or copies of a request that were under way together.
 const MOMENT: TimeSpan = TimeSpan(100);
 
 /// A life of an endpoint that ended.
@@ -33,6 +32,15 @@
     pub life: EndedLife,
     /// When the request's connection broke.
     pub at: ClockTime,
+    /// How long before that it was sent there.
+    pub ran: TimeSpan,
+}
+
+impl RequestEnd {
+    /// Whether the request was sent after `other`, so that both are not one moment.
+    fn follows(&self, other: &RequestEnd) -> bool {
+        self.at - self.ran >= other.at
+    }
 }
 
 /// What all processes saw of one request.
@@ -98,25 +106,39 @@
 /// How many moments `ends` are, which are in the order of their times.
 pub fn count_moments<'a>(ends: impl IntoIterator<Item = &'a RequestEnd>) -> usize {
     let mut moments = 0;
-    let mut since = None;
+    let mut first: Option<&RequestEnd> = None;
     for end in ends {
-        if since.is_none_or(|since| end.at - since > MOMENT) {
+        if first.is_none_or(|first| end.at - first.at > MOMENT || end.follows(first)) {
             moments += 1;
-            since = Some(end.at);
+            first = Some(end);
         }
     }
     moments
 }
 
+/// An end as one process tells another of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndNote {
+    /// Whose end.
+    #[serde(rename = "l")]
+    pub life: EndedLife,
+    /// How long ago it was.
+    #[serde(rename = "g")]
+    pub age: TimeSpan,
+    /// How long the request had run there.
+    #[serde(rename = "r")]
+    pub ran: TimeSpan,
+}
+
 /// What one process tells another of a request. Ages, as the processes' clocks differ.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectNote {
     /// The request.
     #[serde(rename = "p")]
     pub print: RequestPrint,
-    /// Lives that ended under it, and how long ago.
+    /// Lives that ended under it.
     #[serde(rename = "e")]
-    pub ends: Vec<(EndedLife, TimeSpan)>,
+    pub ends: Vec<EndNote>,
     /// How long ago it was answered.
     #[serde(rename = "a")]
     pub answered: Option<TimeSpan>,
@@ -125,7 +147,8 @@
 impl SuspectNote {
     /// What `record` says at `now`.
     pub fn of(print: RequestPrint, record: &SuspectRecord, now: ClockTime) -> Self {
-        let end = |end: &RequestEnd| (end.life.clone(), now - end.at);
+        let end =
+            |end: &RequestEnd| EndNote { life: end.life.clone(), age: now - end.at, ran: end.ran };
         SuspectNote {
             print,
             ends: record.ends.iter().map(end).collect(),
--- a/crates/suspect/src/watch.rs
+++ b/crates/suspect/src/watch.rs
@@ -1,7 +1,7 @@
 //! Attempts that broke, until it is known whether their endpoints ended.
 
 use crate::print::RequestPrint;
-use crate::record::EndedLife;
+use crate::record::{EndedLife, RequestEnd};
 use oleander_kind::{ClockTime, TimeSpan};
 use std::collections::VecDeque;
 
@@ -17,8 +17,30 @@
 #[derive(Clone, Debug)]
 struct BrokenRun {
     print: RequestPrint,
-    life: EndedLife,
-    at: ClockTime,
+    end: RequestEnd,
+}
+
+/// When what happened to an attempt that broke.
+#[derive(Clone, Copy, Debug)]
+pub struct BrokenTimes {
+    /// When it was sent.
+    pub sent_at: ClockTime,
+    /// When its endpoint last gave a whole answer here: what broke there before was not its end.
+    pub lived_at: ClockTime,
+    /// When it broke.
+    pub at: ClockTime,
+}
+
+/// What an attempt that broke says of its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BrokenMark {
+    /// Its endpoint is known to have ended: the request ran there.
+    Ended,
+    /// Nothing until the endpoint is known to have ended.
+    Open,
+    /// Nothing: something had broken there before it was sent. Requests that are sent to an endpoint that has
+    /// ended break as well, and none of them ended it.
+    Late,
 }
 
 /// Attempts of this process that broke, and endpoints that ended a moment ago.
@@ -34,14 +56,27 @@
 }
 
 impl EndWatch {
-    /// Notes that an attempt at `life` broke; says whether that life is known to have ended.
-    pub fn note_broken(&mut self, print: RequestPrint, life: &EndedLife, at: ClockTime) -> bool {
+    /// Notes that an attempt at `life` broke.
+    pub fn note_broken(
+        &mut self,
+        print: RequestPrint,
+        life: &EndedLife,
+        times: BrokenTimes,
+    ) -> BrokenMark {
+        let BrokenTimes { sent_at, lived_at, at } = times;
         self.sweep(at);
+        let before = |end: &RequestEnd| lived_at < end.at && end.at < sent_at;
+        let was_broken = |broken: &BrokenRun| broken.end.life == *life && before(&broken.end);
+        let was_ended = |(ended, since): &(EndedLife, ClockTime)| ended == life && *since < sent_at;
+        if self.broken.iter().any(was_broken) || self.ended.iter().any(was_ended) {
+            return BrokenMark::Late;
+        }
         if self.ended.iter().any(|(ended, _)| ended == life) {
-            return true;
+            return BrokenMark::Ended;
         }
-        push_bounded(&mut self.broken, BrokenRun { print, life: life.clone(), at });
-        false
+        let end = RequestEnd { life: life.clone(), at, ran: at - sent_at };
+        push_bounded(&mut self.broken, BrokenRun { print, end });
+        BrokenMark::Open
     }
 
     /// Notes that `life` ended; gives the requests whose attempts broke there, and when.
@@ -49,15 +84,15 @@
         &mut self,
         life: &EndedLife,
         now: ClockTime,
-    ) -> Vec<(RequestPrint, ClockTime)> {
+    ) -> Vec<(RequestPrint, RequestEnd)> {
         self.sweep(now);
         if self.ended.iter().all(|(ended, _)| ended != life) {
             push_bounded(&mut self.ended, (life.clone(), now));
         }
-        let is_under = |broken: &BrokenRun| broken.life == *life;
+        let is_under = |broken: &BrokenRun| broken.end.life == *life;
         let (under, others): (VecDeque<_>, _) = self.broken.drain(..).partition(is_under);
         self.broken = others;
-        under.into_iter().map(|broken| (broken.print, broken.at)).collect()
+        under.into_iter().map(|broken| (broken.print, broken.end)).collect()
     }
 
     /// Whether somebody should look whether `life` has ended; no if somebody did a moment ago.
@@ -71,7 +106,7 @@
     }
 
     fn sweep(&mut self, now: ClockTime) {
-        self.broken.retain(|broken| now - broken.at < TOGETHER);
+        self.broken.retain(|broken| now - broken.end.at < TOGETHER);
         self.ended.retain(|(_, at)| now - *at < TOGETHER);
     }
 }
--- a/tests/all/ending.rs
+++ b/tests/all/ending.rs
@@ -213,6 +213,26 @@
     });
 }
 
+#[test]
+fn two_ends_are_remembered_through_a_kill_of_all_processes() {
+    // Two endpoints have ended under a request when all processes are killed, and that is so again and again: the
+    // third end must find what was known of the first two.
+    play(async {
+        let mut play = EndingPlay::start().await;
+        let body = format!("{FATAL} 1");
+
+        for _ in 0..5 {
+            play.repeat("/once/f", &body, 2).await;
+            sleep(Duration::from_secs(1)).await;
+            play.kill(&[0, 1, 2, 3, 4]).await;
+            sleep(CONTACT).await;
+        }
+
+        play.assert_bounded(&body);
+        play.assert_honest_unharmed();
+    });
+}
+
 #[test]
 fn a_request_that_many_ask_for_is_not_held_back_for_losses_of_all_endpoints() {
     // One key is asked for by many callers, with the same content each time, at all processes. All endpoints lose
--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 fn settings(seed: u64) -> SoakSettings {
-    let folder = std::env::temp_dir().join(format!("oleander-soak-ci-{}", std::process::id()));
+    let folder =
+        std::env::temp_dir().join(format!("oleander-soak-ci-{}-{seed}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a folder for logs");
     SoakSettings {
         seed,
@@ -32,3 +33,17 @@
     assert!(!report.made.is_empty());
     std::fs::remove_dir_all(settings.folder).expect("the logs of a run that passed");
 }
+
+/// A caller's request ends each endpoint that runs it and comes again at any process, while processes are killed
+/// and paused: it is held back once three have ended, and nobody else's request is.
+#[test]
+fn a_request_that_ends_endpoints_is_held_back_through_a_short_series_of_faults() {
+    let settings = settings(8001);
+
+    let report = actix_rt::System::new().block_on(run_seed(&settings)).expect("it starts");
+
+    assert!(report.broken.is_empty(), "{:#?}\n{:#?}", report.broken, report.made);
+    assert!(report.counts.0 > 100, "{:?}", report.counts);
+    assert!(report.ends >= 3, "{} endpoints ended", report.ends);
+    std::fs::remove_dir_all(settings.folder).expect("the logs of a run that passed");
+}
--- a/tests/all/suspect.rs
+++ b/tests/all/suspect.rs
@@ -4,8 +4,8 @@
 use oleandertack::kind::hash::mix_bits;
 use oleandertack::kind::{AccountName, ClockTime, TimeSpan};
 use oleandertack::suspect::{
-    ANSWER_COVERS, ENDS_KEPT, EndWatch, EndedLife, RequestContent, RequestEnd, RequestPrint,
-    SuspectBook, SuspectChange, SuspectNote,
+    ANSWER_COVERS, BrokenMark, BrokenTimes, ENDS_KEPT, EndNote, EndWatch, EndedLife,
+    RequestContent, RequestEnd, RequestPrint, SuspectBook, SuspectChange, SuspectNote,
 };
 use std::collections::BTreeSet;
 
@@ -25,7 +25,7 @@
 
 /// The end of endpoint `number`, `ms` after the start.
 fn end(number: usize, ms: u64) -> RequestEnd {
-    RequestEnd { life: life(number), at: START + TimeSpan(ms) }
+    RequestEnd { life: life(number), at: START + TimeSpan(ms), ran: TimeSpan(50) }
 }
 
 /// A book in which each endpoint ended a second after the one before, under the requests named.
@@ -117,13 +117,21 @@
 
 #[test]
 fn ends_of_one_moment_count_once() {
-    // A failure domain loses its power: all copies of a request that many ask for break at once.
-    let mut book = SuspectBook::default();
-
-    (0..5).for_each(|number| book.note_end(print("h"), end(number, 20 * number as u64)));
-    book.settle(START + TimeSpan(1000));
+    // A failure domain loses its power: all copies of a request that many ask for break at once. A process that
+    // sends a request on as soon as it broke is another matter: the next endpoint ended after that.
+    let mut together = SuspectBook::default();
+    let mut in_turn = SuspectBook::default();
+
+    for number in 0..5 {
+        let end = end(number, 20 * number as u64);
+        together.note_end(print("h"), end.clone());
+        in_turn.note_end(print("f"), RequestEnd { ran: TimeSpan(15), ..end });
+    }
+    together.settle(START + TimeSpan(1000));
+    in_turn.settle(START + TimeSpan(1000));
 
-    assert_eq!(held(&book), prints(&[]));
+    assert_eq!(held(&together), prints(&[]));
+    assert_eq!(held(&in_turn), prints(&["f"]));
 }
 
 #[test]
@@ -192,18 +200,30 @@
 #[test]
 fn a_broken_attempt_counts_once_its_endpoint_is_known_to_have_ended() {
     // Connections break at endpoints that live on: these attempts never count, however many there are. Of one that
-    // ended, news may come before or after the break.
+    // ended, news may come before or after the break. What is sent there after something broke did not end it,
+    // unless the endpoint answered in between.
     let mut watch = EndWatch::default();
     let at = |ms| START + TimeSpan(ms);
 
-    let early = watch.note_broken(print("f"), &life(0), at(0));
-    let other = watch.note_broken(print("h"), &life(1), at(0));
+    let times = |sent, lived, broke| BrokenTimes {
+        sent_at: at(sent),
+        lived_at: if lived == 0 { ClockTime(0) } else { at(lived) },
+        at: at(broke),
+    };
+
+    let early = watch.note_broken(print("f"), &life(0), times(0, 0, 40));
+    let other = watch.note_broken(print("h"), &life(1), times(0, 0, 40));
+    let beside = watch.note_broken(print("g"), &life(0), times(10, 0, 41));
+    let later = watch.note_broken(print("k"), &life(0), times(60, 0, 70));
+    let after_answer = watch.note_broken(print("k"), &life(1), times(60, 50, 70));
     let under = watch.note_ended(&life(0), at(2200));
-    let late = watch.note_broken(print("g"), &life(0), at(2300));
+    let late = watch.note_broken(print("m"), &life(0), times(20, 0, 2300));
     let too_late = watch.note_ended(&life(1), at(9000));
 
-    assert!(!early && !other && late);
-    assert_eq!(under, vec![(print("f"), at(0))]);
+    assert_eq!([early, other, beside, after_answer], [BrokenMark::Open; 4]);
+    assert_eq!((later, late), (BrokenMark::Late, BrokenMark::Ended));
+    let under: Vec<_> = under.into_iter().map(|(print, end)| (print, end.at)).collect();
+    assert_eq!(under, vec![(print("f"), at(40)), (print("g"), at(41))]);
     assert_eq!(too_late, vec![]);
 }
 
@@ -224,19 +244,17 @@
         let now = START + TimeSpan(100_000);
         let mut notes: Vec<SuspectNote> = Vec::new();
         for _ in 0..u.int_in_range(1..=12)? {
-            let ends = (0..u.int_in_range(0..=3)?)
-                .map(|_| {
-                    Ok((life(u.int_in_range(0..=6)?), TimeSpan(u.int_in_range(0..=90)? * 1000)))
-                })
-                .collect::<Result<Vec<_>, arbtest::arbitrary::Error>>()?;
             // An end has one time, whoever tells of it.
-            let ends = ends.into_iter().map(|(life, _)| {
-                let number: u64 = life.instance.as_str()[2..].parse().expect("a number");
-                (life, TimeSpan(90_000 - number * 7000))
-            });
+            let end = |number: usize| EndNote {
+                life: life(number),
+                age: TimeSpan(90_000 - number as u64 * 7000),
+                ran: TimeSpan(50),
+            };
+            let numbers = (0..u.int_in_range(0..=3)?).map(|_| u.int_in_range(0..=6));
+            let ends = numbers.map(|number| number.map(end)).collect::<Result<Vec<_>, _>>()?;
             let answered = u.ratio(1, 6)?.then_some(TimeSpan(50_000));
             let body = ["f", "g", "h"][u.int_in_range(0..=2)?];
-            notes.push(SuspectNote { print: print(body), ends: ends.collect(), answered });
+            notes.push(SuspectNote { print: print(body), ends, answered });
         }
         let mut one = SuspectBook::default();
         let mut other = SuspectBook::default();
@@ -360,7 +378,8 @@
         self.endpoints[at] = FleetEndpoint { life: self.lives, back_at, runs: Vec::new() };
         for run in endpoint.runs {
             self.ended.push((run.print, self.now));
-            let end = RequestEnd { life: life(endpoint.life), at: self.now };
+            let ran = self.now - run.began_at;
+            let end = RequestEnd { life: life(endpoint.life), at: self.now, ran };
             // Its own look at the port tells most often, else the list.
             let delay = if self.draw(10) == 0 { 2200 } else { 2 + self.draw(20) };
             if run.fatal || self.now - run.began_at <= TimeSpan(1000) {
