Read over: one copy of connection bounds, no stale sending time of an attempt, figures of the final rules

Cause, read in the whole change: an attempt that hung while it connected would have been noted with the sending time of the one before it (its request would count as having run at an endpoint that it never reached); three bounds of connections stood twice; a comment gave the figure of an earlier variant. Ruled out: nothing else changes what is decided.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -20,14 +20,14 @@
 
 /// Time to make a connection to an endpoint: a lost opening packet is sent again after a second,
 /// and by then another endpoint has answered.
-const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+pub(crate) const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 /// How long an idle connection to an endpoint is kept if the endpoint does not say.
-const IDLE_KEPT: Duration = Duration::from_millis(2000);
+pub(crate) const IDLE_KEPT: Duration = Duration::from_millis(2000);
 /// The part of an endpoint's own idle time that is used, so that it does not close a connection
 /// while a request is on its way on it.
 const IDLE_PART: f64 = 0.6;
 /// The most idle connections to one endpoint.
-const IDLE_MOST: usize = 32;
+pub(crate) const IDLE_MOST: usize = 32;
 
 /// A kept connection that its endpoint had closed already ends within this time: two crossings of failure
 /// domains take 3 ms, and the shortest work of an endpoint some 15.
@@ -49,6 +49,7 @@
         self.current = Some(target.key);
         self.endpoint = Some(target.life.instance.clone());
         self.ran_at = Some((target.life.clone(), target.address));
+        self.sent_at = None;
         self.chosen = Some(choice);
         self.note_list_age();
         self.note_demand(&choice);
--- a/crates/front/src/suspects.rs
+++ b/crates/front/src/suspects.rs
@@ -1,5 +1,6 @@
 //! Requests under which endpoints end: notes what attempts show of them, and says which are held back.
 
+use crate::attempt::{CONNECT_LIMIT, IDLE_KEPT, IDLE_MOST};
 use crate::events::event;
 use crate::node::FrontNode;
 use oleander_kind::TimeSpan;
@@ -14,14 +15,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// How long an endpoint may take to accept a connection by which it shows that it lives.
-const LOOK_LIMIT: Duration = Duration::from_millis(400);
-/// How long it is watched whether that connection stays: ten crossings of failure domains and back.
+/// How long it is watched whether a connection to an endpoint stays: ten crossings of failure domains and back.
 const LOOK_TIME: Duration = Duration::from_millis(30);
-/// How long the connection made for it is kept for the next request.
-const LOOK_KEPT: Duration = Duration::from_millis(2000);
-/// The most idle connections beside it.
-const LOOK_MOST: usize = 32;
 
 /// The life of an endpoint as its entry says.
 pub fn life_of(entry: &EndpointEntry) -> EndedLife {
@@ -86,7 +81,7 @@
 }
 
 async fn look_for_end(node: Rc<FrontNode>, life: EndedLife, address: SocketAddr) {
-    let link = match IdleLink::open(address, LOOK_LIMIT, SocketBounds::default()).await {
+    let link = match IdleLink::open(address, CONNECT_LIMIT, SocketBounds::default()).await {
         Ok(link) => link,
         Err(fault) if is_closed(&fault) => return note_ended(&node, &life, "port closed"),
         // Whoever is silent may be cut off from here; the list tells.
@@ -99,7 +94,7 @@
     }
     let lives = node.endpoints.borrow().key(&life.instance).is_some();
     if lives {
-        node.pool.borrow_mut().put(&life.instance, link, LOOK_KEPT, LOOK_MOST);
+        node.pool.borrow_mut().put(&life.instance, link, IDLE_KEPT, IDLE_MOST);
     }
 }
 
--- a/crates/suspect/src/blame.rs
+++ b/crates/suspect/src/blame.rs
@@ -12,9 +12,9 @@
 /// From so many moments on a request may be what ended an endpoint under another one too. Nearly all that ran
 /// beside a request at fault have one.
 const PLAUSIBLE_MOMENTS: usize = 2;
-/// Moments that a request must have for itself, none beside it that has as many or one less. Without this, 8 of 224,377
-/// honest requests were refused in 400 plays of two requests that end three endpoints a second of nine; with it
-/// and [`TOLD_WITHIN`] 1 of 219,055, for 11 in 100 more ends (`suspect::no_honest_request_is_held_back`).
+/// Moments that a request must have for itself, none beside it that has as many or one less. Without this and
+/// [`TOLD_WITHIN`], 8 of 224,377 honest requests were refused in 400 plays of two requests that end three endpoints a
+/// second of nine; with both, none (`suspect::no_honest_request_is_held_back_beside_requests_that_end_endpoints`).
 const LEAST_OWN: usize = 1;
 /// Requests that were always together cannot be told apart: one is innocent, and each further end most likely
 /// parts them. From so many moments on they are held back together; a request may reach endpoints three
@@ -53,7 +53,7 @@
         other.moments() >= self.moments() && other.moments_without(&lives) < LEAST_MOMENTS
     }
 
-    /// Whether it is to blame, whatever else is learnt of `others`.
+    /// Whether it is to blame, and none of `others` in its place.
     fn is_sure<'b>(&self, others: impl Iterator<Item = &'b Candidate<'b>> + Clone) -> bool {
         if self.moments() >= MOST_TIED_MOMENTS {
             return true;
@@ -75,13 +75,13 @@
     now: ClockTime,
 ) -> BTreeSet<RequestPrint> {
     let is_told = |end: &&RequestEnd| now - end.at >= TOLD_WITHIN;
-    let candidate = |print: &RequestPrint, record| -> Candidate<'_> {
-        Candidate {
+    let mut open: Vec<Candidate<'_>> = records
+        .iter()
+        .map(|(print, record)| Candidate {
             print: *print,
-            ends: SuspectRecord::ends(record).iter().filter(is_told).collect(),
-        }
-    };
-    let mut open: Vec<_> = records.iter().map(|(print, record)| candidate(print, record)).collect();
+            ends: record.ends().iter().filter(is_told).collect(),
+        })
+        .collect();
     let mut blamed = BTreeSet::new();
     loop {
         open.retain(|candidate| candidate.moments() >= PLAUSIBLE_MOMENTS);
--- a/crates/suspect/src/watch.rs
+++ b/crates/suspect/src/watch.rs
@@ -79,7 +79,7 @@
         BrokenMark::Open
     }
 
-    /// Notes that `life` ended; gives the requests whose attempts broke there, and when.
+    /// Notes that `life` ended; gives the requests whose attempts broke there.
     pub fn note_ended(
         &mut self,
         life: &EndedLife,
