Sight: what each process let in of an account near its limit, and what the collector counted

No line told by which news a process judged an account, how much it let in, or how much of that the collector knew. Once a second account_spent (tokens, further attempts, room, age of the news) and account_window (spent, capacity, spenders) tell it, for accounts near their limits only.

--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -270,6 +270,7 @@
                 self.chosen = Some(choice);
                 return self.answer.refuse(ResultCode::Overloaded, Some(back_in)).await;
             }
+            self.note_sent_again();
             match self.attempt(choice).await {
                 AttemptOutcome::Delivered => return Ok(()),
                 AttemptOutcome::CallerGone => return Err(io::ErrorKind::ConnectionAborted.into()),
@@ -282,6 +283,17 @@
         }
     }
 
+    /// Counts the tokens of an attempt after the first.
+    fn note_sent_again(&self) {
+        let Some(account) = self.account.as_ref().filter(|_| self.record.may_have_run()) else {
+            return;
+        };
+        self.node
+            .spend_diary
+            .borrow_mut()
+            .note_sent_again(account, self.call.tokens.map_or(0, TokenCount::total));
+    }
+
     /// Judges an attempt that ended; an outcome if the request is over.
     async fn after(&mut self, end: AttemptEnd, own: Option<OwnAnswer>) -> Option<CallOutcome> {
         self.record.note(end);
--- a/crates/front/src/events.rs
+++ b/crates/front/src/events.rs
@@ -51,6 +51,8 @@
     RequestRefused = "request_refused", 60, "a request was refused or failed: `print` as in `request_done`, `code`, `name`, `status`, `sent` attempts, `may_have_run`, `total_ms`, `rules` version and whether they were `fresh`; `ahead` and `running` as in `request_done`";
     RequestCut = "request_cut", 60, "an answer could not be finished, or its caller left: `print` as in `request_done`, `why`, `sent`, `last_event`, `total_ms`";
     RequestOverLimit = "request_over_limit", 30, "an account is at its limit: `account`, `tokens`, `retry_ms`";
+    AccountSpent = "account_spent", 100, "what this process let in of an account that is near its limit, in the last second: `account`, `tokens`, of further attempts besides (`sent_again`), the `room` that it still expects, and how old the collector's news are by which it judges (`news_ms`; none: it goes by its own part)";
+    AccountWindow = "account_window", 60, "what the collector has counted of an account that is near its limit, over its window: `account`, tokens `spent` and the `capacity`, how many `spenders` it hears";
     AttemptEnded = "attempt_ended", 80, "an attempt brought no whole answer: `print` as in `request_done`, `endpoint`, how long it had run there (`ran_ms`), `end`, `sent` so far, `last_event` shown, `again` if another may be tried, `list_ms` as in `request_done`";
     AttemptFault = "attempt_fault", 80, "a connection to an endpoint failed: `endpoint`, `fault`";
     StreamResumed = "stream_resumed", 40, "a stream goes on at another endpoint: `endpoint`, `last_event`";
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod evidence;
 pub mod feeds;
 pub mod ingress;
+pub mod limits;
 pub mod mesh;
 pub mod meter;
 pub mod node;
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::events::{EventBudget, event};
 use crate::evidence::EvidenceOutbox;
+use crate::limits::SpendDiary;
 use crate::mesh::state::MeshState;
 use crate::meter::FrontMeter;
 use crate::port::PlatformDialect;
@@ -89,6 +90,8 @@
     pub pool: RefCell<LinkPool>,
     /// Account limits.
     pub limits: RefCell<PoolGate>,
+    /// What the log was told of them.
+    pub spend_diary: RefCell<SpendDiary>,
     /// Requests that began to run, by window and account.
     pub usage: RefCell<UsageBook>,
     /// What was asked of the services since this process began.
@@ -161,6 +164,7 @@
             prefixes: RefCell::default(),
             pool: RefCell::default(),
             limits: RefCell::default(),
+            spend_diary: RefCell::default(),
             usage: RefCell::new(UsageBook::new(window)),
             demand: RefCell::default(),
             offered: RefCell::default(),
--- a/crates/front/src/process.rs
+++ b/crates/front/src/process.rs
@@ -3,7 +3,7 @@
 use crate::events::event;
 use crate::node::FrontNode;
 use crate::port::PlatformDialect;
-use crate::{admin, discover, duties, feeds, ingress, mesh, reload, suspect_store};
+use crate::{admin, discover, duties, feeds, ingress, limits, mesh, reload, suspect_store};
 use actix_web::{App, HttpResponse, web};
 use oleander_board::{NodeClock, StopStage};
 use oleander_conf::FrontSettings;
@@ -79,6 +79,7 @@
         actix_rt::spawn(feeds::follow_rules(node.clone())),
         actix_rt::spawn(feeds::follow_endpoints(node.clone())),
         actix_rt::spawn(sweep(node.clone())),
+        actix_rt::spawn(limits::tell_limits(node.clone())),
         actix_rt::spawn(mesh::report_period(node.clone(), hub)),
         actix_rt::spawn(discover::keep_discovered(node.clone())),
         actix_rt::spawn(suspect_store::keep_suspects(node.clone())),
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -8,5 +8,8 @@
 pub mod share;
 
 pub use owner::{DemandReport, LimitOwner, ShareGrant};
-pub use pool::{LevelNews, PoolGate, PoolLedger, PoolLimit, PoolSpender, SpendCount, SpentSlots};
+pub use pool::{
+    GateStand, LevelNews, PoolGate, PoolLedger, PoolLimit, PoolSpender, SpendCount, SpentSlots,
+    WindowStand,
+};
 pub use share::{AccountLimits, LimitGate, LimitVerdict};
--- a/crates/limit/src/pool.rs
+++ b/crates/limit/src/pool.rs
@@ -129,6 +129,11 @@
         self.accounts.iter().map(|(name, state)| (name, state.count()))
     }
 
+    /// How each account stands here.
+    pub fn stands(&self, now: ClockTime) -> impl Iterator<Item = (&AccountName, GateStand)> {
+        self.accounts.iter().map(move |(name, state)| (name, state.stand(now)))
+    }
+
     /// Takes the ledger's news of an account.
     pub fn take_news(&mut self, account: &AccountName, news: LevelNews, now: ClockTime) {
         let state = self.accounts.entry(account.clone()).or_default();
@@ -153,7 +158,33 @@
     }
 }
 
+/// How an account stands at one process.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct GateStand {
+    /// Tokens let in since the process began.
+    pub spent: u64,
+    /// Tokens that it still expects to let in.
+    pub room: i64,
+    /// How old the news are by which it judges; none if it goes by its own part.
+    pub news_age: Option<TimeSpan>,
+    /// Whether the account is near its limit, or may be.
+    pub presses: bool,
+}
+
 impl GateAccount {
+    fn stand(&self, now: ClockTime) -> GateStand {
+        let expected = self.expected_room(now);
+        let known = self.known.as_ref().filter(|_| expected.is_some());
+        let window = known.map(|known| known.news.profile.iter().sum::<u32>());
+        let room = expected.map_or(self.own_level, |(room, _)| room) as i64;
+        GateStand {
+            spent: self.spent,
+            room,
+            news_age: known.map(|known| now - known.at),
+            presses: window.is_none_or(|window| i64::from(window) > room),
+        }
+    }
+
     fn count(&self) -> SpendCount {
         let acked = self.known.as_ref().map_or(0, |known| known.news.counted);
         SpendCount { tokens: self.spent, acked }
@@ -233,6 +264,8 @@
     /// The part of the window that is taken for spent, evenly, before the ledger began.
     prior_part: f64,
     total: SpendRate,
+    /// What is let into a window by the processes that report.
+    capacity: f64,
     spenders: BTreeMap<InstanceId, SpenderState>,
 }
 
@@ -252,9 +285,45 @@
     /// Windows as the last ledger told them.
     known: BTreeMap<AccountName, SpentSlots>,
     began_at: ClockTime,
+    /// For how long spending counts.
+    length: TimeSpan,
+}
+
+/// What a ledger has counted of an account over its window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WindowStand {
+    /// Tokens spent.
+    pub spent: u64,
+    /// Tokens that it lets in.
+    pub capacity: u64,
+    /// Processes that reported.
+    pub spenders: usize,
+}
+
+impl WindowStand {
+    /// Whether the account is near its limit.
+    pub fn presses(&self) -> bool {
+        self.spent * 2 > self.capacity
+    }
 }
 
 impl PoolLedger {
+    /// How the windows stand.
+    pub fn windows(&self, now: ClockTime) -> impl Iterator<Item = (&AccountName, WindowStand)> {
+        let stand = move |owned: &LedgerAccount| WindowStand {
+            spent: (owned.sum() + owned.prior_part * self.prior_left(now) * owned.capacity) as u64,
+            capacity: owned.capacity as u64,
+            spenders: owned.spenders.len(),
+        };
+        self.accounts.iter().map(move |(name, owned)| (name, stand(owned)))
+    }
+
+    /// The part of a window before the ledger began that has not left it.
+    fn prior_left(&self, now: ClockTime) -> f64 {
+        let length = self.length.0 as f64;
+        (length - (now - self.began_at).0 as f64).max(0.0) / length.max(1.0)
+    }
+
     /// Whether anything was told or reported of `account`.
     pub fn knows(&self, account: &AccountName) -> bool {
         self.accounts.contains_key(account) || self.known.contains_key(account)
@@ -264,7 +333,7 @@
     /// account that is at its limit in for another whole window after every change of the ledger.
     pub fn begin(known: Vec<(AccountName, SpentSlots)>, now: ClockTime) -> Self {
         let known = known.into_iter().collect();
-        PoolLedger { accounts: BTreeMap::new(), known, began_at: now }
+        PoolLedger { accounts: BTreeMap::new(), known, began_at: now, length: TimeSpan(0) }
     }
 
     /// Takes what `spender` has let in of `account` since it began, and tells it the room. `part`
@@ -293,6 +362,8 @@
         let capacity = whole * part;
         let prior = owned.prior_part * capacity;
         let prior_left = length.0.saturating_sub((now - self.began_at).0) as f64 / length.0 as f64;
+        self.length = length;
+        owned.capacity = capacity;
         let prior_freed = if prior_left > 0.0 { prior * 1000.0 / length.0 as f64 } else { 0.0 };
         let state = owned.spenders.get(&spender.instance).copied().unwrap_or_default();
         let (total, own) = (owned.total.now(now), state.rate.now(now));
--- a/crates/mesh/src/collector.rs
+++ b/crates/mesh/src/collector.rs
@@ -9,7 +9,7 @@
 use crate::view::MeshView;
 use oleander_call::RuleSet;
 use oleander_kind::{AccountName, ClockTime, InstanceId, ServiceName, TimeSpan};
-use oleander_limit::{PoolLedger, PoolLimit, PoolSpender, SpendCount, SpentSlots};
+use oleander_limit::{PoolLedger, PoolLimit, PoolSpender, SpendCount, SpentSlots, WindowStand};
 use oleander_list::{RosterBook, RosterState};
 use oleander_pace::{ReadPace, join_paces};
 use oleander_plat::FeedObject;
@@ -130,6 +130,11 @@
         self.judge.judge(services, now)
     }
 
+    /// What is counted of each account.
+    pub fn windows(&self, now: ClockTime) -> impl Iterator<Item = (&AccountName, WindowStand)> {
+        self.ledger.windows(now)
+    }
+
     /// Since when it collects.
     pub fn began_at(&self) -> ClockTime {
         self.began_at
