--- a/tests/all/pool.rs
+++ b/tests/all/pool.rs
@@ -33,6 +33,8 @@
     /// Processes that the ledger does not hear.
     cut: Vec<usize>,
     spent: Vec<(u64, u64)>,
+    /// Tokens of the requests, by turns.
+    sizes: &'static [u64],
     asked: u64,
     refused: u64,
     owed: f64,
@@ -47,6 +49,7 @@
         aside: None,
         cut: Vec::new(),
         spent: Vec::new(),
+        sizes: &[TOKENS],
         asked: 0,
         refused: 0,
         owed: 0.0,
@@ -64,8 +67,8 @@
         for _ in 0..ms {
             self.now += 1;
             self.owed += self.rate as f64 * times / 1000.0;
-            while self.owed >= TOKENS as f64 {
-                self.owed -= TOKENS as f64;
+            while self.owed >= self.next_size() as f64 {
+                self.owed -= self.next_size() as f64;
                 self.ask();
             }
             for at in 0..self.gates.len() {
@@ -77,14 +80,19 @@
         }
     }
 
+    fn next_size(&self) -> u64 {
+        self.sizes[self.asked as usize % self.sizes.len()]
+    }
+
     fn ask(&mut self) {
+        let tokens = self.next_size();
         self.asked += 1;
         let turn = self.asked * self.asked * 7 + self.asked;
         // A third of all requests come to the first process.
         let at = if self.asked.is_multiple_of(3) { 0 } else { turn as usize % self.gates.len() };
         let processes = (self.gates.len() as u32, ClockTime(self.now));
-        match self.gates[at].admit(&account(), &limit(self.rate), TOKENS, processes) {
-            LimitVerdict::Pass => self.spent.push((self.now, TOKENS)),
+        match self.gates[at].admit(&account(), &limit(self.rate), tokens, processes) {
+            LimitVerdict::Pass => self.spent.push((self.now, tokens)),
             LimitVerdict::Refuse { .. } => self.refused += 1,
         }
     }
@@ -276,3 +284,25 @@
         assert!(worst <= allowed(RATE), "{pressed}: {worst} of {}", allowed(RATE));
     }
 }
+
+/// Tokens of requests as callers mix them: most are short, one in sixteen is very long.
+const MIXED_SIZES: &[u64] =
+    &[200, 900, 1700, 200, 2600, 5400, 700, 200, 12_000, 1200, 400, 3300, 200, 800, 7200, 47_000];
+
+/// Operators see an account above what they allow, although nothing fails. It sends many times its usual; all
+/// processes refuse it after some three seconds. Each was handed the whole room, for a demand that was forecast;
+/// after a second in which all were refused nobody seems to spend, and each is handed all that leaves the window.
+#[test]
+fn an_account_that_jumps_by_any_factor_stays_within_what_operators_allow() {
+    for (processes, rate) in [(8, RATE), (87, RATE), (87, LARGE_RATE), (195, LARGE_RATE)] {
+        for times in [3.0, 5.5, 16.5] {
+            let mut group = Group { rate, sizes: MIXED_SIZES, ..group(processes) };
+            group.play(9_000, 0.55);
+
+            group.play(15_000, times);
+
+            let (worst, allowed) = (group.worst_window(), allowed(rate));
+            assert!(worst <= allowed, "{processes} at {rate} by {times}: {worst} of {allowed}");
+        }
+    }
+}
