--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -6,7 +6,7 @@
 use crate::answer::{AnswerStage, AnswerWriter};
 use crate::events::event;
 use crate::ingress::CallerRequest;
-use crate::mesh::pool_limit;
+use crate::limits::{self, Payment};
 use crate::node::FrontNode;
 use crate::suspects;
 use crate::trace::{CallTrace, TraceGuard};
@@ -16,11 +16,10 @@
 use oleander_board::StopStage;
 use oleander_call::{
     AccountRule, AttemptEnd, AttemptRecord, CallHead, NextStep, RouteKey, RouteRule, RuleSet,
-    RuleView, TokenCount, admit_call,
+    RuleView, admit_call,
 };
 use oleander_kind::hash::{HASH_START, mix_bits, stable_hash};
 use oleander_kind::{AccountName, InstanceId, ResultCode, ServiceName, TimeSpan};
-use oleander_limit::LimitVerdict;
 use oleander_place::{
     AnswerGrade, EndpointKey, PlaceAsk, PlaceChoice, choose_endpoint, queue_limit, shed_until,
 };
@@ -68,6 +67,8 @@
     pub answer: &'a mut AnswerWriter<'b>,
     /// The request in the engine's terms.
     pub call: CallHead,
+    /// What each attempt takes of its account's limit.
+    pub(crate) payment: Option<Payment>,
     /// What tells that it is the same as another.
     pub print: RequestPrint,
     /// When it must be answered.
@@ -158,8 +159,9 @@
     if let Some(left) = suspects::held_for(node, &print) {
         return answer.refuse(ResultCode::RequestHeld, Some(left)).await;
     }
-    if let Some(account) = account
-        && let Some(retry) = over_limit(node, account, &call)
+    let payment = account.and_then(|account| Payment::of(node, account, &call));
+    if let Some(payment) = &payment
+        && let Err(retry) = limits::pay(node, payment, call.id.as_str()).await
     {
         return answer.refuse(ResultCode::LimitReached, Some(retry)).await;
     }
@@ -172,6 +174,7 @@
         deadline: arrived + patience.duration(),
         last_event: call.last_event,
         call,
+        payment,
         print,
         rank: account.and_then(|account| account.rank).unwrap_or(route.rank),
         account: account.map(|account| account.name.clone()),
@@ -197,26 +200,11 @@
         Ok(outcome) => outcome,
         Err(_) => run.expire().await,
     };
+    run.give_back();
     run.note_trace(trace);
     outcome
 }
 
-/// When a request beyond its account's limit may come back; none if it is within.
-fn over_limit(node: &FrontNode, account: &AccountRule, call: &CallHead) -> Option<TimeSpan> {
-    let limit = pool_limit(node, account)?;
-    let tokens = call.tokens.map_or(account.plain_tokens, TokenCount::total);
-    let at = (node.process_count(), node.clock.now());
-    match node.limits.borrow_mut().admit(&account.name, &limit, tokens, at) {
-        LimitVerdict::Pass => None,
-        LimitVerdict::Refuse { retry_ms } => {
-            event!(node, RequestOverLimit;
-                "request" => call.id.as_str(), "account" => account.name.as_str(),
-                "tokens" => tokens, "retry_ms" => retry_ms, "limit" => format!("{limit:?}"));
-            Some(TimeSpan(retry_ms))
-        }
-    }
-}
-
 fn print_of(
     account: Option<&AccountRule>,
     call: &CallHead,
@@ -270,7 +258,6 @@
                 self.chosen = Some(choice);
                 return self.answer.refuse(ResultCode::Overloaded, Some(back_in)).await;
             }
-            self.note_sent_again();
             match self.attempt(choice).await {
                 AttemptOutcome::Delivered => return Ok(()),
                 AttemptOutcome::CallerGone => return Err(io::ErrorKind::ConnectionAborted.into()),
@@ -283,15 +270,13 @@
         }
     }
 
-    /// Counts the tokens of an attempt after the first.
-    fn note_sent_again(&self) {
-        let Some(account) = self.account.as_ref().filter(|_| self.record.may_have_run()) else {
-            return;
-        };
-        self.node
-            .spend_diary
-            .borrow_mut()
-            .note_sent_again(account, self.call.tokens.map_or(0, TokenCount::total));
+    /// Gives back what was paid for a request that certainly did not run.
+    fn give_back(&self) {
+        let is_answered = self.first_at.is_some();
+        let has_run = is_answered || self.record.may_have_run() || self.current.is_some();
+        if let Some(payment) = self.payment.as_ref().filter(|_| !has_run) {
+            limits::give_back(self.node, payment);
+        }
     }
 
     /// Judges an attempt that ended; an outcome if the request is over.
--- a/crates/front/src/events.rs
+++ b/crates/front/src/events.rs
@@ -50,9 +50,9 @@
     RequestDone = "request_done", 40, "a caller has its whole answer: the digest of its content (`print`), the same whenever its caller sends it again; `status`, `endpoint`, `sent` attempts, `first_ms`, the longest pause of a stream (`pause_ms`), `total_ms`, `rules` version; what its endpoint was chosen by: tokens to be read before it (`ahead`) and of it (`unread`), requests `running` there, the age of the endpoint list (`list_ms`)";
     RequestRefused = "request_refused", 60, "a request was refused or failed: `print` as in `request_done`, `code`, `name`, `status`, `sent` attempts, `may_have_run`, `total_ms`, `rules` version and whether they were `fresh`; `ahead` and `running` as in `request_done`";
     RequestCut = "request_cut", 60, "an answer could not be finished, or its caller left: `print` as in `request_done`, `why`, `sent`, `last_event`, `total_ms`";
-    RequestOverLimit = "request_over_limit", 30, "an account is at its limit: `account`, `tokens`, `retry_ms`";
-    AccountSpent = "account_spent", 100, "what this process let in of an account that is near its limit, in the last second: `account`, `tokens`, of further attempts besides (`sent_again`), the `room` that it still expects, and how old the collector's news are by which it judges (`news_ms`; none: it goes by its own part)";
-    AccountWindow = "account_window", 60, "what the collector has counted of an account that is near its limit, over its window: `account`, tokens `spent` and the `capacity`, how many `spenders` it hears";
+    RequestOverLimit = "request_over_limit", 30, "a request finds no room in its account's limit: `account`, `tokens`, `retry_ms`, why (`by`: the ledger is `full`, or `unreached`), what this process holds (`held`)";
+    AccountSpent = "account_spent", 100, "what this process let in of an account that is near its limit, in the last second: `account`, `tokens` by its allotment, of them for further attempts (`sent_again`), tokens by its own part (`own`), what it holds still (`held`), and how old the ledger's last answer is (`told_ms`)";
+    AccountWindow = "account_window", 60, "what the ledger has counted of an account that is near its limit, over its window: `account`, tokens `spent`, handed out and not counted yet (`open`), and its `capacity`, how many processes hold or held allotments (`holders`)";
     AttemptEnded = "attempt_ended", 80, "an attempt brought no whole answer: `print` as in `request_done`, `endpoint`, how long it had run there (`ran_ms`), `end`, `sent` so far, `last_event` shown, `again` if another may be tried, `list_ms` as in `request_done`";
     AttemptFault = "attempt_fault", 80, "a connection to an endpoint failed: `endpoint`, `fault`";
     StreamResumed = "stream_resumed", 40, "a stream goes on at another endpoint: `endpoint`, `last_event`";
@@ -74,7 +74,10 @@
     RequestHeld = "request_held", 40, "a request is held back at this process from now on, as endpoints ended each time they ran it: `print`, the `endpoints`, how long ago the first and the last of them ended (`first_ms`, `last_ms`)";
     RequestReleased = "request_released", 40, "a request is held back no more: it was answered, or another one explains its ends: `print`, how many ends are left (`ends`)";
     SuspectForgotten = "suspect_forgotten", 10, "a request under which an endpoint ended was forgotten, to bound the memory: `print`";
-    SuspectFault = "suspect_fault", 10, "the record of requests under which endpoints ended could not be read from the store or written there; it is tried again: `fault`";
+    RecordFault = "record_fault", 20, "an object that the collector keeps in the store could not be read or written; it is tried again: which `record`, `fault`";
+    LedgerBegan = "ledger_began", 20, "this process hands out the accounts' limits from now on, by what it knows of the time before (`by`: what the last ledger `handed` over or `told`, what the `store` has, or `nothing`): how many `windows`, how old (`age_ms`)";
+    LedgerEnded = "ledger_ended", 20, "this process hands out no more, and passes on what it counted: `windows`";
+    ClaimsLeftOut = "claims_left_out", 10, "processes named more than they were handed of accounts: `count`, `code`";
     EvidenceLeftOut = "evidence_left_out", 10, "a report told of endpoints or lives that are not known here, or what cannot be true: `member`, `count`, `code`";
     EvidenceWithheld = "evidence_withheld", 10, "this process woke late (`late_ms`), and does not speak against endpoints for that time";
     MembersRead = "members_read", 10, "the other processes were read from the store: `cards`";
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod evidence;
 pub mod feeds;
 pub mod ingress;
+mod kept;
 pub mod limits;
 pub mod mesh;
 pub mod meter;
@@ -27,6 +28,7 @@
 pub mod suspects;
 mod trace;
 pub mod whole;
+mod window_store;
 pub mod work;
 
 pub use node::FrontNode;
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -8,6 +8,7 @@
 pub mod state;
 
 pub use collect::MeshPeers;
+pub(crate) use collect::answer_ask;
 pub use report::report_period;
 pub use state::MeshState;
 
--- a/crates/front/src/mesh/collect.rs
+++ b/crates/front/src/mesh/collect.rs
@@ -6,14 +6,14 @@
 use crate::node::FrontNode;
 use crate::roster;
 use crate::rules::take_rules;
-use crate::suspects;
+use crate::{limits, suspects};
 use oleander_call::RuleSet;
 use oleander_kind::{AccountName, ResultCode};
-use oleander_limit::PoolLimit;
+use oleander_limit::{PoolAllotment, PoolLimit};
 use oleander_list::RosterUpdate;
 use oleander_mesh::{
-    CollectorFacts, EndpointLife, EndpointVerdict, LifeMark, MemberCard, MemberList, MeshBody,
-    MeshCollector, NodeReport, settled_turn, wall_lag,
+    CollectorFacts, EndpointLife, EndpointVerdict, LifeMark, LimitAsk, MemberCard, MemberList,
+    MeshBody, MeshCollector, NodeReport, settled_turn, wall_lag,
 };
 use oleander_place::{EndpointFact, EndpointKey};
 use oleander_wire::PeerHandler;
@@ -34,7 +34,9 @@
         let answer = match body {
             MeshBody::Report(report) => collect(&self.0, *report),
             MeshBody::Greet(card) => greeted(&self.0, card),
+            MeshBody::Ask(ask) => MeshBody::Allotted(answer_ask(&self.0, &ask).map(Box::new)),
             MeshBody::Digest(_)
+            | MeshBody::Allotted(_)
             | MeshBody::Leaving(_)
             | MeshBody::Follow(_)
             | MeshBody::Members(_) => MeshBody::Leaving(self.0.mesh.borrow().view.me().clone()),
@@ -82,13 +84,17 @@
         return MeshBody::Follow(card);
     }
     if mesh.collector.is_none() {
-        let windows = node.limits.borrow().known_windows(now);
         let told = told_verdicts(node);
-        mesh.collector = Some(MeshCollector::begin(windows, now).with_verdicts(told.into_iter()));
+        mesh.collector = Some(MeshCollector::begin(now).with_verdicts(told.into_iter()));
+        limits::begin_ledger(node, &mut mesh);
         event!(node, CollectingBegan; "members" => mesh.view.serving());
     }
+    if let Some(handed) = &report.handed {
+        limits::take_handed(node, &mut mesh, handed);
+    }
     if let Some(collector) = &mut mesh.collector {
         judge_endpoints(node, collector, &report);
+        limits::tell_left_out(node, collector);
     }
     let roster = node.roster.borrow();
     let facts = CollectorFacts {
@@ -113,6 +119,18 @@
     }
 }
 
+/// Answers a process that is short of room of an account; none if no ledger is here.
+pub(crate) fn answer_ask(node: &FrontNode, ask: &LimitAsk) -> Option<PoolAllotment> {
+    end_after_sleep(node);
+    let known = node.rules.borrow();
+    let rules = known.current()?;
+    let limit = limit_by_name(node, rules, &ask.claim.account)?;
+    let now = node.clock.now();
+    let mut mesh = node.mesh.borrow_mut();
+    let MeshState { view, collector, .. } = &mut *mesh;
+    collector.as_mut()?.ask(ask, (&limit, view.serving()), now)
+}
+
 /// The endpoints that this process was told to set aside.
 fn told_verdicts(node: &FrontNode) -> Vec<EndpointVerdict> {
     let now = node.clock.now();
--- a/crates/front/src/mesh/digest.rs
+++ b/crates/front/src/mesh/digest.rs
@@ -5,13 +5,19 @@
 use crate::roster;
 use crate::rules::take_rules;
 use crate::suspects;
-use oleander_kind::TimeSpan;
-use oleander_mesh::{EndpointLoad, EndpointVerdict, LifeMark, MemberCard, MeshDigest, ServicePace};
+use oleander_kind::{ClockTime, TimeSpan};
+use oleander_mesh::{
+    AccountAllotment, EndpointLoad, EndpointVerdict, LifeMark, MemberCard, MeshDigest, ServicePace,
+};
 use oleander_place::WorkLoad;
 use std::collections::HashMap;
 
-/// Takes a digest; `trip` is how long the exchange took.
-pub(super) fn take_digest(node: &FrontNode, digest: MeshDigest, trip: TimeSpan) {
+/// Takes a digest; `trip` is how long the exchange took, `claimed_at` when its report was made.
+pub(super) fn take_digest(
+    node: &FrontNode,
+    digest: MeshDigest,
+    (trip, claimed_at): (TimeSpan, ClockTime),
+) {
     let now = node.clock.now();
     if let Some(rules) = &digest.rules_text {
         take_rules(node, rules);
@@ -26,11 +32,7 @@
     if let Some(notes) = &digest.suspects {
         suspects::take_notes(node, notes);
     }
-    let mut limits = node.limits.borrow_mut();
-    digest
-        .levels
-        .iter()
-        .for_each(|level| limits.take_news(&level.account, level.news.clone(), now));
+    take_allotments(node, &digest.allotments, claimed_at);
     node.usage.borrow_mut().forget(digest.reported_window);
     let mut mesh = node.mesh.borrow_mut();
     let collector = |card: &MemberCard| (card.id.clone(), card.life);
@@ -61,6 +63,12 @@
     }
 }
 
+fn take_allotments(node: &FrontNode, allotments: &[AccountAllotment], claimed_at: ClockTime) {
+    let times = (claimed_at, node.clock.lease_now());
+    let mut limits = node.limits.borrow_mut();
+    allotments.iter().for_each(|told| limits.take(&told.account, told.allotment.clone(), times));
+}
+
 /// Logs speeds that differ by more than a tenth from what was known.
 fn tell_paces(node: &FrontNode, known: &[ServicePace], news: &[ServicePace]) {
     const TOLD_CHANGE: f32 = 0.1;
--- a/crates/front/src/mesh/make.rs
+++ b/crates/front/src/mesh/make.rs
@@ -4,17 +4,19 @@
 use crate::evidence::own_evidence;
 use crate::node::FrontNode;
 use oleander_kind::{AccountName, ClockTime, ServiceName, TimeSpan};
-use oleander_limit::SpendCount;
+use oleander_limit::HoldClaim;
 use oleander_mesh::{
-    AccountSpend, EndpointLoad, LifeMark, NodeReport, NodeUsage, ServiceDemand, ServicePace,
-    UsageCount,
+    AccountClaim, EndpointLoad, HandedLedger, LifeMark, NodeReport, NodeUsage, ServiceDemand,
+    ServicePace, UsageCount,
 };
 use oleander_pace::PaceBook;
 
-/// This process's report.
-pub(super) fn make_report(node: &FrontNode) -> NodeReport {
+/// This process's report; `handed` is the ledger that it kept until now.
+pub(super) fn make_report(node: &FrontNode, handed: Option<HandedLedger>) -> NodeReport {
     let mesh = node.mesh.borrow();
-    let spent = node.limits.borrow().spent().map(spend_of).collect();
+    let now = node.clock.lease_now();
+    let mut limits = node.limits.borrow_mut();
+    let claims = limits.claims(now).into_iter().map(claim_of).collect();
     let usage = node.usage.borrow().counts().map(usage_of).collect();
     let roster = node.roster.borrow();
     let roster_objects = mesh.wants_roster.then(|| roster.objects());
@@ -29,7 +31,9 @@
         rules: node.rules.borrow().stand(node.clock.now()),
         roster: roster.stand(node.clock.now()),
         roster_state: roster.followed(),
-        spent,
+        claims,
+        bond: limits.bond(now),
+        handed,
         usage,
         loads: own_loads(node),
         demand: own_demand(node),
@@ -59,8 +63,8 @@
     }
 }
 
-fn spend_of((account, count): (&AccountName, SpendCount)) -> AccountSpend {
-    AccountSpend { account: account.clone(), count }
+fn claim_of((account, claim): (AccountName, HoldClaim)) -> AccountClaim {
+    AccountClaim { account, claim }
 }
 
 fn usage_of((window, account, count): (u64, &AccountName, u64)) -> UsageCount {
--- a/crates/front/src/mesh/report.rs
+++ b/crates/front/src/mesh/report.rs
@@ -6,20 +6,20 @@
 use super::{MeshState, end_after_sleep, note_fitness};
 use crate::events::event;
 use crate::node::FrontNode;
-use crate::suspects;
+use crate::{limits, suspects};
 use actix::Addr;
 use compact_str::CompactString;
 use oleander_kind::{ClockTime, TimeSpan};
+use oleander_limit::ANSWER_TIME;
 use oleander_mesh::{MemberCard, MemberList, MeshBody, MeshCollector, NodeReport};
 use oleander_wire::{CallPeer, ForgetPeer, PeerHub};
 use std::rc::Rc;
 
-/// Between two reports. An account whose demand jumps to 7.5 times its usual spends about one
-/// second's limit before the others hear of it; the operators' bounds allow twice that.
+/// Between two reports: allotments outlast two of them.
 const REPORT_PERIOD: TimeSpan = TimeSpan(250);
 /// How long a collector may take to answer. Longer than a pause for a slow machine's turn, shorter
-/// than two periods, so that the next one is asked before levels are too old to use.
-const ANSWER_LIMIT: TimeSpan = TimeSpan(300);
+/// than two periods, so that the next one is asked before allotments end.
+const ANSWER_LIMIT: TimeSpan = ANSWER_TIME;
 /// A process that wakes this much too late is slow itself or stood still: what seemed slow to it may have
 /// waited in its own sockets, and it does not speak against endpoints. Half of the shortest objective.
 const LATE_WAKING: TimeSpan = TimeSpan(50);
@@ -72,16 +72,20 @@
             }
             card
         };
-        let report = make_report(node);
+        // A claim that is under way is the only one of its account.
+        let _exchange = node.limit_exchange.lock().await;
+        let claimed_at = node.clock.lease_now();
         if collector.id == node.settings.instance {
+            let report = make_report(node, None);
             if let MeshBody::Digest(digest) = collect(node, report) {
                 note_taken(node);
-                take_digest(node, *digest, TimeSpan(0));
+                take_digest(node, *digest, (TimeSpan(0), claimed_at));
             }
             return;
         }
         drop_old_collector(node);
-        if call_collector(node, hub, &collector, report).await {
+        let report = make_report(node, limits::end_ledger(node));
+        if call_collector(node, hub, &collector, (report, claimed_at)).await {
             return;
         }
     }
@@ -168,13 +172,17 @@
     node: &Rc<FrontNode>,
     hub: &Addr<PeerHub<MeshBody>>,
     collector: &MemberCard,
-    report: NodeReport,
+    (report, claimed_at): (NodeReport, ClockTime),
 ) -> bool {
     let again = report.clone();
     // A link may have fallen silent while the process at its end lives: a new one tells.
-    let mut outcome = call_address(node, hub, collector.address, report).await;
+    let mut outcome = call_address(node, hub, collector.address, (report, claimed_at)).await;
     if outcome == CallOutcome::Failed {
-        outcome = call_address(node, hub, collector.address, again).await;
+        outcome = call_address(node, hub, collector.address, (again, claimed_at)).await;
+    }
+    if outcome != CallOutcome::Elsewhere {
+        // It has the ledger that was ended here, or may have it. A second one would hand out the same.
+        node.mesh.borrow_mut().ended_ledger = None;
     }
     if outcome == CallOutcome::Failed {
         event!(node, CollectorSilent; "collector" => collector.id.as_str());
@@ -198,7 +206,7 @@
     node: &Rc<FrontNode>,
     hub: &Addr<PeerHub<MeshBody>>,
     address: std::net::SocketAddr,
-    report: NodeReport,
+    (report, claimed_at): (NodeReport, ClockTime),
 ) -> CallOutcome {
     let sent_at = node.clock.now();
     let address: CompactString = address.to_string().into();
@@ -206,7 +214,7 @@
     match call_peer(node, hub, address, body).await {
         Some(MeshBody::Digest(digest)) => {
             note_taken(node);
-            take_digest(node, *digest, node.clock.now() - sent_at);
+            take_digest(node, *digest, (node.clock.now() - sent_at, claimed_at));
             CallOutcome::Taken
         }
         Some(MeshBody::Leaving(card)) => {
@@ -217,8 +225,13 @@
             follow_collector(&mut node.mesh.borrow_mut(), node, card);
             CallOutcome::Elsewhere
         }
-        Some(MeshBody::Report(_) | MeshBody::Greet(_) | MeshBody::Members(_)) | None => {
-            CallOutcome::Failed
-        }
+        Some(
+            MeshBody::Report(_)
+            | MeshBody::Greet(_)
+            | MeshBody::Members(_)
+            | MeshBody::Ask(_)
+            | MeshBody::Allotted(_),
+        )
+        | None => CallOutcome::Failed,
     }
 }
--- a/crates/front/src/mesh/state.rs
+++ b/crates/front/src/mesh/state.rs
@@ -1,6 +1,8 @@
 //! What one process knows through the others.
 
-use oleander_kind::{ClockTime, TimeSpan};
+use compact_str::CompactString;
+use oleander_kind::{AccountName, ClockTime, TimeSpan};
+use oleander_limit::KnownWindow;
 use oleander_mesh::{
     LeaseNotice, MemberCard, MeshCollector, MeshView, NodeUsage, ServicePace, ServicePeak,
     SleepWatch, TrueClock,
@@ -29,6 +31,8 @@
     /// Counts that were reported here while this process collected, and since when they are passed
     /// on to its successor.
     pub(super) heritage: Option<(Vec<NodeUsage>, ClockTime)>,
+    /// The ledger that was ended here, and when, until another collector has it.
+    pub(crate) ended_ledger: Option<(Vec<(AccountName, KnownWindow)>, ClockTime)>,
     pub(super) outdone_since: Option<ClockTime>,
     pub(super) digest_at: ClockTime,
     pub(super) digest_from: Option<MemberCard>,
@@ -49,6 +53,7 @@
             paces: Vec::new(),
             sleep: SleepWatch::default(),
             heritage: None,
+            ended_ledger: None,
             outdone_since: None,
             digest_at: ClockTime(0),
             digest_from: None,
@@ -63,6 +68,13 @@
         self.heritage = Some((usage, now));
     }
 
+    /// Where the collector listens that this process chose.
+    pub fn collector_address(&self) -> Option<CompactString> {
+        let chosen = self.view.chosen()?;
+        let card = self.view.others().find(|card| card.id == *chosen)?;
+        Some(card.address.to_string().into())
+    }
+
     /// Whether another process collects, and this one goes by it.
     pub fn is_succeeded(&self, now: ClockTime) -> bool {
         followed_collector(self, now).is_some()
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -6,6 +6,7 @@
 use crate::mesh::state::MeshState;
 use crate::meter::FrontMeter;
 use crate::port::PlatformDialect;
+use actix::Addr;
 use oleander_board::{NodeClock, StopStage};
 use oleander_call::RuleSet;
 use oleander_conf::{FrontBounds, FrontSettings};
@@ -15,7 +16,7 @@
 use oleander_kind::{AccountName, ClockTime, ServiceName, TimeSpan};
 use oleander_limit::PoolGate;
 use oleander_list::{AgeLimits, RosterBook};
-use oleander_mesh::{MemberCard, RulesBook, ServiceDemand, collect_strength};
+use oleander_mesh::{MemberCard, MeshBody, RulesBook, ServiceDemand, collect_strength};
 use oleander_outlet::{HttpCodec, LinkPool};
 use oleander_pace::{ASSUMED_PER_MS, PaceBook, ReadPace, ReadSample};
 use oleander_place::{
@@ -24,7 +25,8 @@
 };
 use oleander_plat::FeedStore;
 use oleander_suspect::{EndWatch, SuspectBook};
-use std::cell::{Cell, RefCell};
+use oleander_wire::PeerHub;
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -90,6 +92,12 @@
     pub pool: RefCell<LinkPool>,
     /// Account limits.
     pub limits: RefCell<PoolGate>,
+    /// Held while a claim is under way: an account has one at a time.
+    pub limit_exchange: tokio::sync::Mutex<()>,
+    /// When the ledger may be asked again after it did not answer.
+    pub ask_after: Cell<ClockTime>,
+    /// The links to the other processes.
+    pub peers: OnceCell<Addr<PeerHub<MeshBody>>>,
     /// What the log was told of them.
     pub spend_diary: RefCell<SpendDiary>,
     /// Requests that began to run, by window and account.
@@ -164,6 +172,9 @@
             prefixes: RefCell::default(),
             pool: RefCell::default(),
             limits: RefCell::default(),
+            limit_exchange: tokio::sync::Mutex::default(),
+            ask_after: Cell::default(),
+            peers: OnceCell::new(),
             spend_diary: RefCell::default(),
             usage: RefCell::new(UsageBook::new(window)),
             demand: RefCell::default(),
@@ -191,7 +202,12 @@
 
     /// True time at this process.
     pub fn true_now(&self) -> ClockTime {
-        self.mesh.borrow().clock.read(self.clock.now(), self.clock.wall())
+        self.clock_true(&self.mesh.borrow())
+    }
+
+    /// The same for who has the state of the mesh at hand.
+    pub(crate) fn clock_true(&self, mesh: &MeshState) -> ClockTime {
+        mesh.clock.read(self.clock.now(), self.clock.wall())
     }
 
     /// Waits between half of `pause` and all of it, so that processes that failed together do not
--- a/crates/front/src/process.rs
+++ b/crates/front/src/process.rs
@@ -3,7 +3,9 @@
 use crate::events::event;
 use crate::node::FrontNode;
 use crate::port::PlatformDialect;
-use crate::{admin, discover, duties, feeds, ingress, limits, mesh, reload, suspect_store};
+use crate::suspect_store::SuspectStore;
+use crate::window_store::WindowStore;
+use crate::{admin, discover, duties, feeds, ingress, kept, limits, mesh, reload};
 use actix_web::{App, HttpResponse, web};
 use oleander_board::{NodeClock, StopStage};
 use oleander_conf::FrontSettings;
@@ -69,6 +71,9 @@
     let node = FrontNode::new(settings, log, dialect, ports.store, ports.clock);
     let traffic = Rc::new(TrafficCount::default());
     let hub = actix::Actor::start(PeerHub::<MeshBody>::new(traffic.clone()));
+    if node.peers.set(hub.clone()).is_err() {
+        event!(node, InternalFault; "fault" => "a process has its links already");
+    }
     let handler: Rc<dyn PeerHandler<MeshBody>> = Rc::new(mesh::MeshPeers(node.clone()));
     let peers = listen_peers(peers, handler, traffic)?;
     let app = App::new().app_data(local_data(node.clone())).route(READY_PATH, web::get().to(ready));
@@ -82,7 +87,8 @@
         actix_rt::spawn(limits::tell_limits(node.clone())),
         actix_rt::spawn(mesh::report_period(node.clone(), hub)),
         actix_rt::spawn(discover::keep_discovered(node.clone())),
-        actix_rt::spawn(suspect_store::keep_suspects(node.clone())),
+        actix_rt::spawn(kept::keep_record(node.clone(), SuspectStore)),
+        actix_rt::spawn(kept::keep_record(node.clone(), WindowStore::default())),
         actix_rt::spawn(ingress::accept_callers(node.clone(), callers)),
     ];
     if let Some(path) = path {
--- a/crates/front/src/suspect_store.rs
+++ b/crates/front/src/suspect_store.rs
@@ -2,30 +2,24 @@
 //! knows.
 //!
 //! All processes may be killed at once. What they knew is gone then, and three more endpoints would end under
-//! each request that was held back. The process that collects writes one object when what all know
-//! changes, and reads it once as it begins to collect; the others hear of it by its digests. Calls grow neither
-//! with processes nor with requests.
+//! each request that was held back.
 
 use crate::duties::{collects, encode};
 use crate::events::event;
+use crate::kept::KeptRecord;
 use crate::node::FrontNode;
 use crate::suspects;
+use bytes::Bytes;
 use compact_str::CompactString;
 use oleander_kind::{ClockTime, TimeSpan};
-use oleander_plat::{FeedGuard, FeedKind, FeedObject, FeedWrite};
+use oleander_plat::{FeedKind, FeedObject};
 use oleander_suspect::{ENDS_KEPT, EndNote, EndedLife, RequestPrint, SuspectNote};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
-use std::rc::Rc;
 
-/// The object's name.
-const SUSPECTS_NAME: &str = "all";
 /// Between two looks whether something changed, and so between two writes: a sixth of the time in which processes
 /// must know, so that a wave of ends costs two calls a second.
 const LOOK_PERIOD: TimeSpan = TimeSpan(500);
-/// The first pause after a call that failed, and the longest.
-const FAULT_PAUSES: (TimeSpan, TimeSpan) = (TimeSpan(200), TimeSpan(2000));
-
 /// What the object says.
 #[derive(Debug, Default, Serialize, Deserialize)]
 struct SuspectList {
@@ -54,54 +48,34 @@
 /// Which endpoints ended under which requests.
 type ListedEnds = BTreeSet<(RequestPrint, EndedLife)>;
 
-/// The object as this process knows it.
-struct KnownList {
-    guard: FeedGuard,
-    ends: ListedEnds,
-}
+/// Keeps the requests in the store while this process collects.
+pub struct SuspectStore;
 
-/// Keeps the object while this process collects, until the task is ended.
-pub async fn keep_suspects(node: Rc<FrontNode>) {
-    let mut known = None;
-    let (first, longest) = FAULT_PAUSES;
-    let mut pause = first;
-    loop {
-        actix_rt::time::sleep(LOOK_PERIOD.duration()).await;
-        if !collects(&node) {
-            known = None;
-            continue;
-        }
-        let list = match known.take() {
-            Some(list) => Some(list),
-            None => read_list(&node).await,
-        };
-        known = match list {
-            Some(list) => keep_list(&node, list).await,
-            None => None,
-        };
-        pause = match known {
-            Some(_) => first,
-            None => node.back_off(pause, longest).await,
-        };
+impl KeptRecord for SuspectStore {
+    type Mark = ListedEnds;
+
+    const KIND: FeedKind = FeedKind::Suspects;
+    const LOOK_PERIOD: TimeSpan = LOOK_PERIOD;
+
+    fn is_kept_by(&self, node: &FrontNode) -> bool {
+        collects(node)
+    }
+
+    fn take(&mut self, node: &FrontNode, object: Option<&FeedObject>) -> ListedEnds {
+        object.map(|object| take_object(node, object)).unwrap_or_default()
     }
-}
 
-/// Reads the object and takes what it says; none if the store did not answer.
-async fn read_list(node: &FrontNode) -> Option<KnownList> {
-    match node.store.read(FeedKind::Suspects, SUSPECTS_NAME).await {
-        Ok(None) => Some(KnownList { guard: FeedGuard::Absent, ends: ListedEnds::new() }),
-        Ok(Some(object)) => Some(take_object(node, &object)),
-        Err(fault) => {
-            event!(node, SuspectFault; "fault" => fault.to_string());
-            None
-        }
+    fn current(&mut self, node: &FrontNode) -> Option<(Bytes, ListedEnds)> {
+        let (list, ends) = listed_now(node);
+        Some((encode(node, &list)?, ends))
     }
 }
 
-fn take_object(node: &FrontNode, object: &FeedObject) -> KnownList {
+fn take_object(node: &FrontNode, object: &FeedObject) -> ListedEnds {
     let list = serde_json::from_slice(&object.body).unwrap_or_else(|fault| {
         // Whoever wrote it, the next change replaces it.
-        event!(node, SuspectFault; "fault" => fault.to_string());
+        event!(node, RecordFault;
+            "record" => FeedKind::Suspects.name(), "fault" => fault.to_string());
         SuspectList::default()
     });
     let notes = notes_of(&list, node.true_now());
@@ -109,7 +83,7 @@
     let ends = |note: &SuspectNote| -> ListedEnds {
         note.ends.iter().map(|end| (note.print, end.life.clone())).collect()
     };
-    KnownList { guard: FeedGuard::Is(object.revision), ends: notes.iter().flat_map(ends).collect() }
+    notes.iter().flat_map(ends).collect()
 }
 
 fn notes_of(list: &SuspectList, true_now: ClockTime) -> Vec<SuspectNote> {
@@ -126,23 +100,6 @@
     list.requests.iter().filter_map(note).collect()
 }
 
-/// Writes what all are to know if it changed; none if the object must be read anew.
-async fn keep_list(node: &FrontNode, known: KnownList) -> Option<KnownList> {
-    let (list, ends) = listed_now(node);
-    if ends == known.ends {
-        return Some(known);
-    }
-    let body = encode(node, &list)?;
-    match node.store.write(FeedKind::Suspects, SUSPECTS_NAME, known.guard, body).await {
-        Ok(FeedWrite::Made(revision)) => Some(KnownList { guard: FeedGuard::Is(revision), ends }),
-        Ok(FeedWrite::Refused(object)) => object.map(|object| take_object(node, &object)),
-        Err(fault) => {
-            event!(node, SuspectFault; "fault" => fault.to_string());
-            None
-        }
-    }
-}
-
 fn listed_now(node: &FrontNode) -> (SuspectList, ListedEnds) {
     let (now, true_now) = (node.clock.now(), node.true_now());
     let notes = node.suspects.borrow().shared(now);
--- a/crates/kind/src/code.rs
+++ b/crates/kind/src/code.rs
@@ -100,6 +100,7 @@
     PeerBadFrame = 6003, 400, Unrelated, "the peer sent a frame that cannot be read";
     PeerRelease = 6004, 400, Unrelated, "the peer speaks another message version";
     PeerBadEvidence = 6005, 400, Unrelated, "the peer told of endpoints that are not known here, or what cannot be true; it is left out";
+    PeerBadClaim = 6006, 400, Unrelated, "the peer named more of an account than it was handed; it is left out";
 }
 
 impl ResultCode {
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -9,7 +9,8 @@
 
 pub use owner::{DemandReport, LimitOwner, ShareGrant};
 pub use pool::{
-    GateStand, LevelNews, PoolGate, PoolLedger, PoolLimit, PoolSpender, SpendCount, SpentSlots,
-    WindowStand,
+    ANSWER_TIME, ClaimFault, GateStand, HoldClaim, KnownWindow, LedgerBond, LedgerPast,
+    PoolAllotment, PoolGate, PoolLedger, PoolLimit, PoolSpender, STORED_LASTS, TOLD_LASTS,
+    ToldWindow, WindowStand,
 };
 pub use share::{AccountLimits, LimitGate, LimitVerdict};
--- a/crates/mesh/src/collector.rs
+++ b/crates/mesh/src/collector.rs
@@ -3,13 +3,17 @@
 use crate::clock::{median_offset, wall_offset};
 use crate::evidence::{EndpointJudge, EndpointLife, VerdictChange};
 use crate::message::{
-    AccountLevel, EndpointLoad, EndpointVerdict, LeaseNotice, LifeMark, MeshDigest, NodeReport,
-    NodeUsage, RulesStand, ServiceDemand, ServicePace, ServicePeak, UsageCount,
+    AccountAllotment, AccountClaim, EndpointLoad, EndpointVerdict, LeaseNotice, LifeMark, LimitAsk,
+    MeshDigest, NodeReport, NodeUsage, RulesStand, ServiceDemand, ServicePace, ServicePeak,
+    UsageCount,
 };
 use crate::view::MeshView;
 use oleander_call::RuleSet;
 use oleander_kind::{AccountName, ClockTime, InstanceId, ServiceName, TimeSpan};
-use oleander_limit::{PoolLedger, PoolLimit, PoolSpender, SpendCount, SpentSlots, WindowStand};
+use oleander_limit::{
+    ClaimFault, HoldClaim, KnownWindow, PoolAllotment, PoolLedger, PoolLimit, PoolSpender,
+    WindowStand,
+};
 use oleander_list::{RosterBook, RosterState};
 use oleander_pace::{ReadPace, join_paces};
 use oleander_plat::FeedObject;
@@ -18,9 +22,6 @@
 
 /// A report counts for this long after it came: four times the period of reports.
 const REPORT_LASTS: TimeSpan = TimeSpan(1200);
-/// A collector that just began has not heard everybody yet, and would give out too little. Until
-/// then the levels of its predecessor are good.
-const SETTLE_TIME: TimeSpan = TimeSpan(500);
 /// Time over which demand is averaged.
 const DEMAND_TIME: TimeSpan = TimeSpan(2000);
 
@@ -76,7 +77,9 @@
 
 /// The collector's state.
 pub struct MeshCollector {
-    ledger: PoolLedger,
+    /// Absent until it is known what was handed out before, and once it was passed on.
+    ledger: Option<PoolLedger>,
+    claims_left_out: u64,
     nodes: BTreeMap<InstanceId, HeardNode>,
     usage: UsageTable,
     demand: BTreeMap<ServiceName, (DemandRate, ClockTime)>,
@@ -85,10 +88,11 @@
 }
 
 impl MeshCollector {
-    /// Begins to collect with the window of each account as it was last told.
-    pub fn begin(windows: Vec<(AccountName, SpentSlots)>, now: ClockTime) -> Self {
+    /// Begins to collect, without a ledger yet.
+    pub fn begin(now: ClockTime) -> Self {
         MeshCollector {
-            ledger: PoolLedger::begin(windows, now),
+            ledger: None,
+            claims_left_out: 0,
             nodes: BTreeMap::new(),
             usage: BTreeMap::new(),
             demand: BTreeMap::new(),
@@ -97,6 +101,36 @@
         }
     }
 
+    /// Goes on with a ledger.
+    pub fn with_ledger(self, ledger: PoolLedger) -> Self {
+        MeshCollector { ledger: Some(ledger), ..self }
+    }
+
+    /// The ledger, if it has begun and was not passed on.
+    pub fn ledger(&self) -> Option<&PoolLedger> {
+        self.ledger.as_ref()
+    }
+
+    /// The same, to change it.
+    pub fn ledger_mut(&mut self) -> Option<&mut PoolLedger> {
+        self.ledger.as_mut()
+    }
+
+    /// Begins the ledger, or begins it anew by what the one before handed over.
+    pub fn begin_ledger(&mut self, ledger: PoolLedger) {
+        self.ledger = Some(ledger);
+    }
+
+    /// Ends the ledger in order; gives what the next one has to know.
+    pub fn end_ledger(&mut self, now: ClockTime) -> Vec<(AccountName, KnownWindow)> {
+        self.ledger.take().map(|ledger| ledger.hand_over(now)).unwrap_or_default()
+    }
+
+    /// How many claims could not be true since this was last asked.
+    pub fn take_claims_left_out(&mut self) -> u64 {
+        std::mem::take(&mut self.claims_left_out)
+    }
+
     /// Goes on from the endpoints that the collector before had set aside.
     pub fn with_verdicts(self, told: impl Iterator<Item = EndpointVerdict>) -> Self {
         let judge = EndpointJudge::begin(told, self.began_at);
@@ -131,8 +165,8 @@
     }
 
     /// What is counted of each account.
-    pub fn windows(&self, now: ClockTime) -> impl Iterator<Item = (&AccountName, WindowStand)> {
-        self.ledger.windows(now)
+    pub fn windows(&self) -> impl Iterator<Item = (&AccountName, WindowStand)> {
+        self.ledger.iter().flat_map(PoolLedger::windows)
     }
 
     /// Since when it collects.
@@ -151,16 +185,12 @@
         self.note_usage(&report);
         self.note_demand(&report, now);
         // A collector that stood still finds reports in its sockets that were sent before it did.
-        // By them its spenders were heard a moment ago, and all they let in meanwhile would count
-        // as spent since.
+        // By them its holders were heard a moment ago, and what they hold has ended since.
         let old = report.turn < facts.oldest_turn;
-        let mut levels = if old { Vec::new() } else { self.levels(&report, view, facts) };
-        if now - self.began_at < SETTLE_TIME {
-            levels.clear();
-        }
+        let allotments = if old { Vec::new() } else { self.allotments(&report, view, facts) };
         let offset = wall_offset(report.wall, now);
         let id = report.card.id.clone();
-        let digest = self.digest(&report, view, facts, levels);
+        let digest = self.digest(&report, view, facts, allotments);
         self.nodes.insert(id, HeardNode { report, heard_at: now, offset });
         digest
     }
@@ -170,7 +200,7 @@
         report: &NodeReport,
         view: &MeshView,
         facts: &CollectorFacts<'_>,
-        levels: Vec<AccountLevel>,
+        allotments: Vec<AccountAllotment>,
     ) -> MeshDigest {
         let now = facts.now;
         let mine = facts.rules_stand.version;
@@ -189,7 +219,7 @@
             roster_state: RosterState { source: facts.source, number: facts.roster.changed() },
             wants_rules: report.rules.version > mine,
             wants_roster: facts.roster.lacks(&report.roster, now),
-            levels,
+            allotments,
             loads: self.other_loads(&report.card.id, now),
             reported_window: facts.reported_window,
             peaks: facts.peaks.clone(),
@@ -232,51 +262,58 @@
         Some(ClockTime((now.0 as i64 + offset).max(0) as u64))
     }
 
-    fn levels(
+    fn allotments(
         &mut self,
         report: &NodeReport,
         view: &MeshView,
         facts: &CollectorFacts<'_>,
-    ) -> Vec<AccountLevel> {
+    ) -> Vec<AccountAllotment> {
         let spender = PoolSpender { instance: report.card.id.clone(), life: report.card.life };
-        let part = self.heard_part(report, view, facts.now);
-        let mut levels = Vec::new();
-        for (account, count) in self.reported_accounts(report, facts) {
-            let Some(limit) = (facts.limit_of)(&account) else { continue };
-            let news = self.ledger.report(&account, (&limit, part), (&spender, count), facts.now);
-            levels.push(AccountLevel { account, news });
+        let claims = reported_claims(report, facts);
+        if !report.card.leaving
+            && let Some(ledger) = &mut self.ledger
+            && let Some(limit) = claims.iter().find_map(|claim| (facts.limit_of)(&claim.account))
+        {
+            ledger.note_member(&report.card.id, report.bond, (limit.length(), facts.now));
         }
-        levels
+        let allot = |claim: AccountClaim| {
+            let limit = (facts.limit_of)(&claim.account)?;
+            let known = (&limit, view.serving());
+            let allotment = self.claim(&claim, &spender, known, facts.now)?;
+            Some(AccountAllotment { account: claim.account, allotment })
+        };
+        claims.into_iter().filter_map(allot).collect()
     }
 
-    /// The accounts that `report` counts, and those that only others let in.
-    ///
-    /// Any process may collect next, and begins with the windows it was told of. One that was not told
-    /// of an account, as it had let in nothing of it, took its window for spent evenly and let a jump
-    /// of that account in twice.
-    fn reported_accounts(
-        &self,
-        report: &NodeReport,
-        facts: &CollectorFacts<'_>,
-    ) -> Vec<(AccountName, SpendCount)> {
-        let counted: Vec<_> =
-            report.spent.iter().map(|spend| (spend.account.clone(), spend.count)).collect();
-        let accounts = facts.rules.map_or(&[][..], RuleSet::accounts);
-        let lacks = |name: &AccountName| counted.iter().all(|(known, _)| known != name);
-        let others = accounts.iter().map(|account| &account.name);
-        let others = others.filter(|name| self.ledger.knows(name) && lacks(name));
-        let others: Vec<_> = others.map(|name| (name.clone(), SpendCount::default())).collect();
-        counted.into_iter().chain(others).collect()
-    }
-
-    /// The part of the serving processes that report here. The others let requests in by equal
-    /// shares of their own, or have another collector; their part is not given away.
-    fn heard_part(&self, report: &NodeReport, view: &MeshView, now: ClockTime) -> f64 {
-        let mut heard = self.recent(now).filter(|node| !node.report.card.leaving).count();
-        if !self.nodes.contains_key(&report.card.id) {
-            heard += 1;
+    /// Answers a process that is short of room; none if there is no ledger here. `serving` processes share the limit.
+    pub fn ask(
+        &mut self,
+        ask: &LimitAsk,
+        known: (&PoolLimit, u32),
+        now: ClockTime,
+    ) -> Option<PoolAllotment> {
+        let spender = PoolSpender { instance: ask.id.clone(), life: ask.life };
+        self.ledger.as_mut()?.note_member(&ask.id, ask.bond, (known.0.length(), now));
+        self.claim(&ask.claim, &spender, known, now)
+    }
+
+    fn claim(
+        &mut self,
+        claim: &AccountClaim,
+        spender: &PoolSpender,
+        known: (&PoolLimit, u32),
+        now: ClockTime,
+    ) -> Option<PoolAllotment> {
+        let ledger = self.ledger.as_mut()?;
+        match ledger.claim(&claim.account, known, (spender, &claim.claim), now) {
+            Ok(allotment) => Some(allotment),
+            // Its answer was lost on the way, and a later claim was answered.
+            Err(ClaimFault::Late) => None,
+            Err(ClaimFault::Impossible) => {
+                self.claims_left_out += 1;
+                None
+            }
         }
-        (heard as f64 / f64::from(view.serving().max(1))).min(1.0)
     }
 
     fn other_loads(&self, reporter: &InstanceId, now: ClockTime) -> Vec<EndpointLoad> {
@@ -421,3 +458,17 @@
 fn decay(age: TimeSpan) -> f64 {
     (-(age.0 as f64) / DEMAND_TIME.0 as f64).exp()
 }
+
+/// The claims of `report`, and those of accounts that its process never let in.
+///
+/// Any process may collect next, and begins with the windows it was told of. One that was not told of an account, as
+/// it had let in nothing of it, would have to take its window for full. It also finds an allotment when the
+/// account's first request comes.
+fn reported_claims(report: &NodeReport, facts: &CollectorFacts<'_>) -> Vec<AccountClaim> {
+    let accounts = facts.rules.map_or(&[][..], RuleSet::accounts);
+    let lacks = |name: &AccountName| report.claims.iter().all(|claim| claim.account != *name);
+    let others = accounts.iter().map(|account| &account.name).filter(|name| lacks(name));
+    let others =
+        others.map(|name| AccountClaim { account: name.clone(), claim: HoldClaim::default() });
+    report.claims.iter().cloned().chain(others).collect()
+}
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -19,9 +19,9 @@
 pub use collector::{CollectorFacts, MeshCollector};
 pub use evidence::{EndpointJudge, EndpointLife, VerdictChange};
 pub use message::{
-    AccountLevel, AccountSpend, EndpointEvidence, EndpointLoad, EndpointVerdict, LeaseNotice,
-    LifeMark, MemberCard, MemberList, MeshBody, MeshDigest, NodeReport, NodeUsage, RulesStand,
-    ServiceDemand, ServicePace, ServicePeak, UsageCount,
+    AccountAllotment, AccountClaim, EndpointEvidence, EndpointLoad, EndpointVerdict, HandedLedger,
+    HandedWindow, LeaseNotice, LifeMark, LimitAsk, MemberCard, MemberList, MeshBody, MeshDigest,
+    NodeReport, NodeUsage, RulesStand, ServiceDemand, ServicePace, ServicePeak, UsageCount,
 };
 pub use rules::RulesBook;
 pub use view::{MeshView, collect_strength, settled_turn};
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -3,7 +3,7 @@
 use oleander_judge::{BadTrait, EvidenceTally};
 use oleander_kind::{AccountName, ClockTime, DomainName, InstanceId, ServiceName};
 use oleander_lease::LeaseRecord;
-use oleander_limit::{LevelNews, SpendCount};
+use oleander_limit::{HoldClaim, KnownWindow, LedgerBond, PoolAllotment};
 use oleander_list::{RosterStand, RosterState, RosterUpdate, VouchNote};
 use oleander_pace::ReadPace;
 use oleander_plat::FeedObject;
@@ -52,15 +52,51 @@
     pub vouch: Option<VouchNote>,
 }
 
-/// What a process let in of an account since it began.
+/// What a process says of its allotment of an account.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AccountSpend {
+pub struct AccountClaim {
     /// The account.
     #[serde(rename = "a")]
     pub account: AccountName,
-    /// What was let in.
+    /// What it says.
     #[serde(rename = "n")]
-    pub count: SpendCount,
+    pub claim: HoldClaim,
+}
+
+/// A process that is short asks for room at once.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitAsk {
+    /// Its instance.
+    #[serde(rename = "i")]
+    pub id: InstanceId,
+    /// Which life of it.
+    #[serde(rename = "l")]
+    pub life: u64,
+    /// The ledger that it went by last.
+    #[serde(rename = "b")]
+    pub bond: Option<LedgerBond>,
+    /// The claim.
+    #[serde(rename = "c")]
+    pub claim: AccountClaim,
+}
+
+/// What a ledger that ended in order passes on to the next one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HandedLedger {
+    /// The windows of the accounts.
+    #[serde(rename = "w")]
+    pub windows: Vec<HandedWindow>,
+}
+
+/// An account's window as it is passed on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HandedWindow {
+    /// The account.
+    #[serde(rename = "a")]
+    pub account: AccountName,
+    /// Its window.
+    #[serde(rename = "w")]
+    pub window: KnownWindow,
 }
 
 /// Requests of an account that began to run in a window, at one process.
@@ -218,9 +254,15 @@
     /// The state of a collector's endpoint list that it has taken.
     #[serde(rename = "o")]
     pub roster_state: Option<RosterState>,
-    /// What it let in.
+    /// Its allotments.
     #[serde(rename = "s")]
-    pub spent: Vec<AccountSpend>,
+    pub claims: Vec<AccountClaim>,
+    /// The ledger that it went by last.
+    #[serde(rename = "b", default)]
+    pub bond: Option<LedgerBond>,
+    /// The ledger that it kept until now.
+    #[serde(rename = "h", default)]
+    pub handed: Option<HandedLedger>,
     /// What began to run, for the windows that are not reported yet.
     #[serde(rename = "u")]
     pub usage: Vec<UsageCount>,
@@ -256,15 +298,15 @@
     pub roster_objects: Option<Vec<FeedObject>>,
 }
 
-/// An account's level, for one process.
+/// An account's allotment, for one process.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AccountLevel {
+pub struct AccountAllotment {
     /// The account.
     #[serde(rename = "a")]
     pub account: AccountName,
-    /// Its level.
+    /// Its allotment.
     #[serde(rename = "n")]
-    pub news: LevelNews,
+    pub allotment: PoolAllotment,
 }
 
 /// How many endpoints a service needed at the most of late.
@@ -333,9 +375,9 @@
     /// Whether the next report should carry the endpoint list.
     #[serde(rename = "z")]
     pub wants_roster: bool,
-    /// Levels of the accounts.
+    /// Allotments of the accounts.
     #[serde(rename = "a")]
-    pub levels: Vec<AccountLevel>,
+    pub allotments: Vec<AccountAllotment>,
     /// The other processes' work at the endpoints.
     #[serde(rename = "l")]
     pub loads: Vec<EndpointLoad>,
@@ -379,6 +421,12 @@
     /// The collector answers.
     #[serde(rename = "d")]
     Digest(Box<MeshDigest>),
+    /// A process needs room of an account.
+    #[serde(rename = "k")]
+    Ask(LimitAsk),
+    /// The ledger's answer; none if there is no ledger here, or the claim can't be answered.
+    #[serde(rename = "a")]
+    Allotted(Option<Box<PoolAllotment>>),
     /// The process asked cannot collect: it is stopping, as its card says.
     #[serde(rename = "x")]
     Leaving(MemberCard),
--- a/crates/plat/src/feed.rs
+++ b/crates/plat/src/feed.rs
@@ -22,6 +22,8 @@
     UsageReports,
     /// Requests under which endpoints ended.
     Suspects,
+    /// What was let in of the accounts lately.
+    Windows,
 }
 
 impl FeedKind {
@@ -34,6 +36,7 @@
             FeedKind::Leases => "leases",
             FeedKind::UsageReports => "usage_reports",
             FeedKind::Suspects => "suspects",
+            FeedKind::Windows => "windows",
         }
     }
 }
--- a/tests/all/evidence.rs
+++ b/tests/all/evidence.rs
@@ -356,7 +356,7 @@
     assert_eq!(told[0].instance, "i-3".into());
 
     // The next collector goes on from what it was told, and not for good.
-    let next = MeshCollector::begin(Vec::new(), later).with_verdicts(told.into_iter());
+    let next = MeshCollector::begin(later).with_verdicts(told.into_iter());
     rig.collector = next;
     assert_eq!(rig.collector.judge(&four_endpoints(), later + TimeSpan(1000)), []);
     assert_eq!(rig.take(report("front-2"), later + TimeSpan(1000)).verdicts.len(), 1);
--- a/tests/all/front.rs
+++ b/tests/all/front.rs
@@ -24,6 +24,16 @@
     objects: Vec<(FeedKind, FeedObject)>,
 }
 
+impl StillStore {
+    /// The same with other rules.
+    pub fn with_rules(mut self, change: impl Fn(&str) -> String) -> Self {
+        for (_, object) in self.objects.iter_mut().filter(|(kind, _)| *kind == FeedKind::Rules) {
+            object.body = Bytes::from(change(&String::from_utf8_lossy(&object.body)));
+        }
+        self
+    }
+}
+
 impl FeedStore for StillStore {
     fn list(&self, kind: FeedKind) -> LocalBoxFuture<'_, Result<FeedPage>> {
         let of_kind = self.objects.iter().filter(|(other, _)| *other == kind);
--- a/tests/all/mesh.rs
+++ b/tests/all/mesh.rs
@@ -3,10 +3,10 @@
 use crate::roster::{listed, roster_news};
 use oleandertack::call::{AccountRule, CallerBounds, RuleSet};
 use oleandertack::kind::{AccountName, ClockTime, InstanceId, TimeSpan};
-use oleandertack::limit::{PoolLimit, SpendCount};
+use oleandertack::limit::{HoldClaim, LedgerPast, PoolLedger, PoolLimit};
 use oleandertack::list::{RosterBook, RosterStand, RosterState, RosterUpdate, VouchNote};
 use oleandertack::mesh::{
-    AccountSpend, CollectorFacts, EndpointLoad, LifeMark, MemberCard, MeshBody, MeshCollector,
+    AccountClaim, CollectorFacts, EndpointLoad, LifeMark, MemberCard, MeshBody, MeshCollector,
     MeshDigest, MeshView, NodeReport, NodeUsage, RulesStand, ServicePace, SleepWatch, TrueClock,
     UsageCount, collect_strength, median_offset,
 };
@@ -177,7 +177,9 @@
         rules: RulesStand { version: 1, vouch: None },
         roster: stand(1, 0, 1),
         roster_state: None,
-        spent: Vec::new(),
+        claims: Vec::new(),
+        bond: None,
+        handed: None,
         usage: Vec::new(),
         loads: Vec::new(),
         demand: Vec::new(),
@@ -211,7 +213,11 @@
 pub fn rig() -> CollectorRig {
     CollectorRig {
         view: views(3).remove(0),
-        collector: MeshCollector::begin(Vec::new(), NOW),
+        collector: MeshCollector::begin(NOW).with_ledger(PoolLedger::begin(
+            1,
+            LedgerPast::Nothing,
+            NOW,
+        )),
         rules: RuleSet::new(1, CallerBounds::default()),
         roster: RosterBook::default(),
         limit: None,
@@ -408,22 +414,27 @@
     assert_eq!(view.sharers(3), 9);
 }
 
+/// What a process says of its one account, after `spent` tokens; it holds nothing.
+fn claims(number: u64, spent: u64, source: u64) -> Vec<AccountClaim> {
+    let claim = HoldClaim { number, spent, ceiling: spent, source, ..HoldClaim::default() };
+    vec![AccountClaim { account: "tartu".into(), claim }]
+}
+
 /// The collector dies while an account presses, and a process follows it that let in nothing of that
 /// account. It can begin with the account's window only if it was told of it.
 #[test]
 fn a_process_is_told_of_accounts_that_only_others_let_in() {
     let mut rig = rig();
     rig.limit_account();
-    let count = SpendCount { tokens: 5000, acked: 0 };
-    let spent = vec![AccountSpend { account: "tartu".into(), count }];
     let settled = NOW + TimeSpan(600);
+    let first = rig.take(NodeReport { claims: claims(1, 0, 0), ..report("front-1") }, settled);
+    let source = first.allotments[0].allotment.source;
 
-    rig.take(NodeReport { spent, ..report("front-1") }, settled);
+    rig.take(NodeReport { claims: claims(2, 5000, source), ..report("front-1") }, settled);
     let digest = rig.take(report("front-2"), settled + TimeSpan(10));
 
-    let news = digest.levels.first().map(|level| level.news.clone());
-    let told = news.map(|news| (news.profile.first().copied(), news.counted));
-    assert_eq!(told, Some((Some(5000), 0)));
+    let told = digest.allotments.first().map(|told| told.allotment.window.seconds[0]);
+    assert_eq!(told, Some(5000));
 }
 
 /// A window's usage is not told, and limits are given out twice for 5 s. A process has just come back
@@ -475,9 +486,14 @@
     rig.rules = accounts.fold(empty, RuleSet::with_account);
     let window = TimeSpan(8000);
     rig.limit = Some(PoolLimit { rate_per_s: 1e6, burst: 1e6, overshoot: 1e6, window });
-    let spend = |number: usize| AccountSpend {
+    let claim = |number: usize| AccountClaim {
         account: format!("account-{number:02}").as_str().into(),
-        count: SpendCount { tokens: 3_000_000, acked: 2_900_000 },
+        claim: HoldClaim {
+            number: 1,
+            spent: 3_000_000,
+            ceiling: 3_100_000,
+            ..HoldClaim::default()
+        },
     };
     let load = |number: usize| EndpointLoad {
         instance: format!("i-{number:010}").as_str().into(),
@@ -486,7 +502,7 @@
         unread_tokens: 40_000,
     };
     let busy = NodeReport {
-        spent: (0..16).map(spend).collect(),
+        claims: (0..16).map(claim).collect(),
         loads: (0..75).map(load).collect(),
         ..report("front-1")
     };
@@ -528,22 +544,24 @@
 fn a_report_of_an_earlier_turn_is_not_taken_for_news_of_spending() {
     let mut rig = rig();
     rig.limit_account();
-    let spent = |tokens, acked| {
-        let count = SpendCount { tokens, acked };
-        vec![AccountSpend { account: "tartu".into(), count }]
-    };
     let began = NOW + TimeSpan(600);
-    rig.take(NodeReport { turn: 5, spent: spent(10_000, 9_000), ..report("front-1") }, began);
+    let first =
+        rig.take(NodeReport { turn: 5, claims: claims(1, 0, 0), ..report("front-1") }, began);
+    let source = first.allotments[0].allotment.source;
+    let known = claims(2, 1000, source);
+    rig.take(NodeReport { turn: 5, claims: known, ..report("front-1") }, began);
 
     let woke = began + TimeSpan(7000);
     rig.oldest_turn = 6;
-    rig.take(NodeReport { turn: 5, spent: spent(10_200, 10_000), ..report("front-1") }, woke);
-    let news = NodeReport { turn: 6, spent: spent(17_000, 16_900), ..report("front-1") };
+    let late = claims(3, 1200, source);
+    rig.take(NodeReport { turn: 5, claims: late, ..report("front-1") }, woke);
+    let news = NodeReport { turn: 6, claims: claims(9, 17_000, source + 1), ..report("front-1") };
     let digest = rig.take(news, woke + TimeSpan(800));
 
-    let profile = digest.levels.first().map(|level| level.news.profile.clone()).unwrap_or_default();
-    assert_eq!(profile.len(), 8);
-    assert!(profile.iter().all(|second| *second < 2000), "{profile:?}");
+    let told = digest.allotments.first().map(|told| told.allotment.window.seconds.clone());
+    let seconds = told.unwrap_or_default();
+    assert_eq!(seconds.len(), 9);
+    assert!(seconds.iter().all(|second| *second < 2000), "{seconds:?}");
 }
 
 /// A new endpoint gets nothing for a second: it started again under its name, and what the others still
--- a/tests/all/pool.rs
+++ b/tests/all/pool.rs
@@ -1,9 +1,12 @@
 //! One window of tokens over many processes, in virtual time.
 
 use oleandertack::kind::{AccountName, ClockTime, TimeSpan};
-use oleandertack::limit::{LimitVerdict, PoolGate, PoolLedger, PoolLimit, PoolSpender};
+use oleandertack::limit::{
+    HoldClaim, KnownWindow, LedgerPast, PoolGate, PoolLedger, PoolLimit, PoolSpender, STORED_LASTS,
+    TOLD_LASTS, ToldWindow,
+};
 
-const RATE: u64 = 240_000;
+pub const RATE: u64 = 240_000;
 const TOKENS: u64 = 3000;
 const REPORT_MS: u64 = 250;
 const WINDOW_MS: u64 = 8000;
@@ -20,11 +23,23 @@
 }
 
 /// What the operators allow in any window.
-fn allowed(rate: u64) -> u64 {
+pub fn allowed(rate: u64) -> u64 {
     (rate * 8 + rate) * 11 / 10 + 140_000
 }
 
-struct Group {
+/// What keeps limits where processes change, and can be left out to show that it is needed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Safeguard {
+    /// A ledger takes what was handed out before it for spent.
+    Past,
+    /// A process counts at one ledger at a time.
+    Bond,
+    /// A ledger keeps to what the store has of its promises.
+    StoredPromise,
+}
+
+/// Processes, their ledger and the callers of one account, in virtual time.
+pub struct Group {
     rate: u64,
     gates: Vec<PoolGate>,
     ledger: PoolLedger,
@@ -32,38 +47,60 @@
     aside: Option<(PoolLedger, Vec<usize>)>,
     /// Processes that the ledger does not hear.
     cut: Vec<usize>,
+    /// How many ledgers there were.
+    ledgers: u64,
+    /// Which life of each process it is.
+    lives: Vec<u64>,
+    /// What the store has of the windows, since when, and of which ledger.
+    stored: Option<(Vec<(AccountName, ToldWindow)>, ClockTime, u64)>,
+    /// Whether the store answers.
+    pub store_answers: bool,
+    /// What is left out to show that it is needed.
+    pub without: Option<Safeguard>,
     spent: Vec<(u64, u64)>,
     /// Tokens of the requests, by turns.
-    sizes: &'static [u64],
+    pub sizes: &'static [u64],
     asked: u64,
-    refused: u64,
+    asked_ledger: u64,
+    pub refused: u64,
     owed: f64,
     now: u64,
 }
 
-fn group(count: usize) -> Group {
+/// Processes that have not reported yet.
+pub fn group(count: usize) -> Group {
     Group {
         rate: RATE,
         gates: (0..count).map(|_| PoolGate::default()).collect(),
-        ledger: PoolLedger::begin(Vec::new(), ClockTime(START)),
+        ledger: PoolLedger::begin(1, LedgerPast::Nothing, ClockTime(START)),
         aside: None,
         cut: Vec::new(),
+        ledgers: 1,
+        lives: vec![1; count],
+        stored: None,
+        store_answers: false,
+        without: None,
         spent: Vec::new(),
         sizes: &[TOKENS],
         asked: 0,
+        asked_ledger: 0,
         refused: 0,
         owed: 0.0,
         now: START,
     }
 }
 
+fn spender(at: usize, life: u64) -> PoolSpender {
+    PoolSpender { instance: format!("front-{at}").as_str().into(), life }
+}
+
 fn account() -> AccountName {
     AccountName::from("tartu")
 }
 
 impl Group {
     /// Plays `ms` milliseconds of `times` the rate, spread unevenly over the processes.
-    fn play(&mut self, ms: u64, times: f64) {
+    pub fn play(&mut self, ms: u64, times: f64) {
         for _ in 0..ms {
             self.now += 1;
             self.owed += self.rate as f64 * times / 1000.0;
@@ -71,6 +108,7 @@
                 self.owed -= self.next_size() as f64;
                 self.ask();
             }
+            self.write_store();
             for at in 0..self.gates.len() {
                 // Reports of different processes come at different moments.
                 if (self.now + at as u64 * 27).is_multiple_of(REPORT_MS) {
@@ -90,39 +128,160 @@
         let turn = self.asked * self.asked * 7 + self.asked;
         // A third of all requests come to the first process.
         let at = if self.asked.is_multiple_of(3) { 0 } else { turn as usize % self.gates.len() };
-        let processes = (self.gates.len() as u32, ClockTime(self.now));
-        match self.gates[at].admit(&account(), &limit(self.rate), tokens, processes) {
-            LimitVerdict::Pass => self.spent.push((self.now, tokens)),
-            LimitVerdict::Refuse { .. } => self.refused += 1,
+        if self.lets_in(at, tokens) {
+            self.spent.push((self.now, tokens));
+        } else {
+            self.refused += 1;
         }
     }
 
-    fn report(&mut self, at: usize) {
+    /// Whether process `at` lets a request in: by its allotment, after a word with the ledger, or by its own part.
+    fn lets_in(&mut self, at: usize, tokens: u64) -> bool {
+        let (now, rate) = (ClockTime(self.now), self.rate);
+        let processes = (self.gates.len() as u32, now);
+        if self.gates[at].spend(&account(), tokens, now) {
+            return true;
+        }
         if self.cut.contains(&at) {
-            return;
+            return self.gates[at].spend_own(&account(), &limit(rate), tokens, processes);
         }
-        let part = (self.gates.len() - self.cut.len()) as f64 / self.gates.len() as f64;
-        let spender = PoolSpender { instance: format!("front-{at}").as_str().into(), life: 1 };
+        if self.gates[at].full_for(&account(), now).is_some() {
+            return false;
+        }
+        let claim = self.gates[at].claim(&account(), tokens, now);
+        self.asked_ledger += 1;
+        self.note_member(at);
+        self.answer(at, &claim);
+        self.gates[at].spend(&account(), tokens, now)
+    }
+
+    /// The ledger that process `at` reports to answers a claim.
+    fn answer(&mut self, at: usize, claim: &HoldClaim) {
         let now = ClockTime(self.now);
-        // A ledger tells of every account, also to processes that let none of its requests in.
-        let count = self.gates[at].spent().map(|(_, count)| count).next().unwrap_or_default();
-        let known = (&limit(self.rate), part);
-        let ledger = match &mut self.aside {
+        let serving = self.gates.len() as u32;
+        let spender = spender(at, self.lives[at]);
+        let known = (&limit(self.rate), serving);
+        let answer = self.ledger_of(at).claim(&account(), known, (&spender, claim), now);
+        let allotment = answer.expect("the claim is true");
+        self.gates[at].take(&account(), allotment, (now, now));
+    }
+
+    fn note_member(&mut self, at: usize) {
+        let now = ClockTime(self.now);
+        let bond = self.gates[at].bond(now).filter(|_| !self.is_without(Safeguard::Bond));
+        let length = limit(self.rate).length();
+        let id = spender(at, self.lives[at]).instance;
+        self.ledger_of(at).note_member(&id, bond, (length, now));
+    }
+
+    fn ledger_of(&mut self, at: usize) -> &mut PoolLedger {
+        match &mut self.aside {
             Some((ledger, reporters)) if reporters.contains(&at) => ledger,
             _ => &mut self.ledger,
-        };
-        let news = ledger.report(&account(), known, (&spender, count), now);
-        self.gates[at].take_news(&account(), news, now);
+        }
+    }
+
+    fn report(&mut self, at: usize) {
+        if self.cut.contains(&at) {
+            return;
+        }
+        let now = ClockTime(self.now);
+        self.note_member(at);
+        // A ledger hands out to every process, also to one that let nothing in.
+        let claim = self.gates[at].claim(&account(), 0, now);
+        self.answer(at, &claim);
     }
 
     /// Another process takes the ledger over.
-    fn change_ledger(&mut self) {
-        let windows = self.gates[1].known_windows(ClockTime(self.now));
-        self.ledger = PoolLedger::begin(windows, ClockTime(self.now));
+    pub fn change_ledger(&mut self) {
+        self.ledger = self.next_ledger(1);
+    }
+
+    /// A ledger that begins at process `at`.
+    fn next_ledger(&mut self, at: usize) -> PoolLedger {
+        let windows = self.gates[at].known_windows(ClockTime(self.now));
+        self.new_ledger(LedgerPast::Told { windows, lasts: TOLD_LASTS })
+    }
+
+    fn new_ledger(&mut self, past: LedgerPast) -> PoolLedger {
+        let past = if self.is_without(Safeguard::Past) { LedgerPast::Nothing } else { past };
+        self.ledgers += 1;
+        PoolLedger::begin(self.ledgers, past, ClockTime(self.now))
+    }
+
+    fn is_without(&self, safeguard: Safeguard) -> bool {
+        self.without == Some(safeguard)
+    }
+
+    /// The ledger ends in order, and the next one gets what it knows.
+    pub fn hand_over(&mut self) {
+        let known = self.ledger.hand_over(ClockTime(self.now));
+        self.ledger = self.new_ledger(LedgerPast::Handed(known));
+    }
+
+    /// The process with the ledger is killed and begins anew; process `next` takes the ledger over.
+    pub fn kill_ledger(&mut self, killed: usize, next: usize) {
+        self.ledger = self.next_ledger(next);
+        self.begin_anew_at(killed);
+    }
+
+    fn begin_anew_at(&mut self, at: usize) {
+        self.gates[at] = PoolGate::default();
+        self.lives[at] += 1;
+    }
+
+    /// A part of the processes is cut off from the others, and one of them begins a ledger for them.
+    pub fn split(&mut self, reporters: Vec<usize>) {
+        let ledger = self.next_ledger(reporters[0]);
+        self.aside = Some((ledger, reporters));
+    }
+
+    /// The cut heals, and all report to the first ledger again.
+    pub fn join(&mut self) {
+        self.aside = None;
+    }
+
+    /// Nobody answers some processes.
+    pub fn cut_off(&mut self, cut: Vec<usize>) {
+        self.cut = cut;
+    }
+
+    /// All processes begin anew, without a memory.
+    pub fn begin_anew(&mut self) {
+        (0..self.gates.len()).for_each(|at| self.begin_anew_at(at));
+        self.aside = None;
+        let now = ClockTime(self.now);
+        let known = self.stored.iter().flat_map(|(windows, at, source)| {
+            let age = now - *at;
+            windows.iter().map(move |(name, told)| {
+                (name.clone(), KnownWindow { told: told.clone(), age, source: *source })
+            })
+        });
+        let windows = known.collect();
+        self.ledger = self.new_ledger(LedgerPast::Told { windows, lasts: STORED_LASTS });
+    }
+
+    /// Time in which no process has power.
+    pub fn stay_dark(&mut self, ms: u64) {
+        self.now += ms;
+    }
+
+    fn write_store(&mut self) {
+        /// Between two writes.
+        const WRITE_MS: u64 = 500;
+        if !self.store_answers || !self.now.is_multiple_of(WRITE_MS) {
+            return;
+        }
+        let now = ClockTime(self.now);
+        let (windows, promises) = self.ledger.to_store(now);
+        self.stored = Some((windows, now, self.ledger.source()));
+        if !self.is_without(Safeguard::StoredPromise) {
+            self.ledger.note_stored(promises, now);
+        }
     }
 
     /// The most that was let in during any window.
-    fn worst_window(&self) -> u64 {
+    pub fn worst_window(&self) -> u64 {
         let in_window = |from: u64| {
             let inside = self.spent.iter().filter(|(at, _)| (from..from + WINDOW_MS).contains(at));
             inside.map(|(_, tokens)| tokens).sum()
@@ -203,8 +362,7 @@
     group.play(4_000, 4.2);
 
     group.now += 1_500;
-    group.gates = (0..9).map(|_| PoolGate::default()).collect();
-    group.ledger = PoolLedger::begin(Vec::new(), ClockTime(group.now));
+    group.begin_anew();
     group.play(10_000, 4.2);
 
     let worst = group.worst_window();
@@ -236,8 +394,7 @@
 fn processes_that_return_from_another_ledger_are_not_taken_to_have_spent_all_at_once() {
     let mut group = group(9);
     group.play(10_000, 0.5);
-    let windows = group.gates[0].known_windows(ClockTime(group.now));
-    let other = PoolLedger::begin(windows, ClockTime(group.now));
+    let other = group.next_ledger(0);
     group.aside = Some((other, vec![0, 2, 4, 6]));
     group.play(20_000, 0.5);
     let before = group.refused;
@@ -253,8 +410,7 @@
 fn processes_that_return_from_another_ledger_have_not_spent_nothing() {
     let mut group = group(9);
     group.play(10_000, 0.55);
-    let windows = group.gates[0].known_windows(ClockTime(group.now));
-    let other = PoolLedger::begin(windows, ClockTime(group.now));
+    let other = group.next_ledger(0);
     group.aside = Some((other, vec![0, 2, 4, 6]));
     group.play(12_000, 0.5);
 
@@ -276,8 +432,7 @@
         group.play(pressed, 4.2);
 
         group.now += 500;
-        group.gates = (0..9).map(|_| PoolGate::default()).collect();
-        group.ledger = PoolLedger::begin(Vec::new(), ClockTime(group.now));
+        group.begin_anew();
         group.play(10_000, 4.2);
 
         let worst = group.worst_window();
@@ -286,7 +441,7 @@
 }
 
 /// Tokens of requests as callers mix them: most are short, one in sixteen is very long.
-const MIXED_SIZES: &[u64] =
+pub const MIXED_SIZES: &[u64] =
     &[200, 900, 1700, 200, 2600, 5400, 700, 200, 12_000, 1200, 400, 3300, 200, 800, 7200, 47_000];
 
 /// Operators see an account above what they allow, although nothing fails. It sends many times its usual; all
