Pay for each attempt that may run, not for each request

Operators count the tokens of every attempt that an endpoint runs. One that was made again after its endpoint broke off or failed counted once here: an account whose endpoints fail half of their requests ran up to twice what was counted. A further attempt pays again unless the one before certainly did not run; without room it is not made.

--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -270,6 +270,16 @@
         }
     }
 
+    /// Pays for another attempt after one that may have run: operators count the tokens of each that runs.
+    async fn pay_again(&self, end: AttemptEnd) -> bool {
+        match &self.payment {
+            Some(payment) if end.may_have_run() => {
+                limits::pay_again(self.node, payment, self.call.id.as_str()).await
+            }
+            _ => true,
+        }
+    }
+
     /// Gives back what was paid for a request that certainly did not run.
     fn give_back(&self) {
         let is_answered = self.first_at.is_some();
@@ -285,7 +295,8 @@
         let again = self.record.may_send()
             && suspects::held_for(self.node, &self.print).is_none()
             && self.choose().is_some()
-            && (self.record.sent() == 0 || self.node.spend_retry(&self.service));
+            && (self.record.sent() == 0 || self.node.spend_retry(&self.service))
+            && self.pay_again(end).await;
         self.node.meter.count_attempt(end.name());
         event!(self.node, AttemptEnded;
             "request" => self.call.id.as_str(),
--- a/tests/all/paying.rs
+++ b/tests/all/paying.rs
@@ -56,6 +56,22 @@
     });
 }
 
+/// Operators count the tokens of each attempt that runs; one that was made again after its endpoint failed counted
+/// once here.
+#[test]
+fn a_further_attempt_is_paid_for() {
+    run(async {
+        let near = scripted(vec![vec![Act::Reset]]).await;
+        let far = endpoint(GOOD).await;
+        let (process, address) = limited_front(&[&near, &far]).await;
+
+        let came = ask(address, &request("GET", "/any/a", "r", "", "")).await;
+
+        assert_eq!(came.status(), "200");
+        assert_eq!(spent(&process), 2 * TOKENS);
+    });
+}
+
 /// A caller that no endpoint took in has used nothing of its limit.
 #[test]
 fn a_request_that_did_not_run_is_given_back() {
