--- a/crates/limit/src/pool/ledger.rs
+++ b/crates/limit/src/pool/ledger.rs
@@ -120,6 +120,7 @@
             *member = fresh;
         }
         member.heard_at = now;
+        self.members.retain(|_, member| now - member.heard_at < length);
     }
 
     /// The part of `serving` processes that count here.
@@ -270,7 +271,8 @@
         }
     }
 
-    /// Counts what is left of allotments that have ended: a holder that is silent may have spent all of it.
+    /// Counts what is left of allotments that have ended: a holder that is silent may have spent all of it. Holders that
+    /// were silent for a whole window are forgotten.
     fn settle(&mut self, (length, now): (TimeSpan, ClockTime)) {
         self.window.forget(now - length);
         if now - self.settled_at < SETTLE_TIME {
@@ -286,6 +288,7 @@
             self.window.spend(left, holder.ends_at);
             self.total += left;
         }
+        self.holders.retain(|_, holder| now - holder.ends_at < length);
     }
 
     fn spend(&mut self, tokens: f64, now: ClockTime) {
@@ -378,8 +381,8 @@
             return (claim.spent, None);
         };
         let held = claim.ceiling.saturating_sub(claim.spent) as f64;
-        // What it holds is counted already. Taken back while no process counts here yet, callers of all accounts
-        // would be refused at each change of the ledger.
+        // What it holds is counted already. Taken back because not all processes count here yet, callers of all
+        // accounts would be refused at each change of the ledger.
         let room = room.max(0.0);
         let most = held + room;
         let spread = room * SPREAD_PART / f64::from(serving.max(1));
--- a/tests/all/pool.rs
+++ b/tests/all/pool.rs
@@ -2,8 +2,8 @@
 
 use oleandertack::kind::{AccountName, ClockTime, TimeSpan};
 use oleandertack::limit::{
-    HoldClaim, KnownWindow, LedgerPast, PoolGate, PoolLedger, PoolLimit, PoolSpender, STORED_LASTS,
-    TOLD_LASTS, ToldWindow,
+    ClaimFault, HoldClaim, KnownWindow, LedgerPast, PoolAllotment, PoolGate, PoolLedger, PoolLimit,
+    PoolSpender, STORED_LASTS, TOLD_LASTS, ToldWindow,
 };
 
 pub const RATE: u64 = 240_000;
@@ -282,11 +282,17 @@
 
     /// The most that was let in during any window.
     pub fn worst_window(&self) -> u64 {
+        self.worst_window_since(0)
+    }
+
+    /// The same of the windows that began at `since` or later.
+    fn worst_window_since(&self, since: u64) -> u64 {
         let in_window = |from: u64| {
             let inside = self.spent.iter().filter(|(at, _)| (from..from + WINDOW_MS).contains(at));
             inside.map(|(_, tokens)| tokens).sum()
         };
-        self.spent.iter().map(|(at, _)| in_window(*at)).max().unwrap_or(0)
+        let begins = self.spent.iter().map(|(at, _)| *at).filter(|at| *at >= since);
+        begins.map(in_window).max().unwrap_or(0)
     }
 }
 
@@ -461,3 +467,84 @@
         }
     }
 }
+
+/// Operators lower an account's limit to a twentieth. What processes hold by the old one, more than the new one lets come in
+/// a window, must not last: a holder keeps what it uses between two reports.
+#[test]
+fn a_lowered_limit_binds_as_soon_as_allotments_end() {
+    for processes in [8, 87] {
+        let mut group = Group { sizes: MIXED_SIZES, ..group(processes) };
+        group.play(12_000, 0.3);
+
+        group.rate = RATE / 20;
+        let lowered_at = group.now;
+        group.play(1_000, 3.0);
+        group.play(15_000, 40.0);
+
+        let worst = group.worst_window_since(lowered_at + 1_000);
+        assert!(worst <= allowed(RATE / 20), "{processes}: {worst} of {}", allowed(RATE / 20));
+    }
+}
+
+/// An account that was idle sends what its burst lets come at once; none of it is refused, and its limit is used to the
+/// end while it presses. Refusing everybody would keep any limit.
+#[test]
+fn an_account_gets_what_it_is_owed() {
+    for (processes, rate) in [(8, RATE), (87, RATE), (87, LARGE_RATE), (195, LARGE_RATE)] {
+        for times in [0.5, 0.8, 3.0, 16.5] {
+            let mut group = Group { rate, sizes: MIXED_SIZES, ..group(processes) };
+            group.play(9_000, 0.55);
+            let (refused, before) = (group.refused, group.spent.len());
+
+            group.play(16_000, times);
+
+            let got: u64 = group.spent[before..].iter().map(|(_, tokens)| tokens).sum();
+            let owed = rate as f64 * 16.0 * times.min(1.0);
+            let part = got as f64 / owed;
+            assert!(part >= 0.9, "{processes} at {rate} by {times}: {part:.3}");
+            assert!(times > 1.0 || group.refused == refused, "{processes} at {rate} by {times}");
+        }
+    }
+}
+
+/// An allotment ends for its holder when it does for the ledger, whatever reports are lost.
+#[test]
+fn an_allotment_ends_and_late_answers_are_not_taken() {
+    let now = ClockTime(START);
+    let mut gate = PoolGate::default();
+    let claim = gate.claim(&account(), 0, now);
+    let answer = PoolAllotment { number: claim.number, ceiling: 5_000, ..PoolAllotment::default() };
+
+    gate.take(&account(), answer.clone(), (now, now + TimeSpan(200)));
+
+    assert!(gate.spend(&account(), 1_000, now + TimeSpan(599)));
+    assert!(!gate.spend(&account(), 1_000, now + TimeSpan(600)));
+    // The answer to an earlier claim comes after the next claim was made.
+    gate.claim(&account(), 0, now + TimeSpan(700));
+    gate.take(&account(), answer, (now + TimeSpan(700), now + TimeSpan(701)));
+    assert!(!gate.spend(&account(), 1_000, now + TimeSpan(702)));
+}
+
+/// Claims that come late, or name more than was handed out, get no answer and change nothing.
+#[test]
+fn claims_that_cannot_be_true_are_left_out() {
+    let now = ClockTime(START);
+    let mut ledger = PoolLedger::begin(1, LedgerPast::Nothing, now);
+    let spender = spender(0, 1);
+    ledger.note_member(&spender.instance, None, (limit(RATE).length(), now));
+    let mut ask = |claim: HoldClaim| {
+        let known = (&limit(RATE), 1);
+        ledger.claim(&account(), known, (&spender, &claim), now)
+    };
+    let first = ask(HoldClaim { number: 5, ..HoldClaim::default() }).expect("it is the first");
+
+    let late = ask(HoldClaim { number: 4, ..HoldClaim::default() });
+    let false_ceiling = first.ceiling + 1;
+    let too_much =
+        ask(HoldClaim { number: 6, ceiling: false_ceiling, source: 1, ..HoldClaim::default() });
+    let again = ask(HoldClaim { number: 6, source: 1, ..HoldClaim::default() });
+
+    assert_eq!(late, Err(ClaimFault::Late));
+    assert_eq!(too_much, Err(ClaimFault::Impossible));
+    assert!(again.is_ok());
+}
