--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -47,3 +47,16 @@
     assert!(report.ends >= 3, "{} endpoints ended", report.ends);
     std::fs::remove_dir_all(settings.folder).expect("the logs of a run that passed");
 }
+
+/// Operators see an account above its limit when it sends up to thirty times that while processes are killed and
+/// paused: its limit holds, and it is not kept by refusing everything.
+#[test]
+fn an_account_keeps_to_its_limit_through_a_short_series_of_faults() {
+    let settings = settings(9000);
+
+    let report = actix_rt::System::new().block_on(run_seed(&settings)).expect("it starts");
+
+    assert!(report.broken.is_empty(), "{:#?}\n{:#?}", report.broken, report.made);
+    assert!(report.pressing.1 > 100, "{:?}", report.pressing);
+    std::fs::remove_dir_all(settings.folder).expect("the logs of a run that passed");
+}
