Tell callers when there will be room; waits for the ledger and allotments in metrics and state dump

A caller refused within a quarter of a second after another was told to come back at the end of that quarter, when the window had no room yet. The gate keeps when the ledger said there would be. Histogram oleander_front_limit_ask_ms by outcome; /state has what is held and counted.

--- a/crates/front/src/admin.rs
+++ b/crates/front/src/admin.rs
@@ -1,5 +1,6 @@
 //! What operators may read: metrics and a dump of the state.
 
+use crate::limits;
 use crate::node::FrontNode;
 use actix_web::{HttpResponse, web};
 use oleander_list::StoreVouch;
@@ -56,6 +57,7 @@
             "for_ms": doubt.left.0,
         })).collect::<Vec<_>>(),
         "endpoints": dump_endpoints(node),
+        "limits": limits::dump_limits(node, &mesh),
         "suspects": node.suspects.borrow().len(),
         "held_requests": dump_held(node),
         "idle_connections": node.pool.borrow().len(),
--- a/crates/front/src/limits.rs
+++ b/crates/front/src/limits.rs
@@ -10,11 +10,16 @@
 use crate::node::FrontNode;
 use oleander_call::{AccountRule, CallHead, TokenCount};
 use oleander_kind::{AccountName, ResultCode, TimeSpan};
-use oleander_limit::{KnownWindow, LedgerPast, PoolAllotment, PoolLedger, PoolLimit, TOLD_LASTS};
+use oleander_limit::{
+    GateStand, KnownWindow, LedgerPast, PoolAllotment, PoolLedger, PoolLimit, TOLD_LASTS,
+    WindowStand,
+};
 use oleander_mesh::{AccountClaim, HandedLedger, HandedWindow, LimitAsk, MeshBody, MeshCollector};
 use oleander_wire::CallPeer;
+use serde_json::{Value, json};
 use std::collections::HashMap;
 use std::rc::Rc;
+use tokio::time::Instant;
 
 /// The longest that a request waits for room: a word with the ledger takes a few milliseconds, and the shortest
 /// objective of requests that count by their tokens is some hundred.
@@ -49,6 +54,15 @@
     Unreached,
 }
 
+impl NoRoom {
+    fn name(&self) -> &'static str {
+        match self {
+            NoRoom::Full(_) => "full",
+            NoRoom::Unreached => "unreached",
+        }
+    }
+}
+
 /// Pays for an attempt that may run.
 ///
 /// # Errors
@@ -57,15 +71,20 @@
     if spend(node, payment) {
         return Ok(());
     }
-    let (by, left) = match ask_ledger(node, payment).await {
+    let lack = match ask_ledger(node, payment).await {
         Ok(()) => return Ok(()),
-        Err(NoRoom::Full(left)) => ("full", left),
         Err(NoRoom::Unreached) if spend_own(node, payment) => return Ok(()),
-        Err(NoRoom::Unreached) => ("unreached", LEDGER_RETURN),
+        Err(lack) => lack,
+    };
+    let left = match lack {
+        NoRoom::Full(left) => left,
+        NoRoom::Unreached => LEDGER_RETURN,
     };
+    let held = node.limits.borrow().held(&payment.account, node.clock.lease_now());
     event!(node, RequestOverLimit;
         "request" => request, "account" => payment.account.as_str(), "tokens" => payment.tokens,
-        "retry_ms" => left.0, "by" => by, "limit" => format!("{:?}", payment.limit));
+        "retry_ms" => left.0, "by" => lack.name(), "held" => held,
+        "limit" => format!("{:?}", payment.limit));
     Err(left)
 }
 
@@ -102,11 +121,12 @@
     if node.clock.now() < node.ask_after.get() {
         return Err(NoRoom::Unreached);
     }
+    let began = Instant::now();
     let asking = actix_rt::time::timeout(ASK_LIMIT.duration(), ask_in_turn(node, payment));
-    match asking.await {
-        Ok(outcome) => outcome,
-        Err(_) => Err(NoRoom::Unreached),
-    }
+    let outcome = asking.await.unwrap_or(Err(NoRoom::Unreached));
+    let name = outcome.as_ref().err().map_or("room", NoRoom::name);
+    node.meter.note_limit_ask(name, began.elapsed().as_secs_f64() * 1000.0);
+    outcome
 }
 
 fn full_for(node: &FrontNode, payment: &Payment) -> Option<TimeSpan> {
@@ -305,3 +325,32 @@
             "capacity" => stand.capacity, "holders" => stand.holders);
     }
 }
+
+/// What this process holds of accounts and, if it has the ledger, what it counted, for the state dump.
+pub(crate) fn dump_limits(node: &FrontNode, mesh: &MeshState) -> Value {
+    let now = node.clock.lease_now();
+    let limits = node.limits.borrow();
+    let held = |(account, stand): (&AccountName, GateStand)| {
+        json!({
+            "account": account.as_str(),
+            "held": stand.held,
+            "spent": stand.spent,
+            "own_spent": stand.own_spent,
+            "told_ms": stand.told_age.map(|age| age.0),
+        })
+    };
+    let counted = |(account, stand): (&AccountName, WindowStand)| {
+        json!({
+            "account": account.as_str(),
+            "spent": stand.spent,
+            "open": stand.open,
+            "capacity": stand.capacity,
+            "holders": stand.holders,
+        })
+    };
+    let windows = mesh.collector.iter().flat_map(MeshCollector::windows);
+    json!({
+        "held": limits.stands(now).map(held).collect::<Vec<_>>(),
+        "counted": windows.map(counted).collect::<Vec<_>>(),
+    })
+}
--- a/crates/front/src/meter.rs
+++ b/crates/front/src/meter.rs
@@ -26,6 +26,7 @@
     first_ms: Histogram<f64>,
     total_ms: Histogram<f64>,
     list_age_ms: Histogram<f64>,
+    limit_ask_ms: Histogram<f64>,
 }
 
 impl Default for FrontMeter {
@@ -47,6 +48,7 @@
             first_ms: latency("oleander_front_first_ms"),
             total_ms: latency("oleander_front_total_ms"),
             list_age_ms: latency("oleander_front_list_age_ms"),
+            limit_ask_ms: latency("oleander_front_limit_ask_ms"),
             base,
         }
     }
@@ -75,6 +77,11 @@
         self.list_age_ms.record(ms, &[]);
     }
 
+    /// Notes how long a request waited for a word of the ledger, and what came of it.
+    pub fn note_limit_ask(&self, outcome: &'static str, ms: f64) {
+        self.limit_ask_ms.record(ms, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a stream that goes on at another endpoint.
     pub fn count_resume(&self) {
         self.resumes.add(1, &[]);
--- a/crates/limit/src/pool/gate.rs
+++ b/crates/limit/src/pool/gate.rs
@@ -42,8 +42,10 @@
     /// What was let in without an allotment.
     own: SpendWindow,
     own_spent: u64,
-    /// Until when the ledger has no room.
+    /// Until when the ledger, which had no room, is not asked again.
     full_until: ClockTime,
+    /// When it will have room for the request that it had none for.
+    room_at: ClockTime,
 }
 
 /// How an account stands at one process.
@@ -102,10 +104,15 @@
         }
     }
 
-    /// For how long the ledger is not to be asked for room.
+    /// What is left of an account's allotment.
+    pub fn held(&self, account: &AccountName, now: ClockTime) -> u64 {
+        self.accounts.get(account).map_or(0, |state| state.held(now))
+    }
+
+    /// If the ledger is not to be asked for room now, when it will have some.
     pub fn full_for(&self, account: &AccountName, now: ClockTime) -> Option<TimeSpan> {
-        let until = self.accounts.get(account)?.full_until;
-        (until > now).then(|| until - now)
+        let state = self.accounts.get(account).filter(|state| state.full_until > now)?;
+        Some(state.full_until.max(state.room_at) - now)
     }
 
     /// The claims of all accounts, for a report.
@@ -193,8 +200,9 @@
         self.ceiling = allotment.ceiling;
         self.source = allotment.source;
         self.ends_at = sent_at + ALLOT_TIME;
-        if allotment.retry_ms.is_some() {
+        if let Some(retry_ms) = allotment.retry_ms {
             self.full_until = now + ASK_PAUSE;
+            self.room_at = now + TimeSpan(retry_ms);
         }
         self.told = Some((allotment.window, sent_at));
     }
