A collector that is sent back goes on with its ledger; the store is asked at once where a ledger waits for it

Callers of all accounts were refused below their limits for some seconds after every turn. At a turn the collector goes over to a process of better standing, which goes by it still and sends it back; it had ended its ledger by then, and began anew by what the store had, with all windows nearly full. Where a ledger waited for the store, a look that had nothing to write counted as a failure and doubled the pause, up to 2 s.

--- a/crates/front/src/events.rs
+++ b/crates/front/src/events.rs
@@ -75,8 +75,8 @@
     RequestReleased = "request_released", 40, "a request is held back no more: it was answered, or another one explains its ends: `print`, how many ends are left (`ends`)";
     SuspectForgotten = "suspect_forgotten", 10, "a request under which an endpoint ended was forgotten, to bound the memory: `print`";
     RecordFault = "record_fault", 20, "an object that the collector keeps in the store could not be read or written; it is tried again: which `record`, `fault`";
-    LedgerBegan = "ledger_began", 20, "this process hands out the accounts' limits from now on, by what it knows of the time before (`by`: what the last ledger `handed` over or `told`, what the `store` has, or `nothing`): how many `windows`, how old (`age_ms`)";
-    LedgerEnded = "ledger_ended", 20, "this process hands out no more, and passes on what it counted: `windows`";
+    LedgerBegan = "ledger_began", 20, "this process hands out the accounts' limits from now on, by what it knows of the time before (`by`: what the last ledger `handed` over or `told`, what the `store` has, `nothing`, or the one that it had ended itself and nobody took, `resumed`): how many `windows`, how old (`age_ms`)";
+    LedgerEnded = "ledger_ended", 20, "this process hands out no more, and passes on what it counted";
     ClaimsLeftOut = "claims_left_out", 10, "processes named more than they were handed of accounts: `count`, `code`";
     EvidenceLeftOut = "evidence_left_out", 10, "a report told of endpoints or lives that are not known here, or what cannot be true: `member`, `count`, `code`";
     EvidenceWithheld = "evidence_withheld", 10, "this process woke late (`late_ms`), and does not speak against endpoints for that time";
--- a/crates/front/src/kept.rs
+++ b/crates/front/src/kept.rs
@@ -34,10 +34,15 @@
         true
     }
 
+    /// Whether the object is to be read although it is known.
+    fn must_read(&self, _node: &FrontNode) -> bool {
+        false
+    }
+
     /// Takes what the object says; there may be none.
     fn take(&mut self, node: &FrontNode, object: Option<&FeedObject>) -> Self::Mark;
 
-    /// What the object should say; none if that can't be written.
+    /// What the object should say; none if there is nothing to say.
     fn current(&mut self, node: &FrontNode) -> Option<(Bytes, Self::Mark)>;
 
     /// Notes that the store has what `current` gave last.
@@ -67,7 +72,7 @@
         if !record.is_due(&node) {
             continue;
         }
-        let object = match known.take() {
+        let object = match known.take().filter(|_| !record.must_read(&node)) {
             Some(object) => Some(object),
             None => read_object(&node, &mut record).await,
         };
@@ -112,7 +117,7 @@
     record: &mut R,
     known: KnownObject<R::Mark>,
 ) -> Option<KnownObject<R::Mark>> {
-    let (body, mark) = record.current(node)?;
+    let Some((body, mark)) = record.current(node) else { return Some(known) };
     if mark == known.mark {
         return Some(known);
     }
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -27,6 +27,7 @@
     let mut mesh = node.mesh.borrow_mut();
     if mesh.sleep.slept(node.clock.wall(), now) && mesh.collector.is_some() {
         mesh.end_collecting(now);
+        mesh.ended_ledger = None;
         event!(node, CollectingEnded; "slept" => true);
     }
 }
--- a/crates/front/src/mesh/collect.rs
+++ b/crates/front/src/mesh/collect.rs
@@ -89,6 +89,9 @@
         limits::begin_ledger(node, &mut mesh);
         event!(node, CollectingBegan; "members" => mesh.view.serving());
     }
+    if mesh.view.collects() {
+        limits::resume_ledger(node, &mut mesh);
+    }
     if let Some(handed) = &report.handed {
         limits::take_handed(node, &mut mesh, handed);
     }
--- a/crates/front/src/mesh/state.rs
+++ b/crates/front/src/mesh/state.rs
@@ -1,8 +1,8 @@
 //! What one process knows through the others.
 
 use compact_str::CompactString;
-use oleander_kind::{AccountName, ClockTime, TimeSpan};
-use oleander_limit::KnownWindow;
+use oleander_kind::{ClockTime, TimeSpan};
+use oleander_limit::PoolLedger;
 use oleander_mesh::{
     LeaseNotice, MemberCard, MeshCollector, MeshView, NodeUsage, ServicePace, ServicePeak,
     SleepWatch, TrueClock,
@@ -31,8 +31,8 @@
     /// Counts that were reported here while this process collected, and since when they are passed
     /// on to its successor.
     pub(super) heritage: Option<(Vec<NodeUsage>, ClockTime)>,
-    /// The ledger that was ended here, and when, until another collector has it.
-    pub(crate) ended_ledger: Option<(Vec<(AccountName, KnownWindow)>, ClockTime)>,
+    /// The ledger that was ended here, until another collector has it or may have it.
+    pub(crate) ended_ledger: Option<PoolLedger>,
     pub(super) outdone_since: Option<ClockTime>,
     pub(super) digest_at: ClockTime,
     pub(super) digest_from: Option<MemberCard>,
--- a/crates/front/src/window_store.rs
+++ b/crates/front/src/window_store.rs
@@ -69,6 +69,10 @@
         waits_for_ledger(&node.mesh.borrow()) || node.clock.now() - self.written_at >= WRITE_PERIOD
     }
 
+    fn must_read(&self, node: &FrontNode) -> bool {
+        waits_for_ledger(&node.mesh.borrow())
+    }
+
     fn take(&mut self, node: &FrontNode, object: Option<&FeedObject>) -> WindowMark {
         self.unread = 0;
         let list = object.map(|object| read_list(node, object));
--- a/crates/limit/src/pool.rs
+++ b/crates/limit/src/pool.rs
@@ -4,6 +4,7 @@
 //! and hands out parts of it; the others let in what they were handed, report several times a second what they let in, and
 //! ask when they are short. Whatever the demand and however old the news, no more is let in than was handed out.
 
+mod account;
 mod allot;
 mod gate;
 mod ledger;
@@ -11,11 +12,12 @@
 mod pledge;
 mod window;
 
+pub use account::WindowStand;
 pub use allot::{
     ANSWER_TIME, ClaimFault, HoldClaim, LedgerBond, PoolAllotment, PoolLimit, PoolSpender, Result,
     ToldWindow,
 };
 pub use gate::{GateStand, PoolGate};
-pub use ledger::{PoolLedger, STORED_LASTS, WindowStand};
+pub use ledger::{PoolLedger, STORED_LASTS};
 pub use past::{KnownWindow, LedgerPast};
 pub use pledge::TOLD_LASTS;
--- a/crates/mesh/src/collector.rs
+++ b/crates/mesh/src/collector.rs
@@ -11,8 +11,7 @@
 use oleander_call::RuleSet;
 use oleander_kind::{AccountName, ClockTime, InstanceId, ServiceName, TimeSpan};
 use oleander_limit::{
-    ClaimFault, HoldClaim, KnownWindow, PoolAllotment, PoolLedger, PoolLimit, PoolSpender,
-    WindowStand,
+    ClaimFault, HoldClaim, PoolAllotment, PoolLedger, PoolLimit, PoolSpender, WindowStand,
 };
 use oleander_list::{RosterBook, RosterState};
 use oleander_pace::{ReadPace, join_paces};
@@ -121,9 +120,9 @@
         self.ledger = Some(ledger);
     }
 
-    /// Ends the ledger in order; gives what the next one has to know.
-    pub fn end_ledger(&mut self, now: ClockTime) -> Vec<(AccountName, KnownWindow)> {
-        self.ledger.take().map(|ledger| ledger.hand_over(now)).unwrap_or_default()
+    /// Takes the ledger away: nothing more is handed out here.
+    pub fn take_ledger(&mut self) -> Option<PoolLedger> {
+        self.ledger.take()
     }
 
     /// How many claims could not be true since this was last asked.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -19,6 +19,7 @@
 mod flow;
 mod front;
 mod holder;
+mod keeping;
 mod lease;
 mod leaving;
 mod limit;
--- a/tests/all/plays.rs
+++ b/tests/all/plays.rs
@@ -355,6 +355,14 @@
         self.state.put(FeedKind::Rules, "main", Bytes::from(text));
     }
 
+    /// The operators limit the one account to this many tokens a second, and as many at once.
+    pub fn limit_account(&self, version: u64, tokens: u64) {
+        let rules = RULES.replace("\"version\":7", &format!("\"version\":{version}"));
+        let limit = format!(r#""rate-per-s":{tokens},"burst":{tokens}"#);
+        let rules = rules.replace(r#""rate-per-s":0,"burst":0"#, &limit);
+        self.state.put(FeedKind::Rules, "main", Bytes::from(rules));
+    }
+
     /// For how long, in milliseconds from now, each process still goes by rules older than `version`.
     pub async fn older_for(&self, version: u64, most: Duration) -> Vec<u64> {
         self.lasts(most, |process| process.node.rules.borrow().version() < version).await
--- a/tests/all/pool.rs
+++ b/tests/all/pool.rs
@@ -38,6 +38,12 @@
     StoredPromise,
 }
 
+struct StoredWindows {
+    windows: Vec<(AccountName, ToldWindow)>,
+    at: ClockTime,
+    source: u64,
+}
+
 /// Processes, their ledger and the callers of one account, in virtual time.
 pub struct Group {
     rate: u64,
@@ -51,8 +57,8 @@
     ledgers: u64,
     /// Which life of each process it is.
     lives: Vec<u64>,
-    /// What the store has of the windows, since when, and of which ledger.
-    stored: Option<(Vec<(AccountName, ToldWindow)>, ClockTime, u64)>,
+    /// What the store has of the windows.
+    stored: Option<StoredWindows>,
     /// Whether the store answers.
     pub store_answers: bool,
     /// What is left out to show that it is needed.
@@ -251,10 +257,10 @@
         (0..self.gates.len()).for_each(|at| self.begin_anew_at(at));
         self.aside = None;
         let now = ClockTime(self.now);
-        let known = self.stored.iter().flat_map(|(windows, at, source)| {
-            let age = now - *at;
-            windows.iter().map(move |(name, told)| {
-                (name.clone(), KnownWindow { told: told.clone(), age, source: *source })
+        let known = self.stored.iter().flat_map(|stored| {
+            let (age, source) = (now - stored.at, stored.source);
+            stored.windows.iter().map(move |(name, told)| {
+                (name.clone(), KnownWindow { told: told.clone(), age, source })
             })
         });
         let windows = known.collect();
@@ -274,7 +280,7 @@
         }
         let now = ClockTime(self.now);
         let (windows, promises) = self.ledger.to_store(now);
-        self.stored = Some((windows, now, self.ledger.source()));
+        self.stored = Some(StoredWindows { windows, at: now, source: self.ledger.source() });
         if !self.is_without(Safeguard::StoredPromise) {
             self.ledger.note_stored(promises, now);
         }
--- a/tests/all/quota.rs
+++ b/tests/all/quota.rs
@@ -8,7 +8,7 @@
 
 /// What may happen between two stretches of demand.
 #[derive(Clone, Copy, Debug)]
-enum Change {
+enum DayEvent {
     Nothing,
     HandOver,
     KillLedger,
@@ -22,18 +22,18 @@
     StoreBack,
 }
 
-const CHANGES: [Change; 11] = [
-    Change::Nothing,
-    Change::HandOver,
-    Change::KillLedger,
-    Change::ChangeLedger,
-    Change::CutOff,
-    Change::Heal,
-    Change::Split,
-    Change::Join,
-    Change::KillAll,
-    Change::StoreAway,
-    Change::StoreBack,
+const CHANGES: [DayEvent; 11] = [
+    DayEvent::Nothing,
+    DayEvent::HandOver,
+    DayEvent::KillLedger,
+    DayEvent::ChangeLedger,
+    DayEvent::CutOff,
+    DayEvent::Heal,
+    DayEvent::Split,
+    DayEvent::Join,
+    DayEvent::KillAll,
+    DayEvent::StoreAway,
+    DayEvent::StoreBack,
 ];
 
 /// Some of the processes.
@@ -44,24 +44,24 @@
 
 fn apply(
     group: &mut Group,
-    change: Change,
+    change: DayEvent,
     random: &mut Unstructured<'_>,
 ) -> arbitrary::Result<()> {
     match change {
-        Change::Nothing => {}
-        Change::HandOver => group.hand_over(),
-        Change::KillLedger => group.kill_ledger(0, 1),
-        Change::ChangeLedger => group.change_ledger(),
-        Change::CutOff => group.cut_off(some(random)?),
-        Change::Heal => group.cut_off(Vec::new()),
-        Change::Split => group.split(some(random)?),
-        Change::Join => group.join(),
-        Change::KillAll => {
+        DayEvent::Nothing => {}
+        DayEvent::HandOver => group.hand_over(),
+        DayEvent::KillLedger => group.kill_ledger(0, 1),
+        DayEvent::ChangeLedger => group.change_ledger(),
+        DayEvent::CutOff => group.cut_off(some(random)?),
+        DayEvent::Heal => group.cut_off(Vec::new()),
+        DayEvent::Split => group.split(some(random)?),
+        DayEvent::Join => group.join(),
+        DayEvent::KillAll => {
             group.stay_dark(random.int_in_range(0..=2500)?);
             group.begin_anew();
         }
-        Change::StoreAway => group.store_answers = false,
-        Change::StoreBack => group.store_answers = true,
+        DayEvent::StoreAway => group.store_answers = false,
+        DayEvent::StoreBack => group.store_answers = true,
     }
     Ok(())
 }
