A collector keeps its ledger until the next one answers; asks go to the ledger that answered last

A process that goes over to another collector asks it first without claims, and hands its ledger and its claims over once it answered. A ledger that waits for the store no longer waits for its process to choose itself besides (0.7 s after a kill of all, while it asked seeds that were gone).

--- a/crates/front/src/limits/pay.rs
+++ b/crates/front/src/limits/pay.rs
@@ -153,7 +153,9 @@
         let me = mesh.view.me();
         let bond = node.limits.borrow().bond(node.clock.lease_now());
         let ask = LimitAsk { id: me.id.clone(), life: me.life, bond, claim };
-        if mesh.view.collects() { (None, ask) } else { (Some(mesh.collector_address()?), ask) }
+        let is_here = mesh.collector.as_ref().is_some_and(|collector| collector.ledger().is_some());
+        let address = if is_here { None } else { Some(mesh.ledger_address(node.clock.now())?) };
+        (address, ask)
     };
     let Some(address) = collector else { return answer_ask(node, &ask) };
     let call = CallPeer { address, body: MeshBody::Ask(ask), limit: ASK_LIMIT };
--- a/crates/front/src/mesh/make.rs
+++ b/crates/front/src/mesh/make.rs
@@ -11,12 +11,24 @@
 };
 use oleander_pace::PaceBook;
 
-/// This process's report; `handed` is the ledger that it kept until now.
-pub(super) fn make_report(node: &FrontNode, handed: Option<HandedLedger>) -> NodeReport {
+/// What a report says of limits.
+pub(super) enum LimitNews {
+    /// Nothing: it goes to a process that may not collect.
+    Nothing,
+    /// Claims, and the ledger that this process kept until now if it kept one.
+    Claims(Option<HandedLedger>),
+}
+
+/// This process's report.
+pub(super) fn make_report(node: &FrontNode, news: LimitNews) -> NodeReport {
+    let (with_claims, handed) = match news {
+        LimitNews::Nothing => (false, None),
+        LimitNews::Claims(handed) => (true, handed),
+    };
     let mesh = node.mesh.borrow();
     let now = node.clock.lease_now();
     let mut limits = node.limits.borrow_mut();
-    let claims = limits.claims(now).into_iter().map(claim_of).collect();
+    let claims = with_claims.then(|| limits.claims(now).into_iter().map(claim_of).collect());
     let usage = node.usage.borrow().counts().map(usage_of).collect();
     let roster = node.roster.borrow();
     let roster_objects = mesh.wants_roster.then(|| roster.objects());
--- a/crates/front/src/mesh/report.rs
+++ b/crates/front/src/mesh/report.rs
@@ -2,7 +2,7 @@
 
 use super::collect::collect;
 use super::digest::take_digest;
-use super::make::make_report;
+use super::make::{LimitNews, make_report};
 use super::{MeshState, end_after_sleep, note_fitness};
 use crate::events::event;
 use crate::node::FrontNode;
@@ -72,25 +72,53 @@
             }
             card
         };
-        // A claim that is under way is the only one of its account.
-        let _exchange = node.limit_exchange.lock().await;
-        let claimed_at = node.clock.lease_now();
         if collector.id == node.settings.instance {
-            let report = make_report(node, None);
-            if let MeshBody::Digest(digest) = collect(node, report) {
-                note_taken(node);
-                take_digest(node, *digest, (TimeSpan(0), claimed_at));
-            }
+            report_here(node).await;
             return;
         }
         drop_old_collector(node);
-        let report = make_report(node, limits::end_ledger(node));
-        if call_collector(node, hub, &collector, (report, claimed_at)).await {
+        if report_to(node, hub, &collector).await {
             return;
         }
     }
 }
 
+/// Reports to this process itself, which collects.
+async fn report_here(node: &FrontNode) {
+    let _exchange = node.limit_exchange.lock().await;
+    let claimed_at = node.clock.lease_now();
+    let report = make_report(node, LimitNews::Claims(None));
+    if let MeshBody::Digest(digest) = collect(node, report) {
+        note_taken(node);
+        take_digest(node, *digest, (TimeSpan(0), claimed_at));
+    }
+}
+
+/// Reports to another process; says whether it collects.
+///
+/// One that did not answer before may be gone. Until it answers, this process keeps its ledger if it has one, and asks the
+/// ledger that it went by for room: with the claims under way to a process that is gone, every request that is
+/// short would wait for it.
+async fn report_to(
+    node: &Rc<FrontNode>,
+    hub: &Addr<PeerHub<MeshBody>>,
+    collector: &MemberCard,
+) -> bool {
+    let is_known = node.mesh.borrow().is_from(&collector.id, node.clock.now());
+    if !is_known {
+        let now = node.clock.lease_now();
+        let report = make_report(node, LimitNews::Nothing);
+        if !call_collector(node, hub, collector, (report, now)).await {
+            return false;
+        }
+    }
+    // A claim that is under way is the only one of its account.
+    let _exchange = node.limit_exchange.lock().await;
+    let claimed_at = node.clock.lease_now();
+    let report = make_report(node, LimitNews::Claims(limits::end_ledger(node)));
+    call_collector(node, hub, collector, (report, claimed_at)).await
+}
+
 /// Notes that the collector has what the last report told.
 fn note_taken(node: &FrontNode) {
     node.evidence.borrow_mut().taken();
@@ -175,12 +203,13 @@
     (report, claimed_at): (NodeReport, ClockTime),
 ) -> bool {
     let again = report.clone();
+    let hands_over = report.handed.is_some();
     // A link may have fallen silent while the process at its end lives: a new one tells.
     let mut outcome = call_address(node, hub, collector.address, (report, claimed_at)).await;
     if outcome == CallOutcome::Failed {
         outcome = call_address(node, hub, collector.address, (again, claimed_at)).await;
     }
-    if outcome != CallOutcome::Elsewhere {
+    if outcome != CallOutcome::Elsewhere && hands_over {
         // It has the ledger that was ended here, or may have it. A second one would hand out the same.
         node.mesh.borrow_mut().ended_ledger = None;
     }
--- a/crates/front/src/mesh/state.rs
+++ b/crates/front/src/mesh/state.rs
@@ -1,7 +1,7 @@
 //! What one process knows through the others.
 
 use compact_str::CompactString;
-use oleander_kind::{ClockTime, TimeSpan};
+use oleander_kind::{ClockTime, InstanceId, TimeSpan};
 use oleander_limit::PoolLedger;
 use oleander_mesh::{
     LeaseNotice, MemberCard, MeshCollector, MeshView, NodeUsage, ServicePace, ServicePeak,
@@ -68,13 +68,20 @@
         self.heritage = Some((usage, now));
     }
 
-    /// Where the collector listens that this process chose.
-    pub fn collector_address(&self) -> Option<CompactString> {
-        let chosen = self.view.chosen()?;
-        let card = self.view.others().find(|card| card.id == *chosen)?;
+    /// Where the process listens that answered last; if that was long ago, the one that this process chose.
+    pub fn ledger_address(&self, now: ClockTime) -> Option<CompactString> {
+        let last = self.digest_from.as_ref().filter(|_| now - self.digest_at < DIGEST_LASTS);
+        let chosen = || self.view.others().find(|card| Some(&card.id) == self.view.chosen());
+        let card = last.or_else(chosen)?;
         Some(card.address.to_string().into())
     }
 
+    /// Whether the last answer came from this process, a moment ago.
+    pub fn is_from(&self, id: &InstanceId, now: ClockTime) -> bool {
+        let last = self.digest_from.as_ref().filter(|_| now - self.digest_at < DIGEST_LASTS);
+        last.is_some_and(|card| card.id == *id)
+    }
+
     /// Whether another process collects, and this one goes by it.
     pub fn is_succeeded(&self, now: ClockTime) -> bool {
         followed_collector(self, now).is_some()
--- a/crates/front/src/window_store.rs
+++ b/crates/front/src/window_store.rs
@@ -66,18 +66,19 @@
     }
 
     fn is_due(&self, node: &FrontNode) -> bool {
-        waits_for_ledger(&node.mesh.borrow()) || node.clock.now() - self.written_at >= WRITE_PERIOD
+        waits_for_ledger(node, &node.mesh.borrow())
+            || node.clock.now() - self.written_at >= WRITE_PERIOD
     }
 
     fn must_read(&self, node: &FrontNode) -> bool {
-        waits_for_ledger(&node.mesh.borrow())
+        waits_for_ledger(node, &node.mesh.borrow())
     }
 
     fn take(&mut self, node: &FrontNode, object: Option<&FeedObject>) -> WindowMark {
         self.unread = 0;
         let list = object.map(|object| read_list(node, object));
         let mut mesh = node.mesh.borrow_mut();
-        if waits_for_ledger(&mesh) {
+        if waits_for_ledger(node, &mesh) {
             let (past, by) = past_of(list.as_ref(), node.clock_true(&mesh));
             begin_ledger_by(node, &mut mesh, past, by);
         }
@@ -109,7 +110,7 @@
     fn note_unread(&mut self, node: &FrontNode) {
         self.unread += 1;
         let mut mesh = node.mesh.borrow_mut();
-        if waits_for_ledger(&mesh) && self.unread >= MOST_UNREAD {
+        if waits_for_ledger(node, &mesh) && self.unread >= MOST_UNREAD {
             let past = LedgerPast::Told { windows: Vec::new(), lasts: STORED_LASTS };
             begin_ledger_by(node, &mut mesh, past, "unread");
         }
@@ -117,9 +118,9 @@
 }
 
 /// Whether a ledger is to begin here that nobody told of the windows.
-fn waits_for_ledger(mesh: &MeshState) -> bool {
+fn waits_for_ledger(node: &FrontNode, mesh: &MeshState) -> bool {
     let lacks = mesh.collector.as_ref().is_some_and(|collector| collector.ledger().is_none());
-    lacks && mesh.view.collects()
+    lacks && mesh.ended_ledger.is_none() && !mesh.is_succeeded(node.clock.now())
 }
 
 fn read_list(node: &FrontNode, object: &FeedObject) -> WindowList {
--- a/crates/mesh/src/collector.rs
+++ b/crates/mesh/src/collector.rs
@@ -267,8 +267,9 @@
         view: &MeshView,
         facts: &CollectorFacts<'_>,
     ) -> Vec<AccountAllotment> {
+        let Some(claims) = &report.claims else { return Vec::new() };
         let spender = PoolSpender { instance: report.card.id.clone(), life: report.card.life };
-        let claims = reported_claims(report, facts);
+        let claims = with_others(claims, facts);
         if !report.card.leaving
             && let Some(ledger) = &mut self.ledger
             && let Some(limit) = claims.iter().find_map(|claim| (facts.limit_of)(&claim.account))
@@ -458,16 +459,16 @@
     (-(age.0 as f64) / DEMAND_TIME.0 as f64).exp()
 }
 
-/// The claims of `report`, and those of accounts that its process never let in.
+/// The claims of a process, and those of accounts that it never let in.
 ///
 /// Any process may collect next, and begins with the windows it was told of. One that was not told of an account, as
 /// it had let in nothing of it, would have to take its window for full. It also finds an allotment when the
 /// account's first request comes.
-fn reported_claims(report: &NodeReport, facts: &CollectorFacts<'_>) -> Vec<AccountClaim> {
+fn with_others(claims: &[AccountClaim], facts: &CollectorFacts<'_>) -> Vec<AccountClaim> {
     let accounts = facts.rules.map_or(&[][..], RuleSet::accounts);
-    let lacks = |name: &AccountName| report.claims.iter().all(|claim| claim.account != *name);
+    let lacks = |name: &AccountName| claims.iter().all(|claim| claim.account != *name);
     let others = accounts.iter().map(|account| &account.name).filter(|name| lacks(name));
     let others =
         others.map(|name| AccountClaim { account: name.clone(), claim: HoldClaim::default() });
-    report.claims.iter().cloned().chain(others).collect()
+    claims.iter().cloned().chain(others).collect()
 }
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -254,9 +254,9 @@
     /// The state of a collector's endpoint list that it has taken.
     #[serde(rename = "o")]
     pub roster_state: Option<RosterState>,
-    /// Its allotments.
+    /// Its allotments; none from a process that is not sure yet whom to report them to.
     #[serde(rename = "s")]
-    pub claims: Vec<AccountClaim>,
+    pub claims: Option<Vec<AccountClaim>>,
     /// The ledger that it went by last.
     #[serde(rename = "b", default)]
     pub bond: Option<LedgerBond>,
--- a/tests/all/keeping.rs
+++ b/tests/all/keeping.rs
@@ -3,6 +3,7 @@
 use crate::plays::{PlayGroup, play};
 use oleandertack::front::FrontProcess;
 use oleandertack::kind::AccountName;
+use oleandertack::mesh::MemberCard;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -81,6 +82,30 @@
     });
 }
 
+#[test]
+fn a_collector_keeps_its_ledger_until_the_next_one_answers() {
+    // Callers are refused for a whole window several times in the twenty seconds after a process was lost. The collector goes
+    // over to the lost one at each turn, as that ranks first, and had given its ledger away with the report that
+    // nobody answered.
+    play(async {
+        let group = spending_group().await;
+        let node = group.processes[group.collector()].node.clone();
+        let lost = MemberCard {
+            id: "front-lost".into(),
+            address: "127.0.0.1:1".parse().expect("an address"),
+            ..node.mesh.borrow().view.me().clone()
+        };
+        let (now, true_now) = (node.clock.now(), node.true_now());
+
+        node.mesh.borrow_mut().view.follow(lost, true_now, now);
+        sleep(REPORTED).await;
+
+        let ledgers = ledgers(&group);
+        assert_eq!(ledgers.len(), 1, "{ledgers:?}");
+        assert_eq!(ledgers[0].0, PROCESSES as u64 * TOKENS, "{ledgers:?}");
+    });
+}
+
 #[test]
 fn a_ledger_is_handed_over_when_its_process_leaves() {
     // A process that stops hands its ledger to the next one: no window is taken for full, and nothing is forgotten.
--- a/tests/all/mesh.rs
+++ b/tests/all/mesh.rs
@@ -177,7 +177,7 @@
         rules: RulesStand { version: 1, vouch: None },
         roster: stand(1, 0, 1),
         roster_state: None,
-        claims: Vec::new(),
+        claims: Some(Vec::new()),
         bond: None,
         handed: None,
         usage: Vec::new(),
@@ -415,9 +415,9 @@
 }
 
 /// What a process says of its one account, after `spent` tokens; it holds nothing.
-fn claims(number: u64, spent: u64, source: u64) -> Vec<AccountClaim> {
+fn claims(number: u64, spent: u64, source: u64) -> Option<Vec<AccountClaim>> {
     let claim = HoldClaim { number, spent, ceiling: spent, source, ..HoldClaim::default() };
-    vec![AccountClaim { account: "tartu".into(), claim }]
+    Some(vec![AccountClaim { account: "tartu".into(), claim }])
 }
 
 /// The collector dies while an account presses, and a process follows it that let in nothing of that
@@ -502,7 +502,7 @@
         unread_tokens: 40_000,
     };
     let busy = NodeReport {
-        claims: (0..16).map(claim).collect(),
+        claims: Some((0..16).map(claim).collect()),
         loads: (0..75).map(load).collect(),
         ..report("front-1")
     };
