Processes stay with a collector that answers them; only it goes over to another

At a turn 87 processes went over to the first by standing; 42 found it gone and chose the next one, 45 were sent back by it. Two ledgers shared every limit, each with all that had been spent on its books, so that neither had room. Now the collector alone goes over, hands its ledger over, and sends the others there.

--- a/crates/front/src/mesh/report.rs
+++ b/crates/front/src/mesh/report.rs
@@ -66,6 +66,9 @@
             mesh.view.sweep(now);
             let true_now = mesh.clock.read(now, node.clock.wall());
             let before = mesh.view.chosen().cloned();
+            if before.as_ref().is_some_and(|id| mesh.is_from(id, now)) {
+                mesh.view.stay(true_now);
+            }
             let card = mesh.view.choose_collector(true_now, now);
             if before.as_ref() != Some(&card.id) {
                 event!(node, CollectorChosen; "collector" => card.id.as_str());
--- a/crates/mesh/src/view.rs
+++ b/crates/mesh/src/view.rs
@@ -211,6 +211,20 @@
         }
     }
 
+    /// Stays with the collector of the last turn, which is another process and answers.
+    ///
+    /// Whether to go over to one of better standing is its own matter: it hands over what it keeps and sends the
+    /// others there. Each choosing for itself, half of 87 processes once found the first by standing gone and chose the
+    /// next one, while that one's answers sent the others back. Two ledgers then shared every limit, each with all that
+    /// was spent before on its books, and every account was refused for a turn.
+    pub fn stay(&mut self, true_now: ClockTime) {
+        let turn = turn_at(true_now).max(self.turn());
+        let other = self.chosen.as_mut().filter(|(id, _)| *id != self.me.id);
+        if let Some((_, chosen_in)) = other {
+            *chosen_in = turn;
+        }
+    }
+
     fn choose_in_turn(&mut self, turn: u64, now: ClockTime) -> MemberCard {
         // A turn that was entered early is not left again.
         let turn = turn.max(self.turn().min(turn + 1));
--- a/tests/all/keeping.rs
+++ b/tests/all/keeping.rs
@@ -44,6 +44,11 @@
     ledger.windows().map(|(_, stand)| (stand.spent, stand.open)).next()
 }
 
+fn has_ledger(process: &FrontProcess) -> bool {
+    let mesh = process.node.mesh.borrow();
+    mesh.collector.as_ref().is_some_and(|collector| collector.ledger().is_some())
+}
+
 fn ledgers(group: &PlayGroup) -> Vec<(u64, u64)> {
     group.processes.iter().filter_map(counted).collect()
 }
@@ -142,3 +147,22 @@
         assert!(group.processes.iter().all(spend), "each holds an allotment again");
     });
 }
+
+#[test]
+fn processes_stay_with_a_collector_that_answers_them() {
+    // Every account is refused for five seconds. At a turn all processes go over to the first by standing; it is gone
+    // for some and sends the others back, and two ledgers share every limit. Only the collector goes over, and takes the
+    // others along.
+    play(async {
+        let mut group = spending_group().await;
+        let mut collectors = Vec::new();
+        group.kill(&[group.collector()], Duration::from_secs(3)).await;
+
+        for _ in 0..200 {
+            sleep(Duration::from_millis(100)).await;
+            collectors.push(group.processes.iter().filter(|process| has_ledger(process)).count());
+        }
+
+        assert!(collectors.iter().all(|count| *count == 1), "{collectors:?}");
+    });
+}
