--- a/crates/front/src/window_store.rs
+++ b/crates/front/src/window_store.rs
@@ -20,7 +20,7 @@
 
 /// Between two looks: a ledger waits for what the store says after all processes were killed.
 const LOOK_PERIOD: TimeSpan = TimeSpan(50);
-/// Between two writes: a quarter of the time for which what the store has is of use.
+/// Between two writes: a sixth of the time for which what the store has is of use.
 const WRITE_PERIOD: TimeSpan = TimeSpan(500);
 /// How long the store is asked before the windows are taken for full.
 const MOST_UNREAD: u32 = 3;
--- a/crates/limit/src/pool/ledger.rs
+++ b/crates/limit/src/pool/ledger.rs
@@ -14,7 +14,7 @@
 
 /// What the store has binds a ledger for this long after it was written. A process that finds it younger takes what it
 /// says for all that was handed out: longer than processes that lost their power are away.
-pub const STORED_LASTS: TimeSpan = TimeSpan(2000);
+pub const STORED_LASTS: TimeSpan = TimeSpan(3000);
 
 /// The windows of all accounts, at one process.
 #[derive(Debug)]
