--- a/crates/duty/src/scale.rs
+++ b/crates/duty/src/scale.rs
@@ -19,10 +19,8 @@
 /// The part of an engine's places that should be taken.
 const SLOT_PART: f64 = 0.7;
 /// How many endpoints to have in calm, as a factor of those needed: the loss of one of three domains
-/// leaves a third more than is needed. Reclaimable ones cost a fifth of those on demand, and one on
-/// demand that is ordered at the loss takes seconds to start. Worth of what callers got, less prices, at
-/// 1.4 and at 2.0: 0.550 and 0.609 in calm load, 0.518 and 0.626 in a wave of it (72 engines, 83
-/// processes); at 1.6 and at 2.0: 0.543 and 0.570 (9 engines, 9 processes).
+/// leaves a third more than is needed. Reclaimable ones cost a fraction of those on demand, and one on
+/// demand that is ordered at the loss takes seconds to start.
 const SPREAD_FACTOR: f64 = 2.0;
 /// The same while nothing is known of the demand, on what there was at the start: the loss of one of
 /// three domains leaves that.
--- a/crates/front/src/feeds.rs
+++ b/crates/front/src/feeds.rs
@@ -27,8 +27,8 @@
 const LONGEST_PAUSE: TimeSpan = TimeSpan(800);
 
 /// Pause after changes of the endpoint list before the next watch. Endpoints start and leave by the
-/// dozen, a watch ends with the first change, and each is paid for: a calm day of 83 processes took
-/// 4,799 calls without it, 2,737 with it. A leaving endpoint has to be known within 2 s.
+/// dozen, a watch ends with the first change, and each is paid for. Short against the time in which a leaving
+/// endpoint has to be known.
 const GATHER_TIME: TimeSpan = TimeSpan(250);
 
 /// Follows the rules until the task is ended.
--- a/crates/mesh/src/evidence.rs
+++ b/crates/mesh/src/evidence.rs
@@ -8,8 +8,8 @@
 use oleander_kind::{ClockTime, InstanceId, TimeSpan};
 use std::collections::BTreeMap;
 
-/// Between two comparisons. Reports of all processes come four times a second; to compare at each of them
-/// would take 780 comparisons a second of 195 processes for news that is a quarter of a second old.
+/// Between two comparisons. Each process reports several times a second; to compare at each report would cost as many
+/// comparisons, for news that is as old as a period of reports.
 const JUDGE_PERIOD: TimeSpan = TimeSpan(200);
 /// How long an endpoint stays set aside of which hardly anything is heard: nobody asks it, or a new
 /// collector has not heard of it yet. Then callers try it again, and it is found again within some two
--- a/crates/mesh/src/view.rs
+++ b/crates/mesh/src/view.rs
@@ -12,9 +12,7 @@
 const FORGOTTEN: TimeSpan = TimeSpan(20_000);
 /// How long a choice of the collector stays.
 const TURN_TIME: TimeSpan = TimeSpan(5000);
-/// What the collecting for 83 processes and 75 endpoints takes: 7.8 Mbit/s of a link (332 digests a
-/// second of 2,831 bytes, measured by encoding one, and their packets) and 0.03 of a core (the
-/// highest of 83 processes under their usual load).
+/// What the collecting for some eighty processes takes of a link, in Mbit/s, and of a core.
 const COLLECT_LINK_MBPS: f64 = 7.8;
 const COLLECT_CORES: f64 = 0.03;
 /// The key that members are ranked by.
@@ -166,10 +164,9 @@
     /// Among how many processes a limit is shared while no collector tells: the members known, or as
     /// many as the settings name if that is more.
     ///
-    /// A process that begins names a few others and hears of the rest from them within 100 ms, but
-    /// from a collector after half a second or more. Counting the named ones alone, nine processes
-    /// that were killed at once gave out three times the limit meanwhile, and an account ran 4 % too
-    /// much in 3 of 3 plays.
+    /// A process that begins names a few others and hears of the rest from them soon, but from a collector
+    /// later. Counting the named ones alone, processes that were all killed at once each let in the part of a
+    /// small group, and accounts passed their limits.
     pub fn sharers(&self, named: u32) -> u32 {
         self.serving().max(named).max(1)
     }
@@ -214,9 +211,9 @@
     /// Stays with the collector of the last turn, which is another process and answers.
     ///
     /// Whether to go over to one of better standing is its own matter: it hands over what it keeps and sends the
-    /// others there. Each choosing for itself, half of 87 processes once found the first by standing gone and chose the
-    /// next one, while that one's answers sent the others back. Two ledgers then shared every limit, each with all that
-    /// was spent before on its books, and every account was refused for a turn.
+    /// others there. If each chose for itself, some would find the first by standing gone and choose the next one, while
+    /// others were sent back by it. Two ledgers would share every limit, each with all that was spent before on
+    /// its books, and every account would be refused for a turn.
     pub fn stay(&mut self, true_now: ClockTime) {
         let turn = turn_at(true_now).max(self.turn());
         let other = self.chosen.as_mut().filter(|(id, _)| *id != self.me.id);
@@ -276,13 +273,11 @@
 }
 
 /// How well an instance can carry the collecting: how often its scarcer resource holds what the
-/// collecting for 83 processes takes, in powers of two.
+/// collecting for some eighty processes takes, in powers of two.
 ///
-/// Instances differ twentyfold in their links. Collecting, and callers besides, filled the link of a
-/// small one of 10 Mbit/s: 1,447 of a
-/// day's reports had no answer in time at 83 processes, their senders chose another collector and
-/// asked the store themselves. Powers of two, so that like instances are ranked by their names and a
-/// restart moves the collecting no more often than among equals.
+/// Instances differ twentyfold in their links. Digests, and callers besides, fill the link of a small one: reports get
+/// no answer in time, their senders choose another collector and ask the store themselves. Powers of two, so that
+/// like instances are ranked by their names and a restart moves the collecting no more often than among equals.
 pub fn collect_strength(link_mbps: f64, cores: f64) -> u32 {
     let times = (link_mbps / COLLECT_LINK_MBPS).min(cores / COLLECT_CORES);
     times.max(1.0).log2() as u32
--- a/crates/pace/src/lib.rs
+++ b/crates/pace/src/lib.rs
@@ -10,13 +10,11 @@
 use oleander_kind::{ClockTime, TimeSpan};
 use serde::{Deserialize, Serialize};
 
-/// Prompt tokens a millisecond that are assumed until enough was seen. A careful figure: the engines
-/// measured so far read 57 to 125. Too low a speed orders an engine too many and refuses somewhat
+/// Prompt tokens a millisecond that are assumed until enough was seen. A careful figure: too low a speed orders an engine too many and refuses somewhat
 /// early for the two seconds until it is known; too high a one lets queues grow.
 pub const ASSUMED_PER_MS: f64 = 60.0;
 /// Which of the samples is gone by, as the part of them that are slower: prompts that shared their engine
-/// with few others. The middle one moved with the load, from 44 to 148 tokens a millisecond of an engine
-/// that reads 125; this one by a tenth.
+/// with few others. The middle one moves with the load, this one hardly.
 const QUICK_PART: f64 = 0.8;
 /// How much faster an engine reads that does nothing else than this sample shows: between two pieces of a
 /// prompt it makes the tokens of running streams. Engines that read 57 and 125 tokens a millisecond alone
--- a/crates/place/src/choose.rs
+++ b/crates/place/src/choose.rs
@@ -10,9 +10,8 @@
 use oleander_kind::{ClockTime, DomainName, ServiceName, TimeSpan};
 
 /// One in so many requests that may be repeated may go to an endpoint that is set aside: only answers tell
-/// that it is well again, and health checks are paid for and may lie. Of 95 such requests a second that
-/// look at two of 65 engines, each engine set aside gets one in five seconds; none that must not be
-/// repeated goes there.
+/// that it is well again, and health checks are paid for and may lie. An engine set aside gets one every few seconds;
+/// none that must not be repeated goes there.
 const TRIAL_PART: u64 = 16;
 const TRIAL_SALT: u64 = 0x7472_6961_6c00_0000;
 
@@ -112,20 +111,17 @@
 /// home. A prompt so long that streams beside it pause looks at [`LONG_LOOKS`].
 ///
 /// What is known of the other processes' work is up to half a second old, longer than most prompts
-/// take to be read. If every process looks at every engine, all go to the one that looked idle: in
-/// 100 ms one engine of 60 got 300 to 780 ms of reading while half of them got none (64
-/// processes in a wave of load). Two choices spread prompts by hash and by lot, and still avoid a busy engine. See
-/// `placing::many_processes_with_old_news_do_not_run_to_one_engine` for what callers get.
-/// Worth of what callers got, less prices, with all engines and with two: 0.609 and 0.633 at 83 processes,
-/// 0.481 and 0.601 at 64 (calm load), 0.532 and 0.570, 0.506 and 0.518, 0.536 and 0.544 at 8 and 9.
+/// take to be read. If every process looks at every engine, all go to the one that looked idle, which gets several
+/// times what it can read while others get nothing. Two choices spread prompts by hash and by lot, and still avoid a
+/// busy engine. See `placing::many_processes_with_old_news_do_not_run_to_one_engine` for what callers get.
 fn looked_at<'a>(
     open: Vec<(EndpointKey, &'a EndpointFact)>,
     home: Option<EndpointKey>,
     ask: &PlaceAsk<'_>,
 ) -> Vec<(EndpointKey, &'a EndpointFact)> {
     const PAIR: usize = 2;
-    /// Long prompts are some ten a second among 65 engines, so few of them meet by old news at the engine
-    /// that looked idle; of eight engines one runs hardly any streams.
+    /// Long prompts are few against the engines, so hardly any two meet by old news at the engine that looked idle; of
+    /// eight engines one runs hardly any streams.
     const LONG_LOOKS: usize = 8;
     let own = ask.prompt_tokens.saturating_sub(shared_tokens(shared_parts(ask.parts)));
     let own = reading_work(own);
--- a/crates/place/src/cost.rs
+++ b/crates/place/src/cost.rs
@@ -29,9 +29,7 @@
 /// makes tokens, and a third of the engines are slower by a third.
 const READING_FACTOR: f64 = 2.2;
 /// From this many times the longest pause on, reading makes some of the streams beside it late, and from
-/// [`PAUSE_SURE`] on all of them. Of the streams beside a prompt of 24,000 tokens (1.06 times), 18 in 100
-/// more paused for too long than beside short ones, at 34,000 55, at 44,000 (1.94 times) all (3,277 long
-/// answers in 52 s, 68 engines that read 125 tokens a millisecond).
+/// [`PAUSE_SURE`] on all of them.
 const PAUSE_BEGIN: f64 = 0.7;
 /// The length of reading, in times the longest pause, beside which no stream is on time.
 const PAUSE_SURE: f64 = 1.9;
--- a/crates/place/src/pause.rs
+++ b/crates/place/src/pause.rs
@@ -2,13 +2,12 @@
 
 use oleander_kind::{ClockTime, TimeSpan};
 
-/// Half of what was seen counts no more after this time: at one of 195 processes that serve 95 streams a second
-/// some 30 end in it.
+/// Half of what was seen counts no more after this time: long enough for some tens of streams to end at one process of
+/// a large deployment.
 const HALF_LIFE: TimeSpan = TimeSpan::secs(60);
 /// Streams that count as on time before any ended, so that the first late one is no proof.
 const ASSUMED_ON_TIME: f64 = 4.0;
-/// From this part of late ones on pauses are weighed in full. Where one in a hundred is late, long prompts are not
-/// why; where they are, 5 to 14 in a hundred are.
+/// From this part of late ones on pauses are weighed in full. Where hardly any is late, long prompts are not why.
 const FULL_PART: f64 = 0.04;
 
 /// Streams that ended, and those that paused for too long; newer ones count more.
--- a/crates/place/src/shed.rs
+++ b/crates/place/src/shed.rs
@@ -8,12 +8,10 @@
 use oleander_kind::{ClockTime, TimeSpan};
 
 /// The first token takes this many times as long as the prompts ahead take to be read: engines make
-/// tokens of running streams in between, and prompts come that a process has not heard of. Measured on
-/// 110,000 requests in overload: 464 to 638 ms at 300 ms ahead, 1008 to 1167 at 500.
+/// tokens of running streams in between, and prompts come that a process has not heard of.
 const WAIT_FACTOR: f64 = 2.2;
 /// Times the objective that the most urgent rank may wait behind others. Half of the requests that are
-/// expected to take the objective take less; refusing these cost more than it brought (64
-/// processes, quiet-1: worth 0.600 without refusing, 0.492 with a limit of 0.8, 0.602 with 1.6).
+/// expected to take the objective take less; refusing these costs more than it brings.
 const URGENT_TIMES: f64 = 1.6;
 /// The same for all other ranks, which make room for the most urgent one.
 const OTHER_TIMES: f64 = 1.2;
@@ -21,7 +19,7 @@
 /// they read in a second of overload.
 const READ_FACTOR: f64 = 1.5;
 /// What is offered is averaged over this time, in milliseconds: long enough for some ten requests at
-/// one of 64 processes, short against a wave of callers.
+/// one process of many, short against a wave of callers.
 const OFFERED_TIME_MS: f64 = 1500.0;
 /// The shortest time after which a refused caller may come back.
 const SHORTEST_RETURN: TimeSpan = TimeSpan(200);
--- a/crates/suspect/src/book.rs
+++ b/crates/suspect/src/book.rs
@@ -18,7 +18,7 @@
 const MOST_TOLD: usize = 64;
 /// Ends from which on all processes are told: a request that broke with one endpoint is most likely innocent.
 const SHARED_ENDS: usize = 2;
-/// Answered requests that are remembered, twice: what a process answers in 30 s at 130 requests a second.
+/// Answered requests that are remembered, twice: what a process answers in half a minute under heavy load.
 const MOST_ANSWERED: usize = 4096;
 
 /// What changed for a request.
