--- a/tests/all/mesh.rs
+++ b/tests/all/mesh.rs
@@ -3,12 +3,14 @@
 use crate::roster::{listed, roster_news};
 use oleandertack::call::{AccountRule, CallerBounds, RuleSet};
 use oleandertack::kind::{AccountName, ClockTime, InstanceId, TimeSpan};
-use oleandertack::limit::{HoldClaim, LedgerPast, PoolLedger, PoolLimit};
+use oleandertack::limit::{
+    HoldClaim, LedgerBond, LedgerPast, PoolAllotment, PoolLedger, PoolLimit, ToldWindow,
+};
 use oleandertack::list::{RosterBook, RosterStand, RosterState, RosterUpdate, VouchNote};
 use oleandertack::mesh::{
-    AccountClaim, CollectorFacts, EndpointLoad, LifeMark, MemberCard, MeshBody, MeshCollector,
-    MeshDigest, MeshView, NodeReport, NodeUsage, RulesStand, ServicePace, SleepWatch, TrueClock,
-    UsageCount, collect_strength, median_offset,
+    AccountClaim, CollectorFacts, EndpointLoad, LifeMark, LimitAsk, MemberCard, MeshBody,
+    MeshCollector, MeshDigest, MeshView, NodeReport, NodeUsage, RulesStand, ServicePace,
+    SleepWatch, TrueClock, UsageCount, collect_strength, median_offset,
 };
 use oleandertack::pace::ReadPace;
 use oleandertack::plat::FeedEvent;
@@ -609,3 +611,33 @@
         digest.paces.iter().map(|pace| (pace.service.0.as_str(), pace.read.per_ms)).collect();
     assert_eq!(told, [("a", 110.0), ("b", 70.0)]);
 }
+
+/// Asks of processes that are short, and their answers, must not fill the link of a small collector as digests did.
+#[test]
+fn an_ask_for_room_and_its_answer_are_small() {
+    let claim = HoldClaim {
+        number: 1_000,
+        spent: 30_000_000,
+        ceiling: 30_100_000,
+        source: u64::MAX,
+        needs: 50_000,
+        pace: 20_000,
+    };
+    let bond =
+        Some(LedgerBond { source: u64::MAX, left: TimeSpan(600), spent_ago: Some(TimeSpan(100)) });
+    let claim = AccountClaim { account: "account-01".into(), claim };
+    let ask = LimitAsk { id: "front-ylemiste-10".into(), life: TRUE_NOW.0, bond, claim };
+    let window = ToldWindow { seconds: vec![1_300_000; 9], open: 3_000_000 };
+    let answer = PoolAllotment {
+        number: 1_000,
+        ceiling: 30_150_000,
+        source: u64::MAX,
+        retry_ms: Some(1_000),
+        window,
+    };
+
+    let asked = encode_frame(1, MeshBody::Ask(ask)).len();
+    let answered = encode_frame(1, MeshBody::Allotted(Some(Box::new(answer)))).len();
+
+    assert!(asked + answered <= 400, "{asked} and {answered}");
+}
