A collector that was alone takes the ledger of those who come back to it

The collector had stood still, collected for itself alone when it woke, and at the next turn the others came back with their ledger, which it did not take, as its own had handed something out (concluded from the lines of ledgers: ledger_ended without a ledger_began by handed). Now the ledger with more processes goes on. keeping::a_collector_that_was_alone_takes_the_ledger_of_the_others covers the way, but passes without the change too: it does not bring the fault about.

--- a/crates/front/src/limits/keeper.rs
+++ b/crates/front/src/limits/keeper.rs
@@ -37,14 +37,22 @@
     event!(node, LedgerBegan; "by" => by, "windows" => windows.len(), "age_ms" => age);
     // Each ledger has a name of its own, also a second one of the same process. One that handed out nothing and is begun
     // anew is the same: processes that it answered go by it already.
-    let source = collector.ledger().map_or_else(|| node.random(), PoolLedger::source);
+    let same = collector.ledger().filter(|ledger| ledger.is_untouched());
+    let source = same.map_or_else(|| node.random(), PoolLedger::source);
     collector.begin_ledger(PoolLedger::begin(source, past, now));
 }
 
-/// Takes the ledger that another process kept until now, unless something was handed out here already.
+/// Takes the ledger that another process kept until now, unless more processes count here already.
+///
+/// A process that stood still for seconds collects for itself alone when it wakes, until the others come back to it. By its own
+/// ledger, which knows nothing of what they let in meanwhile, they would count here after a whole window only. What it
+/// let in itself by that ledger counts as by one that is not known.
 pub(crate) fn take_handed(node: &FrontNode, mesh: &mut MeshState, handed: &HandedLedger) {
+    let now = node.clock.now();
     let ledger = mesh.collector.as_ref().and_then(MeshCollector::ledger);
-    if ledger.is_some_and(|ledger| !ledger.is_untouched()) {
+    let stays =
+        |ledger: &PoolLedger| !ledger.is_untouched() && ledger.member_count(now) >= handed.members;
+    if ledger.is_some_and(stays) {
         return;
     }
     let windows = handed.windows.iter().map(|told| (told.account.clone(), told.window.clone()));
@@ -60,9 +68,10 @@
         event!(node, LedgerEnded);
         mesh.ended_ledger = Some(ledger);
     }
-    let windows = mesh.ended_ledger.as_ref()?.hand_over(now);
+    let ledger = mesh.ended_ledger.as_ref()?;
     let handed = |(account, window)| HandedWindow { account, window };
-    Some(HandedLedger { windows: windows.into_iter().map(handed).collect() })
+    let windows = ledger.hand_over(now).into_iter().map(handed).collect();
+    Some(HandedLedger { members: ledger.member_count(now), windows })
 }
 
 /// Goes on with a ledger that was ended here and that nobody took over.
--- a/crates/limit/src/pool/ledger.rs
+++ b/crates/limit/src/pool/ledger.rs
@@ -93,13 +93,17 @@
         self.members.retain(|_, member| now - member.heard_at < length);
     }
 
-    /// The part of `serving` processes that count here.
-    pub fn part(&self, serving: u32, now: ClockTime) -> f64 {
+    /// How many processes count here.
+    pub fn member_count(&self, now: ClockTime) -> u32 {
         let counts = |member: &&LedgerMember| {
             member.counts_from <= now && now - member.heard_at < ALLOT_TIME
         };
-        let count = self.members.values().filter(counts).count() as f64;
-        (count / f64::from(serving.max(1))).min(1.0)
+        self.members.values().filter(counts).count() as u32
+    }
+
+    /// The part of `serving` processes that count here.
+    fn part(&self, serving: u32, now: ClockTime) -> f64 {
+        (f64::from(self.member_count(now)) / f64::from(serving.max(1))).min(1.0)
     }
 
     /// In how long more processes count here.
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -83,6 +83,9 @@
 /// What a ledger that ended in order passes on to the next one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HandedLedger {
+    /// How many processes counted there.
+    #[serde(rename = "m")]
+    pub members: u32,
     /// The windows of the accounts.
     #[serde(rename = "w")]
     pub windows: Vec<HandedWindow>,
--- a/tests/all/keeping.rs
+++ b/tests/all/keeping.rs
@@ -166,3 +166,31 @@
         assert!(collectors.iter().all(|count| *count == 1), "{collectors:?}");
     });
 }
+
+#[test]
+fn a_collector_that_was_alone_takes_the_ledger_of_the_others() {
+    // Callers of all accounts are refused for a whole window. A process stood still while it collected; when it wakes it
+    // collects for itself alone, and at the next turn the others come back to it with their ledger. It went by its
+    // own, in which they count only once what they let in elsewhere has left the window.
+    play(async {
+        let group = spending_group().await;
+        let collector = group.collector();
+        let alone = &group.processes[(collector + 1) % PROCESSES].node;
+        let card = alone.mesh.borrow().view.me().clone();
+        for _ in 0..13 {
+            sleep(Duration::from_millis(100)).await;
+            let (now, true_now) = (alone.clock.now(), alone.true_now());
+            alone.mesh.borrow_mut().view.follow(card.clone(), true_now, now);
+        }
+        assert_eq!(group.processes.iter().filter(|process| has_ledger(process)).count(), 2);
+
+        let node = &group.processes[collector].node;
+        let (now, true_now) = (node.clock.now(), node.true_now());
+        node.mesh.borrow_mut().view.follow(card, true_now, now);
+        sleep(REPORTED * 2).await;
+
+        let others =
+            group.processes.iter().filter(|process| !std::rc::Rc::ptr_eq(&process.node, alone));
+        assert!(others.clone().all(spend), "{:?}", ledgers(&group));
+    });
+}
