A collector that others came to keeps the ledger it began while its own report is under way to the lost one

The others come to the next one at once, and it begins a ledger by what was told; its own report went to the lost one as to a sure one, gave that ledger away, and the next was begun by what the first had just written to the store: what might have been handed out counted twice. keeping::a_lost_ledger_is_taken_for_what_it_promised_once covers the loss, but passes without the change too: in virtual time the report is never under way at that moment.

--- a/crates/front/src/limits/pay.rs
+++ b/crates/front/src/limits/pay.rs
@@ -153,8 +153,8 @@
         let me = mesh.view.me();
         let bond = node.limits.borrow().bond(node.clock.lease_now());
         let ask = LimitAsk { id: me.id.clone(), life: me.life, bond, claim };
-        let is_here = mesh.collector.as_ref().is_some_and(|collector| collector.ledger().is_some());
-        let address = if is_here { None } else { Some(mesh.ledger_address(node.clock.now())?) };
+        let address =
+            if mesh.has_ledger() { None } else { Some(mesh.ledger_address(node.clock.now())?) };
         (address, ask)
     };
     let Some(address) = collector else { return answer_ask(node, &ask) };
--- a/crates/front/src/mesh/report.rs
+++ b/crates/front/src/mesh/report.rs
@@ -99,16 +99,19 @@
 
 /// Reports to another process; says whether it collects.
 ///
-/// One that did not answer before may be gone. Until it answers, this process keeps its ledger if it has one, and asks the
-/// ledger that it went by for room: with the claims under way to a process that is gone, every request that is
-/// short would wait for it.
+/// One that did not answer before may be gone. Until it answers, this process keeps its ledger if it has one (the others
+/// may have come here as that one was lost), and asks the ledger that it went by for room: with the claims under way
+/// to a process that is gone, every request that is short would wait for it.
 async fn report_to(
     node: &Rc<FrontNode>,
     hub: &Addr<PeerHub<MeshBody>>,
     collector: &MemberCard,
 ) -> bool {
-    let is_known = node.mesh.borrow().is_from(&collector.id, node.clock.now());
-    if !is_known {
+    let is_sure = {
+        let mesh = node.mesh.borrow();
+        mesh.is_from(&collector.id, node.clock.now()) && !mesh.has_ledger()
+    };
+    if !is_sure {
         let now = node.clock.lease_now();
         let report = make_report(node, LimitNews::Nothing);
         if !call_collector(node, hub, collector, (report, now)).await {
--- a/crates/front/src/mesh/state.rs
+++ b/crates/front/src/mesh/state.rs
@@ -76,6 +76,11 @@
         Some(card.address.to_string().into())
     }
 
+    /// Whether this process keeps the ledger of limits.
+    pub fn has_ledger(&self) -> bool {
+        self.collector.as_ref().is_some_and(|collector| collector.ledger().is_some())
+    }
+
     /// Whether the last answer came from this process, a moment ago.
     pub fn is_from(&self, id: &InstanceId, now: ClockTime) -> bool {
         let last = self.digest_from.as_ref().filter(|_| now - self.digest_at < DIGEST_LASTS);
--- a/tests/all/keeping.rs
+++ b/tests/all/keeping.rs
@@ -194,3 +194,27 @@
         assert!(others.clone().all(spend), "{:?}", ledgers(&group));
     });
 }
+
+#[test]
+fn a_lost_ledger_is_taken_for_what_it_promised_once() {
+    // Callers of all accounts are refused for a window after each loss of the collector. The others come to the next one at
+    // once, and it begins a ledger; its own report to the lost one was under way, gave that ledger away and began
+    // another by what the first had taken for spent.
+    play(async {
+        for offset in 0..5 {
+            let mut group = spending_group().await;
+            sleep(Duration::from_millis(50 * offset)).await;
+            let collector = group.collector();
+
+            group.kill(&[collector], Duration::from_secs(2)).await;
+            sleep(REPORTED * 2).await;
+
+            let ledgers = ledgers(&group);
+            assert_eq!(ledgers.len(), 1, "{ledgers:?}");
+            let (spent, told) = (ledgers[0].0, PROCESSES as u64 * TOKENS);
+            // Its burst, the pace of 1.2 s, and what the processes held.
+            let promised = RATE * 3;
+            assert!(spent <= told + promised, "{offset}: {ledgers:?}");
+        }
+    });
+}
