--- a/crates/limit/src/pool.rs
+++ b/crates/limit/src/pool.rs
@@ -9,7 +9,7 @@
 mod gate;
 mod ledger;
 mod past;
-mod pledge;
+mod promise;
 mod window;
 
 pub use account::WindowStand;
--- a/crates/limit/src/pool/account.rs
+++ b/crates/limit/src/pool/account.rs
@@ -4,7 +4,7 @@
     ALLOT_TIME, ClaimFault, HoldClaim, PoolAllotment, PoolLimit, PoolSpender, Result, ToldWindow,
 };
 use super::past::LedgerPast;
-use super::pledge::{PledgeBook, TOLD_LASTS};
+use super::promise::{PromiseBook, TOLD_LASTS};
 use super::window::SpendWindow;
 use oleander_kind::{AccountName, ClockTime, InstanceId, TimeSpan};
 use std::collections::BTreeMap;
@@ -82,7 +82,7 @@
     open: f64,
     /// What was counted since the ledger began.
     total: f64,
-    pledges: PledgeBook,
+    promises: PromiseBook,
     settled_at: ClockTime,
     /// The ledger before, whose allotments are in the window as if they were spent at this time.
     prepaid: Option<(u64, ClockTime)>,
@@ -105,7 +105,7 @@
             holders: BTreeMap::new(),
             open: 0.0,
             total: 0.0,
-            pledges: PledgeBook::begin(limit, began_at),
+            promises: PromiseBook::begin(limit, began_at),
             settled_at: began_at,
             prepaid: source.map(|source| (source, began_at + ALLOT_TIME)),
             capacity: 0.0,
@@ -128,8 +128,8 @@
         self.settle((limit.length(), now));
         self.count(spender, claim, (terms.source, now))?;
         self.capacity = limit.capacity() * terms.part;
-        self.pledges.renew(self.total + self.open, (limit, now));
-        let binding = terms.stored.unwrap_or(f64::INFINITY).min(self.pledges.binding());
+        self.promises.renew(self.total + self.open, (limit, now));
+        let binding = terms.stored.unwrap_or(f64::INFINITY).min(self.promises.binding());
         let promised = (binding - self.total - self.open).max(0.0);
         let room = self.room();
         let known = (room.min(promised), terms.serving);
@@ -159,7 +159,7 @@
 
     /// Up to how much may be handed out, as it is told; tokens since the ledger began.
     pub fn promise(&self) -> f64 {
-        self.pledges.told()
+        self.promises.told()
     }
 
     /// How the window stands.
@@ -174,7 +174,7 @@
 
     /// The window, and all that may be spent besides before more is told.
     pub fn told(&self, now: ClockTime) -> ToldWindow {
-        let open = (self.pledges.told() - self.total).max(self.open);
+        let open = (self.promises.told() - self.total).max(self.open);
         ToldWindow { seconds: self.window.by_second(now, self.seconds), open: open.ceil() as u64 }
     }
 
--- a/crates/limit/src/pool/past.rs
+++ b/crates/limit/src/pool/past.rs
@@ -1,7 +1,7 @@
 //! What a ledger knows of the time before it.
 
 use super::allot::{ALLOT_TIME, PoolLimit, ToldWindow};
-use super::pledge::first_promise;
+use super::promise::first_promise;
 use super::window::SpendWindow;
 use oleander_kind::{AccountName, ClockTime, TimeSpan};
 use serde::{Deserialize, Serialize};
--- a/crates/limit/src/pool/pledge.rs
+++ b/crates/limit/src/pool/promise.rs
@@ -16,7 +16,7 @@
 const STEP_TIMES: f64 = 2.0;
 
 #[derive(Clone, Copy, Debug)]
-struct PledgeMark {
+struct PromiseMark {
     at: ClockTime,
     /// What was handed out by then.
     total: f64,
@@ -25,8 +25,8 @@
 
 /// The promises of one account; all figures are tokens since the ledger began.
 #[derive(Debug)]
-pub struct PledgeBook {
-    marks: VecDeque<PledgeMark>,
+pub struct PromiseBook {
+    marks: VecDeque<PromiseMark>,
 }
 
 /// What may be handed out from one promise to the next, however little was before: what the operators let come at once.
@@ -35,11 +35,11 @@
     limit.burst + limit.rate_per_s * TOLD_LASTS.0 as f64 / 1000.0
 }
 
-impl PledgeBook {
+impl PromiseBook {
     /// Begins with the first promise.
     pub fn begin(limit: &PoolLimit, now: ClockTime) -> Self {
-        let first = PledgeMark { at: now, total: 0.0, promise: first_promise(limit) };
-        PledgeBook { marks: VecDeque::from([first]) }
+        let first = PromiseMark { at: now, total: 0.0, promise: first_promise(limit) };
+        PromiseBook { marks: VecDeque::from([first]) }
     }
 
     /// Makes the next promise if it is time; `total` is handed out by now.
@@ -50,7 +50,7 @@
         }
         let step = first_promise(limit).max((total - first.total) * STEP_TIMES);
         let promise = last.promise.max(total + step);
-        self.marks.push_back(PledgeMark { at: now, total, promise });
+        self.marks.push_back(PromiseMark { at: now, total, promise });
         while self.marks.get(1).is_some_and(|mark| now - mark.at >= TOLD_LASTS) {
             self.marks.pop_front();
         }
