--- a/crates/limit/src/pool.rs
+++ b/crates/limit/src/pool.rs
@@ -20,4 +20,4 @@
 pub use gate::{GateStand, PoolGate};
 pub use ledger::{PoolLedger, STORED_LASTS};
 pub use past::{KnownWindow, LedgerPast};
-pub use pledge::TOLD_LASTS;
+pub use promise::TOLD_LASTS;
