--- a/crates/front/src/window_store.rs
+++ b/crates/front/src/window_store.rs
@@ -22,7 +22,7 @@
 const LOOK_PERIOD: TimeSpan = TimeSpan(50);
 /// Between two writes: a sixth of the time for which what the store has is of use.
 const WRITE_PERIOD: TimeSpan = TimeSpan(500);
-/// How long the store is asked before the windows are taken for full.
+/// Reads without an answer before the windows are taken for full.
 const MOST_UNREAD: u32 = 3;
 
 /// What the object says.
