--- a/crates/mesh/src/collector.rs
+++ b/crates/mesh/src/collector.rs
@@ -2,17 +2,15 @@
 
 use crate::clock::{median_offset, wall_offset};
 use crate::evidence::{EndpointJudge, EndpointLife, VerdictChange};
+use crate::limit_message::AccountAllotment;
 use crate::message::{
-    AccountAllotment, AccountClaim, EndpointLoad, EndpointVerdict, LeaseNotice, LifeMark, LimitAsk,
-    MeshDigest, NodeReport, NodeUsage, RulesStand, ServiceDemand, ServicePace, ServicePeak,
-    UsageCount,
+    EndpointLoad, EndpointVerdict, LeaseNotice, LifeMark, MeshDigest, NodeReport, NodeUsage,
+    RulesStand, ServiceDemand, ServicePace, ServicePeak, UsageCount,
 };
 use crate::view::MeshView;
 use oleander_call::RuleSet;
 use oleander_kind::{AccountName, ClockTime, InstanceId, ServiceName, TimeSpan};
-use oleander_limit::{
-    ClaimFault, HoldClaim, PoolAllotment, PoolLedger, PoolLimit, PoolSpender, WindowStand,
-};
+use oleander_limit::{PoolLedger, PoolLimit};
 use oleander_list::{RosterBook, RosterState};
 use oleander_pace::{ReadPace, join_paces};
 use oleander_plat::FeedObject;
@@ -77,8 +75,8 @@
 /// The collector's state.
 pub struct MeshCollector {
     /// Absent until it is known what was handed out before, and once it was passed on.
-    ledger: Option<PoolLedger>,
-    claims_left_out: u64,
+    pub(crate) ledger: Option<PoolLedger>,
+    pub(crate) claims_left_out: u64,
     nodes: BTreeMap<InstanceId, HeardNode>,
     usage: UsageTable,
     demand: BTreeMap<ServiceName, (DemandRate, ClockTime)>,
@@ -100,36 +98,6 @@
         }
     }
 
-    /// Goes on with a ledger.
-    pub fn with_ledger(self, ledger: PoolLedger) -> Self {
-        MeshCollector { ledger: Some(ledger), ..self }
-    }
-
-    /// The ledger, if it has begun and was not passed on.
-    pub fn ledger(&self) -> Option<&PoolLedger> {
-        self.ledger.as_ref()
-    }
-
-    /// The same, to change it.
-    pub fn ledger_mut(&mut self) -> Option<&mut PoolLedger> {
-        self.ledger.as_mut()
-    }
-
-    /// Begins the ledger, or begins it anew by what the one before handed over.
-    pub fn begin_ledger(&mut self, ledger: PoolLedger) {
-        self.ledger = Some(ledger);
-    }
-
-    /// Takes the ledger away: nothing more is handed out here.
-    pub fn take_ledger(&mut self) -> Option<PoolLedger> {
-        self.ledger.take()
-    }
-
-    /// How many claims could not be true since this was last asked.
-    pub fn take_claims_left_out(&mut self) -> u64 {
-        std::mem::take(&mut self.claims_left_out)
-    }
-
     /// Goes on from the endpoints that the collector before had set aside.
     pub fn with_verdicts(self, told: impl Iterator<Item = EndpointVerdict>) -> Self {
         let judge = EndpointJudge::begin(told, self.began_at);
@@ -163,11 +131,6 @@
         self.judge.judge(services, now)
     }
 
-    /// What is counted of each account.
-    pub fn windows(&self) -> impl Iterator<Item = (&AccountName, WindowStand)> {
-        self.ledger.iter().flat_map(PoolLedger::windows)
-    }
-
     /// Since when it collects.
     pub fn began_at(&self) -> ClockTime {
         self.began_at
@@ -261,61 +224,6 @@
         Some(ClockTime((now.0 as i64 + offset).max(0) as u64))
     }
 
-    fn allotments(
-        &mut self,
-        report: &NodeReport,
-        view: &MeshView,
-        facts: &CollectorFacts<'_>,
-    ) -> Vec<AccountAllotment> {
-        let Some(claims) = &report.claims else { return Vec::new() };
-        let spender = PoolSpender { instance: report.card.id.clone(), life: report.card.life };
-        let claims = with_others(claims, facts);
-        if !report.card.leaving
-            && let Some(ledger) = &mut self.ledger
-            && let Some(limit) = claims.iter().find_map(|claim| (facts.limit_of)(&claim.account))
-        {
-            ledger.note_member(&report.card.id, report.bond, (limit.length(), facts.now));
-        }
-        let allot = |claim: AccountClaim| {
-            let limit = (facts.limit_of)(&claim.account)?;
-            let known = (&limit, view.serving());
-            let allotment = self.claim(&claim, &spender, known, facts.now)?;
-            Some(AccountAllotment { account: claim.account, allotment })
-        };
-        claims.into_iter().filter_map(allot).collect()
-    }
-
-    /// Answers a process that is short of room; none if there is no ledger here. `serving` processes share the limit.
-    pub fn ask(
-        &mut self,
-        ask: &LimitAsk,
-        known: (&PoolLimit, u32),
-        now: ClockTime,
-    ) -> Option<PoolAllotment> {
-        let spender = PoolSpender { instance: ask.id.clone(), life: ask.life };
-        self.ledger.as_mut()?.note_member(&ask.id, ask.bond, (known.0.length(), now));
-        self.claim(&ask.claim, &spender, known, now)
-    }
-
-    fn claim(
-        &mut self,
-        claim: &AccountClaim,
-        spender: &PoolSpender,
-        known: (&PoolLimit, u32),
-        now: ClockTime,
-    ) -> Option<PoolAllotment> {
-        let ledger = self.ledger.as_mut()?;
-        match ledger.claim(&claim.account, known, (spender, &claim.claim), now) {
-            Ok(allotment) => Some(allotment),
-            // Its answer was lost on the way, and a later claim was answered.
-            Err(ClaimFault::Late) => None,
-            Err(ClaimFault::Impossible) => {
-                self.claims_left_out += 1;
-                None
-            }
-        }
-    }
-
     fn other_loads(&self, reporter: &InstanceId, now: ClockTime) -> Vec<EndpointLoad> {
         let mut sums: BTreeMap<(&InstanceId, LifeMark), (u32, u64)> = BTreeMap::new();
         let others = self.recent(now).filter(|node| node.report.card.id != *reporter);
@@ -458,17 +366,3 @@
 fn decay(age: TimeSpan) -> f64 {
     (-(age.0 as f64) / DEMAND_TIME.0 as f64).exp()
 }
-
-/// The claims of a process, and those of accounts that it never let in.
-///
-/// Any process may collect next, and begins with the windows it was told of. One that was not told of an account, as
-/// it had let in nothing of it, would have to take its window for full. It also finds an allotment when the
-/// account's first request comes.
-fn with_others(claims: &[AccountClaim], facts: &CollectorFacts<'_>) -> Vec<AccountClaim> {
-    let accounts = facts.rules.map_or(&[][..], RuleSet::accounts);
-    let lacks = |name: &AccountName| claims.iter().all(|claim| claim.account != *name);
-    let others = accounts.iter().map(|account| &account.name).filter(|name| lacks(name));
-    let others =
-        others.map(|name| AccountClaim { account: name.clone(), claim: HoldClaim::default() });
-    claims.iter().cloned().chain(others).collect()
-}
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod clock;
 pub mod collector;
 pub mod evidence;
+mod limit_message;
+mod limits;
 pub mod message;
 pub mod rules;
 pub mod view;
@@ -18,10 +20,11 @@
 pub use clock::{SleepWatch, TrueClock, median_offset, wall_lag};
 pub use collector::{CollectorFacts, MeshCollector};
 pub use evidence::{EndpointJudge, EndpointLife, VerdictChange};
+pub use limit_message::{AccountAllotment, AccountClaim, HandedLedger, HandedWindow, LimitAsk};
 pub use message::{
-    AccountAllotment, AccountClaim, EndpointEvidence, EndpointLoad, EndpointVerdict, HandedLedger,
-    HandedWindow, LeaseNotice, LifeMark, LimitAsk, MemberCard, MemberList, MeshBody, MeshDigest,
-    NodeReport, NodeUsage, RulesStand, ServiceDemand, ServicePace, ServicePeak, UsageCount,
+    EndpointEvidence, EndpointLoad, EndpointVerdict, LeaseNotice, LifeMark, MemberCard, MemberList,
+    MeshBody, MeshDigest, NodeReport, NodeUsage, RulesStand, ServiceDemand, ServicePace,
+    ServicePeak, UsageCount,
 };
 pub use rules::RulesBook;
 pub use view::{MeshView, collect_strength, settled_turn};
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -1,9 +1,10 @@
 //! The messages. Fields have short names on the wire, because they travel several times a second.
 
+use crate::limit_message::{AccountAllotment, AccountClaim, HandedLedger, LimitAsk};
 use oleander_judge::{BadTrait, EvidenceTally};
 use oleander_kind::{AccountName, ClockTime, DomainName, InstanceId, ServiceName};
 use oleander_lease::LeaseRecord;
-use oleander_limit::{HoldClaim, KnownWindow, LedgerBond, PoolAllotment};
+use oleander_limit::{LedgerBond, PoolAllotment};
 use oleander_list::{RosterStand, RosterState, RosterUpdate, VouchNote};
 use oleander_pace::ReadPace;
 use oleander_plat::FeedObject;
@@ -52,56 +53,6 @@
     pub vouch: Option<VouchNote>,
 }
 
-/// What a process says of its allotment of an account.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AccountClaim {
-    /// The account.
-    #[serde(rename = "a")]
-    pub account: AccountName,
-    /// What it says.
-    #[serde(rename = "n")]
-    pub claim: HoldClaim,
-}
-
-/// A process that is short asks for room at once.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LimitAsk {
-    /// Its instance.
-    #[serde(rename = "i")]
-    pub id: InstanceId,
-    /// Which life of it.
-    #[serde(rename = "l")]
-    pub life: u64,
-    /// The ledger that it went by last.
-    #[serde(rename = "b")]
-    pub bond: Option<LedgerBond>,
-    /// The claim.
-    #[serde(rename = "c")]
-    pub claim: AccountClaim,
-}
-
-/// What a ledger that ended in order passes on to the next one.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HandedLedger {
-    /// How many processes counted there.
-    #[serde(rename = "m")]
-    pub members: u32,
-    /// The windows of the accounts.
-    #[serde(rename = "w")]
-    pub windows: Vec<HandedWindow>,
-}
-
-/// An account's window as it is passed on.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HandedWindow {
-    /// The account.
-    #[serde(rename = "a")]
-    pub account: AccountName,
-    /// Its window.
-    #[serde(rename = "w")]
-    pub window: KnownWindow,
-}
-
 /// Requests of an account that began to run in a window, at one process.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsageCount {
@@ -301,17 +252,6 @@
     pub roster_objects: Option<Vec<FeedObject>>,
 }
 
-/// An account's allotment, for one process.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AccountAllotment {
-    /// The account.
-    #[serde(rename = "a")]
-    pub account: AccountName,
-    /// Its allotment.
-    #[serde(rename = "n")]
-    pub allotment: PoolAllotment,
-}
-
 /// How many endpoints a service needed at the most of late.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServicePeak {
