--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -1,7 +1,8 @@
-//! Limits per client account over all entries, without a store call per request.
+//! Limits per client account over all processes, without a store call per request.
 //!
-//! One entry, found by rendezvous, owns an account's limit. The others report their demand to it
-//! about once a second and get a share that expires. Between reports each entry counts alone.
+//! [`pool`] serves the front processes: a ledger hands out allotments, and nobody lets in more than it was handed.
+//! [`owner`] and [`share`] serve the entries of the own interface: one entry, found by rendezvous, owns an account's
+//! limit, and the others get shares that expire.
 
 pub mod owner;
 pub mod pool;
