--- a/crates/front/src/kept.rs
+++ b/crates/front/src/kept.rs
@@ -10,6 +10,7 @@
 use oleander_kind::TimeSpan;
 use oleander_plat::{FeedGuard, FeedKind, FeedObject, FeedWrite};
 use std::rc::Rc;
+use tokio::sync::Notify;
 
 /// The first pause after a call that failed, and the longest.
 const FAULT_PAUSES: (TimeSpan, TimeSpan) = (TimeSpan(200), TimeSpan(2000));
@@ -26,14 +27,14 @@
     /// Between two looks whether something is to be done.
     const LOOK_PERIOD: TimeSpan;
 
+    /// What ends the pause between two looks early, if anything does.
+    fn wake(_node: &FrontNode) -> Option<&Notify> {
+        None
+    }
+
     /// Whether this process keeps the object.
     fn is_kept_by(&self, node: &FrontNode) -> bool;
 
-    /// Whether it is time to read or to write.
-    fn is_due(&self, _node: &FrontNode) -> bool {
-        true
-    }
-
     /// Whether the object is to be read although it is known.
     fn must_read(&self, _node: &FrontNode) -> bool {
         false
@@ -64,14 +65,18 @@
     let (first, longest) = FAULT_PAUSES;
     let mut pause = first;
     loop {
-        actix_rt::time::sleep(R::LOOK_PERIOD.duration()).await;
+        let asleep = actix_rt::time::sleep(R::LOOK_PERIOD.duration());
+        match R::wake(&node) {
+            Some(wake) => tokio::select! {
+                () = asleep => {}
+                () = wake.notified() => {}
+            },
+            None => asleep.await,
+        }
         if !record.is_kept_by(&node) {
             known = None;
             continue;
         }
-        if !record.is_due(&node) {
-            continue;
-        }
         let object = match known.take().filter(|_| !record.must_read(&node)) {
             Some(object) => Some(object),
             None => read_object(&node, &mut record).await,
--- a/crates/front/src/limits/keeper.rs
+++ b/crates/front/src/limits/keeper.rs
@@ -17,6 +17,8 @@
     if windows.iter().any(|(_, known)| known.age <= TOLD_LASTS) {
         let past = LedgerPast::Told { windows, lasts: TOLD_LASTS };
         begin_ledger_by(node, mesh, past, "told");
+    } else {
+        node.ledger_waits.notify_one();
     }
 }
 
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -94,6 +94,8 @@
     pub limits: RefCell<PoolGate>,
     /// Held while a claim is under way: an account has one at a time.
     pub limit_exchange: tokio::sync::Mutex<()>,
+    /// Wakes who keeps the windows in the store when a ledger waits for them.
+    pub ledger_waits: Notify,
     /// When the ledger may be asked again after it did not answer.
     pub ask_after: Cell<ClockTime>,
     /// The links to the other processes.
@@ -173,6 +175,7 @@
             pool: RefCell::default(),
             limits: RefCell::default(),
             limit_exchange: tokio::sync::Mutex::default(),
+            ledger_waits: Notify::new(),
             ask_after: Cell::default(),
             peers: OnceCell::new(),
             spend_diary: RefCell::default(),
--- a/crates/front/src/window_store.rs
+++ b/crates/front/src/window_store.rs
@@ -17,11 +17,11 @@
 use oleander_plat::{FeedKind, FeedObject};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use tokio::sync::Notify;
 
-/// Between two looks: a ledger waits for what the store says after all processes were killed.
-const LOOK_PERIOD: TimeSpan = TimeSpan(50);
-/// Between two writes: a sixth of the time for which what the store has is of use.
-const WRITE_PERIOD: TimeSpan = TimeSpan(500);
+/// Between two looks, and so between two writes: a sixth of the time for which what the store has is of use. A ledger
+/// that waits for the store ends the pause.
+const LOOK_PERIOD: TimeSpan = TimeSpan(500);
 /// Reads without an answer before the windows are taken for full.
 const MOST_UNREAD: u32 = 3;
 
@@ -46,8 +46,6 @@
 pub struct WindowStore {
     /// The promises in what is being written, and since when.
     sent: Option<(BTreeMap<AccountName, f64>, ClockTime)>,
-    /// When the last write was begun.
-    written_at: ClockTime,
     unread: u32,
 }
 
@@ -61,13 +59,12 @@
     const KIND: FeedKind = FeedKind::Windows;
     const LOOK_PERIOD: TimeSpan = LOOK_PERIOD;
 
-    fn is_kept_by(&self, node: &FrontNode) -> bool {
-        node.mesh.borrow().collector.is_some()
+    fn wake(node: &FrontNode) -> Option<&Notify> {
+        Some(&node.ledger_waits)
     }
 
-    fn is_due(&self, node: &FrontNode) -> bool {
-        waits_for_ledger(node, &node.mesh.borrow())
-            || node.clock.now() - self.written_at >= WRITE_PERIOD
+    fn is_kept_by(&self, node: &FrontNode) -> bool {
+        node.mesh.borrow().collector.is_some()
     }
 
     fn must_read(&self, node: &FrontNode) -> bool {
@@ -89,7 +86,6 @@
         let now = node.clock.now();
         let mesh = node.mesh.borrow();
         let ledger = mesh.collector.as_ref().and_then(MeshCollector::ledger)?;
-        self.written_at = now;
         let (windows, promises) = ledger.to_store(now);
         let at = if ledger.is_idle() { ClockTime(0) } else { node.clock_true(&mesh) };
         let listed = |(account, window)| ListedWindow { account, window };
