--- a/crates/front/src/admin.rs
+++ b/crates/front/src/admin.rs
@@ -28,7 +28,7 @@
 /// `MOST_LISTED` endpoints and members are listed.
 pub fn dump_state(node: &FrontNode) -> Value {
     let now = node.clock.now();
-    let feed = |state: crate::node::FeedState, vouch: Option<&StoreVouch>| {
+    let feed = |state: crate::feed::FeedState, vouch: Option<&StoreVouch>| {
         json!({
             "age_ms": vouch.map(|vouch| vouch.age(now).0),
             "vouched_by": vouch.map(|vouch| vouch.by.as_str()),
--- a/crates/front/src/feeds.rs
+++ b/crates/front/src/feeds.rs
@@ -1,8 +1,9 @@
 //! Follows the store's feeds of rules and endpoints.
 
 use crate::events::event;
+use crate::feed::FeedState;
 use crate::mesh;
-use crate::node::{FeedState, FrontNode};
+use crate::node::FrontNode;
 use crate::roster;
 use crate::rules::take_rules;
 use oleander_kind::{ClockTime, TimeSpan};
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod duties;
 pub mod events;
 pub mod evidence;
+pub mod feed;
 pub mod feeds;
 pub mod ingress;
 mod kept;
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -13,7 +13,8 @@
 pub use state::MeshState;
 
 use crate::events::event;
-use crate::node::{FeedState, FrontNode};
+use crate::feed::FeedState;
+use crate::node::FrontNode;
 use oleander_call::AccountRule;
 use oleander_kind::TimeSpan;
 use oleander_limit::PoolLimit;
