--- a/crates/front/src/roster.rs
+++ b/crates/front/src/roster.rs
@@ -46,7 +46,7 @@
     let known = node.endpoints_feed.get();
     if node.roster.borrow().vouch().is_some() && known.known_since.is_none() {
         let known_since = Some(node.clock.now());
-        node.endpoints_feed.set(crate::node::FeedState { known_since, ..known });
+        node.endpoints_feed.set(crate::feed::FeedState { known_since, ..known });
     }
 }
 
