One copy of a past's windows and of an account's limit by name; a test waits for its ledger

Cause: the windows of a ledger's past were taken out of it in three places, and the limit of an account by name in two; each account's answer was copied at every report, though the digest is used up there. A test of payments slept 400 ms of real time until its process had a ledger. Change: LedgerPast::windows, mesh::limit_by_name, answers moved; the test looks for the ledger. Behaviour unchanged.

--- a/crates/front/src/limits/diary.rs
+++ b/crates/front/src/limits/diary.rs
@@ -5,7 +5,7 @@
 //! let it in and to what each of them went by.
 
 use crate::events::event;
-use crate::mesh::pool_limit;
+use crate::mesh::limit_by_name;
 use crate::mesh::state::MeshState;
 use crate::node::FrontNode;
 use oleander_kind::{AccountName, TimeSpan};
@@ -68,8 +68,7 @@
     let limits = node.limits.borrow();
     let mut diary = node.spend_diary.borrow_mut();
     for (account, stand) in limits.stands(now) {
-        let rule = rules.accounts().iter().find(|rule| rule.name == *account);
-        let Some(limit) = rule.and_then(|rule| pool_limit(node, rule)) else { continue };
+        let Some(limit) = limit_by_name(node, &rules, account) else { continue };
         let Some(news) = diary.news_of(account, (stand.spent, stand.own_spent)) else { continue };
         let presses = stand.window as f64 * 2.0 > limit.capacity();
         if !presses && news.own == 0 {
--- a/crates/front/src/limits/keeper.rs
+++ b/crates/front/src/limits/keeper.rs
@@ -3,8 +3,8 @@
 use crate::events::event;
 use crate::mesh::state::MeshState;
 use crate::node::FrontNode;
-use oleander_kind::{AccountName, ResultCode};
-use oleander_limit::{KnownWindow, LedgerPast, PoolLedger, TOLD_LASTS};
+use oleander_kind::ResultCode;
+use oleander_limit::{LedgerPast, PoolLedger, TOLD_LASTS};
 use oleander_mesh::{HandedLedger, HandedWindow, MeshCollector};
 
 /// Begins the ledger of a process that begins to collect, if it was told lately how the windows stand; if not, the store
@@ -31,10 +31,7 @@
 ) {
     let now = node.clock.now();
     let Some(collector) = &mut mesh.collector else { return };
-    let windows: &[(AccountName, KnownWindow)] = match &past {
-        LedgerPast::Nothing => &[],
-        LedgerPast::Told { windows, .. } | LedgerPast::Handed(windows) => windows,
-    };
+    let windows = past.windows();
     let age = windows.iter().map(|(_, known)| known.age.0).max();
     event!(node, LedgerBegan; "by" => by, "windows" => windows.len(), "age_ms" => age);
     // Each ledger has a name of its own, also a second one of the same process. One that handed out nothing and is begun
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -8,7 +8,7 @@
 pub mod state;
 
 pub use collect::MeshPeers;
-pub(crate) use collect::answer_ask;
+pub(crate) use collect::{answer_ask, limit_by_name};
 pub use report::report_period;
 pub use state::MeshState;
 
--- a/crates/front/src/mesh/collect.rs
+++ b/crates/front/src/mesh/collect.rs
@@ -21,7 +21,12 @@
 use std::pin::Pin;
 use std::rc::Rc;
 
-fn limit_by_name(node: &FrontNode, rules: &RuleSet, name: &AccountName) -> Option<PoolLimit> {
+/// The limit of an account of `rules`; none if it has none.
+pub(crate) fn limit_by_name(
+    node: &FrontNode,
+    rules: &RuleSet,
+    name: &AccountName,
+) -> Option<PoolLimit> {
     let account = rules.accounts().iter().find(|account| account.name == *name)?;
     pool_limit(node, account)
 }
--- a/crates/front/src/mesh/digest.rs
+++ b/crates/front/src/mesh/digest.rs
@@ -32,7 +32,7 @@
     if let Some(notes) = &digest.suspects {
         suspects::take_notes(node, notes);
     }
-    take_allotments(node, &digest.allotments, claimed_at);
+    take_allotments(node, digest.allotments, claimed_at);
     node.usage.borrow_mut().forget(digest.reported_window);
     let mut mesh = node.mesh.borrow_mut();
     let collector = |card: &MemberCard| (card.id.clone(), card.life);
@@ -63,10 +63,10 @@
     }
 }
 
-fn take_allotments(node: &FrontNode, allotments: &[AccountAllotment], claimed_at: ClockTime) {
+fn take_allotments(node: &FrontNode, allotments: Vec<AccountAllotment>, claimed_at: ClockTime) {
     let times = (claimed_at, node.clock.lease_now());
     let mut limits = node.limits.borrow_mut();
-    allotments.iter().for_each(|told| limits.take(&told.account, told.allotment.clone(), times));
+    allotments.into_iter().for_each(|told| limits.take(&told.account, told.allotment, times));
 }
 
 /// Logs speeds that differ by more than a tenth from what was known.
--- a/crates/limit/src/pool/past.rs
+++ b/crates/limit/src/pool/past.rs
@@ -38,6 +38,14 @@
 }
 
 impl LedgerPast {
+    /// What the ledger before said of the accounts.
+    pub fn windows(&self) -> &[(AccountName, KnownWindow)] {
+        match self {
+            LedgerPast::Nothing => &[],
+            LedgerPast::Told { windows, .. } | LedgerPast::Handed(windows) => windows,
+        }
+    }
+
     /// Whether the ledger before ended in order.
     pub fn is_handed(&self) -> bool {
         matches!(self, LedgerPast::Handed(_))
@@ -45,11 +53,7 @@
 
     /// Whether what `source` handed out is in the windows.
     pub fn knows(&self, source: u64) -> bool {
-        let windows = match self {
-            LedgerPast::Nothing => return false,
-            LedgerPast::Told { windows, .. } | LedgerPast::Handed(windows) => windows,
-        };
-        windows.iter().any(|(_, known)| known.source == source)
+        self.windows().iter().any(|(_, known)| known.source == source)
     }
 
     /// An account's window, and the ledger whose allotments are counted in it.
@@ -80,11 +84,7 @@
     }
 
     fn known(&self, account: &AccountName) -> Option<&KnownWindow> {
-        let windows = match self {
-            LedgerPast::Nothing => return None,
-            LedgerPast::Told { windows, .. } | LedgerPast::Handed(windows) => windows,
-        };
-        windows.iter().find(|(name, _)| name == account).map(|(_, known)| known)
+        self.windows().iter().find(|(name, _)| name == account).map(|(_, known)| known)
     }
 
     /// What may have been spent besides what was told; `room` is all that can have been.
--- a/tests/all/paying.rs
+++ b/tests/all/paying.rs
@@ -11,6 +11,8 @@
 
 /// Tokens that a request without a count stands for.
 const TOKENS: u64 = 200;
+/// Between two looks whether the process has a ledger.
+const LOOK_PAUSE: Duration = Duration::from_millis(5);
 const GOOD: &str = "HTTP/1.1 200 OK\r\nX-Oleandertack-Request-Id: {id}\r\n\
     X-Oleandertack-Response-Seal: seal\r\nContent-Length: 2\r\n\r\nok";
 const NOT_RUN: &str = "HTTP/1.1 503 Full\r\nX-Oleandertack-Request-Id: {id}\r\n\
@@ -25,8 +27,9 @@
     let bounds = FrontBounds { retry_slack: 100, ..FrontBounds::default() };
     let ports = FrontPorts { store: Box::new(store), cloud: None, clock: NodeClock::default() };
     let (process, address) = front_with(ports, bounds).await;
-    // Until it collects and has a ledger.
-    sleep(Duration::from_millis(400)).await;
+    while !process.node.mesh.borrow().has_ledger() {
+        sleep(LOOK_PAUSE).await;
+    }
     (process, address)
 }
 
