--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -27,6 +27,7 @@
 mod lives;
 mod member;
 mod mesh;
+mod mesh_limits;
 mod mortal;
 mod outlet;
 mod pace;
