--- a/crates/front/src/admin.rs
+++ b/crates/front/src/admin.rs
@@ -4,6 +4,7 @@
 use crate::node::FrontNode;
 use actix_web::{HttpResponse, web};
 use oleander_list::StoreVouch;
+use oleander_mesh::NewsAccount;
 use oleander_suspect::{RequestPrint, SuspectRecord};
 use serde_json::{Value, json};
 use std::rc::Rc;
@@ -69,10 +70,23 @@
             "holder": lease.record.holder.as_str(),
             "fence": lease.record.fence,
         })),
+        "peer_bytes": json!({
+            "sent": node.traffic.sent.get(), "received": node.traffic.received.get(),
+            "frames": node.traffic.frames.get(),
+        }),
+        "exchange_bytes": json!({
+            "report": dump_account(&mesh.account.report),
+            "digest": dump_account(&mesh.account.digest),
+        }),
         "reported_window": mesh.reported_window,
     })
 }
 
+fn dump_account(account: &NewsAccount) -> Value {
+    let part = |(name, bytes): &(&str, usize)| ((*name).to_owned(), json!(bytes));
+    Value::Object(account.iter().map(part).collect())
+}
+
 /// The most endpoints and members of a dump.
 const MOST_LISTED: usize = 1000;
 
--- a/crates/front/src/duties/orders.rs
+++ b/crates/front/src/duties/orders.rs
@@ -10,7 +10,7 @@
 };
 use oleander_kind::endpoint::InstanceMarket;
 use oleander_kind::{ClockTime, DomainName, ServiceName, TimeSpan};
-use oleander_mesh::ServicePeak;
+use oleander_mesh::{EndpointMark, ServicePeak};
 use oleander_pace::ASSUMED_PER_MS;
 use oleander_plat::{DutyAnswer, DutyPort, ScaleOrder};
 use std::collections::BTreeMap;
@@ -103,15 +103,10 @@
     let collector = mesh.collector.as_ref()?;
     let demand = collector.demand_of(service, now);
     let board = node.endpoints.borrow();
-    let is_ours = |instance| {
-        board
-            .key(instance)
-            .and_then(|key| board.get(key))
-            .is_some_and(|fact| fact.entry.service == *service)
-    };
-    let loads = collector.loads(now);
-    let running =
-        loads.iter().filter(|load| is_ours(&load.instance)).map(|load| load.requests).sum();
+    let facts = board.of_service(service).iter().filter_map(|key| board.get(*key));
+    let running = facts
+        .map(|fact| collector.requests_at(EndpointMark::of(&fact.entry.instance, fact.entry.life)))
+        .sum();
     if demand.requests > 0.0 {
         stand.asked_since.get_or_insert(now);
     }
--- a/crates/front/src/events.rs
+++ b/crates/front/src/events.rs
@@ -63,6 +63,7 @@
     RulesInForce = "rules_in_force", 40, "a newer version of the rules is in force: `version`";
     RulesUnreadable = "rules_unreadable", 10, "rules cannot be read, the old ones stay: `fault`";
     RosterFromPeer = "roster_from_peer", 20, "a whole endpoint list came from a peer: `as_of` revision, its age in ms (`age_ms`), the process that heard it from the store (`vouched_by`), how many entries the peer doubts (`doubted`), for how much longer what it lacks may have lapsed (`unsettled_ms`)";
+    NewsMeasured = "news_measured", 2, "what one exchange with a process took of the links of the collector, once a second: bytes of the parts of its `report` and of its answer (`digest`), all bytes `sent` to and `received` from peers since the start";
     EndpointStage = "endpoint_stage", 200, "an endpoint is new or changed its stage: `endpoint`, `service`, `domain`, `stage`, `market`, `revision`, `life`";
     EndpointOutlived = "endpoint_outlived", 20, "news of a former life of an endpoint was left out: `endpoint`, `lives` known and told, `revision`";
     EndpointDoubted = "endpoint_doubted", 200, "the list lost an endpoint while the store was away; it is the last resort: `endpoint`, for how long (`for_ms`)";
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -1,9 +1,11 @@
 //! What a process knows through the others: it reports to the collector, takes its digests, and
 //! collects when it is its turn.
 
+mod account;
 mod collect;
 mod digest;
 mod make;
+mod parts;
 mod report;
 pub mod state;
 
--- a/crates/front/src/mesh/collect.rs
+++ b/crates/front/src/mesh/collect.rs
@@ -1,5 +1,7 @@
 //! Collecting: answers the reports of the others while it is this process's turn.
 
+use super::account::collect_measured;
+use super::parts::fetch_list;
 use super::state::{MeshState, followed_collector};
 use super::{end_after_sleep, pool_limit};
 use crate::events::event;
@@ -12,8 +14,8 @@
 use oleander_limit::{PoolAllotment, PoolLimit};
 use oleander_list::RosterUpdate;
 use oleander_mesh::{
-    CollectorFacts, EndpointLife, EndpointVerdict, LifeMark, LimitAsk, MemberCard, MemberList,
-    MeshBody, MeshCollector, NodeReport, settled_turn, wall_lag,
+    CollectorFacts, EndpointLife, EndpointMark, EndpointVerdict, LifeMark, LimitAsk, MemberCard,
+    MemberList, MeshBody, MeshCollector, NodeReport, settled_turn, wall_lag,
 };
 use oleander_place::{EndpointFact, EndpointKey};
 use oleander_wire::PeerHandler;
@@ -37,11 +39,22 @@
 impl PeerHandler<MeshBody> for MeshPeers {
     fn answer(&self, body: MeshBody) -> Pin<Box<dyn Future<Output = MeshBody>>> {
         let answer = match body {
-            MeshBody::Report(report) => collect(&self.0, *report),
+            MeshBody::Report(report) => {
+                if report.roster_update == Some(RosterUpdate::InParts) {
+                    fetch_list(&self.0, Some(report.card.address));
+                }
+                collect_measured(&self.0, *report)
+            }
+            MeshBody::AskPart(after) => {
+                let now = self.0.clock.now();
+                let part = self.0.roster.borrow().part_after(after.as_ref(), now);
+                MeshBody::Part(Box::new(part))
+            }
             MeshBody::Greet(card) => greeted(&self.0, card),
             MeshBody::Ask(ask) => MeshBody::Allotted(answer_ask(&self.0, &ask).map(Box::new)),
             MeshBody::Digest(_)
             | MeshBody::Allotted(_)
+            | MeshBody::Part(_)
             | MeshBody::Leaving(_)
             | MeshBody::Follow(_)
             | MeshBody::Members(_) => MeshBody::Leaving(self.0.mesh.borrow().view.me().clone()),
@@ -169,12 +182,18 @@
     if !collector.is_judging_due(now) {
         return;
     }
-    let live = |key: &EndpointKey| {
-        let fact = board.get(*key).filter(|fact| fact.takes_work())?;
-        Some((fact.entry.instance.clone(), LifeMark::of(fact.entry.life)))
-    };
-    let services: Vec<Vec<EndpointLife>> =
-        board.services().map(|keys| keys.iter().filter_map(live).collect()).collect();
+    let live = |key: &EndpointKey| board.get(*key).filter(|fact| fact.takes_work());
+    let life_of =
+        |fact: &EndpointFact| (fact.entry.instance.clone(), LifeMark::of(fact.entry.life));
+    let services: Vec<Vec<EndpointLife>> = board
+        .services()
+        .map(|(_, keys)| keys.iter().filter_map(live).map(life_of).collect())
+        .collect();
+    let mark_of = |fact: &EndpointFact| EndpointMark::of(&fact.entry.instance, fact.entry.life);
+    let marks = board.services().map(|(service, keys)| {
+        (service.clone(), keys.iter().filter_map(live).map(mark_of).collect())
+    });
+    collector.list_endpoints(marks.collect());
     for change in collector.judge(&services, now) {
         let (came, failed) = (change.sum.came, change.sum.failed);
         event!(node, EndpointJudged;
@@ -201,11 +220,8 @@
         mesh.collector.as_ref().map_or_else(unheard, |c| c.lateness(report, true_now, now))
     };
     node.rules.borrow_mut().take_vouch(&report.rules, late, node.clock.now());
-    match &report.roster_objects {
-        Some(objects) => {
-            let whole = RosterUpdate::Whole(objects.clone());
-            roster::take_peer_update(node, &whole, (&report.roster, late), None);
-        }
+    match &report.roster_update {
+        Some(update) => roster::take_peer_update(node, update, (&report.roster, late), None),
         None => roster::take_peer_vouch(node, &report.roster, late),
     }
 }
--- a/crates/front/src/mesh/digest.rs
+++ b/crates/front/src/mesh/digest.rs
@@ -7,7 +7,8 @@
 use crate::suspects;
 use oleander_kind::{ClockTime, TimeSpan};
 use oleander_mesh::{
-    AccountAllotment, EndpointLoad, EndpointVerdict, LifeMark, MemberCard, MeshDigest, ServicePace,
+    AccountAllotment, EndpointMark, EndpointVerdict, LifeMark, LoadNews, MemberCard, MeshDigest,
+    ServicePace,
 };
 use oleander_place::WorkLoad;
 use std::collections::HashMap;
@@ -55,7 +56,7 @@
         mesh.paces = digest.paces;
     }
     mesh.wants_rules = digest.wants_rules;
-    mesh.wants_roster = digest.wants_roster;
+    mesh.wants_roster = digest.wants_roster.then_some(digest.roster);
     mesh.reported_window = mesh.reported_window.max(digest.reported_window);
     let known = mesh.lease.as_ref().map_or(0, |lease| lease.revision);
     if let Some(lease) = digest.lease.filter(|lease| lease.revision > known) {
@@ -84,16 +85,19 @@
     }
 }
 
-fn take_loads(node: &FrontNode, loads: &[EndpointLoad]) {
-    let by_life: HashMap<_, _> =
-        loads.iter().map(|load| ((&load.instance, load.life), load)).collect();
-    let work = |load: &&EndpointLoad| WorkLoad {
-        requests: load.requests,
-        unread_tokens: load.unread_tokens,
-    };
+fn take_loads(node: &FrontNode, news: &LoadNews) {
+    let told: HashMap<_, _> = news.loads.iter().map(|load| (load.endpoint, load)).collect();
+    let means: HashMap<_, _> = news.means.iter().map(|mean| (&mean.service, mean)).collect();
+    let work = |requests, unread_tokens| WorkLoad { requests, unread_tokens };
     node.endpoints.borrow_mut().for_each_mut(|fact| {
-        let life = (&fact.entry.instance, LifeMark::of(fact.entry.life));
-        fact.others = by_life.get(&life).map(work).unwrap_or_default();
+        let load = told.get(&EndpointMark::of(&fact.entry.instance, fact.entry.life));
+        let mean = means.get(&fact.entry.service);
+        fact.is_told = load.is_some() || means.is_empty();
+        fact.others = match (load, mean) {
+            (Some(load), _) => work(load.requests, load.unread_tokens),
+            (None, Some(mean)) => work(mean.requests, mean.unread_tokens),
+            (None, None) => WorkLoad::default(),
+        };
     });
 }
 
--- a/crates/front/src/mesh/make.rs
+++ b/crates/front/src/mesh/make.rs
@@ -6,7 +6,7 @@
 use oleander_kind::{AccountName, ClockTime, ServiceName, TimeSpan};
 use oleander_limit::HoldClaim;
 use oleander_mesh::{
-    AccountClaim, EndpointLoad, HandedLedger, LifeMark, NodeReport, NodeUsage, ServiceDemand,
+    AccountClaim, EndpointLoad, EndpointMark, HandedLedger, NodeReport, NodeUsage, ServiceDemand,
     ServicePace, UsageCount,
 };
 use oleander_pace::PaceBook;
@@ -31,7 +31,8 @@
     let claims = with_claims.then(|| limits.claims(now).into_iter().map(claim_of).collect());
     let usage = node.usage.borrow().counts().map(usage_of).collect();
     let roster = node.roster.borrow();
-    let roster_objects = mesh.wants_roster.then(|| roster.objects());
+    let lacked = |theirs| roster.update_for(theirs, None, node.own_source);
+    let roster_update = mesh.wants_roster.as_ref().map(lacked);
     let mut suspects = node.suspects.borrow_mut();
     let rules_text = mesh.wants_rules.then(|| node.rules.borrow().text().cloned()).flatten();
     NodeReport {
@@ -56,7 +57,7 @@
         heritage: heritage_of(&mesh, node.clock.now()),
         unreached: mesh.view.unreached(node.clock.now()),
         rules_text,
-        roster_objects,
+        roster_update,
     }
 }
 
@@ -87,8 +88,7 @@
     let board = node.endpoints.borrow();
     let busy = board.iter().filter(|(_, fact)| fact.own.requests > 0);
     let load = |fact: &oleander_place::EndpointFact| EndpointLoad {
-        instance: fact.entry.instance.clone(),
-        life: LifeMark::of(fact.entry.life),
+        endpoint: EndpointMark::of(&fact.entry.instance, fact.entry.life),
         requests: fact.own.requests,
         unread_tokens: fact.own.unread_tokens,
     };
--- /dev/null
+++ b/crates/front/src/mesh/parts.rs
@@ -0,0 +1,83 @@
+//! Asks peers for a whole endpoint list, part by part.
+
+use super::report::call_peer;
+use crate::events::event;
+use crate::node::FrontNode;
+use crate::roster;
+use compact_str::CompactString;
+use oleander_kind::TimeSpan;
+use oleander_list::{PartStep, PartsBook, RosterUpdate, WholeRoster};
+use oleander_mesh::MeshBody;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// How long a peer may take for a part. Nothing else waits for it.
+const PART_LIMIT: TimeSpan = TimeSpan(1000);
+/// Between two times that a process asks for a whole list.
+const FETCH_PAUSE: TimeSpan = TimeSpan(1000);
+/// Peers asked for one list at the most, if some do not have it.
+const MOST_ASKED: usize = 4;
+
+/// Begins to ask for a whole list, unless that was begun a moment ago: `first`, or a peer by lot, so that many processes
+/// that lack it do not all ask the collector.
+pub(super) fn fetch_list(node: &Rc<FrontNode>, first: Option<SocketAddr>) {
+    let now = node.clock.now();
+    let mut mesh = node.mesh.borrow_mut();
+    if mesh.fetched_at.is_some_and(|at| now - at < FETCH_PAUSE) {
+        return;
+    }
+    mesh.fetched_at = Some(now);
+    drop(mesh);
+    actix_rt::spawn(fetch(node.clone(), first));
+}
+
+async fn fetch(node: Rc<FrontNode>, first: Option<SocketAddr>) {
+    let mut book = PartsBook::default();
+    let mut after: Option<CompactString> = None;
+    let mut peer = first.or_else(|| peer_by_lot(&node));
+    let mut asked = 1;
+    while let Some(address) = peer.filter(|_| asked <= MOST_ASKED) {
+        match fetch_part(&node, address, (&mut book, after.clone())).await {
+            PartStep::AskAfter(name) => after = Some(name),
+            PartStep::Whole(whole) => return take_whole(&node, whole),
+            PartStep::TooOld => {
+                peer = peer_by_lot(&node);
+                asked += 1;
+            }
+        }
+    }
+    event!(node, MemberFault; "fault" => "no peer that was asked has the endpoint list");
+}
+
+async fn fetch_part(
+    node: &FrontNode,
+    address: SocketAddr,
+    (book, after): (&mut PartsBook, Option<CompactString>),
+) -> PartStep {
+    let Some(hub) = node.peers.get() else { return PartStep::TooOld };
+    let asked_at = node.clock.now();
+    let call = (address.to_string().into(), MeshBody::AskPart(after));
+    match call_peer(node, hub, call, PART_LIMIT).await {
+        Some(MeshBody::Part(part)) => {
+            let known = node.roster.borrow().revision();
+            book.take(*part, known, (asked_at, node.clock.now()))
+        }
+        _ => PartStep::TooOld,
+    }
+}
+
+fn take_whole(node: &FrontNode, whole: WholeRoster) {
+    let WholeRoster { objects, stand, late } = whole;
+    roster::take_peer_update(node, &RosterUpdate::Whole(objects), (&stand, late), None);
+}
+
+/// A peer of the same failure domain, if there is one: bytes between domains are paid for.
+fn peer_by_lot(node: &FrontNode) -> Option<SocketAddr> {
+    let mesh = node.mesh.borrow();
+    let open: Vec<_> = mesh.view.others().filter(|card| !card.leaving).collect();
+    let near: Vec<_> =
+        open.iter().filter(|card| card.domain == node.settings.domain).copied().collect();
+    let from = if near.is_empty() { open } else { near };
+    let at = node.random() as usize % from.len().max(1);
+    from.get(at).map(|card| card.address)
+}
--- a/crates/front/src/mesh/report.rs
+++ b/crates/front/src/mesh/report.rs
@@ -3,6 +3,7 @@
 use super::collect::collect;
 use super::digest::take_digest;
 use super::make::{LimitNews, make_report};
+use super::parts::fetch_list;
 use super::{MeshState, end_after_sleep, note_fitness};
 use crate::events::event;
 use crate::node::FrontNode;
@@ -11,6 +12,7 @@
 use compact_str::CompactString;
 use oleander_kind::{ClockTime, TimeSpan};
 use oleander_limit::ANSWER_TIME;
+use oleander_list::RosterUpdate;
 use oleander_mesh::{MemberCard, MemberList, MeshBody, MeshCollector, NodeReport};
 use oleander_wire::{CallPeer, ForgetPeer, PeerHub};
 use std::rc::Rc;
@@ -153,20 +155,22 @@
         }
         let address: CompactString = seed.to_string().into();
         let body = MeshBody::Greet(node.mesh.borrow().view.me().clone());
-        if let Some(MeshBody::Members(list)) = call_peer(node, hub, address, body).await {
+        if let Some(MeshBody::Members(list)) =
+            call_peer(node, hub, (address, body), ANSWER_LIMIT).await
+        {
             take_members(node, list);
         }
     }
 }
 
 /// Asks another process; none if it did not answer, which is logged.
-async fn call_peer(
+pub(super) async fn call_peer(
     node: &FrontNode,
     hub: &Addr<PeerHub<MeshBody>>,
-    address: CompactString,
-    body: MeshBody,
+    (address, body): (CompactString, MeshBody),
+    limit: TimeSpan,
 ) -> Option<MeshBody> {
-    let call = CallPeer { address: address.clone(), body, limit: ANSWER_LIMIT };
+    let call = CallPeer { address: address.clone(), body, limit };
     match hub.send(call).await {
         Ok(Ok(answer)) => Some(answer),
         Ok(Err(fault)) => {
@@ -246,9 +250,12 @@
     let sent_at = node.clock.now();
     let address: CompactString = address.to_string().into();
     let body = MeshBody::Report(Box::new(report));
-    match call_peer(node, hub, address, body).await {
+    match call_peer(node, hub, (address, body), ANSWER_LIMIT).await {
         Some(MeshBody::Digest(digest)) => {
             note_taken(node);
+            if digest.roster_update == RosterUpdate::InParts {
+                fetch_list(node, None);
+            }
             take_digest(node, *digest, (node.clock.now() - sent_at, claimed_at));
             CallOutcome::Taken
         }
@@ -265,7 +272,9 @@
             | MeshBody::Greet(_)
             | MeshBody::Members(_)
             | MeshBody::Ask(_)
-            | MeshBody::Allotted(_),
+            | MeshBody::Allotted(_)
+            | MeshBody::AskPart(_)
+            | MeshBody::Part(_),
         )
         | None => CallOutcome::Failed,
     }
--- a/crates/front/src/mesh/state.rs
+++ b/crates/front/src/mesh/state.rs
@@ -1,8 +1,10 @@
 //! What one process knows through the others.
 
+use super::account::ExchangeAccount;
 use compact_str::CompactString;
 use oleander_kind::{ClockTime, InstanceId, TimeSpan};
 use oleander_limit::PoolLedger;
+use oleander_list::RosterStand;
 use oleander_mesh::{
     LeaseNotice, MemberCard, MeshCollector, MeshView, NodeUsage, ServicePace, ServicePeak,
     SleepWatch, TrueClock,
@@ -37,7 +39,13 @@
     pub(super) digest_at: ClockTime,
     pub(super) digest_from: Option<MemberCard>,
     pub(super) wants_rules: bool,
-    pub(super) wants_roster: bool,
+    /// How the collector's endpoint list stands, if it asked for what it lacks.
+    pub(super) wants_roster: Option<RosterStand>,
+    /// What the parts of one exchange took, and when it was measured.
+    pub(crate) account: ExchangeAccount,
+    pub(super) account_at: Option<ClockTime>,
+    /// When this process last asked peers for a whole endpoint list.
+    pub(super) fetched_at: Option<ClockTime>,
 }
 
 impl MeshState {
@@ -58,7 +66,10 @@
             digest_at: ClockTime(0),
             digest_from: None,
             wants_rules: false,
-            wants_roster: false,
+            wants_roster: None,
+            account: ExchangeAccount::default(),
+            account_at: None,
+            fetched_at: None,
         }
     }
 
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -26,7 +26,7 @@
 };
 use oleander_plat::FeedStore;
 use oleander_suspect::{EndWatch, SuspectBook};
-use oleander_wire::PeerHub;
+use oleander_wire::{PeerHub, TrafficCount};
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -81,6 +81,8 @@
     pub ledger_waits: Notify,
     /// When the ledger may be asked again after it did not answer.
     pub ask_after: Cell<ClockTime>,
+    /// What the links to the other processes carried.
+    pub traffic: Rc<TrafficCount>,
     /// The links to the other processes.
     pub peers: OnceCell<Addr<PeerHub<MeshBody>>>,
     /// What the log was told of them.
@@ -160,6 +162,7 @@
             limit_exchange: tokio::sync::Mutex::default(),
             ledger_waits: Notify::new(),
             ask_after: Cell::default(),
+            traffic: Rc::default(),
             peers: OnceCell::new(),
             spend_diary: RefCell::default(),
             usage: RefCell::new(UsageBook::new(window)),
--- a/crates/front/src/process.rs
+++ b/crates/front/src/process.rs
@@ -14,7 +14,7 @@
 use oleander_outlet::listen_socket;
 use oleander_plat::{DutyPort, FeedStore};
 use oleander_serve::{HttpSite, local_data, serve_app};
-use oleander_wire::{PeerHandler, PeerHub, PeerListener, TrafficCount, listen_peers};
+use oleander_wire::{PeerHandler, PeerHub, PeerListener, listen_peers};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -69,7 +69,7 @@
     let address = callers.local_addr()?;
     let peers = listen_socket(settings.peer)?;
     let node = FrontNode::new(settings, log, dialect, ports.store, ports.clock);
-    let traffic = Rc::new(TrafficCount::default());
+    let traffic = node.traffic.clone();
     let hub = actix::Actor::start(PeerHub::<MeshBody>::new(traffic.clone()));
     if node.peers.set(hub.clone()).is_err() {
         event!(node, InternalFault; "fault" => "a process has its links already");
--- a/crates/list/src/lib.rs
+++ b/crates/list/src/lib.rs
@@ -8,12 +8,15 @@
 //! that alone would be fifty times a node's control budget. So two relays in each failure domain
 //! read it, pass on what changed, and probes carry a digest by which a gap is noticed.
 
+mod changes;
 pub mod keeper;
+pub mod parts;
 pub mod roster;
 pub mod taker;
 pub mod vouch;
 
 pub use keeper::{ListChange, ListKeeper, ListMark};
+pub use parts::{PartStep, PartsBook, RosterPart, WholeRoster};
 pub use roster::{
     DecodedEntry, DoubtNote, EntryDecoder, LapseTimes, RosterAction, RosterBook, RosterStand,
     RosterState, RosterUpdate,
--- a/crates/list/src/roster.rs
+++ b/crates/list/src/roster.rs
@@ -10,16 +10,17 @@
 //! Whether the store was away is judged by all that the process heard, of whoever: a gap too short
 //! for an entry to lapse in it means that what is missing has left.
 
+use crate::changes::ChangeLog;
 use crate::vouch::{StoreVouch, VouchNote};
 use compact_str::CompactString;
 use oleander_kind::hash::{HASH_START, mix_bits, stable_hash};
 use oleander_kind::{ClockTime, TimeSpan};
 use oleander_plat::{FeedEvent, FeedObject};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
-/// Changes that are kept for peers; who missed more gets the whole list.
-const CHANGES_KEPT: usize = 256;
+/// The most entries of a list that is sent at once; a longer one is asked for in parts.
+const WHOLE_ENTRIES: usize = 128;
 
 /// The result of reading an entry.
 pub type Result<T> = std::result::Result<T, String>;
@@ -143,6 +144,9 @@
     /// The whole list.
     #[serde(rename = "w")]
     Whole(Vec<FeedObject>),
+    /// The whole list is needed, and is too long to be sent at once.
+    #[serde(rename = "p")]
+    InParts,
 }
 
 #[derive(Clone, Debug)]
@@ -161,8 +165,7 @@
     pub(crate) vouch: Option<StoreVouch>,
     /// Until when what the list lacks may have lapsed.
     pub(crate) unsettled_until: Option<ClockTime>,
-    changes: VecDeque<FeedEvent>,
-    changed: u64,
+    pub(crate) changes: ChangeLog,
     /// The state of another process's list that this one has taken.
     pub(crate) followed: Option<RosterState>,
 }
@@ -184,7 +187,7 @@
 
     /// How many changes it has seen.
     pub fn changed(&self) -> u64 {
-        self.changed
+        self.changes.noted()
     }
 
     /// The state of another process's list that this one has taken.
@@ -229,9 +232,17 @@
             return RosterUpdate::Behind;
         }
         let taken = state.filter(|state| state.source == source);
-        match taken.and_then(|state| self.changes_after(state.number)) {
+        if let Some(changes) = taken.and_then(|state| self.changes.after_number(state.number)) {
+            return RosterUpdate::Changes(changes);
+        }
+        if theirs.sum == self.sum {
+            return RosterUpdate::Changes(Vec::new());
+        }
+        // Lists as of the same revision that differ are set right by the whole.
+        let is_older = theirs.vouch.is_some() && theirs.mark() < self.revision();
+        match self.changes.after_mark(theirs.mark()).filter(|_| is_older) {
             Some(changes) => RosterUpdate::Changes(changes),
-            None if theirs.sum == self.sum => RosterUpdate::Changes(Vec::new()),
+            None if self.items.len() > WHOLE_ENTRIES => RosterUpdate::InParts,
             None => RosterUpdate::Whole(self.objects()),
         }
     }
@@ -244,18 +255,8 @@
         theirs.sum != self.sum && (surer || theirs.mark() > self.revision())
     }
 
-    /// The changes after the one of this number; none if they are not kept.
-    fn changes_after(&self, number: u64) -> Option<Vec<FeedEvent>> {
-        let missing = usize::try_from(self.changed.checked_sub(number)?).ok()?;
-        let from = self.changes.len().checked_sub(missing)?;
-        Some(self.changes.range(from..).cloned().collect())
-    }
-
-    pub(crate) fn note_change(&mut self, event: FeedEvent) {
-        self.changes.push_back(event);
-        self.changed += 1;
-        if self.changes.len() > CHANGES_KEPT {
-            self.changes.pop_front();
-        }
+    /// Notes a change that is part of the list as of `mark`.
+    pub(crate) fn note_change(&mut self, event: FeedEvent, mark: u64) {
+        self.changes.note(event, mark.max(self.revision()), self.items.len());
     }
 }
--- a/crates/list/src/taker.rs
+++ b/crates/list/src/taker.rs
@@ -23,6 +23,8 @@
 struct RosterTaker<'a, 'b, E> {
     book: &'a mut RosterBook,
     news: &'a RosterNews<'b, E>,
+    /// The revision of the store that the news is as of.
+    mark: u64,
     actions: Vec<RosterAction<E>>,
 }
 
@@ -38,7 +40,7 @@
         if vouch.mark < self.revision() {
             return Vec::new();
         }
-        let mut taker = self.taker(news);
+        let mut taker = self.taker(news, vouch.mark);
         taker.hear(&vouch);
         taker.miss_all_but(&page.objects, vouch.mark);
         page.objects.iter().for_each(|object| taker.take(object, true));
@@ -53,7 +55,7 @@
         news: &RosterNews<'_, E>,
     ) -> Vec<RosterAction<E>> {
         let newest = vouch.mark >= self.revision();
-        let mut taker = self.taker(news);
+        let mut taker = self.taker(news, vouch.mark);
         taker.hear(&vouch);
         for event in events {
             match event {
@@ -80,14 +82,14 @@
         let Some(vouch) = vouch.filter(|vouch| vouch.mark >= self.revision()) else {
             return Vec::new();
         };
-        if *update == RosterUpdate::Behind {
+        if matches!(update, RosterUpdate::Behind | RosterUpdate::InParts) {
             return Vec::new();
         }
-        let mut taker = self.taker(news);
+        let mut taker = self.taker(news, vouch.mark);
         let close = taker.follows_closely(&vouch);
         taker.settle(stand, close, late);
         match update {
-            RosterUpdate::Behind => {}
+            RosterUpdate::Behind | RosterUpdate::InParts => {}
             RosterUpdate::Changes(events) => events.iter().for_each(|event| taker.follow(event)),
             RosterUpdate::Whole(objects) => {
                 taker.miss_all_but(objects, vouch.mark);
@@ -108,8 +110,12 @@
             }
         }
         let actions = taker.finish(vouch);
-        if state.is_some() {
-            self.followed = state;
+        if let Some(state) = state {
+            // Changes since a revision set lists right that were right as of it. If this one was not, it differs
+            // still, and may not pass for the other one.
+            let follows = self.followed.is_some_and(|known| known.source == state.source);
+            let is_whole = matches!(update, RosterUpdate::Whole(_));
+            self.followed = (follows || is_whole || stand.sum == self.sum).then_some(state);
         }
         actions
     }
@@ -127,8 +133,12 @@
         self.take_update(&RosterUpdate::Changes(Vec::new()), (stand, late), None, news)
     }
 
-    fn taker<'a, 'b, E>(&'a mut self, news: &'a RosterNews<'b, E>) -> RosterTaker<'a, 'b, E> {
-        RosterTaker { book: self, news, actions: Vec::new() }
+    fn taker<'a, 'b, E>(
+        &'a mut self,
+        news: &'a RosterNews<'b, E>,
+        mark: u64,
+    ) -> RosterTaker<'a, 'b, E> {
+        RosterTaker { book: self, news, mark, actions: Vec::new() }
     }
 }
 
@@ -193,7 +203,7 @@
         let Some(item) = self.book.items.remove(name) else { return };
         self.book.sum ^= object_hash(&item.object);
         let revision = item.object.revision;
-        self.book.note_change(FeedEvent::Gone { name: name.clone(), revision });
+        self.book.note_change(FeedEvent::Gone { name: name.clone(), revision }, self.mark);
         self.actions.push(RosterAction::Drop { name: name.clone() });
     }
 
@@ -260,7 +270,7 @@
             self.book.sum ^= object_hash(&known.object);
         }
         self.book.sum ^= object_hash(object);
-        self.book.note_change(FeedEvent::Put(object.clone()));
+        self.book.note_change(FeedEvent::Put(object.clone()), self.mark);
         self.actions.push(RosterAction::Use { entry, revision: object.revision });
     }
 
@@ -279,6 +289,9 @@
     /// Drops what the store, asked after the end of its doubt, still did not have; while it does
     /// not answer nobody could be back.
     fn finish(mut self, vouch: StoreVouch) -> Vec<RosterAction<E>> {
+        if self.book.vouch.is_none() {
+            self.book.changes.begin(vouch.mark);
+        }
         renew(&mut self.book.vouch, vouch);
         let heard = self.book.vouch.as_ref().map(|vouch| vouch.at).unwrap_or_default();
         let due = self.book.doubts().filter(|(_, until)| *until <= heard);
--- a/crates/mesh/src/collector.rs
+++ b/crates/mesh/src/collector.rs
@@ -3,8 +3,9 @@
 use crate::clock::{median_offset, wall_offset};
 use crate::evidence::{EndpointJudge, EndpointLife, VerdictChange};
 use crate::limit_message::AccountAllotment;
+use crate::loads::{LoadNews, LoadTable, REPORT_LASTS};
 use crate::message::{
-    EndpointLoad, EndpointVerdict, LeaseNotice, LifeMark, MeshDigest, NodeReport, NodeUsage,
+    EndpointMark, EndpointVerdict, LeaseNotice, MemberCard, MeshDigest, NodeReport, NodeUsage,
     RulesStand, ServiceDemand, ServicePace, ServicePeak, UsageCount,
 };
 use crate::view::MeshView;
@@ -17,8 +18,8 @@
 use oleander_suspect::SuspectBook;
 use std::collections::BTreeMap;
 
-/// A report counts for this long after it came: four times the period of reports.
-const REPORT_LASTS: TimeSpan = TimeSpan(1200);
+/// Between two lists of the members to one process, for each member on it.
+const MEMBER_PAUSE: TimeSpan = TimeSpan(5);
 /// Time over which demand is averaged.
 const DEMAND_TIME: TimeSpan = TimeSpan(2000);
 
@@ -57,6 +58,7 @@
     report: NodeReport,
     heard_at: ClockTime,
     offset: i64,
+    members_told_at: Option<ClockTime>,
 }
 
 /// What a service is asked for, all processes together.
@@ -81,6 +83,7 @@
     usage: UsageTable,
     demand: BTreeMap<ServiceName, (DemandRate, ClockTime)>,
     judge: EndpointJudge,
+    loads: LoadTable,
     began_at: ClockTime,
 }
 
@@ -94,6 +97,7 @@
             usage: BTreeMap::new(),
             demand: BTreeMap::new(),
             judge: EndpointJudge::default(),
+            loads: LoadTable::default(),
             began_at: now,
         }
     }
@@ -152,23 +156,49 @@
         let allotments = if old { Vec::new() } else { self.allotments(&report, view, facts) };
         let offset = wall_offset(report.wall, now);
         let id = report.card.id.clone();
-        let digest = self.digest(&report, view, facts, allotments);
-        self.nodes.insert(id, HeardNode { report, heard_at: now, offset });
+        self.loads.note(&id, &report.loads, now);
+        let loads = self.loads.news_for(&id, now);
+        let members = self.members_for(&report, view, now);
+        let members_told_at = match (&members, self.nodes.get(&id)) {
+            (Some(_), _) => Some(now),
+            (None, known) => known.and_then(|node| node.members_told_at),
+        };
+        let digest = self.digest(&report, (view, facts), (allotments, loads, members));
+        self.nodes.insert(id, HeardNode { report, heard_at: now, offset, members_told_at });
         digest
     }
 
-    fn digest(
+    /// The members, if the reporter knows others and was not told of them a moment ago.
+    ///
+    /// While processes start by the hundred each of them is a change, and all cards in each digest would fill the link.
+    fn members_for(
         &self,
         report: &NodeReport,
         view: &MeshView,
-        facts: &CollectorFacts<'_>,
-        allotments: Vec<AccountAllotment>,
+        now: ClockTime,
+    ) -> Option<Vec<MemberCard>> {
+        if report.members_mark == view.mark() {
+            return None;
+        }
+        let cards = view.cards();
+        let pause = TimeSpan(MEMBER_PAUSE.0 * cards.len() as u64);
+        let known = self.nodes.get(&report.card.id);
+        let known = known.filter(|node| node.report.card.life == report.card.life);
+        let told_at = known.and_then(|node| node.members_told_at);
+        told_at.is_none_or(|at| now - at >= pause).then_some(cards)
+    }
+
+    fn digest(
+        &self,
+        report: &NodeReport,
+        (view, facts): (&MeshView, &CollectorFacts<'_>),
+        (allotments, loads, members): (Vec<AccountAllotment>, LoadNews, Option<Vec<MemberCard>>),
     ) -> MeshDigest {
         let now = facts.now;
         let mine = facts.rules_stand.version;
         MeshDigest {
             from: view.me().clone(),
-            members: (report.members_mark != view.mark()).then(|| view.cards()),
+            members,
             true_time: self.true_time(now).unwrap_or(report.wall),
             rules: facts.rules_stand.clone(),
             roster: facts.roster.stand(now),
@@ -182,7 +212,7 @@
             wants_rules: report.rules.version > mine,
             wants_roster: facts.roster.lacks(&report.roster, now),
             allotments,
-            loads: self.other_loads(&report.card.id, now),
+            loads,
             reported_window: facts.reported_window,
             peaks: facts.peaks.clone(),
             paces: self.paces(&facts.paces, now),
@@ -224,21 +254,6 @@
         Some(ClockTime((now.0 as i64 + offset).max(0) as u64))
     }
 
-    fn other_loads(&self, reporter: &InstanceId, now: ClockTime) -> Vec<EndpointLoad> {
-        let mut sums: BTreeMap<(&InstanceId, LifeMark), (u32, u64)> = BTreeMap::new();
-        let others = self.recent(now).filter(|node| node.report.card.id != *reporter);
-        for load in others.flat_map(|node| &node.report.loads) {
-            let sum = sums.entry((&load.instance, load.life)).or_default();
-            sum.0 += load.requests;
-            sum.1 += load.unread_tokens;
-        }
-        let load = |((instance, life), (requests, unread_tokens))| {
-            let instance = InstanceId::clone(instance);
-            EndpointLoad { instance, life, requests, unread_tokens }
-        };
-        sums.into_iter().map(load).collect()
-    }
-
     /// How fast engines read, all processes together; of a service that none of them has seen
     /// enough of, what was `told` before. After a change of the collector the figure stands until
     /// reports bring it.
@@ -258,9 +273,14 @@
         paces
     }
 
-    /// Work at the endpoints, all processes together.
-    pub fn loads(&self, now: ClockTime) -> Vec<EndpointLoad> {
-        self.other_loads(&InstanceId::default(), now)
+    /// Requests under way at an endpoint, of all processes.
+    pub fn requests_at(&self, endpoint: EndpointMark) -> u32 {
+        self.loads.requests_at(endpoint)
+    }
+
+    /// Takes the endpoints that take work, by service.
+    pub fn list_endpoints(&mut self, services: BTreeMap<ServiceName, Vec<EndpointMark>>) {
+        self.loads.list(services);
     }
 
     fn note_usage(&mut self, report: &NodeReport) {
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -8,21 +8,25 @@
 //!
 //! Everything here is a state machine over values; the links are elsewhere.
 
+pub mod account;
 pub mod clock;
 pub mod collector;
 pub mod evidence;
 mod limit_message;
 mod limits;
+pub mod loads;
 pub mod message;
 pub mod rules;
 pub mod view;
 
+pub use account::{NewsAccount, digest_account, report_account};
 pub use clock::{SleepWatch, TrueClock, median_offset, wall_lag};
 pub use collector::{CollectorFacts, MeshCollector};
 pub use evidence::{EndpointJudge, EndpointLife, VerdictChange};
 pub use limit_message::{AccountAllotment, AccountClaim, HandedLedger, HandedWindow, LimitAsk};
+pub use loads::{EndpointLoad, LoadNews, LoadTable, MeanLoad};
 pub use message::{
-    EndpointEvidence, EndpointLoad, EndpointVerdict, LeaseNotice, LifeMark, MemberCard, MemberList,
+    EndpointEvidence, EndpointMark, EndpointVerdict, LeaseNotice, LifeMark, MemberCard, MemberList,
     MeshBody, MeshDigest, NodeReport, NodeUsage, RulesStand, ServiceDemand, ServicePace,
     ServicePeak, UsageCount,
 };
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -1,11 +1,14 @@
 //! The messages. Fields have short names on the wire, because they travel several times a second.
 
 use crate::limit_message::{AccountAllotment, AccountClaim, HandedLedger, LimitAsk};
+use crate::loads::{EndpointLoad, LoadNews};
+use compact_str::CompactString;
 use oleander_judge::{BadTrait, EvidenceTally};
+use oleander_kind::hash::mix_bits;
 use oleander_kind::{AccountName, ClockTime, DomainName, InstanceId, ServiceName};
 use oleander_lease::LeaseRecord;
 use oleander_limit::{LedgerBond, PoolAllotment};
-use oleander_list::{RosterStand, RosterState, RosterUpdate, VouchNote};
+use oleander_list::{RosterPart, RosterStand, RosterState, RosterUpdate, VouchNote};
 use oleander_pace::ReadPace;
 use oleander_plat::FeedObject;
 use oleander_suspect::SuspectNote;
@@ -81,35 +84,6 @@
     pub counts: Vec<UsageCount>,
 }
 
-/// Work at an endpoint. Travels as a list without names: a digest holds one for each busy endpoint, and
-/// names took a quarter of its 2,831 bytes at 75 endpoints.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "LoadFields", into = "LoadFields")]
-pub struct EndpointLoad {
-    /// The endpoint.
-    pub instance: InstanceId,
-    /// Which life of it.
-    pub life: LifeMark,
-    /// Requests under way.
-    pub requests: u32,
-    /// Prompt tokens that wait to be read.
-    pub unread_tokens: u64,
-}
-
-type LoadFields = (InstanceId, LifeMark, u32, u64);
-
-impl From<LoadFields> for EndpointLoad {
-    fn from((instance, life, requests, unread_tokens): LoadFields) -> Self {
-        EndpointLoad { instance, life, requests, unread_tokens }
-    }
-}
-
-impl From<EndpointLoad> for LoadFields {
-    fn from(load: EndpointLoad) -> Self {
-        (load.instance, load.life, load.requests, load.unread_tokens)
-    }
-}
-
 /// Tells apart lives of an endpoint whose work is told of within the same seconds: the last bits of the
 /// time at which a life began.
 #[derive(
@@ -124,6 +98,24 @@
     }
 }
 
+/// Names a life of an endpoint in few bytes. Two that share a mark by chance count as one; work at them is then taken for
+/// more than it is.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct EndpointMark(u32);
+
+impl EndpointMark {
+    /// The mark of the life of `instance` that began at `life`, in Unix milliseconds.
+    pub fn of(instance: &InstanceId, life: u64) -> Self {
+        EndpointMark(mix_bits(instance.stable_hash() ^ u64::from(LifeMark::of(life).0)) as u32)
+    }
+
+    pub(crate) fn value(self) -> u64 {
+        u64::from(self.0)
+    }
+}
+
 /// What a process saw of an endpoint since its last report.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(from = "EvidenceFields", into = "EvidenceFields")]
@@ -247,9 +239,9 @@
     /// The rules, if the collector asked for them.
     #[serde(rename = "R")]
     pub rules_text: Option<FeedObject>,
-    /// The endpoint list, if the collector asked for it.
-    #[serde(rename = "E")]
-    pub roster_objects: Option<Vec<FeedObject>>,
+    /// What the collector lacks of the endpoint list, if it asked for it.
+    #[serde(rename = "E", default)]
+    pub roster_update: Option<RosterUpdate>,
 }
 
 /// How many endpoints a service needed at the most of late.
@@ -323,7 +315,7 @@
     pub allotments: Vec<AccountAllotment>,
     /// The other processes' work at the endpoints.
     #[serde(rename = "l")]
-    pub loads: Vec<EndpointLoad>,
+    pub loads: LoadNews,
     /// Usage windows up to this number are reported.
     #[serde(rename = "u")]
     pub reported_window: u64,
@@ -370,6 +362,12 @@
     /// The ledger's answer; none if there is no ledger here, or the claim can't be answered.
     #[serde(rename = "a")]
     Allotted(Option<Box<PoolAllotment>>),
+    /// A process asks for the part of the endpoint list after this entry, or for the first one.
+    #[serde(rename = "p")]
+    AskPart(Option<CompactString>),
+    /// The part.
+    #[serde(rename = "l")]
+    Part(Box<RosterPart>),
     /// The process asked cannot collect: it is stopping, as its card says.
     #[serde(rename = "x")]
     Leaving(MemberCard),
--- a/crates/place/src/board.rs
+++ b/crates/place/src/board.rs
@@ -53,8 +53,10 @@
     pub entry: EndpointEntry,
     /// This process's work there.
     pub own: WorkLoad,
-    /// The other processes' work there, as last heard.
+    /// The other processes' work there, as last heard; the mean of its service if this process is not told of it.
     pub others: WorkLoad,
+    /// Whether this process is told of the others' work there.
+    pub is_told: bool,
     /// How it has been answering.
     pub health: HealthRecord,
     /// In what it answers worse than the others of its service, by what all processes saw, and until when
@@ -153,6 +155,7 @@
             entry,
             own: WorkLoad::default(),
             others: WorkLoad::default(),
+            is_told: true,
             health: HealthRecord::default(),
             aside: None,
             doubted: false,
@@ -197,8 +200,8 @@
     }
 
     /// The endpoints of each service.
-    pub fn services(&self) -> impl Iterator<Item = &[EndpointKey]> {
-        self.by_service.values().map(Vec::as_slice)
+    pub fn services(&self) -> impl Iterator<Item = (&ServiceName, &[EndpointKey])> {
+        self.by_service.iter().map(|(service, keys)| (service, keys.as_slice()))
     }
 
     /// The endpoints of a service.
--- a/crates/place/src/choose.rs
+++ b/crates/place/src/choose.rs
@@ -113,7 +113,7 @@
 /// What is known of the other processes' work is up to half a second old, longer than most prompts
 /// take to be read. If every process looks at every engine, all go to the one that looked idle, which gets several
 /// times what it can read while others get nothing. Two choices spread prompts by hash and by lot, and still avoid a
-/// busy engine. See `placing::many_processes_with_old_news_do_not_run_to_one_engine` for what callers get.
+/// busy engine. In a large fleet each process draws from those engines that it is told of. See `placing::many_processes_with_old_news_do_not_run_to_one_engine` for what callers get.
 fn looked_at<'a>(
     open: Vec<(EndpointKey, &'a EndpointFact)>,
     home: Option<EndpointKey>,
@@ -128,7 +128,7 @@
     let looks = if paused_part(own, ask) > 0.0 { LONG_LOOKS } else { PAIR };
     let draw = |fact: &EndpointFact| mix_bits(ask.salt ^ fact.entry.instance.stable_hash());
     let mut drawn = open;
-    drawn.sort_by_cached_key(|(key, fact)| (Some(*key) != home, draw(fact)));
+    drawn.sort_by_cached_key(|(key, fact)| (Some(*key) != home, !fact.is_told, draw(fact)));
     drawn.truncate(looks);
     drawn
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -41,6 +41,7 @@
 mod roster;
 mod scripted;
 mod settings;
+mod size;
 mod soak;
 mod suspect;
 mod trace;
--- a/tests/all/mesh.rs
+++ b/tests/all/mesh.rs
@@ -6,7 +6,7 @@
 use oleandertack::limit::{HoldClaim, LedgerPast, PoolLedger, PoolLimit};
 use oleandertack::list::{RosterBook, RosterStand, RosterState, RosterUpdate, VouchNote};
 use oleandertack::mesh::{
-    AccountClaim, CollectorFacts, EndpointLoad, LifeMark, MemberCard, MeshBody, MeshCollector,
+    AccountClaim, CollectorFacts, EndpointLoad, EndpointMark, MemberCard, MeshBody, MeshCollector,
     MeshDigest, MeshView, NodeReport, NodeUsage, RulesStand, ServicePace, SleepWatch, TrueClock,
     UsageCount, collect_strength, median_offset,
 };
@@ -190,7 +190,7 @@
         suspects_mark: 0,
         unreached: Vec::new(),
         rules_text: None,
-        roster_objects: None,
+        roster_update: None,
     }
 }
 
@@ -248,6 +248,12 @@
     }
 }
 
+impl CollectorRig {
+    pub fn members_mark(&self) -> u64 {
+        self.view.mark()
+    }
+}
+
 /// How a process stands that was told of a list as of `mark` some ms ago.
 fn stand(mark: u64, age: u64, sum: u64) -> RosterStand {
     let vouch = VouchNote { mark, age: TimeSpan(age), by: "front-2".into() };
@@ -473,8 +479,7 @@
         },
     };
     let load = |number: usize| EndpointLoad {
-        instance: format!("i-{number:010}").as_str().into(),
-        life: LifeMark::of(1_750_000_000_000),
+        endpoint: mark(&format!("i-{number:010}"), 1_750_000_000_000),
         requests: 12,
         unread_tokens: 40_000,
     };
@@ -497,7 +502,7 @@
     let digest = MeshBody::Digest(Box::new(rig.take(known, settled + TimeSpan(10))));
 
     let bytes = encode_frame(1, digest).len();
-    assert!((2500..3000).contains(&bytes), "{bytes}");
+    assert!((1600..2000).contains(&bytes), "{bytes}");
 }
 
 /// Accounts are refused for seconds below their limits. The collector was suspended; the others chose
@@ -519,12 +524,8 @@
 #[test]
 fn work_of_two_lives_of_an_endpoint_is_told_apart() {
     let mut rig = rig();
-    let load = |life, requests| EndpointLoad {
-        instance: "i-0".into(),
-        life: LifeMark::of(life),
-        requests,
-        unread_tokens: 0,
-    };
+    let load =
+        |life, requests| EndpointLoad { endpoint: mark("i-0", life), requests, unread_tokens: 0 };
     let former = NodeReport { loads: vec![load(1000, 9)], ..report("front-1") };
     let next = NodeReport { loads: vec![load(9000, 2)], ..report("front-2") };
     rig.take(former, NOW);
@@ -532,11 +533,16 @@
 
     let digest = rig.take(report("front-3"), NOW);
 
-    let mut told = digest.loads;
+    let mut told = digest.loads.loads;
     told.sort_by_key(|load| load.requests);
     assert_eq!(told, [load(9000, 2), load(1000, 9)]);
 }
 
+/// Names a life of an endpoint.
+pub fn mark(instance: &str, life: u64) -> EndpointMark {
+    EndpointMark::of(&instance.into(), life)
+}
+
 fn pace(service: &str, per_ms: f32, seen: f32) -> ServicePace {
     ServicePace { service: service.into(), read: ReadPace { per_ms, seen } }
 }
--- /dev/null
+++ b/tests/all/size.rs
@@ -0,0 +1,258 @@
+//! What news takes of the links of large fleets, in virtual time: reports and answers of hundreds of processes before ten
+//! times as many endpoints.
+
+use crate::mesh::{CollectorRig, NOW, mark, report, rig};
+use crate::roster::{listed, roster_news};
+use oleandertack::kind::hash::mix_bits;
+use oleandertack::kind::{ClockTime, TimeSpan};
+use oleandertack::list::{
+    PartStep, PartsBook, RosterBook, RosterPart, RosterStand, RosterUpdate, StoreVouch,
+};
+use oleandertack::mesh::{EndpointLoad, EndpointMark, LoadTable, MeshBody, NodeReport};
+use oleandertack::plat::{FeedEvent, FeedObject, FeedPage};
+use oleandertack::wire::encode_frame;
+use std::collections::BTreeMap;
+
+/// Endpoints for each process.
+const ENDPOINTS_EACH: usize = 10;
+/// Reports of each process in a second.
+const REPORTS_PER_S: usize = 4;
+/// What the collector's link may carry of news at 300 processes.
+const MOST_PER_S: usize = 3_000_000;
+/// Endpoints that one process has requests at.
+const BUSY_EACH: usize = 20;
+
+fn endpoint(number: usize) -> String {
+    format!("i-{number:010x}")
+}
+
+fn busy_loads(process: usize, endpoints: usize) -> Vec<EndpointLoad> {
+    let load = |turn: usize| {
+        let lot = mix_bits((process * BUSY_EACH + turn) as u64);
+        let number = (process * ENDPOINTS_EACH + turn) % endpoints;
+        EndpointLoad {
+            endpoint: mark(&endpoint(number), 7),
+            requests: 1 + (lot % 5) as u32,
+            unread_tokens: (lot >> 8) % 30_000,
+        }
+    };
+    (0..BUSY_EACH).map(load).collect()
+}
+
+/// A collector of `processes` that have all reported.
+fn fleet(processes: usize) -> CollectorRig {
+    let endpoints = processes * ENDPOINTS_EACH;
+    let mut rig = rig();
+    let marks: Vec<EndpointMark> = (0..endpoints).map(|at| mark(&endpoint(at), 7)).collect();
+    rig.collector.list_endpoints(BTreeMap::from([("engine".into(), marks)]));
+    for process in 0..processes {
+        rig.take(busy_report(process, endpoints), NOW);
+    }
+    rig
+}
+
+fn busy_report(process: usize, endpoints: usize) -> NodeReport {
+    NodeReport { loads: busy_loads(process, endpoints), ..report(&format!("front-{process}")) }
+}
+
+/// Digests fill the collector's link, its answers come too late, and processes that get none refuse callers for want of
+/// limits: each was told of the work at every endpoint.
+#[test]
+fn news_of_work_does_not_grow_with_processes_times_endpoints() {
+    for processes in [100, 300] {
+        let mut rig = fleet(processes);
+        let members_mark = rig.members_mark();
+
+        let settled = |process| NodeReport {
+            members_mark,
+            ..busy_report(process, processes * ENDPOINTS_EACH)
+        };
+        let told = |process| {
+            let digest = rig.take(settled(process), NOW + TimeSpan(250));
+            encode_frame(1, MeshBody::Digest(Box::new(digest))).len()
+        };
+        let bytes: usize = (0..processes).map(told).sum();
+
+        let per_s = bytes * REPORTS_PER_S;
+        assert!(per_s < MOST_PER_S, "{processes} processes: {per_s} bytes a second");
+    }
+}
+
+/// A process sends its requests to engines that are far behind: it was told nothing of them and takes them for idle.
+#[test]
+fn engines_that_a_process_is_not_told_of_count_with_the_mean() {
+    let mut table = LoadTable::default();
+    let names: Vec<EndpointMark> = (0..1000).map(|at| mark(&endpoint(at), 7)).collect();
+    table.list(BTreeMap::from([("engine".into(), names.clone())]));
+    let load = |endpoint| EndpointLoad { endpoint, requests: 4, unread_tokens: 1000 };
+    let mut all: Vec<EndpointLoad> = names.iter().copied().map(load).collect();
+    all[5].unread_tokens = 900_000;
+    table.note(&"front-1".into(), &all, NOW);
+    table.note(&"front-2".into(), &[load(names[5])], NOW);
+
+    let news = table.news_for(&"front-2".into(), NOW);
+    let own = table.news_for(&"front-1".into(), NOW);
+
+    let at = |told: &oleandertack::mesh::LoadNews, endpoint| {
+        told.loads.iter().find(|load| load.endpoint == endpoint).copied()
+    };
+    // The one that nobody should add to is told to all, each time less the reporter's own work.
+    assert_eq!(at(&news, names[5]).map(|load| load.unread_tokens), Some(900_000));
+    assert_eq!(at(&own, names[5]).map(|load| load.unread_tokens), Some(1000));
+    assert!(news.loads.len() < 128, "{}", news.loads.len());
+    let mean = &news.means[0];
+    assert_eq!((mean.requests, mean.unread_tokens), (4, 1000));
+}
+
+/// Work of a process that fell silent weighs on engines for good, or counts twice when it reports again.
+#[test]
+fn work_counts_once_and_ends_with_its_process() {
+    let mut table = LoadTable::default();
+    let at = mark("i-0", 7);
+    let load = |requests| [EndpointLoad { endpoint: at, requests, unread_tokens: 10 }];
+    table.note(&"front-1".into(), &load(5), NOW);
+    table.note(&"front-1".into(), &load(3), NOW + TimeSpan(250));
+    table.note(&"front-2".into(), &load(2), NOW + TimeSpan(250));
+
+    let both = table.requests_at(at);
+    table.note(&"front-2".into(), &load(2), NOW + TimeSpan(1500));
+
+    assert_eq!((both, table.requests_at(at)), (5, 2));
+    assert!(table.news_for(&"front-2".into(), NOW + TimeSpan(1500)).loads.is_empty());
+}
+
+const LIST_LENGTH: usize = 3000;
+
+fn page(count: usize, as_of: u64) -> FeedPage {
+    let objects = (0..count).map(|at| listed(&endpoint(at), 1 + at as u64)).collect();
+    FeedPage { objects, as_of }
+}
+
+/// The list of a process that has heard the store for so long until `now` that nothing can have lapsed.
+fn heard(page: &FeedPage, now: ClockTime) -> RosterBook {
+    let mut book = RosterBook::default();
+    for ago in [3000, 2000, 1000, 0] {
+        let at = now - TimeSpan(ago);
+        let vouch = StoreVouch { mark: page.as_of, at, by: "front-0".into() };
+        book.hear_list(page, vouch, &roster_news(at));
+    }
+    book
+}
+
+fn change(book: &mut RosterBook, events: &[FeedEvent], mark: u64, now: ClockTime) {
+    let vouch = StoreVouch { mark, at: now, by: "front-0".into() };
+    book.hear_changes(events, vouch, &roster_news(now));
+}
+
+/// A start fills all links: two processes that read the store a moment apart differ by one entry, and the collector sends
+/// each the whole list.
+#[test]
+fn a_list_that_is_a_little_older_is_brought_up_by_what_changed() {
+    let page = page(LIST_LENGTH, 5000);
+    let mut collector = heard(&page, NOW);
+    let mut other = heard(&page, NOW);
+    let put = FeedEvent::Put(listed("i-new", 5001));
+    let gone = FeedEvent::Gone { name: endpoint(7).as_str().into(), revision: 5002 };
+    let later = NOW + TimeSpan(100);
+    change(&mut collector, &[put, gone], 5002, later);
+
+    let update = collector.update_for(&other.stand(later), None, 9);
+    let told = (&collector.stand(later), TimeSpan(0));
+    other.take_update(&update, told, None, &roster_news(later));
+
+    assert!(matches!(&update, RosterUpdate::Changes(events) if events.len() == 2), "{update:?}");
+    assert_eq!(other.stand(later).sum, collector.stand(later).sum);
+    assert_eq!(other.revision(), 5002);
+}
+
+/// An endpoint that left goes on getting requests: a process whose list is older than the changes that are kept was sent a
+/// part of them.
+#[test]
+fn changes_that_are_not_kept_any_more_are_not_left_out() {
+    let mut collector = heard(&page(LIST_LENGTH, 5000), NOW);
+    let mut other = RosterStand { vouch: None, sum: 1, ..RosterStand::default() };
+
+    let unheard = collector.update_for(&other, None, 9);
+    other = heard(&page(LIST_LENGTH, 4999), NOW).stand(NOW);
+    other.sum = 1;
+    let older = collector.update_for(&other, None, 9);
+    // Ten times the list's length of changes: the first ones are dropped.
+    for mark in 5001..5001 + 10 * LIST_LENGTH as u64 {
+        change(&mut collector, &[FeedEvent::Put(listed("i-new", mark))], mark, NOW);
+    }
+    let lost = RosterStand { sum: 1, ..heard(&page(LIST_LENGTH, 5000), NOW).stand(NOW) };
+
+    assert_eq!(unheard, RosterUpdate::InParts);
+    assert_eq!(older, RosterUpdate::InParts);
+    assert_eq!(collector.update_for(&lost, None, 9), RosterUpdate::InParts);
+}
+
+/// Processes never get a list: it takes their small links longer than they wait for an answer.
+#[test]
+fn a_whole_list_is_put_together_from_parts() {
+    let mut sender = heard(&page(LIST_LENGTH, 5000), NOW);
+    let mut parts = PartsBook::default();
+    let mut after = None;
+    let mut largest = 0;
+    let whole = loop {
+        let part = sender.part_after(after.as_ref(), NOW);
+        let body = MeshBody::Part(Box::new(part.clone()));
+        largest = largest.max(encode_frame(1, body).len());
+        // Meanwhile an entry leaves that is in a part which was sent.
+        let first = endpoint(0);
+        change(
+            &mut sender,
+            &[FeedEvent::Gone { name: first.as_str().into(), revision: 5001 }],
+            5001,
+            NOW,
+        );
+        match parts.take(part, 0, (NOW, NOW + TimeSpan(40))) {
+            PartStep::AskAfter(name) => after = Some(name),
+            PartStep::Whole(whole) => break whole,
+            PartStep::TooOld => panic!("it is as new"),
+        }
+    };
+    let mut taker = RosterBook::default();
+    let update = RosterUpdate::Whole(whole.objects);
+    taker.take_update(&update, (&whole.stand, whole.late), None, &roster_news(NOW));
+    let rest = sender.update_for(&taker.stand(NOW), None, 9);
+    taker.take_update(&rest, (&sender.stand(NOW), TimeSpan(0)), None, &roster_news(NOW));
+
+    // 30 KB take a link of 10 Mbit/s 24 ms.
+    assert!(largest < 40_000, "{largest}");
+    assert!(matches!(&rest, RosterUpdate::Changes(events) if events.len() == 1), "{rest:?}");
+    assert_eq!(taker.stand(NOW).sum, sender.stand(NOW).sum);
+}
+
+/// A list is put together from an older one and a newer one, and lacks what the older did not have.
+#[test]
+fn parts_of_an_older_list_are_left_out() {
+    let newer = heard(&page(LIST_LENGTH, 5000), NOW);
+    let older = heard(&page(LIST_LENGTH - 1, 4000), NOW);
+    let mut parts = PartsBook::default();
+    let times = (NOW, NOW);
+    let empty = RosterPart { stand: RosterStand::default(), objects: Vec::new(), is_last: true };
+
+    assert_eq!(parts.clone().take(older.part_after(None, NOW), 4500, times), PartStep::TooOld);
+    assert_eq!(parts.clone().take(empty, 0, times), PartStep::TooOld);
+    let PartStep::AskAfter(after) = parts.take(newer.part_after(None, NOW), 0, times) else {
+        panic!("there is more");
+    };
+    let stale = older.part_after(Some(&after), NOW);
+    assert_eq!(parts.take(stale, 0, times), PartStep::TooOld);
+    let next: Vec<FeedObject> = newer.part_after(Some(&after), NOW).objects;
+    assert!(next.iter().all(|object| object.name > after));
+}
+
+/// While processes start by the hundred, each start is a change of the members; all cards in each answer fill the links.
+#[test]
+fn the_members_are_not_told_at_each_change() {
+    let mut rig = rig();
+    let differs = || NodeReport { members_mark: 1, ..report("front-1") };
+
+    let first = rig.take(differs(), NOW);
+    let soon = rig.take(differs(), NOW + TimeSpan(10));
+    let later = rig.take(differs(), NOW + TimeSpan(500));
+
+    assert!(first.members.is_some() && soon.members.is_none() && later.members.is_some());
+}
