--- a/crates/duty/src/scale.rs
+++ b/crates/duty/src/scale.rs
@@ -122,7 +122,7 @@
     pub needed: Option<f64>,
     /// Endpoints needed now.
     pub needed_now: f64,
-    /// The most endpoints that served at once while nothing was known of the demand.
+    /// The most endpoints that served at once before any were ordered.
     pub baseline: u32,
     /// The time.
     pub now: ClockTime,
@@ -154,6 +154,7 @@
 pub struct OrderMemory {
     orders: BTreeMap<OrderKey, PastOrder>,
     domains: BTreeMap<(ServiceName, DomainName), DomainPast>,
+    baselines: BTreeMap<ServiceName, u32>,
 }
 
 /// What a domain's reclaimable endpoints were.
@@ -186,6 +187,25 @@
             }
             past.live = stand.live.reclaimable;
         }
+        self.note_baseline(service, domains);
+    }
+
+    /// Notes how many endpoints of one market there are, until some were ordered. What was ordered while nothing was known of
+    /// the demand is no sign of it: counted in, it had more ordered each time.
+    fn note_baseline(&mut self, service: &ServiceName, domains: &[DomainStand]) {
+        let mut made = self.orders.iter().filter(|(_, past)| past.end == OrderEnd::Made);
+        if made.any(|((name, ..), _)| name == service) {
+            return;
+        }
+        let sum = |market| domains.iter().map(|stand| stand.live.of(market)).sum();
+        let most = u32::max(sum(InstanceMarket::Reclaimable), sum(InstanceMarket::OnDemand));
+        let known = self.baselines.entry(service.clone()).or_default();
+        *known = most.max(*known);
+    }
+
+    /// The most endpoints of one market that served at once before any were ordered.
+    pub fn baseline(&self, service: &ServiceName) -> u32 {
+        self.baselines.get(service).copied().unwrap_or_default()
     }
 
     /// How many domains of `service` the last wave of reclaims took.
--- a/crates/front/src/duties/orders.rs
+++ b/crates/front/src/duties/orders.rs
@@ -27,7 +27,6 @@
 struct ServiceStand {
     need: ServiceNeed,
     asked_since: Option<ClockTime>,
-    baseline: u32,
     /// Whether the need was told by the last holder.
     inherited: bool,
 }
@@ -75,9 +74,6 @@
         let stand = stands.entry(service.name.clone()).or_default();
         let needed = needed_of(node, &service.name, engine, stand);
         let domains = domain_stands(node, &service.name, scale);
-        let sum = |market| domains.iter().map(|stand| stand.live.of(market)).sum();
-        let most = u32::max(sum(InstanceMarket::Reclaimable), sum(InstanceMarket::OnDemand));
-        stand.baseline = stand.baseline.max(most);
         memory.note_stand(&service.name, &domains, node.clock.now());
         let facts = ScaleFacts {
             service: &service.name,
@@ -85,7 +81,7 @@
             domains: &domains,
             needed,
             needed_now: stand.need.recent_peak(node.clock.now()),
-            baseline: stand.baseline,
+            baseline: memory.baseline(&service.name),
             now: node.clock.now(),
         };
         let planned = plan_orders(&facts, memory);
--- a/tests/all/duty.rs
+++ b/tests/all/duty.rs
@@ -269,3 +269,24 @@
     need.note(2.0, NOW + TimeSpan(16_000));
     assert_eq!(need.peak(), 2.0);
 }
+
+/// Operators pay for twice the endpoints that there were: while nothing was known of the demand, what had been ordered counted
+/// as what was needed, and half as many again were ordered.
+#[test]
+fn what_was_ordered_is_no_sign_of_the_demand() {
+    let service = ServiceName::from("engine");
+    let mut memory = OrderMemory::default();
+    let stands = |each| vec![stand("a", 1.0, each, 0), stand("b", 1.0, each, 0)];
+    memory.note_stand(&service, &stands(10), NOW);
+    let order = ScaleOrder {
+        service: service.clone(),
+        domain: "a".into(),
+        market: InstanceMarket::Reclaimable,
+        count: 15,
+    };
+
+    memory.note(&order, OrderEnd::Made, NOW);
+    memory.note_stand(&service, &stands(15), NOW + TimeSpan(5000));
+
+    assert_eq!(memory.baseline(&service), 20);
+}
