An engine's time for a token goes by its places

Callers of the shifted deployment wait in waves: its engines run 12 requests at once, and the need counted a token as if 45 streams shared a step.

Ways: the standing constant (0.155 ms a token) and step time by the places that should be taken (0.155 ms at 64 places, 0.47 at 12, from the operators' rules).

--- a/crates/duty/src/scale.rs
+++ b/crates/duty/src/scale.rs
@@ -10,9 +10,9 @@
 use oleander_plat::ScaleOrder;
 use std::collections::BTreeMap;
 
-/// Engine time of one answer token in a full batch: 3.27 ms a step and 0.082 ms a stream (users'
-/// sheets), shared by about 45 streams.
-const TOKEN_TIME_S: f64 = 0.000_155;
+/// Time of an engine's step, in ms: by itself, and more for each stream in it.
+const STEP_MS: f64 = 3.27;
+const STREAM_STEP_MS: f64 = 0.0823;
 /// The part of its time that an engine should be at work. Prompts come in clumps and of very
 /// different sizes; above about this part the wait for the first token grows past the objective.
 const WORK_PART: f64 = 0.65;
@@ -105,11 +105,17 @@
     running: u32,
 ) -> f64 {
     let reading = unread_tokens_per_s / (read_per_ms * 1000.0);
-    let work = reading + answer_tokens_per_s * TOKEN_TIME_S;
+    let work = reading + answer_tokens_per_s * token_ms(engine.slots) / 1000.0;
     let places = f64::from(engine.slots.max(1)) * SLOT_PART;
     (work / WORK_PART).max(f64::from(running) / places)
 }
 
+/// Engine time of one answer token, in ms: a step brings each stream one, so it is shared by as many as should run at once.
+fn token_ms(slots: u32) -> f64 {
+    let streams = f64::from(slots.max(1)) * SLOT_PART;
+    STEP_MS / streams + STREAM_STEP_MS
+}
+
 /// What a plan looks at.
 pub struct ScaleFacts<'a> {
     /// The service.
--- a/tests/all/duty.rs
+++ b/tests/all/duty.rs
@@ -290,3 +290,25 @@
 
     assert_eq!(memory.baseline(&service), 20);
 }
+
+/// Callers wait in the waves of a deployment whose engines have few places: a step of such an engine brings a fifth of the
+/// tokens, and too few engines were ordered.
+#[test]
+fn engines_with_few_places_are_needed_in_greater_number() {
+    let engine = |slots| EngineRule {
+        slots,
+        memory_tokens: 600_000,
+        token_bytes: 35_136,
+        link_mbps: 1_500_000.0,
+        event_tokens: 9,
+        moves: true,
+    };
+    let answers = (0.0, 100_000.0);
+
+    let many = needed_engines(&engine(64), 125.0, answers, 0);
+    let few = needed_engines(&engine(12), 125.0, answers, 0);
+
+    // 100,000 tokens a second: 0.155 ms each where 45 streams share a step, 0.47 ms where eight do.
+    assert!((many - 23.9).abs() < 0.5, "{many}");
+    assert!((few - 72.6).abs() < 1.0, "{few}");
+}
