--- a/tests/all/adapter.rs
+++ b/tests/all/adapter.rs
@@ -9,6 +9,7 @@
 use oleandertack::kind::{ClockTime, TimeSpan};
 use oleandertack::plat::FeedObject;
 use oleandertack::platform::ObjectsDialect;
+use oleandertack::release::ReleaseState;
 use std::path::{Path, PathBuf};
 
 const CONFIG: &str = r#"{"version":7,"routes":[
@@ -51,6 +52,28 @@
     }
 }
 
+/// A roll-out is not carried out, or its operators are told what is not so: names of the platform's are misread.
+#[test]
+fn an_order_of_a_rollout_is_read_and_its_state_written() {
+    let spec = r#"{"service":"s","to":"v2","duration-s":12.5}"#;
+    let fresh = object("s", &format!(r#"{{"spec":{spec},"status":null}}"#));
+    let written = ObjectsDialect
+        .encode_release_state(ReleaseState::RolledBack, "v2")
+        .map(|status| String::from_utf8_lossy(&status).into_owned())
+        .expect("it can be written");
+    let decided = object("s", &format!(r#"{{"spec":{spec},"status":{written}}}"#));
+
+    let order = ObjectsDialect.decode_release(&fresh).expect("an order");
+    let back = ObjectsDialect.decode_release(&decided).expect("an order");
+    let broken = ObjectsDialect.decode_release(&object("s", r#"{"spec":{"service":"s"}}"#));
+
+    assert_eq!((order.order.to.as_str(), order.order.lasts), ("v2", TimeSpan(12_500)));
+    assert_eq!((order.state(), order.revision), (None, 3));
+    assert_eq!(written, r#"{"state":"rolled_back","to":"v2"}"#);
+    assert_eq!(back.state(), Some(ReleaseState::RolledBack));
+    assert!(broken.is_err());
+}
+
 #[test]
 fn an_entry_tells_stage_market_and_end() {
     let now = ClockTime(5000);
--- a/tests/all/release.rs
+++ b/tests/all/release.rs
@@ -1,13 +1,14 @@
 //! Roll-outs of good and bad versions before many processes, in virtual time: what the version gets, when it is decided, and
 //! what callers' requests come to.
 
+use arbtest::arbtest;
 use oleandertack::judge::{AnswerSample, EvidenceTally};
 use oleandertack::kind::hash::mix_bits;
 use oleandertack::kind::{ClockTime, InstanceId, ServiceName, TimeSpan};
 use oleandertack::limit::{LedgerPast, PoolGate, PoolLedger, PoolSpender};
 use oleandertack::release::{
     ExposureBounds, ListedVersion, PlanFacts, PlanReason, ReleaseBook, ReleaseNews, ReleaseOrder,
-    ReleasePlan, ReleaseStage, ReleaseTold, RequestLane, TRIED_HELD, exposure_account,
+    ReleasePlan, ReleaseStage, ReleaseTold, RequestLane, TRIED_HELD, ToldStage, exposure_account,
     exposure_limit,
 };
 use std::collections::BTreeMap;
@@ -491,3 +492,62 @@
         assert!(played.decided_at.is_some_and(|at| at <= ORDER_MS), "{seed}: {played:?}");
     }
 }
+
+fn told(stage: ToldStage) -> ReleaseTold {
+    let ends_in = TimeSpan(ORDER_MS);
+    ReleaseTold { service: service(), to: "v2".into(), stage, number: 1, ends_in, sent: 0 }
+}
+
+/// A version under an order gets requests that nobody handed out, in whatever order a process hears of its endpoints, of the
+/// order, of an older state of the orders, and of the order's end.
+#[test]
+fn a_version_under_an_order_serves_in_no_order_of_news() {
+    arbtest(|u| {
+        let mut book = ReleaseBook::default();
+        let mut now = START;
+        let (mut known, mut is_ordered) = (0, false);
+        for _ in 0..u.int_in_range(1..=20_usize)? {
+            now = now + TimeSpan(u.int_in_range(0..=1500)?);
+            if u.ratio(1, 2)? {
+                let mark = u.int_in_range(1..=30_u64)?;
+                // The order was written as of 10, before the endpoints of its version.
+                let stage = if u.ratio(1, 3)? { ToldStage::Back } else { ToldStage::Trying };
+                let orders = if mark >= 10 { vec![told(stage)] } else { Vec::new() };
+                let news = ReleaseNews { mark, told: orders, held: Vec::new() };
+                book.hear(&news, TimeSpan(0), now);
+                known = known.max(mark);
+                is_ordered |= mark >= 10;
+            }
+            let former = listed("v1", 5);
+            let tried = listed("v2", u.int_in_range(11..=30)?);
+            book.note_versions(&service(), &[former, tried], now);
+
+            let takes = |version: &str| {
+                book.takes((&service(), &version.into()), RequestLane::Serving, now)
+            };
+            assert!(!takes("v2"), "as of {known}, ordered {is_ordered}");
+            assert!(known < 5 || takes("v1"), "as of {known}");
+        }
+        Ok(())
+    });
+}
+
+/// The bound is passed by how the demand goes: it falls to nothing, or grows many times, after the moment was set.
+#[test]
+fn no_more_is_handed_out_or_planned_than_the_bound_allows() {
+    arbtest(|u| {
+        let mut plan = ReleasePlan::begin(order(), (BOUNDS, None), None, START);
+        let (mut sent, mut handed) = (0.0_f64, 0.0_f64);
+        for step in 0..120_u64 {
+            let now = START + TimeSpan(step * 100);
+            let rate = f64::from(u.int_in_range(0..=3000_u32)?);
+            sent += rate / 10.0;
+            // All that may be handed out is.
+            handed = handed.max(plan.most(sent));
+            let facts = PlanFacts { sent, rate_per_s: rate, handed, tried_live: 4, is_left: false };
+            plan.step(&facts, now);
+            assert!(handed <= SHARE * sent + SLACK || plan.stage() != ReleaseStage::Trying);
+        }
+        Ok(())
+    });
+}
--- a/tests/all/rollout.rs
+++ b/tests/all/rollout.rs
@@ -243,6 +243,21 @@
     });
 }
 
+/// An order that cannot be carried out is taken for another one: its version gets requests, or a state is written that nobody
+/// decided.
+#[test]
+fn an_order_without_time_is_not_carried_out_and_its_version_gets_nothing() {
+    play(async {
+        let rollout = Rollout::start().await;
+        rollout.group.order_release("v2", 0.0);
+        let tried = VersionFleet::start(&rollout.group, "v2", None).await;
+
+        sleep(Duration::from_secs(4)).await;
+
+        assert_eq!((tried.came.get(), rollout.group.release_status().as_str()), (0, "null"));
+    });
+}
+
 /// A roll-out stands still, or its version gets more than it may, because the process that carries it out is killed.
 #[test]
 fn the_next_collector_goes_on_with_an_order() {
