A process that begins knows at once which versions serve; a version ordered again goes by its new order

Changed: an endpoint that is listed and takes nothing brings the board up at once; an order takes its version out of those held.

Tests a_process_that_begins_serves_at_once, a_version_that_is_ordered_again_goes_by_its_new_order (not run against the code before).

--- a/crates/front/src/releases/desk.rs
+++ b/crates/front/src/releases/desk.rs
@@ -52,6 +52,8 @@
     pub withdrawn: BTreeSet<(ServiceName, compact_str::CompactString)>,
     /// The store's revision as of which this process itself read the orders; none while it does not follow them.
     pub read_mark: Option<u64>,
+    /// Whether an endpoint was listed whose version takes nothing as far as is known.
+    pub is_stale: bool,
     refreshed_at: ClockTime,
 }
 
@@ -77,6 +79,7 @@
     /// Notes that the board was brought up.
     pub fn refreshed(&mut self, now: ClockTime) {
         self.refreshed_at = now;
+        self.is_stale = false;
     }
 
     /// Whether the board has to be brought up before a request is placed.
--- a/crates/front/src/releases/keep.rs
+++ b/crates/front/src/releases/keep.rs
@@ -198,6 +198,7 @@
         "revision" => entry.revision, "number" => plan.number());
     let sent = before.filter(|told| told.to == entry.order.to).map_or(0, |told| told.sent);
     let running = RunningOrder::new(name.to_owned(), entry.clone(), (plan, sent));
+    desk.withdrawn.remove(&(service.clone(), entry.order.to.clone()));
     desk.running.insert(service.clone(), running);
 }
 
--- a/crates/front/src/roster.rs
+++ b/crates/front/src/roster.rs
@@ -94,6 +94,10 @@
     let news = RosterNews { times, now, decode: &decode };
     let actions = take(&mut node.roster.borrow_mut(), &news);
     actions.into_iter().for_each(|action| act(node, action));
+    // A process that begins would refuse its callers until its next report.
+    if node.releases.borrow().is_stale {
+        releases::refresh(node);
+    }
 }
 
 fn act(node: &FrontNode, action: RosterAction<EndpointEntry>) {
@@ -152,8 +156,9 @@
         && let Some(fact) = board.get_mut(key)
     {
         let version = (&fact.entry.service, &fact.entry.release);
-        let now = node.clock.now();
-        fact.serves = node.releases.borrow().book.takes(version, RequestLane::Serving, now);
+        let mut desk = node.releases.borrow_mut();
+        fact.serves = desk.book.takes(version, RequestLane::Serving, node.clock.now());
+        desk.is_stale |= !fact.serves;
     }
     drop(board);
     if let Some(life) = former {
--- a/crates/release/src/book.rs
+++ b/crates/release/src/book.rs
@@ -142,8 +142,11 @@
         let heard =
             |told: &ReleaseTold| (told.service.clone(), HeardOrder { told: told.clone(), at });
         self.orders = news.told.iter().map(heard).collect();
-        for told in news.told.iter().filter(|told| told.stage == ToldStage::Completed) {
+        // A version that was held back and is ordered again goes by its order.
+        for told in &news.told {
             self.held.remove(&(told.service.clone(), told.to.clone()));
+        }
+        for told in news.told.iter().filter(|told| told.stage == ToldStage::Completed) {
             let open = self.open.entry(told.service.clone()).or_default();
             open.clear();
             open.insert(told.to.clone());
--- a/tests/all/rollout.rs
+++ b/tests/all/rollout.rs
@@ -243,6 +243,48 @@
     });
 }
 
+/// Callers are refused for a while after all processes were killed: a process that begins knows no version that serves.
+#[test]
+fn a_process_that_begins_serves_at_once() {
+    play(async {
+        let mut rollout = Rollout::start().await;
+        let all: Vec<usize> = (0..PROCESSES).collect();
+
+        rollout.group.kill(&all, Duration::from_secs(1)).await;
+        let process = &rollout.group.processes[0];
+        while !process.node.is_ready() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        let text = request("POST", "/once/a", "first", "", "first");
+        let came = try_ask(process.address(), &text).await;
+
+        assert_eq!(came.map(|came| came.status().to_owned()), Some("200".to_owned()));
+    });
+}
+
+/// A version that was held back when its order was withdrawn serves nobody for good, though a later order was completed.
+#[test]
+fn a_version_that_is_ordered_again_goes_by_its_new_order() {
+    play(async {
+        let rollout = Rollout::start().await;
+        rollout.group.order_release("v2", ORDER_S);
+        let tried = VersionFleet::start(&rollout.group, "v2", None).await;
+        sleep(Duration::from_secs(1)).await;
+        rollout.group.withdraw_release();
+        sleep(Duration::from_secs(1)).await;
+
+        rollout.group.order_release("v2", ORDER_S);
+        let is_completed = rollout.stands("completed", ORDER_S + 2.0).await;
+        rollout.former.remove();
+        sleep(Duration::from_secs(13)).await;
+        let before = tried.came.get();
+        sleep(Duration::from_secs(1)).await;
+
+        assert!(is_completed, "{}", rollout.group.release_status());
+        assert!(tried.came.get() > before + 50, "{} after {before}", tried.came.get());
+    });
+}
+
 /// An order that cannot be carried out is taken for another one: its version gets requests, or a state is written that nobody
 /// decided.
 #[test]
