--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -8,7 +8,7 @@
 use crate::ingress::CallerRequest;
 use crate::limits::{self, Payment};
 use crate::node::FrontNode;
-use crate::releases::{self, TriedPayment};
+use crate::releases::TriedPayment;
 use crate::suspects;
 use crate::trace::{CallTrace, TraceGuard};
 use actix_http::header::HeaderMap;
@@ -37,13 +37,6 @@
 /// When a caller that met a stopping process may come back: its next connection goes elsewhere.
 const LEAVING_RETURN: TimeSpan = TimeSpan(20);
 
-/// How long answers of plain services take at the most, but for a few, and what an engine's takes besides its tokens.
-const PLAIN_TIME: TimeSpan = TimeSpan(300);
-/// How long an engine takes for a token, in ms, with all its places taken.
-const STEP_MS: f64 = 6.0;
-/// Callers' guesses of the length of an answer may be this much too short.
-const LENGTH_MARGIN: f64 = 1.3;
-
 /// How the request is seen by its caller: an error means that the connection must be closed.
 pub type CallOutcome = io::Result<()>;
 
@@ -236,7 +229,7 @@
     (code.status() == StatusCode::SERVICE_UNAVAILABLE.as_u16()).then_some(RETURN_TIME)
 }
 
-fn call_salt(call: &CallHead) -> u64 {
+pub(crate) fn call_salt(call: &CallHead) -> u64 {
     mix_bits(stable_hash(HASH_START, call.id.as_bytes()))
 }
 
@@ -282,39 +275,6 @@
         }
     }
 
-    /// Chooses an endpoint, of the version under the order of a roll-out if the request is one that goes there.
-    async fn choose_lane(&mut self) -> Option<PlaceChoice> {
-        let lot = mix_bits(call_salt(&self.call) ^ u64::from(self.record.sent())) as f64;
-        let lot = lot / u64::MAX as f64;
-        self.trial = releases::take_lane(self.node, &self.service, (lot, self.expected())).await;
-        match self.choose() {
-            Some(choice) => Some(choice),
-            None => {
-                let trial = self.trial.take()?;
-                releases::give_back(self.node, &trial);
-                self.choose()
-            }
-        }
-    }
-
-    /// Gives back what was paid for an attempt that certainly did not run.
-    fn leave_lane(&mut self, end: AttemptEnd) {
-        if let Some(trial) = self.trial.take().filter(|_| !end.may_have_run()) {
-            releases::give_back(self.node, &trial);
-        }
-    }
-
-    /// How long the whole answer is expected to take.
-    fn expected(&self) -> TimeSpan {
-        let Some(tokens) = self.call.tokens.filter(|_| self.is_engine()) else {
-            return PLAIN_TIME;
-        };
-        let answer = self.call.length_hint.unwrap_or(tokens.answer).min(tokens.answer.max(1));
-        let reading = tokens.prompt as f64 / self.node.read_per_ms(&self.service);
-        let ms = reading + answer as f64 * STEP_MS * LENGTH_MARGIN;
-        TimeSpan(ms as u64) + PLAIN_TIME
-    }
-
     /// Pays for another attempt after one that may have run: operators count the tokens of each that runs.
     async fn pay_again(&self, end: AttemptEnd) -> bool {
         match &self.payment {
@@ -387,7 +347,7 @@
         self.give_up(code).await
     }
 
-    fn choose(&self) -> Option<PlaceChoice> {
+    pub(crate) fn choose(&self) -> Option<PlaceChoice> {
         let tokens = self.call.tokens.unwrap_or_default();
         let ask = PlaceAsk {
             service: &self.service,
--- a/crates/front/src/releases.rs
+++ b/crates/front/src/releases.rs
@@ -2,6 +2,7 @@
 
 mod desk;
 mod keep;
+mod lane;
 
 pub use desk::ReleaseDesk;
 pub(crate) use keep::keep_releases;
--- a/crates/mesh/src/collector.rs
+++ b/crates/mesh/src/collector.rs
@@ -17,7 +17,7 @@
 use oleander_plat::FeedObject;
 use oleander_release::ReleaseNews;
 use oleander_suspect::SuspectBook;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// Between two lists of the members to one process, for each member on it.
 const MEMBER_PAUSE: TimeSpan = TimeSpan(5);
@@ -57,9 +57,9 @@
 }
 
 #[derive(Clone, Debug)]
-struct HeardNode {
-    report: NodeReport,
-    heard_at: ClockTime,
+pub(crate) struct HeardNode {
+    pub(crate) report: NodeReport,
+    pub(crate) heard_at: ClockTime,
     offset: i64,
     members_told_at: Option<ClockTime>,
 }
@@ -82,7 +82,7 @@
     /// Absent until it is known what was handed out before, and once it was passed on.
     pub(crate) ledger: Option<PoolLedger>,
     pub(crate) claims_left_out: u64,
-    nodes: BTreeMap<InstanceId, HeardNode>,
+    pub(crate) nodes: BTreeMap<InstanceId, HeardNode>,
     usage: UsageTable,
     demand: BTreeMap<ServiceName, (DemandRate, ClockTime)>,
     judge: EndpointJudge,
@@ -125,40 +125,6 @@
         self.judge.note(report, knows, now)
     }
 
-    /// Whether this very report was taken before.
-    pub fn is_repeated(&self, report: &NodeReport) -> bool {
-        let known = self.nodes.get(&report.card.id).map(|node| &node.report);
-        let is_same =
-            |known: &NodeReport| (known.card.life, known.wall) == (report.card.life, report.wall);
-        known.is_some_and(is_same)
-    }
-
-    /// What a process was asked, as it last reported in the same life.
-    pub fn demand_before(&self, report: &NodeReport) -> &[ServiceDemand] {
-        let known = self.nodes.get(&report.card.id).map(|node| &node.report);
-        let known = known.filter(|known| known.card.life == report.card.life);
-        known.map_or(&[], |known| &known.demand)
-    }
-
-    /// Whether every member reported after `since`, goes by this plan of a roll-out or a later one, and has nothing at the
-    /// endpoints of the former version. One that is silent may send there still.
-    pub fn have_left(
-        &self,
-        view: &MeshView,
-        ((service, number), former): ((&ServiceName, u64), &BTreeSet<EndpointMark>),
-        since: ClockTime,
-    ) -> bool {
-        let has_left = |card: &MemberCard| {
-            let Some(node) = self.nodes.get(&card.id) else { return false };
-            let report = &node.report;
-            let mut plans = report.releases.iter();
-            let follows = plans.any(|(name, known)| name == service && *known >= number);
-            let is_idle = report.loads.iter().all(|load| !former.contains(&load.endpoint));
-            node.heard_at >= since && report.card.life == card.life && follows && is_idle
-        };
-        view.cards().iter().all(has_left)
-    }
-
     /// Whether endpoints are to be compared again.
     pub fn is_judging_due(&self, now: ClockTime) -> bool {
         self.judge.is_due(now)
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod clock;
 pub mod collector;
 pub mod evidence;
+mod heard;
 mod limit_message;
 mod limits;
 pub mod loads;
