--- a/crates/release/src/lib.rs
+++ b/crates/release/src/lib.rs
@@ -1,7 +1,7 @@
 //! Roll-outs of a service's software that cannot harm its callers.
 //!
 //! An order asks that a service's requests move to endpoints of another version, which may be bad: from the start, later, under
-//! load, or on one route. Until it is proved a version gets no request that was not handed out ([`exposure`]): a part of
+//! load, or on one route. Until it is proved a version gets no request that was not handed out ([`exposure_limit`]): a part of
 //! the service's requests, so that the bound holds whatever the version does. What callers get of it is compared with
 //! what they get of the version that serves ([`VersionCase`]). [`ReleasePlan`] goes from the first request to the last:
 //! a version that looks sound is given the longest requests first, and all of them only when so little time is left that
