--- a/crates/mesh/src/loads.rs
+++ b/crates/mesh/src/loads.rs
@@ -2,7 +2,7 @@
 //!
 //! A process places a request by the work of a few endpoints: some that it draws by lot, and those that hold parts of the
 //! prompt. Told of all of them four times a second, the collector's link would have to carry processes times endpoints.
-//! Beyond [`MOST_TOLD`] busy endpoints each process is told of some that it draws from, always the same ones while
+//! Beyond a certain number of busy endpoints each process is told of some that it draws from, always the same ones while
 //! they live, and of those with most work, which nobody should add to. Of the rest it is told the mean.
 
 use crate::message::EndpointMark;
