Whether an order is open or moving is asked of the book, once

Cause: four places matched the stages anew, and before each request of a service that may be rolled out all that is known of orders was copied to look at one field. Change: the book answers; no copy. Three comments say counted where nothing was timed. No change of behaviour.

--- a/crates/front/src/mesh/account.rs
+++ b/crates/front/src/mesh/account.rs
@@ -6,7 +6,7 @@
 use oleander_kind::TimeSpan;
 use oleander_mesh::{MeshBody, NewsAccount, NodeReport, digest_account, report_account};
 
-/// Between two exchanges of which the parts are measured.
+/// Between two exchanges whose parts are counted.
 const ACCOUNT_PERIOD: TimeSpan = TimeSpan(1000);
 
 /// Bytes of the parts of one exchange.
@@ -18,7 +18,7 @@
     pub digest: NewsAccount,
 }
 
-/// Takes a report of another process as the collector; measures one exchange a second.
+/// Takes a report of another process as the collector; counts the bytes of one exchange a second.
 pub(super) fn collect_measured(node: &FrontNode, report: NodeReport) -> MeshBody {
     let now = node.clock.now();
     let is_due = node.mesh.borrow().account_at.is_none_or(|at| now - at >= ACCOUNT_PERIOD);
--- a/crates/front/src/mesh/state.rs
+++ b/crates/front/src/mesh/state.rs
@@ -41,7 +41,7 @@
     pub(super) wants_rules: bool,
     /// How the collector's endpoint list stands, if it asked for what it lacks.
     pub(super) wants_roster: Option<RosterStand>,
-    /// What the parts of one exchange took, and when it was measured.
+    /// Bytes of the parts of the last exchange that was counted, and when that was.
     pub(crate) account: ExchangeAccount,
     pub(super) account_at: Option<ClockTime>,
     /// When this process last asked peers for a whole endpoint list.
--- a/crates/front/src/releases.rs
+++ b/crates/front/src/releases.rs
@@ -14,7 +14,7 @@
 use oleander_limit::PoolLimit;
 use oleander_mesh::{NodeReport, RouteEvidence, ServiceDemand};
 use oleander_place::{EndpointBoard, EndpointFact, EndpointKey};
-use oleander_release::{ListedVersion, RequestLane, TRIED_HELD, ToldStage, exposure_limit};
+use oleander_release::{ListedVersion, RequestLane, TRIED_HELD, exposure_limit};
 
 /// The fewest endpoints of a version that get its requests while it is tried.
 const LEAST_TRIED: usize = 3;
@@ -186,9 +186,7 @@
     }
 }
 
-/// Whether the order of a service's version waits until nothing runs at the former one.
+/// Whether a version of the service is under an order that is not decided.
 pub(crate) fn is_under_way(node: &FrontNode, service: &ServiceName) -> bool {
-    let news = node.releases.borrow().book.news(node.clock.now());
-    let open = |stage: &ToldStage| matches!(stage, ToldStage::Trying | ToldStage::Moving { .. });
-    news.told.iter().any(|told| told.service == *service && open(&told.stage))
+    node.releases.borrow().book.tried(service).is_some()
 }
--- a/crates/front/src/releases/desk.rs
+++ b/crates/front/src/releases/desk.rs
@@ -1,9 +1,7 @@
 //! What a process knows of roll-outs.
 
 use oleander_kind::{AccountName, ClockTime, ServiceName, TimeSpan};
-use oleander_release::{
-    OrderEntry, ReleaseBook, ReleaseNews, ReleasePlan, ToldStage, exposure_account,
-};
+use oleander_release::{OrderEntry, ReleaseBook, ReleaseNews, ReleasePlan, exposure_account};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// How old what the board says of versions may be while an order is under way: the moment from which a version gets all
@@ -84,8 +82,6 @@
 
     /// Whether the board has to be brought up before a request is placed.
     pub fn is_refresh_due(&self, now: ClockTime) -> bool {
-        let moving =
-            |told: &oleander_release::ReleaseTold| matches!(told.stage, ToldStage::Moving { .. });
-        now - self.refreshed_at >= REFRESH_TIME && self.book.news(now).told.iter().any(moving)
+        now - self.refreshed_at >= REFRESH_TIME && self.book.is_any_moving()
     }
 }
--- a/crates/release/src/book.rs
+++ b/crates/release/src/book.rs
@@ -103,6 +103,15 @@
 }
 
 impl HeardOrder {
+    /// Whether it is neither completed nor rolled back.
+    fn is_open(&self) -> bool {
+        matches!(self.told.stage, ToldStage::Trying | ToldStage::Moving { .. })
+    }
+
+    fn is_moving(&self) -> bool {
+        matches!(self.told.stage, ToldStage::Moving { .. })
+    }
+
     /// Whether the version gets all requests by now.
     fn is_full(&self, now: ClockTime) -> bool {
         match self.told.stage {
@@ -168,11 +177,8 @@
 
     /// The accounts from which requests to versions under orders are paid.
     pub fn paid_accounts(&self) -> Vec<AccountName> {
-        let open = |order: &&HeardOrder| {
-            matches!(order.told.stage, ToldStage::Trying | ToldStage::Moving { .. })
-        };
         let account = |order: &HeardOrder| exposure_account(&order.told.service, &order.told.to);
-        self.orders.values().filter(open).map(account).collect()
+        self.orders.values().filter(|order| order.is_open()).map(account).collect()
     }
 
     /// What this process was told, for one that collects from now on and for the others.
@@ -201,15 +207,18 @@
 
     /// The version of a service that is under an order which is neither completed nor rolled back.
     pub fn tried(&self, service: &ServiceName) -> Option<&CompactString> {
-        let order = self.orders.get(service)?;
-        let is_open = matches!(order.told.stage, ToldStage::Trying | ToldStage::Moving { .. });
-        is_open.then_some(&order.told.to)
+        let order = self.orders.get(service).filter(|order| order.is_open())?;
+        Some(&order.told.to)
     }
 
     /// Whether a version is about to get all requests of a service.
     pub fn is_moving(&self, service: &ServiceName) -> bool {
-        let order = self.orders.get(service);
-        order.is_some_and(|order| matches!(order.told.stage, ToldStage::Moving { .. }))
+        self.orders.get(service).is_some_and(HeardOrder::is_moving)
+    }
+
+    /// Whether that holds for any service.
+    pub fn is_any_moving(&self) -> bool {
+        self.orders.values().any(HeardOrder::is_moving)
     }
 
     /// Takes the versions that a service's endpoints have; says whether news of the orders is lacking for some.
@@ -238,7 +247,7 @@
         if unknown.is_empty() {
             self.unknown_since.remove(service);
         } else if open.is_empty() && (unknown.len() == 1 || now - since >= UNKNOWN_WAIT) {
-            // One alone has nothing that it could be measured by.
+            // There is no other that one alone could be compared with.
             let oldest = unknown.iter().min_by_key(|one| (one.life, one.revision));
             open.extend(oldest.map(|one| one.version.clone()));
         }
