What endpoints take by their own word is heard and told; no decision goes by it yet

Story: an engine that named a limit of 2.5 requests a second got 24 in 4 s. The logs could not tell whether nobody reads the word, each process takes all of it for its own, or news of it do not travel: no line holds it.

Change: the adapter reads the limit off the head of each answer, in one place; every answer of an endpoint passes there, foreign ones that are read away included. One that another instance gave (421) says nothing of the one meant. A line as a limit begins, changes and ends (endpoint_limit), one with a number of its own for words that cannot be read (5201), a counter, the limit and its age on the line of the request that it was chosen for, and in the state dump. Of two answers the one whose request was sent later is the newer.

A limit of 0 is taken for 0.1 a second: only requests show that a limit is over. More than one: the lowest.

Measured: adapter::the_limit_that_an_endpoint_names_is_read_from_its_answers and the six other tests of the adapter pass; lints of the workspace. No change of what is sent.

--- a/crates/call/src/head.rs
+++ b/crates/call/src/head.rs
@@ -1,7 +1,7 @@
 //! What is known of a request and of an answer from their heads.
 
 use compact_str::CompactString;
-use oleander_kind::{AccountName, InstanceId, TimeSpan};
+use oleander_kind::{AccountName, InstanceId, RequestRate, TimeSpan};
 
 /// One part of a prompt, shared with other requests or the request's own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -66,6 +66,18 @@
     pub rank: Option<u8>,
 }
 
+/// One thing that an endpoint may say of itself in an answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum SaidWord<T> {
+    /// The answer does not say it.
+    #[default]
+    Absent,
+    /// It says this.
+    Said(T),
+    /// It says something that cannot be understood; the text, cut short.
+    Unreadable(CompactString),
+}
+
 /// What an answer's head says.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AnswerMark {
@@ -81,6 +93,10 @@
     pub encoded: bool,
     /// How long the endpoint keeps an idle connection, if it says so.
     pub keeps_idle: Option<TimeSpan>,
+    /// Whether another instance than the one meant gave it. What it says of itself is not of the one meant.
+    pub misdirected: bool,
+    /// How many requests a second the endpoint takes from all processes together.
+    pub limit: SaidWord<RequestRate>,
 }
 
 impl AnswerMark {
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -14,7 +14,7 @@
 pub use admit::{AdmittedCall, RuleView, admit_call};
 pub use attempt::{AttemptEnd, AttemptRecord, NextStep};
 pub use events::{EventCutter, WholeEvent};
-pub use head::{AnswerMark, AttemptStamp, CallHead, PromptPart, TokenCount};
+pub use head::{AnswerMark, AttemptStamp, CallHead, PromptPart, SaidWord, TokenCount};
 pub use rules::{
     AccountKey, AccountRule, AnswerShape, CallerBounds, EngineRule, RepeatRule, RouteKey,
     RouteRule, RuleGate, RuleSet, ScaleRule, ServiceRule,
--- a/crates/front/src/admin.rs
+++ b/crates/front/src/admin.rs
@@ -3,6 +3,7 @@
 use crate::limits;
 use crate::node::FrontNode;
 use actix_web::{HttpResponse, web};
+use oleander_kind::RequestRate;
 use oleander_list::StoreVouch;
 use oleander_mesh::NewsAccount;
 use oleander_suspect::{RequestPrint, SuspectRecord};
@@ -119,6 +120,8 @@
             "market": format!("{:?}", fact.entry.market),
             "doubted": fact.doubted,
             "aside": fact.bad_trait(now).map(|bad_trait| format!("{bad_trait:?}")),
+            "limit_per_s": fact.limit.rate.map(RequestRate::per_s),
+            "limit_age_ms": fact.limit.rate.map(|_| (now - fact.limit.asked_at).0),
             "rests": fact.health.rests(now),
             "failure_share": fact.health.failure_share(now),
             "own_requests": fact.own.requests,
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -3,8 +3,9 @@
 use crate::drive::{AttemptOutcome, CallRun};
 use crate::events::event;
 use crate::suspects::BrokenAttempt;
+use crate::words::AnswerOwner;
 use crate::work::{FirstWait, WorkGuard};
-use crate::{releases, stream, suspects, whole};
+use crate::{releases, stream, suspects, whole, words};
 use actix_http::{RequestHead, ResponseHead, Version};
 use oleander_call::{AnswerMark, AnswerShape, AttemptEnd, AttemptStamp, RepeatRule};
 use oleander_kind::TimeSpan;
@@ -267,6 +268,7 @@
         /// Foreign answers that are read away; an endpoint that sends more is broken.
         const MOST_FOREIGN: u32 = 2;
         let began = Instant::now();
+        let asked_at = self.node.clock.now();
         let late = |_| LinkError::Late(began.elapsed());
         let spent = || LinkError::Malformed("answers to other requests".to_owned());
         let ended = || LinkError::Cut(io::ErrorKind::ConnectionReset.into());
@@ -276,7 +278,10 @@
             let head = timeout_at(limit, reading).await.map_err(late)?.ok_or_else(ended)??;
             let mark = self.node.dialect.read_answer(&head);
             let sent = slot.take().ok_or_else(spent)?;
-            if mark.belongs_to(&self.call.id) {
+            let is_own = mark.belongs_to(&self.call.id);
+            let owner = if is_own { AnswerOwner::Own } else { AnswerOwner::Foreign };
+            words::hear(self.node, (key, &mark), (owner, asked_at));
+            if is_own {
                 return Ok((sent, head, mark));
             }
             let mut foreign = sent.into_body(&head);
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -31,6 +31,7 @@
 mod trace;
 pub mod whole;
 mod window_store;
+mod words;
 pub mod work;
 
 pub use node::FrontNode;
--- a/crates/front/src/meter.rs
+++ b/crates/front/src/meter.rs
@@ -23,6 +23,7 @@
     orders: Counter<u64>,
     usage_reports: Counter<u64>,
     evidence_left_out: Counter<u64>,
+    words: Counter<u64>,
     first_ms: Histogram<f64>,
     total_ms: Histogram<f64>,
     list_age_ms: Histogram<f64>,
@@ -45,6 +46,7 @@
             orders: meter.u64_counter("oleander_front_orders").build(),
             usage_reports: meter.u64_counter("oleander_front_usage_reports").build(),
             evidence_left_out: meter.u64_counter("oleander_front_evidence_left_out").build(),
+            words: meter.u64_counter("oleander_front_words").build(),
             first_ms: latency("oleander_front_first_ms"),
             total_ms: latency("oleander_front_total_ms"),
             list_age_ms: latency("oleander_front_list_age_ms"),
@@ -107,6 +109,11 @@
         self.evidence_left_out.add(count, &[]);
     }
 
+    /// Counts a change of what an endpoint says of itself, by the word and how it was heard.
+    pub fn count_word(&self, word: &'static str, by: &'static str) {
+        self.words.add(1, &[KeyValue::new("word", word), KeyValue::new("by", by)]);
+    }
+
     /// Counts a usage report.
     pub fn count_usage(&self, taken: bool) {
         self.usage_reports.add(1, &[KeyValue::new("taken", taken)]);
--- a/crates/front/src/trace.rs
+++ b/crates/front/src/trace.rs
@@ -63,6 +63,12 @@
         }
     }
 
+    /// The limit of the endpoint chosen, and how old the word of it was.
+    fn limit(&self) -> Option<String> {
+        let (rate, age) = self.chosen?.limit?;
+        Some(format!("{rate}, {} ms", age.0))
+    }
+
     /// Writes the request's line and counts it.
     fn tell(&self, node: &FrontNode, answer: &AnswerWriter<'_>, outcome: &CallOutcome) {
         let total_ms = self.arrived.elapsed().as_millis() as u64;
@@ -86,7 +92,7 @@
                 "sent" => self.sent, "may_have_run" => self.may_have_run,
                 "endpoint" => endpoint, "total_ms" => total_ms, "rules" => self.rules,
                 "fresh" => self.fresh, "ahead" => self.chosen.map(|choice| choice.tokens_ahead),
-                "running" => self.chosen.map(|choice| choice.running)),
+                "running" => self.chosen.map(|choice| choice.running), "limit" => self.limit()),
             (Ok(()), None) => event!(node, RequestDone;
                 "request" => request, "print" => print, "service" => self.service.as_str(),
                 "status" => answer.status(), "sent" => self.sent, "endpoint" => endpoint,
@@ -95,7 +101,7 @@
                 "ahead" => self.chosen.map(|choice| choice.tokens_ahead),
                 "unread" => self.chosen.map(|choice| choice.unread),
                 "list_ms" => self.list_age.map(|age| age.0),
-                "running" => self.chosen.map(|choice| choice.running)),
+                "running" => self.chosen.map(|choice| choice.running), "limit" => self.limit()),
         }
     }
 }
--- a/crates/kind/src/code.rs
+++ b/crates/kind/src/code.rs
@@ -105,6 +105,7 @@
     ReleaseBadTime = 5103, 422, Unrelated, "the order of a roll-out gives no time to decide in, or more than a day";
     ReleaseBadVersion = 5104, 422, Unrelated, "the order of a roll-out names no version, or the one that serves already";
     ReleaseWithdrawn = 5105, 409, Unrelated, "the order of a roll-out was changed or removed before it was decided; its version gets nothing";
+    EndpointBadWord = 5201, 400, Unrelated, "an endpoint says something of itself that cannot be understood; what was known of it stays";
     PeerBadClaim = 6006, 400, Unrelated, "the peer named more of an account than it was handed; it is left out";
 }
 
--- a/crates/kind/src/endpoint.rs
+++ b/crates/kind/src/endpoint.rs
@@ -19,6 +19,34 @@
     Gone,
 }
 
+/// Requests a second, kept in thousandths so that two processes compare it exactly.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct RequestRate(u32);
+
+impl RequestRate {
+    /// Thousandths of a request a second.
+    const SCALE: f64 = 1000.0;
+
+    /// The rate of `per_s` requests a second; a figure out of range becomes the nearest one.
+    pub fn per_second(per_s: f64) -> Self {
+        RequestRate((per_s * Self::SCALE).round() as u32)
+    }
+
+    /// Requests a second.
+    pub fn per_s(self) -> f64 {
+        f64::from(self.0) / Self::SCALE
+    }
+}
+
+impl std::fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}/s", self.per_s())
+    }
+}
+
 /// How an instance is bought.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/kind/src/lib.rs
+++ b/crates/kind/src/lib.rs
@@ -15,5 +15,5 @@
 pub use chat::{ChatHead, read_chat_head};
 pub use clock::{ClockTime, TimeSpan};
 pub use code::ResultCode;
-pub use endpoint::{EndpointRecord, EndpointRole, EndpointStage, InstanceMarket};
+pub use endpoint::{EndpointRecord, EndpointRole, EndpointStage, InstanceMarket, RequestRate};
 pub use ident::{AccountName, DomainName, InstanceId, RequestId, ServiceName, VersionName};
--- a/crates/place/src/board.rs
+++ b/crates/place/src/board.rs
@@ -1,6 +1,7 @@
 //! What is known of each endpoint.
 
 use crate::health::HealthRecord;
+use crate::word::LimitWord;
 use compact_str::CompactString;
 use oleander_judge::BadTrait;
 use oleander_kind::endpoint::{EndpointStage, InstanceMarket};
@@ -69,6 +70,8 @@
     /// that is believed without being told again. It is used if there is no other, and by a few requests
     /// that find out whether it is well again.
     pub aside: Option<(BadTrait, ClockTime)>,
+    /// The limit that it named for itself, or that it names none any more.
+    pub limit: LimitWord,
     /// Whether the list lost it at a time when the store may have forgotten it by mistake. It is
     /// used only if there is no other.
     pub doubted: bool,
@@ -166,6 +169,7 @@
             is_tried: false,
             health: HealthRecord::default(),
             aside: None,
+            limit: LimitWord::default(),
             doubted: false,
         });
         self.by_instance.insert(instance, key);
--- a/crates/place/src/choose.rs
+++ b/crates/place/src/choose.rs
@@ -7,7 +7,7 @@
 use crate::prefix::PrefixRecord;
 use oleander_call::PromptPart;
 use oleander_kind::hash::{mix_bits, rendezvous_weight};
-use oleander_kind::{ClockTime, DomainName, ServiceName, TimeSpan};
+use oleander_kind::{ClockTime, DomainName, RequestRate, ServiceName, TimeSpan};
 
 /// One in so many requests that may be repeated may go to an endpoint that is set aside: only answers tell
 /// that it is well again, and health checks are paid for and may lie. An engine set aside gets one every few seconds;
@@ -61,6 +61,9 @@
     pub unread: u64,
     /// Requests that it has already, as far as this process knows.
     pub running: u32,
+    /// The limit that it named for itself, and how long ago the request was sent that it answered so; none if it
+    /// names none.
+    pub limit: Option<(RequestRate, TimeSpan)>,
 }
 
 impl PlaceChoice {
@@ -177,8 +180,9 @@
     let failing = FAILURE_MS * fact.health.failure_share(ask.now);
     // Under a millisecond: only breaks ties, so that equal endpoints share what comes.
     let tie = mix_bits(ask.salt ^ fact.entry.instance.stable_hash()) as f64 / u64::MAX as f64;
+    let limit = fact.limit.rate.map(|rate| (rate, ask.now - fact.limit.asked_at));
     (
         work + crossing + failing + tie,
-        PlaceChoice { key, tokens_ahead, held, unread, running: fact.requests() },
+        PlaceChoice { key, tokens_ahead, held, unread, running: fact.requests(), limit },
     )
 }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod pause;
 pub mod prefix;
 pub mod shed;
+pub mod word;
 
 pub use board::{EndpointBoard, EndpointEntry, EndpointFact, EndpointKey, WorkLoad};
 pub use choose::{PlaceAsk, PlaceChoice, choose_endpoint};
@@ -19,3 +20,4 @@
 pub use pause::PauseRecord;
 pub use prefix::PrefixRecord;
 pub use shed::{OfferedRate, ServicePressure, queue_limit, shed_until};
+pub use word::LimitWord;
--- a/tests/all/adapter.rs
+++ b/tests/all/adapter.rs
@@ -1,12 +1,14 @@
 //! The platform's formats, and the wall around its names.
 
+use actix_http::header::{HeaderName, HeaderValue};
+use actix_http::{ResponseHead, StatusCode};
 use bytes::Bytes;
-use oleandertack::call::{AnswerShape, RepeatRule};
+use oleandertack::call::{AnswerMark, AnswerShape, RepeatRule, SaidWord};
 use oleandertack::conf::FrontSettings;
 use oleandertack::conf::reader::parse_settings;
 use oleandertack::front::PlatformDialect;
 use oleandertack::kind::endpoint::{EndpointStage, InstanceMarket};
-use oleandertack::kind::{ClockTime, TimeSpan};
+use oleandertack::kind::{ClockTime, RequestRate, TimeSpan};
 use oleandertack::plat::FeedObject;
 use oleandertack::platform::ObjectsDialect;
 use oleandertack::release::ReleaseState;
@@ -164,3 +166,30 @@
         assert!(known.is_empty(), "{} knows {known:?}", path.display());
     }
 }
+
+/// What an endpoint says of itself, as the dialect reads it off an answer's head.
+fn heard(head: &[(&'static str, &'static str)]) -> AnswerMark {
+    let mut response = ResponseHead::new(StatusCode::OK);
+    for (name, value) in head {
+        let (name, value) = (HeaderName::from_static(name), HeaderValue::from_static(value));
+        response.headers_mut().append(name, value);
+    }
+    ObjectsDialect.read_answer(&response)
+}
+
+/// An endpoint gets more than it takes: its limit is misread, or one word that cannot be read hides it.
+#[test]
+fn the_limit_that_an_endpoint_names_is_read_from_its_answers() {
+    let limit = |value| heard(&[("server-limit", value)]).limit;
+    let rate = |per_s| SaidWord::Said(RequestRate::per_second(per_s));
+
+    assert_eq!(heard(&[]).limit, SaidWord::Absent);
+    assert_eq!((limit("2.8"), limit(" 50 ")), (rate(2.8), rate(50.0)));
+    assert_eq!((limit("0"), limit("0.01")), (rate(0.1), rate(0.1)));
+    assert_eq!(limit("99999999999"), rate(1e6));
+    for text in ["", "many", "-1", "NaN", "inf", "Wed, 21 Oct 2026 07:28:00 GMT"] {
+        assert!(matches!(limit(text), SaidWord::Unreadable(_)), "{text}");
+    }
+    let twice = heard(&[("server-limit", "3"), ("server-limit", "x"), ("server-limit", "2")]);
+    assert_eq!(twice.limit, rate(2.0));
+}
