A failing test: endpoints that name a limit get several times what they take

What callers see: nothing; the endpoint in need is driven past what it takes. Six processes before six endpoints, two of which name 2.8 requests a second, callers with 100 requests a second in all, in virtual time: an endpoint gets 76 requests in 4 s from processes that it had told; the operators allow 21.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -45,5 +45,7 @@
 mod settings;
 mod size;
 mod soak;
+mod speaking;
 mod suspect;
 mod trace;
+mod words;
--- /dev/null
+++ b/tests/all/speaking.rs
@@ -0,0 +1,118 @@
+//! Endpoints that say something of themselves in their answers, for plays.
+
+use crate::plays::EndpointRegistry;
+use crate::scripted::read_request;
+use bytes::BytesMut;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, sleep};
+
+/// The header by which callers of a play name the process that they ask.
+pub const WAY: &str = "x-way";
+/// How long a request runs.
+const RUN_TIME: Duration = Duration::from_millis(30);
+/// The operators count arrivals over this time.
+pub const COUNTED: Duration = Duration::from_secs(4);
+/// So long after an answer its process goes by it.
+const HEARD: Duration = Duration::from_millis(500);
+
+/// A request as it reached an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct WayArrival {
+    pub at: Instant,
+    pub process: usize,
+}
+
+/// One endpoint, and what it says.
+pub struct SpeakingEndpoint {
+    pub name: String,
+    /// Requests a second that it names as its limit.
+    pub limit: Cell<Option<f64>>,
+    pub arrivals: RefCell<Vec<WayArrival>>,
+    /// When it first told a process its limit, by process.
+    told: RefCell<HashMap<usize, Instant>>,
+}
+
+impl SpeakingEndpoint {
+    /// The most requests that came in any [`COUNTED`] time from `from` on, from processes that had been told before.
+    pub fn most_from_told(&self, from: Instant) -> usize {
+        let told = self.told.borrow();
+        let knew =
+            |came: &&WayArrival| told.get(&came.process).is_some_and(|at| came.at >= *at + HEARD);
+        let arrivals = self.arrivals.borrow();
+        most_in(COUNTED, arrivals.iter().filter(knew).map(|came| came.at).filter(|at| *at >= from))
+    }
+
+    fn head(&self) -> String {
+        self.limit.get().map_or_else(String::new, |limit| format!("Server-Limit: {limit}\r\n"))
+    }
+}
+
+fn most_in(span: Duration, times: impl Iterator<Item = Instant>) -> usize {
+    let times: Vec<Instant> = times.collect();
+    let within = |(first, from): (usize, &Instant)| {
+        times[first..].iter().take_while(|at| **at - *from < span).count()
+    };
+    times.iter().enumerate().map(within).max().unwrap_or_default()
+}
+
+/// Starts `count` endpoints, and puts their entries into the store.
+pub async fn start_speaking(
+    registry: &EndpointRegistry,
+    count: usize,
+) -> Vec<Rc<SpeakingEndpoint>> {
+    let mut endpoints = Vec::new();
+    for at in 0..count {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let endpoint = Rc::new(SpeakingEndpoint {
+            name: format!("p-{at}"),
+            limit: Cell::default(),
+            arrivals: RefCell::default(),
+            told: RefCell::default(),
+        });
+        registry.put(&endpoint.name, entry_at(address));
+        tokio::task::spawn_local(accept(endpoint.clone(), listener));
+        endpoints.push(endpoint);
+    }
+    endpoints
+}
+
+fn entry_at(address: SocketAddr) -> String {
+    format!(
+        r#"{{"service":"s","address":"{address}","zone":"near","version":"v1","slots":64,"state":"ready","seq":1}}"#
+    )
+}
+
+async fn accept(endpoint: Rc<SpeakingEndpoint>, listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::task::spawn_local(serve(endpoint.clone(), stream));
+    }
+}
+
+async fn serve(endpoint: Rc<SpeakingEndpoint>, mut stream: TcpStream) {
+    let mut buffer = BytesMut::new();
+    while let Some(request) = read_request(&mut stream, &mut buffer).await {
+        let id = request.header("x-oleandertack-request-id").unwrap_or_default().to_owned();
+        let process = request.header(WAY).and_then(|text| text.parse().ok()).unwrap_or_default();
+        let arrival = WayArrival { at: Instant::now(), process };
+        endpoint.arrivals.borrow_mut().push(arrival);
+        sleep(RUN_TIME).await;
+        if endpoint.limit.get().is_some() {
+            endpoint.told.borrow_mut().entry(process).or_insert_with(Instant::now);
+        }
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nX-Oleandertack-Request-Id: {id}\r\n\
+             X-Oleandertack-Response-Seal: seal\r\n{}Content-Length: 2\r\n\r\nok",
+            endpoint.head()
+        );
+        if stream.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
