An endpoint that names a limit gets no more than that of all processes together

What callers saw: nothing; engines in need were driven past what they take, 24 and 29 requests in 4 s where 20 and 25 were allowed.

Cause: the word of an endpoint about itself was in no decision. Class: only outcomes and the list were believed. A part of the limit for each process would not mend it: with one request saved up at each, 60 processes pass the bound by themselves.

Change: a process that hears a limit tells the collector with its next report; all are told by its answers, a whole set only if their mark differs. The collector leases the rate to a few processes (two, and 0.4 more for each request a second), chosen by rendezvous among those that are asked for the service and have reported for 1.2 s; in a cut each side hands out the part of its own processes. A lease ends 600 ms after its holder asked for it, on the holder's own clock; its bucket begins empty. Who has no lease sends nothing there. So the sum is bounded whatever the demand, the processes, what is lost, and whoever collects: the leases of one moment never pass the rate, and nothing of the time before has to be known. A limit ends or changes by the answers of requests that holders send anyway.

Where nothing but such words keeps a request from an endpoint it is refused at once (1025), with the time at which one opens.

Ruled out: the ledger of accounts' limits. It would hold, but by a call for nearly each request at 3 a second, or by allotments that lie idle at 195 processes; and a collector that was never told of a window would have to take it for full, 4.4 s of nothing.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -44,7 +44,7 @@
 impl CallRun<'_, '_> {
     /// Makes an attempt at the endpoint chosen.
     pub async fn attempt(&mut self, choice: PlaceChoice) -> AttemptOutcome {
-        let Some(target) = self.target(choice.key) else {
+        let Some(target) = self.target(choice.key).filter(|_| self.take_turn(choice.key)) else {
             return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
         };
         self.current = Some(target.key);
@@ -151,6 +151,13 @@
         usable.then_some(AttemptTarget { key, life, address: entry.address })
     }
 
+    /// Takes this process's next request of a limited endpoint; says whether there is one.
+    fn take_turn(&self, key: EndpointKey) -> bool {
+        let now = self.node.clock.lease_now();
+        let mut board = self.node.endpoints.borrow_mut();
+        board.get_mut(key).is_some_and(|fact| fact.take_turn(now))
+    }
+
     async fn attempt_at(&mut self, target: &AttemptTarget, work: &mut WorkGuard) -> AttemptOutcome {
         let (mut sent, reused) = match self.send(target).await {
             Ok(sent) => sent,
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -22,7 +22,8 @@
 use oleander_kind::hash::{HASH_START, mix_bits, stable_hash};
 use oleander_kind::{AccountName, InstanceId, ResultCode, ServiceName, TimeSpan};
 use oleander_place::{
-    AnswerGrade, EndpointKey, PlaceAsk, PlaceChoice, choose_endpoint, queue_limit, shed_until,
+    AnswerGrade, EndpointKey, PlaceAsk, PlaceChoice, choose_endpoint, opens_in, queue_limit,
+    shed_until,
 };
 use oleander_suspect::{EndedLife, RequestContent, RequestPrint};
 use std::io;
@@ -37,6 +38,9 @@
 /// When a caller that met a stopping process may come back: its next connection goes elsewhere.
 const LEAVING_RETURN: TimeSpan = TimeSpan(20);
 
+/// The shortest time after which a caller may come back whom what endpoints said of themselves had refused.
+const SHORTEST_OPENING: TimeSpan = TimeSpan(100);
+
 /// How the request is seen by its caller: an error means that the connection must be closed.
 pub type CallOutcome = io::Result<()>;
 
@@ -254,7 +258,7 @@
     async fn run(&mut self) -> CallOutcome {
         loop {
             let Some(choice) = self.choose_lane().await else {
-                return self.give_up(ResultCode::NoEndpoint).await;
+                return self.refuse_unplaced().await;
             };
             if let Some(back_in) = self.overloaded(&choice) {
                 // What is refused is needed all the same: more endpoints are ordered for it.
@@ -316,10 +320,26 @@
                 Some(self.answer.whole(own.status, own.headers, own.body).await)
             }
             (NextStep::PassOn, _) => Some(self.give_up(ResultCode::Uncertain).await),
+            (NextStep::GiveUp(ResultCode::NoEndpoint), _) => Some(self.refuse_unplaced().await),
             (NextStep::GiveUp(code), _) => Some(self.give_up(code).await),
         }
     }
 
+    /// Refuses a request that no endpoint may be sent now.
+    async fn refuse_unplaced(&mut self) -> CallOutcome {
+        match self.opens_in() {
+            Some(back_in) if self.is_refusable() => {
+                self.answer.refuse(ResultCode::EndpointsFull, Some(back_in)).await
+            }
+            _ => self.give_up(ResultCode::NoEndpoint).await,
+        }
+    }
+
+    /// Whether "not run" would be true, and nothing of an answer has left.
+    fn is_refusable(&self) -> bool {
+        !self.record.may_have_run() && self.answer.stage() == AnswerStage::Waiting
+    }
+
     /// Ends the request without an answer of an endpoint.
     async fn give_up(&mut self, code: ResultCode) -> CallOutcome {
         if self.answer.stage() != AnswerStage::Waiting {
@@ -348,8 +368,21 @@
     }
 
     pub(crate) fn choose(&self) -> Option<PlaceChoice> {
+        let ask = self.place_ask();
+        choose_endpoint(&self.node.endpoints.borrow(), &self.node.prefixes.borrow(), &ask)
+    }
+
+    /// When the caller may come back, if nothing but what endpoints said of themselves keeps the request from one. Those
+    /// who are refused together do not come back together.
+    fn opens_in(&self) -> Option<TimeSpan> {
+        let wait = opens_in(&self.node.endpoints.borrow(), &self.place_ask())?;
+        let wait = wait.max(SHORTEST_OPENING);
+        Some(wait + TimeSpan(call_salt(&self.call) % wait.0))
+    }
+
+    fn place_ask(&self) -> PlaceAsk<'_> {
         let tokens = self.call.tokens.unwrap_or_default();
-        let ask = PlaceAsk {
+        PlaceAsk {
             service: &self.service,
             engine: self.is_engine(),
             prompt_tokens: tokens.prompt,
@@ -364,8 +397,8 @@
             repeatable: self.route().repeat.may_run_again(),
             salt: call_salt(&self.call),
             now: self.node.clock.now(),
-        };
-        choose_endpoint(&self.node.endpoints.borrow(), &self.node.prefixes.borrow(), &ask)
+            lease_now: self.node.clock.lease_now(),
+        }
     }
 
     /// Notes how old the list was that an endpoint was chosen from.
--- a/crates/front/src/mesh/collect.rs
+++ b/crates/front/src/mesh/collect.rs
@@ -8,9 +8,10 @@
 use crate::node::FrontNode;
 use crate::roster;
 use crate::rules::take_rules;
+use crate::words::{self, ReporterStand};
 use crate::{limits, releases, suspects};
 use oleander_call::RuleSet;
-use oleander_kind::{AccountName, ResultCode};
+use oleander_kind::{AccountName, ResultCode, TimeSpan};
 use oleander_limit::{PoolAllotment, PoolLimit};
 use oleander_list::RosterUpdate;
 use oleander_mesh::{
@@ -87,6 +88,7 @@
     let now = node.clock.now();
     take_feeds(node, &report);
     suspects::take_notes(node, &report.suspects);
+    words::take_told(node, &report.words, TimeSpan(0));
     let suspects = node.suspects.borrow();
     let known = node.rules.borrow();
     let rules = known.current();
@@ -136,9 +138,14 @@
         oldest_turn: settled_turn(true_now),
         now,
     };
+    let stand = ReporterStand::of(&report, facts.oldest_turn);
     let MeshState { view, collector, .. } = &mut *mesh;
     match collector {
-        Some(collector) => MeshBody::Digest(Box::new(collector.take(report, view, &facts))),
+        Some(collector) => {
+            let mut digest = collector.take(report, view, &facts);
+            words::answer_words(node, (&stand, view), collector, &mut digest);
+            MeshBody::Digest(Box::new(digest))
+        }
         None => MeshBody::Leaving(view.me().clone()),
     }
 }
--- a/crates/front/src/mesh/digest.rs
+++ b/crates/front/src/mesh/digest.rs
@@ -6,6 +6,7 @@
 use crate::roster;
 use crate::rules::take_rules;
 use crate::suspects;
+use crate::words;
 use oleander_kind::{ClockTime, TimeSpan};
 use oleander_mesh::{
     AccountAllotment, EndpointMark, EndpointVerdict, LifeMark, LoadNews, MemberCard, MeshDigest,
@@ -36,6 +37,10 @@
     if let Some(notes) = &digest.suspects {
         suspects::take_notes(node, notes);
     }
+    if let Some(said) = &digest.words {
+        words::take_all(node, said, trip);
+    }
+    words::take_rates(node, &digest.rates, claimed_at);
     take_allotments(node, digest.allotments, claimed_at);
     node.usage.borrow_mut().forget(digest.reported_window);
     let mut mesh = node.mesh.borrow_mut();
--- a/crates/front/src/mesh/make.rs
+++ b/crates/front/src/mesh/make.rs
@@ -3,12 +3,12 @@
 use super::state::MeshState;
 use crate::evidence::own_evidence;
 use crate::node::FrontNode;
-use crate::releases;
+use crate::{releases, words};
 use oleander_kind::{AccountName, ClockTime, ServiceName, TimeSpan};
 use oleander_limit::HoldClaim;
 use oleander_mesh::{
     AccountClaim, EndpointLoad, EndpointMark, HandedLedger, NodeReport, NodeUsage, ServiceDemand,
-    ServicePace, UsageCount,
+    ServicePace, UsageCount, words_mark,
 };
 use oleander_pace::PaceBook;
 
@@ -55,6 +55,8 @@
         demand: own_demand(node),
         paces: own_paces(node),
         evidence,
+        words: words::next_told(node),
+        words_mark: words_mark(&words::known_words(node)),
         route_evidence,
         releases: node.releases.borrow().book.followed(),
         suspects: suspects.next_told(node.clock.now()),
--- a/crates/front/src/mesh/report.rs
+++ b/crates/front/src/mesh/report.rs
@@ -7,7 +7,7 @@
 use super::{MeshState, end_after_sleep, note_fitness};
 use crate::events::event;
 use crate::node::FrontNode;
-use crate::{limits, releases, suspects};
+use crate::{limits, releases, suspects, words};
 use actix::Addr;
 use compact_str::CompactString;
 use oleander_kind::{ClockTime, TimeSpan};
@@ -132,6 +132,7 @@
 fn note_taken(node: &FrontNode) {
     node.evidence.borrow_mut().taken();
     node.suspects.borrow_mut().note_taken();
+    words::note_taken(node);
 }
 
 /// Ends the collecting of a process to which nobody reports any more. What it knows of the account
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -8,6 +8,7 @@
 use crate::meter::FrontMeter;
 use crate::port::PlatformDialect;
 use crate::releases::ReleaseDesk;
+use crate::words::WordOutbox;
 use actix::Addr;
 use oleander_board::{NodeClock, StopStage};
 use oleander_call::RuleSet;
@@ -106,6 +107,8 @@
     pub evidence: RefCell<EvidenceOutbox>,
     /// Attempts of this process that broke, until their endpoints are known to have ended.
     pub ends: RefCell<EndWatch>,
+    /// What endpoints said of themselves that the collector may not know.
+    pub words: RefCell<WordOutbox>,
     /// Requests under which endpoints ended.
     pub suspects: RefCell<SuspectBook>,
     /// What is known through the other processes.
@@ -179,6 +182,7 @@
             pauses: RefCell::default(),
             evidence: RefCell::default(),
             ends: RefCell::default(),
+            words: RefCell::default(),
             suspects: RefCell::default(),
             mesh: RefCell::new(MeshState::new(me)),
             report_revisions: RefCell::default(),
--- a/crates/kind/src/code.rs
+++ b/crates/kind/src/code.rs
@@ -71,6 +71,7 @@
     BadHead = 1022, 400, NotRun, "the request's head cannot be read";
     SlowHead = 1023, 408, NotRun, "the request's head did not arrive in time";
     RequestHeld = 1024, 503, NotRun, "endpoints ended each time they ran this very request; it is not sent for now: change it, or come back later";
+    EndpointsFull = 1025, 503, NotRun, "every endpoint that could be asked takes no more requests now, as it said itself; come back later";
     Uncertain = 2001, 502, MayHaveRun, "it may have run; its answer is lost";
     DeadlinePassed = 2002, 504, MayHaveRun, "the deadline passed after the request was sent";
     Cancelled = 2003, 499, MayHaveRun, "the caller went away";
--- a/crates/limit/src/pool.rs
+++ b/crates/limit/src/pool.rs
@@ -14,8 +14,8 @@
 
 pub use account::WindowStand;
 pub use allot::{
-    ANSWER_TIME, ClaimFault, HoldClaim, LedgerBond, PoolAllotment, PoolLimit, PoolSpender, Result,
-    ToldWindow,
+    ALLOT_TIME, ANSWER_TIME, ClaimFault, HoldClaim, LedgerBond, PoolAllotment, PoolLimit,
+    PoolSpender, Result, ToldWindow,
 };
 pub use gate::{GateStand, PoolGate};
 pub use ledger::{PoolLedger, STORED_LASTS};
--- a/crates/mesh/src/collector.rs
+++ b/crates/mesh/src/collector.rs
@@ -11,7 +11,7 @@
 use crate::view::MeshView;
 use oleander_call::RuleSet;
 use oleander_kind::{AccountName, ClockTime, InstanceId, ServiceName, TimeSpan};
-use oleander_limit::{PoolLedger, PoolLimit};
+use oleander_limit::{PoolLedger, PoolLimit, RateDesk};
 use oleander_list::{RosterBook, RosterState};
 use oleander_pace::{ReadPace, join_paces};
 use oleander_plat::FeedObject;
@@ -87,6 +87,7 @@
     demand: BTreeMap<ServiceName, (DemandRate, ClockTime)>,
     judge: EndpointJudge,
     loads: LoadTable,
+    rates: RateDesk,
     began_at: ClockTime,
 }
 
@@ -101,6 +102,7 @@
             demand: BTreeMap::new(),
             judge: EndpointJudge::default(),
             loads: LoadTable::default(),
+            rates: RateDesk::default(),
             began_at: now,
         }
     }
@@ -149,6 +151,7 @@
     ) -> MeshDigest {
         let now = facts.now;
         self.note_usage(&report);
+        self.note_asked(&report, now);
         self.note_demand(&report, now);
         // A collector that stood still finds reports in its sockets that were sent before it did.
         // By them its holders were heard a moment ago, and what they hold has ended since.
@@ -219,6 +222,8 @@
             verdicts: self.judge.verdicts(),
             suspects: (report.suspects_mark != facts.suspects.shared_mark())
                 .then(|| facts.suspects.shared(now)),
+            words: None,
+            rates: Vec::new(),
             lease: facts.lease.clone(),
             releases: facts.releases.clone(),
         }
@@ -284,6 +289,25 @@
         self.loads.list(services);
     }
 
+    /// The rates of limited endpoints.
+    pub fn rates(&mut self) -> &mut RateDesk {
+        &mut self.rates
+    }
+
+    /// Notes for which services the reporter was asked since its last report.
+    fn note_asked(&mut self, report: &NodeReport, now: ClockTime) {
+        let before = self.demand_before(report);
+        let was_asked = |asked: &&ServiceDemand| {
+            let known = before.iter().find(|known| known.service == asked.service);
+            known.is_none_or(|known| asked.requests > known.requests)
+        };
+        let services = report.demand.iter().filter(was_asked).map(|asked| &asked.service);
+        let services: Vec<ServiceName> = services.cloned().collect();
+        if !report.card.leaving {
+            self.rates.note_member(&report.card.id, services.iter(), now);
+        }
+    }
+
     fn note_usage(&mut self, report: &NodeReport) {
         let who = (report.card.id.clone(), report.card.life);
         self.note_counts(&who, &report.usage);
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod message;
 pub mod rules;
 pub mod view;
+pub mod words;
 
 pub use account::{NewsAccount, digest_account, report_account};
 pub use clock::{SleepWatch, TrueClock, median_offset, wall_lag};
@@ -33,3 +34,4 @@
 };
 pub use rules::RulesBook;
 pub use view::{MeshView, collect_strength, settled_turn};
+pub use words::{EndpointWords, RateShare, words_mark};
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -2,6 +2,7 @@
 
 use crate::limit_message::{AccountAllotment, AccountClaim, HandedLedger, LimitAsk};
 use crate::loads::{EndpointLoad, LoadNews};
+use crate::words::{EndpointWords, RateShare};
 use compact_str::CompactString;
 use oleander_judge::{BadTrait, EvidenceTally};
 use oleander_kind::hash::mix_bits;
@@ -248,6 +249,12 @@
     /// The same by route, of services of which a roll-out is under way.
     #[serde(rename = "J", default, skip_serializing_if = "Vec::is_empty")]
     pub route_evidence: Vec<RouteEvidence>,
+    /// What endpoints said of themselves that the collector may not know.
+    #[serde(rename = "W", default, skip_serializing_if = "Vec::is_empty")]
+    pub words: Vec<EndpointWords>,
+    /// What it knows of such words, as a mark.
+    #[serde(rename = "P", default)]
+    pub words_mark: u64,
     /// The plans of roll-outs that it goes by, with their numbers.
     #[serde(rename = "O", default, skip_serializing_if = "Vec::is_empty")]
     pub releases: Vec<(ServiceName, u64)>,
@@ -352,6 +359,12 @@
     /// Requests under which endpoints ended, if the mark of the report is another.
     #[serde(rename = "k", default)]
     pub suspects: Option<Vec<SuspectNote>>,
+    /// What endpoints said of themselves, if the mark of the report is another.
+    #[serde(rename = "W", default, skip_serializing_if = "Option::is_none")]
+    pub words: Option<Vec<EndpointWords>>,
+    /// The reporter's parts of what limited endpoints take.
+    #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
+    pub rates: Vec<RateShare>,
     /// The lease, if the collector knows it.
     #[serde(rename = "h")]
     pub lease: Option<LeaseNotice>,
--- a/crates/place/src/board.rs
+++ b/crates/place/src/board.rs
@@ -5,7 +5,10 @@
 use compact_str::CompactString;
 use oleander_judge::BadTrait;
 use oleander_kind::endpoint::{EndpointStage, InstanceMarket};
-use oleander_kind::{ArenaKey, ClockTime, DomainName, InstanceId, ItemArena, ServiceName};
+use oleander_kind::{
+    ArenaKey, ClockTime, DomainName, InstanceId, ItemArena, ServiceName, TimeSpan,
+};
+use oleander_limit::RateBucket;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 
@@ -72,6 +75,8 @@
     pub aside: Option<(BadTrait, ClockTime)>,
     /// The limit that it named for itself, or that it names none any more.
     pub limit: LimitWord,
+    /// This process's part of that limit.
+    pub bucket: RateBucket,
     /// Whether the list lost it at a time when the store may have forgotten it by mistake. It is
     /// used only if there is no other.
     pub doubted: bool,
@@ -97,6 +102,24 @@
     pub fn takes_work(&self) -> bool {
         self.entry.stage == EndpointStage::Live
     }
+
+    /// Whether its own word lets this process send it a request; `lease_now` is by the clock of leases.
+    pub fn is_open(&self, lease_now: ClockTime) -> bool {
+        self.limit.rate.is_none() || self.bucket.is_ready(lease_now)
+    }
+
+    /// In how long it may be sent a request, if its own word forbids it now. Without a part of its limit, that is when
+    /// it takes the next one of any process.
+    pub fn opens_in(&self, lease_now: ClockTime) -> Option<TimeSpan> {
+        let rate = self.limit.rate.filter(|_| !self.is_open(lease_now))?;
+        let any = || TimeSpan((1000.0 / rate.per_s()).ceil() as u64);
+        Some(self.bucket.ready_in(lease_now).unwrap_or_else(any))
+    }
+
+    /// Takes the request that it may be sent now; says whether it may.
+    pub fn take_turn(&mut self, lease_now: ClockTime) -> bool {
+        self.limit.rate.is_none() || self.bucket.take(lease_now)
+    }
 }
 
 /// Ended lives that are remembered: more than attempts can be under way at while they are told.
@@ -170,6 +193,7 @@
             health: HealthRecord::default(),
             aside: None,
             limit: LimitWord::default(),
+            bucket: RateBucket::default(),
             doubted: false,
         });
         self.by_instance.insert(instance, key);
--- a/crates/place/src/choose.rs
+++ b/crates/place/src/choose.rs
@@ -3,7 +3,9 @@
 //! Costs are in [`cost`](crate::cost).
 
 use crate::board::{EndpointBoard, EndpointFact, EndpointKey};
-use crate::cost::{CROSSING_MS, FAILURE_MS, engine_cost, paused_part, plain_cost, reading_work};
+use crate::cost::{
+    CROSSING_MS, FAILURE_MS, TURN_MS, engine_cost, paused_part, plain_cost, reading_work,
+};
 use crate::prefix::PrefixRecord;
 use oleander_call::PromptPart;
 use oleander_kind::hash::{mix_bits, rendezvous_weight};
@@ -46,6 +48,8 @@
     pub salt: u64,
     /// The time.
     pub now: ClockTime,
+    /// The time by the clock of leases.
+    pub lease_now: ClockTime,
 }
 
 /// The endpoint chosen.
@@ -73,7 +77,9 @@
     }
 }
 
-/// Chooses an endpoint; none if the service has none that takes work.
+/// Chooses an endpoint; none if the service has none that takes work, or takes it from this process now.
+///
+/// What endpoints say of themselves binds, whatever else there is to choose from.
 ///
 /// Endpoints that rest after a failure, doubted ones and those that are set aside are left out, unless that
 /// would leave nobody: a wrong suspicion of all of them must not refuse every request.
@@ -82,13 +88,8 @@
     prefixes: &PrefixRecord,
     ask: &PlaceAsk<'_>,
 ) -> Option<PlaceChoice> {
-    let open: Vec<(EndpointKey, &EndpointFact)> = board
-        .of_service(ask.service)
-        .iter()
-        .filter_map(|key| board.get(*key).map(|fact| (*key, fact)))
-        .filter(|(_, fact)| if ask.is_trial { fact.is_tried } else { fact.serves })
-        .filter(|(key, fact)| fact.takes_work() && !ask.tried.contains(key))
-        .collect();
+    let open = asked_ones(board, ask).filter(|(_, fact)| fact.is_open(ask.lease_now));
+    let open: Vec<(EndpointKey, &EndpointFact)> = open.collect();
     let tries_again = ask.repeatable && mix_bits(ask.salt ^ TRIAL_SALT).is_multiple_of(TRIAL_PART);
     let is_sound = |fact: &EndpointFact| tries_again || fact.bad_trait(ask.now).is_none();
     let awake = open
@@ -113,6 +114,23 @@
     best(looked_at(short, None, ask)).or(Some(choice))
 }
 
+/// In how long an endpoint opens that the request could go to, if its own word is all that forbids it now.
+pub fn opens_in(board: &EndpointBoard, ask: &PlaceAsk<'_>) -> Option<TimeSpan> {
+    asked_ones(board, ask).filter_map(|(_, fact)| fact.opens_in(ask.lease_now)).min()
+}
+
+/// The endpoints that a request may go to, as far as they let it.
+fn asked_ones<'a>(
+    board: &'a EndpointBoard,
+    ask: &PlaceAsk<'_>,
+) -> impl Iterator<Item = (EndpointKey, &'a EndpointFact)> {
+    let facts = board.of_service(ask.service).iter();
+    facts
+        .filter_map(|key| board.get(*key).map(|fact| (*key, fact)))
+        .filter(|(_, fact)| if ask.is_trial { fact.is_tried } else { fact.serves })
+        .filter(|(key, fact)| fact.takes_work() && !ask.tried.contains(key))
+}
+
 /// The engines that one request looks at: its home, and one drawn by lot; two by lot if it has no
 /// home. A prompt so long that streams beside it pause looks at [`LONG_LOOKS`].
 ///
@@ -135,7 +153,10 @@
     let draw = |fact: &EndpointFact| mix_bits(ask.salt ^ fact.entry.instance.stable_hash());
     let mut drawn = open;
     drawn.sort_by_cached_key(|(key, fact)| (Some(*key) != home, !fact.is_told, draw(fact)));
+    // A limited engine that may be asked now is idle, and what it could take is lost if nobody looks at it.
+    let limited = drawn.iter().skip(looks).find(|(_, fact)| fact.limit.rate.is_some()).copied();
     drawn.truncate(looks);
+    drawn.extend(limited);
     drawn
 }
 
@@ -180,9 +201,10 @@
     let failing = FAILURE_MS * fact.health.failure_share(ask.now);
     // Under a millisecond: only breaks ties, so that equal endpoints share what comes.
     let tie = mix_bits(ask.salt ^ fact.entry.instance.stable_hash()) as f64 / u64::MAX as f64;
+    let turn = if fact.limit.rate.is_some() { TURN_MS } else { 0.0 };
     let limit = fact.limit.rate.map(|rate| (rate, ask.now - fact.limit.asked_at));
     (
-        work + crossing + failing + tie,
+        work + crossing + failing + tie - turn,
         PlaceChoice { key, tokens_ahead, held, unread, running: fact.requests(), limit },
     )
 }
--- a/crates/place/src/cost.rs
+++ b/crates/place/src/cost.rs
@@ -17,6 +17,8 @@
 const FIRST_TOKEN_MS: f64 = 60.0;
 /// What crossing failure domains costs: two crossings of about 1.5 ms, and bytes that are paid for.
 pub(crate) const CROSSING_MS: f64 = 5.0;
+/// What sending to a limited endpoint gains when it may be asked: what it takes is lost if it is not sent now.
+pub(crate) const TURN_MS: f64 = CROSSING_MS;
 /// An endpoint all of whose places are taken makes a request wait for a whole stream to end.
 const FULL_MS: f64 = 1500.0;
 /// What a certain failure would cost: the time to notice it and to begin again elsewhere.
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod word;
 
 pub use board::{EndpointBoard, EndpointEntry, EndpointFact, EndpointKey, WorkLoad};
-pub use choose::{PlaceAsk, PlaceChoice, choose_endpoint};
+pub use choose::{PlaceAsk, PlaceChoice, choose_endpoint, opens_in};
 pub use cost::expected_first;
 pub use health::{AnswerGrade, HealthRecord};
 pub use pause::PauseRecord;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -38,6 +38,7 @@
 mod plays;
 mod pool;
 mod quota;
+mod rates;
 mod release;
 mod rollout;
 mod roster;
--- a/tests/all/mesh.rs
+++ b/tests/all/mesh.rs
@@ -191,6 +191,8 @@
         releases: Vec::new(),
         suspects: Vec::new(),
         suspects_mark: 0,
+        words: Vec::new(),
+        words_mark: 0,
         unreached: Vec::new(),
         rules_text: None,
         roster_update: None,
--- a/tests/all/pauses.rs
+++ b/tests/all/pauses.rs
@@ -193,6 +193,7 @@
             repeatable: false,
             salt,
             now: ClockTime(START + ms),
+            lease_now: ClockTime(START + ms),
         };
         let process = &mut self.processes[at];
         let choice = choose_endpoint(&process.board, &PrefixRecord::default(), &ask);
--- a/tests/all/place.rs
+++ b/tests/all/place.rs
@@ -80,6 +80,7 @@
             repeatable: self.repeatable,
             salt,
             now: self.now,
+            lease_now: self.now,
         };
         choose_endpoint(board, &self.prefixes, &ask).map(|choice| choice.key)
     }
--- a/tests/all/placing.rs
+++ b/tests/all/placing.rs
@@ -144,6 +144,7 @@
                 repeatable: false,
                 salt,
                 now: ClockTime(now),
+                lease_now: ClockTime(now),
             };
             let one = &mut processes[at];
             let choice = choose_endpoint(&one.board, &one.prefixes, &ask).expect("one of them");
@@ -313,6 +314,7 @@
             repeatable: false,
             salt,
             now: ClockTime(START),
+            lease_now: ClockTime(START),
         };
         let choice = choose_endpoint(&board, &one.prefixes, &ask).expect("one of them");
         shed_until(&choice, &CALM, limit, salt)
--- /dev/null
+++ b/tests/all/rates.rs
@@ -0,0 +1,143 @@
+//! Rates of limited endpoints over many processes, as pure plays: reports that are lost, collectors that change, cuts.
+
+use arbtest::arbtest;
+use oleandertack::kind::{ClockTime, InstanceId, RequestRate, ServiceName, TimeSpan};
+use oleandertack::limit::{RateBucket, RateDesk, RateKey, RatedEndpoint};
+
+const STEP: TimeSpan = TimeSpan(10);
+const REPORT_PERIOD: u64 = 250;
+const START: u64 = 1_000_000;
+/// The operators count over this time, in milliseconds.
+const COUNTED: u64 = 4000;
+
+/// What a play does with its processes.
+#[derive(Clone, Copy, Debug)]
+struct RatePlan {
+    processes: usize,
+    per_s: f64,
+    /// Reports and answers that are lost, in thousandths.
+    lost: u64,
+    /// Requests for the endpoint's service at each process, a second.
+    asked_per_s: f64,
+    /// Between two ends of a collector, in milliseconds; 0 for none. The next one begins without a word.
+    collector_lasts: u64,
+    /// Whether half of the processes report to a collector of their own from the fourth to the twelfth second.
+    cut: bool,
+}
+
+const CALM: RatePlan = RatePlan {
+    processes: 9,
+    per_s: 2.8,
+    lost: 0,
+    asked_per_s: 8.0,
+    collector_lasts: 0,
+    cut: false,
+};
+
+/// Sends at the endpoint, in milliseconds since the start.
+fn sends(plan: RatePlan, lasts: u64, mut draw: impl FnMut(u64) -> u64) -> Vec<u64> {
+    let service = ServiceName::from("s");
+    let names: Vec<InstanceId> =
+        (0..plan.processes).map(|at| format!("front-{at}").as_str().into()).collect();
+    let key = RateKey::of(&"p-0".into(), 7);
+    let rate = RequestRate::per_second(plan.per_s);
+    let mut buckets = vec![RateBucket::default(); plan.processes];
+    let mut desks = [RateDesk::default(), RateDesk::default()];
+    let mut sent = Vec::new();
+    for ms in (0..lasts).step_by(STEP.0 as usize) {
+        let now = ClockTime(START + ms);
+        if plan.collector_lasts > 0 && ms % plan.collector_lasts == 0 {
+            desks = [RateDesk::default(), RateDesk::default()];
+        }
+        let is_cut = plan.cut && (4000..12_000).contains(&ms);
+        for (at, name) in names.iter().enumerate() {
+            let reports = (ms + at as u64 * 37) % REPORT_PERIOD < STEP.0;
+            if reports && draw(1000) >= plan.lost {
+                let desk = &mut desks[usize::from(is_cut && at % 2 == 1)];
+                desk.note_member(name, [&service].into_iter(), now);
+                let endpoint = RatedEndpoint { key, service: &service, rate };
+                let lease = desk.lease(name, endpoint, (plan.processes as u32, now));
+                if let Some(per_s) = lease.filter(|_| draw(1000) >= plan.lost) {
+                    buckets[at].renew(per_s, (now, now));
+                }
+            }
+            let asks = (draw(100_000) as f64) < plan.asked_per_s * STEP.0 as f64 * 100.0;
+            if asks && buckets[at].take(now) {
+                sent.push(ms);
+            }
+        }
+    }
+    sent
+}
+
+fn most_in_window(sent: &[u64]) -> usize {
+    let count = |(at, first): (usize, &u64)| {
+        sent[at..].iter().take_while(|ms| **ms < first + COUNTED).count()
+    };
+    sent.iter().enumerate().map(count).max().unwrap_or_default()
+}
+
+fn seeded(mut state: u64) -> impl FnMut(u64) -> u64 {
+    move |below| {
+        state = oleandertack::kind::hash::mix_bits(state);
+        state % below
+    }
+}
+
+/// An endpoint gets more than it takes, or much less, because of the number of processes that share its rate.
+#[test]
+fn a_rate_is_kept_and_used_at_nine_sixty_and_more_processes() {
+    for processes in [9, 60, 195] {
+        for (at, per_s) in [0.3, 1.0, 2.8, 10.0, 50.0].into_iter().enumerate() {
+            let plan = RatePlan { processes, per_s, asked_per_s: 20.0, ..CALM };
+
+            let sent = sends(plan, 60_000, seeded(at as u64 + 1));
+
+            let most = most_in_window(&sent) as f64;
+            assert!(most <= 4.0 * per_s + 2.0, "{plan:?}: {most}");
+            let used = sent.iter().filter(|ms| **ms > 8000).count() as f64 / 52.0;
+            let offered = 0.9 * plan.asked_per_s * 9.0;
+            assert!(used >= (0.8 * per_s).min(offered), "{plan:?}: {used}");
+        }
+    }
+}
+
+/// An endpoint gets more than the operators allow: reports and answers are lost, collectors end without a word, and the
+/// processes are cut in two.
+#[test]
+fn a_rate_holds_whatever_is_lost_and_whoever_collects() {
+    arbtest(|u| {
+        let plan = RatePlan {
+            processes: u.int_in_range(1..=40)?,
+            per_s: f64::from(u.int_in_range(3_u32..=500)?) / 10.0,
+            lost: u.int_in_range(0..=600)?,
+            asked_per_s: f64::from(u.int_in_range(1_u32..=30)?),
+            collector_lasts: u.int_in_range(0..=5)? * 1500,
+            cut: u.arbitrary()?,
+        };
+        let seed: u64 = u.arbitrary()?;
+
+        let sent = sends(plan, 20_000, seeded(seed));
+
+        let most = most_in_window(&sent) as f64;
+        let allowed = 1.5 * 4.0 * plan.per_s + 5.0;
+        assert!(most <= allowed, "{plan:?} seed {seed}: {most} of {allowed}");
+        Ok(())
+    });
+}
+
+/// An endpoint gets what was saved up while it was not asked, all at once, from a process whose lease ended meanwhile.
+#[test]
+fn nothing_is_saved_up_without_a_lease() {
+    let at = |ms| ClockTime(START + ms);
+    let mut bucket = RateBucket::default();
+    bucket.renew(2.0, (at(0), at(0)));
+    assert!(!bucket.is_ready(at(400)));
+    bucket.renew(2.0, (at(500), at(500)));
+
+    assert!(bucket.is_ready(at(510)));
+    assert!(!bucket.is_ready(at(1101)), "the lease has ended");
+    bucket.renew(2.0, (at(5000), at(5000)));
+    assert!(!bucket.is_ready(at(5400)));
+    assert!(bucket.take(at(5500)) && !bucket.take(at(5510)));
+}
--- a/tests/all/speaking.rs
+++ b/tests/all/speaking.rs
@@ -48,6 +48,18 @@
         most_in(COUNTED, arrivals.iter().filter(knew).map(|came| came.at).filter(|at| *at >= from))
     }
 
+    /// The most requests that came in any [`COUNTED`] time from `from` on.
+    pub fn most_of_all(&self, from: Instant) -> usize {
+        let arrivals = self.arrivals.borrow();
+        most_in(COUNTED, arrivals.iter().map(|came| came.at).filter(|at| *at >= from))
+    }
+
+    /// Requests a second from `from` on.
+    pub fn rate(&self, from: Instant) -> f64 {
+        let count = self.arrivals.borrow().iter().filter(|came| came.at >= from).count();
+        count as f64 / from.elapsed().as_secs_f64()
+    }
+
     fn head(&self) -> String {
         self.limit.get().map_or_else(String::new, |limit| format!("Server-Limit: {limit}\r\n"))
     }
--- a/tests/all/words.rs
+++ b/tests/all/words.rs
@@ -3,6 +3,7 @@
 use crate::front::{request, try_ask};
 use crate::plays::{PlayGroup, play};
 use crate::speaking::{COUNTED, SpeakingEndpoint, WAY, start_speaking};
+use oleandertack::kind::ResultCode;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -79,6 +80,30 @@
         Instant::now()
     }
 
+    /// Asserts that each limited endpoint got what it names and hardly more from `from` on, whoever asked.
+    fn assert_near(&self, (count, per_s): (usize, f64), from: Instant) {
+        let most = 4.0 * per_s + 2.0;
+        for endpoint in self.endpoints.iter().take(count) {
+            let (came, rate) = (endpoint.most_of_all(from) as f64, endpoint.rate(from));
+            assert!(came <= most, "{} got {came} of {most}", endpoint.name);
+            assert!(rate >= 0.8 * per_s, "{} got {rate} a second of {per_s}", endpoint.name);
+        }
+    }
+
+    /// What callers were refused with since the last look.
+    fn take_refused(&self) -> Vec<String> {
+        self.callers.refused.take()
+    }
+
+    /// Kills some processes, and waits until they are back.
+    async fn kill(&mut self, killed: &[usize]) {
+        self.group.kill(killed, Duration::from_secs(1)).await;
+        self.note_addresses();
+        while !self.group.processes.iter().all(|process| process.node.is_ready()) {
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+
     /// Asserts that no limited endpoint got more than the operators allow from processes that it had told.
     fn assert_kept(&self, (count, per_s): (usize, f64), named_at: Instant) {
         let allowed = 1.5 * per_s * COUNTED.as_secs_f64() + 5.0;
@@ -101,3 +126,110 @@
         play.assert_kept((2, 2.8), named_at);
     });
 }
+
+/// An endpoint in need gets less than it takes, or now and then more: its rate is shared out by guess.
+#[test]
+fn what_a_limited_endpoint_takes_is_used_and_hardly_passed() {
+    for per_s in [0.3, 1.0, 2.8, 6.0] {
+        play(async {
+            let play = WordPlay::start(6, 6).await;
+            play.name_limit(2, Some(per_s));
+            sleep(Duration::from_secs(3)).await;
+
+            let from = Instant::now();
+            sleep(Duration::from_secs(24)).await;
+
+            play.assert_near((2, per_s), from);
+            assert_eq!(play.take_refused(), [""; 0], "others stand idle");
+        });
+    }
+}
+
+/// Callers wait until their deadlines, or press an endpoint in need: all endpoints of a service are limited at once.
+#[test]
+fn with_all_endpoints_limited_callers_beyond_that_are_refused_at_once_and_told_when_to_come() {
+    play(async {
+        let play = WordPlay::start(6, 6).await;
+        let named_at = play.name_limit(6, Some(2.8));
+        sleep(Duration::from_secs(3)).await;
+
+        let (from, answered) = (Instant::now(), play.callers.answered.get());
+        play.take_refused();
+        sleep(Duration::from_secs(20)).await;
+
+        play.assert_kept((6, 2.8), named_at);
+        play.assert_near((6, 2.8), from);
+        let refused = play.take_refused();
+        let full = format!("\"code\":{}", ResultCode::EndpointsFull.number());
+        assert!(refused.iter().all(|text| text.contains(&full)), "{:?}", refused.first());
+        assert!(refused.iter().all(|text| retry_after(text) > 0.0));
+        assert!(play.callers.answered.get() > answered + 6 * 2 * 20, "hardly anybody is answered");
+    });
+}
+
+/// An endpoint that is well again goes on getting what it named in need, as its answers no longer name it.
+#[test]
+fn a_limit_that_ends_or_rises_is_learned_by_the_requests_that_are_sent_anyway() {
+    play(async {
+        let play = WordPlay::start(6, 6).await;
+        play.name_limit(2, Some(1.0));
+        sleep(Duration::from_secs(6)).await;
+        play.name_limit(2, Some(6.0));
+        sleep(Duration::from_secs(6)).await;
+        let risen = Instant::now();
+        sleep(Duration::from_secs(12)).await;
+        play.assert_near((2, 6.0), risen);
+
+        play.name_limit(2, None);
+        sleep(Duration::from_secs(4)).await;
+        let ended = Instant::now();
+        sleep(Duration::from_secs(10)).await;
+
+        let rates: Vec<f64> = play.endpoints.iter().map(|endpoint| endpoint.rate(ended)).collect();
+        assert!(rates.iter().all(|rate| *rate > 10.0), "{rates:?}");
+    });
+}
+
+/// An endpoint in need gets several times what it names while the process that hands out its rate changes: the next
+/// one hands it out beside the first.
+#[test]
+fn a_limit_holds_while_the_process_that_hands_it_out_is_killed() {
+    play(async {
+        let mut play = WordPlay::start(6, 6).await;
+        let named_at = play.name_limit(6, Some(4.0));
+        sleep(Duration::from_secs(5)).await;
+        for _ in 0..3 {
+            play.kill(&[play.group.collector()]).await;
+            sleep(Duration::from_secs(7)).await;
+        }
+
+        play.assert_kept((6, 4.0), named_at);
+        let from = Instant::now();
+        sleep(Duration::from_secs(12)).await;
+        play.assert_near((6, 4.0), from);
+    });
+}
+
+/// Endpoints in need are flooded after a kill of all processes: nobody is left that had been told.
+#[test]
+fn after_a_kill_of_all_processes_limits_are_kept_again_once_they_are_heard() {
+    play(async {
+        let mut play = WordPlay::start(6, 6).await;
+        play.name_limit(2, Some(2.8));
+        sleep(Duration::from_secs(5)).await;
+
+        play.kill(&[0, 1, 2, 3, 4, 5]).await;
+        sleep(Duration::from_secs(5)).await;
+        let from = Instant::now();
+        sleep(Duration::from_secs(16)).await;
+
+        play.assert_near((2, 2.8), from);
+    });
+}
+
+/// The header's seconds; 0 if there is none.
+fn retry_after(text: &str) -> f64 {
+    let lines = text.lines().filter_map(|line| line.split_once(':'));
+    let mut told = lines.filter(|(name, _)| name.eq_ignore_ascii_case("retry-after"));
+    told.next().and_then(|(_, value)| value.trim().parse().ok()).unwrap_or_default()
+}
