Orders for endpoints count one at its own limit as what it takes

Callers of a service most of whose engines are limited were refused while no engine was ordered: all that are listed counted as whole ones. The need grows by what limited ones lack of an engine's usual part, at both its peak and its present value; once a limit ends so does that.

Measured: duty::limited_endpoints_count_as_what_they_take (6 engines for 60 requests a second; limits of 1, 5 and 50 cost 1.4).

--- a/crates/duty/src/lib.rs
+++ b/crates/duty/src/lib.rs
@@ -7,7 +7,7 @@
 pub mod usage;
 
 pub use scale::{
-    DomainStand, MarketCount, OrderEnd, OrderMemory, ScaleFacts, ServiceNeed, needed_engines,
-    plan_orders,
+    DomainStand, MarketCount, OrderEnd, OrderMemory, ScaleFacts, ServiceNeed, lost_to_limits,
+    needed_engines, plan_orders,
 };
 pub use usage::{UsageBook, UsageDuty, UsageStep};
--- a/crates/duty/src/scale.rs
+++ b/crates/duty/src/scale.rs
@@ -6,7 +6,7 @@
 
 use oleander_call::{EngineRule, ScaleRule};
 use oleander_kind::endpoint::InstanceMarket;
-use oleander_kind::{ClockTime, DomainName, ServiceName, TimeSpan};
+use oleander_kind::{ClockTime, DomainName, RequestRate, ServiceName, TimeSpan};
 use oleander_plat::ScaleOrder;
 use std::collections::BTreeMap;
 
@@ -110,6 +110,20 @@
     (work / WORK_PART).max(f64::from(running) / places)
 }
 
+/// Engines by which a service has fewer than it counts, as some named a limit: each takes only its `limits`' part of what
+/// an engine gets at which `requests_per_s` need `needed` engines.
+pub fn lost_to_limits(
+    limits: impl Iterator<Item = RequestRate>,
+    requests_per_s: f64,
+    needed: f64,
+) -> f64 {
+    let usual = requests_per_s / needed.max(1.0);
+    if usual <= 0.0 {
+        return 0.0;
+    }
+    limits.map(|limit| 1.0 - (limit.per_s() / usual).min(1.0)).sum()
+}
+
 /// Engine time of one answer token, in ms: a step brings each stream one, so it is shared by as many as should run at once.
 fn token_ms(slots: u32) -> f64 {
     let streams = f64::from(slots.max(1)) * SLOT_PART;
--- a/crates/front/src/duties/orders.rs
+++ b/crates/front/src/duties/orders.rs
@@ -6,8 +6,8 @@
 use crate::releases;
 use oleander_call::{EngineRule, RuleSet, ScaleRule};
 use oleander_duty::{
-    DomainStand, MarketCount, OrderEnd, OrderMemory, ScaleFacts, ServiceNeed, needed_engines,
-    plan_orders,
+    DomainStand, MarketCount, OrderEnd, OrderMemory, ScaleFacts, ServiceNeed, lost_to_limits,
+    needed_engines, plan_orders,
 };
 use oleander_kind::endpoint::InstanceMarket;
 use oleander_kind::{ClockTime, DomainName, ServiceName, TimeSpan};
@@ -75,12 +75,14 @@
         let needed = needed_of(node, &service.name, engine, stand);
         let domains = domain_stands(node, &service.name, scale);
         memory.note_stand(&service.name, &domains, node.clock.now());
+        let needed_now = stand.need.recent_peak(node.clock.now());
+        let lost = lost_endpoints(node, &service.name, needed_now);
         let facts = ScaleFacts {
             service: &service.name,
             rule: scale,
             domains: &domains,
-            needed,
-            needed_now: stand.need.recent_peak(node.clock.now()),
+            needed: needed.map(|needed| needed + lost),
+            needed_now: needed_now + lost,
             baseline: memory.baseline(&service.name),
             now: node.clock.now(),
         };
@@ -96,6 +98,17 @@
     orders
 }
 
+/// Endpoints by which a service has fewer than are listed, as some named a limit.
+fn lost_endpoints(node: &FrontNode, service: &ServiceName, needed: f64) -> f64 {
+    let mesh = node.mesh.borrow();
+    let Some(collector) = mesh.collector.as_ref() else { return 0.0 };
+    let asked = collector.demand_of(service, node.clock.now()).requests;
+    let board = node.endpoints.borrow();
+    let facts = board.of_service(service).iter().filter_map(|key| board.get(*key));
+    let limits = facts.filter(|fact| fact.takes_work()).filter_map(|fact| fact.limit.rate);
+    lost_to_limits(limits, asked, needed)
+}
+
 fn needed_of(
     node: &FrontNode,
     service: &ServiceName,
--- a/tests/all/duty.rs
+++ b/tests/all/duty.rs
@@ -1,13 +1,13 @@
 //! Usage windows and orders for endpoints, in virtual time.
 
 use oleandertack::call::{EngineRule, ScaleRule};
-use oleandertack::duty::scale::needed_engines;
+use oleandertack::duty::scale::{lost_to_limits, needed_engines};
 use oleandertack::duty::{
     DomainStand, MarketCount, OrderEnd, OrderMemory, ScaleFacts, ServiceNeed, UsageBook, UsageDuty,
     UsageStep, plan_orders,
 };
 use oleandertack::kind::endpoint::InstanceMarket;
-use oleandertack::kind::{AccountName, ClockTime, ServiceName, TimeSpan};
+use oleandertack::kind::{AccountName, ClockTime, RequestRate, ServiceName, TimeSpan};
 use oleandertack::plat::ScaleOrder;
 
 const NOW: ClockTime = ClockTime(1_000_000);
@@ -312,3 +312,14 @@
     assert!((many - 23.9).abs() < 0.5, "{many}");
     assert!((few - 72.6).abs() < 1.0, "{few}");
 }
+
+/// No endpoint is ordered while most of a service's take next to nothing: they are listed, and count as whole ones.
+#[test]
+fn limited_endpoints_count_as_what_they_take() {
+    let limits = |per_s: [f64; 3]| per_s.into_iter().map(RequestRate::per_second);
+
+    // 60 requests a second need 6 engines: 10 a second each.
+    assert!((lost_to_limits(limits([1.0, 5.0, 50.0]), 60.0, 6.0) - 1.4).abs() < 1e-9);
+    assert!(lost_to_limits(limits([1.0, 1.0, 1.0]), 0.0, 3.0).abs() < 1e-9);
+    assert!((lost_to_limits(limits([0.5, 0.5, 0.5]), 1.0, 0.2) - 1.5).abs() < 1e-9);
+}
