Limited engines do not hide an overload, and who is refused by a limit is asked for all the same

The queue of a service was compared with all engines that take work, also with limited ones, at which hardly anything waits: with two of three limited it looked a third as long as it was. And a request refused as all were at their limits was not counted as demand, so nothing was ordered for it and its process, which seemed idle, got no lease.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -53,7 +53,7 @@
         self.sent_at = None;
         self.chosen = Some(choice);
         self.note_list_age();
-        self.note_demand(&choice);
+        self.note_demand(choice.unread);
         if self.record.sent() == 0 {
             self.node.note_demand(&self.service, |demand| demand.sent += 1);
         }
@@ -104,14 +104,14 @@
         FirstWait { expected, objective: self.route().objective }
     }
 
-    /// Counts what the request asks of its service.
-    pub(crate) fn note_demand(&self, choice: &PlaceChoice) {
+    /// Counts what the request asks of its service, of which `unread` tokens of its prompt have to be read.
+    pub(crate) fn note_demand(&self, unread: u64) {
         let first = self.record.sent() == 0;
         let answer = self.call.tokens.map_or(0, |tokens| tokens.answer);
         let guess = self.call.length_hint.unwrap_or(answer).min(answer.max(1));
         self.node.note_demand(&self.service, |demand| {
             demand.requests += u64::from(first);
-            demand.unread_tokens += choice.unread;
+            demand.unread_tokens += unread;
             demand.answer_tokens += guess;
         });
     }
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -262,7 +262,7 @@
             };
             if let Some(back_in) = self.overloaded(&choice) {
                 // What is refused is needed all the same: more endpoints are ordered for it.
-                self.note_demand(&choice);
+                self.note_demand(choice.unread);
                 self.chosen = Some(choice);
                 return self.answer.refuse(ResultCode::Overloaded, Some(back_in)).await;
             }
@@ -329,6 +329,9 @@
     async fn refuse_unplaced(&mut self) -> CallOutcome {
         match self.opens_in() {
             Some(back_in) if self.is_refusable() => {
+                if self.record.sent() == 0 {
+                    self.note_demand(self.call.tokens.unwrap_or_default().prompt);
+                }
                 self.answer.refuse(ResultCode::EndpointsFull, Some(back_in)).await
             }
             _ => self.give_up(ResultCode::NoEndpoint).await,
--- a/crates/place/src/board.rs
+++ b/crates/place/src/board.rs
@@ -245,10 +245,12 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Prompt tokens that wait at the endpoints of a service that take work, and how many these are.
+    /// Prompt tokens that wait at the endpoints of a service that take work, and how many these are. Endpoints that named a
+    /// limit are left out: they take what they said, however little waits there.
     pub fn queue_of(&self, service: &ServiceName) -> (u64, u32) {
         let facts = self.of_service(service).iter().filter_map(|key| self.get(*key));
         let working = facts.filter(|fact| fact.takes_work() && fact.serves);
+        let working = working.filter(|fact| fact.limit.rate.is_none());
         working.fold((0, 0), |(queue, count), fact| (queue + fact.unread_tokens(), count + 1))
     }
 
--- a/tests/all/place.rs
+++ b/tests/all/place.rs
@@ -4,9 +4,10 @@
 use oleandertack::judge::BadTrait;
 use oleandertack::kind::endpoint::{EndpointStage, InstanceMarket};
 use oleandertack::kind::hash::mix_bits;
-use oleandertack::kind::{ClockTime, DomainName, ServiceName, TimeSpan};
+use oleandertack::kind::{ClockTime, DomainName, RequestRate, ServiceName, TimeSpan};
 use oleandertack::place::{
-    AnswerGrade, EndpointBoard, EndpointEntry, EndpointKey, PlaceAsk, PrefixRecord, choose_endpoint,
+    AnswerGrade, EndpointBoard, EndpointEntry, EndpointKey, LimitWord, PlaceAsk, PrefixRecord,
+    choose_endpoint,
 };
 
 const NOW: ClockTime = ClockTime(100_000);
@@ -204,3 +205,59 @@
     assert_eq!(chosen.count(), 0);
     assert!(share(NOW + TimeSpan::secs(20)) < 0.05);
 }
+
+/// Names a limit for an endpoint as if it had answered so at [`NOW`].
+fn limit(board: &mut EndpointBoard, key: EndpointKey, per_s: f64) {
+    let rate = Some(RequestRate::per_second(per_s));
+    board.get_mut(key).expect("known").limit = LimitWord { rate, asked_at: NOW };
+}
+
+/// An endpoint in need is sent more than it takes by a way past its limit: as the last resort, as the home of a shared
+/// part, as one that may be well again.
+#[test]
+fn no_way_leads_past_the_limit_that_an_endpoint_named() {
+    let (mut board, keys) = board(2);
+    limit(&mut board, keys[0], 2.0);
+    let other = board.get_mut(keys[1]).expect("known");
+    other.health.note(AnswerGrade::Dead, NOW);
+    other.doubted = true;
+    other.aside = Some((BadTrait::Failing, NOW + TimeSpan::secs(9)));
+    let chooser = Chooser { repeatable: true, ..chooser() };
+
+    for salt in 0..200 {
+        assert_eq!(chooser.choose(&board, &parts(salt, 1), salt), Some(keys[1]));
+    }
+    limit(&mut board, keys[1], 4.0);
+    assert_eq!(chooser.choose(&board, &[], 1), None);
+}
+
+/// All prompts of a limited engine go to the same other one.
+#[test]
+fn what_a_limited_home_sheds_goes_to_several_engines() {
+    let (mut board, keys) = board(6);
+    let chooser = chooser();
+    let home = |board: &EndpointBoard, shared| chooser.choose(board, &parts(shared, 1), 1);
+    let shared: Vec<u64> =
+        (0..200).filter(|shared| home(&board, *shared) == Some(keys[0])).collect();
+    limit(&mut board, keys[0], 2.0);
+
+    let next = |at: usize| shared.iter().filter(|it| home(&board, **it) == Some(keys[at])).count();
+
+    assert!(shared.len() > 10);
+    assert!(
+        (1..6).all(|at| next(at) < shared.len() / 2),
+        "{:?}",
+        (1..6).map(next).collect::<Vec<_>>()
+    );
+}
+
+/// A service is taken for idle, and nobody is refused in time, as limited engines have no queue.
+#[test]
+fn limited_engines_do_not_count_among_those_whose_queues_are_short() {
+    let (mut board, keys) = board(3);
+    board.get_mut(keys[2]).expect("known").own.unread_tokens = 700;
+    limit(&mut board, keys[0], 2.0);
+    limit(&mut board, keys[1], 2.0);
+
+    assert_eq!(board.queue_of(&"engine".into()), (700, 1));
+}
