A limited endpoint is asked again at once after a change of the collector

A bucket began empty after each gap between two collectors' leases, and 0.14 a second fill it in 7 s.

Change: what was saved up before stays while there is no lease, nothing is gained then, and the first lease brings one request.

--- a/crates/limit/src/rate.rs
+++ b/crates/limit/src/rate.rs
@@ -2,7 +2,7 @@
 //!
 //! An endpoint in need says how many requests a second it takes from all processes together. The process that collects
 //! hands that rate out in leases to a few of them; the others send nothing there. A lease ends on its holder's own
-//! clock, and its holder sends by a bucket of little more than one request that begins empty. So whatever the demand, the number of processes, or
+//! clock, and its holder sends by a bucket of little more than one request, which gains nothing without a lease. So whatever the demand, the number of processes, or
 //! the news that are lost, an endpoint that names `n` a second gets at most `4 n + 2` requests in 4 s by the leases of
 //! one collector; nothing is counted, so that nothing has to be known of the time before.
 
--- a/crates/limit/src/rate/bucket.rs
+++ b/crates/limit/src/rate/bucket.rs
@@ -9,7 +9,9 @@
 /// A process's part of an endpoint's rate: a request whenever enough time has passed since the last one.
 ///
 /// All times are by a clock that goes on while the machine is suspended. Nothing is gained without a lease: a holder
-/// that lost one for a while would else send for that time besides what others were handed.
+/// that lost one for a while would else send for that time besides what others were handed. What was saved up before stays, and
+/// the first lease brings one request: a rate of 0.3 a second would else bring nothing for seconds after each change of the
+/// collector.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RateBucket {
     per_s: f64,
@@ -22,7 +24,8 @@
 impl RateBucket {
     /// Takes a lease of `per_s` requests a second that was asked for at `sent_at`.
     pub fn renew(&mut self, per_s: f64, (sent_at, now): (ClockTime, ClockTime)) {
-        self.level = self.level(now);
+        let is_first = self.ends_at == ClockTime::default();
+        self.level = if is_first { 1.0 } else { self.saved(now.min(self.ends_at)) };
         self.filled_at = now;
         self.per_s = per_s;
         self.ends_at = sent_at + ALLOT_TIME;
@@ -33,10 +36,12 @@
         *self = RateBucket::default();
     }
 
+    /// Requests that it may send by its lease.
     fn level(&self, now: ClockTime) -> f64 {
-        if now >= self.ends_at {
-            return 0.0;
-        }
+        if now < self.ends_at { self.saved(now) } else { 0.0 }
+    }
+
+    fn saved(&self, now: ClockTime) -> f64 {
         let gained = self.per_s * seconds(now - self.filled_at);
         (self.level + gained).min(1.0 + self.per_s * seconds(SAVED_TIME))
     }
--- a/crates/limit/src/rate/desk.rs
+++ b/crates/limit/src/rate/desk.rs
@@ -1,7 +1,7 @@
 //! The side that hands out leases.
 
 use super::bucket::SAVED_TIME;
-use crate::pool::ALLOT_TIME;
+use crate::pool::{ALLOT_TIME, ANSWER_TIME};
 use oleander_kind::hash::{mix_bits, rendezvous_weight};
 use oleander_kind::{ClockTime, InstanceId, RequestRate, ServiceName, TimeSpan};
 use std::collections::BTreeMap;
@@ -9,6 +9,9 @@
 /// A process counts here from this long after its first report: until then a collector that it reported to before may
 /// count it, and hand out leases by that.
 const SETTLE_TIME: TimeSpan = TimeSpan(2 * ALLOT_TIME.0);
+/// Nothing is handed out for this long after the first report: holders are chosen once all processes count, as each that
+/// holds a lease for a moment only may send a request.
+const BEGIN_TIME: TimeSpan = TimeSpan(SETTLE_TIME.0 + ANSWER_TIME.0);
 /// A process gets leases for this long after it was last asked for the endpoint's service: a rate that is held where
 /// nobody asks is lost.
 const ASKED_LASTS: TimeSpan = TimeSpan(3000);
@@ -84,6 +87,7 @@
 /// The rates of endpoints, at the process that collects.
 #[derive(Debug, Default)]
 pub struct RateDesk {
+    began_at: Option<ClockTime>,
     members: BTreeMap<InstanceId, DeskMember>,
     rates: BTreeMap<RateKey, HandedRate>,
 }
@@ -96,6 +100,7 @@
         asked: impl Iterator<Item = &'a ServiceName>,
         now: ClockTime,
     ) {
+        self.began_at.get_or_insert(now);
         self.members.retain(|_, member| now - member.heard_at < ALLOT_TIME);
         let member = self.members.entry(id.clone()).or_insert_with(|| DeskMember {
             since: now,
@@ -121,6 +126,9 @@
         endpoint: RatedEndpoint<'_>,
         (serving, now): (u32, ClockTime),
     ) -> Option<f64> {
+        if self.began_at.is_none_or(|at| now < at + BEGIN_TIME) {
+            return None;
+        }
         let counted = self.members.values().filter(|member| counts(member, now)).count();
         let part = (counted as f64 / f64::from(serving.max(1))).min(1.0);
         let rate = endpoint.rate.per_s() * part;
