--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -60,3 +60,16 @@
     assert!(report.pressing.1 > 100, "{:?}", report.pressing);
     std::fs::remove_dir_all(settings.folder).expect("the logs of a run that passed");
 }
+
+/// Operators see endpoints in need get more than the limit that they named, one, a domain's or all, while processes are killed
+/// and stopped.
+#[test]
+fn endpoints_keep_to_their_own_limits_through_a_short_series_of_faults() {
+    let settings = SoakSettings { planned: Duration::from_secs(14), ..settings(10_000) };
+
+    let report = actix_rt::System::new().block_on(run_seed(&settings)).expect("it starts");
+
+    assert!(report.broken.is_empty(), "{:#?}\n{:#?}", report.broken, report.made);
+    assert!(report.counts.0 > 100, "{:?}", report.counts);
+    std::fs::remove_dir_all(settings.folder).expect("the logs of a run that passed");
+}
