That an endpoint leaves, and for how long it wants none, is heard and told; no decision goes by it yet

Story: requests went on to an engine whose answers said that it leaves, and to one that turned all away and asked for 3 s of rest. Nothing logged told whether that was heard.

Change: the adapter reads both words off an answer's head, beside the limit. Lines endpoint_leaving (with the stage and age of the list) and endpoint_rests (with what is left of it, and whether it rested already), counters, the state dump.

No change of what is sent.

--- a/crates/call/src/head.rs
+++ b/crates/call/src/head.rs
@@ -97,6 +97,10 @@
     pub misdirected: bool,
     /// How many requests a second the endpoint takes from all processes together.
     pub limit: SaidWord<RequestRate>,
+    /// Whether the endpoint leaves.
+    pub leaving: SaidWord<bool>,
+    /// For how long the endpoint, which turned the request away, wants none from this process.
+    pub rest: SaidWord<TimeSpan>,
 }
 
 impl AnswerMark {
--- a/crates/front/src/admin.rs
+++ b/crates/front/src/admin.rs
@@ -122,6 +122,8 @@
             "aside": fact.bad_trait(now).map(|bad_trait| format!("{bad_trait:?}")),
             "limit_per_s": fact.limit.rate.map(RequestRate::per_s),
             "limit_age_ms": fact.limit.rate.map(|_| (now - fact.limit.asked_at).0),
+            "said_leaving": fact.said_leaving,
+            "rest_left_ms": (fact.rests_until - node.clock.lease_now()).0,
             "rests": fact.health.rests(now),
             "failure_share": fact.health.failure_share(now),
             "own_requests": fact.own.requests,
--- a/crates/front/src/words.rs
+++ b/crates/front/src/words.rs
@@ -55,6 +55,8 @@
     if mark.misdirected {
         return;
     }
+    hear_leaving(node, key, mark);
+    hear_rest(node, key, mark);
     let rate = match &mark.limit {
         SaidWord::Said(rate) => Some(*rate),
         SaidWord::Absent if owner == AnswerOwner::Own => None,
@@ -64,6 +66,45 @@
     hear_limit(node, key, (LimitWord { rate, asked_at }, WordSource::Answer));
 }
 
+fn hear_leaving(node: &FrontNode, key: EndpointKey, mark: &AnswerMark) {
+    match &mark.leaving {
+        SaidWord::Said(true) => note_leaving(node, key, WordSource::Answer),
+        SaidWord::Said(false) | SaidWord::Absent => {}
+        SaidWord::Unreadable(text) => tell_unreadable(node, key, ("leaving", text)),
+    }
+}
+
+/// Notes that an endpoint leaves.
+fn note_leaving(node: &FrontNode, key: EndpointKey, source: WordSource) {
+    let mut board = node.endpoints.borrow_mut();
+    let Some(fact) = board.get_mut(key).filter(|fact| !fact.said_leaving) else { return };
+    fact.said_leaving = true;
+    node.meter.count_word("leaving", source.name());
+    event!(node, EndpointLeaving;
+        "endpoint" => fact.entry.instance.as_str(), "life" => fact.entry.life,
+        "service" => fact.entry.service.as_str(), "by" => source.name(),
+        "listed" => format!("{:?}", fact.entry.stage),
+        "list_ms" => node.roster_age().map(|age| age.0));
+}
+
+fn hear_rest(node: &FrontNode, key: EndpointKey, mark: &AnswerMark) {
+    let rest = match &mark.rest {
+        SaidWord::Said(rest) => *rest,
+        SaidWord::Absent => return,
+        SaidWord::Unreadable(text) => return tell_unreadable(node, key, ("rest", text)),
+    };
+    let now = node.clock.lease_now();
+    let mut board = node.endpoints.borrow_mut();
+    let Some(fact) = board.get_mut(key) else { return };
+    let rested = now < fact.rests_until;
+    fact.rests_until = fact.rests_until.max(now + rest);
+    node.meter.count_word("rest", WordSource::Answer.name());
+    event!(node, EndpointRests;
+        "endpoint" => fact.entry.instance.as_str(), "life" => fact.entry.life,
+        "service" => fact.entry.service.as_str(), "for_ms" => rest.0,
+        "left_ms" => (fact.rests_until - now).0, "rested" => rested);
+}
+
 /// Takes a limit, or that there is none.
 fn hear_limit(node: &FrontNode, key: EndpointKey, (word, source): (LimitWord, WordSource)) {
     let mut board = node.endpoints.borrow_mut();
--- a/crates/place/src/board.rs
+++ b/crates/place/src/board.rs
@@ -75,7 +75,11 @@
     pub aside: Option<(BadTrait, ClockTime)>,
     /// The limit that it named for itself, or that it names none any more.
     pub limit: LimitWord,
-    /// This process's part of that limit.
+    /// Whether it said in an answer that it leaves.
+    pub said_leaving: bool,
+    /// Until when it wants no request of this process, by the clock of leases.
+    pub rests_until: ClockTime,
+    /// This process's part of its limit.
     pub bucket: RateBucket,
     /// Whether the list lost it at a time when the store may have forgotten it by mistake. It is
     /// used only if there is no other.
@@ -193,6 +197,8 @@
             health: HealthRecord::default(),
             aside: None,
             limit: LimitWord::default(),
+            said_leaving: false,
+            rests_until: ClockTime::default(),
             bucket: RateBucket::default(),
             doubted: false,
         });
--- a/tests/all/adapter.rs
+++ b/tests/all/adapter.rs
@@ -1,6 +1,6 @@
 //! The platform's formats, and the wall around its names.
 
-use actix_http::header::{HeaderName, HeaderValue};
+use actix_http::header::{HeaderName, HeaderValue, RETRY_AFTER};
 use actix_http::{ResponseHead, StatusCode};
 use bytes::Bytes;
 use oleandertack::call::{AnswerMark, AnswerShape, RepeatRule, SaidWord};
@@ -193,3 +193,40 @@
     let twice = heard(&[("server-limit", "3"), ("server-limit", "x"), ("server-limit", "2")]);
     assert_eq!(twice.limit, rate(2.0));
 }
+
+/// An endpoint that leaves is taken for one that stays, or the other way: its word is misread, or other words are taken for it.
+#[test]
+fn that_an_endpoint_leaves_is_read_from_its_answers() {
+    let leaving = |value| heard(&[("server-leaving", value)]).leaving;
+
+    assert_eq!((leaving("1"), leaving("0")), (SaidWord::Said(true), SaidWord::Said(false)));
+    assert!(matches!(leaving("soon"), SaidWord::Unreadable(_)));
+    assert_eq!(heard(&[("connection", "close")]).leaving, SaidWord::Absent);
+    let twice = heard(&[("server-leaving", "0"), ("server-leaving", "1")]);
+    assert_eq!(twice.leaving, SaidWord::Said(true));
+}
+
+/// An endpoint gets requests in its rest, or none for ever: the time that it asked for is misread.
+#[test]
+fn the_rest_that_an_endpoint_asks_for_is_read_from_its_refusals() {
+    let refusal = |values: &[&'static str]| {
+        let mut response = ResponseHead::new(StatusCode::SERVICE_UNAVAILABLE);
+        for value in values {
+            response.headers_mut().append(RETRY_AFTER, HeaderValue::from_static(value));
+        }
+        ObjectsDialect.read_answer(&response).rest
+    };
+    let rest = |ms| SaidWord::Said(TimeSpan(ms));
+
+    assert_eq!(
+        (refusal(&["3"]), refusal(&["0.25"]), refusal(&["0"])),
+        (rest(3000), rest(250), rest(0))
+    );
+    assert_eq!(refusal(&["1e99"]), rest(86_400_000));
+    assert_eq!(refusal(&["1", "soon", "2"]), rest(2000));
+    for text in ["", "soon", "-1", "NaN", "inf", "Wed, 21 Oct 2026 07:28:00 GMT"] {
+        assert!(matches!(refusal(&[text]), SaidWord::Unreadable(_)), "{text}");
+    }
+    assert_eq!(refusal(&[]), SaidWord::Absent);
+    assert_eq!(heard(&[("retry-after", "3")]).rest, SaidWord::Absent);
+}
