--- a/tests/all/speaking.rs
+++ b/tests/all/speaking.rs
@@ -33,9 +33,13 @@
     pub name: String,
     /// Requests a second that it names as its limit.
     pub limit: Cell<Option<f64>>,
+    /// Whether it says that it leaves.
+    pub leaves: Cell<bool>,
     pub arrivals: RefCell<Vec<WayArrival>>,
     /// When it first told a process its limit, by process.
     told: RefCell<HashMap<usize, Instant>>,
+    /// When it first told a process that it leaves, by process.
+    told_leaving: RefCell<HashMap<usize, Instant>>,
 }
 
 impl SpeakingEndpoint {
@@ -60,8 +64,24 @@
         count as f64 / from.elapsed().as_secs_f64()
     }
 
+    /// How long after it first told a process that it leaves a request of that process reached it; the longest.
+    pub fn latest_after_leaving(&self) -> Duration {
+        let told = self.told_leaving.borrow();
+        let late = |came: &WayArrival| Some(came.at - *told.get(&came.process)?);
+        self.arrivals.borrow().iter().filter_map(late).max().unwrap_or_default()
+    }
+
+    /// How long after it first told any process that it leaves a request reached it.
+    pub fn latest_after_any(&self) -> Duration {
+        let first = self.told_leaving.borrow().values().min().copied();
+        let last = self.arrivals.borrow().iter().map(|came| came.at).max();
+        first.zip(last).map(|(first, last)| last - first).unwrap_or_default()
+    }
+
     fn head(&self) -> String {
-        self.limit.get().map_or_else(String::new, |limit| format!("Server-Limit: {limit}\r\n"))
+        let limit = self.limit.get().map(|limit| format!("Server-Limit: {limit}\r\n"));
+        let leaving = self.leaves.get().then(|| "Server-Leaving: 1\r\n".to_owned());
+        limit.into_iter().chain(leaving).collect()
     }
 }
 
@@ -85,8 +105,10 @@
         let endpoint = Rc::new(SpeakingEndpoint {
             name: format!("p-{at}"),
             limit: Cell::default(),
+            leaves: Cell::default(),
             arrivals: RefCell::default(),
             told: RefCell::default(),
+            told_leaving: RefCell::default(),
         });
         registry.put(&endpoint.name, entry_at(address));
         tokio::task::spawn_local(accept(endpoint.clone(), listener));
@@ -115,6 +137,9 @@
         let arrival = WayArrival { at: Instant::now(), process };
         endpoint.arrivals.borrow_mut().push(arrival);
         sleep(RUN_TIME).await;
+        if endpoint.leaves.get() {
+            endpoint.told_leaving.borrow_mut().entry(process).or_insert_with(Instant::now);
+        }
         if endpoint.limit.get().is_some() {
             endpoint.told.borrow_mut().entry(process).or_insert_with(Instant::now);
         }
--- a/tests/all/words.rs
+++ b/tests/all/words.rs
@@ -1,7 +1,7 @@
 //! Endpoints that name a limit for themselves, before several processes, in virtual time.
 
 use crate::front::{request, try_ask};
-use crate::plays::{PlayGroup, play};
+use crate::plays::{PlayGroup, StoreMode, play};
 use crate::speaking::{COUNTED, SpeakingEndpoint, WAY, start_speaking};
 use oleandertack::kind::ResultCode;
 use std::cell::{Cell, RefCell};
@@ -233,3 +233,23 @@
     let mut told = lines.filter(|(name, _)| name.eq_ignore_ascii_case("retry-after"));
     told.next().and_then(|(_, value)| value.trim().parse().ok()).unwrap_or_default()
 }
+
+/// Requests reach an endpoint long after its answers said that it leaves: the store is silent, and the list that all go by
+/// has it as one that takes work.
+#[test]
+fn an_endpoint_that_says_it_leaves_gets_nothing_more_although_the_store_is_silent() {
+    play(async {
+        let play = WordPlay::start(6, 6).await;
+        play.group.set_all(StoreMode::Silent);
+        sleep(Duration::from_millis(500)).await;
+
+        play.endpoints[0].leaves.set(true);
+        sleep(Duration::from_secs(10)).await;
+
+        let (own, any) =
+            (play.endpoints[0].latest_after_leaving(), play.endpoints[0].latest_after_any());
+        assert!(own < Duration::from_secs(1), "{own:?} after the process was told");
+        assert!(any < Duration::from_secs(2), "{any:?} after the first was told");
+        assert_eq!(play.take_refused(), [""; 0], "others stand idle");
+    });
+}
