An endpoint that says it leaves gets no more requests from the process that heard it, nor from the others

What callers saw: their requests went to an engine that was leaving, 2.3 s after its own answers had said so, where 2 s are allowed; at its end they would have been cut.

Cause: that an endpoint leaves was known by the list alone, and the list stands still while the store does. Class: an endpoint's own word was dropped.

Change: heard in any answer of it, the word holds for that life at once: nothing new goes there, its place counts no more among those that serve (orders, overload, roll-outs, judgement), and what breaks there is no sign against its requests. All others are told by the next report and the answers to it. It beats a list that says otherwise, and is remembered beyond the entry, which the list may lose and bring back; a later life begins free.

Ruled out: the list's own news. No process read it between 7.5 and 19.2 s of the record.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -9,10 +9,9 @@
 use actix_http::{RequestHead, ResponseHead, Version};
 use oleander_call::{AnswerMark, AnswerShape, AttemptEnd, AttemptStamp, RepeatRule};
 use oleander_kind::TimeSpan;
-use oleander_kind::endpoint::EndpointStage;
 use oleander_outlet::{IdleLink, LinkError, SentLink, SocketBounds};
 use oleander_pace::ReadSample;
-use oleander_place::{AnswerGrade, EndpointKey, PlaceChoice, expected_first};
+use oleander_place::{AnswerGrade, EndpointFact, EndpointKey, PlaceChoice, expected_first};
 use oleander_suspect::{BrokenTimes, EndedLife};
 use std::io;
 use std::net::SocketAddr;
@@ -76,13 +75,13 @@
         let (Some((life, address)), Some(sent_at)) = (self.ran_at.clone(), self.sent_at) else {
             return;
         };
-        let (stage, lived_at) = {
+        let (takes_work, lived_at) = {
             let board = self.node.endpoints.borrow();
             let fact = board.get(key);
             let lived_at = fact.map(|fact| fact.health.good_at()).unwrap_or_default();
-            (fact.map(|fact| fact.entry.stage), lived_at)
+            (fact.map(EndpointFact::takes_work), lived_at)
         };
-        if stage == Some(EndpointStage::Leaving) {
+        if takes_work == Some(false) {
             return;
         }
         let was_cut = match end {
@@ -93,7 +92,7 @@
         let at = self.node.clock.now();
         let ran = TimeSpan(sent_at.elapsed().as_millis() as u64);
         let times = BrokenTimes { sent_at: at - ran, lived_at, at };
-        let may_look = was_cut && stage.is_some();
+        let may_look = was_cut && takes_work.is_some();
         let broken = BrokenAttempt { life, address, times, may_look };
         suspects::note_broken(self.node, self.print, broken);
     }
@@ -145,8 +144,8 @@
 
     fn target(&self, key: EndpointKey) -> Option<AttemptTarget> {
         let board = self.node.endpoints.borrow();
-        let entry = &board.get(key)?.entry;
-        let usable = entry.stage == EndpointStage::Live;
+        let fact = board.get(key)?;
+        let (entry, usable) = (&fact.entry, fact.takes_work());
         let life = suspects::life_of(entry);
         usable.then_some(AttemptTarget { key, life, address: entry.address })
     }
--- a/crates/front/src/words.rs
+++ b/crates/front/src/words.rs
@@ -5,10 +5,11 @@
 
 mod outbox;
 
-pub use outbox::WordOutbox;
+pub use outbox::{SaidState, WordOutbox};
 
 use crate::events::event;
 use crate::node::FrontNode;
+use crate::suspects;
 use oleander_call::{AnswerMark, SaidWord};
 use oleander_kind::{ClockTime, RequestRate, ResultCode, TimeSpan};
 use oleander_limit::{RateKey, RatedEndpoint};
@@ -17,6 +18,7 @@
     words_mark,
 };
 use oleander_place::{EndpointFact, EndpointKey, LimitWord};
+use oleander_suspect::EndedLife;
 use std::collections::HashMap;
 
 /// From whom a word was heard.
@@ -68,23 +70,32 @@
 
 fn hear_leaving(node: &FrontNode, key: EndpointKey, mark: &AnswerMark) {
     match &mark.leaving {
-        SaidWord::Said(true) => note_leaving(node, key, WordSource::Answer),
-        SaidWord::Said(false) | SaidWord::Absent => {}
-        SaidWord::Unreadable(text) => tell_unreadable(node, key, ("leaving", text)),
+        SaidWord::Said(true) => {}
+        SaidWord::Said(false) | SaidWord::Absent => return,
+        SaidWord::Unreadable(text) => return tell_unreadable(node, key, ("leaving", text)),
+    }
+    let life = node.endpoints.borrow().get(key).map(|fact| suspects::life_of(&fact.entry));
+    if let Some(life) = life
+        && note_leaving(node, &life, WordSource::Answer)
+    {
+        node.words.borrow_mut().add(key);
     }
 }
 
-/// Notes that an endpoint leaves.
-fn note_leaving(node: &FrontNode, key: EndpointKey, source: WordSource) {
+/// Notes that an endpoint leaves; says whether that is news.
+fn note_leaving(node: &FrontNode, life: &EndedLife, source: WordSource) -> bool {
     let mut board = node.endpoints.borrow_mut();
-    let Some(fact) = board.get_mut(key).filter(|fact| !fact.said_leaving) else { return };
-    fact.said_leaving = true;
+    if !board.note_leaving(&life.instance, life.life) {
+        return false;
+    }
+    let fact = board.key(&life.instance).and_then(|key| board.get(key));
     node.meter.count_word("leaving", source.name());
     event!(node, EndpointLeaving;
-        "endpoint" => fact.entry.instance.as_str(), "life" => fact.entry.life,
-        "service" => fact.entry.service.as_str(), "by" => source.name(),
-        "listed" => format!("{:?}", fact.entry.stage),
+        "endpoint" => life.instance.as_str(), "life" => life.life, "by" => source.name(),
+        "service" => fact.map(|fact| fact.entry.service.as_str()),
+        "listed" => fact.map(|fact| format!("{:?}", fact.entry.stage)),
         "list_ms" => node.roster_age().map(|age| age.0));
+    true
 }
 
 fn hear_rest(node: &FrontNode, key: EndpointKey, mark: &AnswerMark) {
@@ -158,18 +169,33 @@
 
 fn words_of(fact: &EndpointFact, now: ClockTime) -> Option<EndpointWords> {
     let LimitWord { rate, asked_at } = fact.limit;
-    (asked_at > ClockTime(0)).then(|| EndpointWords {
+    said_anything(fact).then(|| EndpointWords {
         instance: fact.entry.instance.clone(),
         life: fact.entry.life,
         limit: rate,
         age: now - asked_at,
+        leaves: fact.said_leaving,
     })
 }
 
+/// Whether it ever said something in this life that all processes are to know.
+fn said_anything(fact: &EndpointFact) -> bool {
+    fact.said_leaving || fact.limit.asked_at > ClockTime(0)
+}
+
+/// What it said last, for comparison.
+fn said_of(fact: &EndpointFact) -> SaidState {
+    SaidState { limit: fact.limit.rate, leaves: fact.said_leaving }
+}
+
 /// Takes what another process tells, `late` after it was written at the most.
 pub(crate) fn take_told(node: &FrontNode, told: &[EndpointWords], late: TimeSpan) {
     let now = node.clock.now();
     for words in told {
+        if words.leaves {
+            let life = EndedLife { instance: words.instance.clone(), life: words.life };
+            note_leaving(node, &life, WordSource::Told);
+        }
         let key = {
             let board = node.endpoints.borrow();
             let key = board.key(&words.instance);
@@ -185,12 +211,13 @@
 /// Takes all that the collector knows, and notes what of it is out of date.
 pub(crate) fn take_all(node: &FrontNode, told: &[EndpointWords], late: TimeSpan) {
     take_told(node, told, late);
+    let state = |words: &EndpointWords| SaidState { limit: words.limit, leaves: words.leaves };
     let told: HashMap<_, _> =
-        told.iter().map(|words| ((&words.instance, words.life), words.limit)).collect();
+        told.iter().map(|words| ((&words.instance, words.life), state(words))).collect();
     let board = node.endpoints.borrow();
     let mut outbox = node.words.borrow_mut();
-    for (key, fact) in board.iter().filter(|(_, fact)| fact.limit.asked_at > ClockTime(0)) {
-        if told.get(&(&fact.entry.instance, fact.entry.life)) != Some(&fact.limit.rate) {
+    for (key, fact) in board.iter().filter(|(_, fact)| said_anything(fact)) {
+        if told.get(&(&fact.entry.instance, fact.entry.life)) != Some(&said_of(fact)) {
             outbox.add(key);
         }
     }
@@ -200,15 +227,14 @@
 pub(crate) fn next_told(node: &FrontNode) -> Vec<EndpointWords> {
     let now = node.clock.now();
     let board = node.endpoints.borrow();
-    let word_of = |key| board.get(key).map(|fact| fact.limit);
-    let keys = node.words.borrow_mut().next_told(word_of);
+    let keys = node.words.borrow_mut().next_told(|key| board.get(key).map(said_of));
     keys.into_iter().filter_map(|key| words_of(board.get(key)?, now)).collect()
 }
 
 /// Notes that the last report was answered.
 pub(crate) fn note_taken(node: &FrontNode) {
     let board = node.endpoints.borrow();
-    node.words.borrow_mut().taken(|key| board.get(key).map(|fact| fact.limit));
+    node.words.borrow_mut().taken(|key| board.get(key).map(said_of));
 }
 
 /// Adds to the collector's answer what endpoints said, if the reporter knows other than that, and its parts of what limited
--- a/crates/mesh/src/words.rs
+++ b/crates/mesh/src/words.rs
@@ -20,12 +20,16 @@
     /// How long ago the request was sent whose answer said so.
     #[serde(rename = "g")]
     pub age: TimeSpan,
+    /// Whether it leaves.
+    #[serde(rename = "x", default)]
+    pub leaves: bool,
 }
 
 impl EndpointWords {
     fn mark(&self) -> u64 {
         let limit = self.limit.map_or(0, |rate| 1 + rate.per_s().to_bits());
-        mix_bits(self.instance.stable_hash() ^ mix_bits(self.life) ^ mix_bits(limit))
+        let said = mix_bits(limit ^ mix_bits(u64::from(self.leaves)));
+        mix_bits(self.instance.stable_hash() ^ mix_bits(self.life) ^ said)
     }
 }
 
--- a/crates/place/src/board.rs
+++ b/crates/place/src/board.rs
@@ -102,9 +102,9 @@
         self.aside.filter(|(_, until)| now < *until).map(|(bad_trait, _)| bad_trait)
     }
 
-    /// Whether it takes new requests.
+    /// Whether it takes new requests: by the list, and by its own word, which the list may lag behind.
     pub fn takes_work(&self) -> bool {
-        self.entry.stage == EndpointStage::Live
+        self.entry.stage == EndpointStage::Live && !self.said_leaving
     }
 
     /// Whether its own word lets this process send it a request; `lease_now` is by the clock of leases.
@@ -129,6 +129,9 @@
 /// Ended lives that are remembered: more than attempts can be under way at while they are told.
 const ENDED_KEPT: usize = 256;
 
+/// Lives that said that they leave, as many as are remembered: a wave of a large fleet, and the one before.
+const LEAVING_KEPT: usize = 1024;
+
 /// All endpoints.
 #[derive(Default)]
 pub struct EndpointBoard {
@@ -136,6 +139,8 @@
     by_instance: HashMap<InstanceId, EndpointKey>,
     by_service: BTreeMap<ServiceName, Vec<EndpointKey>>,
     ended: VecDeque<EndpointKey>,
+    /// Lives that said that they leave, also after the list lost them: it may bring them back as ones that stay.
+    leaving: VecDeque<(InstanceId, u64)>,
 }
 
 impl EndpointBoard {
@@ -179,6 +184,24 @@
         }
     }
 
+    /// Notes that the life of `instance` that began at `life` said that it leaves; says whether that is news.
+    pub fn note_leaving(&mut self, instance: &InstanceId, life: u64) -> bool {
+        let said = (instance.clone(), life);
+        if self.leaving.contains(&said) {
+            return false;
+        }
+        self.leaving.push_back(said);
+        if self.leaving.len() > LEAVING_KEPT {
+            self.leaving.pop_front();
+        }
+        if let Some(key) = self.key(instance)
+            && let Some(fact) = self.facts.get_mut(key).filter(|fact| fact.entry.life == life)
+        {
+            fact.said_leaving = true;
+        }
+        true
+    }
+
     /// Whether a later life of its instance has taken the place of `key`: nothing more comes of what
     /// was sent there.
     pub fn has_ended(&self, key: EndpointKey) -> bool {
@@ -187,6 +210,7 @@
 
     fn insert(&mut self, entry: EndpointEntry) -> EndpointKey {
         let (instance, service) = (entry.instance.clone(), entry.service.clone());
+        let said_leaving = self.leaving.contains(&(instance.clone(), entry.life));
         let key = self.facts.insert(EndpointFact {
             entry,
             own: WorkLoad::default(),
@@ -197,7 +221,7 @@
             health: HealthRecord::default(),
             aside: None,
             limit: LimitWord::default(),
-            said_leaving: false,
+            said_leaving,
             rests_until: ClockTime::default(),
             bucket: RateBucket::default(),
             doubted: false,
--- a/tests/all/place.rs
+++ b/tests/all/place.rs
@@ -261,3 +261,29 @@
 
     assert_eq!(board.queue_of(&"engine".into()), (700, 1));
 }
+
+/// An endpoint that leaves is sent requests again: the list loses its entry and brings it back as one that stays, or tells of
+/// it later than the endpoint itself. A later life of it serves.
+#[test]
+fn an_endpoint_that_said_it_leaves_does_so_until_a_later_life() {
+    let entry = |life| EndpointEntry { life, ..entry_of("i-0", "kopli") };
+    let takes_work = |board: &EndpointBoard| {
+        let key = board.key(&"i-0".into()).and_then(|key| board.get(key));
+        key.map(|fact| fact.takes_work())
+    };
+    let mut board = EndpointBoard::default();
+    assert!(board.note_leaving(&"i-0".into(), 5));
+    board.put(entry(5));
+    assert_eq!(takes_work(&board), Some(false), "it spoke before the list did");
+
+    board.put(entry(5));
+    board.remove(&"i-0".into());
+    board.put(EndpointEntry { service: "other".into(), ..entry(5) });
+    board.put(entry(5));
+    assert_eq!(takes_work(&board), Some(false));
+
+    board.put(entry(6));
+    assert_eq!(takes_work(&board), Some(true));
+    assert!(!board.note_leaving(&"i-0".into(), 5), "it is known");
+    assert_eq!(takes_work(&board), Some(true));
+}
