A failing test: endpoints that ask for rest are asked all the same

What callers see: they are refused one after the other by an endpoint that had asked for no requests, and wait for it.

--- a/tests/all/speaking.rs
+++ b/tests/all/speaking.rs
@@ -35,11 +35,15 @@
     pub limit: Cell<Option<f64>>,
     /// Whether it says that it leaves.
     pub leaves: Cell<bool>,
+    /// Seconds of rest for which it asks, turning all requests away.
+    pub rest: Cell<Option<f64>>,
     pub arrivals: RefCell<Vec<WayArrival>>,
     /// When it first told a process its limit, by process.
     told: RefCell<HashMap<usize, Instant>>,
     /// When it first told a process that it leaves, by process.
     told_leaving: RefCell<HashMap<usize, Instant>>,
+    /// Its refusals: when, to which process, and for how many seconds of rest it asked.
+    refusals: RefCell<Vec<(Instant, usize, f64)>>,
 }
 
 impl SpeakingEndpoint {
@@ -78,6 +82,17 @@
         first.zip(last).map(|(first, last)| last - first).unwrap_or_default()
     }
 
+    /// The most requests of one process between half a second after a refusal that asked it for rest, and the end of that.
+    pub fn most_in_rest(&self) -> usize {
+        let arrivals = self.arrivals.borrow();
+        let within = |(at, process, seconds): &(Instant, usize, f64)| {
+            let rest = *at + HEARD..*at + Duration::from_secs_f64(*seconds);
+            let came = |came: &&WayArrival| came.process == *process && rest.contains(&came.at);
+            arrivals.iter().filter(came).count()
+        };
+        self.refusals.borrow().iter().map(within).max().unwrap_or_default()
+    }
+
     fn head(&self) -> String {
         let limit = self.limit.get().map(|limit| format!("Server-Limit: {limit}\r\n"));
         let leaving = self.leaves.get().then(|| "Server-Leaving: 1\r\n".to_owned());
@@ -106,9 +121,11 @@
             name: format!("p-{at}"),
             limit: Cell::default(),
             leaves: Cell::default(),
+            rest: Cell::default(),
             arrivals: RefCell::default(),
             told: RefCell::default(),
             told_leaving: RefCell::default(),
+            refusals: RefCell::default(),
         });
         registry.put(&endpoint.name, entry_at(address));
         tokio::task::spawn_local(accept(endpoint.clone(), listener));
@@ -136,6 +153,18 @@
         let process = request.header(WAY).and_then(|text| text.parse().ok()).unwrap_or_default();
         let arrival = WayArrival { at: Instant::now(), process };
         endpoint.arrivals.borrow_mut().push(arrival);
+        if let Some(seconds) = endpoint.rest.get() {
+            let refusal = format!(
+                "HTTP/1.1 503 Service Unavailable\r\nX-Oleandertack-Request-Id: {id}\r\n\
+                 X-Oleandertack-Not-Executed: 1\r\nRetry-After: {seconds}\r\n\
+                 Content-Length: 0\r\n\r\n"
+            );
+            endpoint.refusals.borrow_mut().push((Instant::now(), process, seconds));
+            if stream.write_all(refusal.as_bytes()).await.is_err() {
+                return;
+            }
+            continue;
+        }
         sleep(RUN_TIME).await;
         if endpoint.leaves.get() {
             endpoint.told_leaving.borrow_mut().entry(process).or_insert_with(Instant::now);
--- a/tests/all/words.rs
+++ b/tests/all/words.rs
@@ -253,3 +253,20 @@
         assert_eq!(play.take_refused(), [""; 0], "others stand idle");
     });
 }
+
+/// An endpoint that asked a process for rest gets its requests all the same, as all of its service do, or all but one: the
+/// refusal is forgotten with its request, and whoever failed is asked where nobody else is.
+#[test]
+fn an_endpoint_that_asks_for_rest_gets_none_of_that_process_until_its_end() {
+    for (resting, seconds) in [(1, 12.0), (5, 3.0), (6, 0.8), (6, 3.0), (6, 12.0)] {
+        play(async {
+            let play = WordPlay::start(6, 6).await;
+
+            play.endpoints[..resting].iter().for_each(|one| one.rest.set(Some(seconds)));
+            sleep(Duration::from_secs_f64(seconds * 2.5 + 2.0)).await;
+
+            let most = play.endpoints.iter().map(|endpoint| endpoint.most_in_rest()).max();
+            assert!(most <= Some(2), "{most:?} in a rest of {seconds} s of {resting}");
+        });
+    }
+}
