--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -7,7 +7,7 @@
 use crate::work::{FirstWait, WorkGuard};
 use crate::{releases, stream, suspects, whole, words};
 use actix_http::{RequestHead, ResponseHead, Version};
-use oleander_call::{AnswerMark, AnswerShape, AttemptEnd, AttemptStamp, RepeatRule};
+use oleander_call::{AnswerMark, AnswerShape, AttemptEnd, AttemptStamp, RepeatRule, SaidWord};
 use oleander_kind::TimeSpan;
 use oleander_outlet::{IdleLink, LinkError, SentLink, SocketBounds};
 use oleander_pace::ReadSample;
@@ -314,6 +314,7 @@
             self.note_failure(target, work, AnswerGrade::Bad);
             return AttemptOutcome::Ended(AttemptEnd::Broken, None);
         }
+        let asks_for_rest = matches!(mark.rest, SaidWord::Said(_));
         let body = sent.into_body(&head);
         let (outcome, link) = if events {
             stream::pass_events(self, body, head, work).await
@@ -326,6 +327,10 @@
                 work.answered();
             }
             AttemptOutcome::CallerGone => {}
+            // It is sound, and says when it takes requests again.
+            AttemptOutcome::Ended(AttemptEnd::RefusedNotRun, _) if asks_for_rest => {
+                self.tried.push(target.key);
+            }
             AttemptOutcome::Ended(..) => {
                 self.tried.push(target.key);
                 self.note_failure(target, work, AnswerGrade::Bad);
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -35,6 +35,10 @@
 /// or found again within about this time.
 const RETURN_TIME: TimeSpan = TimeSpan(300);
 
+/// When a caller may come back whom an endpoint turned away that rests from now on, while others are open: its next request
+/// goes to one of those.
+const ELSEWHERE_RETURN: TimeSpan = TimeSpan(20);
+
 /// When a caller that met a stopping process may come back: its next connection goes elsewhere.
 const LEAVING_RETURN: TimeSpan = TimeSpan(20);
 
@@ -334,10 +338,21 @@
                 }
                 self.answer.refuse(ResultCode::EndpointsFull, Some(back_in)).await
             }
+            None if self.is_refusable() && self.was_asked_for_rest() => {
+                self.answer.refuse(ResultCode::NoEndpoint, Some(ELSEWHERE_RETURN)).await
+            }
             _ => self.give_up(ResultCode::NoEndpoint).await,
         }
     }
 
+    /// Whether the endpoint of the last attempt turned it away for a while, and another one is open.
+    fn was_asked_for_rest(&self) -> bool {
+        let now = self.node.clock.lease_now();
+        let board = self.node.endpoints.borrow();
+        let last = self.tried.last().and_then(|key| board.get(*key));
+        last.is_some_and(|fact| now < fact.rests_until) && self.choose().is_some()
+    }
+
     /// Whether "not run" would be true, and nothing of an answer has left.
     fn is_refusable(&self) -> bool {
         !self.record.may_have_run() && self.answer.stage() == AnswerStage::Waiting
--- a/crates/place/src/board.rs
+++ b/crates/place/src/board.rs
@@ -109,20 +109,27 @@
 
     /// Whether its own word lets this process send it a request; `lease_now` is by the clock of leases.
     pub fn is_open(&self, lease_now: ClockTime) -> bool {
-        self.limit.rate.is_none() || self.bucket.is_ready(lease_now)
+        let has_turn = self.limit.rate.is_none() || self.bucket.is_ready(lease_now);
+        has_turn && lease_now >= self.rests_until
     }
 
-    /// In how long it may be sent a request, if its own word forbids it now. Without a part of its limit, that is when
-    /// it takes the next one of any process.
+    /// In how long it may be sent a request, if its own word forbids it now.
     pub fn opens_in(&self, lease_now: ClockTime) -> Option<TimeSpan> {
-        let rate = self.limit.rate.filter(|_| !self.is_open(lease_now))?;
+        let turn_in = self.turn_in(lease_now).unwrap_or_default();
+        (!self.is_open(lease_now)).then(|| turn_in.max(self.rests_until - lease_now))
+    }
+
+    /// In how long its limit lets a request of this process in. Without a part of that, it is when it takes the next one of
+    /// any process.
+    fn turn_in(&self, lease_now: ClockTime) -> Option<TimeSpan> {
+        let rate = self.limit.rate?;
         let any = || TimeSpan((1000.0 / rate.per_s()).ceil() as u64);
         Some(self.bucket.ready_in(lease_now).unwrap_or_else(any))
     }
 
     /// Takes the request that it may be sent now; says whether it may.
     pub fn take_turn(&mut self, lease_now: ClockTime) -> bool {
-        self.limit.rate.is_none() || self.bucket.take(lease_now)
+        self.is_open(lease_now) && (self.limit.rate.is_none() || self.bucket.take(lease_now))
     }
 }
 
--- a/crates/place/src/choose.rs
+++ b/crates/place/src/choose.rs
@@ -114,9 +114,11 @@
     best(looked_at(short, None, ask)).or(Some(choice))
 }
 
-/// In how long an endpoint opens that the request could go to, if its own word is all that forbids it now.
+/// In how long an endpoint opens that the request could go to, if their own words are all that forbids it now. None if one
+/// is open.
 pub fn opens_in(board: &EndpointBoard, ask: &PlaceAsk<'_>) -> Option<TimeSpan> {
-    asked_ones(board, ask).filter_map(|(_, fact)| fact.opens_in(ask.lease_now)).min()
+    let waits = asked_ones(board, ask).map(|(_, fact)| fact.opens_in(ask.lease_now));
+    waits.collect::<Option<Vec<TimeSpan>>>()?.into_iter().min()
 }
 
 /// The endpoints that a request may go to, as far as they let it.
--- a/tests/all/words.rs
+++ b/tests/all/words.rs
@@ -1,8 +1,12 @@
 //! Endpoints that name a limit for themselves, before several processes, in virtual time.
 
-use crate::front::{request, try_ask};
+use crate::front::{ask, front_with, request, run, still_store, try_ask};
 use crate::plays::{PlayGroup, StoreMode, play};
+use crate::scripted::{Act, scripted};
 use crate::speaking::{COUNTED, SpeakingEndpoint, WAY, start_speaking};
+use oleandertack::board::NodeClock;
+use oleandertack::conf::FrontBounds;
+use oleandertack::front::FrontPorts;
 use oleandertack::kind::ResultCode;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -270,3 +274,30 @@
         });
     }
 }
+
+/// A service's endpoints are taken for bad, and come back late after their rest: that they ask for it is noted as a failure.
+/// Callers wait although other endpoints are idle: they are told to come back as if none were.
+#[test]
+fn a_refusal_that_asks_for_rest_is_no_failure_and_its_caller_may_come_back_at_once() {
+    run(async {
+        let refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Oleandertack-Request-Id: {id}\r\n\
+            X-Oleandertack-Not-Executed: 1\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n";
+        let answer = "HTTP/1.1 200 OK\r\nX-Oleandertack-Request-Id: {id}\r\n\
+            X-Oleandertack-Response-Seal: seal\r\nContent-Length: 2\r\n\r\nok";
+        let says = |text: &str| scripted(vec![vec![Act::Say(text.to_owned())]]);
+        let (resting, idle) = (says(refusal).await, says(answer).await);
+        let store = Box::new(still_store(&[resting.address, idle.address]));
+        let ports = FrontPorts { store, cloud: None, clock: NodeClock::default() };
+        let (process, address) = front_with(ports, FrontBounds::default()).await;
+
+        let first = ask(address, &request("GET", "/open/a", "r1", "", "")).await;
+        let second = ask(address, &request("GET", "/open/a", "r2", "", "")).await;
+
+        assert_eq!((first.status(), second.status()), ("503", "200"));
+        assert!(retry_after(&first.text) < 0.1, "{}", first.text);
+        assert_eq!(resting.seen.borrow().requests.len(), 1);
+        let (board, now) = (process.node.endpoints.borrow(), process.node.clock.now());
+        let fact = board.key(&"i-0".into()).and_then(|key| board.get(key)).expect("listed");
+        assert!(fact.health.failure_share(now) < 1e-9);
+    });
+}
