What endpoints said of themselves stands in one place, and outlasts their entries

A limit or a rest was forgotten when the list lost the endpoint's entry and brought it back: the board began that life anew. Now OwnWords holds limit, part of it, leaving and rest of a life, answers whether it is open and when it opens, and is kept, bounded, while the life is not listed.

Test: place::what_an_endpoint_said_outlasts_its_entry.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -154,7 +154,7 @@
     fn take_turn(&self, key: EndpointKey) -> bool {
         let now = self.node.clock.lease_now();
         let mut board = self.node.endpoints.borrow_mut();
-        board.get_mut(key).is_some_and(|fact| fact.take_turn(now))
+        board.get_mut(key).is_some_and(|fact| fact.said.take_turn(now))
     }
 
     async fn attempt_at(&mut self, target: &AttemptTarget, work: &mut WorkGuard) -> AttemptOutcome {
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -350,7 +350,7 @@
         let now = self.node.clock.lease_now();
         let board = self.node.endpoints.borrow();
         let last = self.tried.last().and_then(|key| board.get(*key));
-        last.is_some_and(|fact| now < fact.rests_until) && self.choose().is_some()
+        last.is_some_and(|fact| now < fact.said.rests_until) && self.choose().is_some()
     }
 
     /// Whether "not run" would be true, and nothing of an answer has left.
--- a/crates/front/src/words.rs
+++ b/crates/front/src/words.rs
@@ -107,29 +107,29 @@
     let now = node.clock.lease_now();
     let mut board = node.endpoints.borrow_mut();
     let Some(fact) = board.get_mut(key) else { return };
-    let rested = now < fact.rests_until;
-    fact.rests_until = fact.rests_until.max(now + rest);
+    let rested = now < fact.said.rests_until;
+    fact.said.rests_until = fact.said.rests_until.max(now + rest);
     node.meter.count_word("rest", WordSource::Answer.name());
     event!(node, EndpointRests;
         "endpoint" => fact.entry.instance.as_str(), "life" => fact.entry.life,
         "service" => fact.entry.service.as_str(), "for_ms" => rest.0,
-        "left_ms" => (fact.rests_until - now).0, "rested" => rested);
+        "left_ms" => (fact.said.rests_until - now).0, "rested" => rested);
 }
 
 /// Takes a limit, or that there is none.
 fn hear_limit(node: &FrontNode, key: EndpointKey, (word, source): (LimitWord, WordSource)) {
     let mut board = node.endpoints.borrow_mut();
     let Some(fact) = board.get_mut(key) else { return };
-    let was_never_limited = word.rate.is_none() && fact.limit.rate.is_none();
-    if was_never_limited || !word.replaces(&fact.limit) {
+    let was_never_limited = word.rate.is_none() && fact.said.limit.rate.is_none();
+    if was_never_limited || !word.replaces(&fact.said.limit) {
         return;
     }
-    let before = std::mem::replace(&mut fact.limit, word);
+    let before = std::mem::replace(&mut fact.said.limit, word);
     if before.rate == word.rate {
         return;
     }
     if word.rate.is_none() {
-        fact.bucket.end();
+        fact.said.bucket.end();
     }
     tell_limit(node, fact, (before.rate, source));
     if source == WordSource::Answer {
@@ -143,7 +143,7 @@
     (before, source): (Option<RequestRate>, WordSource),
 ) {
     let per_s = |rate: Option<RequestRate>| rate.map(RequestRate::per_s);
-    let LimitWord { rate, asked_at } = fact.limit;
+    let LimitWord { rate, asked_at } = fact.said.limit;
     node.meter.count_word("limit", source.name());
     event!(node, EndpointLimit;
         "endpoint" => fact.entry.instance.as_str(), "life" => fact.entry.life,
@@ -168,24 +168,19 @@
 }
 
 fn words_of(fact: &EndpointFact, now: ClockTime) -> Option<EndpointWords> {
-    let LimitWord { rate, asked_at } = fact.limit;
-    said_anything(fact).then(|| EndpointWords {
+    let LimitWord { rate, asked_at } = fact.said.limit;
+    fact.said.is_shared().then(|| EndpointWords {
         instance: fact.entry.instance.clone(),
         life: fact.entry.life,
         limit: rate,
         age: now - asked_at,
-        leaves: fact.said_leaving,
+        leaves: fact.said.leaves,
     })
 }
 
-/// Whether it ever said something in this life that all processes are to know.
-fn said_anything(fact: &EndpointFact) -> bool {
-    fact.said_leaving || fact.limit.asked_at > ClockTime(0)
-}
-
 /// What it said last, for comparison.
 fn said_of(fact: &EndpointFact) -> SaidState {
-    SaidState { limit: fact.limit.rate, leaves: fact.said_leaving }
+    SaidState { limit: fact.said.limit.rate, leaves: fact.said.leaves }
 }
 
 /// Takes what another process tells, `late` after it was written at the most.
@@ -216,7 +211,7 @@
         told.iter().map(|words| ((&words.instance, words.life), state(words))).collect();
     let board = node.endpoints.borrow();
     let mut outbox = node.words.borrow_mut();
-    for (key, fact) in board.iter().filter(|(_, fact)| said_anything(fact)) {
+    for (key, fact) in board.iter().filter(|(_, fact)| fact.said.is_shared()) {
         if told.get(&(&fact.entry.instance, fact.entry.life)) != Some(&said_of(fact)) {
             outbox.add(key);
         }
@@ -279,7 +274,7 @@
 ) -> Vec<RateShare> {
     let now = node.clock.now();
     let board = node.endpoints.borrow();
-    let limited = board.iter().filter_map(|(_, fact)| Some((fact, fact.limit.rate?)));
+    let limited = board.iter().filter_map(|(_, fact)| Some((fact, fact.said.limit.rate?)));
     let limited: Vec<_> = limited.filter(|(fact, _)| fact.takes_work()).collect();
     let key_of = |fact: &EndpointFact| RateKey::of(&fact.entry.instance, fact.entry.life);
     let keys: Vec<RateKey> = limited.iter().map(|(fact, _)| key_of(fact)).collect();
@@ -304,8 +299,8 @@
         rates.iter().map(|share| (share.endpoint, share.per_s)).collect();
     node.endpoints.borrow_mut().for_each_mut(|fact| {
         let mark = EndpointMark::of(&fact.entry.instance, fact.entry.life);
-        if let Some(per_s) = by_endpoint.get(&mark).filter(|_| fact.limit.rate.is_some()) {
-            fact.bucket.renew(f64::from(*per_s), (claimed_at, now));
+        if let Some(per_s) = by_endpoint.get(&mark).filter(|_| fact.said.limit.rate.is_some()) {
+            fact.said.bucket.renew(f64::from(*per_s), (claimed_at, now));
         }
     });
 }
--- a/crates/place/src/board.rs
+++ b/crates/place/src/board.rs
@@ -1,14 +1,11 @@
 //! What is known of each endpoint.
 
 use crate::health::HealthRecord;
-use crate::word::LimitWord;
+use crate::word::{KeptWords, OwnWords};
 use compact_str::CompactString;
 use oleander_judge::BadTrait;
 use oleander_kind::endpoint::{EndpointStage, InstanceMarket};
-use oleander_kind::{
-    ArenaKey, ClockTime, DomainName, InstanceId, ItemArena, ServiceName, TimeSpan,
-};
-use oleander_limit::RateBucket;
+use oleander_kind::{ArenaKey, ClockTime, DomainName, InstanceId, ItemArena, ServiceName};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 
@@ -73,14 +70,8 @@
     /// that is believed without being told again. It is used if there is no other, and by a few requests
     /// that find out whether it is well again.
     pub aside: Option<(BadTrait, ClockTime)>,
-    /// The limit that it named for itself, or that it names none any more.
-    pub limit: LimitWord,
-    /// Whether it said in an answer that it leaves.
-    pub said_leaving: bool,
-    /// Until when it wants no request of this process, by the clock of leases.
-    pub rests_until: ClockTime,
-    /// This process's part of its limit.
-    pub bucket: RateBucket,
+    /// What it said of itself.
+    pub said: OwnWords,
     /// Whether the list lost it at a time when the store may have forgotten it by mistake. It is
     /// used only if there is no other.
     pub doubted: bool,
@@ -104,41 +95,13 @@
 
     /// Whether it takes new requests: by the list, and by its own word, which the list may lag behind.
     pub fn takes_work(&self) -> bool {
-        self.entry.stage == EndpointStage::Live && !self.said_leaving
-    }
-
-    /// Whether its own word lets this process send it a request; `lease_now` is by the clock of leases.
-    pub fn is_open(&self, lease_now: ClockTime) -> bool {
-        let has_turn = self.limit.rate.is_none() || self.bucket.is_ready(lease_now);
-        has_turn && lease_now >= self.rests_until
-    }
-
-    /// In how long it may be sent a request, if its own word forbids it now.
-    pub fn opens_in(&self, lease_now: ClockTime) -> Option<TimeSpan> {
-        let turn_in = self.turn_in(lease_now).unwrap_or_default();
-        (!self.is_open(lease_now)).then(|| turn_in.max(self.rests_until - lease_now))
-    }
-
-    /// In how long its limit lets a request of this process in. Without a part of that, it is when it takes the next one of
-    /// any process.
-    fn turn_in(&self, lease_now: ClockTime) -> Option<TimeSpan> {
-        let rate = self.limit.rate?;
-        let any = || TimeSpan((1000.0 / rate.per_s()).ceil() as u64);
-        Some(self.bucket.ready_in(lease_now).unwrap_or_else(any))
-    }
-
-    /// Takes the request that it may be sent now; says whether it may.
-    pub fn take_turn(&mut self, lease_now: ClockTime) -> bool {
-        self.is_open(lease_now) && (self.limit.rate.is_none() || self.bucket.take(lease_now))
+        self.entry.stage == EndpointStage::Live && !self.said.leaves
     }
 }
 
 /// Ended lives that are remembered: more than attempts can be under way at while they are told.
 const ENDED_KEPT: usize = 256;
 
-/// Lives that said that they leave, as many as are remembered: a wave of a large fleet, and the one before.
-const LEAVING_KEPT: usize = 1024;
-
 /// All endpoints.
 #[derive(Default)]
 pub struct EndpointBoard {
@@ -146,8 +109,7 @@
     by_instance: HashMap<InstanceId, EndpointKey>,
     by_service: BTreeMap<ServiceName, Vec<EndpointKey>>,
     ended: VecDeque<EndpointKey>,
-    /// Lives that said that they leave, also after the list lost them: it may bring them back as ones that stay.
-    leaving: VecDeque<(InstanceId, u64)>,
+    kept: KeptWords,
 }
 
 impl EndpointBoard {
@@ -193,20 +155,13 @@
 
     /// Notes that the life of `instance` that began at `life` said that it leaves; says whether that is news.
     pub fn note_leaving(&mut self, instance: &InstanceId, life: u64) -> bool {
-        let said = (instance.clone(), life);
-        if self.leaving.contains(&said) {
-            return false;
-        }
-        self.leaving.push_back(said);
-        if self.leaving.len() > LEAVING_KEPT {
-            self.leaving.pop_front();
-        }
-        if let Some(key) = self.key(instance)
-            && let Some(fact) = self.facts.get_mut(key).filter(|fact| fact.entry.life == life)
-        {
-            fact.said_leaving = true;
-        }
-        true
+        let key = self.by_instance.get(instance);
+        let fact = key.and_then(|key| self.facts.get_mut(*key));
+        let said = match fact.filter(|fact| fact.entry.life == life) {
+            Some(fact) => &mut fact.said,
+            None => self.kept.of(instance, life),
+        };
+        !std::mem::replace(&mut said.leaves, true)
     }
 
     /// Whether a later life of its instance has taken the place of `key`: nothing more comes of what
@@ -217,7 +172,7 @@
 
     fn insert(&mut self, entry: EndpointEntry) -> EndpointKey {
         let (instance, service) = (entry.instance.clone(), entry.service.clone());
-        let said_leaving = self.leaving.contains(&(instance.clone(), entry.life));
+        let said = self.kept.take(&instance, entry.life);
         let key = self.facts.insert(EndpointFact {
             entry,
             own: WorkLoad::default(),
@@ -227,10 +182,7 @@
             is_tried: false,
             health: HealthRecord::default(),
             aside: None,
-            limit: LimitWord::default(),
-            said_leaving,
-            rests_until: ClockTime::default(),
-            bucket: RateBucket::default(),
+            said,
             doubted: false,
         });
         self.by_instance.insert(instance, key);
@@ -242,6 +194,7 @@
     pub fn remove(&mut self, instance: &InstanceId) -> Option<EndpointFact> {
         let key = self.by_instance.remove(instance)?;
         let fact = self.facts.remove(key)?;
+        self.kept.put(&fact);
         if let Some(keys) = self.by_service.get_mut(&fact.entry.service) {
             keys.retain(|other| *other != key);
         }
@@ -287,7 +240,7 @@
     pub fn queue_of(&self, service: &ServiceName) -> (u64, u32) {
         let facts = self.of_service(service).iter().filter_map(|key| self.get(*key));
         let working = facts.filter(|fact| fact.takes_work() && fact.serves);
-        let working = working.filter(|fact| fact.limit.rate.is_none());
+        let working = working.filter(|fact| fact.said.limit.rate.is_none());
         working.fold((0, 0), |(queue, count), fact| (queue + fact.unread_tokens(), count + 1))
     }
 
--- a/crates/place/src/choose.rs
+++ b/crates/place/src/choose.rs
@@ -88,7 +88,7 @@
     prefixes: &PrefixRecord,
     ask: &PlaceAsk<'_>,
 ) -> Option<PlaceChoice> {
-    let open = asked_ones(board, ask).filter(|(_, fact)| fact.is_open(ask.lease_now));
+    let open = asked_ones(board, ask).filter(|(_, fact)| fact.said.is_open(ask.lease_now));
     let open: Vec<(EndpointKey, &EndpointFact)> = open.collect();
     let tries_again = ask.repeatable && mix_bits(ask.salt ^ TRIAL_SALT).is_multiple_of(TRIAL_PART);
     let is_sound = |fact: &EndpointFact| tries_again || fact.bad_trait(ask.now).is_none();
@@ -117,7 +117,7 @@
 /// In how long an endpoint opens that the request could go to, if their own words are all that forbids it now. None if one
 /// is open.
 pub fn opens_in(board: &EndpointBoard, ask: &PlaceAsk<'_>) -> Option<TimeSpan> {
-    let waits = asked_ones(board, ask).map(|(_, fact)| fact.opens_in(ask.lease_now));
+    let waits = asked_ones(board, ask).map(|(_, fact)| fact.said.opens_in(ask.lease_now));
     waits.collect::<Option<Vec<TimeSpan>>>()?.into_iter().min()
 }
 
@@ -156,7 +156,8 @@
     let mut drawn = open;
     drawn.sort_by_cached_key(|(key, fact)| (Some(*key) != home, !fact.is_told, draw(fact)));
     // A limited engine that may be asked now is idle, and what it could take is lost if nobody looks at it.
-    let limited = drawn.iter().skip(looks).find(|(_, fact)| fact.limit.rate.is_some()).copied();
+    let limited =
+        drawn.iter().skip(looks).find(|(_, fact)| fact.said.limit.rate.is_some()).copied();
     drawn.truncate(looks);
     drawn.extend(limited);
     drawn
@@ -203,8 +204,8 @@
     let failing = FAILURE_MS * fact.health.failure_share(ask.now);
     // Under a millisecond: only breaks ties, so that equal endpoints share what comes.
     let tie = mix_bits(ask.salt ^ fact.entry.instance.stable_hash()) as f64 / u64::MAX as f64;
-    let turn = if fact.limit.rate.is_some() { TURN_MS } else { 0.0 };
-    let limit = fact.limit.rate.map(|rate| (rate, ask.now - fact.limit.asked_at));
+    let turn = if fact.said.limit.rate.is_some() { TURN_MS } else { 0.0 };
+    let limit = fact.said.limit.rate.map(|rate| (rate, ask.now - fact.said.limit.asked_at));
     (
         work + crossing + failing + tie - turn,
         PlaceChoice { key, tokens_ahead, held, unread, running: fact.requests(), limit },
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -20,4 +20,4 @@
 pub use pause::PauseRecord;
 pub use prefix::PrefixRecord;
 pub use shed::{OfferedRate, ServicePressure, queue_limit, shed_until};
-pub use word::LimitWord;
+pub use word::{LimitWord, OwnWords};
--- a/tests/all/place.rs
+++ b/tests/all/place.rs
@@ -209,7 +209,7 @@
 /// Names a limit for an endpoint as if it had answered so at [`NOW`].
 fn limit(board: &mut EndpointBoard, key: EndpointKey, per_s: f64) {
     let rate = Some(RequestRate::per_second(per_s));
-    board.get_mut(key).expect("known").limit = LimitWord { rate, asked_at: NOW };
+    board.get_mut(key).expect("known").said.limit = LimitWord { rate, asked_at: NOW };
 }
 
 /// An endpoint in need is sent more than it takes by a way past its limit: as the last resort, as the home of a shared
@@ -287,3 +287,28 @@
     assert!(!board.note_leaving(&"i-0".into(), 5), "it is known");
     assert_eq!(takes_work(&board), Some(true));
 }
+
+/// An endpoint at rest or at its limit is sent what it does not want: the list loses its entry for a moment, and what it
+/// said is lost with it.
+#[test]
+fn what_an_endpoint_said_outlasts_its_entry() {
+    let (mut board, keys) = board(2);
+    limit(&mut board, keys[0], 2.0);
+    let until = NOW + TimeSpan::secs(3);
+    board.get_mut(keys[1]).expect("known").said.rests_until = until;
+    for name in ["i-0", "i-1"] {
+        let entry = board.remove(&name.into()).expect("listed").entry;
+        board.put(entry);
+    }
+
+    let said = |name: &str| {
+        let key = board.key(&name.into()).expect("listed");
+        board.get(key).expect("listed").said
+    };
+    assert_eq!(said("i-0").limit.rate, Some(RequestRate::per_second(2.0)));
+    assert_eq!(
+        (said("i-1").opens_in(NOW), said("i-1").opens_in(until)),
+        (Some(TimeSpan(3000)), None)
+    );
+    assert_eq!(chooser().choose(&board, &[], 1), None);
+}
