--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -73,3 +73,16 @@
     assert!(report.counts.0 > 100, "{:?}", report.counts);
     std::fs::remove_dir_all(settings.folder).expect("the logs of a run that passed");
 }
+
+/// Operators see requests at endpoints that said they leave, or asked for rest, one, a domain's or all, while processes are
+/// killed and stopped.
+#[test]
+fn endpoints_that_leave_or_rest_are_left_alone_through_a_short_series_of_faults() {
+    let settings = SoakSettings { planned: Duration::from_secs(14), ..settings(11_000) };
+
+    let report = actix_rt::System::new().block_on(run_seed(&settings)).expect("it starts");
+
+    assert!(report.broken.is_empty(), "{:#?}\n{:#?}", report.broken, report.made);
+    assert!(report.counts.0 > 100, "{:?}", report.counts);
+    std::fs::remove_dir_all(settings.folder).expect("the logs of a run that passed");
+}
