A refusal by what endpoints said tells how many are limited, rest or leave; bytes of words are counted

From a refusal with code 1025 the log did not lead to its cause: no endpoint was chosen, so none was named. Line endpoints_closed; the part of a limit in the state dump; words among the counted parts of an exchange.

--- a/crates/front/src/admin.rs
+++ b/crates/front/src/admin.rs
@@ -121,6 +121,7 @@
             "doubted": fact.doubted,
             "aside": fact.bad_trait(now).map(|bad_trait| format!("{bad_trait:?}")),
             "limit_per_s": fact.said.limit.rate.map(RequestRate::per_s),
+            "limit_part_per_s": fact.said.bucket.per_s(node.clock.lease_now()),
             "limit_age_ms": fact.said.limit.rate.map(|_| (now - fact.said.limit.asked_at).0),
             "said_leaving": fact.said.leaves,
             "rest_left_ms": (fact.said.rests_until - node.clock.lease_now()).0,
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -22,8 +22,8 @@
 use oleander_kind::hash::{HASH_START, mix_bits, stable_hash};
 use oleander_kind::{AccountName, InstanceId, ResultCode, ServiceName, TimeSpan};
 use oleander_place::{
-    AnswerGrade, EndpointKey, PlaceAsk, PlaceChoice, choose_endpoint, opens_in, queue_limit,
-    shed_until,
+    AnswerGrade, EndpointKey, OwnWords, PlaceAsk, PlaceChoice, choose_endpoint, opens_in,
+    queue_limit, shed_until,
 };
 use oleander_suspect::{EndedLife, RequestContent, RequestPrint};
 use std::io;
@@ -333,6 +333,7 @@
     async fn refuse_unplaced(&mut self) -> CallOutcome {
         match self.opens_in() {
             Some(back_in) if self.is_refusable() => {
+                self.tell_closed(back_in);
                 if self.record.sent() == 0 {
                     self.note_demand(self.call.tokens.unwrap_or_default().prompt);
                 }
@@ -345,6 +346,24 @@
         }
     }
 
+    /// Logs what endpoints said that keeps the request from them.
+    fn tell_closed(&self, back_in: TimeSpan) {
+        let now = self.node.clock.lease_now();
+        let board = self.node.endpoints.borrow();
+        let keys = board.of_service(&self.service).iter();
+        let facts: Vec<_> = keys.filter_map(|key| board.get(*key)).collect();
+        let count = |holds: &dyn Fn(&OwnWords) -> bool| {
+            facts.iter().filter(|fact| holds(&fact.said)).count()
+        };
+        event!(self.node, EndpointsClosed;
+            "request" => self.call.id.as_str(), "service" => self.service.as_str(),
+            "endpoints" => facts.len(), "limited" => count(&|said| said.limit.rate.is_some()),
+            "with_part" => count(&|said| said.bucket.per_s(now).is_some()),
+            "resting" => count(&|said| now < said.rests_until),
+            "leaving" => count(&|said| said.leaves), "tried" => self.tried.len(),
+            "retry_ms" => back_in.0);
+    }
+
     /// Whether the endpoint of the last attempt turned it away for a while, and another one is open.
     fn was_asked_for_rest(&self) -> bool {
         let now = self.node.clock.lease_now();
--- a/crates/mesh/src/account.rs
+++ b/crates/mesh/src/account.rs
@@ -39,6 +39,7 @@
         ("loads", size_of(&digest.loads)),
         ("verdicts", size_of(&digest.verdicts)),
         ("suspects", size_of(&digest.suspects)),
+        ("words", size_of(&(&digest.words, &digest.rates))),
         ("services", size_of(&(&digest.peaks, &digest.paces))),
     ]
 }
@@ -54,6 +55,7 @@
         ("loads", size_of(&report.loads)),
         ("evidence", size_of(&report.evidence)),
         ("suspects", size_of(&report.suspects)),
+        ("words", size_of(&report.words)),
         ("services", size_of(&(&report.demand, &report.paces))),
     ]
 }
--- a/tests/all/size.rs
+++ b/tests/all/size.rs
@@ -4,12 +4,15 @@
 use crate::mesh::{CollectorRig, NOW, mark, report, rig};
 use crate::roster::{listed, roster_news};
 use oleandertack::kind::hash::mix_bits;
-use oleandertack::kind::{ClockTime, TimeSpan};
+use oleandertack::kind::{ClockTime, RequestRate, TimeSpan};
 use oleandertack::list::{
     PartAsk, PartStep, PartsBook, RosterBook, RosterPart, RosterStand, RosterState, RosterUpdate,
     StoreVouch,
 };
-use oleandertack::mesh::{EndpointLoad, EndpointMark, LoadTable, MeshBody, NodeReport};
+use oleandertack::mesh::{
+    EndpointLoad, EndpointMark, EndpointWords, LoadTable, MeshBody, NodeReport, RateShare,
+    digest_account, words_mark,
+};
 use oleandertack::plat::{FeedEvent, FeedObject, FeedPage};
 use oleandertack::wire::encode_frame;
 use std::collections::BTreeMap;
@@ -317,3 +320,40 @@
     let at_end = NOW + TimeSpan(750);
     assert_eq!(other.stand(at_end).sum, collector.stand(at_end).sum);
 }
+
+/// The links of the process that collects fill up while endpoints are in need: what these say travels to all in each answer.
+#[test]
+fn a_hundred_limited_endpoints_cost_an_exchange_little_once_they_are_known() {
+    let said = |at: u64| EndpointWords {
+        instance: format!("i-{at:08x}").as_str().into(),
+        life: 1_790_000_000_000 + at,
+        limit: Some(RequestRate::per_second(2.8)),
+        age: TimeSpan(350),
+        leaves: false,
+    };
+    let share = |at: u64| RateShare {
+        endpoint: EndpointMark::of(&format!("i-{at:08x}").as_str().into(), at),
+        per_s: 0.85,
+    };
+    let words: Vec<EndpointWords> = (0..100).map(said).collect();
+    // Each of 60 processes holds a part of five of a hundred endpoints that have three holders each.
+    let shares: Vec<RateShare> = (0..5).map(share).collect();
+
+    let (all, each) = (bytes_of(Some(words.clone()), Vec::new()), bytes_of(None, shares));
+
+    assert!(all < 5000, "{all} bytes once");
+    assert!(each < 80, "{each} bytes in each answer");
+    let mut changed = words.clone();
+    changed[7].age = TimeSpan(900);
+    assert_eq!(words_mark(&words), words_mark(&changed), "an age is no change");
+    changed[7].limit = Some(RequestRate::per_second(2.7));
+    assert_ne!(words_mark(&words), words_mark(&changed));
+}
+
+/// Bytes that such words and parts take of an answer.
+fn bytes_of(words: Option<Vec<EndpointWords>>, rates: Vec<RateShare>) -> usize {
+    let mut digest = rig().take(report("front-1"), NOW);
+    (digest.words, digest.rates) = (words, rates);
+    let account = digest_account(&digest);
+    account.iter().find(|(part, _)| *part == "words").map(|(_, bytes)| *bytes).expect("counted")
+}
