A collector that was stopped for seconds begins anew when it wakes

A process that kept the ledger was stopped for 3.4 s; the others went on with another one, which had counted 124,000. When the first woke it took late reports for members that count with it, kept its old ledger in place of the one that was handed to it, and half a second later handed its own, of before, to the others: their ledger fell to 105,000 within a window.

Cause: SleepWatch knew of a machine that is suspended (the steady clock stands still) and not of a process alone that is stopped (all clocks go on). Change: two looks more than 2 s apart show it too; a process that looks for others looks before each one it asks, which is 0.9 s at the most.

Ruled out: endpoints' words, which take no part in it. A stop of 0.6 to 2 s is not covered.

--- a/crates/front/src/mesh/report.rs
+++ b/crates/front/src/mesh/report.rs
@@ -52,7 +52,6 @@
 }
 
 async fn report_once(node: &Rc<FrontNode>, hub: &Addr<PeerHub<MeshBody>>) {
-    end_after_sleep(node);
     note_fitness(node);
     releases::refresh(node);
     suspects::settle(node);
@@ -63,6 +62,7 @@
         ask_seeds(node, hub).await;
     }
     for _ in 0..MOST_ASKED {
+        end_after_sleep(node);
         let collector = {
             let mut mesh = node.mesh.borrow_mut();
             let now = node.clock.now();
--- a/crates/mesh/src/clock.rs
+++ b/crates/mesh/src/clock.rs
@@ -42,25 +42,30 @@
     }
 }
 
-/// Notices that this process stood still: its steady clock does not count that time, its time of day
-/// does.
+/// Notices that this process stood still. While its machine is suspended its steady clock does not count, its time of
+/// day does; while it alone is stopped, both do, and it looks later than it meant to.
 ///
-/// A collector that was suspended for seconds takes its accounts' windows and its reports for new when
+/// A collector that stood still for seconds takes its accounts' windows and its reports for new when
 /// it wakes, while another collects. It has to begin anew. A time of day that was set looks the same,
 /// and beginning anew costs little then.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SleepWatch {
     offset: Option<i64>,
+    looked_at: Option<ClockTime>,
 }
 
 impl SleepWatch {
-    /// Whether the process stood still since the last look.
+    /// Whether the process stood still since the last look. It looks several times a second.
     pub fn slept(&mut self, wall: ClockTime, now: ClockTime) -> bool {
         /// Longer than a collector is silent before its reporters leave it, in milliseconds.
         const LONG: u64 = 800;
+        /// The same between two looks. They are up to 0.9 s apart while a process asks for others that are gone.
+        const LATE: TimeSpan = TimeSpan(2000);
         let offset = wall_offset(wall, now);
         let last = self.offset.replace(offset);
-        last.is_some_and(|last| offset.abs_diff(last) > LONG)
+        let looked_at = self.looked_at.replace(now);
+        let was_suspended = last.is_some_and(|last| offset.abs_diff(last) > LONG);
+        was_suspended || looked_at.is_some_and(|at| now - at > LATE)
     }
 }
 
--- a/tests/all/mesh.rs
+++ b/tests/all/mesh.rs
@@ -523,6 +523,10 @@
     // Suspended for 4 s between two looks.
     assert!(watch.slept(later(4500), NOW + TimeSpan(500)));
     assert!(!watch.slept(later(4750), NOW + TimeSpan(750)));
+    // It alone was stopped: all its clocks went on.
+    assert!(!watch.slept(later(5800), NOW + TimeSpan(1800)));
+    assert!(watch.slept(later(9200), NOW + TimeSpan(5200)));
+    assert!(!watch.slept(later(9450), NOW + TimeSpan(5450)));
 }
 
 /// A new endpoint gets nothing for a second: it started again under its name, and what the others still
