What endpoints said is found without looking at every endpoint; modules by what they do

The collector looked at all endpoints twice for each report, which at 300 processes before 3,000 endpoints is seven million looks a second (worked out) of a processor that is full already. The board keeps the few that spoke. No change of behaviour.

--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -22,8 +22,7 @@
 use oleander_kind::hash::{HASH_START, mix_bits, stable_hash};
 use oleander_kind::{AccountName, InstanceId, ResultCode, ServiceName, TimeSpan};
 use oleander_place::{
-    AnswerGrade, EndpointKey, OwnWords, PlaceAsk, PlaceChoice, choose_endpoint, opens_in,
-    queue_limit, shed_until,
+    AnswerGrade, EndpointKey, PlaceAsk, PlaceChoice, choose_endpoint, queue_limit, shed_until,
 };
 use oleander_suspect::{EndedLife, RequestContent, RequestPrint};
 use std::io;
@@ -35,16 +34,9 @@
 /// or found again within about this time.
 const RETURN_TIME: TimeSpan = TimeSpan(300);
 
-/// When a caller may come back whom an endpoint turned away that rests from now on, while others are open: its next request
-/// goes to one of those.
-const ELSEWHERE_RETURN: TimeSpan = TimeSpan(20);
-
 /// When a caller that met a stopping process may come back: its next connection goes elsewhere.
 const LEAVING_RETURN: TimeSpan = TimeSpan(20);
 
-/// The shortest time after which a caller may come back whom what endpoints said of themselves had refused.
-const SHORTEST_OPENING: TimeSpan = TimeSpan(100);
-
 /// How the request is seen by its caller: an error means that the connection must be closed.
 pub type CallOutcome = io::Result<()>;
 
@@ -329,56 +321,8 @@
         }
     }
 
-    /// Refuses a request that no endpoint may be sent now.
-    async fn refuse_unplaced(&mut self) -> CallOutcome {
-        match self.opens_in() {
-            Some(back_in) if self.is_refusable() => {
-                self.tell_closed(back_in);
-                if self.record.sent() == 0 {
-                    self.note_demand(self.call.tokens.unwrap_or_default().prompt);
-                }
-                self.answer.refuse(ResultCode::EndpointsFull, Some(back_in)).await
-            }
-            None if self.is_refusable() && self.was_asked_for_rest() => {
-                self.answer.refuse(ResultCode::NoEndpoint, Some(ELSEWHERE_RETURN)).await
-            }
-            _ => self.give_up(ResultCode::NoEndpoint).await,
-        }
-    }
-
-    /// Logs what endpoints said that keeps the request from them.
-    fn tell_closed(&self, back_in: TimeSpan) {
-        let now = self.node.clock.lease_now();
-        let board = self.node.endpoints.borrow();
-        let keys = board.of_service(&self.service).iter();
-        let facts: Vec<_> = keys.filter_map(|key| board.get(*key)).collect();
-        let count = |holds: &dyn Fn(&OwnWords) -> bool| {
-            facts.iter().filter(|fact| holds(&fact.said)).count()
-        };
-        event!(self.node, EndpointsClosed;
-            "request" => self.call.id.as_str(), "service" => self.service.as_str(),
-            "endpoints" => facts.len(), "limited" => count(&|said| said.limit.rate.is_some()),
-            "with_part" => count(&|said| said.bucket.per_s(now).is_some()),
-            "resting" => count(&|said| now < said.rests_until),
-            "leaving" => count(&|said| said.leaves), "tried" => self.tried.len(),
-            "retry_ms" => back_in.0);
-    }
-
-    /// Whether the endpoint of the last attempt turned it away for a while, and another one is open.
-    fn was_asked_for_rest(&self) -> bool {
-        let now = self.node.clock.lease_now();
-        let board = self.node.endpoints.borrow();
-        let last = self.tried.last().and_then(|key| board.get(*key));
-        last.is_some_and(|fact| now < fact.said.rests_until) && self.choose().is_some()
-    }
-
-    /// Whether "not run" would be true, and nothing of an answer has left.
-    fn is_refusable(&self) -> bool {
-        !self.record.may_have_run() && self.answer.stage() == AnswerStage::Waiting
-    }
-
     /// Ends the request without an answer of an endpoint.
-    async fn give_up(&mut self, code: ResultCode) -> CallOutcome {
+    pub(crate) async fn give_up(&mut self, code: ResultCode) -> CallOutcome {
         if self.answer.stage() != AnswerStage::Waiting {
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
@@ -409,15 +353,7 @@
         choose_endpoint(&self.node.endpoints.borrow(), &self.node.prefixes.borrow(), &ask)
     }
 
-    /// When the caller may come back, if nothing but what endpoints said of themselves keeps the request from one. Those
-    /// who are refused together do not come back together.
-    fn opens_in(&self) -> Option<TimeSpan> {
-        let wait = opens_in(&self.node.endpoints.borrow(), &self.place_ask())?;
-        let wait = wait.max(SHORTEST_OPENING);
-        Some(wait + TimeSpan(call_salt(&self.call) % wait.0))
-    }
-
-    fn place_ask(&self) -> PlaceAsk<'_> {
+    pub(crate) fn place_ask(&self) -> PlaceAsk<'_> {
         let tokens = self.call.tokens.unwrap_or_default();
         PlaceAsk {
             service: &self.service,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admin;
 pub mod answer;
 pub mod attempt;
+mod closed;
 pub mod discover;
 pub mod drive;
 pub mod duties;
--- a/crates/front/src/words.rs
+++ b/crates/front/src/words.rs
@@ -1,25 +1,20 @@
 //! Hears what endpoints say of themselves in their answers, and tells the other processes.
-//!
-//! What this process heard goes to the collector with its reports, and from there to all. A word of which the collector
-//! has another, older, version is told again, so that nothing is lost at a change of the collector.
 
 mod outbox;
+mod rates;
+mod tell;
 
-pub use outbox::{SaidState, WordOutbox};
+pub use outbox::WordOutbox;
+pub(crate) use rates::{ReporterStand, answer_words, take_rates};
+pub(crate) use tell::{known_words, next_told, note_taken, take_all, take_told};
 
 use crate::events::event;
 use crate::node::FrontNode;
 use crate::suspects;
 use oleander_call::{AnswerMark, SaidWord};
-use oleander_kind::{ClockTime, RequestRate, ResultCode, TimeSpan};
-use oleander_limit::{RateKey, RatedEndpoint};
-use oleander_mesh::{
-    EndpointMark, EndpointWords, MeshCollector, MeshDigest, MeshView, NodeReport, RateShare,
-    words_mark,
-};
+use oleander_kind::{ClockTime, RequestRate, ResultCode};
 use oleander_place::{EndpointFact, EndpointKey, LimitWord};
 use oleander_suspect::EndedLife;
-use std::collections::HashMap;
 
 /// From whom a word was heard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -119,19 +114,10 @@
 /// Takes a limit, or that there is none.
 fn hear_limit(node: &FrontNode, key: EndpointKey, (word, source): (LimitWord, WordSource)) {
     let mut board = node.endpoints.borrow_mut();
-    let Some(fact) = board.get_mut(key) else { return };
-    let was_never_limited = word.rate.is_none() && fact.said.limit.rate.is_none();
-    if was_never_limited || !word.replaces(&fact.said.limit) {
-        return;
-    }
-    let before = std::mem::replace(&mut fact.said.limit, word);
-    if before.rate == word.rate {
-        return;
+    let Some(before) = board.note_limit(key, word) else { return };
+    if let Some(fact) = board.get(key) {
+        tell_limit(node, fact, (before, source));
     }
-    if word.rate.is_none() {
-        fact.said.bucket.end();
-    }
-    tell_limit(node, fact, (before.rate, source));
     if source == WordSource::Answer {
         node.words.borrow_mut().add(key);
     }
@@ -159,148 +145,3 @@
         "endpoint" => endpoint, "word" => word, "text" => text,
         "code" => ResultCode::EndpointBadWord.number());
 }
-
-/// What this process knows that endpoints said of themselves.
-pub(crate) fn known_words(node: &FrontNode) -> Vec<EndpointWords> {
-    let now = node.clock.now();
-    let board = node.endpoints.borrow();
-    board.iter().filter_map(|(_, fact)| words_of(fact, now)).collect()
-}
-
-fn words_of(fact: &EndpointFact, now: ClockTime) -> Option<EndpointWords> {
-    let LimitWord { rate, asked_at } = fact.said.limit;
-    fact.said.is_shared().then(|| EndpointWords {
-        instance: fact.entry.instance.clone(),
-        life: fact.entry.life,
-        limit: rate,
-        age: now - asked_at,
-        leaves: fact.said.leaves,
-    })
-}
-
-/// What it said last, for comparison.
-fn said_of(fact: &EndpointFact) -> SaidState {
-    SaidState { limit: fact.said.limit.rate, leaves: fact.said.leaves }
-}
-
-/// Takes what another process tells, `late` after it was written at the most.
-pub(crate) fn take_told(node: &FrontNode, told: &[EndpointWords], late: TimeSpan) {
-    let now = node.clock.now();
-    for words in told {
-        if words.leaves {
-            let life = EndedLife { instance: words.instance.clone(), life: words.life };
-            note_leaving(node, &life, WordSource::Told);
-        }
-        let key = {
-            let board = node.endpoints.borrow();
-            let key = board.key(&words.instance);
-            key.filter(|key| board.get(*key).is_some_and(|fact| fact.entry.life == words.life))
-        };
-        let word = LimitWord { rate: words.limit, asked_at: now - (words.age + late) };
-        if let Some(key) = key {
-            hear_limit(node, key, (word, WordSource::Told));
-        }
-    }
-}
-
-/// Takes all that the collector knows, and notes what of it is out of date.
-pub(crate) fn take_all(node: &FrontNode, told: &[EndpointWords], late: TimeSpan) {
-    take_told(node, told, late);
-    let state = |words: &EndpointWords| SaidState { limit: words.limit, leaves: words.leaves };
-    let told: HashMap<_, _> =
-        told.iter().map(|words| ((&words.instance, words.life), state(words))).collect();
-    let board = node.endpoints.borrow();
-    let mut outbox = node.words.borrow_mut();
-    for (key, fact) in board.iter().filter(|(_, fact)| fact.said.is_shared()) {
-        if told.get(&(&fact.entry.instance, fact.entry.life)) != Some(&said_of(fact)) {
-            outbox.add(key);
-        }
-    }
-}
-
-/// What of it the next report tells.
-pub(crate) fn next_told(node: &FrontNode) -> Vec<EndpointWords> {
-    let now = node.clock.now();
-    let board = node.endpoints.borrow();
-    let keys = node.words.borrow_mut().next_told(|key| board.get(key).map(said_of));
-    keys.into_iter().filter_map(|key| words_of(board.get(key)?, now)).collect()
-}
-
-/// Notes that the last report was answered.
-pub(crate) fn note_taken(node: &FrontNode) {
-    let board = node.endpoints.borrow();
-    node.words.borrow_mut().taken(|key| board.get(key).map(said_of));
-}
-
-/// Adds to the collector's answer what endpoints said, if the reporter knows other than that, and its parts of what limited
-/// ones take.
-pub(crate) fn answer_words(
-    node: &FrontNode,
-    (report, view): (&ReporterStand, &MeshView),
-    collector: &mut MeshCollector,
-    digest: &mut MeshDigest,
-) {
-    let words = known_words(node);
-    if words_mark(&words) != report.words_mark {
-        digest.words = Some(words);
-    }
-    if !report.is_late {
-        digest.rates = rate_shares(node, (report, view.serving()), collector);
-    }
-}
-
-/// What an answer about words goes by.
-pub(crate) struct ReporterStand {
-    id: oleander_kind::InstanceId,
-    words_mark: u64,
-    is_late: bool,
-}
-
-impl ReporterStand {
-    /// That of a report; one of a turn before `oldest_turn` was sent long ago.
-    pub(crate) fn of(report: &NodeReport, oldest_turn: u64) -> Self {
-        ReporterStand {
-            id: report.card.id.clone(),
-            words_mark: report.words_mark,
-            is_late: report.turn < oldest_turn,
-        }
-    }
-}
-
-fn rate_shares(
-    node: &FrontNode,
-    (report, serving): (&ReporterStand, u32),
-    collector: &mut MeshCollector,
-) -> Vec<RateShare> {
-    let now = node.clock.now();
-    let board = node.endpoints.borrow();
-    let limited = board.iter().filter_map(|(_, fact)| Some((fact, fact.said.limit.rate?)));
-    let limited: Vec<_> = limited.filter(|(fact, _)| fact.takes_work()).collect();
-    let key_of = |fact: &EndpointFact| RateKey::of(&fact.entry.instance, fact.entry.life);
-    let keys: Vec<RateKey> = limited.iter().map(|(fact, _)| key_of(fact)).collect();
-    let desk = collector.rates();
-    desk.keep(|key| keys.contains(&key));
-    let share = |(fact, rate): (&EndpointFact, RequestRate)| {
-        let endpoint = RatedEndpoint { key: key_of(fact), service: &fact.entry.service, rate };
-        let per_s = desk.lease(&report.id, endpoint, (serving, now))?;
-        let endpoint = EndpointMark::of(&fact.entry.instance, fact.entry.life);
-        Some(RateShare { endpoint, per_s: per_s as f32 })
-    };
-    limited.into_iter().filter_map(share).collect()
-}
-
-/// Takes this process's parts of what limited endpoints take; its report was made at `claimed_at`, by the clock of leases.
-pub(crate) fn take_rates(node: &FrontNode, rates: &[RateShare], claimed_at: ClockTime) {
-    if rates.is_empty() {
-        return;
-    }
-    let now = node.clock.lease_now();
-    let by_endpoint: HashMap<_, _> =
-        rates.iter().map(|share| (share.endpoint, share.per_s)).collect();
-    node.endpoints.borrow_mut().for_each_mut(|fact| {
-        let mark = EndpointMark::of(&fact.entry.instance, fact.entry.life);
-        if let Some(per_s) = by_endpoint.get(&mark).filter(|_| fact.said.limit.rate.is_some()) {
-            fact.said.bucket.renew(f64::from(*per_s), (claimed_at, now));
-        }
-    });
-}
--- /dev/null
+++ b/crates/front/src/words/rates.rs
@@ -0,0 +1,84 @@
+//! The parts of what limited endpoints take: handed out while this process collects, and taken from the collector.
+
+use super::known_words;
+use crate::node::FrontNode;
+use oleander_kind::{ClockTime, InstanceId, RequestRate};
+use oleander_limit::{RateKey, RatedEndpoint};
+use oleander_mesh::{
+    EndpointMark, MeshCollector, MeshDigest, MeshView, NodeReport, RateShare, words_mark,
+};
+use oleander_place::EndpointFact;
+use std::collections::HashMap;
+
+/// Adds to the collector's answer what endpoints said, if the reporter knows other than that, and its parts of what limited
+/// ones take.
+pub(crate) fn answer_words(
+    node: &FrontNode,
+    (report, view): (&ReporterStand, &MeshView),
+    collector: &mut MeshCollector,
+    digest: &mut MeshDigest,
+) {
+    let words = known_words(node);
+    if words_mark(&words) != report.words_mark {
+        digest.words = Some(words);
+    }
+    if !report.is_late {
+        digest.rates = rate_shares(node, (report, view.serving()), collector);
+    }
+}
+
+/// What an answer about words goes by.
+pub(crate) struct ReporterStand {
+    id: InstanceId,
+    words_mark: u64,
+    is_late: bool,
+}
+
+impl ReporterStand {
+    /// That of a report; one of a turn before `oldest_turn` was sent long ago.
+    pub(crate) fn of(report: &NodeReport, oldest_turn: u64) -> Self {
+        ReporterStand {
+            id: report.card.id.clone(),
+            words_mark: report.words_mark,
+            is_late: report.turn < oldest_turn,
+        }
+    }
+}
+
+fn rate_shares(
+    node: &FrontNode,
+    (report, serving): (&ReporterStand, u32),
+    collector: &mut MeshCollector,
+) -> Vec<RateShare> {
+    let now = node.clock.now();
+    let board = node.endpoints.borrow();
+    let limited = board.speaking().filter_map(|(_, fact)| Some((fact, fact.said.limit.rate?)));
+    let limited: Vec<_> = limited.filter(|(fact, _)| fact.takes_work()).collect();
+    let key_of = |fact: &EndpointFact| RateKey::of(&fact.entry.instance, fact.entry.life);
+    let keys: Vec<RateKey> = limited.iter().map(|(fact, _)| key_of(fact)).collect();
+    let desk = collector.rates();
+    desk.keep(|key| keys.contains(&key));
+    let share = |(fact, rate): (&EndpointFact, RequestRate)| {
+        let endpoint = RatedEndpoint { key: key_of(fact), service: &fact.entry.service, rate };
+        let per_s = desk.lease(&report.id, endpoint, (serving, now))?;
+        let endpoint = EndpointMark::of(&fact.entry.instance, fact.entry.life);
+        Some(RateShare { endpoint, per_s: per_s as f32 })
+    };
+    limited.into_iter().filter_map(share).collect()
+}
+
+/// Takes this process's parts of what limited endpoints take; its report was made at `claimed_at`, by the clock of leases.
+pub(crate) fn take_rates(node: &FrontNode, rates: &[RateShare], claimed_at: ClockTime) {
+    if rates.is_empty() {
+        return;
+    }
+    let now = node.clock.lease_now();
+    let by_endpoint: HashMap<_, _> =
+        rates.iter().map(|share| (share.endpoint, share.per_s)).collect();
+    node.endpoints.borrow_mut().for_each_mut(|fact| {
+        let mark = EndpointMark::of(&fact.entry.instance, fact.entry.life);
+        if let Some(per_s) = by_endpoint.get(&mark).filter(|_| fact.said.limit.rate.is_some()) {
+            fact.said.bucket.renew(f64::from(*per_s), (claimed_at, now));
+        }
+    });
+}
--- a/crates/place/src/board.rs
+++ b/crates/place/src/board.rs
@@ -1,11 +1,13 @@
 //! What is known of each endpoint.
 
 use crate::health::HealthRecord;
-use crate::word::{KeptWords, OwnWords};
+use crate::word::{KeptWords, LimitWord, OwnWords};
 use compact_str::CompactString;
 use oleander_judge::BadTrait;
 use oleander_kind::endpoint::{EndpointStage, InstanceMarket};
-use oleander_kind::{ArenaKey, ClockTime, DomainName, InstanceId, ItemArena, ServiceName};
+use oleander_kind::{
+    ArenaKey, ClockTime, DomainName, InstanceId, ItemArena, RequestRate, ServiceName,
+};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 
@@ -110,6 +112,8 @@
     by_service: BTreeMap<ServiceName, Vec<EndpointKey>>,
     ended: VecDeque<EndpointKey>,
     kept: KeptWords,
+    /// Listed endpoints that said something all processes are to know: few, and asked for at each report.
+    speaking: Vec<EndpointKey>,
 }
 
 impl EndpointBoard {
@@ -161,7 +165,39 @@
             Some(fact) => &mut fact.said,
             None => self.kept.of(instance, life),
         };
-        !std::mem::replace(&mut said.leaves, true)
+        let is_news = !std::mem::replace(&mut said.leaves, true);
+        if let Some(key) = self.key(instance) {
+            self.note_speaking(key);
+        }
+        is_news
+    }
+
+    /// Takes the limit that an endpoint named, or that it names none any more; gives the rate that held before, if that is
+    /// another.
+    pub fn note_limit(&mut self, key: EndpointKey, word: LimitWord) -> Option<Option<RequestRate>> {
+        let said = &mut self.facts.get_mut(key)?.said;
+        let was_never_limited = word.rate.is_none() && said.limit.rate.is_none();
+        if was_never_limited || !word.replaces(&said.limit) {
+            return None;
+        }
+        let before = std::mem::replace(&mut said.limit, word).rate;
+        if word.rate.is_none() {
+            said.bucket.end();
+        }
+        self.note_speaking(key);
+        (before != word.rate).then_some(before)
+    }
+
+    fn note_speaking(&mut self, key: EndpointKey) {
+        let speaks = self.facts.get(key).is_some_and(|fact| fact.said.is_shared());
+        if speaks && !self.speaking.contains(&key) {
+            self.speaking.push(key);
+        }
+    }
+
+    /// Listed endpoints that said something all processes are to know.
+    pub fn speaking(&self) -> impl Iterator<Item = (EndpointKey, &EndpointFact)> {
+        self.speaking.iter().filter_map(|key| Some((*key, self.facts.get(*key)?)))
     }
 
     /// Whether a later life of its instance has taken the place of `key`: nothing more comes of what
@@ -185,6 +221,7 @@
             said,
             doubted: false,
         });
+        self.note_speaking(key);
         self.by_instance.insert(instance, key);
         self.by_service.entry(service).or_default().push(key);
         key
@@ -195,6 +232,7 @@
         let key = self.by_instance.remove(instance)?;
         let fact = self.facts.remove(key)?;
         self.kept.put(&fact);
+        self.speaking.retain(|other| *other != key);
         if let Some(keys) = self.by_service.get_mut(&fact.entry.service) {
             keys.retain(|other| *other != key);
         }
--- a/tests/all/place.rs
+++ b/tests/all/place.rs
@@ -209,7 +209,7 @@
 /// Names a limit for an endpoint as if it had answered so at [`NOW`].
 fn limit(board: &mut EndpointBoard, key: EndpointKey, per_s: f64) {
     let rate = Some(RequestRate::per_second(per_s));
-    board.get_mut(key).expect("known").said.limit = LimitWord { rate, asked_at: NOW };
+    board.note_limit(key, LimitWord { rate, asked_at: NOW });
 }
 
 /// An endpoint in need is sent more than it takes by a way past its limit: as the last resort, as the home of a shared
