Roll-outs can be seen: attempts by version, orders and versions in the state dump

On call, whether a version under an order got requests and what became of them was in the lines of single requests only, and what a process goes by nowhere. Counter by service, version and end, counted where roll-outs are carried out; orders with stage, score and what was seen; each endpoint's version, whether it serves or is tried.

--- a/crates/front/src/admin.rs
+++ b/crates/front/src/admin.rs
@@ -2,10 +2,13 @@
 
 use crate::limits;
 use crate::node::FrontNode;
+use crate::releases::RunningOrder;
 use actix_web::{HttpResponse, web};
-use oleander_kind::RequestRate;
+use compact_str::CompactString;
+use oleander_kind::{RequestRate, ServiceName};
 use oleander_list::StoreVouch;
 use oleander_mesh::NewsAccount;
+use oleander_release::ReleaseTold;
 use oleander_suspect::{RequestPrint, SuspectRecord};
 use serde_json::{Value, json};
 use std::rc::Rc;
@@ -59,6 +62,7 @@
             "for_ms": doubt.left.0,
         })).collect::<Vec<_>>(),
         "endpoints": dump_endpoints(node),
+        "releases": dump_releases(node),
         "limits": limits::dump_limits(node, &mesh),
         "suspects": node.suspects.borrow().len(),
         "held_requests": dump_held(node),
@@ -108,6 +112,31 @@
     suspects.held().take(MOST_LISTED).map(held).collect()
 }
 
+/// The orders of roll-outs that this process goes by, and how far it has carried out those that it carries out.
+fn dump_releases(node: &FrontNode) -> Value {
+    let desk = node.releases.borrow();
+    let news = desk.book.news(node.clock.now());
+    let order = |told: &ReleaseTold| {
+        let running = desk.running.get(&told.service).filter(|one| one.plan.order().to == told.to);
+        json!({
+            "service": told.service.as_str(),
+            "to": told.to.as_str(),
+            "stage": format!("{:?}", told.stage),
+            "number": told.number,
+            "decided_within_ms": told.ends_in.0,
+            "sent": running.map(RunningOrder::sent),
+            "seen": running.map(|running| running.plan.case.seen()),
+            "score": running.map(|running| running.plan.case.score()),
+        })
+    };
+    let held = |(service, version): &(ServiceName, CompactString)| json!({ "service": service.as_str(), "version": version.as_str() });
+    json!({
+        "known_as_of": news.mark,
+        "orders": news.told.iter().map(order).collect::<Vec<_>>(),
+        "withdrawn": news.held.iter().map(held).collect::<Vec<_>>(),
+    })
+}
+
 fn dump_endpoints(node: &FrontNode) -> Vec<Value> {
     let now = node.clock.now();
     let board = node.endpoints.borrow();
@@ -117,6 +146,9 @@
             "service": fact.entry.service.as_str(),
             "domain": fact.entry.domain.as_str(),
             "stage": format!("{:?}", fact.entry.stage),
+            "version": fact.entry.release.as_str(),
+            "serves": fact.serves,
+            "is_tried": fact.is_tried,
             "market": format!("{:?}", fact.entry.market),
             "doubted": fact.doubted,
             "aside": fact.bad_trait(now).map(|bad_trait| format!("{bad_trait:?}")),
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -7,6 +7,7 @@
 use crate::work::{FirstWait, WorkGuard};
 use crate::{releases, stream, suspects, whole, words};
 use actix_http::{RequestHead, ResponseHead, Version};
+use compact_str::CompactString;
 use oleander_call::{AnswerMark, AnswerShape, AttemptEnd, AttemptStamp, RepeatRule, SaidWord};
 use oleander_kind::TimeSpan;
 use oleander_outlet::{IdleLink, LinkError, SentLink, SocketBounds};
@@ -38,6 +39,7 @@
     key: EndpointKey,
     life: EndedLife,
     address: SocketAddr,
+    version: CompactString,
 }
 
 impl CallRun<'_, '_> {
@@ -61,6 +63,7 @@
         let mut work = WorkGuard::begin(self.node, target.key, choice.unread, waits);
         let outcome = self.attempt_at(&target, &mut work).await;
         self.current = None;
+        self.count_version(&target, &outcome);
         match &outcome {
             AttemptOutcome::Delivered => suspects::note_answer(self.node, self.print),
             AttemptOutcome::Ended(end, _) if !work.is_borne() => self.note_broken(target.key, *end),
@@ -147,7 +150,21 @@
         let fact = board.get(key)?;
         let (entry, usable) = (&fact.entry, fact.takes_work());
         let life = suspects::life_of(entry);
-        usable.then_some(AttemptTarget { key, life, address: entry.address })
+        let (address, version) = (entry.address, entry.release.clone());
+        usable.then_some(AttemptTarget { key, life, address, version })
+    }
+
+    /// Counts the attempt for its endpoint's version where roll-outs are carried out.
+    fn count_version(&self, target: &AttemptTarget, outcome: &AttemptOutcome) {
+        if !releases::are_served(self.node) {
+            return;
+        }
+        let end = match outcome {
+            AttemptOutcome::Delivered => "delivered",
+            AttemptOutcome::CallerGone => "caller_gone",
+            AttemptOutcome::Ended(end, _) => end.name(),
+        };
+        self.node.meter.count_version(&self.service.0, &target.version, end);
     }
 
     /// Takes this process's next request of a limited endpoint; says whether there is one.
--- a/crates/front/src/meter.rs
+++ b/crates/front/src/meter.rs
@@ -24,6 +24,7 @@
     usage_reports: Counter<u64>,
     evidence_left_out: Counter<u64>,
     words: Counter<u64>,
+    version_attempts: Counter<u64>,
     first_ms: Histogram<f64>,
     total_ms: Histogram<f64>,
     list_age_ms: Histogram<f64>,
@@ -47,6 +48,7 @@
             usage_reports: meter.u64_counter("oleander_front_usage_reports").build(),
             evidence_left_out: meter.u64_counter("oleander_front_evidence_left_out").build(),
             words: meter.u64_counter("oleander_front_words").build(),
+            version_attempts: meter.u64_counter("oleander_front_version_attempts").build(),
             first_ms: latency("oleander_front_first_ms"),
             total_ms: latency("oleander_front_total_ms"),
             list_age_ms: latency("oleander_front_list_age_ms"),
@@ -114,6 +116,16 @@
         self.words.add(1, &[KeyValue::new("word", word), KeyValue::new("by", by)]);
     }
 
+    /// Counts an attempt at an endpoint of a version, by its end; versions of a service are few at a time.
+    pub fn count_version(&self, service: &str, version: &str, end: &'static str) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("version", version.to_owned()),
+            KeyValue::new("end", end),
+        ];
+        self.version_attempts.add(1, &labels);
+    }
+
     /// Counts a usage report.
     pub fn count_usage(&self, taken: bool) {
         self.usage_reports.add(1, &[KeyValue::new("taken", taken)]);
--- a/crates/front/src/releases.rs
+++ b/crates/front/src/releases.rs
@@ -4,7 +4,7 @@
 mod keep;
 mod lane;
 
-pub use desk::ReleaseDesk;
+pub use desk::{ReleaseDesk, RunningOrder};
 pub(crate) use keep::keep_releases;
 
 use crate::limits;
