Plays of bad versions at 9 and at 195 processes; how many seeds a play takes is said in one place

The bound on exposure had been played at 60 processes only. Eight kinds of bad version less two, each with one of six troubles, before 11 and 230 endpoints: held, and rolled back where it shows. OLEANDER_SEEDS stands for all plays.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -43,6 +43,7 @@
 mod rollout;
 mod roster;
 mod scripted;
+mod seeds;
 mod settings;
 mod size;
 mod soak;
--- a/tests/all/rates.rs
+++ b/tests/all/rates.rs
@@ -1,5 +1,6 @@
 //! Rates of limited endpoints over many processes, as pure plays: reports that are lost, collectors that change, cuts.
 
+use crate::seeds::seeds;
 use arbtest::arbtest;
 use oleandertack::kind::{ClockTime, InstanceId, RequestRate, ServiceName, TimeSpan};
 use oleandertack::limit::{RateBucket, RateDesk, RateKey, RatedEndpoint};
@@ -101,12 +102,6 @@
     sent.iter().enumerate().map(count).max().unwrap_or_default()
 }
 
-/// Seeds of plays of one kind: a few, or as many as `OLEANDER_PLAYS` says for a long run by hand.
-pub fn seeds(few: u64) -> std::ops::Range<u64> {
-    let asked = std::env::var("OLEANDER_PLAYS").ok().and_then(|text| text.parse().ok());
-    0..asked.unwrap_or(few)
-}
-
 fn seeded(mut state: u64) -> impl FnMut(u64) -> u64 {
     move |below| {
         state = oleandertack::kind::hash::mix_bits(state);
--- a/tests/all/release.rs
+++ b/tests/all/release.rs
@@ -1,6 +1,7 @@
 //! Roll-outs of good and bad versions before many processes, in virtual time: what the version gets, when it is decided, and
 //! what callers' requests come to.
 
+use crate::seeds::seeds;
 use arbtest::arbtest;
 use oleandertack::judge::{AnswerSample, EvidenceTally};
 use oleandertack::kind::hash::mix_bits;
@@ -421,20 +422,15 @@
     BadKind::UnderLoad,
 ];
 
-/// How many seeds of each play CI runs; more by hand, with `OLEANDER_SEEDS`.
+/// How many seeds of each play CI runs.
 const SEEDS: u64 = 1;
 
-fn seeds() -> std::ops::Range<u64> {
-    let asked = std::env::var("OLEANDER_SEEDS").ok().and_then(|text| text.parse().ok());
-    0..asked.unwrap_or(SEEDS)
-}
-
 /// Callers of a tenth of the requests and more get answers of a bad version.
 #[test]
 fn a_bad_version_gets_no_more_than_its_bound() {
     for kind in BAD_KINDS {
         for trouble in TROUBLES {
-            for seed in seeds() {
+            for seed in seeds(SEEDS) {
                 let played = play(kind, trouble, seed).run();
 
                 let told = format!("{kind:?} {trouble:?} {seed}: {played:?}");
@@ -447,6 +443,25 @@
     }
 }
 
+/// The same in a small and in a large fleet: a bound that is handed out by whole requests leaves nothing to try with, or each
+/// process holds one.
+#[test]
+fn a_bad_version_gets_no_more_than_its_bound_at_nine_and_at_195_processes() {
+    for (processes, per_s, endpoints) in [(9, 105, 11), (195, 2275, 230)] {
+        for (kind, trouble) in BAD_KINDS.into_iter().zip(TROUBLES) {
+            for seed in seeds(SEEDS) {
+                let play = ReleasePlay { processes, per_s, endpoints, kind, trouble, seed };
+
+                let played = play.run();
+
+                let told = format!("{processes} {kind:?} {trouble:?} {seed}: {played:?}");
+                assert!(played.exposed as f64 <= played.bound(), "{told}");
+                assert!(played.rolled_back.is_some() || !shows(kind, trouble), "{told}");
+            }
+        }
+    }
+}
+
 /// Whether a version shows in its time that it is bad. One that turns bad at the last moment does not; while half of the
 /// requests fail at the other version as well, a few more are taken for chance.
 fn shows(kind: BadKind, trouble: Trouble) -> bool {
@@ -458,7 +473,7 @@
 fn a_version_that_shows_that_it_is_bad_is_rolled_back() {
     for kind in BAD_KINDS {
         for trouble in TROUBLES.into_iter().filter(|trouble| shows(kind, *trouble)) {
-            for seed in seeds() {
+            for seed in seeds(SEEDS) {
                 let played = play(kind, trouble, seed).run();
 
                 assert!(played.rolled_back.is_some(), "{kind:?} {trouble:?} {seed}: {played:?}");
@@ -472,7 +487,7 @@
 #[test]
 fn a_good_version_is_completed_and_cuts_nothing() {
     for trouble in TROUBLES {
-        for seed in seeds() {
+        for seed in seeds(SEEDS) {
             let played = play(BadKind::Good, trouble, seed).run();
 
             let told = format!("{trouble:?} {seed}: {played:?}");
@@ -486,7 +501,7 @@
 /// A good version is completed too late: its operators wait, or take it for bad.
 #[test]
 fn a_good_version_is_completed_in_its_time_on_a_calm_day() {
-    for seed in seeds() {
+    for seed in seeds(SEEDS) {
         let played = play(BadKind::Good, Trouble::Calm, seed).run();
 
         assert!(played.decided_at.is_some_and(|at| at <= ORDER_MS), "{seed}: {played:?}");
--- a/tests/all/words.rs
+++ b/tests/all/words.rs
@@ -2,8 +2,8 @@
 
 use crate::front::{ask, front_with, request, run, still_store, try_ask};
 use crate::plays::{PlayGroup, StoreMode, play};
-use crate::rates::seeds;
 use crate::scripted::{Act, scripted};
+use crate::seeds::seeds;
 use crate::speaking::{COUNTED, SpeakingEndpoint, WAY, start_speaking};
 use oleandertack::board::NodeClock;
 use oleandertack::conf::FrontBounds;
