Links that a listener for peers accepted end with it

Story: a play of a killed collector went on as if it lived. The task that accepts links was ended, those that serve them were not: in plays a process that was killed went on answering the reports of the others, until they went elsewhere for another reason. A real process takes its sockets with it.

Change: the listener owns its links; dropping it closes them.

--- a/crates/wire/src/serve.rs
+++ b/crates/wire/src/serve.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc};
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 use tokio_tungstenite::tungstenite::Message as WsMessage;
 
 /// Answers that may wait for one link.
@@ -26,7 +26,7 @@
     fn answer(&self, body: B) -> Pin<Box<dyn Future<Output = B>>>;
 }
 
-/// A listener for peers; dropping it closes it.
+/// A listener for peers; dropping it closes it, and the links that it accepted.
 pub struct PeerListener {
     address: SocketAddr,
     accepting: JoinHandle<()>,
@@ -64,12 +64,17 @@
 ) -> std::io::Result<PeerListener> {
     let address = listener.local_addr()?;
     let accepting = actix_rt::spawn(async move {
+        let mut links = JoinSet::new();
         loop {
-            let Ok((stream, _)) = listener.accept().await else { continue };
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                Some(_) = links.join_next() => continue,
+            };
+            let Ok((stream, _)) = accepted else { continue };
             if tune_socket(&stream, SocketBounds::default()).is_err() {
                 continue;
             }
-            actix_rt::spawn(serve_link(stream, handler.clone(), traffic.clone()));
+            links.spawn_local(serve_link(stream, handler.clone(), traffic.clone()));
         }
     });
     Ok(PeerListener { address, accepting })
