High limits are used while no process hands them out

Change: an answer of the collector says whether it hands out. From the end of its last lease on a process goes by its own part, the rate by the number of processes, where that is one request a second or more; so too from the moment at which it hears of a limit until the first lease. Where it is less it sends nothing: one request saved up at each of many processes would pass the bound.

--- a/crates/front/src/mesh/digest.rs
+++ b/crates/front/src/mesh/digest.rs
@@ -40,7 +40,7 @@
     if let Some(said) = &digest.words {
         words::take_all(node, said, trip);
     }
-    words::take_rates(node, &digest.rates, claimed_at);
+    words::take_rates(node, digest.rates.as_deref(), claimed_at);
     take_allotments(node, digest.allotments, claimed_at);
     node.usage.borrow_mut().forget(digest.reported_window);
     let mut mesh = node.mesh.borrow_mut();
--- a/crates/front/src/mesh/report.rs
+++ b/crates/front/src/mesh/report.rs
@@ -55,6 +55,7 @@
     note_fitness(node);
     releases::refresh(node);
     suspects::settle(node);
+    words::take_own_parts(node);
     // A process that begins goes by the collector that the others go by. Choosing for itself, from
     // what it knows then, half of the processes once stayed apart for a turn after they were killed.
     let undecided = node.mesh.borrow().view.chosen().is_none();
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -109,6 +109,8 @@
     pub ends: RefCell<EndWatch>,
     /// What endpoints said of themselves that the collector may not know.
     pub words: RefCell<WordOutbox>,
+    /// When this process last asked a collector that hands out rates of limited endpoints, by the clock of leases.
+    pub rates_at: Cell<ClockTime>,
     /// Requests under which endpoints ended.
     pub suspects: RefCell<SuspectBook>,
     /// What is known through the other processes.
@@ -183,6 +185,7 @@
             evidence: RefCell::default(),
             ends: RefCell::default(),
             words: RefCell::default(),
+            rates_at: Cell::default(),
             suspects: RefCell::default(),
             mesh: RefCell::new(MeshState::new(me)),
             report_revisions: RefCell::default(),
--- a/crates/front/src/words.rs
+++ b/crates/front/src/words.rs
@@ -5,7 +5,7 @@
 mod tell;
 
 pub use outbox::WordOutbox;
-pub(crate) use rates::{ReporterStand, answer_words, take_rates};
+pub(crate) use rates::{ReporterStand, answer_words, take_own_parts, take_rates};
 pub(crate) use tell::{known_words, next_told, note_taken, take_all, take_told};
 
 use crate::events::event;
@@ -13,6 +13,7 @@
 use crate::suspects;
 use oleander_call::{AnswerMark, SaidWord};
 use oleander_kind::{ClockTime, RequestRate, ResultCode};
+use oleander_limit::own_part;
 use oleander_place::{EndpointFact, EndpointKey, LimitWord};
 use oleander_suspect::EndedLife;
 
@@ -113,9 +114,15 @@
 
 /// Takes a limit, or that there is none.
 fn hear_limit(node: &FrontNode, key: EndpointKey, (word, source): (LimitWord, WordSource)) {
+    let now = node.clock.lease_now();
+    let own = word.rate.and_then(|rate| own_part(rate, node.process_count()));
     let mut board = node.endpoints.borrow_mut();
     let Some(before) = board.note_limit(key, word) else { return };
-    if let Some(fact) = board.get(key) {
+    if let Some(fact) = board.get_mut(key) {
+        // Until the first lease comes, with the next answer of the collector.
+        if let Some(per_s) = own.filter(|_| before.is_none()) {
+            fact.said.bucket.renew(per_s, (now, now));
+        }
         tell_limit(node, fact, (before, source));
     }
     if source == WordSource::Answer {
--- a/crates/front/src/words/rates.rs
+++ b/crates/front/src/words/rates.rs
@@ -3,7 +3,8 @@
 use super::known_words;
 use crate::node::FrontNode;
 use oleander_kind::{ClockTime, InstanceId, RequestRate};
-use oleander_limit::{RateKey, RatedEndpoint};
+use oleander_limit::pool::ALLOT_TIME;
+use oleander_limit::{RateKey, RatedEndpoint, own_part};
 use oleander_mesh::{
     EndpointMark, MeshCollector, MeshDigest, MeshView, NodeReport, RateShare, words_mark,
 };
@@ -22,8 +23,8 @@
     if words_mark(&words) != report.words_mark {
         digest.words = Some(words);
     }
-    if !report.is_late {
-        digest.rates = rate_shares(node, (report, view.serving()), collector);
+    if !report.is_late && collector.rates().hands_out(node.clock.now()) {
+        digest.rates = Some(rate_shares(node, (report, view.serving()), collector));
     }
 }
 
@@ -68,17 +69,37 @@
 }
 
 /// Takes this process's parts of what limited endpoints take; its report was made at `claimed_at`, by the clock of leases.
-pub(crate) fn take_rates(node: &FrontNode, rates: &[RateShare], claimed_at: ClockTime) {
-    if rates.is_empty() {
-        return;
-    }
-    let now = node.clock.lease_now();
+pub(crate) fn take_rates(node: &FrontNode, rates: Option<&[RateShare]>, claimed_at: ClockTime) {
+    let Some(rates) = rates else { return };
+    node.rates_at.set(claimed_at);
     let by_endpoint: HashMap<_, _> =
         rates.iter().map(|share| (share.endpoint, share.per_s)).collect();
-    node.endpoints.borrow_mut().for_each_mut(|fact| {
+    let part = |fact: &EndpointFact| {
         let mark = EndpointMark::of(&fact.entry.instance, fact.entry.life);
-        if let Some(per_s) = by_endpoint.get(&mark).filter(|_| fact.said.limit.rate.is_some()) {
-            fact.said.bucket.renew(f64::from(*per_s), (claimed_at, now));
+        by_endpoint.get(&mark).map(|per_s| f64::from(*per_s))
+    };
+    renew_parts(node, part, claimed_at);
+}
+
+/// Goes by this process's own parts of high limits while no collector hands them out: with leases alone, callers of a service
+/// whose endpoints all named one would be refused for two seconds after each loss of the collector.
+pub(crate) fn take_own_parts(node: &FrontNode) {
+    let now = node.clock.lease_now();
+    if now - node.rates_at.get() < ALLOT_TIME {
+        return;
+    }
+    let processes = node.process_count();
+    renew_parts(node, |fact| own_part(fact.said.limit.rate?, processes), now);
+}
+
+fn renew_parts(node: &FrontNode, part: impl Fn(&EndpointFact) -> Option<f64>, asked_at: ClockTime) {
+    let now = node.clock.lease_now();
+    let mut board = node.endpoints.borrow_mut();
+    let limited = board.speaking().filter(|(_, fact)| fact.said.limit.rate.is_some());
+    let parts: Vec<_> = limited.filter_map(|(key, fact)| Some((key, part(fact)?))).collect();
+    for (key, per_s) in parts {
+        if let Some(fact) = board.get_mut(key) {
+            fact.said.bucket.renew(per_s, (asked_at, now));
         }
-    });
+    }
 }
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -16,5 +16,5 @@
     PoolAllotment, PoolGate, PoolLedger, PoolLimit, PoolSpender, STORED_LASTS, TOLD_LASTS,
     ToldWindow, WindowStand,
 };
-pub use rate::{RateBucket, RateDesk, RateKey, RatedEndpoint};
+pub use rate::{RateBucket, RateDesk, RateKey, RatedEndpoint, own_part};
 pub use share::{AccountLimits, LimitGate, LimitVerdict};
--- a/crates/limit/src/rate.rs
+++ b/crates/limit/src/rate.rs
@@ -10,4 +10,4 @@
 mod desk;
 
 pub use bucket::RateBucket;
-pub use desk::{RateDesk, RateKey, RatedEndpoint};
+pub use desk::{RateDesk, RateKey, RatedEndpoint, own_part};
--- a/crates/limit/src/rate/desk.rs
+++ b/crates/limit/src/rate/desk.rs
@@ -113,6 +113,11 @@
         });
     }
 
+    /// Whether it hands rates out yet.
+    pub fn hands_out(&self, now: ClockTime) -> bool {
+        self.began_at.is_some_and(|at| now >= at + BEGIN_TIME)
+    }
+
     /// Forgets endpoints that name no limit any more; `named` says which do.
     pub fn keep(&mut self, named: impl Fn(RateKey) -> bool) {
         self.rates.retain(|key, _| named(*key));
@@ -126,7 +131,7 @@
         endpoint: RatedEndpoint<'_>,
         (serving, now): (u32, ClockTime),
     ) -> Option<f64> {
-        if self.began_at.is_none_or(|at| now < at + BEGIN_TIME) {
+        if !self.hands_out(now) {
             return None;
         }
         let counted = self.members.values().filter(|member| counts(member, now)).count();
@@ -188,3 +193,10 @@
     let most = rate * seconds(COUNTED_TIME) + SAVED_MOST - holders;
     (most / seconds(COUNTED_TIME + SAVED_TIME)).clamp(0.0, rate)
 }
+
+/// What each of `processes` may send to an endpoint without a lease while nobody hands out its `rate`, in requests a second;
+/// none if that is less than one: what each may have saved up would pass the rate.
+pub fn own_part(rate: RequestRate, processes: u32) -> Option<f64> {
+    let part = rate.per_s() / f64::from(processes.max(1));
+    (part >= 1.0).then_some(part)
+}
--- a/crates/mesh/src/collector.rs
+++ b/crates/mesh/src/collector.rs
@@ -223,7 +223,7 @@
             suspects: (report.suspects_mark != facts.suspects.shared_mark())
                 .then(|| facts.suspects.shared(now)),
             words: None,
-            rates: Vec::new(),
+            rates: None,
             lease: facts.lease.clone(),
             releases: facts.releases.clone(),
         }
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -362,9 +362,9 @@
     /// What endpoints said of themselves, if the mark of the report is another.
     #[serde(rename = "W", default, skip_serializing_if = "Option::is_none")]
     pub words: Option<Vec<EndpointWords>>,
-    /// The reporter's parts of what limited endpoints take.
-    #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
-    pub rates: Vec<RateShare>,
+    /// The reporter's parts of what limited endpoints take; none while the collector does not hand them out.
+    #[serde(rename = "q", default, skip_serializing_if = "Option::is_none")]
+    pub rates: Option<Vec<RateShare>>,
     /// The lease, if the collector knows it.
     #[serde(rename = "h")]
     pub lease: Option<LeaseNotice>,
--- a/tests/all/rates.rs
+++ b/tests/all/rates.rs
@@ -3,7 +3,8 @@
 use crate::seeds::seeds;
 use arbtest::arbtest;
 use oleandertack::kind::{ClockTime, InstanceId, RequestRate, ServiceName, TimeSpan};
-use oleandertack::limit::{RateBucket, RateDesk, RateKey, RatedEndpoint};
+use oleandertack::limit::pool::ALLOT_TIME;
+use oleandertack::limit::{RateBucket, RateDesk, RateKey, RatedEndpoint, own_part};
 
 const STEP: TimeSpan = TimeSpan(10);
 const REPORT_PERIOD: u64 = 250;
@@ -57,6 +58,7 @@
     let rate = RequestRate::per_second(plan.per_s);
     let mut buckets = vec![RateBucket::default(); plan.processes];
     let mut desks = [RateDesk::default(), RateDesk::default()];
+    let mut asked_at = vec![0; plan.processes];
     let mut sent = Vec::new();
     for ms in (0..lasts).step_by(STEP.0 as usize) {
         let now = ClockTime(START + ms);
@@ -77,10 +79,21 @@
                     Some(RateSafeguard::FewHolders) => Some(plan.per_s / plan.processes as f64),
                     _ => desk.lease(name, endpoint, (serving as u32, now)),
                 };
-                if let Some(per_s) = lease.filter(|_| draw(1000) >= plan.lost) {
+                let is_answered = draw(1000) >= plan.lost;
+                if is_answered && desk.hands_out(now) {
+                    asked_at[at] = ms;
+                }
+                if let Some(per_s) = lease.filter(|_| is_answered) {
                     buckets[at].renew(per_s, (now, now));
                 }
             }
+            let is_left = ms >= asked_at[at] + ALLOT_TIME.0;
+            if is_left
+                && ms % REPORT_PERIOD == 0
+                && let Some(per_s) = own_part(rate, plan.processes as u32)
+            {
+                buckets[at].renew(per_s, (now, now));
+            }
             if plan.without == Some(RateSafeguard::End)
                 && let Some(per_s) = buckets[at].per_s(now).filter(|per_s| *per_s > 0.0)
             {
--- a/tests/all/size.rs
+++ b/tests/all/size.rs
@@ -353,7 +353,7 @@
 /// Bytes that such words and parts take of an answer.
 fn bytes_of(words: Option<Vec<EndpointWords>>, rates: Vec<RateShare>) -> usize {
     let mut digest = rig().take(report("front-1"), NOW);
-    (digest.words, digest.rates) = (words, rates);
+    (digest.words, digest.rates) = (words, Some(rates));
     let account = digest_account(&digest);
     account.iter().find(|(part, _)| *part == "words").map(|(_, bytes)| *bytes).expect("counted")
 }
--- a/tests/all/speaking.rs
+++ b/tests/all/speaking.rs
@@ -62,10 +62,14 @@
         most_in(COUNTED, arrivals.iter().map(|came| came.at).filter(|at| *at >= from))
     }
 
+    /// Requests from `from` on.
+    pub fn came_from(&self, from: Instant) -> usize {
+        self.arrivals.borrow().iter().filter(|came| came.at >= from).count()
+    }
+
     /// Requests a second from `from` on.
     pub fn rate(&self, from: Instant) -> f64 {
-        let count = self.arrivals.borrow().iter().filter(|came| came.at >= from).count();
-        count as f64 / from.elapsed().as_secs_f64()
+        self.came_from(from) as f64 / from.elapsed().as_secs_f64()
     }
 
     /// How long after it first told a process that it leaves a request of that process reached it; the longest.
--- a/tests/all/words.rs
+++ b/tests/all/words.rs
@@ -218,6 +218,30 @@
     });
 }
 
+/// Callers of a service whose endpoints all named a limit, one far above what a process sends, are refused for two seconds
+/// whenever the process that hands the rates out ends.
+#[test]
+fn high_limits_are_used_while_no_process_hands_them_out() {
+    for seed in seeds(2) {
+        play(async {
+            let mut play = WordPlay::start(6, 6).await;
+            let named_at = play.name_limit(6, Some(12.0));
+            sleep(Duration::from_millis(5000 + seed * 37 % 1000)).await;
+
+            let from = Instant::now();
+            play.kill(&[play.group.collector()]).await;
+            sleep(Duration::from_millis(2500).saturating_sub(from.elapsed())).await;
+            let came: usize = play.endpoints.iter().map(|one| one.came_from(from)).sum();
+
+            // Five processes of six, of 12 a second at six endpoints.
+            let owed = 2.5 * 6.0 * 12.0 * 5.0 / 6.0;
+            assert!(came as f64 > 0.7 * owed, "{seed}: {came} of {owed}");
+            sleep(Duration::from_secs(8)).await;
+            play.assert_kept((6, 12.0), named_at);
+        });
+    }
+}
+
 /// Endpoints in need are flooded after a kill of all processes: nobody is left that had been told.
 #[test]
 fn after_a_kill_of_all_processes_limits_are_kept_again_once_they_are_heard() {
