The first lease of an endpoint's limit brings half a request, not one

Cause: a process that misses two reports is no holder any more, another one is chosen, and each new holder brought a request of its own.

Change: half a request. Nothing at all would leave 0.3 a second unused for seven seconds wherever processes begin anew. The case is kept as a test, which fails with a whole one (8).

--- a/crates/limit/src/rate/bucket.rs
+++ b/crates/limit/src/rate/bucket.rs
@@ -6,12 +6,15 @@
 /// For how long a process may save up besides one request: the next caller comes within this time where many ask.
 pub(super) const SAVED_TIME: TimeSpan = TimeSpan(200);
 
+/// What the first lease of an endpoint's life brings, in requests. With nothing, 0.3 a second are not used for seconds where processes
+/// begin anew one after the other; with a whole one, holders that change while reports are lost pass the bound.
+const FIRST_LEVEL: f64 = 0.5;
+
 /// A process's part of an endpoint's rate: a request whenever enough time has passed since the last one.
 ///
 /// All times are by a clock that goes on while the machine is suspended. Nothing is gained without a lease: a holder
 /// that lost one for a while would else send for that time besides what others were handed. What was saved up before stays, and
-/// the first lease brings one request: a rate of 0.3 a second would else bring nothing for seconds after each change of the
-/// collector.
+/// the first lease brings [`FIRST_LEVEL`].
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RateBucket {
     per_s: f64,
@@ -25,7 +28,7 @@
     /// Takes a lease of `per_s` requests a second that was asked for at `sent_at`.
     pub fn renew(&mut self, per_s: f64, (sent_at, now): (ClockTime, ClockTime)) {
         let is_first = self.ends_at == ClockTime::default();
-        self.level = if is_first { 1.0 } else { self.saved(now.min(self.ends_at)) };
+        self.level = if is_first { FIRST_LEVEL } else { self.saved(now.min(self.ends_at)) };
         self.filled_at = now;
         self.per_s = per_s;
         self.ends_at = sent_at + ALLOT_TIME;
--- a/tests/all/rates.rs
+++ b/tests/all/rates.rs
@@ -166,11 +166,29 @@
     });
 }
 
+/// The same at a low rate: holders change while half of the reports are lost, in a cut, and each brings a request of its own.
+#[test]
+fn a_low_rate_holds_while_its_holders_change() {
+    let plan = RatePlan {
+        processes: 23,
+        per_s: 0.4,
+        lost: 517,
+        asked_per_s: 17.0,
+        collector_lasts: 7500,
+        cut: true,
+        without: None,
+    };
+
+    let sent = sends(plan, 20_000, seeded(18_273_252_276_814_811_764));
+
+    assert!(most_in_window(&sent) <= 7, "{}", most_in_window(&sent));
+}
+
 /// A safeguard is taken out, and no play shows what it is for.
 #[test]
 fn a_rate_is_passed_without_any_one_of_its_safeguards() {
     let passes = |plan: RatePlan| {
-        let most = most_in_window(&sends(plan, 30_000, seeded(9))) as f64;
+        let most = most_in_window(&sends(plan, 60_000, seeded(9))) as f64;
         most > 1.5 * 4.0 * plan.per_s + 5.0
     };
     let cut = RatePlan { processes: 40, per_s: 20.0, cut: true, ..CALM };
@@ -190,9 +208,9 @@
     let mut bucket = RateBucket::default();
     bucket.renew(2.0, (at(0), at(0)));
 
-    assert!(bucket.take(at(10)) && !bucket.is_ready(at(400)));
+    assert!(!bucket.is_ready(at(240)) && bucket.take(at(260)), "half of one comes first");
     bucket.renew(2.0, (at(400), at(400)));
-    assert!(bucket.is_ready(at(520)) && !bucket.is_ready(at(1001)), "the lease has ended");
+    assert!(bucket.is_ready(at(770)) && !bucket.is_ready(at(1001)), "the lease has ended");
     bucket.renew(2.0, (at(5000), at(5000)));
     assert!(bucket.take(at(5000)), "what was gained by the lease stays");
     assert!(!bucket.is_ready(at(5250)) && bucket.is_ready(at(5310)));
