A limit ends only by an answer of its own that ran; marks of words agree once limits have ended

Read over: a refusal, or an answer that names no request (a faulty endpoint's), lacks the limit, and was taken for its end, at all processes, until the next answer. And a process that never knew of a limit that had ended had another mark than the collector for good, so that each answer carried the whole set. The part of a rate is worked out once a report and not once an endpoint.

--- a/crates/front/src/admin.rs
+++ b/crates/front/src/admin.rs
@@ -129,7 +129,10 @@
             "score": running.map(|running| running.plan.case.score()),
         })
     };
-    let held = |(service, version): &(ServiceName, CompactString)| json!({ "service": service.as_str(), "version": version.as_str() });
+    let held = |(service, version): &(ServiceName, CompactString)| {
+        let (service, version) = (service.as_str(), version.as_str());
+        json!({ "service": service, "version": version })
+    };
     json!({
         "known_as_of": news.mark,
         "orders": news.told.iter().map(order).collect::<Vec<_>>(),
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -3,7 +3,6 @@
 use crate::drive::{AttemptOutcome, CallRun};
 use crate::events::event;
 use crate::suspects::BrokenAttempt;
-use crate::words::AnswerOwner;
 use crate::work::{FirstWait, WorkGuard};
 use crate::{releases, stream, suspects, whole, words};
 use actix_http::{RequestHead, ResponseHead, Version};
@@ -301,10 +300,8 @@
             let head = timeout_at(limit, reading).await.map_err(late)?.ok_or_else(ended)??;
             let mark = self.node.dialect.read_answer(&head);
             let sent = slot.take().ok_or_else(spent)?;
-            let is_own = mark.belongs_to(&self.call.id);
-            let owner = if is_own { AnswerOwner::Own } else { AnswerOwner::Foreign };
-            words::hear(self.node, (key, &mark), (owner, asked_at));
-            if is_own {
+            words::hear(self.node, (key, &mark), (&self.call.id, asked_at));
+            if mark.belongs_to(&self.call.id) {
                 return Ok((sent, head, mark));
             }
             let mut foreign = sent.into_body(&head);
--- a/crates/front/src/words.rs
+++ b/crates/front/src/words.rs
@@ -35,20 +35,14 @@
     }
 }
 
-/// Whose answer it was.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum AnswerOwner {
-    /// It answers the request that was sent.
-    Own,
-    /// It answers another one, and came late: that it does not say a word means nothing.
-    Foreign,
-}
-
-/// Takes what an answer of endpoint `key` says of that, the request having been sent at `asked_at`.
+/// Takes what an answer of endpoint `key` to the `request` that was sent at `asked_at` says of the endpoint.
+///
+/// That it does not name a limit ends one only if it is the request's own answer, and the endpoint ran it: an answer to another
+/// one came late, and refusals and what a faulty endpoint sends may lack what its answers say.
 pub(crate) fn hear(
     node: &FrontNode,
     (key, mark): (EndpointKey, &AnswerMark),
-    (owner, asked_at): (AnswerOwner, ClockTime),
+    (request, asked_at): (&str, ClockTime),
 ) {
     if mark.misdirected {
         return;
@@ -57,7 +51,7 @@
     hear_rest(node, key, mark);
     let rate = match &mark.limit {
         SaidWord::Said(rate) => Some(*rate),
-        SaidWord::Absent if owner == AnswerOwner::Own => None,
+        SaidWord::Absent if !mark.not_run && mark.id.as_deref() == Some(request) => None,
         SaidWord::Absent => return,
         SaidWord::Unreadable(text) => return tell_unreadable(node, key, ("limit", text)),
     };
--- a/crates/front/src/words/rates.rs
+++ b/crates/front/src/words/rates.rs
@@ -9,7 +9,7 @@
     EndpointMark, MeshCollector, MeshDigest, MeshView, NodeReport, RateShare, words_mark,
 };
 use oleander_place::EndpointFact;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 /// Adds to the collector's answer what endpoints said, if the reporter knows other than that, and its parts of what limited
 /// ones take.
@@ -56,12 +56,13 @@
     let limited = board.speaking().filter_map(|(_, fact)| Some((fact, fact.said.limit.rate?)));
     let limited: Vec<_> = limited.filter(|(fact, _)| fact.takes_work()).collect();
     let key_of = |fact: &EndpointFact| RateKey::of(&fact.entry.instance, fact.entry.life);
-    let keys: Vec<RateKey> = limited.iter().map(|(fact, _)| key_of(fact)).collect();
+    let keys: BTreeSet<RateKey> = limited.iter().map(|(fact, _)| key_of(fact)).collect();
     let desk = collector.rates();
     desk.keep(|key| keys.contains(&key));
+    let part = desk.part(serving, now);
     let share = |(fact, rate): (&EndpointFact, RequestRate)| {
         let endpoint = RatedEndpoint { key: key_of(fact), service: &fact.entry.service, rate };
-        let per_s = desk.lease(&report.id, endpoint, (serving, now))?;
+        let per_s = desk.lease(&report.id, endpoint, (part, now))?;
         let endpoint = EndpointMark::of(&fact.entry.instance, fact.entry.life);
         Some(RateShare { endpoint, per_s: per_s as f32 })
     };
--- a/crates/limit/src/rate/desk.rs
+++ b/crates/limit/src/rate/desk.rs
@@ -123,19 +123,24 @@
         self.rates.retain(|key, _| named(*key));
     }
 
-    /// What `member` may send to `endpoint` by a lease that begins now, in requests a second; none if it gets no lease.
-    /// `serving` processes share the rate: in a cut each side hands out the part of its own processes.
+    /// The part of each rate that is handed out here, in 0 to 1, of `serving` processes that share it: in a cut each side hands
+    /// out what belongs to its own processes.
+    pub fn part(&self, serving: u32, now: ClockTime) -> f64 {
+        let counted = self.members.values().filter(|member| counts(member, now)).count();
+        (counted as f64 / f64::from(serving.max(1))).min(1.0)
+    }
+
+    /// What `member` may send to `endpoint` by a lease that begins now, in requests a second, if so large a `part` of its rate is
+    /// handed out here; none if it gets no lease.
     pub fn lease(
         &mut self,
         member: &InstanceId,
         endpoint: RatedEndpoint<'_>,
-        (serving, now): (u32, ClockTime),
+        (part, now): (f64, ClockTime),
     ) -> Option<f64> {
         if !self.hands_out(now) {
             return None;
         }
-        let counted = self.members.values().filter(|member| counts(member, now)).count();
-        let part = (counted as f64 / f64::from(serving.max(1))).min(1.0);
         let rate = endpoint.rate.per_s() * part;
         let is_due =
             |handed: &HandedRate| handed.chosen_at.is_none_or(|at| now - at >= CHOICE_PERIOD);
--- a/crates/mesh/src/words.rs
+++ b/crates/mesh/src/words.rs
@@ -33,9 +33,11 @@
     }
 }
 
-/// Tells two sets of words apart, whatever their order and age.
+/// Tells two sets of words apart, whatever their order and age. That a limit ended is told, and needs to be known only by who
+/// knew it.
 pub fn words_mark(words: &[EndpointWords]) -> u64 {
-    words.iter().fold(0, |mark, said| mark ^ said.mark())
+    let in_force = words.iter().filter(|said| said.leaves || said.limit.is_some());
+    in_force.fold(0, |mark, said| mark ^ said.mark())
 }
 
 /// A process's part of what a limited endpoint takes.
--- a/tests/all/rates.rs
+++ b/tests/all/rates.rs
@@ -77,7 +77,7 @@
                 let serving = if lacks_part { here } else { plan.processes };
                 let lease = match plan.without {
                     Some(RateSafeguard::FewHolders) => Some(plan.per_s / plan.processes as f64),
-                    _ => desk.lease(name, endpoint, (serving as u32, now)),
+                    _ => desk.lease(name, endpoint, (desk.part(serving as u32, now), now)),
                 };
                 let is_answered = draw(1000) >= plan.lost;
                 if is_answered && desk.hands_out(now) {
--- a/tests/all/size.rs
+++ b/tests/all/size.rs
@@ -346,6 +346,8 @@
     let mut changed = words.clone();
     changed[7].age = TimeSpan(900);
     assert_eq!(words_mark(&words), words_mark(&changed), "an age is no change");
+    changed.push(EndpointWords { limit: None, ..said(200) });
+    assert_eq!(words_mark(&words), words_mark(&changed), "nor an end that others never knew");
     changed[7].limit = Some(RequestRate::per_second(2.7));
     assert_ne!(words_mark(&words), words_mark(&changed));
 }
--- a/tests/all/words.rs
+++ b/tests/all/words.rs
@@ -7,8 +7,8 @@
 use crate::speaking::{COUNTED, SpeakingEndpoint, WAY, start_speaking};
 use oleandertack::board::NodeClock;
 use oleandertack::conf::FrontBounds;
-use oleandertack::front::FrontPorts;
-use oleandertack::kind::ResultCode;
+use oleandertack::front::{FrontPorts, FrontProcess};
+use oleandertack::kind::{RequestRate, ResultCode};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -334,3 +334,41 @@
         assert!(fact.health.failure_share(now) < 1e-9);
     });
 }
+
+/// An endpoint in need is flooded between two of its answers: a refusal, or what a faulty endpoint sends, lacks the limit, and is
+/// taken for its end.
+#[test]
+fn only_an_answer_of_its_own_that_ran_ends_a_limit() {
+    run(async {
+        let limited = "HTTP/1.1 200 OK\r\nX-Oleandertack-Request-Id: {id}\r\nServer-Limit: 40\r\n\
+            X-Oleandertack-Response-Seal: seal\r\nContent-Length: 2\r\n\r\nok";
+        let refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Oleandertack-Request-Id: {id}\r\n\
+            X-Oleandertack-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        let nameless = "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n";
+        let plain = "HTTP/1.1 200 OK\r\nX-Oleandertack-Request-Id: {id}\r\n\
+            X-Oleandertack-Response-Seal: seal\r\nContent-Length: 2\r\n\r\nok";
+        let script =
+            [limited, refusal, nameless, plain].map(|text| vec![Act::Say(text.to_owned())]);
+        let endpoint = scripted(script.to_vec()).await;
+        let store = Box::new(still_store(&[endpoint.address]));
+        let ports = FrontPorts { store, cloud: None, clock: NodeClock::default() };
+        let (process, address) = front_with(ports, FrontBounds::default()).await;
+        let mut limits = Vec::new();
+
+        for number in 0..4 {
+            let text = request("GET", "/open/a", &format!("r{number}"), "", "");
+            ask(address, &text).await;
+            limits.push(limit_of_one(&process));
+            sleep(Duration::from_millis(100)).await;
+        }
+
+        let named = Some(RequestRate::per_second(40.0));
+        assert_eq!(limits, [named, named, named, None]);
+    });
+}
+
+/// The limit that a process knows of its one endpoint.
+fn limit_of_one(process: &FrontProcess) -> Option<RequestRate> {
+    let board = process.node.endpoints.borrow();
+    board.speaking().find_map(|(_, fact)| fact.said.limit.rate)
+}
