--- a/crates/limit/src/rate/bucket.rs
+++ b/crates/limit/src/rate/bucket.rs
@@ -14,7 +14,7 @@
 ///
 /// All times are by a clock that goes on while the machine is suspended. Nothing is gained without a lease: a holder
 /// that lost one for a while would else send for that time besides what others were handed. What was saved up before stays, and
-/// the first lease brings [`FIRST_LEVEL`].
+/// the first lease brings half a request.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RateBucket {
     per_s: f64,
