--- a/tests/all/words.rs
+++ b/tests/all/words.rs
@@ -1,4 +1,4 @@
-//! Endpoints that name a limit for themselves, before several processes, in virtual time.
+//! Endpoints that name a limit, leave or ask for rest in their answers, before several processes, in virtual time.
 
 use crate::front::{ask, front_with, request, run, still_store, try_ask};
 use crate::plays::{PlayGroup, StoreMode, play};
