Plays wait until what they need is so, not for a time that it usually takes

Cause: plays of endings, words and roll-outs slept for two or three seconds until all processes knew the endpoints, and two of them had the same loop of their own until killed processes serve again. The sleeps are in the play's own time, which no load of the machine lengthens, but they say nothing of what is waited for, and a play that was not ready would have gone on.

Change: PlayGroup waits until every process lists and uses so many endpoints, or serves, and fails after 20 s of its time; one piece for the three. What is left of sleeps in tests of endings is how long a caller waits until it asks again, which is what the plays are about; it has a name.

Measured: 26 tests of endings, words and roll-outs pass, their assertions as they were; lints.

--- a/tests/all/ending.rs
+++ b/tests/all/ending.rs
@@ -19,7 +19,9 @@
 const CONTACT: Duration = Duration::from_millis(3000);
 /// Times that the request may reach an endpoint after that.
 const MOST_AFTER: usize = 3;
-/// Until a caller that got no answer asks again.
+/// Between two requests of an honest caller, in the play's own time.
+const HONEST_GAP: Duration = Duration::from_millis(10);
+/// Until a caller that got no answer asks again, in the play's own time.
 const GAP: Duration = Duration::from_millis(500);
 
 /// Processes before endpoints, with honest callers at work.
@@ -53,7 +55,7 @@
             if let Some(came) = try_ask(address, &text).await {
                 self.note(&came);
             }
-            sleep(Duration::from_millis(10)).await;
+            sleep(HONEST_GAP).await;
         }
     }
 }
@@ -66,9 +68,9 @@
 impl EndingPlay {
     async fn start() -> Self {
         let group = PlayGroup::start(PROCESSES).await;
-        ["i-0", "i-1", "i-2"].iter().for_each(|name| group.remove(name));
+        group.remove_first_endpoints();
         let fleet = MortalFleet::start(group.registry(), ENDPOINTS).await;
-        sleep(Duration::from_secs(2)).await;
+        group.until_listed(ENDPOINTS).await;
         let play = EndingPlay { group, fleet, callers: Rc::default() };
         play.note_addresses();
         for caller in 0..HONEST_CALLERS {
@@ -102,9 +104,7 @@
     async fn kill(&mut self, killed: &[usize]) {
         self.group.kill(killed, Duration::from_secs(1)).await;
         self.note_addresses();
-        while !self.group.processes.iter().all(|process| process.node.is_ready()) {
-            sleep(Duration::from_millis(10)).await;
-        }
+        self.group.until_ready().await;
     }
 
     /// Asserts that `body` reached endpoints no more often than it may, in the whole play.
--- a/tests/all/plays.rs
+++ b/tests/all/plays.rs
@@ -32,6 +32,11 @@
 /// Until all processes know one another and have a collector.
 const SETTLE: Duration = Duration::from_secs(7);
 
+/// Endpoints that the store begins with.
+const FIRST_ENDPOINTS: [&str; 3] = ["i-0", "i-1", "i-2"];
+/// The longest wait for something that has to come about.
+const MOST_AWAITED: Duration = Duration::from_secs(20);
+
 /// How the store stands with one process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StoreMode {
@@ -344,7 +349,7 @@
         let state = Rc::new(StoreState::default());
         let rules = object("main", RULES.to_owned());
         state.put(FeedKind::Rules, "main", rules.body);
-        for name in ["i-0", "i-1", "i-2"] {
+        for name in FIRST_ENDPOINTS {
             state.put(FeedKind::Endpoints, name, entry("ready"));
         }
         let peers: Vec<SocketAddr> = (0..count).map(|_| own_address()).collect();
@@ -394,6 +399,35 @@
         }
     }
 
+    /// Waits until all processes serve.
+    pub async fn until_ready(&self) {
+        self.until(|process| process.node.is_ready()).await;
+    }
+
+    /// Waits until something holds at every process.
+    async fn until(&self, holds: impl Fn(&FrontProcess) -> bool) {
+        let began = Instant::now();
+        while !self.processes.iter().all(&holds) {
+            assert!(began.elapsed() < MOST_AWAITED, "it does not come about at every process");
+            sleep(STEP).await;
+        }
+    }
+
+    /// The store takes away the endpoints that it began with.
+    pub fn remove_first_endpoints(&self) {
+        FIRST_ENDPOINTS.iter().for_each(|name| self.remove(name));
+    }
+
+    /// Waits until every process sends requests to `count` endpoints, and knows no others.
+    pub async fn until_listed(&self, count: usize) {
+        let lists = |process: &FrontProcess| {
+            let board = process.node.endpoints.borrow();
+            let serving = board.iter().filter(|(_, fact)| fact.takes_work() && fact.serves);
+            board.len() == count && serving.count() == count
+        };
+        self.until(lists).await;
+    }
+
     /// The store stands so with every process.
     pub fn set_all(&self, mode: StoreMode) {
         self.ways.iter().for_each(|way| way.set(mode));
--- a/tests/all/rollout.rs
+++ b/tests/all/rollout.rs
@@ -142,9 +142,9 @@
 impl Rollout {
     async fn start() -> Self {
         let group = PlayGroup::start_releasing(PROCESSES, (SHARE, SLACK)).await;
-        ["i-0", "i-1", "i-2"].iter().for_each(|name| group.remove(name));
+        group.remove_first_endpoints();
         let former = VersionFleet::start(&group, "v1", None).await;
-        sleep(Duration::from_secs(3)).await;
+        group.until_listed(ENDPOINTS).await;
         let callers = Callers::start(&group);
         sleep(Duration::from_secs(1)).await;
         Rollout { group, former, callers }
--- a/tests/all/words.rs
+++ b/tests/all/words.rs
@@ -62,9 +62,9 @@
 impl WordPlay {
     async fn start(processes: usize, endpoints: usize) -> Self {
         let group = PlayGroup::start(processes).await;
-        ["i-0", "i-1", "i-2"].iter().for_each(|name| group.remove(name));
+        group.remove_first_endpoints();
         let endpoints = start_speaking(&group.registry(), endpoints).await;
-        sleep(Duration::from_secs(2)).await;
+        group.until_listed(endpoints.len()).await;
         let play = WordPlay { group, endpoints, callers: Rc::default() };
         play.note_addresses();
         for process in 0..processes {
@@ -104,9 +104,7 @@
     async fn kill(&mut self, killed: &[usize]) {
         self.group.kill(killed, Duration::from_secs(1)).await;
         self.note_addresses();
-        while !self.group.processes.iter().all(|process| process.node.is_ready()) {
-            sleep(Duration::from_millis(10)).await;
-        }
+        self.group.until_ready().await;
     }
 
     /// Asserts that no limited endpoint got more than the operators allow from processes that it had told.
