The era of the store is read, logged and shown; lists that are ignored say so

Cause: the platform's store may come back from an older copy and says so by the header Store-Era in all its answers; nothing read it. A list or change that is dropped because a later revision is known left no line either, so a store that went back and a watch that is silent looked the same in the logs. Change: platform/ reads the era from every answer, whatever its status; it is logged (store_went_back, era_unreadable, code 5008), counted and dumped. An ignored list is logged with both revisions and counted. A lower, a missing and an unreadable era change nothing. No decision uses the era yet.

--- a/crates/front/src/admin.rs
+++ b/crates/front/src/admin.rs
@@ -52,6 +52,7 @@
         "stop": format!("{:?}", node.stop.get()),
         "ready": node.is_ready(),
         "in_flight": node.in_flight.get(),
+        "store_era": node.store_era.get().map(|era| era.0),
         "rules_version": rules.version(),
         "rules_fresh": node.rules_are_fresh(),
         "rules_feed": feed(node.rules_feed.get(), rules.freshness()),
--- a/crates/front/src/events.rs
+++ b/crates/front/src/events.rs
@@ -59,6 +59,9 @@
     FeedChanged = "feed_changed", 20, "the store became unreachable or reachable: `feed`, `fresh`, `fault`";
     FeedFault = "feed_fault", 10, "a call to the store failed: `feed`, `fault`";
     FeedSilent = "feed_silent", 20, "a watch of a feed has returned nothing for too long; the feed is read again: `feed`";
+    StoreWentBack = "store_went_back", 10, "the store came back from an older copy, or named its era for the first time: its `era` now and `before`; revisions of earlier eras are given out again";
+    EraUnreadable = "era_unreadable", 10, "an answer of the store names its era in a way that cannot be read, and the known one stays: its `text`, `code`";
+    RosterIgnored = "roster_ignored", 20, "an endpoint list or changes from the store were ignored, because a later revision is known: `as_of` revision, the `known` one";
     RulesInForce = "rules_in_force", 40, "a newer version of the rules is in force: `version`";
     RulesUnreadable = "rules_unreadable", 10, "the rules cannot be decoded and the old ones stay in force: `fault`";
     RosterFromPeer = "roster_from_peer", 20, "a snapshot of the endpoint list was received from a peer: `as_of` revision, its age in ms (`age_ms`), the process that read it from the store (`vouched_by`), the number of entries that the peer could not confirm (`doubted`), for how much longer endpoints that are missing from it may still exist, their entries having expired (`unsettled_ms`)";
--- a/crates/front/src/feeds.rs
+++ b/crates/front/src/feeds.rs
@@ -1,5 +1,6 @@
 //! Follows the feeds of rules and endpoints in the store.
 
+use crate::era;
 use crate::events::event;
 use crate::feed::FeedState;
 use crate::mesh;
@@ -114,6 +115,7 @@
                 Some(Err(fault)) => Some(fault),
             },
         };
+        era::note_store_era(node);
         if fault.is_some() {
             update_feed_state(node, kind, state, fault.as_ref());
         }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod discover;
 pub mod drive;
 pub mod duties;
+mod era;
 pub mod events;
 pub mod evidence;
 pub mod feed;
--- a/crates/front/src/meter.rs
+++ b/crates/front/src/meter.rs
@@ -20,6 +20,8 @@
     resumes: Counter<u64>,
     unread_tokens: Counter<u64>,
     store_faults: Counter<u64>,
+    store_returns: Counter<u64>,
+    lists_ignored: Counter<u64>,
     orders: Counter<u64>,
     usage_reports: Counter<u64>,
     evidence_left_out: Counter<u64>,
@@ -44,6 +46,8 @@
             resumes: meter.u64_counter("oleander_front_resumes").build(),
             unread_tokens: meter.u64_counter("oleander_front_unread_tokens").build(),
             store_faults: meter.u64_counter("oleander_front_store_faults").build(),
+            store_returns: meter.u64_counter("oleander_front_store_returns").build(),
+            lists_ignored: meter.u64_counter("oleander_front_lists_ignored").build(),
             orders: meter.u64_counter("oleander_front_orders").build(),
             usage_reports: meter.u64_counter("oleander_front_usage_reports").build(),
             evidence_left_out: meter.u64_counter("oleander_front_evidence_left_out").build(),
@@ -101,6 +105,16 @@
         self.store_faults.add(1, &[KeyValue::new("feed", feed)]);
     }
 
+    /// Counts that the store came back from an older copy.
+    pub fn count_store_return(&self) {
+        self.store_returns.add(1, &[]);
+    }
+
+    /// Counts an endpoint list, or changes of it, that the store sent and that were older than the known list.
+    pub fn count_list_ignored(&self) {
+        self.lists_ignored.add(1, &[]);
+    }
+
     /// Counts an order for endpoints, by whether the cloud accepted it.
     pub fn count_order(&self, taken: bool) {
         self.orders.add(1, &[KeyValue::new("taken", taken)]);
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -16,7 +16,7 @@
 use oleander_duty::UsageCounter;
 use oleander_flow::{BudgetSettings, RetryBudget};
 use oleander_kind::hash::mix_bits;
-use oleander_kind::{AccountName, ClockTime, ServiceName, TimeSpan};
+use oleander_kind::{AccountName, ClockTime, ServiceName, StoreEra, TimeSpan};
 use oleander_limit::PoolGate;
 use oleander_list::{RosterReplica, StalenessLimits};
 use oleander_mesh::{MemberInfo, MeshBody, RulesBook, ServiceDemand, collector_capacity};
@@ -60,6 +60,8 @@
     pub store: Box<dyn FeedStore>,
     /// Creates the codecs of connections.
     pub http: HttpCodec,
+    /// The known era of the store; `None` if no answer named one.
+    pub(crate) store_era: Cell<Option<StoreEra>>,
     /// The operators' rules.
     pub rules: RefCell<RulesBook>,
     /// The state of the rules feed.
@@ -161,6 +163,7 @@
             dialect,
             store,
             http: HttpCodec::default(),
+            store_era: Cell::default(),
             rules: RefCell::default(),
             rules_feed: Cell::default(),
             endpoints_feed: Cell::default(),
--- a/crates/front/src/roster.rs
+++ b/crates/front/src/roster.rs
@@ -19,12 +19,14 @@
 
 /// Applies the list as read from the store, which sent it at `at`.
 pub fn apply_list(node: &FrontNode, page: &FeedPage, at: ClockTime) {
+    note_ignored(node, page.as_of);
     let freshness = own_stamp(node, page.as_of, at);
     update_roster(node, |book, news| book.apply_store_list(page, freshness, news));
 }
 
 /// Applies changes from the store up to revision `as_of`, which it sent at `at`.
 pub fn apply_changes(node: &FrontNode, events: &[FeedEvent], as_of: u64, at: ClockTime) {
+    note_ignored(node, as_of);
     let freshness = own_stamp(node, as_of, at);
     update_roster(node, |book, news| book.apply_store_changes(events, freshness, news));
 }
@@ -73,6 +75,15 @@
     update_roster(node, |book, news| book.merge_freshness(status, late, news));
 }
 
+/// Notes that an answer of the store will be ignored because the known list is at a later revision.
+fn note_ignored(node: &FrontNode, as_of: u64) {
+    let known = node.roster.borrow().revision();
+    if as_of < known {
+        node.meter.count_list_ignored();
+        event!(node, RosterIgnored; "as_of" => as_of, "known" => known);
+    }
+}
+
 fn own_stamp(node: &FrontNode, mark: u64, at: ClockTime) -> FreshnessStamp {
     FreshnessStamp { mark, at, by: node.settings.instance.clone() }
 }
--- a/crates/kind/src/code.rs
+++ b/crates/kind/src/code.rs
@@ -98,6 +98,7 @@
     StoreTooLarge = 5005, 413, Unrelated, "the value is larger than the platform takes";
     StoreBusy = 5006, 429, Unrelated, "the platform's call rate is used up; nothing changed";
     StoreMissing = 5007, 404, Unrelated, "there is no such object";
+    StoreBadEra = 5008, 502, Unrelated, "the store names its era in a way that cannot be understood; the known one stays";
     PeerUnreached = 6001, 503, Unrelated, "the peer was not reached";
     PeerTimeout = 6002, 504, Unrelated, "the peer did not answer in time";
     PeerBadFrame = 6003, 400, Unrelated, "the peer sent a frame that cannot be read";
--- a/crates/kind/src/lib.rs
+++ b/crates/kind/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod code;
 pub mod endpoint;
+pub mod era;
 pub mod hash;
 pub mod ident;
 
@@ -17,4 +18,5 @@
 pub use clock::{ClockTime, TimeSpan};
 pub use code::ResultCode;
 pub use endpoint::{EndpointRecord, EndpointRole, EndpointStage, InstanceMarket, RequestRate};
+pub use era::StoreEra;
 pub use ident::{AccountName, DomainName, InstanceId, RequestId, ServiceName, VersionName};
--- a/crates/plat/src/feed.rs
+++ b/crates/plat/src/feed.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use futures_util::future::LocalBoxFuture;
-use oleander_kind::TimeSpan;
+use oleander_kind::{StoreEra, TimeSpan};
 use serde::{Deserialize, Serialize};
 
 /// Kind of an object that the system reads or writes.
@@ -146,6 +146,16 @@
         body: Bytes,
     ) -> LocalBoxFuture<'a, Result<WriteOutcome>>;
 
+    /// The highest era that an answer of the store named; `None` before the first answer that did.
+    fn era(&self) -> Option<StoreEra> {
+        None
+    }
+
+    /// Takes the text of an era that could not be read, if there was one since the last call.
+    fn take_unreadable_era(&self) -> Option<CompactString> {
+        None
+    }
+
     /// Closes pooled connections, which can stall permanently, so that the next call opens a new one.
     fn reset_connections(&self) {}
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod docs;
 mod duty;
 mod ending;
+mod eras;
 mod errors;
 mod evidence;
 mod explore;
