Failing tests: a store from an older copy loses rules, fencing tokens and records

Change: the store of the plays in virtual time makes a copy, goes back to it, gives revisions out again, refuses watches beyond them, and names its era.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -30,6 +30,7 @@
 mod mesh;
 mod mesh_limits;
 mod mortal;
+mod older_copy;
 mod outlet;
 mod pace;
 mod pauses;
--- a/tests/all/plays.rs
+++ b/tests/all/plays.rs
@@ -10,7 +10,7 @@
 use oleandertack::board::NodeClock;
 use oleandertack::conf::{FrontBounds, FrontSettings};
 use oleandertack::front::{FrontPorts, FrontProcess, start_front};
-use oleandertack::kind::{ResultCode, TimeSpan};
+use oleandertack::kind::{ResultCode, StoreEra, TimeSpan};
 use oleandertack::plat::{
     DutyAnswer, DutyPermit, DutyPort, FeedCondition, FeedEvent, FeedKind, FeedObject, FeedPage,
     FeedStore, PlatError, Result, ScaleOrder, UsageReport, WatchOutcome, WriteOutcome,
@@ -70,11 +70,19 @@
 /// The content of the store.
 #[derive(Default)]
 struct StoreState {
+    era: Cell<u64>,
     revision: Cell<u64>,
     objects: RefCell<Vec<(FeedKind, FeedObject)>>,
     history: RefCell<Vec<(FeedKind, FeedEvent, u64)>>,
 }
 
+/// A copy of the store, to which it can go back.
+pub struct StoreCopy {
+    revision: u64,
+    objects: Vec<(FeedKind, FeedObject)>,
+    history: Vec<(FeedKind, FeedEvent, u64)>,
+}
+
 impl StoreState {
     fn put(&self, kind: FeedKind, name: &str, body: Bytes) -> u64 {
         let revision = self.revision.get() + 1;
@@ -95,6 +103,26 @@
         self.history.borrow_mut().push((kind, event, revision));
     }
 
+    fn copy(&self) -> StoreCopy {
+        StoreCopy {
+            revision: self.revision.get(),
+            objects: self.objects.borrow().clone(),
+            history: self.history.borrow().clone(),
+        }
+    }
+
+    /// Loses all that was written since the copy was made, and begins an era.
+    fn go_back(&self, copy: StoreCopy) {
+        self.era.set(self.era.get() + 1);
+        self.revision.set(copy.revision);
+        self.objects.replace(copy.objects);
+        self.history.replace(copy.history);
+    }
+
+    fn find(&self, kind: FeedKind, name: &str) -> Option<FeedObject> {
+        self.page(kind).objects.into_iter().find(|object| object.name == name)
+    }
+
     fn page(&self, kind: FeedKind) -> FeedPage {
         let objects = self.objects.borrow();
         let of_kind = objects.iter().filter(|(other, _)| *other == kind);
@@ -112,6 +140,8 @@
 struct TestStore {
     state: Rc<StoreState>,
     link: Rc<StoreLink>,
+    /// The era that the last answer named.
+    era: Cell<Option<StoreEra>>,
 }
 
 fn unanswered() -> PlatError {
@@ -133,12 +163,14 @@
             match self.link.mode.get() {
                 StoreMode::Refused if connection == self.link.connection.get() => {
                     sleep(ANSWER_TIME).await;
+                    self.era.set(Some(StoreEra(self.state.era.get())));
                     return Err(PlatError::Refused(ResultCode::StoreRefused, "503".to_owned()));
                 }
                 StoreMode::Served if connection == self.link.connection.get() => {
                     if Instant::now() >= answered
                         && let Some(answer) = answer(waited >= wait.duration())
                     {
+                        self.era.set(Some(StoreEra(self.state.era.get())));
                         return Ok(answer);
                     }
                 }
@@ -151,6 +183,10 @@
 }
 
 impl FeedStore for TestStore {
+    fn era(&self) -> Option<StoreEra> {
+        self.era.get()
+    }
+
     fn list(&self, kind: FeedKind) -> LocalBoxFuture<'_, Result<FeedPage>> {
         self.call(TimeSpan(0), move |_| Some(self.state.page(kind))).boxed_local()
     }
@@ -162,6 +198,9 @@
         wait: TimeSpan,
     ) -> LocalBoxFuture<'_, Result<WatchOutcome>> {
         let answer = move |over: bool| {
+            if from > self.state.revision.get() {
+                return Some(WatchOutcome::HistoryLost);
+            }
             let changes = self.state.changes(kind, from);
             let as_of = self.state.revision.get();
             (over || !changes.is_empty()).then_some(WatchOutcome::Changes(changes, as_of))
@@ -178,7 +217,7 @@
     ) -> LocalBoxFuture<'a, Result<WriteOutcome>> {
         async move {
             self.call(TimeSpan(0), |_| Some(())).await?;
-            let known = self.state.page(kind).objects.into_iter().find(|o| o.name == name);
+            let known = self.state.find(kind, name);
             let Some(known) = known.filter(|known| known.revision == revision) else {
                 return Ok(WriteOutcome::Refused(None));
             };
@@ -195,8 +234,7 @@
         kind: FeedKind,
         name: &'a str,
     ) -> LocalBoxFuture<'a, Result<Option<FeedObject>>> {
-        let find =
-            move |_| Some(self.state.page(kind).objects.into_iter().find(|o| o.name == name));
+        let find = move |_| Some(self.state.find(kind, name));
         self.call(TimeSpan(0), find).boxed_local()
     }
 
@@ -209,7 +247,7 @@
     ) -> LocalBoxFuture<'a, Result<WriteOutcome>> {
         async move {
             self.call(TimeSpan(0), |_| Some(())).await?;
-            let known = self.state.page(kind).objects.into_iter().find(|o| o.name == name);
+            let known = self.state.find(kind, name);
             let holds = match guard {
                 FeedCondition::Absent => known.is_none(),
                 FeedCondition::Is(revision) => {
@@ -372,7 +410,8 @@
     async fn start_one(&self, at: usize) -> (FrontProcess, Rc<StoreLink>) {
         let link =
             Rc::new(StoreLink { mode: Cell::new(StoreMode::Served), connection: Cell::new(0) });
-        let store = TestStore { state: self.state.clone(), link: link.clone() };
+        let state = self.state.clone();
+        let store = TestStore { state, link: link.clone(), era: Cell::default() };
         let seeds = self.peers.iter().copied().take(3).collect();
         let settings = settings(format!("front-{at}"), self.peers[at], seeds);
         let settings = FrontSettings { bounds: self.bounds.clone(), ..settings };
@@ -460,6 +499,11 @@
         self.state.put(FeedKind::Rules, "main", Bytes::from(text));
     }
 
+    /// Like [`ProcessGroup::start`], with control work.
+    pub async fn start_working(count: usize) -> Self {
+        Self::start_with(count, FrontBounds::default(), Some(Rc::new(AcceptingCloud))).await
+    }
+
     /// Limits the only account to this many tokens a second, and to the same burst.
     pub fn limit_account(&self, version: u64, tokens: u64) {
         let rules = RULES.replace("\"version\":7", &format!("\"version\":{version}"));
@@ -473,6 +517,36 @@
         self.last_times(most, |process| process.node.rules.borrow().version() < version).await
     }
 
+    /// Copies the store.
+    pub fn copy(&self) -> StoreCopy {
+        self.state.copy()
+    }
+
+    /// Copies the store as if the objects of some kinds had been written since.
+    pub fn copy_without(&self, kinds: &[FeedKind]) -> StoreCopy {
+        let mut copy = self.state.copy();
+        copy.objects.retain(|(kind, _)| !kinds.contains(kind));
+        copy.history.retain(|(kind, ..)| !kinds.contains(kind));
+        copy
+    }
+
+    /// The store comes back from a copy. Calls under way are answered, and connections stay open.
+    pub fn go_back(&self, copy: StoreCopy) {
+        self.state.go_back(copy);
+    }
+
+    /// Writes objects that no process reads, until the store has given out `count` more revisions.
+    pub fn write_others(&self, count: u64) {
+        for _ in 0..count {
+            self.state.put(FeedKind::UsageReports, "other", Bytes::from_static(b"null"));
+        }
+    }
+
+    /// The content of an object of the system in the store.
+    pub fn stored(&self, kind: FeedKind, name: &str) -> Option<Bytes> {
+        self.state.find(kind, name).map(|object| object.body)
+    }
+
     /// Puts an entry into the store.
     pub fn put(&self, name: &str, state: &str) {
         self.state.put(FeedKind::Endpoints, name, entry(state));
