Revisions carry the era of the store, and feeds begin anew in a later one

Cause: callers were answered by rules older than allowed. A watch goes on from a revision number. When the store comes back from an older copy and gives that number out again before the next watch, the watch is not refused: rules that were changed between the copy and that number are never heard of, and each empty answer confirms the old ones. Feeds and roll-out orders are listed anew as soon as any answer names a later era, also while a watch waits. An answer of an earlier era is an error. The meaning of a first answer without the header changes: it says the first era, so that the first rise is seen; eras::a_lower_a_missing_and_an_unreadable_era_leave_the_known_one follows.

--- a/crates/front/src/duties.rs
+++ b/crates/front/src/duties.rs
@@ -4,6 +4,7 @@
 mod orders;
 mod usage;
 
+use crate::era;
 use crate::events::event;
 use crate::node::FrontNode;
 use crate::releases;
@@ -149,6 +150,7 @@
         LeaseAction::Read => read_lease(node).await,
         LeaseAction::Write { version, record } => write_lease(node, version, &record).await,
     };
+    era::note_store_era(node);
     let now = node.clock.lease_now();
     lease.keeper.borrow_mut().said(reply, now);
     let keeper = lease.keeper.borrow();
--- a/crates/front/src/era.rs
+++ b/crates/front/src/era.rs
@@ -2,7 +2,7 @@
 
 use crate::events::event;
 use crate::node::FrontNode;
-use oleander_kind::ResultCode;
+use oleander_kind::{ResultCode, StoreEra};
 
 /// Notes the era that the store named last, and an era that could not be read.
 pub(crate) fn note_store_era(node: &FrontNode) {
@@ -17,7 +17,19 @@
     node.store_era.set(named);
     if known.is_some() {
         node.meter.count_store_return();
+        event!(node, StoreWentBack;
+            "era" => named.map(|era| era.0), "before" => known.map(|era| era.0));
+    }
+    node.era_rose.notify_waiters();
+}
+
+/// Waits until an era later than `era` is known.
+pub(crate) async fn until_later(node: &FrontNode, era: Option<StoreEra>) {
+    loop {
+        let rose = node.era_rose.notified();
+        if node.store_era.get() > era {
+            return;
+        }
+        rose.await;
     }
-    event!(node, StoreWentBack;
-        "era" => named.map(|era| era.0), "before" => known.map(|era| era.0));
 }
--- a/crates/front/src/events.rs
+++ b/crates/front/src/events.rs
@@ -59,7 +59,7 @@
     FeedChanged = "feed_changed", 20, "the store became unreachable or reachable: `feed`, `fresh`, `fault`";
     FeedFault = "feed_fault", 10, "a call to the store failed: `feed`, `fault`";
     FeedSilent = "feed_silent", 20, "a watch of a feed has returned nothing for too long; the feed is read again: `feed`";
-    StoreWentBack = "store_went_back", 10, "the store came back from an older copy, or named its era for the first time: its `era` now and `before`; revisions of earlier eras are given out again";
+    StoreWentBack = "store_went_back", 10, "the store came back from an older copy: its `era` now and `before`; what it acknowledged since that copy is lost, and revisions are given out again";
     EraUnreadable = "era_unreadable", 10, "an answer of the store names its era in a way that cannot be read, and the known one stays: its `text`, `code`";
     RosterIgnored = "roster_ignored", 20, "an endpoint list or changes from the store were ignored, because a later revision is known: `as_of` revision, the `known` one";
     RulesInForce = "rules_in_force", 40, "a newer version of the rules is in force: `version`";
--- a/crates/front/src/feeds.rs
+++ b/crates/front/src/feeds.rs
@@ -7,7 +7,7 @@
 use crate::node::FrontNode;
 use crate::roster;
 use crate::rules::apply_rules;
-use oleander_kind::{ClockTime, TimeSpan};
+use oleander_kind::{ClockTime, StoreEra, TimeSpan};
 use oleander_list::freshness::latest_answer_time;
 use oleander_plat::{FeedEvent, FeedKind, FeedPage, PlatError, WatchOutcome};
 use std::cell::Cell;
@@ -59,6 +59,14 @@
     follow(&node, FeedKind::Endpoints, &node.endpoints_feed, take, change).await;
 }
 
+/// Where a watch continues.
+#[derive(Clone, Copy, Debug)]
+struct FeedPoint {
+    revision: u64,
+    /// The era of the answer that named the revision.
+    era: Option<StoreEra>,
+}
+
 /// Lists a feed and then watches it, and starts again with a list after a failure. `take` applies a list, `change`
 /// the changes of a watch.
 async fn follow(
@@ -69,7 +77,7 @@
     change: impl Fn(Vec<FeedEvent>, u64, ClockTime),
 ) {
     let mut pause = MIN_RETRY_DELAY;
-    let mut from = None;
+    let mut from: Option<FeedPoint> = None;
     // The pause since the last changes, in which further ones gathered; the next watch waits less by this much.
     let mut batched = TimeSpan(0);
     loop {
@@ -81,24 +89,29 @@
         let sent = node.clock.now();
         let wait = TimeSpan(watch_wait(node).0 - batched.0);
         batched = TimeSpan(0);
-        let fault = match from {
+        let fault = match from.filter(|point| point.era >= node.store_era.get()) {
             None => match node.store.list(kind).await {
                 Ok(page) => {
-                    from = Some(page.as_of);
+                    from = Some(FeedPoint { revision: page.as_of, era: node.store.era() });
                     update_feed_state(node, kind, state, None);
                     take(page, latest_answer_time(sent, TimeSpan(0), node.clock.now()));
                     None
                 }
                 Err(fault) => Some(fault),
             },
-            Some(revision) => match watch(node, kind, revision, wait).await {
+            Some(point) => match watch(node, kind, point, wait).await {
                 None => {
                     event!(node, FeedSilent; "feed" => format!("{kind:?}"));
                     from = None;
                     None
                 }
+                // Changes since a lost revision leave out those between the copy and that revision.
+                Some(Ok(_)) if node.store.era() > point.era => {
+                    from = None;
+                    None
+                }
                 Some(Ok(WatchOutcome::Changes(events, as_of))) => {
-                    from = Some(as_of);
+                    from = Some(FeedPoint { revision: as_of, ..point });
                     update_feed_state(node, kind, state, None);
                     let batches = kind == FeedKind::Endpoints && !events.is_empty();
                     change(events, as_of, latest_answer_time(sent, wait, node.clock.now()));
@@ -147,12 +160,13 @@
 async fn watch(
     node: &FrontNode,
     kind: FeedKind,
-    from: u64,
+    point: FeedPoint,
     wait: TimeSpan,
 ) -> Option<oleander_plat::Result<WatchOutcome>> {
     tokio::select! {
         biased;
-        answer = node.store.watch(kind, from, wait) => Some(answer),
+        answer = node.store.watch(kind, point.revision, wait) => Some(answer),
+        () = era::until_later(node, point.era) => Some(Ok(WatchOutcome::HistoryLost)),
         () = until_stale(node, kind) => {
             node.store.reset_connections();
             None
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -60,8 +60,10 @@
     pub store: Box<dyn FeedStore>,
     /// Creates the codecs of connections.
     pub http: HttpCodec,
-    /// The known era of the store; `None` if no answer named one.
+    /// The known era of the store; `None` before its first answer.
     pub(crate) store_era: Cell<Option<StoreEra>>,
+    /// Wakes what has to begin anew in a later era.
+    pub(crate) era_rose: Notify,
     /// The operators' rules.
     pub rules: RefCell<RulesBook>,
     /// The state of the rules feed.
@@ -164,6 +166,7 @@
             store,
             http: HttpCodec::default(),
             store_era: Cell::default(),
+            era_rose: Notify::new(),
             rules: RefCell::default(),
             rules_feed: Cell::default(),
             endpoints_feed: Cell::default(),
--- a/crates/front/src/releases/keep.rs
+++ b/crates/front/src/releases/keep.rs
@@ -3,10 +3,11 @@
 use super::desk::RunningOrder;
 use super::refresh;
 use crate::duties::DutyLease;
+use crate::era;
 use crate::events::event;
 use crate::node::FrontNode;
 use compact_str::CompactString;
-use oleander_kind::{ClockTime, ServiceName, TimeSpan};
+use oleander_kind::{ClockTime, ServiceName, StoreEra, TimeSpan};
 use oleander_mesh::EndpointHash;
 use oleander_plat::{FeedEvent, FeedKind, FeedObject, PlatError, WatchOutcome, WriteOutcome};
 use oleander_release::{
@@ -90,7 +91,8 @@
     orders: &mut KnownOrders,
     from: &mut Option<u64>,
 ) -> Result<(), PlatError> {
-    let Some(revision) = *from else {
+    let era = node.store_era.get();
+    let Some(revision) = from.filter(|revision| Some(StoreEra::of(*revision)) >= era) else {
         let page = node.store.list(FeedKind::Releases).await?;
         *orders = page.objects.iter().map(|object| decode_order(node, object)).collect();
         *from = Some(page.as_of);
@@ -100,8 +102,13 @@
         answer = node.store.watch(FeedKind::Releases, revision, WATCH_WAIT) => answer?,
         // A new version may be under an order: a fresh list shows it at once.
         () = node.orders_refresh.notified() => WatchOutcome::HistoryLost,
+        () = era::until_later(node, Some(StoreEra::of(revision))) => WatchOutcome::HistoryLost,
     };
+    era::note_store_era(node);
     match answer {
+        WatchOutcome::Changes(_, as_of) if StoreEra::of(as_of) > StoreEra::of(revision) => {
+            *from = None;
+        }
         WatchOutcome::Changes(events, as_of) => {
             for change in events {
                 match change {
--- a/crates/plat/src/feed.rs
+++ b/crates/plat/src/feed.rs
@@ -49,7 +49,7 @@
 pub struct FeedObject {
     /// Name, unique within the kind; empty if the platform's text cannot be read as an object.
     pub name: CompactString,
-    /// Revision of the last change.
+    /// Revision of the last change, over all eras of the store ([`StoreEra`]).
     pub revision: u64,
     /// Content in the platform's encoding.
     pub body: Bytes,
@@ -106,6 +106,10 @@
 }
 
 /// The platform's store. Implementations apply a timeout to every call.
+///
+/// All revisions are those of [`StoreEra`], so that a later one is higher also after the store came
+/// back from an older copy. An answer of an earlier era than the known one is an error, and a write
+/// whose condition names a revision of an earlier era is refused.
 pub trait FeedStore {
     /// Lists all objects of `kind`.
     fn list(&self, kind: FeedKind) -> LocalBoxFuture<'_, Result<FeedPage>>;
@@ -146,7 +150,7 @@
         body: Bytes,
     ) -> LocalBoxFuture<'a, Result<WriteOutcome>>;
 
-    /// The highest era that an answer of the store named; `None` before the first answer that did.
+    /// The highest era of the store's answers so far; `None` before the first answer.
     fn era(&self) -> Option<StoreEra> {
         None
     }
