The lease for control work outlives a store that comes back from an older copy

Cause: after such a return the lease's record is that of an earlier holder, or none. Tokens were counted up from the record, so a token was given out again or fell, and the cloud refuses calls under a token lower than one it has seen: no endpoint is ordered any more, and service does not come back after machines return. Two processes could hold the lease, the one that the copy names and the one of the lost seconds. Change: LeaseManager is told the era. Tokens of an era are above all of earlier ones. Who holds the lease when it hears of a later era stops, reads, and takes it again at once; anybody else waits as if another process had just renewed it, whatever the copy says. A write that was sent in an earlier era is not taken for made. The model of leases (explore) lets the store come back.

--- a/crates/explore/src/leases.rs
+++ b/crates/explore/src/leases.rs
@@ -1,8 +1,8 @@
-//! Leases: two processes, a store that loses answers, pauses of any length, and the orders of the
-//! holder on their way to an endpoint that ignores fencing.
+//! Leases: two processes, a store that loses answers and may come back from an older copy, pauses of
+//! any length, and the orders of the holder on their way to an endpoint that ignores fencing.
 
 use crate::search::SearchModel;
-use oleander_kind::{ClockTime, InstanceId, TimeSpan};
+use oleander_kind::{ClockTime, InstanceId, StoreEra, TimeSpan};
 use oleander_lease::{LeaseAction, LeaseManager, LeaseRecord, LeaseReply};
 
 /// A mistake put in on purpose.
@@ -16,6 +16,8 @@
     OrderAtTheEnd,
     /// The holder looks at its lease, waits for something else, and orders by that look.
     OrderByOldLook,
+    /// Nobody notices that the store came back from an older copy.
+    IgnoreEra,
 }
 
 /// The model's bounds.
@@ -29,6 +31,8 @@
     pub bug: LeaseBug,
     /// Whether the endpoint refuses orders with an old token.
     pub checked: bool,
+    /// How often the store may come back from an older copy.
+    pub returns: u64,
 }
 
 /// One unit of time, in milliseconds.
@@ -63,6 +67,10 @@
     calls: Vec<Option<SentCall>>,
     object: Option<(u64, LeaseRecord)>,
     next_version: u64,
+    /// The object in the copy of the store, once there is one.
+    copy: Option<Option<(u64, LeaseRecord)>>,
+    /// How often the store came back.
+    era: u64,
     orders: Vec<FlyingOrder>,
     /// The tokens that the keepers saw when they last looked, of those that order by that.
     looks: Vec<Option<u64>>,
@@ -90,6 +98,10 @@
     Order(usize),
     /// An order arrives.
     Arrive(usize),
+    /// The store is copied.
+    Copy,
+    /// The store comes back from its copy. Calls under way are lost with what it was.
+    Return,
 }
 
 impl LeaseModel {
@@ -112,6 +124,15 @@
         }
     }
 
+    /// Tells a keeper what the store said, and its era.
+    fn tell(&self, state: &mut LeaseState, keeper: usize, said: LeaseReply) {
+        let now = self.clock(state);
+        if self.bug != LeaseBug::IgnoreEra {
+            state.keepers[keeper].note_era(Some(StoreEra(state.era)), now);
+        }
+        state.keepers[keeper].said(said, now);
+    }
+
     fn needed(&self) -> TimeSpan {
         match self.bug {
             LeaseBug::OrderAtTheEnd => TimeSpan(0),
@@ -158,6 +179,8 @@
             calls: vec![None, None],
             object: None,
             next_version: 0,
+            copy: None,
+            era: 0,
             orders: Vec::new(),
             looks: vec![None, None],
             highest_arrived: 0,
@@ -198,6 +221,11 @@
             }
         }
         steps.extend((0..state.orders.len()).map(LeaseStep::Arrive));
+        match &state.copy {
+            None if state.era < self.returns => steps.push(LeaseStep::Copy),
+            Some(copy) if *copy != state.object => steps.push(LeaseStep::Return),
+            _ => {}
+        }
         steps
     }
 
@@ -214,7 +242,7 @@
                 if action == LeaseAction::Read {
                     // A read that is answered late is as good as one that is sent late.
                     let said = Self::execute(&mut next, &action);
-                    next.keepers[keeper].said(said, now);
+                    self.tell(&mut next, keeper, said);
                     return next;
                 }
                 next.calls[keeper] = Some(SentCall { action, said: None });
@@ -227,7 +255,7 @@
             }
             LeaseStep::Deliver(keeper) => {
                 if let Some(said) = next.calls[keeper].take().and_then(|call| call.said) {
-                    next.keepers[keeper].said(said, now);
+                    self.tell(&mut next, keeper, said);
                 }
             }
             LeaseStep::Lose(keeper) => {
@@ -252,6 +280,20 @@
                 next.stale_arrived |= !self.checked && order.fence < next.highest_arrived;
                 next.highest_arrived = next.highest_arrived.max(order.fence);
             }
+            LeaseStep::Copy => next.copy = Some(next.object.clone()),
+            LeaseStep::Return => {
+                next.object = next.copy.take().flatten();
+                next.era += 1;
+                // The answers of the earlier era count for nothing, and so do its versions.
+                next.calls
+                    .iter_mut()
+                    .flatten()
+                    .for_each(|call| call.said = Some(LeaseReply::Unknown));
+                next.next_version += 1;
+                if let Some((version, _)) = &mut next.object {
+                    *version = next.next_version;
+                }
+            }
         }
         next
     }
@@ -276,15 +318,21 @@
             age(state.highest_arrived),
             state.stale_arrived,
         );
+        let copy = state
+            .copy
+            .as_ref()
+            .map(|copy| copy.as_ref().map(|(at, found)| (version(*at), record(found))));
+        text.push_str(&format!("{copy:?} {} ", state.era));
         for (keeper, call) in state.keepers.iter().zip(&state.calls) {
             let view = keeper.view(now);
             text.push_str(&format!(
-                "{:?} {:?} {:?} {:?} {:?} {:?} ",
+                "{:?} {:?} {:?} {:?} {:?} {:?} {:?} ",
                 view.version.map(version),
                 view.record.as_ref().map(record),
                 view.unchanged,
                 view.pending_for,
                 view.held_for,
+                view.lost_for,
                 view.next_call_in
             ));
             text.push_str(&call_identity(call.as_ref(), (&version, &record)));
--- a/crates/front/src/duties.rs
+++ b/crates/front/src/duties.rs
@@ -127,6 +127,7 @@
 /// Acquires, renews or releases the lease, as the role of this process requires.
 async fn keep_lease(node: &FrontNode, lease: &DutyLease) {
     let now = node.clock.lease_now();
+    lease.keeper.borrow_mut().note_era(node.store_era.get(), now);
     if let Some(notice) = node.mesh.borrow().lease.clone() {
         lease.keeper.borrow_mut().note_change(notice.revision, notice.record, now);
     }
@@ -152,6 +153,7 @@
     };
     era::note_store_era(node);
     let now = node.clock.lease_now();
+    lease.keeper.borrow_mut().note_era(node.store_era.get(), now);
     lease.keeper.borrow_mut().said(reply, now);
     let keeper = lease.keeper.borrow();
     let seen = keeper.seen().cloned().zip(keeper.view(now).version);
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -3,9 +3,13 @@
 //! A shard of control work belongs to the process that holds its lease. The fencing token rises
 //! with every change of holder and is part of every order, so that an endpoint that checks it can
 //! refuse the orders of a holder that was paused and superseded.
+//!
+//! A store that comes back from an older copy ([`StoreEra`]) may have lost the record of the last
+//! holder. Tokens of a later era are therefore higher than all of earlier ones, and a process that
+//! does not hold the lease at that moment waits as if another one had just renewed it.
 
 use compact_str::CompactString;
-use oleander_kind::{ClockTime, InstanceId, TimeSpan};
+use oleander_kind::{ClockTime, InstanceId, StoreEra, TimeSpan};
 use serde::{Deserialize, Serialize};
 
 /// The content of a lease object.
@@ -69,6 +73,8 @@
 struct PendingWrite {
     record: LeaseRecord,
     sent_at: ClockTime,
+    /// The known era when it was sent.
+    era: StoreEra,
 }
 
 /// Manages one lease, as a pure state machine over a monotonic clock.
@@ -90,6 +96,10 @@
     pending: Option<PendingWrite>,
     held_until: ClockTime,
     next_at: ClockTime,
+    /// The era of the store; `None` before its first answer.
+    era: Option<StoreEra>,
+    /// Until when another process may hold the lease by a record that the store lost.
+    lost_until: ClockTime,
     /// When this incarnation started, if calls of an earlier one have to be considered.
     started_at: Option<ClockTime>,
     last_call: Option<LastCall>,
@@ -115,6 +125,8 @@
     pub pending_for: Option<TimeSpan>,
     /// The remaining time of the lease.
     pub held_for: TimeSpan,
+    /// The time for which a process whose record the store lost may still hold the lease.
+    pub lost_for: TimeSpan,
     /// The time until the next call.
     pub next_call_in: TimeSpan,
 }
@@ -122,6 +134,14 @@
 /// How much longer than the lease other processes wait, to allow for clocks of different speeds.
 pub const CLOCK_MARGIN_PERCENT: u64 = 10;
 
+/// How many tokens of one era there are: more changes of holder than any era sees.
+const FENCES_PER_ERA: u64 = 1_000_000;
+
+/// The lowest token of an era; the first era has one without a record.
+fn first_fence(era: StoreEra) -> u64 {
+    era.0 * FENCES_PER_ERA + u64::from(era > StoreEra(0))
+}
+
 impl LeaseManager {
     /// A manager for incarnation `incarnation` of process `me`; the lease lasts for `duration`.
     pub fn new(me: InstanceId, incarnation: u64, duration: TimeSpan) -> Self {
@@ -135,6 +155,8 @@
             pending: None,
             held_until: ClockTime(0),
             next_at: ClockTime(0),
+            era: None,
+            lost_until: ClockTime(0),
             started_at: None,
             last_call: None,
         }
@@ -167,8 +189,7 @@
     /// arrived or timed out before another process can hold the lease.
     pub fn fence(&self, now: ClockTime, needed: TimeSpan) -> Option<u64> {
         let held = now + needed < self.held_until;
-        let mine = self.seen.as_ref().filter(|seen| self.is_mine(&seen.record))?;
-        held.then_some(mine.record.fence)
+        held.then(|| self.own_fence()).flatten()
     }
 
     /// The fencing token for a call sent at `now`, with at least `needed` of the lease left.
@@ -189,6 +210,12 @@
         self.note_call(fence, now)
     }
 
+    /// The token of the record as last seen, if it is this process's own and of this era.
+    fn own_fence(&self) -> Option<u64> {
+        let record = self.seen()?;
+        (self.is_mine(record) && !self.is_from_copy(record)).then_some(record.fence)
+    }
+
     /// Records a call under `fence`; `None` if it is too soon after a call under another token.
     fn note_call(&mut self, fence: u64, now: ClockTime) -> Option<u64> {
         let is_too_soon = |last: LastCall| last.fence != fence && now - last.at < self.duration;
@@ -202,9 +229,8 @@
     /// The fencing token of a lease that expired less than `grace` ago and has not been seen to
     /// change. Only for fenced calls, at a time when no other process can have taken the lease.
     pub fn overdue_fence(&self, now: ClockTime, grace: TimeSpan) -> Option<u64> {
-        let mine = self.seen.as_ref().filter(|seen| self.is_mine(&seen.record))?;
-        (self.held_until > ClockTime(0) && now < self.held_until + grace)
-            .then_some(mine.record.fence)
+        let is_in_grace = self.held_until > ClockTime(0) && now < self.held_until + grace;
+        is_in_grace.then(|| self.own_fence()).flatten()
     }
 
     /// The record as last seen.
@@ -220,6 +246,11 @@
         self.may_take_over && record.holder == self.me && record.incarnation < self.incarnation
     }
 
+    /// Whether a record was written in an earlier era: it was in the copy, and the last one may be lost.
+    fn is_from_copy(&self, record: &LeaseRecord) -> bool {
+        record.fence < first_fence(self.era.unwrap_or_default())
+    }
+
     /// The state at `now`. Two managers with equal views make the same decisions from here on.
     pub fn view(&self, now: ClockTime) -> LeaseView {
         let seen = self.seen.as_ref();
@@ -232,6 +263,7 @@
                 .as_ref()
                 .map(|pending| (now - pending.sent_at).min(self.duration)),
             held_for: self.held_until - now,
+            lost_for: self.lost_until - now,
             next_call_in: self.next_at - now,
         }
     }
@@ -246,7 +278,14 @@
         };
         let holder = seen.record.holder.as_str();
         let free = holder.is_empty() || now - seen.changed_at >= self.takeover_wait();
-        if self.is_mine(&seen.record) || self.is_own_earlier(&seen.record) || free {
+        let may_write = self.is_mine(&seen.record) || self.is_own_earlier(&seen.record) || free;
+        let may_write = if self.is_from_copy(&seen.record) {
+            // Who still holds the lease was the last to take it, whatever the copy says.
+            now < self.held_until || (may_write && now >= self.lost_until)
+        } else {
+            may_write
+        };
+        if may_write {
             return self.write(now);
         }
         self.next_at = now + TimeSpan(self.duration.0 / 4);
@@ -264,10 +303,15 @@
         self.held_until = ClockTime(0);
         let record = LeaseRecord { holder: InstanceId::default(), ..seen.record };
         self.last_replaced = seen.version;
-        self.pending = Some(PendingWrite { record: record.clone(), sent_at: now });
+        self.pending = Some(self.pending_write(&record, now));
         LeaseAction::Write { version: seen.version, record }
     }
 
+    fn pending_write(&self, record: &LeaseRecord, now: ClockTime) -> PendingWrite {
+        let era = self.era.unwrap_or_default();
+        PendingWrite { record: record.clone(), sent_at: now, era }
+    }
+
     fn takeover_wait(&self) -> TimeSpan {
         TimeSpan(self.duration.0 + self.duration.0 * CLOCK_MARGIN_PERCENT / 100)
     }
@@ -282,18 +326,36 @@
             // An earlier incarnation may have made calls until this one started.
             self.last_call = self.started_at.map(|at| LastCall { fence: 0, at });
         }
+        let lowest = first_fence(self.era.unwrap_or_default());
+        let keeps = mine && !self.is_from_copy(&seen.record);
         let record = LeaseRecord {
             holder: self.me.clone(),
             incarnation: self.incarnation,
-            fence: if mine { seen.record.fence } else { seen.record.fence + 1 },
+            fence: if keeps { seen.record.fence } else { (seen.record.fence + 1).max(lowest) },
             renewals: seen.record.renewals + 1,
         };
         let version = seen.version;
         self.last_replaced = version;
-        self.pending = Some(PendingWrite { record: record.clone(), sent_at: now });
+        self.pending = Some(self.pending_write(&record, now));
         LeaseAction::Write { version, record }
     }
 
+    /// Notes the era that the store's answers name; to be called before [`said`](Self::said) and
+    /// [`tick`](Self::tick).
+    ///
+    /// What was seen in an earlier era says nothing any more, and the token of a lease held since
+    /// then is not used again: the copy may name another holder, who goes by it.
+    pub fn note_era(&mut self, era: Option<StoreEra>, now: ClockTime) {
+        if era <= self.era.or(Some(StoreEra(0))) {
+            return;
+        }
+        self.era = era;
+        self.seen = None;
+        self.last_replaced = None;
+        self.next_at = now;
+        self.lost_until = now + self.takeover_wait();
+    }
+
     /// Handles the result of a call to the store.
     pub fn said(&mut self, reply: LeaseReply, now: ClockTime) {
         let pending = self.pending.take();
@@ -340,6 +402,11 @@
 
     fn handle_written(&mut self, version: u64, pending: Option<PendingWrite>, now: ClockTime) {
         let Some(pending) = pending else { return };
+        if pending.era < self.era.unwrap_or_default() {
+            // The condition was checked against a copy that may lack the last holder.
+            self.next_at = now;
+            return;
+        }
         if self.is_mine(&pending.record) {
             self.held_until = pending.sent_at + self.duration;
         }
--- a/tests/all/explore.rs
+++ b/tests/all/explore.rs
@@ -46,34 +46,57 @@
 
 #[test]
 fn one_process_holds_a_lease_and_no_old_order_arrives_late() {
-    let model = LeaseModel { faults: 2, units: 14, bug: LeaseBug::None, checked: false };
+    let model =
+        LeaseModel { faults: 2, units: 14, bug: LeaseBug::None, checked: false, returns: 0 };
     held(&explore(&model, MOST_STATES));
 }
 
+/// Guards against two holders of a lease: the store comes back from a copy that has an earlier holder,
+/// or none, and the last holder has not heard of it.
+#[test]
+fn one_process_holds_a_lease_also_when_the_store_comes_back_from_an_older_copy() {
+    let model =
+        LeaseModel { faults: 0, units: 6, bug: LeaseBug::None, checked: false, returns: 1 };
+    held(&explore(&model, MOST_STATES));
+}
+
+#[test]
+fn a_lease_is_held_twice_if_nobody_notices_that_the_store_came_back() {
+    let model =
+        LeaseModel { faults: 0, units: 10, bug: LeaseBug::IgnoreEra, checked: false, returns: 1 };
+    found(&explore(&model, MOST_STATES));
+}
+
 #[test]
 fn a_lease_counted_from_the_answer_is_held_twice() {
-    let model = LeaseModel { faults: 1, units: 14, bug: LeaseBug::CountFromAnswer, checked: false };
+    let model = LeaseModel {
+        faults: 1,
+        units: 14,
+        bug: LeaseBug::CountFromAnswer,
+        checked: false,
+        returns: 0,
+    };
     found(&explore(&model, MOST_STATES));
 }
 
 #[test]
 fn an_order_sent_at_the_end_of_a_lease_arrives_after_its_successors() {
     let bug = LeaseBug::OrderAtTheEnd;
-    let model = LeaseModel { faults: 1, units: u64::MAX, bug, checked: false };
+    let model = LeaseModel { faults: 1, units: u64::MAX, bug, checked: false, returns: 0 };
     found(&explore(&model, MOST_STATES));
 }
 
 #[test]
 fn a_holder_that_orders_by_an_old_look_acts_after_its_successor() {
     let bug = LeaseBug::OrderByOldLook;
-    let model = LeaseModel { faults: 1, units: 14, bug, checked: false };
+    let model = LeaseModel { faults: 1, units: 14, bug, checked: false, returns: 0 };
     found(&explore(&model, MOST_STATES));
 }
 
 #[test]
 fn an_endpoint_that_checks_tokens_refuses_what_is_ordered_by_an_old_look() {
     let bug = LeaseBug::OrderByOldLook;
-    let model = LeaseModel { faults: 0, units: 6, bug, checked: true };
+    let model = LeaseModel { faults: 0, units: 6, bug, checked: true, returns: 0 };
     held(&explore(&model, MOST_STATES));
 }
 
--- a/tests/all/lease.rs
+++ b/tests/all/lease.rs
@@ -1,6 +1,6 @@
 //! Tests of the control-work lease: which process takes it, when, and with which token.
 
-use oleandertack::kind::{ClockTime, TimeSpan};
+use oleandertack::kind::{ClockTime, StoreEra, TimeSpan};
 use oleandertack::lease::{LeaseAction, LeaseManager, LeaseRecord, LeaseReply};
 
 const DURATION: TimeSpan = TimeSpan(4000);
@@ -200,3 +200,64 @@
 
     assert_eq!(acts, fences.map(Some));
 }
+
+/// A manager that holds the lease with token 4 since [`START`], in the first era.
+fn holder_of_first_era() -> LeaseManager {
+    let mut manager = manager(20);
+    manager.note_era(Some(StoreEra(0)), START);
+    let mut manager = reader(manager, record("front-0", 10));
+    taken(&mut manager, 6, START);
+    manager
+}
+
+/// Guards against a token that falls or is used twice: the store comes back from a copy that names
+/// the holder before. The last holder takes the lease again at once, with a token above all lost ones.
+#[test]
+fn the_last_holder_takes_the_lease_again_after_the_store_came_back() {
+    let mut manager = holder_of_first_era();
+    let at = START + TimeSpan(100);
+
+    manager.note_era(Some(StoreEra(1)), at);
+    let meanwhile = manager.fence(at, TimeSpan(0));
+    let action = manager.tick(at);
+    manager.said(LeaseReply::Read(Some((5, record("front-1", 10)))), at);
+    let fence = taken(&mut manager, 7, at);
+
+    assert_eq!((meanwhile, action), (None, LeaseAction::Read));
+    assert!(fence > 1_000_000 && manager.fence(at, TimeSpan(0)) == Some(fence), "{fence}");
+}
+
+/// Guards against two holders: the copy names an earlier holder, or nobody, and who took the lease
+/// since the copy was made has not heard that the store came back.
+#[test]
+fn a_lease_in_the_copy_is_not_taken_before_a_lost_one_has_ended() {
+    let free = LeaseRecord { holder: "".into(), ..record("front-1", 10) };
+    for found in [None, Some((5, free)), Some((5, record("front-0", 10)))] {
+        let mut manager = manager(20);
+        manager.note_era(Some(StoreEra(0)), START);
+        manager.note_era(Some(StoreEra(1)), START);
+        manager.tick(START);
+        manager.said(LeaseReply::Read(found.clone()), START);
+
+        let early = manager.tick(START + DURATION);
+        manager.said(LeaseReply::Read(found.clone()), START + DURATION);
+        let late = manager.tick(START + DURATION + DURATION);
+
+        assert_eq!(early, LeaseAction::Read, "{found:?}");
+        assert!(written(late).is_some_and(|record| record.fence > 1_000_000), "{found:?}");
+    }
+}
+
+/// Guards against work that stands still for a lease duration after each restart on a store that came
+/// back long ago.
+#[test]
+fn a_record_of_the_current_era_is_taken_over_as_before() {
+    let held = LeaseRecord { fence: 1_000_003, ..record("front-0", 10) };
+    let mut manager = manager(20);
+    manager.note_era(Some(StoreEra(1)), START);
+    let mut manager = reader(manager, held);
+
+    let fence = taken(&mut manager, 6, START + TimeSpan(1));
+
+    assert_eq!(fence, 1_000_004);
+}
