--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -31,6 +31,7 @@
 mod mesh_limits;
 mod mortal;
 mod older_copy;
+mod older_list;
 mod outlet;
 mod pace;
 mod pauses;
--- a/tests/all/plays.rs
+++ b/tests/all/plays.rs
@@ -74,6 +74,8 @@
     revision: Cell<u64>,
     objects: RefCell<Vec<(FeedKind, FeedObject)>>,
     history: RefCell<Vec<(FeedKind, FeedEvent, u64)>>,
+    /// Calls answered so far.
+    calls: Cell<u64>,
 }
 
 /// A copy of the store, to which it can go back.
@@ -206,6 +208,7 @@
                         && let Some(answer) = answer(waited >= wait.duration())
                     {
                         self.era.set(Some(StoreEra(self.state.era.get())));
+                        self.state.calls.set(self.state.calls.get() + 1);
                         return Ok(answer);
                     }
                 }
@@ -584,9 +587,19 @@
         self.state.find(kind, name).map(|object| object.body)
     }
 
-    /// Puts an entry into the store.
-    pub fn put(&self, name: &str, state: &str) {
-        self.state.put(FeedKind::Endpoints, name, entry(state));
+    /// The calls that the store has answered so far.
+    pub fn store_calls(&self) -> u64 {
+        self.state.calls.get()
+    }
+
+    /// The revision that the store gave out last.
+    pub fn revision(&self) -> u64 {
+        self.state.revision.get()
+    }
+
+    /// Puts an entry into the store; returns its revision.
+    pub fn put(&self, name: &str, state: &str) -> u64 {
+        self.state.put(FeedKind::Endpoints, name, entry(state))
     }
 
     /// Orders a roll-out of the only service.
@@ -631,6 +644,16 @@
         self.last_times(most, |process| uses(process, name)).await
     }
 
+    /// Like [`uses_for`](Self::uses_for), for requests that other endpoints could get.
+    pub async fn prefers_for(&self, name: &str, most: Duration) -> Vec<u64> {
+        self.last_times(most, |process| prefers(process, name)).await
+    }
+
+    /// Whether every process uses `name` like any other endpoint.
+    pub fn all_prefer(&self, name: &str) -> bool {
+        self.processes.iter().all(|process| prefers(process, name))
+    }
+
     /// When a condition last held at each process, in milliseconds from now. Ends after `most`.
     async fn last_times(&self, most: Duration, holds: impl Fn(&FrontProcess) -> bool) -> Vec<u64> {
         let began = Instant::now();
@@ -652,3 +675,10 @@
     let board = process.node.endpoints.borrow();
     board.key(&name.into()).and_then(|key| board.get(key)).is_some_and(|fact| fact.takes_work())
 }
+
+/// Whether a process uses the endpoint `name` like any other.
+fn prefers(process: &FrontProcess, name: &str) -> bool {
+    let board = process.node.endpoints.borrow();
+    let fact = board.key(&name.into()).and_then(|key| board.get(key));
+    fact.is_some_and(|fact| fact.takes_work() && !fact.doubted)
+}
