The endpoint list follows a store that comes back from an older copy

Cause: requests reached endpoints whose leaving the store had acknowledged. The list was ordered by the store's bare numbers. After the store came back from an older copy, every answer was at a lower number than the known list and was ignored, so was an endpoint's leaving under a number that had been given out before, until the numbers passed the old ones; the list never got confirmed meanwhile, and was read anew several times a second. Change: entries and lists carry the era like all other revisions, so that answers of a later era replace what is known, at the store and between processes; who has heard of a later era overrules who has not. In a new era entries that the copy lacks are doubted until they could have been written again, whatever the time that the store was away; an entry that the copy lists although its removal is known is doubted until it would have expired; who is known to leave stays so, as before. Changes apply to a list of the same era only, and peers of an earlier era get the whole list. A process hears of the era with any list. On the wire a doubt says whether the store lists the entry; a missing field means that it does not, as before.

--- a/crates/front/src/discover.rs
+++ b/crates/front/src/discover.rs
@@ -32,7 +32,7 @@
     retry_until_done(&node, || read_records(&node)).await;
     let mut missing = BTreeSet::new();
     loop {
-        let written_in = node.store_era.get();
+        let written_in = era::known_era(&node);
         tokio::select! {
             () = actix_rt::time::sleep(SWEEP_PERIOD.duration()) => {}
             () = era::until_later(&node, written_in) => {
--- a/crates/front/src/era.rs
+++ b/crates/front/src/era.rs
@@ -19,13 +19,23 @@
     note_era(node, Some(StoreEra::of(revision)));
 }
 
+/// The known era of the store; the first one before any answer.
+pub(crate) fn known_era(node: &FrontNode) -> StoreEra {
+    node.store_era.get().unwrap_or_default()
+}
+
+/// The era of this process's own last answers of the store.
+pub(crate) fn answered_era(node: &FrontNode) -> StoreEra {
+    node.store.era().unwrap_or_default()
+}
+
 /// Checks that the last answer of the store is not of an earlier era than other processes know.
 ///
 /// # Errors
 /// [`PlatError::OutcomeUnknown`] if it is.
 pub(crate) fn check_answer(node: &FrontNode) -> oleander_plat::Result<()> {
     note_store_era(node);
-    if node.store.era() < node.store_era.get() {
+    if answered_era(node) < known_era(node) {
         let fault = "an answer of an earlier era than other processes know".to_owned();
         return Err(PlatError::OutcomeUnknown(fault));
     }
@@ -33,24 +43,25 @@
 }
 
 fn note_era(node: &FrontNode, era: Option<StoreEra>) {
-    let known = node.store_era.get();
-    if era <= known {
+    let (Some(era), known) = (era, node.store_era.get()) else { return };
+    if known.is_some_and(|known| era <= known) {
         return;
     }
-    node.store_era.set(era);
-    if known.is_some() {
+    node.store_era.set(Some(era));
+    if let Some(known) = known {
         node.meter.count_store_return();
-        event!(node, StoreWentBack;
-            "era" => era.map(|era| era.0), "before" => known.map(|era| era.0));
+        event!(node, StoreWentBack; "era" => era.0, "before" => known.0);
+    }
+    if era > known.unwrap_or_default() {
+        node.era_rose.notify_waiters();
     }
-    node.era_rose.notify_waiters();
 }
 
 /// Waits until an era later than `era` is known.
-pub(crate) async fn until_later(node: &FrontNode, era: Option<StoreEra>) {
+pub(crate) async fn until_later(node: &FrontNode, era: StoreEra) {
     loop {
         let rose = node.era_rose.notified();
-        if node.store_era.get() > era {
+        if known_era(node) > era {
             return;
         }
         rose.await;
--- a/crates/front/src/feeds.rs
+++ b/crates/front/src/feeds.rs
@@ -64,7 +64,7 @@
 struct FeedPoint {
     revision: u64,
     /// The era of the answer that named the revision.
-    era: Option<StoreEra>,
+    era: StoreEra,
 }
 
 /// Lists a feed and then watches it, and starts again with a list after a failure. `take` applies a list, `change`
@@ -89,10 +89,10 @@
         let sent = node.clock.now();
         let wait = TimeSpan(watch_wait(node).0 - batched.0);
         batched = TimeSpan(0);
-        let fault = match from.filter(|point| point.era >= node.store_era.get()) {
+        let fault = match from.filter(|point| point.era >= era::known_era(node)) {
             None => match list(node, kind).await {
                 Ok(page) => {
-                    from = Some(FeedPoint { revision: page.as_of, era: node.store.era() });
+                    from = Some(FeedPoint { revision: page.as_of, era: era::answered_era(node) });
                     update_feed_state(node, kind, state, None);
                     take(page, latest_answer_time(sent, TimeSpan(0), node.clock.now()));
                     None
@@ -106,7 +106,7 @@
                     None
                 }
                 // Changes since a lost revision leave out those between the copy and that revision.
-                Some(Ok(_)) if node.store.era() > point.era => {
+                Some(Ok(_)) if era::answered_era(node) > point.era => {
                     from = None;
                     None
                 }
--- a/crates/front/src/kept.rs
+++ b/crates/front/src/kept.rs
@@ -60,7 +60,7 @@
     guard: FeedCondition,
     mark: M,
     /// The era of the store in which it was read or written; a later one may have an older object.
-    era: Option<StoreEra>,
+    era: StoreEra,
 }
 
 /// Reads and writes the object of `record` until the task is cancelled.
@@ -81,7 +81,7 @@
             known = None;
             continue;
         }
-        let is_current = |object: &CachedObject<_>| object.era >= node.store_era.get();
+        let is_current = |object: &CachedObject<_>| object.era >= era::known_era(&node);
         let known_object = known.take().filter(is_current);
         let object = match known_object.filter(|_| !record.must_reload(&node)) {
             Some(object) => Some(object),
@@ -120,7 +120,7 @@
 ) -> CachedObject<R::Mark> {
     let guard = object.map_or(FeedCondition::Absent, |object| FeedCondition::Is(object.revision));
     era::note_store_era(node);
-    CachedObject { guard, mark: record.take(node, object), era: node.store.era() }
+    CachedObject { guard, mark: record.take(node, object), era: era::answered_era(node) }
 }
 
 /// Writes the object if its content has changed; none if it must be read again.
--- a/crates/front/src/releases/keep.rs
+++ b/crates/front/src/releases/keep.rs
@@ -91,8 +91,8 @@
     orders: &mut KnownOrders,
     from: &mut Option<u64>,
 ) -> Result<(), PlatError> {
-    let era = node.store_era.get();
-    let Some(revision) = from.filter(|revision| Some(StoreEra::of(*revision)) >= era) else {
+    let era = era::known_era(node);
+    let Some(revision) = from.filter(|revision| StoreEra::of(*revision) >= era) else {
         let page = node.store.list(FeedKind::Releases).await?;
         era::check_answer(node)?;
         *orders = page.objects.iter().map(|object| decode_order(node, object)).collect();
@@ -103,7 +103,7 @@
         answer = node.store.watch(FeedKind::Releases, revision, WATCH_WAIT) => answer?,
         // A new version may be under an order: a fresh list shows it at once.
         () = node.orders_refresh.notified() => WatchOutcome::HistoryLost,
-        () = era::until_later(node, Some(StoreEra::of(revision))) => WatchOutcome::HistoryLost,
+        () = era::until_later(node, StoreEra::of(revision)) => WatchOutcome::HistoryLost,
     };
     era::note_store_era(node);
     match answer {
--- a/crates/front/src/roster.rs
+++ b/crates/front/src/roster.rs
@@ -1,5 +1,6 @@
 //! Applies updates of the endpoint list to the board of this process.
 
+use crate::era;
 use crate::events::event;
 use crate::node::FrontNode;
 use crate::{releases, suspects};
@@ -105,6 +106,7 @@
     let times = ExpiryTimes { min_expiry, relist_delay: TimeSpan(bounds.relist_ms) };
     let news = RosterContext { times, now, decode: &decode };
     let actions = take(&mut node.roster.borrow_mut(), &news);
+    era::note_peer_revision(node, node.roster.borrow().revision());
     actions.into_iter().for_each(|action| apply_action(node, action));
     // A process that just started would otherwise refuse its callers until its next report.
     if node.releases.borrow().is_stale {
--- a/crates/front/src/window_store.rs
+++ b/crates/front/src/window_store.rs
@@ -5,6 +5,7 @@
 //! processes, and accounts far below their limits would be refused for a whole window.
 
 use crate::duties::encode;
+use crate::era;
 use crate::events::event;
 use crate::kept::StoredRecord;
 use crate::limits::begin_ledger_from;
@@ -80,7 +81,7 @@
         let list = object.map(|object| read_list(node, object));
         let mut mesh = node.mesh.borrow_mut();
         if needs_ledger(node, &mesh) {
-            let era = node.store_era.get().unwrap_or_default();
+            let era = era::known_era(node);
             let (prior, by) = prior_ledger(list.as_ref(), (node.true_now_with(&mesh), era));
             begin_ledger_from(node, &mut mesh, prior, by);
         }
@@ -95,7 +96,7 @@
         let at = if ledger.is_idle() { ClockTime(0) } else { node.true_now_with(&mesh) };
         let listed = |(account, window)| StoredWindow { account, window };
         let accounts = windows.into_iter().map(listed).collect();
-        let era = node.store_era.get().unwrap_or_default();
+        let era = era::known_era(node);
         let list = StoredWindows { at, source: ledger.source(), era, accounts };
         self.in_flight = Some((promises, now));
         Some((encode(node, &list)?, WindowMark(at.0)))
--- a/crates/list/src/changes.rs
+++ b/crates/list/src/changes.rs
@@ -34,7 +34,8 @@
         self.noted
     }
 
-    /// Records that the list is known for the first time, at `mark`.
+    /// Records that the list is known at `mark` for the first time, or for the first time in an era:
+    /// the changes that another process lacks since an earlier era are not all known.
     pub(crate) fn begin(&mut self, mark: u64) {
         self.floor = self.floor.max(mark);
     }
@@ -52,6 +53,16 @@
         }
     }
 
+    /// Whether the last known change of an entry removed it.
+    pub(crate) fn is_removed(&self, name: &str) -> bool {
+        let named = |change: &&KnownChange| match &change.event {
+            FeedEvent::Put(object) => object.name == name,
+            FeedEvent::Gone { name: gone, .. } => gone == name,
+        };
+        let last = self.kept.iter().rev().find(named);
+        last.is_some_and(|change| matches!(change.event, FeedEvent::Gone { .. }))
+    }
+
     /// The changes after the one with this number; `None` if the log no longer has them all.
     pub(crate) fn after_number(&self, number: u64) -> Option<Vec<FeedEvent>> {
         let missing = usize::try_from(self.noted.checked_sub(number)?).ok()?;
--- a/crates/list/src/freshness.rs
+++ b/crates/list/src/freshness.rs
@@ -10,7 +10,8 @@
 /// A confirmation by the store that some data is current.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FreshnessStamp {
-    /// The high-water mark of the data: a revision or a version of the store.
+    /// The high-water mark of the data: a revision of the store, over all its eras, or a version of
+    /// the rules.
     pub mark: u64,
     /// The latest time at which that mark was known to be current, on this process's monotonic
     /// clock.
--- a/crates/list/src/roster.rs
+++ b/crates/list/src/roster.rs
@@ -11,12 +11,17 @@
 //! until a deadline that is passed on with the mark. Whether the store was unavailable is judged
 //! from everything the process received from any source: if the gap was too short for an entry to
 //! expire, a missing entry was removed on purpose.
+//!
+//! A store that comes back from an older copy ([`StoreEra`]) begins an era, whose revisions are higher
+//! than all earlier ones. Entries that the copy lacks may have been written since, and are doubted
+//! like expired ones. An entry that the copy lists although its removal is known is doubted until it
+//! would have expired.
 
 use crate::changes::ChangeLog;
 use crate::freshness::{FreshnessNote, FreshnessStamp};
 use compact_str::CompactString;
 use oleander_kind::hash::{HASH_SEED, mix_bits, stable_hash};
-use oleander_kind::{ClockTime, TimeSpan};
+use oleander_kind::{ClockTime, StoreEra, TimeSpan};
 use oleander_plat::{FeedEvent, FeedObject};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -110,6 +115,9 @@
     /// The time left until the deadline.
     #[serde(rename = "l")]
     pub left: TimeSpan,
+    /// Whether the store lists it all the same, perhaps only as an older copy had it.
+    #[serde(rename = "s", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_listed: bool,
 }
 
 /// The status of a process's list, as sent to its peers.
@@ -163,6 +171,8 @@
     pub(crate) life: u64,
     /// The deadline of the doubt; `None` if the entry is not doubted.
     pub(crate) doubted_until: Option<ClockTime>,
+    /// Whether the store has the entry; one that it lacks is removed when its doubt ends.
+    pub(crate) is_listed: bool,
 }
 
 /// A front process's replica of the endpoint list.
@@ -199,6 +209,11 @@
         self.freshness.as_ref().map_or(0, |freshness| freshness.mark)
     }
 
+    /// Whether `revision` belongs to a later era of the store than the list.
+    pub(crate) fn is_later_era(&self, revision: u64) -> bool {
+        self.freshness.is_some() && StoreEra::of(revision) > StoreEra::of(self.revision())
+    }
+
     /// The number of changes applied so far.
     pub fn change_count(&self) -> u64 {
         self.changes.noted()
@@ -217,21 +232,28 @@
     /// The endpoints that are missing from the store but may return (*doubted*), and their
     /// deadlines.
     pub fn doubts(&self) -> impl Iterator<Item = (&CompactString, ClockTime)> {
-        self.items.iter().filter_map(|(name, item)| Some((name, item.doubted_until?)))
+        self.doubted_items().map(|(name, until, _)| (name, until))
+    }
+
+    fn doubted_items(&self) -> impl Iterator<Item = (&CompactString, ClockTime, bool)> {
+        let doubt =
+            |(name, item): (_, &RosterItem)| Some((name, item.doubted_until?, item.is_listed));
+        self.items.iter().filter_map(doubt)
     }
 
     /// The status of the list at `now`.
     pub fn status(&self, now: ClockTime) -> RosterStatus {
         let unsettled = self.unsettled_until.filter(|until| now < *until);
-        let doubt = |(name, until): (&CompactString, _)| DoubtedEndpoint {
+        let doubt = |(name, until, is_listed): (&CompactString, _, _)| DoubtedEndpoint {
             name: name.clone(),
             left: until - now,
+            is_listed,
         };
         RosterStatus {
             freshness: self.freshness.as_ref().map(|freshness| freshness.note(now)),
             sum: self.sum,
             unsettled: unsettled.map(|until| until - now),
-            doubted: self.doubts().map(doubt).collect(),
+            doubted: self.doubted_items().map(doubt).collect(),
             needs_whole: self.needs_whole,
         }
     }
--- a/crates/list/src/update.rs
+++ b/crates/list/src/update.rs
@@ -56,6 +56,10 @@
         freshness: FreshnessStamp,
         context: &RosterContext<'_, E>,
     ) -> Vec<RosterAction<E>> {
+        // Changes continue a list of the same era.
+        if self.is_later_era(freshness.mark) {
+            return Vec::new();
+        }
         let newest = freshness.mark >= self.revision();
         let mut updater = self.updater(context, freshness.mark);
         updater.note_confirmation(&freshness);
@@ -133,9 +137,12 @@
             // A process that was paused doubts the entries it missed. A process that was in contact
             // with the store meanwhile has better information: if it adopted the doubt, it would go
             // on using an endpoint that has left until the doubt ended.
-            match in_contact {
-                true => updater.note_missing(&doubt.name),
-                false => updater.doubt(&doubt.name, context.now + doubt.left - late),
+            let until = context.now + doubt.left - late;
+            match (in_contact, doubt.is_listed) {
+                (true, true) => {}
+                (true, false) => updater.note_missing(&doubt.name),
+                (false, true) => updater.doubt_listed(&doubt.name, until),
+                (false, false) => updater.doubt(&doubt.name, until),
             }
         }
         // Changes since a revision make two lists equal if this one was complete at that revision.
@@ -192,14 +199,17 @@
     }
 
     /// Whether the time between the last confirmation by the store and `freshness` was too short
-    /// for an entry to expire.
+    /// for an entry to expire. A store that came back from an older copy may lack entries whatever
+    /// the time.
     ///
     /// Without this check, any removal seen within 2.2 s of the store's return was treated as an
     /// expiry, even after an outage of 0.1 s: requests reached an endpoint 2.3 s after it had left,
     /// and 3.7 s after where the doubt was passed on to peers.
     fn is_within_expiry(&self, freshness: &FreshnessStamp) -> bool {
         let known = self.replica.freshness.as_ref();
-        known.is_some_and(|known| freshness.at - known.at < self.context.times.min_expiry)
+        let same_era = !self.replica.is_later_era(freshness.mark);
+        same_era
+            && known.is_some_and(|known| freshness.at - known.at < self.context.times.min_expiry)
     }
 
     /// Decides from a peer's status whether missing entries may have expired. If either process was
@@ -235,6 +245,7 @@
     /// Marks an endpoint as doubted until `until`; an earlier mark keeps its deadline.
     fn doubt(&mut self, name: &CompactString, until: ClockTime) {
         let Some(item) = self.replica.items.get_mut(name) else { return };
+        item.is_listed = false;
         if item.doubted_until.is_none() {
             item.doubted_until = Some(until);
             self.actions.push(RosterAction::Doubt { name: name.clone(), until });
@@ -249,6 +260,10 @@
         self.actions.push(RosterAction::Drop { name: name.clone() });
     }
 
+    fn is_listed(&self, object: &FeedObject) -> bool {
+        self.replica.items.get(&object.name).is_some_and(|item| item.is_listed)
+    }
+
     /// Whether the list has an entry of this name at `revision` or earlier.
     fn has_up_to(&self, name: &CompactString, revision: u64) -> bool {
         self.replica.items.get(name).is_some_and(|item| item.object.revision <= revision)
@@ -283,8 +298,14 @@
             None if !newest && object.revision <= self.replica.revision() => return,
             _ => {}
         }
+        let is_of_copy = self.is_of_copy(object);
         match (self.context.decode)(object) {
-            Ok(decoded) => self.upsert(object, decoded),
+            Ok(decoded) => {
+                self.upsert(object, decoded);
+                if is_of_copy {
+                    self.doubt_listed(&object.name, self.copy_expiry());
+                }
+            }
             Err(fault) => {
                 let name = object.name.clone();
                 self.actions.push(RosterAction::Unreadable { name, fault });
@@ -295,6 +316,30 @@
         }
     }
 
+    /// Whether an object of a later era is one whose removal in an earlier era is known.
+    fn is_of_copy(&self, object: &FeedObject) -> bool {
+        self.replica.is_later_era(object.revision)
+            && !self.replica.items.contains_key(&object.name)
+            && self.replica.changes.is_removed(&object.name)
+    }
+
+    /// When an entry of the copy has expired if its endpoint does not write it any more.
+    fn copy_expiry(&self) -> ClockTime {
+        /// Entries expire three heartbeat intervals after the last one, and `min_expiry` is half of that.
+        const EXPIRY_PARTS: u64 = 2;
+        let times = self.context.times;
+        let expiry = TimeSpan(times.min_expiry.0.saturating_mul(EXPIRY_PARTS));
+        self.context.now + expiry.max(times.relist_delay)
+    }
+
+    /// Doubts an entry that the store has.
+    fn doubt_listed(&mut self, name: &CompactString, until: ClockTime) {
+        self.doubt(name, until);
+        if let Some(item) = self.replica.items.get_mut(name) {
+            item.is_listed = true;
+        }
+    }
+
     /// Adds or replaces an entry. An update about an earlier incarnation can have the later
     /// revision: a write was carried out after the new incarnation had registered itself.
     fn upsert(&mut self, object: &FeedObject, decoded: DecodedEntry<E>) {
@@ -308,7 +353,8 @@
             });
             return;
         }
-        let item = RosterItem { object: object.clone(), life, doubted_until: None };
+        let item =
+            RosterItem { object: object.clone(), life, doubted_until: None, is_listed: true };
         if let Some(known) = self.replica.items.insert(object.name.clone(), item) {
             self.replica.sum ^= object_hash(&known.object);
         }
@@ -320,7 +366,13 @@
     /// Clears the doubt if the store has exactly this revision of the object.
     fn clear_doubt(&mut self, object: &FeedObject) {
         let Some(item) = self.replica.items.get_mut(&object.name) else { return };
-        if item.object.revision != object.revision || item.doubted_until.take().is_none() {
+        let is_doubted_anyway =
+            item.is_listed && item.doubted_until.is_some_and(|until| self.context.now < until);
+        if item.object.revision != object.revision || is_doubted_anyway {
+            return;
+        }
+        item.is_listed = true;
+        if item.doubted_until.take().is_none() {
             return;
         }
         if let Ok(decoded) = (self.context.decode)(object) {
@@ -333,15 +385,19 @@
     /// doubt ended. While the store does not answer, no entry could have returned, so none is
     /// removed.
     fn finish(mut self, freshness: FreshnessStamp) -> Vec<RosterAction<E>> {
-        if self.replica.freshness.is_none() {
+        if self.replica.freshness.is_none() || self.replica.is_later_era(freshness.mark) {
             self.replica.changes.begin(freshness.mark);
         }
         merge_newer(&mut self.replica.freshness, freshness);
         let confirmed_at =
             self.replica.freshness.as_ref().map(|freshness| freshness.at).unwrap_or_default();
-        let due = self.replica.doubts().filter(|(_, until)| *until <= confirmed_at);
-        let names: Vec<_> = due.map(|(name, _)| name.clone()).collect();
-        names.iter().for_each(|name| self.remove_item(name));
+        let is_due =
+            |item: &&RosterItem| item.doubted_until.is_some_and(|until| until <= confirmed_at);
+        let due = self.replica.items.values().filter(is_due);
+        let (listed, missing): (Vec<_>, Vec<_>) =
+            due.map(|item| item.object.clone()).partition(|object| self.is_listed(object));
+        listed.iter().for_each(|object| self.clear_doubt(object));
+        missing.iter().for_each(|object| self.remove_item(&object.name));
         self.actions
     }
 }
--- a/tests/all/lives.rs
+++ b/tests/all/lives.rs
@@ -325,7 +325,11 @@
 
 /// Applies a peer's whole list: its entries, its revision, and the entries it doubts.
 fn take_whole(process: &FrontProcess, entries: &[FeedObject], as_of: u64, doubted: &[&str]) {
-    let doubt = |name: &&str| DoubtedEndpoint { name: (*name).into(), left: TimeSpan(1000) };
+    let doubt = |name: &&str| DoubtedEndpoint {
+        name: (*name).into(),
+        left: TimeSpan(1000),
+        is_listed: false,
+    };
     let status = RosterStatus {
         needs_whole: false,
         freshness: Some(FreshnessNote { mark: as_of, age: TimeSpan(0), by: "front-1".into() }),
--- a/tests/all/plays.rs
+++ b/tests/all/plays.rs
@@ -146,44 +146,37 @@
     era: Cell<Option<StoreEra>>,
 }
 
-/// The revision to which the store gave `number`.
-fn revision_of(kind: FeedKind, era: StoreEra, number: u64) -> u64 {
-    match kind {
-        FeedKind::Endpoints => number,
-        _ => era.revision(number),
-    }
-}
-
 fn unanswered() -> PlatError {
     PlatError::OutcomeUnknown("no answer in time".to_owned())
 }
 
 impl TestStore {
-    fn told(&self, kind: FeedKind, number: u64) -> u64 {
-        revision_of(kind, StoreEra(self.state.era.get()), number)
+    /// The revision to which the store gave `number`.
+    fn told(&self, number: u64) -> u64 {
+        StoreEra(self.state.era.get()).revision(number)
     }
 
-    fn told_object(&self, kind: FeedKind, object: FeedObject) -> FeedObject {
-        FeedObject { revision: self.told(kind, object.revision), ..object }
+    fn told_object(&self, object: FeedObject) -> FeedObject {
+        FeedObject { revision: self.told(object.revision), ..object }
     }
 
-    fn told_event(&self, kind: FeedKind, event: FeedEvent) -> FeedEvent {
+    fn told_event(&self, event: FeedEvent) -> FeedEvent {
         match event {
-            FeedEvent::Put(object) => FeedEvent::Put(self.told_object(kind, object)),
+            FeedEvent::Put(object) => FeedEvent::Put(self.told_object(object)),
             FeedEvent::Gone { name, revision } => {
-                FeedEvent::Gone { name, revision: self.told(kind, revision) }
+                FeedEvent::Gone { name, revision: self.told(revision) }
             }
         }
     }
 
     fn told_page(&self, kind: FeedKind) -> FeedPage {
         let FeedPage { objects, as_of } = self.state.page(kind);
-        let objects = objects.into_iter().map(|object| self.told_object(kind, object)).collect();
-        FeedPage { objects, as_of: self.told(kind, as_of) }
+        let objects = objects.into_iter().map(|object| self.told_object(object)).collect();
+        FeedPage { objects, as_of: self.told(as_of) }
     }
 
     fn told_found(&self, kind: FeedKind, name: &str) -> Option<FeedObject> {
-        self.state.find(kind, name).map(|object| self.told_object(kind, object))
+        self.state.find(kind, name).map(|object| self.told_object(object))
     }
 
     /// Makes a call that the store answers with `answer` once it has one, after `wait` at the
@@ -241,8 +234,8 @@
                 return Some(WatchOutcome::HistoryLost);
             }
             let changes = self.state.changes(kind, number).into_iter();
-            let changes: Vec<_> = changes.map(|event| self.told_event(kind, event)).collect();
-            let as_of = self.told(kind, self.state.revision.get());
+            let changes: Vec<_> = changes.map(|event| self.told_event(event)).collect();
+            let as_of = self.told(self.state.revision.get());
             (over || !changes.is_empty()).then_some(WatchOutcome::Changes(changes, as_of))
         };
         self.call(wait, answer).boxed_local()
@@ -264,7 +257,7 @@
             let text = String::from_utf8_lossy(&known.body).into_owned();
             let spec = text.split(r#","status":"#).next().unwrap_or_default().to_owned();
             let body = format!(r#"{spec},"status":{}}}"#, String::from_utf8_lossy(&status));
-            Ok(WriteOutcome::Made(self.told(kind, self.state.put(kind, name, Bytes::from(body)))))
+            Ok(WriteOutcome::Made(self.told(self.state.put(kind, name, Bytes::from(body)))))
         }
         .boxed_local()
     }
@@ -297,7 +290,7 @@
             if !holds {
                 return Ok(WriteOutcome::Refused(known));
             }
-            Ok(WriteOutcome::Made(self.told(kind, self.state.put(kind, name, body))))
+            Ok(WriteOutcome::Made(self.told(self.state.put(kind, name, body))))
         }
         .boxed_local()
     }
--- a/tests/all/roster.rs
+++ b/tests/all/roster.rs
@@ -53,7 +53,11 @@
 }
 
 fn status(mark: u64, unsettled: Option<u64>, doubted: &[&str]) -> RosterStatus {
-    let doubt = |name: &&str| DoubtedEndpoint { name: (*name).into(), left: TimeSpan(1500) };
+    let doubt = |name: &&str| DoubtedEndpoint {
+        name: (*name).into(),
+        left: TimeSpan(1500),
+        is_listed: false,
+    };
     RosterStatus {
         needs_whole: false,
         freshness: Some(FreshnessNote { mark, age: TimeSpan(0), by: "front-1".into() }),
@@ -124,7 +128,10 @@
 
     let until = at(9000 + 1500 - 100);
     assert_eq!(actions, [RosterAction::Doubt { name: "a".into(), until }]);
-    assert_eq!(passed, [DoubtedEndpoint { name: "a".into(), left: TimeSpan(1000) }]);
+    assert_eq!(
+        passed,
+        [DoubtedEndpoint { name: "a".into(), left: TimeSpan(1000), is_listed: false }]
+    );
 }
 
 /// Guards against requests to an endpoint that has left: whatever the order, number and delay of
