The model of endpoint lists lets the store come back from an older copy

Cause: the search of list histories knew outages, but no store that goes back. Change: a step brings the store back in a later era, at a lower number and with the entry as it was; a mistake (bare numbers) has to be found. Measured: bare numbers: a process sends to an endpoint that has left. With eras the search of 24 rounds and one fault is complete and finds nothing.

--- a/crates/explore/src/rosters.rs
+++ b/crates/explore/src/rosters.rs
@@ -1,10 +1,11 @@
 //! Endpoint lists: a store, two processes that follow it, of which one collects, and one that goes
-//! by the collector. Ways to the store fall silent, the collector stands still, the store is away;
-//! an endpoint leaves, or its entry lapses while the store is away and comes back.
+//! by the collector. Ways to the store fall silent, the collector stands still, the store is away and
+//! may come back from an older copy; an endpoint leaves, or its entry lapses while the store is away
+//! and comes back.
 
 use crate::search::SearchModel;
 use bytes::Bytes;
-use oleander_kind::{ClockTime, TimeSpan};
+use oleander_kind::{ClockTime, StoreEra, TimeSpan};
 use oleander_list::{
     DecodedEntry, ExpiryTimes, FreshnessStamp, RosterContext, RosterReplica, RosterUpdate,
     RosterVersion, StalenessLimits,
@@ -22,6 +23,8 @@
     AnyReturnIsOutage,
     /// Nothing ever lapses.
     NothingLapses,
+    /// Revisions are the store's bare numbers, whatever its era.
+    BareNumbers,
 }
 
 /// The model's bounds.
@@ -33,6 +36,8 @@
     pub rounds: u64,
     /// The mistake.
     pub bug: RosterBug,
+    /// Whether the store may come back from an older copy.
+    pub returns: bool,
 }
 
 /// A round, in milliseconds: the processes exchange reports in each.
@@ -49,6 +54,9 @@
 const RELIST: u64 = 8;
 /// Rounds after the store's return for which no bound holds.
 const UNSTABLE: u64 = 12;
+/// The store's number at the start, and in the copy to which it may come back.
+const START_NUMBER: u64 = 4;
+const COPY_NUMBER: u64 = 1;
 /// The only endpoint.
 const NAME: &str = "i-0";
 
@@ -75,6 +83,8 @@
 #[derive(Clone, Debug)]
 pub struct RosterSites {
     now: u64,
+    era: StoreEra,
+    /// The last revision, in the current era.
     revision: u64,
     /// The entry's revision, if there is one.
     entry: Option<u64>,
@@ -110,6 +120,8 @@
     Away,
     /// It is back.
     Back,
+    /// It is back, from the copy.
+    BackFromCopy,
 }
 
 impl RosterModel {
@@ -121,7 +133,7 @@
         let min_expiry = match self.bug {
             RosterBug::AnyReturnIsOutage => TimeSpan(0),
             RosterBug::NothingLapses => TimeSpan(u64::MAX),
-            RosterBug::None | RosterBug::SilenceIsNews => TimeSpan(1800),
+            RosterBug::None | RosterBug::SilenceIsNews | RosterBug::BareNumbers => TimeSpan(1800),
         };
         ExpiryTimes { min_expiry, relist_delay: TimeSpan(2200) }
     }
@@ -168,6 +180,10 @@
         let old = self.is_old(&process.book, now, limit);
         let events = process.watch.map(|(from, _)| state.events(from)).unwrap_or_default();
         let process = &mut state.processes[at];
+        if answered && self.bug != RosterBug::BareNumbers {
+            process.watch =
+                process.watch.filter(|(from, _)| StoreEra::of(*from) == StoreEra::of(page.as_of));
+        }
         match process.watch {
             Some((_, since)) if answered && (!events.is_empty() || now >= since + WAITS[at]) => {
                 process.book.apply_store_changes(&events, freshness, &self.news(now));
@@ -268,8 +284,9 @@
     fn start(&self) -> RosterSites {
         let mut state = RosterSites {
             now: 0,
-            revision: 1,
-            entry: Some(1),
+            era: StoreEra(0),
+            revision: START_NUMBER,
+            entry: Some(START_NUMBER),
             history: Vec::new(),
             left_at: None,
             lapsed: false,
@@ -300,6 +317,10 @@
             steps.push(RosterStep::Lapse);
         }
         steps.push(if calm { RosterStep::Away } else { RosterStep::Back });
+        let may_return = self.returns && state.era == StoreEra(0) && state.left_at.is_none();
+        if may_return && !calm {
+            steps.push(RosterStep::BackFromCopy);
+        }
         for at in [COLLECTOR, 1] {
             let deaf = state.processes[at].deaf;
             steps.push(if deaf { RosterStep::Heal(at) } else { RosterStep::Deafen(at) });
@@ -349,6 +370,16 @@
                 next.away_since = None;
                 next.back_at = Some(next.now);
             }
+            RosterStep::BackFromCopy => {
+                next.away_since = None;
+                next.back_at = Some(next.now);
+                next.era = StoreEra(1);
+                let era = if self.bug == RosterBug::BareNumbers { StoreEra(0) } else { next.era };
+                next.revision = era.revision(COPY_NUMBER);
+                next.entry = Some(next.revision);
+                next.history.clear();
+                next.lapsed = false;
+            }
         }
         next
     }
--- a/tests/all/explore.rs
+++ b/tests/all/explore.rs
@@ -113,24 +113,41 @@
 
 #[test]
 fn calm_processes_send_nothing_to_an_endpoint_that_has_left_and_drop_none_that_lives() {
-    let model = RosterModel { faults: 2, rounds: 18, bug: RosterBug::None };
+    let model = RosterModel { faults: 2, rounds: 18, bug: RosterBug::None, returns: false };
     held(&explore(&model, MOST_LIST_STATES));
 }
 
 #[test]
 fn taking_silence_for_news_keeps_an_endpoint_that_has_left() {
-    let model = RosterModel { faults: 2, rounds: 26, bug: RosterBug::SilenceIsNews };
+    let model =
+        RosterModel { faults: 2, rounds: 26, bug: RosterBug::SilenceIsNews, returns: false };
     found(&explore(&model, MOST_STATES));
 }
 
 #[test]
 fn taking_any_return_of_the_store_for_an_outage_keeps_an_endpoint_that_has_left() {
-    let model = RosterModel { faults: 1, rounds: 26, bug: RosterBug::AnyReturnIsOutage };
+    let model =
+        RosterModel { faults: 1, rounds: 26, bug: RosterBug::AnyReturnIsOutage, returns: false };
     found(&explore(&model, MOST_STATES));
 }
 
 #[test]
 fn taking_lapsed_entries_for_removed_ones_drops_an_endpoint_that_lives() {
-    let model = RosterModel { faults: 1, rounds: 26, bug: RosterBug::NothingLapses };
+    let model =
+        RosterModel { faults: 1, rounds: 26, bug: RosterBug::NothingLapses, returns: false };
     found(&explore(&model, MOST_STATES));
 }
+
+/// Guards against requests to an endpoint that leaves after the store came back from an older copy, and
+/// against dropping one that lives.
+#[test]
+fn an_endpoint_that_leaves_after_the_store_came_back_from_a_copy_is_known_to_leave() {
+    let model = RosterModel { faults: 1, rounds: 24, bug: RosterBug::None, returns: true };
+    held(&explore(&model, MOST_LIST_STATES));
+}
+
+#[test]
+fn bare_numbers_keep_an_endpoint_that_left_after_the_store_came_back_from_a_copy() {
+    let model = RosterModel { faults: 1, rounds: 24, bug: RosterBug::BareNumbers, returns: true };
+    found(&explore(&model, MOST_LIST_STATES));
+}
