--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -87,3 +87,17 @@
     assert!(report.counts.0 > 100, "{:?}", report.counts);
     std::fs::remove_dir_all(settings.folder).expect("the logs of a run that passed");
 }
+
+/// Guards against rules that revert or come late, requests to leaving endpoints, and two holders, while
+/// the store comes back from older copies and processes are killed, paused and stopped.
+#[test]
+fn results_stay_correct_while_the_store_comes_back_from_older_copies() {
+    let settings = settings(13_000);
+
+    let report = actix_rt::System::new().block_on(run_seed(&settings)).expect("it starts");
+
+    assert!(report.broken.is_empty(), "{:#?}\n{:#?}", report.broken, report.made);
+    assert!(report.counts.0 > 100, "{:?}", report.counts);
+    assert!(report.made.iter().any(|made| made.contains("GoBack")), "{:#?}", report.made);
+    std::fs::remove_dir_all(settings.folder).expect("the logs of a run that passed");
+}
