Roll-outs outlive a store that comes back from an older copy

Cause: an order that the copy lacked was withdrawn at once and began anew when the operators wrote it again, with a second slack for the exposure of its version; a status that was lost was never written again, because the plan took it for written. Change: for the time in which operators and endpoints write again what they wrote, a missing order stands. The plan takes the status that it reads for the one that is written.

--- a/crates/front/src/era.rs
+++ b/crates/front/src/era.rs
@@ -2,7 +2,7 @@
 
 use crate::events::event;
 use crate::node::FrontNode;
-use oleander_kind::{ResultCode, StoreEra};
+use oleander_kind::{ResultCode, StoreEra, TimeSpan};
 use oleander_plat::PlatError;
 
 /// Notes the era that the store named last, and an era that could not be read.
@@ -49,6 +49,7 @@
     }
     node.store_era.set(Some(era));
     if let Some(known) = known {
+        node.store_returned_at.set(Some(node.clock.now()));
         node.meter.count_store_return();
         event!(node, StoreWentBack; "era" => era.0, "before" => known.0);
     }
@@ -57,6 +58,13 @@
     }
 }
 
+/// Whether the store came back from an older copy so short a time ago that what operators and
+/// endpoints wrote need not be written again yet.
+pub(crate) fn is_relisting(node: &FrontNode) -> bool {
+    let time = TimeSpan(node.bounds().relist_ms);
+    node.store_returned_at.get().is_some_and(|at| node.clock.now() - at < time)
+}
+
 /// Waits until an era later than `era` is known.
 pub(crate) async fn until_later(node: &FrontNode, era: StoreEra) {
     loop {
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -63,6 +63,8 @@
     pub http: HttpCodec,
     /// The known era of the store; `None` before its first answer.
     pub(crate) store_era: Cell<Option<StoreEra>>,
+    /// When this process learned that the store had come back from an older copy.
+    pub(crate) store_returned_at: Cell<Option<ClockTime>>,
     /// Wakes what has to begin anew in a later era.
     pub(crate) era_rose: Notify,
     /// The operators' rules.
@@ -167,6 +169,7 @@
             store,
             http: HttpCodec::default(),
             store_era: Cell::default(),
+            store_returned_at: Cell::default(),
             era_rose: Notify::new(),
             rules: RefCell::default(),
             rules_feed: Cell::default(),
--- a/crates/front/src/releases/keep.rs
+++ b/crates/front/src/releases/keep.rs
@@ -158,9 +158,12 @@
         }
         apply_order(node, (name, entry), logged, now);
     }
-    let running: Vec<ServiceName> = node.releases.borrow().running.keys().cloned().collect();
-    for service in running.into_iter().filter(|service| !kept.contains(service)) {
-        withdraw(node, &service, logged);
+    // The operators write again what the store lost; an order that began anew would get its slack twice.
+    if !era::is_relisting(node) {
+        let running: Vec<ServiceName> = node.releases.borrow().running.keys().cloned().collect();
+        for service in running.into_iter().filter(|service| !kept.contains(service)) {
+            withdraw(node, &service, logged);
+        }
     }
     refresh(node);
 }
@@ -191,6 +194,7 @@
     if known.as_ref() == Some(&entry.order) {
         if let Some(running) = node.releases.borrow_mut().running.get_mut(service) {
             running.entry = entry.clone();
+            running.plan.note_read(entry.state());
         }
         return;
     }
--- a/crates/release/src/plan.rs
+++ b/crates/release/src/plan.rs
@@ -189,6 +189,12 @@
         self.written = Some(state);
     }
 
+    /// Records the state that the store has: a store that came back from an older copy lacks what was
+    /// written since.
+    pub fn note_read(&mut self, state: Option<ReleaseState>) {
+        self.written = state;
+    }
+
     /// Withdraws the order: the version gets no requests.
     pub fn withdraw(&mut self) {
         self.enter(ReleaseStage::RolledBack(RollbackReason::Withdrawn));
--- a/tests/all/older_copy.rs
+++ b/tests/all/older_copy.rs
@@ -2,6 +2,7 @@
 //! processes wrote themselves.
 
 use crate::plays::{ProcessGroup, play};
+use oleandertack::front::FrontProcess;
 use oleandertack::lease::LeaseRecord;
 use oleandertack::plat::FeedKind;
 use std::time::Duration;
@@ -91,3 +92,64 @@
         }
     });
 }
+
+/// A group of four that carries out an order, and a copy of the store from before the order.
+async fn group_with_order() -> (ProcessGroup, crate::plays::StoreCopy) {
+    let group = ProcessGroup::start_releasing(4, (0.2, 20)).await;
+    let copy = group.copy();
+    group.order_release("v2", 60.0);
+    seconds(3).await;
+    (group, copy)
+}
+
+/// Guards against a roll-out without a status: the store lost the one that was written.
+#[test]
+fn a_lost_status_of_a_rollout_is_written_again() {
+    play(async {
+        let (group, copy) = group_with_order().await;
+        let before = group.release_status();
+
+        group.go_back(copy);
+        group.order_release("v2", 60.0);
+        seconds(5).await;
+
+        assert!(before.contains("running"), "{before}");
+        assert_eq!(group.release_status(), before);
+    });
+}
+
+/// Guards against a roll-out that is withdrawn and begins anew, with a second slack for its exposure: the
+/// store lost the order, and the operators write it again within the time that they take for it.
+#[test]
+fn a_lost_order_stands_until_the_operators_could_have_written_it_again() {
+    play(async {
+        let (group, copy) = group_with_order().await;
+        let withdrawn = || {
+            let is_withdrawn =
+                |process: &FrontProcess| !process.node.releases.borrow().withdrawn.is_empty();
+            group.processes.iter().any(is_withdrawn)
+        };
+
+        group.go_back(copy);
+        seconds(1).await;
+        let in_the_gap = withdrawn();
+        group.order_release("v2", 60.0);
+        seconds(5).await;
+
+        assert!(!in_the_gap && !withdrawn());
+    });
+}
+
+/// An order that is not written again is withdrawn.
+#[test]
+fn a_lost_order_that_is_not_written_again_is_withdrawn() {
+    play(async {
+        let (group, copy) = group_with_order().await;
+
+        group.go_back(copy);
+        seconds(8).await;
+
+        let running = |process: &FrontProcess| !process.node.releases.borrow().running.is_empty();
+        assert!(!group.processes.iter().any(running));
+    });
+}
