A notice of the lease from before the store came back is ignored

The copy had no lease; the process that had to take it looked at its last notice, of a lost holder, before each decision, and read the store after it, so that the record seemed to change each time and was never unchanged for a lease time. Change: a notice of an earlier era is ignored. Measured: lease::a_notice_of_an_earlier_era_does_not_keep_a_lost_lease_from_being_taken failed before (not taken in 20 s) and passes.

--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -372,8 +372,8 @@
         }
     }
 
-    /// Applies a notice of the object from its holder. A notice of an older version, or one that
-    /// arrives while a call of this process is pending, is ignored.
+    /// Applies a notice of the object from its holder. A notice of an older version or of an earlier
+    /// era, or one that arrives while a call of this process is pending, is ignored.
     ///
     /// So is a notice of the version that this process's own last write was to replace, whatever
     /// the outcome of that write: a process whose write was refused would otherwise repeat it
@@ -384,7 +384,8 @@
     pub fn note_change(&mut self, version: u64, record: LeaseRecord, now: ClockTime) {
         let seen = self.seen.as_ref().and_then(|seen| seen.version);
         let known = seen.max(self.last_replaced);
-        if self.pending.is_none() && known.is_none_or(|known| known < version) {
+        let is_current = StoreEra::of(version) >= self.era.unwrap_or_default();
+        if is_current && self.pending.is_none() && known.is_none_or(|known| known < version) {
             self.handle_read(Some((version, record)), now);
         }
     }
--- a/tests/all/lease.rs
+++ b/tests/all/lease.rs
@@ -261,3 +261,27 @@
 
     assert_eq!(fence, 1_000_004);
 }
+
+/// Guards against a lease that nobody takes any more: the copy has none, and the last notice of it, from
+/// before the store came back, is looked at before each decision.
+#[test]
+fn a_notice_of_an_earlier_era_does_not_keep_a_lost_lease_from_being_taken() {
+    let mut manager = manager(20);
+    manager.note_era(Some(StoreEra(0)), START);
+    manager.note_era(Some(StoreEra(1)), START);
+    let mut taken_at = None;
+    for step in 0..100 {
+        let now = START + TimeSpan(step * 200);
+        manager.note_change(5, record("front-1", 10), now);
+        match manager.tick(now) {
+            LeaseAction::Write { .. } => {
+                taken_at = Some(now);
+                break;
+            }
+            LeaseAction::Read => manager.said(LeaseReply::Read(None), now),
+            LeaseAction::Wait => {}
+        }
+    }
+
+    assert!(taken_at.is_some_and(|at| at <= START + DURATION + DURATION), "{taken_at:?}");
+}
