--- a/tests/all/older_list.rs
+++ b/tests/all/older_list.rs
@@ -25,6 +25,12 @@
     (group, copy)
 }
 
+/// Lets an endpoint leave; returns for how long, in milliseconds, each process still uses it.
+async fn used_while_leaving(group: &ProcessGroup) -> Vec<u64> {
+    group.put("i-0", "draining");
+    group.uses_for("i-0", Duration::from_secs(6)).await
+}
+
 /// Guards against requests to a leaving endpoint: its leaving is written under a revision lower than
 /// those known from before the store went back.
 #[test]
@@ -37,8 +43,7 @@
         group.set_all(StoreMode::Served);
         seconds(3).await;
 
-        group.put("i-0", "draining");
-        let used = group.uses_for("i-0", Duration::from_secs(6)).await;
+        let used = used_while_leaving(&group).await;
 
         assert!(used.iter().all(|ms| *ms <= DRAIN_MS), "{used:?}");
     });
@@ -56,8 +61,7 @@
         group.go_back(copy);
         seconds(4).await;
 
-        group.put("i-0", "draining");
-        let used = group.uses_for("i-0", Duration::from_secs(6)).await;
+        let used = used_while_leaving(&group).await;
 
         assert!(used.iter().all(|ms| *ms <= DRAIN_MS), "{used:?} {cut}");
     });
