A ledger begins with full windows if the store may have lost them

The store came back from a copy from before the first write of the windows, was away again before they could be written anew, and all processes were killed: the next ledger found no object and began by nothing, with 188,000 tokens spent. Change: in a later era a missing object counts as windows of an older copy, which are assumed full. Measured: keeping::a_ledger_begins_with_full_windows_if_the_store_lost_them failed before (every process spends again) and passes; 43 tests of ledgers, quotas and returns pass.

--- a/crates/front/src/window_store.rs
+++ b/crates/front/src/window_store.rs
@@ -138,13 +138,13 @@
 /// The ledger that wrote the stored windows, and the name of their source for the log.
 ///
 /// A store that came back from an older copy may have lost what was granted after that copy, so all
-/// windows are assumed full unless they were written since.
+/// windows are assumed full unless they were written since; it may have lost the object itself.
 fn prior_ledger(
     list: Option<&StoredWindows>,
     (true_now, era): (ClockTime, StoreEra),
 ) -> (PriorLedger, &'static str) {
     let is_lost = |list: &StoredWindows| list.era < era && list.at > ClockTime(0);
-    if list.is_some_and(is_lost) {
+    if list.map_or(era > StoreEra(0), is_lost) {
         let prior = PriorLedger::Reported { windows: Vec::new(), lasts: STORED_LIFETIME };
         return (prior, "older copy");
     }
--- a/tests/all/keeping.rs
+++ b/tests/all/keeping.rs
@@ -1,10 +1,11 @@
 //! The ledger of account limits when the process that keeps it changes; real processes in simulated
 //! time.
 
-use crate::plays::{ProcessGroup, play};
+use crate::plays::{ProcessGroup, StoreMode, play};
 use oleandertack::front::FrontProcess;
 use oleandertack::kind::AccountName;
 use oleandertack::mesh::MemberInfo;
+use oleandertack::plat::FeedKind;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -224,3 +225,21 @@
         }
     });
 }
+
+/// Guards against an account that gets its limit twice: the store comes back from a copy without the
+/// windows, and all processes are killed before they are written again.
+#[test]
+fn a_ledger_begins_with_full_windows_if_the_store_lost_them() {
+    play(async {
+        let mut group = spending_group().await;
+        group.set_all(StoreMode::Refused);
+        let copy = group.copy_without(&[FeedKind::Windows]);
+        group.go_back(copy);
+
+        group.kill(&(0..PROCESSES).collect::<Vec<_>>(), Duration::from_millis(300)).await;
+        sleep(Duration::from_secs(4)).await;
+
+        assert!(group.processes.iter().any(has_ledger));
+        assert!(!group.processes.iter().any(spend));
+    });
+}
