A crash that is noted during a report is in the next report

Cause: the acknowledgement of a report strikes off every request that the report named, also one for which a crash or an answer was noted since the report was made. The collector heard of it at its next change only. Change: what is noted takes the request out of the report under way. Measured: suspect::what_is_noted_while_a_report_is_under_way_is_in_the_next_report failed before (nothing reported) and passes; the 15 tests of suspect pass.

--- a/crates/suspect/src/tracker.rs
+++ b/crates/suspect/src/tracker.rs
@@ -89,7 +89,7 @@
             record.note_answer(at);
         }
         if record.record_crash(crash) {
-            self.unreported.insert(fingerprint);
+            self.mark_unreported(fingerprint);
         }
     }
 
@@ -99,10 +99,17 @@
         if let Some(record) = self.records.get_mut(&fingerprint)
             && record.note_answer(now)
         {
-            self.unreported.insert(fingerprint);
+            self.mark_unreported(fingerprint);
         }
     }
 
+    /// Marks a record for the next report. A report that is under way does not have what was noted
+    /// since, so its acknowledgement must not strike the record off.
+    fn mark_unreported(&mut self, fingerprint: RequestFingerprint) {
+        self.in_flight.remove(&fingerprint);
+        self.unreported.insert(fingerprint);
+    }
+
     /// Merges updates of another process. Anything new that this causes here is reported to the
     /// collector.
     pub fn merge(&mut self, updates: &[SuspectUpdate], now: ClockTime) {
@@ -119,15 +126,14 @@
             record.note_answer(now - age);
         }
         // The request was answered here, which the process that reports its crashes cannot know.
-        if let Some(at) = own_answer
-            && record.note_answer(at)
-        {
-            self.unreported.insert(fingerprint);
-        }
+        let is_news = own_answer.is_some_and(|at| record.note_answer(at));
         for crash in update.ends.iter().filter(|crash| crash.age < CRASH_RETENTION) {
             let (life, at) = (crash.life.clone(), now - crash.age);
             record.record_crash(EndpointCrash { life, at, ran: crash.ran });
         }
+        if is_news {
+            self.mark_unreported(fingerprint);
+        }
     }
 
     /// Expires old records, evicts excess ones, evaluates the rest anew, and returns what changed.
--- a/tests/all/suspect.rs
+++ b/tests/all/suspect.rs
@@ -251,6 +251,26 @@
     }
 }
 
+#[test]
+fn what_is_noted_while_a_report_is_under_way_is_in_the_next_report() {
+    // A request crashes a second endpoint of a process, and another request is answered there, between
+    // the report of the first crash and its acknowledgement.
+    let (f, h) = (fingerprint("f"), fingerprint("h"));
+    let mut tracker = SuspectTracker::default();
+    tracker.record_crash(f, end(0, 0));
+    tracker.record_crash(h, end(0, 0));
+    tracker.next_report(START + TimeSpan(10));
+
+    tracker.record_crash(f, end(1, 20));
+    tracker.note_answer(h, START + TimeSpan(20));
+    tracker.acknowledge_report();
+
+    let report = tracker.next_report(START + TimeSpan(260));
+    let of = |fingerprint| report.iter().find(|update| update.print == fingerprint);
+    assert_eq!(of(f).map(|update| update.ends.len()), Some(2));
+    assert_eq!(of(h).map(|update| update.answered), Some(Some(TimeSpan(240))));
+}
+
 #[test]
 fn merging_updates_does_not_depend_on_their_order() {
     arbtest(|u| {
