A ledger passes on what it knows of accounts that claimed nothing of it

Cause, from its logs and a test: a ledger begins with the windows that the one before it reported, but hands over and stores those alone of which somebody has claimed since. A collector that wakes from a pause begins a ledger, ends it a quarter of a second later and hands over nothing, which the next one takes for windows in which nothing was spent; a ledger's first write took the windows out of the store in the same way. Class: knowledge with a bound that is dropped on the way because nobody asked for it yet. Change: what a ledger began from is handed over and stored with its age, also what accounts without a window may have spent. Old and new processes read each other's: the fields are optional.

--- a/crates/front/src/limits/keeper.rs
+++ b/crates/front/src/limits/keeper.rs
@@ -4,7 +4,7 @@
 use crate::mesh::state::MeshState;
 use crate::node::FrontNode;
 use oleander_kind::ResultCode;
-use oleander_limit::{PROMISE_LIFETIME, PoolLedger, PriorLedger};
+use oleander_limit::{LedgerState, PROMISE_LIFETIME, PoolLedger, PriorLedger};
 use oleander_mesh::{LedgerHandover, MeshCollector, WindowHandover};
 
 /// Starts the ledger of a process that has become the collector, if it received the state of the windows recently.
@@ -15,7 +15,8 @@
     }
     let windows = node.limits.borrow().known_windows(node.clock.lease_now());
     if windows.iter().any(|(_, known)| known.age <= PROMISE_LIFETIME) {
-        let prior = PriorLedger::Reported { windows, lasts: PROMISE_LIFETIME };
+        let state = LedgerState { windows, others: None };
+        let prior = PriorLedger::Reported { state, lasts: PROMISE_LIFETIME };
         begin_ledger_from(node, mesh, prior, "told");
     } else {
         node.ledger_wanted.notify_one();
@@ -55,7 +56,8 @@
         return;
     }
     let windows = handed.windows.iter().map(|entry| (entry.account.clone(), entry.window.clone()));
-    begin_ledger_from(node, mesh, PriorLedger::HandedOver(windows.collect()), "handed");
+    let state = LedgerState { windows: windows.collect(), others: handed.others };
+    begin_ledger_from(node, mesh, PriorLedger::HandedOver(state), "handed");
 }
 
 /// Ends the ledger of a process that is no longer the collector, and returns the state to hand over. The state is returned
@@ -69,8 +71,9 @@
     }
     let ledger = mesh.ended_ledger.as_ref()?;
     let handed = |(account, window)| WindowHandover { account, window };
-    let windows = ledger.hand_over(now).into_iter().map(handed).collect();
-    Some(LedgerHandover { members: ledger.member_count(now), windows })
+    let LedgerState { windows, others } = ledger.hand_over(now);
+    let windows = windows.into_iter().map(handed).collect();
+    Some(LedgerHandover { members: ledger.member_count(now), windows, others })
 }
 
 /// Resumes a ledger that was ended here and that no other process took over.
--- a/crates/front/src/window_store.rs
+++ b/crates/front/src/window_store.rs
@@ -13,7 +13,10 @@
 use crate::node::FrontNode;
 use bytes::Bytes;
 use oleander_kind::{AccountName, ClockTime, StoreEra, TimeSpan};
-use oleander_limit::{KnownWindow, PriorLedger, ReportedWindow, STORED_LIFETIME};
+use oleander_limit::{
+    KnownWindow, LedgerState, PassedOn, PriorLedger, ReportedWindow, STORED_LIFETIME,
+    UnreportedSpending,
+};
 use oleander_mesh::MeshCollector;
 use oleander_plat::{FeedKind, FeedObject};
 use serde::{Deserialize, Serialize};
@@ -37,12 +40,18 @@
     #[serde(default)]
     era: StoreEra,
     accounts: Vec<StoredWindow>,
+    /// What accounts without a window may have spent before that ledger.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    others: Option<UnreportedSpending>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
 struct StoredWindow {
     account: AccountName,
     window: ReportedWindow,
+    /// Set if the ledger passes on what an earlier one reported: that one, and the ages.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    passed: Option<(u64, PassedOn)>,
 }
 
 /// Writes the windows to the store while this process has the ledger, and starts a ledger from
@@ -92,12 +101,11 @@
         let now = node.clock.now();
         let mesh = node.mesh.borrow();
         let ledger = mesh.collector.as_ref().and_then(MeshCollector::ledger)?;
-        let (windows, promises) = ledger.export_windows(now);
-        let at = if ledger.is_idle() { ClockTime(0) } else { node.true_now_with(&mesh) };
-        let listed = |(account, window)| StoredWindow { account, window };
-        let accounts = windows.into_iter().map(listed).collect();
+        let (LedgerState { windows, others }, promises) = ledger.export(now);
+        let at = if ledger.is_idle(now) { ClockTime(0) } else { node.true_now_with(&mesh) };
+        let accounts = windows.into_iter().map(stored_window).collect();
         let era = era::known_era(node);
-        let list = StoredWindows { at, source: ledger.source(), era, accounts };
+        let list = StoredWindows { at, source: ledger.source(), era, accounts, others };
         self.in_flight = Some((promises, now));
         Some((encode(node, &list)?, WindowMark(at.0)))
     }
@@ -114,8 +122,7 @@
         self.failed_reads += 1;
         let mut mesh = node.mesh.borrow_mut();
         if needs_ledger(node, &mesh) && self.failed_reads >= MAX_FAILED_READS {
-            let prior = PriorLedger::Reported { windows: Vec::new(), lasts: STORED_LIFETIME };
-            begin_ledger_from(node, &mut mesh, prior, "unread");
+            begin_ledger_from(node, &mut mesh, unknown_ledger(), "unread");
         }
     }
 }
@@ -145,14 +152,30 @@
 ) -> (PriorLedger, &'static str) {
     let is_lost = |list: &StoredWindows| list.era < era && list.at > ClockTime(0);
     if list.map_or(era > StoreEra(0), is_lost) {
-        let prior = PriorLedger::Reported { windows: Vec::new(), lasts: STORED_LIFETIME };
-        return (prior, "older copy");
+        return (unknown_ledger(), "older copy");
     }
     let Some(list) = list else { return (PriorLedger::Absent, "nothing") };
-    let known = |listed: &StoredWindow| {
-        let (reported, age) = (listed.window.clone(), true_now - list.at);
-        (listed.account.clone(), KnownWindow { reported, age, source: list.source })
-    };
+    let age = true_now - list.at;
+    let known = |listed: &StoredWindow| (listed.account.clone(), known_window(list, listed, age));
     let windows = list.accounts.iter().map(known).collect();
-    (PriorLedger::Reported { windows, lasts: STORED_LIFETIME }, "store")
+    let state = LedgerState { windows, others: list.others.map(|others| others.aged(age)) };
+    (PriorLedger::Reported { state, lasts: STORED_LIFETIME }, "store")
+}
+
+/// A ledger of which nothing is known, so that all windows are assumed full.
+fn unknown_ledger() -> PriorLedger {
+    PriorLedger::Reported { state: LedgerState::default(), lasts: STORED_LIFETIME }
+}
+
+fn stored_window((account, known): (AccountName, KnownWindow)) -> StoredWindow {
+    let passed = known.passed.map(|passed| (known.source, passed));
+    StoredWindow { account, window: known.reported, passed }
+}
+
+fn known_window(list: &StoredWindows, listed: &StoredWindow, age: TimeSpan) -> KnownWindow {
+    let (source, passed) = match listed.passed {
+        Some((source, passed)) => (source, Some(passed)),
+        None => (list.source, None),
+    };
+    KnownWindow { reported: listed.window.clone(), age, source, passed }
 }
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -15,8 +15,8 @@
 pub use owner::{DemandReport, LimitOwner, ShareGrant};
 pub use pool::{
     ANSWER_TIMEOUT, AllotmentClaim, AllotmentHolder, ClaimFault, GateStatus, KnownWindow,
-    LastLedger, PROMISE_LIFETIME, PoolAllotment, PoolGate, PoolLedger, PoolLimit, PriorLedger,
-    ReportedWindow, STORED_LIFETIME, WindowStatus,
+    LastLedger, LedgerState, PROMISE_LIFETIME, PassedOn, PoolAllotment, PoolGate, PoolLedger,
+    PoolLimit, PriorLedger, ReportedWindow, STORED_LIFETIME, UnreportedSpending, WindowStatus,
 };
 pub use rate::{LimitedEndpoint, RateAllocator, RateBucket, RateKey, own_share};
 pub use share::{AccountLimits, LimitGate, LimitVerdict};
--- a/crates/limit/src/pool.rs
+++ b/crates/limit/src/pool.rs
@@ -21,5 +21,5 @@
     ALLOTMENT_LIFETIME, ANSWER_TIMEOUT, AllotmentClaim, AllotmentHolder, ClaimFault, LastLedger,
     PoolAllotment, PoolLimit, ReportedWindow, Result,
 };
-pub use prior::{KnownWindow, PriorLedger};
+pub use prior::{KnownWindow, LedgerState, PassedOn, PriorLedger, UnreportedSpending};
 pub use promise::PROMISE_LIFETIME;
--- a/crates/limit/src/pool/gate.rs
+++ b/crates/limit/src/pool/gate.rs
@@ -171,7 +171,8 @@
     pub fn known_windows(&self, now: ClockTime) -> Vec<(AccountName, KnownWindow)> {
         let known = |(name, state): (&AccountName, &GateAccount)| {
             let (reported, at) = state.reported.clone()?;
-            Some((name.clone(), KnownWindow { reported, age: now - at, source: state.source }))
+            let (age, source) = (now - at, state.source);
+            Some((name.clone(), KnownWindow { reported, age, source, passed: None }))
         };
         self.accounts.iter().filter_map(known).collect()
     }
--- a/crates/limit/src/pool/ledger.rs
+++ b/crates/limit/src/pool/ledger.rs
@@ -9,7 +9,7 @@
     ALLOTMENT_LIFETIME, AllotmentClaim, AllotmentHolder, LastLedger, PoolAllotment, PoolLimit,
     ReportedWindow, Result,
 };
-use super::prior::{KnownWindow, PriorLedger};
+use super::prior::{KnownWindow, LedgerState, PriorLedger};
 use oleander_kind::{AccountName, ClockTime, InstanceId, TimeSpan};
 use std::collections::{BTreeMap, HashMap};
 
@@ -55,8 +55,8 @@
     }
 
     /// Whether nothing was spent in any window.
-    pub fn is_idle(&self) -> bool {
-        self.accounts.values().all(LedgerAccount::is_idle)
+    pub fn is_idle(&self, now: ClockTime) -> bool {
+        self.accounts.values().all(LedgerAccount::is_idle) && self.passed_on(now).windows.is_empty()
     }
 
     /// Whether no allotment was granted yet.
@@ -148,26 +148,37 @@
         owned.answer((spender, claim), &terms, now)
     }
 
-    /// The windows that the next ledger takes over when this one ends in order.
-    pub fn hand_over(&self, now: ClockTime) -> Vec<(AccountName, KnownWindow)> {
-        let known = |(name, owned): (&AccountName, &LedgerAccount)| {
-            let reported = owned.final_report(now);
-            (name.clone(), KnownWindow { reported, age: TimeSpan(0), source: self.source })
-        };
-        self.accounts.iter().map(known).collect()
+    /// What the next ledger takes over when this one ends in order.
+    pub fn hand_over(&self, now: ClockTime) -> LedgerState {
+        self.state(now, |owned| owned.final_report(now))
     }
 
-    /// The windows to store for a ledger that starts when no process is left that knows them, and
-    /// the promises that they contain.
-    pub fn export_windows(
-        &self,
-        now: ClockTime,
-    ) -> (Vec<(AccountName, ReportedWindow)>, BTreeMap<AccountName, f64>) {
-        let reported =
-            |(name, owned): (&AccountName, &LedgerAccount)| (name.clone(), owned.reported(now));
+    /// What to store for a ledger that starts when no process is left that knows the windows, and
+    /// the promises that it contains.
+    pub fn export(&self, now: ClockTime) -> (LedgerState, BTreeMap<AccountName, f64>) {
         let promise =
             |(name, owned): (&AccountName, &LedgerAccount)| (name.clone(), owned.promise());
-        (self.accounts.iter().map(reported).collect(), self.accounts.iter().map(promise).collect())
+        let promises = self.accounts.iter().map(promise).collect();
+        (self.state(now, |owned| owned.reported(now)), promises)
+    }
+
+    fn state(
+        &self,
+        now: ClockTime,
+        report: impl Fn(&LedgerAccount) -> ReportedWindow,
+    ) -> LedgerState {
+        let known = |(name, owned): (&AccountName, &LedgerAccount)| {
+            let (reported, source) = (report(owned), self.source);
+            (name.clone(), KnownWindow { reported, age: TimeSpan(0), source, passed: None })
+        };
+        let mut state = self.passed_on(now);
+        state.windows.extend(self.accounts.iter().map(known));
+        state
+    }
+
+    /// What this ledger knows of accounts of which it got no claim.
+    fn passed_on(&self, now: ClockTime) -> LedgerState {
+        self.past.passed_on(now - self.began_at, |account| self.accounts.contains_key(account))
     }
 
     /// Records that the store holds `promises`, sent there at `sent_at`.
--- a/crates/mesh/src/limit_message.rs
+++ b/crates/mesh/src/limit_message.rs
@@ -1,7 +1,7 @@
 //! Messages about the limits of client accounts.
 
 use oleander_kind::{AccountName, InstanceId};
-use oleander_limit::{AllotmentClaim, KnownWindow, LastLedger, PoolAllotment};
+use oleander_limit::{AllotmentClaim, KnownWindow, LastLedger, PoolAllotment, UnreportedSpending};
 use serde::{Deserialize, Serialize};
 
 /// A process's claim on the limit of an account.
@@ -42,6 +42,9 @@
     /// The windows of the accounts.
     #[serde(rename = "w")]
     pub windows: Vec<WindowHandover>,
+    /// What accounts without a window may have spent before the ledger.
+    #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
+    pub others: Option<UnreportedSpending>,
 }
 
 /// An account's window, as handed over.
--- a/tests/all/pool.rs
+++ b/tests/all/pool.rs
@@ -2,8 +2,8 @@
 
 use oleandertack::kind::{AccountName, ClockTime, TimeSpan};
 use oleandertack::limit::{
-    AllotmentClaim, AllotmentHolder, ClaimFault, KnownWindow, PROMISE_LIFETIME, PoolAllotment,
-    PoolGate, PoolLedger, PoolLimit, PriorLedger, ReportedWindow, STORED_LIFETIME,
+    AllotmentClaim, AllotmentHolder, ClaimFault, KnownWindow, LedgerState, PROMISE_LIFETIME,
+    PoolAllotment, PoolGate, PoolLedger, PoolLimit, PriorLedger, STORED_LIFETIME,
 };
 
 pub const RATE: u64 = 240_000;
@@ -40,12 +40,6 @@
     StorePromise,
 }
 
-struct StoredWindows {
-    windows: Vec<(AccountName, ReportedWindow)>,
-    at: ClockTime,
-    source: u64,
-}
-
 /// Processes, their ledger and the callers of one account, in simulated time.
 pub struct PoolGroup {
     rate: u64,
@@ -59,8 +53,8 @@
     ledgers: u64,
     /// The current incarnation of each process.
     lives: Vec<u64>,
-    /// The windows that the store holds.
-    stored: Option<StoredWindows>,
+    /// What the store holds, and when it was written.
+    stored: Option<(LedgerState, ClockTime)>,
     /// Whether the store answers.
     pub store_answers: bool,
     /// The mechanism that is disabled to show that it is needed.
@@ -211,7 +205,8 @@
     /// A ledger that starts at process `at`.
     fn next_ledger(&mut self, at: usize) -> PoolLedger {
         let windows = self.gates[at].known_windows(ClockTime(self.now));
-        self.new_ledger(PriorLedger::Reported { windows, lasts: PROMISE_LIFETIME })
+        let state = LedgerState { windows, others: None };
+        self.new_ledger(PriorLedger::Reported { state, lasts: PROMISE_LIFETIME })
     }
 
     fn new_ledger(&mut self, past: PriorLedger) -> PoolLedger {
@@ -263,14 +258,31 @@
         (0..self.gates.len()).for_each(|at| self.restart(at));
         self.second_ledger = None;
         let now = ClockTime(self.now);
-        let known = self.stored.iter().flat_map(|stored| {
-            let (age, source) = (now - stored.at, stored.source);
-            stored.windows.iter().map(move |(name, reported)| {
-                (name.clone(), KnownWindow { reported: reported.clone(), age, source })
-            })
+        let known = self.stored.iter().flat_map(|(stored, at)| {
+            let age = now - *at;
+            let aged = move |known: &KnownWindow| KnownWindow { age, ..known.clone() };
+            stored.windows.iter().map(move |(name, known)| (name.clone(), aged(known)))
         });
-        let windows = known.collect();
-        self.ledger = self.new_ledger(PriorLedger::Reported { windows, lasts: STORED_LIFETIME });
+        let others =
+            self.stored.iter().find_map(|(stored, at)| Some(stored.others?.aged(now - *at)));
+        let state = LedgerState { windows: known.collect(), others };
+        self.ledger = self.new_ledger(PriorLedger::Reported { state, lasts: STORED_LIFETIME });
+    }
+
+    /// A process claims an allotment of an account that spends nothing.
+    fn claim_for_another_account(&mut self) {
+        let known = (&limit(self.rate), self.gates.len() as u32);
+        let claim = AllotmentClaim { number: 1, ..AllotmentClaim::default() };
+        let asked = (&spender(0, self.lives[0]), &claim);
+        let now = ClockTime(self.now);
+        let answer = self.ledger.claim(&AccountName::from("narva"), known, asked, now);
+        answer.expect("the claim is true");
+    }
+
+    /// Restarts all processes with empty memory after the store has lost the windows.
+    pub fn lose_all(&mut self) {
+        self.stored = None;
+        self.restart_all();
     }
 
     /// Advances the time by `ms` while no process runs.
@@ -285,8 +297,8 @@
             return;
         }
         let now = ClockTime(self.now);
-        let (windows, promises) = self.ledger.export_windows(now);
-        self.stored = Some(StoredWindows { windows, at: now, source: self.ledger.source() });
+        let (state, promises) = self.ledger.export(now);
+        self.stored = Some((state, now));
         if !self.is_disabled(Safeguard::StorePromise) {
             self.ledger.note_stored(promises, now);
         }
@@ -388,6 +400,81 @@
     assert!(worst <= allowed(RATE), "{worst} of {}", allowed(RATE));
 }
 
+type GroupChange = fn(&mut PoolGroup);
+
+/// An account at its limit gets a whole window again. Two ledgers follow one another within the interval
+/// between two reports, so that the first of them gets no claim of the account, and the second learns of
+/// its spending from the first alone.
+#[test]
+fn a_ledger_that_got_no_claim_passes_on_what_it_knows() {
+    let changes: [(&str, GroupChange); 6] = [
+        ("handed over", PoolGroup::hand_over),
+        ("reported", PoolGroup::change_ledger),
+        ("stored", PoolGroup::restart_all),
+        ("unknown", PoolGroup::lose_all),
+        ("handed over late", |group| {
+            group.hand_over();
+            group.power_off(1_700);
+        }),
+        ("unknown and late", |group| {
+            group.lose_all();
+            group.power_off(1_700);
+        }),
+    ];
+    for (name, change) in changes {
+        let mut group = PoolGroup { store_answers: true, ..group(9) };
+        group.play(9_000, 0.55);
+        group.play(4_000, 4.2);
+
+        change(&mut group);
+        group.hand_over();
+        group.hand_over();
+        group.play(9_000, 4.2);
+
+        let worst = group.worst_window();
+        assert!(worst <= allowed(RATE), "{name}: {worst} of {}", allowed(RATE));
+    }
+}
+
+/// The same where the first ledger's process is killed: the second one starts from what the first
+/// wrote to the store, which names another account.
+#[test]
+fn a_ledger_that_got_no_claim_stores_what_it_knows() {
+    let changes: [(&str, GroupChange); 3] = [
+        ("handed over", PoolGroup::hand_over),
+        ("stored", PoolGroup::restart_all),
+        ("unknown", PoolGroup::lose_all),
+    ];
+    for (name, change) in changes {
+        let mut group = PoolGroup { store_answers: true, ..group(9) };
+        group.play(9_000, 0.55);
+        group.play(4_000, 4.2);
+
+        change(&mut group);
+        group.claim_for_another_account();
+        group.power_off(500 - group.now % 500);
+        group.write_store();
+        group.restart_all();
+        group.play(9_000, 4.2);
+
+        let worst = group.worst_window();
+        assert!(worst <= allowed(RATE), "{name}: {worst} of {}", allowed(RATE));
+    }
+}
+
+/// Accounts far below their limits are not refused because ledgers follow one another quickly.
+#[test]
+fn a_ledger_that_got_no_claim_leaves_accounts_their_room() {
+    let mut group = group(9);
+    group.play(12_000, 0.5);
+
+    group.hand_over();
+    group.hand_over();
+    group.play(9_000, 0.5);
+
+    assert_eq!(group.refused, 0);
+}
+
 /// An account jumps to 4.2 times its limit, and three seconds later a new ledger starts at a
 /// process that admitted no request of that account. If that process was never sent the window, its
 /// ledger assumes that it was spent evenly and grants the tokens of the jump again: 2 % more than
--- a/tests/all/quota.rs
+++ b/tests/all/quota.rs
@@ -66,30 +66,40 @@
     Ok(())
 }
 
+/// Draws how long a phase between two changes lasts, in milliseconds.
+type DrawPause = fn(&mut Unstructured<'_>) -> arbitrary::Result<u64>;
+
 /// Runs a random scenario in which the demand reaches up to 30 times the rate. Returns the worst
 /// window as a fraction of what is allowed, and a log of the events.
-fn play_scenario(random: &mut Unstructured<'_>) -> arbitrary::Result<(f64, Vec<String>)> {
+fn play_scenario(
+    random: &mut Unstructured<'_>,
+    pause: DrawPause,
+) -> arbitrary::Result<(f64, Vec<String>)> {
+    /// The demand after the last change, which uses what is free by then.
+    const LAST_TIMES: f64 = 10.0;
+    const LAST_MS: u64 = 3_000;
     let mut group = loaded_group(None);
     let mut log = Vec::new();
     for _ in 0..random.int_in_range(2..=8)? {
         let change = *random.choose(&EVENTS)?;
-        let ms = random.int_in_range(50..=3_000)?;
+        let ms = pause(random)?;
         let times = f64::from(random.int_in_range(0..=30u32)?)
             / if random.arbitrary()? { 1.0 } else { 20.0 };
         apply(&mut group, change, random)?;
         group.play(ms, times);
         log.push(format!("{change:?}, {times} times for {ms} ms"));
     }
+    group.play(LAST_MS, LAST_TIMES);
     Ok((worst_part(&group), log))
 }
 
 /// Runs the scenario that the seed determines; the same each time.
-fn draw_scenario(seed: u64) -> (f64, Vec<String>) {
+fn draw_scenario(seed: u64, pause: DrawPause) -> (f64, Vec<String>) {
     /// More bytes than a scenario consumes.
     const BYTES: u64 = 256;
     let bytes: Vec<u8> =
         (0..BYTES).map(|at| mix_bits(seed.wrapping_mul(BYTES).wrapping_add(at)) as u8).collect();
-    play_scenario(&mut Unstructured::new(&bytes)).expect("the bytes are enough")
+    play_scenario(&mut Unstructured::new(&bytes), pause).expect("the bytes are enough")
 }
 
 /// An account exceeds its limit after a change at a bad moment: a ledger is killed or handed over
@@ -99,7 +109,17 @@
 #[test]
 fn no_sequence_of_membership_changes_exceeds_the_limit() {
     for seed in seeds() {
-        let (worst, log) = draw_scenario(seed);
+        let (worst, log) = draw_scenario(seed, |random| random.int_in_range(50..=3_000));
+        assert!(worst <= 1.0, "seed {seed}: {worst:.3} of what is allowed: {log:#?}");
+    }
+}
+
+/// The same with changes that follow one another faster than processes report, so that a ledger may end
+/// before anybody claimed anything from it.
+#[test]
+fn no_sequence_of_hurried_changes_exceeds_the_limit() {
+    for seed in seeds() {
+        let (worst, log) = draw_scenario(seed, |random| random.choose(&[0, 0, 30, 1_500]).copied());
         assert!(worst <= 1.0, "seed {seed}: {worst:.3} of what is allowed: {log:#?}");
     }
 }
--- a/tests/all/release.rs
+++ b/tests/all/release.rs
@@ -6,7 +6,7 @@
 use oleandertack::judge::{AnswerSample, EvidenceTally};
 use oleandertack::kind::hash::mix_bits;
 use oleandertack::kind::{ClockTime, InstanceId, ServiceName, TimeSpan};
-use oleandertack::limit::{AllotmentHolder, PoolGate, PoolLedger, PriorLedger};
+use oleandertack::limit::{AllotmentHolder, LedgerState, PoolGate, PoolLedger, PriorLedger};
 use oleandertack::release::{
     AnnouncedStage, ExposureBounds, ListedVersion, OrderNews, OrderStatus, PlanInputs,
     ReleaseOrder, ReleasePlan, ReleaseStage, RollbackReason, TRIAL_GRANTS, VersionLane,
@@ -216,7 +216,8 @@
             if ms == 4000 && self.disturbance == Disturbance::CollectorKilled {
                 let told = processes[1].book.news(now).told;
                 let windows = processes[1].gate.known_windows(now);
-                let past = PriorLedger::Reported { windows, lasts: TimeSpan(1200) };
+                let state = LedgerState { windows, others: None };
+                let past = PriorLedger::Reported { state, lasts: TimeSpan(1200) };
                 collector = begin(told.first(), past, 2, now);
             }
             let times = if self.disturbance == Disturbance::Jump && (6000..9000).contains(&ms) {
