A stopping process leaves its part of a limit to nobody while its spending is unknown

Cause, from its logs: three processes start at one moment and two of them begin a ledger; one serves itself, a third of the limit, for three seconds. It is stopped, ends its ledger and reports to the other, which rightly waits until what was admitted under an unknown ledger has left the window, but counts parts of the serving processes, to which one that stops doesn't belong: the other two get all of the limit at once. Change: a limit is shared by the serving processes and those that don't count yet. Not mended: the same process, killed before it reports to the other ledger, leaves nothing behind by which that could know.

--- a/crates/limit/src/pool/ledger.rs
+++ b/crates/limit/src/pool/ledger.rs
@@ -108,9 +108,15 @@
         self.members.values().filter(counts).count() as u32
     }
 
-    /// The members of this ledger as a part of the `serving` processes, at most 1.
+    /// The members of this ledger as a part of the processes that share a limit, at most 1.
+    ///
+    /// Those are the `serving` ones, and any that does not count here yet: a process that stops serves no
+    /// more, but what it admitted under another ledger is still in the window.
     fn part(&self, serving: u32, now: ClockTime) -> f64 {
-        (f64::from(self.member_count(now)) / f64::from(serving.max(1))).min(1.0)
+        let counting = self.member_count(now);
+        let waiting = self.members.values().filter(|member| member.counts_from > now).count();
+        let sharing = serving.max(counting + waiting as u32).max(1);
+        (f64::from(counting) / f64::from(sharing)).min(1.0)
     }
 
     /// The time until more processes count as members of this ledger.
--- a/tests/all/pool.rs
+++ b/tests/all/pool.rs
@@ -2,8 +2,8 @@
 
 use oleandertack::kind::{AccountName, ClockTime, TimeSpan};
 use oleandertack::limit::{
-    AllotmentClaim, AllotmentHolder, ClaimFault, KnownWindow, LedgerState, PROMISE_LIFETIME,
-    PoolAllotment, PoolGate, PoolLedger, PoolLimit, PriorLedger, STORED_LIFETIME,
+    AllotmentClaim, AllotmentHolder, ClaimFault, KnownWindow, LastLedger, LedgerState,
+    PROMISE_LIFETIME, PoolAllotment, PoolGate, PoolLedger, PoolLimit, PriorLedger, STORED_LIFETIME,
 };
 
 pub const RATE: u64 = 240_000;
@@ -631,6 +631,36 @@
     assert!(!gate.spend(&account(), 1_000, now + TimeSpan(702)));
 }
 
+/// Two processes began a ledger each. One of them is stopped, ends its ledger and reports to the other, which
+/// knows nothing of what was admitted under it. The rest of the processes must not get its part of the
+/// limit until that has left the window.
+#[test]
+fn a_stopping_process_leaves_its_part_until_what_it_admitted_has_left_the_window() {
+    let (now, length) = (ClockTime(START), limit(RATE).length());
+    let mut ledger = PoolLedger::begin(1, PriorLedger::Absent, now);
+    let (staying, stopping) = (spender(0, 1), spender(1, 1));
+    let bond = LastLedger { source: 2, left: TimeSpan(500), spent_ago: Some(TimeSpan(100)) };
+    ledger.note_member(&staying.instance, None, (length, now));
+    ledger.note_member(&stopping.instance, Some(bond), (length, now));
+    let mut number = 0;
+    let mut capacity_after = |ms: u64| {
+        let now = now + TimeSpan(ms);
+        ledger.note_member(&staying.instance, None, (length, now));
+        number += 1;
+        let claim = AllotmentClaim { number, ..AllotmentClaim::default() };
+        let answer = ledger.claim(&account(), (&limit(RATE), 1), (&staying, &claim), now);
+        answer.expect("the claim is true");
+        ledger.windows().next().map(|(_, status)| status.capacity)
+    };
+
+    let (at_first, later, at_last) =
+        (capacity_after(0), capacity_after(8_000), capacity_after(8_301));
+
+    let whole = limit(RATE).capacity() as u64;
+    assert_eq!((at_first, later), (Some(whole / 2), Some(whole / 2)));
+    assert_eq!(at_last, Some(whole));
+}
+
 /// Claims that are stale, or exceed what was granted, are rejected and change nothing.
 #[test]
 fn stale_and_impossible_claims_are_rejected() {
