Single crashes of a request survive a restart of all processes

Cause, from its logs: all processes are killed 0.2 s after the first two crashes and again 1.3 s after the third. Nobody could have told the store of the first two; the third was known to all by then, but the store got requests with two crashes or more alone. Change: the store keeps the most suspect requests, those with a single crash too. What processes tell one another is as before.

--- a/crates/front/src/suspect_store.rs
+++ b/crates/front/src/suspect_store.rs
@@ -105,8 +105,7 @@
 
 fn current_suspects(node: &FrontNode) -> (StoredSuspects, StoredEnds) {
     let (now, true_now) = (node.clock.now(), node.true_now());
-    let notes = node.suspects.borrow().shared(now);
-    let under = || notes.iter().filter(|note| !note.ends.is_empty());
+    let notes = node.suspects.borrow().stored(now);
     let request = |note: &SuspectUpdate| StoredRequest {
         print: note.print.to_string().into(),
         ends: note.ends.iter().map(|end| stored_end(end, true_now)).collect(),
@@ -114,8 +113,8 @@
     let ends = |note: &SuspectUpdate| -> StoredEnds {
         note.ends.iter().map(|end| (note.print, end.life.clone())).collect()
     };
-    let list = StoredSuspects { requests: under().map(request).collect() };
-    (list, under().flat_map(ends).collect())
+    let list = StoredSuspects { requests: notes.iter().map(request).collect() };
+    (list, notes.iter().flat_map(ends).collect())
 }
 
 fn stored_end(end: &CrashUpdate, true_now: ClockTime) -> StoredEnd {
--- a/crates/suspect/src/tracker.rs
+++ b/crates/suspect/src/tracker.rs
@@ -15,8 +15,8 @@
 const MAX_RECORDS: usize = 2048;
 /// Time after which every process knows what all processes had seen: two reports and two digests.
 const VERDICT_SETTLE_TIME: TimeSpan = TimeSpan(1000);
-/// Maximum number of requests shared with all processes, those with the most crashes: about 4 KB if
-/// all of them are listed.
+/// Maximum number of requests shared with all processes or stored, those with the most crashes:
+/// about 4 KB if all of them are listed.
 const MAX_SHARED: usize = 64;
 /// Maximum number of requests in one report to the collector; the rest follows in the next report.
 const MAX_PER_REPORT: usize = 64;
@@ -172,18 +172,24 @@
         let is_shared = |record: &SuspectRecord| {
             record.ends().len() >= MIN_SHARED_CRASHES || record.answered_at().is_some()
         };
-        let shared = self.records.iter().filter(|(_, record)| is_shared(record));
-        let mut order: Vec<_> = shared.map(eviction_key).collect();
-        order.sort_unstable_by(|one, other| other.cmp(one));
-        self.shared =
-            order.into_iter().take(MAX_SHARED).map(|(_, _, fingerprint)| fingerprint).collect();
-        self.shared.sort_unstable();
+        self.shared = self.most_suspect(is_shared);
         let hash = |state, fingerprint: &RequestFingerprint| {
             hash_record(state, *fingerprint, &self.records[fingerprint])
         };
         self.shared_hash = self.shared.iter().fold(HASH_SEED, hash);
     }
 
+    /// The most suspect of the records that `is_meant` names, in the order of their fingerprints.
+    fn most_suspect(&self, is_meant: impl Fn(&SuspectRecord) -> bool) -> Vec<RequestFingerprint> {
+        let meant = self.records.iter().filter(|(_, record)| is_meant(record));
+        let mut order: Vec<_> = meant.map(eviction_key).collect();
+        order.sort_unstable_by(|one, other| other.cmp(one));
+        let most = order.into_iter().take(MAX_SHARED).map(|(_, _, fingerprint)| fingerprint);
+        let mut most: Vec<_> = most.collect();
+        most.sort_unstable();
+        most
+    }
+
     /// Returns how much longer a request is quarantined, `None` if it is not.
     ///
     /// A new verdict may be withdrawn as soon as other processes report what they saw. So at first
@@ -241,6 +247,12 @@
         self.updates(self.shared.iter(), now)
     }
 
+    /// Returns the updates that have to survive all processes. They include requests with a single
+    /// crash: if all processes are killed after each, the crashes of a request would never add up.
+    pub fn stored(&self, now: ClockTime) -> Vec<SuspectUpdate> {
+        self.updates(self.most_suspect(|record| !record.ends().is_empty()).iter(), now)
+    }
+
     /// A hash by which two processes find out whether their shared records are equal.
     pub fn shared_hash(&self) -> u64 {
         self.shared_hash
--- a/tests/all/ending.rs
+++ b/tests/all/ending.rs
@@ -237,6 +237,25 @@
     });
 }
 
+#[test]
+fn single_crashes_are_remembered_through_restarts_of_all_processes() {
+    // All processes are killed after each crash under a request: no process ever sees two of them.
+    play(async {
+        let mut simulation = CrashSimulation::start().await;
+        let body = format!("{FATAL} 1");
+
+        for _ in 0..8 {
+            simulation.repeat("/once/f", &body, 1).await;
+            sleep(Duration::from_secs(1)).await;
+            simulation.kill(&[0, 1, 2, 3, 4]).await;
+            sleep(DETECTION_TIMEOUT).await;
+        }
+
+        simulation.assert_bounded(&body);
+        simulation.assert_honest_unharmed();
+    });
+}
+
 #[test]
 fn a_popular_request_is_not_quarantined_for_power_losses() {
     // Many callers send the same content at all processes. All endpoints lose power at once, four
