Crashes that follow one another stay two events whatever delays their reports

Cause, from two traces and a test: a process sends the request to a second endpoint the moment the first has crashed, so the second attempt begins a millisecond after the first crash, by which the two count as two events. Times go from process to process as ages, and each report makes them later by its own delay. If the first crash is in one report and the second in the next, the first may come out after the beginning of the second attempt: one event of two. With three events instead of four, requests that ran beside it at each endpoint are rivals, and the verdict waits for a fifth crash. Change: of two times of one crash the earlier one counts, at every merge. A report names all crashes of a request, so the second report sets the first crash right as well; the result doesn't depend on the order of messages. Measured: suspect::crashes_one_after_the_other_stay_two_events_whatever_delays_their_reports failed before and passes. suspect::merging_updates_does_not_depend_on_their_order draws delays of reports now, and crashes 70 ms apart instead of 7 s: failed before, passes. The 16 tests of suspect pass.

--- a/crates/suspect/src/record.rs
+++ b/crates/suspect/src/record.rs
@@ -53,14 +53,23 @@
 
 impl SuspectRecord {
     /// Adds a crash; returns whether it is new.
+    ///
+    /// Of two times of the same crash the earlier one counts: reports take time, and each makes its
+    /// crashes seem later by its own delay. A crash that was reported first with a long delay would
+    /// seem to come after the beginning of the attempt that followed it.
     pub fn record_crash(&mut self, end: EndpointCrash) -> bool {
-        let known = self.ends.iter().any(|known| known.life == end.life);
-        if known || self.is_exonerated(&end) {
+        if self.is_exonerated(&end) {
             return false;
         }
-        self.ends.push(end);
+        let known = self.ends.iter_mut().find(|known| known.life == end.life);
+        let is_new = known.is_none();
+        match known {
+            Some(known) if (known.at, known.ran) <= (end.at, end.ran) => return false,
+            Some(known) => *known = end,
+            None => self.ends.push(end),
+        }
         self.ends.sort_by(|one, other| (one.at, &one.life).cmp(&(other.at, &other.life)));
-        true
+        is_new
     }
 
     /// Records an answer at `at`; returns whether it is newer than the last one.
--- a/tests/all/suspect.rs
+++ b/tests/all/suspect.rs
@@ -271,16 +271,51 @@
     assert_eq!(of(h).map(|update| update.answered), Some(Some(TimeSpan(240))));
 }
 
+#[test]
+fn crashes_one_after_the_other_stay_two_events_whatever_delays_their_reports() {
+    // A process sends a request to a second endpoint the moment the first has crashed, twice. Each time another
+    // request runs at both endpoints. The report of the first crash is delayed by more than the time
+    // between the two, so that the second seems to have begun before the first.
+    let mut origin = SuspectTracker::default();
+    let mut other = SuspectTracker::default();
+    let crash = |number, at| EndpointCrash { ran: TimeSpan(33), ..end(number, at) };
+    let mut report = |origin: &mut SuspectTracker, at: u64, delay: u64| {
+        let now = START + TimeSpan(at);
+        other.merge(&origin.next_report(now), now + TimeSpan(delay));
+        origin.acknowledge_report();
+        other.settle(now + TimeSpan(delay));
+        quarantined(&other)
+    };
+
+    for (pair, beside) in [(0, "g"), (1, "h")] {
+        let at = pair as u64 * 3000;
+        for body in ["f", beside] {
+            origin.record_crash(fingerprint(body), crash(2 * pair, at));
+        }
+        report(&mut origin, at + 10, 40);
+        for body in ["f", beside] {
+            origin.record_crash(fingerprint(body), crash(2 * pair + 1, at + 33));
+        }
+        report(&mut origin, at + 260, 1);
+    }
+    let known = report(&mut origin, 3600, 1);
+    origin.settle(START + TimeSpan(3600));
+
+    assert_eq!(quarantined(&origin), fingerprints(&["f"]));
+    assert_eq!(known, fingerprints(&["f"]));
+}
+
 #[test]
 fn merging_updates_does_not_depend_on_their_order() {
     arbtest(|u| {
         let now = START + TimeSpan(100_000);
         let mut notes: Vec<SuspectUpdate> = Vec::new();
         for _ in 0..u.int_in_range(1..=12)? {
-            // Each crash has one time, whichever process reports it.
+            // A crash has a time, and seems later by the delay of the report.
+            let delay = u.int_in_range(0..=200)?;
             let end = |number: usize| CrashUpdate {
                 life: incarnation(number),
-                age: TimeSpan(90_000 - number as u64 * 7000),
+                age: TimeSpan(90_000 - number as u64 * 70 - delay),
                 ran: TimeSpan(50),
             };
             let numbers = (0..u.int_in_range(0..=3)?).map(|_| u.int_in_range(0..=6));
