A process waits for a silent ledger through two changes of the ledger

Cause: a process whose last ledger ended in order counts at the next one at once; one whose ledger was given up as silent waits until that can't count it any more. A ledger that hands over what an earlier one had reported made the one look like the other. Change: what is passed on says whether the ledger that granted it ended in order.

--- a/crates/limit/src/pool/ledger.rs
+++ b/crates/limit/src/pool/ledger.rs
@@ -80,9 +80,7 @@
     ) {
         let wait = match bond.filter(|bond| bond.source != self.source) {
             None => TimeSpan(0),
-            Some(bond) if self.past.includes(bond.source) && self.past.is_handed_over() => {
-                TimeSpan(0)
-            }
+            Some(bond) if self.past.includes_all_of(bond.source) => TimeSpan(0),
             Some(bond) if self.past.includes(bond.source) => bond.left,
             Some(bond) => {
                 let spent = bond
--- a/crates/limit/src/pool/prior.rs
+++ b/crates/limit/src/pool/prior.rs
@@ -33,6 +33,9 @@
     /// How long ago the last ledger ended that granted anything of the account, in milliseconds.
     #[serde(rename = "g")]
     ended_ago: TimeSpan,
+    /// Whether that ledger ended in order; otherwise it may still count processes as its members.
+    #[serde(rename = "e", default)]
+    in_order: bool,
 }
 
 impl KnownWindow {
@@ -117,11 +120,18 @@
         self.state().map_or(&[], |state| &state.windows)
     }
 
-    /// Whether the previous ledger ended in order.
-    pub fn is_handed_over(&self) -> bool {
+    fn is_handed_over(&self) -> bool {
         matches!(self, PriorLedger::HandedOver(_))
     }
 
+    /// Whether the windows include what the ledger `source` granted, and it ended in order.
+    pub fn includes_all_of(&self, source: u64) -> bool {
+        let in_order = |known: &KnownWindow| known.passed.is_none_or(|passed| passed.in_order);
+        let is_its =
+            |(_, known): &(AccountName, KnownWindow)| known.source == source && in_order(known);
+        self.is_handed_over() && self.windows().iter().any(is_its)
+    }
+
     /// Whether the windows include what the ledger `source` granted.
     pub fn includes(&self, source: u64) -> bool {
         self.windows().iter().any(|(_, known)| known.source == source)
@@ -173,6 +183,7 @@
         let passed = PassedOn {
             counted_ago: known.age + counted_ago + ago,
             ended_ago: before.map_or(TimeSpan(0), |passed| passed.ended_ago) + ago,
+            in_order: self.is_handed_over() && before.is_none_or(|passed| passed.in_order),
         };
         // The ledger that passed it on may have granted the smallest promise since, which is not known
         // without the account's limit.
--- a/tests/all/pool.rs
+++ b/tests/all/pool.rs
@@ -3,7 +3,8 @@
 use oleandertack::kind::{AccountName, ClockTime, TimeSpan};
 use oleandertack::limit::{
     AllotmentClaim, AllotmentHolder, ClaimFault, KnownWindow, LastLedger, LedgerState,
-    PROMISE_LIFETIME, PoolAllotment, PoolGate, PoolLedger, PoolLimit, PriorLedger, STORED_LIFETIME,
+    PROMISE_LIFETIME, PoolAllotment, PoolGate, PoolLedger, PoolLimit, PriorLedger, ReportedWindow,
+    STORED_LIFETIME,
 };
 
 pub const RATE: u64 = 240_000;
@@ -661,6 +662,30 @@
     assert_eq!(at_last, Some(whole));
 }
 
+/// A ledger is given up because it is silent, and may still count its processes as members. The ledger
+/// after it hands over what it was told before any process claims: the third one must let the processes
+/// wait as the second did.
+#[test]
+fn a_process_waits_for_a_silent_ledger_through_two_changes() {
+    let now = ClockTime(START);
+    let known = KnownWindow {
+        reported: ReportedWindow { seconds: vec![5_000; 9], open: 0 },
+        age: TimeSpan(100),
+        source: 1,
+        passed: None,
+    };
+    let state = LedgerState { windows: vec![(account(), known)], others: None };
+    let past = PriorLedger::Reported { state, lasts: PROMISE_LIFETIME };
+    let second = PoolLedger::begin(2, past, now);
+    let mut third = PoolLedger::begin(3, PriorLedger::HandedOver(second.hand_over(now)), now);
+    let bond = LastLedger { source: 1, left: TimeSpan(500), spent_ago: Some(TimeSpan(10)) };
+
+    third.note_member(&spender(0, 1).instance, Some(bond), (limit(RATE).length(), now));
+
+    assert_eq!(third.member_count(now + TimeSpan(499)), 0);
+    assert_eq!(third.member_count(now + TimeSpan(500)), 1);
+}
+
 /// Claims that are stale, or exceed what was granted, are rejected and change nothing.
 #[test]
 fn stale_and_impossible_claims_are_rejected() {
