--- a/tests/all/ending.rs
+++ b/tests/all/ending.rs
@@ -6,6 +6,7 @@
 use crate::plays::{ProcessGroup, play};
 use futures_util::future::join_all;
 use oleandertack::kind::ResultCode;
+use oleandertack::plat::FeedKind;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -20,6 +21,8 @@
 const DETECTION_TIMEOUT: Duration = Duration::from_millis(3000);
 /// How often the request may reach an endpoint after that.
 const MAX_LATE_ARRIVALS: usize = 3;
+/// Time within which the processes have written again what the store lost.
+const REWRITE_TIME: Duration = Duration::from_secs(3);
 /// Pause between two requests of an honest caller, in virtual time.
 const HONEST_GAP: Duration = Duration::from_millis(10);
 /// Delay before a caller without an answer retries, in virtual time.
@@ -217,6 +220,28 @@
     });
 }
 
+#[test]
+fn a_quarantine_survives_a_store_that_lost_it_and_a_restart_of_all_processes() {
+    // The store comes back without the record of a quarantined request, and a while later all
+    // processes are killed at once: the record must have been written again.
+    play(async {
+        let mut simulation = CrashSimulation::start().await;
+        let body = format!("{FATAL} 1");
+        simulation.repeat("/once/f", &body, 8).await;
+
+        simulation.group.go_back(simulation.group.copy_without(&[FeedKind::Suspects]));
+        sleep(REWRITE_TIME).await;
+        for _ in 0..2 {
+            simulation.kill(&[0, 1, 2, 3, 4]).await;
+            sleep(DETECTION_TIMEOUT).await;
+            simulation.repeat("/once/f", &body, 8).await;
+        }
+
+        simulation.assert_bounded(&body);
+        simulation.assert_honest_unharmed();
+    });
+}
+
 #[test]
 fn two_crashes_are_remembered_through_a_restart_of_all_processes() {
     // Two endpoints have crashed under a request when all processes are killed, repeatedly: the
