A process that listens may be told of changed settings

Cause: the process received hang-up signals from the end of its start on; until then the system's default action ends it. It listened before that, so whoever saw it run could end it by telling it of changed settings. Change: the signal is received before the process listens. Before that, some milliseconds from the start of the program on, it still ends by it. Measured: signals::a_process_that_listens_may_be_told_of_changed_settings failed before at the first of five starts, twice of two runs, and passes.

--- a/crates/front/src/process.rs
+++ b/crates/front/src/process.rs
@@ -66,6 +66,8 @@
     ports: FrontPorts,
     path: Option<PathBuf>,
 ) -> std::io::Result<FrontProcess> {
+    // Whoever sees the process listen may tell it that its settings have changed.
+    let followed = path.map(|path| (path, reload::hang_up_signals()));
     let callers = listen_socket(settings.listen)?;
     let address = callers.local_addr()?;
     let peers = listen_socket(settings.peer)?;
@@ -92,8 +94,8 @@
         actix_rt::spawn(kept::sync_record(node.clone(), WindowStore::default())),
         actix_rt::spawn(ingress::accept_callers(node.clone(), callers)),
     ];
-    if let Some(path) = path {
-        tasks.push(actix_rt::spawn(reload::follow_settings(node.clone(), path)));
+    if let Some((path, hang_ups)) = followed {
+        tasks.push(actix_rt::spawn(reload::follow_settings(node.clone(), path, hang_ups)));
     }
     if let Some(cloud) = ports.cloud {
         tasks.push(actix_rt::spawn(duties::run_duties(node.clone(), cloud)));
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -48,6 +48,7 @@
 mod scripted;
 mod seeds;
 mod settings;
+mod signals;
 mod size;
 mod soak;
 mod speaking;
