Processes without a path to endpoints serve nobody: failing tests and a port for connections

What callers saw: where a process loses every way to the endpoints, each of its requests is refused, while callers, store and peers reach it. Change: connections to endpoints are opened through a port (outlet::EndpointDialer), so that plays can cut one process off; plays of nine processes, six of them cut off: reset and refused, hanging, only new ones refused.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -13,7 +13,7 @@
     AnswerHead, AnswerShape, AttemptEnd, AttemptHeaders, EndpointSignal, RepeatRule,
 };
 use oleander_kind::TimeSpan;
-use oleander_outlet::{IdleLink, LinkError, SentLink, SocketBounds};
+use oleander_outlet::{LinkError, SentLink};
 use oleander_pace::ReadSample;
 use oleander_place::{
     AnswerGrade, EndpointFact, EndpointKey, PlacementChoice, expected_first_byte,
@@ -248,9 +248,7 @@
         let reused = kept.is_some();
         let link = match kept {
             Some(link) => link,
-            None => {
-                IdleLink::open(target.address, CONNECT_TIMEOUT, SocketBounds::default()).await?
-            }
+            None => self.node.dialer.dial(target.address, CONNECT_TIMEOUT).await?,
         };
         let head = self.request_head(target);
         let sent = link.send(&self.node.http, head, self.body.clone())?;
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -21,7 +21,7 @@
 use oleander_limit::PoolGate;
 use oleander_list::{RosterReplica, StalenessLimits};
 use oleander_mesh::{MemberInfo, MeshBody, RulesBook, ServiceDemand, collector_capacity};
-use oleander_outlet::{HttpCodec, LinkPool};
+use oleander_outlet::{EndpointDialer, HttpCodec, LinkPool};
 use oleander_pace::{ASSUMED_PER_MS, PaceEstimator, ReadPace, ReadSample};
 use oleander_place::{
     EndpointBoard, EndpointFact, EndpointKey, OfferedRate, PauseRecord, PrefixRecord, ServiceLoad,
@@ -59,6 +59,8 @@
     pub dialect: Box<dyn PlatformDialect>,
     /// The platform's store.
     pub store: Box<dyn FeedStore>,
+    /// Opens connections to endpoints.
+    pub dialer: Rc<dyn EndpointDialer>,
     /// Creates the codecs of connections.
     pub http: HttpCodec,
     /// The known era of the store; `None` before its first answer.
@@ -142,7 +144,7 @@
         settings: FrontSettings,
         log: slog::Logger,
         dialect: Box<dyn PlatformDialect>,
-        store: Box<dyn FeedStore>,
+        (store, dialer): (Box<dyn FeedStore>, Rc<dyn EndpointDialer>),
         clock: NodeClock,
     ) -> Rc<Self> {
         let me = MemberInfo {
@@ -167,6 +169,7 @@
             events: EventBudget::default(),
             dialect,
             store,
+            dialer,
             http: HttpCodec::default(),
             store_era: Cell::default(),
             store_returned_at: Cell::default(),
--- a/crates/front/src/process.rs
+++ b/crates/front/src/process.rs
@@ -11,7 +11,7 @@
 use oleander_conf::FrontSettings;
 use oleander_kind::TimeSpan;
 use oleander_mesh::MeshBody;
-use oleander_outlet::listen_socket;
+use oleander_outlet::{EndpointDialer, listen_socket};
 use oleander_plat::{DutyPort, FeedStore};
 use oleander_serve::{HttpSite, local_data, serve_app};
 use oleander_wire::{PeerHandler, PeerHub, PeerListener, serve_peers};
@@ -51,6 +51,8 @@
     pub store: Box<dyn FeedStore>,
     /// The cloud, if there is control work to do.
     pub cloud: Option<Rc<dyn DutyPort>>,
+    /// Opens connections to endpoints.
+    pub dialer: Rc<dyn EndpointDialer>,
     /// The clocks.
     pub clock: NodeClock,
 }
@@ -71,7 +73,7 @@
     let callers = listen_socket(settings.listen)?;
     let address = callers.local_addr()?;
     let peers = listen_socket(settings.peer)?;
-    let node = FrontNode::new(settings, log, dialect, ports.store, ports.clock);
+    let node = FrontNode::new(settings, log, dialect, (ports.store, ports.dialer), ports.clock);
     let traffic = node.traffic.clone();
     let hub = actix::Actor::start(PeerHub::<MeshBody>::new(traffic.clone()));
     if node.peers.set(hub.clone()).is_err() {
--- a/crates/front/src/suspects.rs
+++ b/crates/front/src/suspects.rs
@@ -5,7 +5,7 @@
 use crate::events::event;
 use crate::node::FrontNode;
 use oleander_kind::TimeSpan;
-use oleander_outlet::{IdleLink, LinkError, SocketBounds};
+use oleander_outlet::LinkError;
 use oleander_place::EndpointEntry;
 use oleander_suspect::{
     AttemptTimes, CrashAttribution, EndpointCrash, EndpointIncarnation, RequestFingerprint,
@@ -88,7 +88,7 @@
 
 /// Opens a connection to an endpoint to find out whether it has ended.
 async fn probe_for_exit(node: Rc<FrontNode>, life: EndpointIncarnation, address: SocketAddr) {
-    let link = match IdleLink::open(address, CONNECT_TIMEOUT, SocketBounds::default()).await {
+    let link = match node.dialer.dial(address, CONNECT_TIMEOUT).await {
         Ok(link) => link,
         Err(fault) if is_port_closed(&fault) => return note_ended(&node, &life, "port closed"),
         // No answer may mean that this process is isolated; the endpoint list will show it.
--- a/crates/outlet/src/lib.rs
+++ b/crates/outlet/src/lib.rs
@@ -6,10 +6,12 @@
 //! unexpected bytes remain on it. Connections are therefore managed here, on top of the library's
 //! codec.
 
+pub mod dial;
 pub mod link;
 pub mod pool;
 pub mod socket;
 
+pub use dial::{EndpointDialer, TcpDialer};
 pub use link::{BodyLink, HttpCodec, IdleLink, LinkError, Result, SentLink};
 pub use pool::LinkPool;
 pub use socket::{SocketBounds, configure_socket, listen_socket};
--- a/src/bin/oleander-front.rs
+++ b/src/bin/oleander-front.rs
@@ -4,7 +4,7 @@
 use oleandertack::board::json_logger;
 use oleandertack::conf::FrontSettings;
 use oleandertack::front::{FrontPorts, start_front};
-use oleandertack::outlet::HttpCodec;
+use oleandertack::outlet::{HttpCodec, TcpDialer};
 use oleandertack::plat::DutyPort;
 use oleandertack::platform::{CloudClient, HttpDialect, SETTINGS_VARIABLE, StoreClient};
 use oleandertack::start::{read_or_exit_with, wait_stop};
@@ -27,7 +27,8 @@
             let cloud: Rc<dyn DutyPort> = Rc::new(CloudClient::new(address, codec));
             cloud
         });
-        let ports = FrontPorts { store, cloud, clock: NodeClock::default() };
+        let ports =
+            FrontPorts { store, cloud, dialer: Rc::new(TcpDialer), clock: NodeClock::default() };
         let path = arguments.settings.or(default_path);
         match start_front(settings, log, Box::new(HttpDialect), ports, path).await {
             Ok(process) => {
--- a/tests/all/front.rs
+++ b/tests/all/front.rs
@@ -8,6 +8,7 @@
 use oleandertack::conf::{FrontBounds, FrontSettings};
 use oleandertack::front::{FrontPorts, FrontProcess, start_front};
 use oleandertack::kind::TimeSpan;
+use oleandertack::outlet::TcpDialer;
 use oleandertack::plat::{
     FeedCondition, FeedEvent, FeedKind, FeedObject, FeedPage, FeedStore, Result, WatchOutcome,
     WriteOutcome,
@@ -153,7 +154,11 @@
 
 async fn front_with_store(store: Box<dyn FeedStore>) -> (FrontProcess, SocketAddr) {
     let bounds = FrontBounds { retry_slack: 100, grace_s: 4.0, ..FrontBounds::default() };
-    front_with(FrontPorts { store, cloud: None, clock: NodeClock::default() }, bounds).await
+    front_with(
+        FrontPorts { store, cloud: None, dialer: Rc::new(TcpDialer), clock: NodeClock::default() },
+        bounds,
+    )
+    .await
 }
 
 /// Starts a process with these ports and bounds, and waits until it is ready.
--- a/tests/all/holder.rs
+++ b/tests/all/holder.rs
@@ -7,6 +7,7 @@
 use oleandertack::conf::FrontBounds;
 use oleandertack::front::FrontPorts;
 use oleandertack::kind::TimeSpan;
+use oleandertack::outlet::TcpDialer;
 use oleandertack::plat::{
     DutyAnswer, DutyPermit, DutyPort, FeedCondition, FeedKind, FeedObject, FeedPage, FeedStore,
     PlatError, Result, ScaleOrder, UsageReport, WatchOutcome, WriteOutcome,
@@ -127,7 +128,12 @@
         fenced: false,
         ..FrontBounds::default()
     };
-    let ports = FrontPorts { store, cloud: Some(cloud.clone()), clock: NodeClock::default() };
+    let ports = FrontPorts {
+        store,
+        cloud: Some(cloud.clone()),
+        dialer: Rc::new(TcpDialer),
+        clock: NodeClock::default(),
+    };
     let (_process, address) = front_with(ports, bounds).await;
     assert_eq!(ask(address, &request("POST", "/once/a", "r", "", "")).await.status(), "200");
     while cloud.permitted.borrow().len() < 2 {
--- a/tests/all/lives.rs
+++ b/tests/all/lives.rs
@@ -15,6 +15,7 @@
 use oleandertack::kind::{ClockTime, TimeSpan};
 use oleandertack::list::{DoubtedEndpoint, FreshnessNote, RosterStatus, RosterUpdate};
 use oleandertack::outlet::HttpCodec;
+use oleandertack::outlet::TcpDialer;
 use oleandertack::place::{AnswerGrade, EndpointBoard, EndpointEntry, WorkLoad};
 use oleandertack::plat::{
     FeedCondition, FeedEvent, FeedKind, FeedObject, FeedPage, FeedStore, Result, WatchOutcome,
@@ -231,7 +232,15 @@
 fn pushed(endpoints: &[SocketAddr]) -> (FrontPorts, Rc<Pushed>) {
     let pushed = Rc::new(Pushed::default());
     let store = PushedStore { still: static_store(endpoints), pushed: pushed.clone() };
-    (FrontPorts { store: Box::new(store), cloud: None, clock: NodeClock::default() }, pushed)
+    (
+        FrontPorts {
+            store: Box::new(store),
+            cloud: None,
+            dialer: Rc::new(TcpDialer),
+            clock: NodeClock::default(),
+        },
+        pushed,
+    )
 }
 
 fn put(revision: u64, body: String) -> FeedEvent {
--- /dev/null
+++ b/tests/all/no_path.rs
@@ -0,0 +1,151 @@
+//! Processes that lose their way to all endpoints, while callers, the store and the other processes
+//! still reach them; in virtual time.
+
+use crate::front::{request, try_ask};
+use crate::path::PathMode;
+use crate::plays::{ProcessGroup, play};
+use crate::speaking::start_signal_endpoints;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Interval between the requests of the callers at one process.
+const REQUEST_PERIOD: Duration = Duration::from_millis(60);
+/// Time after the beginning of a cut from which on the operators count what callers get.
+const CONTACT_TIME: Duration = Duration::from_millis(3000);
+/// How long a cut lasts.
+const CUT_TIME: Duration = Duration::from_secs(6);
+
+/// What callers got at one process.
+#[derive(Clone, Copy, Debug, Default)]
+struct ServedCount {
+    asked: u32,
+    served: u32,
+}
+
+/// Callers at each process, each of whose requests is tried once.
+#[derive(Default)]
+struct TriedOnce {
+    addresses: RefCell<Vec<SocketAddr>>,
+    counts: RefCell<Vec<ServedCount>>,
+    failed: RefCell<Vec<String>>,
+    ends: Cell<bool>,
+}
+
+impl TriedOnce {
+    async fn send_requests(self: Rc<Self>, process: usize) {
+        sleep(REQUEST_PERIOD * process as u32 / 7).await;
+        for number in 0_u64.. {
+            if self.ends.get() {
+                return;
+            }
+            tokio::task::spawn_local(self.clone().send_request(process, number));
+            sleep(REQUEST_PERIOD).await;
+        }
+    }
+
+    async fn send_request(self: Rc<Self>, process: usize, number: u64) {
+        let path = if number.is_multiple_of(2) { "/any/a" } else { "/once/a" };
+        let text = request("POST", path, &format!("w-{process}-{number}"), "", "x");
+        let address = self.addresses.borrow()[process];
+        self.counts.borrow_mut()[process].asked += 1;
+        let answer = try_ask(address, &text).await;
+        if answer.as_ref().is_some_and(|answer| answer.status() == "200") {
+            self.counts.borrow_mut()[process].served += 1;
+        } else {
+            self.failed.borrow_mut().push(format!("{process}: {answer:?}"));
+        }
+    }
+}
+
+/// Processes and endpoints, with callers at each process.
+struct CutTest {
+    group: ProcessGroup,
+    callers: Rc<TriedOnce>,
+}
+
+impl CutTest {
+    async fn start(processes: usize, endpoints: usize) -> Self {
+        let group = ProcessGroup::start(processes).await;
+        group.remove_first_endpoints();
+        start_signal_endpoints(&group.registry(), endpoints).await;
+        sleep(Duration::from_secs(2)).await;
+        let callers: Rc<TriedOnce> = Rc::default();
+        let addresses = group.processes.iter().map(|process| process.address());
+        *callers.addresses.borrow_mut() = addresses.collect();
+        *callers.counts.borrow_mut() = vec![ServedCount::default(); processes];
+        for process in 0..processes {
+            tokio::task::spawn_local(callers.clone().send_requests(process));
+        }
+        sleep(Duration::from_secs(2)).await;
+        CutTest { group, callers }
+    }
+
+    fn cut(&self, processes: &[usize], mode: PathMode) {
+        processes.iter().for_each(|at| self.group.paths[*at].set(mode));
+    }
+
+    /// Cuts some processes off for a while, and asserts that the callers of these are served as the
+    /// operators demand.
+    async fn assert_served_through_cut(&self, processes: &[usize], mode: PathMode) {
+        self.cut(processes, mode);
+        sleep(CONTACT_TIME).await;
+        self.callers.failed.take();
+        let before = self.callers.counts.borrow().clone();
+        sleep(CUT_TIME).await;
+        self.callers.ends.set(true);
+        sleep(Duration::from_secs(2)).await;
+        let after = self.callers.counts.borrow().clone();
+        let of = |wanted: bool| {
+            let chosen = (0..after.len()).filter(|at| processes.contains(at) == wanted);
+            chosen.fold((0, 0), |(asked, served), at| {
+                let (asked_now, served_now) = (after[at].asked, after[at].served);
+                (asked + asked_now - before[at].asked, served + served_now - before[at].served)
+            })
+        };
+        let ((asked, served), (others, others_served)) = (of(true), of(false));
+        let failed = self.callers.failed.borrow().iter().take(5).cloned().collect::<Vec<_>>();
+        assert!(asked > 100, "{asked} asked");
+        assert!(
+            served * 3 * others >= 2 * others_served * asked
+                || asked - served <= 10 + (asked + others) / 50,
+            "served {served} of {asked}, the others {others_served} of {others}: {failed:#?}"
+        );
+        assert!(
+            others_served * 100 >= others * 98,
+            "the others {others_served} of {others}: {failed:#?}"
+        );
+    }
+}
+
+/// Six of nine processes lose their way to all endpoints; open connections are reset and new ones refused.
+#[test]
+fn callers_are_served_where_connections_to_all_endpoints_are_reset_and_refused() {
+    play(async {
+        let test = CutTest::start(9, 6).await;
+
+        test.assert_served_through_cut(&[0, 1, 2, 3, 4, 5], PathMode::Reset).await;
+    });
+}
+
+/// Six of nine processes lose their way to all endpoints; open and new connections hang.
+#[test]
+fn callers_are_served_where_connections_to_all_endpoints_hang() {
+    play(async {
+        let test = CutTest::start(9, 6).await;
+
+        test.assert_served_through_cut(&[0, 1, 2, 3, 4, 5], PathMode::Hanging).await;
+    });
+}
+
+/// Six of nine processes can't open connections to endpoints any more, and open ones live on.
+#[test]
+fn callers_are_served_where_only_open_connections_to_endpoints_work() {
+    play(async {
+        let test = CutTest::start(9, 6).await;
+
+        test.assert_served_through_cut(&[0, 1, 2, 3, 4, 5], PathMode::NewRefused).await;
+    });
+}
--- a/tests/all/paying.rs
+++ b/tests/all/paying.rs
@@ -5,7 +5,9 @@
 use oleandertack::board::NodeClock;
 use oleandertack::conf::FrontBounds;
 use oleandertack::front::{FrontPorts, FrontProcess};
+use oleandertack::outlet::TcpDialer;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -25,7 +27,12 @@
         rules.replace(r#""rate-per-s":0,"burst":0"#, r#""rate-per-s":100,"burst":1200"#)
     });
     let bounds = FrontBounds { retry_slack: 100, ..FrontBounds::default() };
-    let ports = FrontPorts { store: Box::new(store), cloud: None, clock: NodeClock::default() };
+    let ports = FrontPorts {
+        store: Box::new(store),
+        cloud: None,
+        dialer: Rc::new(TcpDialer),
+        clock: NodeClock::default(),
+    };
     let (process, address) = front_with(ports, bounds).await;
     while !process.node.mesh.borrow().has_ledger() {
         sleep(POLL_PERIOD).await;
--- a/tests/all/plays.rs
+++ b/tests/all/plays.rs
@@ -5,6 +5,7 @@
 //! and the clock are simulated: time advances by a millisecond whenever nothing else is to be done.
 
 use crate::front::{RULES, object};
+use crate::path::EndpointPath;
 use bytes::Bytes;
 use futures_util::future::{FutureExt, LocalBoxFuture};
 use oleandertack::board::NodeClock;
@@ -323,6 +324,8 @@
 pub struct ProcessGroup {
     pub processes: Vec<FrontProcess>,
     pub links: Vec<Rc<StoreLink>>,
+    /// The way of each process to the endpoints.
+    pub paths: Vec<Rc<EndpointPath>>,
     state: Rc<StoreState>,
     peers: Vec<SocketAddr>,
     bounds: FrontBounds,
@@ -430,7 +433,8 @@
         }
         let peers: Vec<SocketAddr> = (0..count).map(|_| unique_address()).collect();
         let (processes, links) = (Vec::new(), Vec::new());
-        let mut group = ProcessGroup { processes, links, state, peers, bounds, cloud };
+        let paths = (0..count).map(|_| Rc::default()).collect();
+        let mut group = ProcessGroup { processes, links, paths, state, peers, bounds, cloud };
         for at in 0..count {
             let (process, link) = group.start_one(at).await;
             group.processes.push(process);
@@ -450,7 +454,12 @@
         let settings = FrontSettings { bounds: self.bounds.clone(), ..settings };
         let log = slog::Logger::root(slog::Discard, slog::o!());
         let clock = NodeClock::from_runtime();
-        let ports = FrontPorts { store: Box::new(store), cloud: self.cloud.clone(), clock };
+        let ports = FrontPorts {
+            store: Box::new(store),
+            cloud: self.cloud.clone(),
+            dialer: self.paths[at].clone(),
+            clock,
+        };
         let process = start_front(settings, log, Box::new(HttpDialect), ports, None);
         (process.await.expect("it listens"), link)
     }
--- a/tests/all/words.rs
+++ b/tests/all/words.rs
@@ -9,6 +9,7 @@
 use oleandertack::conf::FrontBounds;
 use oleandertack::front::{FrontPorts, FrontProcess};
 use oleandertack::kind::{RequestRate, ResultCode};
+use oleandertack::outlet::TcpDialer;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -340,7 +341,12 @@
         let says = |text: &str| scripted(vec![vec![Act::Say(text.to_owned())]]);
         let (resting, idle) = (says(refusal).await, says(answer).await);
         let store = Box::new(static_store(&[resting.address, idle.address]));
-        let ports = FrontPorts { store, cloud: None, clock: NodeClock::default() };
+        let ports = FrontPorts {
+            store,
+            cloud: None,
+            dialer: Rc::new(TcpDialer),
+            clock: NodeClock::default(),
+        };
         let (process, address) = front_with(ports, FrontBounds::default()).await;
 
         let first = ask(address, &request("GET", "/open/a", "r1", "", "")).await;
@@ -371,7 +377,12 @@
             [limited, refusal, without_id, plain].map(|text| vec![Act::Say(text.to_owned())]);
         let endpoint = scripted(script.to_vec()).await;
         let store = Box::new(static_store(&[endpoint.address]));
-        let ports = FrontPorts { store, cloud: None, clock: NodeClock::default() };
+        let ports = FrontPorts {
+            store,
+            cloud: None,
+            dialer: Rc::new(TcpDialer),
+            clock: NodeClock::default(),
+        };
         let (process, address) = front_with(ports, FrontBounds::default()).await;
         let mut limits = Vec::new();
 
