--- a/crates/call/src/attempt.rs
+++ b/crates/call/src/attempt.rs
@@ -88,6 +88,35 @@
         self.may_have_run |= end.may_have_run();
     }
 
+    /// Number of attempts that failed before a byte was sent.
+    pub fn unsent(&self) -> u32 {
+        self.unsent
+    }
+
+    /// Number of endpoints to which a peer may send the request on behalf of this process.
+    ///
+    /// If the connection to the peer breaks, all of them may have received it. Where the rules allow
+    /// many, one is kept back, so that another peer can still serve the request.
+    pub fn relayable(&self) -> u32 {
+        let left = self.max_sent.saturating_sub(self.sent);
+        if self.repeat.may_run_again() && left > 2 { left - 1 } else { left }
+    }
+
+    /// Records how relaying the request to a peer ended, which may have sent it to `attempts`
+    /// endpoints.
+    pub fn note_relayed(&mut self, end: AttemptEnd, attempts: u32) {
+        if end.may_have_run() {
+            self.sent += attempts;
+            self.may_have_run = true;
+        }
+    }
+
+    /// Whether the rules allow that a peer sends the request.
+    pub fn may_relay(&self) -> bool {
+        let allowed = self.repeat.may_run_again() || !self.may_have_run;
+        allowed && self.sent < self.max_sent
+    }
+
     /// Whether the rules allow another attempt. If [`sent`](Self::sent) is not 0, the caller must
     /// consult the retry budget as well.
     pub fn may_send(&self) -> bool {
--- a/crates/call/src/head.rs
+++ b/crates/call/src/head.rs
@@ -49,6 +49,9 @@
     pub parts: Vec<PromptPart>,
     /// The caller's estimate of the answer length in tokens.
     pub length_hint: Option<u64>,
+    /// Present if a peer relayed the request: the attempts that the peer leaves to this process. A
+    /// relayed request is never relayed again.
+    pub relayed_attempts: Option<u32>,
 }
 
 /// Headers that the proxy adds to an attempt.
@@ -66,6 +69,19 @@
     pub rank: Option<u8>,
 }
 
+/// Headers that a process adds to a request that it relays to a peer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RelayHeaders {
+    /// The caller's API key.
+    pub key: CompactString,
+    /// Time left until the deadline.
+    pub left: TimeSpan,
+    /// The last event the caller has received.
+    pub last_event: Option<u64>,
+    /// The number of endpoints to which the peer may send the request.
+    pub attempts: u32,
+}
+
 /// A value that an endpoint may announce about itself in an answer, such as its rate limit.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum EndpointSignal<T> {
@@ -102,6 +118,11 @@
     pub leaving: EndpointSignal<bool>,
     /// How long the endpoint, having refused this request, wants no more requests of this process.
     pub backoff: EndpointSignal<TimeSpan>,
+    /// Present if a peer answered a relayed request: the code of its refusal, or 0 if it passed on
+    /// an endpoint's answer.
+    pub relay_code: Option<u16>,
+    /// When the sender may be asked again, if stated.
+    pub retry_after: Option<TimeSpan>,
 }
 
 impl AnswerHead {
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -14,7 +14,9 @@
 pub use admit::{AdmittedCall, RuleView, admit_call};
 pub use attempt::{AttemptEnd, AttemptRecord, NextStep};
 pub use events::{CompleteEvent, EventSplitter};
-pub use head::{AnswerHead, AttemptHeaders, CallHead, EndpointSignal, PromptPart, TokenCount};
+pub use head::{
+    AnswerHead, AttemptHeaders, CallHead, EndpointSignal, PromptPart, RelayHeaders, TokenCount,
+};
 pub use rules::{
     AccountKey, AccountRule, AnswerShape, CallerBounds, CurrentRules, EngineRule, RepeatRule,
     RouteKey, RouteRule, RuleSet, ScaleRule, ServiceRule,
--- a/crates/flow/src/budget.rs
+++ b/crates/flow/src/budget.rs
@@ -53,6 +53,12 @@
             (self.stored_per_mille + u64::from(self.settings.earned_per_mille)).min(most);
     }
 
+    /// Takes back what a first attempt earned.
+    pub fn return_earned(&mut self) {
+        let earned = u64::from(self.settings.earned_per_mille);
+        self.stored_per_mille = self.stored_per_mille.saturating_sub(earned);
+    }
+
     /// Takes one retry from the budget; returns whether there was one.
     pub fn spend(&mut self) -> bool {
         if self.stored_per_mille < PER_RETRY {
--- a/crates/front/src/admin.rs
+++ b/crates/front/src/admin.rs
@@ -8,6 +8,7 @@
 use oleander_kind::{RequestRate, ServiceName};
 use oleander_list::FreshnessStamp;
 use oleander_mesh::PartSizes;
+use oleander_place::PathRecord;
 use oleander_release::OrderStatus;
 use oleander_suspect::{RequestFingerprint, SuspectRecord};
 use serde_json::{Value, json};
@@ -68,6 +69,7 @@
         "suspects": node.suspects.borrow().len(),
         "held_requests": dump_quarantined(node),
         "idle_connections": node.pool.borrow().len(),
+        "paths": dump_paths(node),
         "known_prompt_parts": node.prefixes.borrow().len(),
         "members": mesh.view.members().iter().take(MAX_LISTED).map(|member| member.id.as_str().to_owned()).collect::<Vec<_>>(),
         "collector": mesh.view.chosen().map(|id| id.as_str()),
@@ -88,6 +90,23 @@
     })
 }
 
+/// The services whose endpoints this process may not reach.
+fn dump_paths(node: &FrontNode) -> Vec<Value> {
+    let now = node.clock.now();
+    let paths = node.paths.borrow();
+    let failing = paths.iter().filter(|(_, path)| !path.failed().is_empty());
+    let path = |(service, path): (&ServiceName, &PathRecord)| {
+        json!({
+            "service": service.as_str(),
+            "lost_ms": path.lost_since().map(|since| (now - since).0),
+            "failed_endpoints": path.failed().len(),
+            "fault": path.fault().map(|fault| format!("{fault:?}")),
+            "heard_ms": (now - path.heard_at()).0,
+        })
+    };
+    failing.map(path).collect()
+}
+
 fn dump_sizes(sizes: &PartSizes) -> Value {
     let part = |(name, bytes): &(&str, usize)| ((*name).to_owned(), json!(bytes));
     Value::Object(sizes.iter().map(part).collect())
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -1,5 +1,6 @@
 //! Encodes and writes the HTTP response to a caller.
 
+use crate::port::PlatformDialect;
 use actix_codec::Encoder;
 use actix_http::body::BodySize;
 use actix_http::h1::{Codec, Message};
@@ -32,6 +33,7 @@
     closes: bool,
     status: u16,
     code: Option<ResultCode>,
+    marks: Option<&'a dyn PlatformDialect>,
 }
 
 impl<'a> AnswerWriter<'a> {
@@ -46,6 +48,7 @@
             closes,
             status: 0,
             code: None,
+            marks: None,
         }
     }
 
@@ -69,6 +72,11 @@
         self.closes = true;
     }
 
+    /// Marks the answer as one to a relayed request, in the way of `dialect`.
+    pub fn mark_relayed(&mut self, dialect: &'a dyn PlatformDialect) {
+        self.marks = Some(dialect);
+    }
+
     /// Begins an answer with a chunked body. The head is sent with the first chunk.
     ///
     /// # Errors
@@ -85,6 +93,9 @@
     ) -> io::Result<()> {
         let mut response = Response::with_body(status, ());
         *response.headers_mut() = headers;
+        if let Some(dialect) = self.marks {
+            dialect.stamp_relay_answer(response.headers_mut(), self.code);
+        }
         if self.closes {
             response.head_mut().set_connection_type(ConnectionType::Close);
         }
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -4,19 +4,20 @@
 
 use crate::drive::{AttemptOutcome, CallContext};
 use crate::events::event;
+use crate::paths::PathWait;
 use crate::suspects::FailedAttempt;
 use crate::work::{AnswerWait, WorkGuard};
-use crate::{releases, stream, suspects, whole, words};
+use crate::{paths, releases, stream, suspects, whole, words};
 use actix_http::{RequestHead, ResponseHead, Version};
 use compact_str::CompactString;
 use oleander_call::{
     AnswerHead, AnswerShape, AttemptEnd, AttemptHeaders, EndpointSignal, RepeatRule,
 };
 use oleander_kind::TimeSpan;
-use oleander_outlet::{LinkError, SentLink};
+use oleander_outlet::{IdleLink, LinkError, SentLink};
 use oleander_pace::ReadSample;
 use oleander_place::{
-    AnswerGrade, EndpointFact, EndpointKey, PlacementChoice, expected_first_byte,
+    AnswerGrade, EndpointFact, EndpointKey, PathState, PlacementChoice, expected_first_byte,
 };
 use oleander_suspect::{AttemptTimes, EndpointIncarnation};
 use std::io;
@@ -61,12 +62,15 @@
         self.sent_at = None;
         self.chosen = Some(choice);
         self.note_list_age();
-        self.note_demand(choice.unread);
-        if self.record.sent() == 0 {
-            self.node.note_demand(&self.service, |demand| demand.sent += 1);
+        if paths::path_state(self.node, &self.service) == PathState::Open {
+            self.note_demand(choice.unread);
+            if self.record.sent() == 0 {
+                self.node.note_demand(&self.service, |demand| demand.sent += 1);
+            }
         }
         let route = releases::evidence_route(self.node, &self.service, &self.route().name);
         let waits = (self.expected_wait(&choice), route);
+        let _waiting = PathWait::begin(self.node, &self.service);
         let mut work = WorkGuard::begin(self.node, target.key, choice.unread, waits);
         let outcome = self.send_and_read(&target, &mut work).await;
         self.current = None;
@@ -248,7 +252,7 @@
         let reused = kept.is_some();
         let link = match kept {
             Some(link) => link,
-            None => self.node.dialer.dial(target.address, CONNECT_TIMEOUT).await?,
+            None => self.dial(target).await?,
         };
         let head = self.request_head(target);
         let sent = link.send(&self.node.http, head, self.body.clone())?;
@@ -259,6 +263,15 @@
         Ok((Some(sent), reused))
     }
 
+    async fn dial(&self, target: &AttemptTarget) -> oleander_outlet::Result<IdleLink> {
+        let dialed = self.node.dialer.dial(target.address, CONNECT_TIMEOUT).await;
+        match &dialed {
+            Ok(_) => paths::note_reached(self.node, &self.service),
+            Err(fault) => paths::note_unreached(self.node, &self.service, (target.key, fault)),
+        }
+        dialed
+    }
+
     fn request_head(&self, target: &AttemptTarget) -> RequestHead {
         let mut head = RequestHead::default();
         head.method = self.request.method.clone();
@@ -276,7 +289,7 @@
         head
     }
 
-    fn time_left(&self) -> TimeSpan {
+    pub(crate) fn time_left(&self) -> TimeSpan {
         let left = self.deadline.saturating_duration_since(Instant::now());
         TimeSpan(left.as_millis() as u64)
     }
@@ -314,8 +327,9 @@
         let ended = || LinkError::Interrupted(io::ErrorKind::ConnectionReset.into());
         for _ in 0..=MAX_FOREIGN {
             let sent = slot.as_mut().ok_or_else(exhausted)?;
-            let reading = self.node.run_until_replaced(key, sent.read_head());
+            let reading = self.node.run_until_replaced(Some(key), sent.read_head());
             let head = timeout_at(limit, reading).await.map_err(late)?.ok_or_else(ended)??;
+            paths::note_reached(self.node, &self.service);
             let answer_head = self.node.dialect.parse_answer(&head);
             let sent = slot.take().ok_or_else(exhausted)?;
             words::apply_answer_signals(self.node, (key, &answer_head), (&self.call.id, asked_at));
@@ -349,9 +363,9 @@
         let signals_backoff = matches!(answer_head.backoff, EndpointSignal::Present(_));
         let body = sent.into_body(&head);
         let (outcome, link) = if events {
-            stream::forward_events(self, body, head, work).await
+            stream::forward_events(self, body, head, Some(work)).await
         } else {
-            whole::forward_whole(self, body, head, &answer_head, target.key).await
+            whole::forward_whole(self, body, head, &answer_head, Some(target.key)).await
         };
         match &outcome {
             AttemptOutcome::Delivered => {
@@ -391,9 +405,14 @@
             LinkError::ConnectFailed(_) | LinkError::TimedOut(_) => AnswerGrade::Dead,
             LinkError::Interrupted(_) | LinkError::Malformed(_) => AnswerGrade::Bad,
         };
-        self.note_failure(target, work, grade);
+        let is_own = paths::path_state(self.node, &self.service) != PathState::Open;
+        if is_own && matches!(fault, LinkError::ConnectFailed(_)) {
+            self.grade(target.key, grade);
+        } else {
+            self.note_failure(target, work, grade);
+        }
         if suspects::is_port_closed(fault) && self.node.takes_work(target.key) {
-            suspects::note_ended(self.node, &target.life, "port closed");
+            suspects::note_port_closed(self.node, &target.life);
         }
         event!(self.node, AttemptFault;
             "request" => self.call.id.as_str(), "endpoint" => target.life.instance.as_str(),
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -8,6 +8,7 @@
 use crate::ingress::CallerRequest;
 use crate::limits::{self, QuotaCharge};
 use crate::node::FrontNode;
+use crate::relay::NextHop;
 use crate::releases::CandidatePayment;
 use crate::suspects;
 use crate::trace::{CallTrace, TraceGuard};
@@ -112,16 +113,22 @@
     pub(crate) last_chunk_at: Option<Instant>,
     /// Longest pause between two chunks of the stream.
     pub(crate) longest_pause: Option<TimeSpan>,
+    /// The peer to which the request was relayed last.
+    pub(crate) peer: Option<InstanceId>,
+    /// Whether that peer may be serving it now.
+    pub(crate) peer_in_flight: bool,
+    /// Whether the next attempt goes to a peer. It is not charged here, whatever the path does meanwhile.
+    pub(crate) relays_next: bool,
 }
 
 /// Serves one request and writes its log line.
 ///
 /// # Errors
 /// If the connection to the caller must be closed.
-pub async fn serve_call(
-    node: &Rc<FrontNode>,
+pub async fn serve_call<'a>(
+    node: &'a Rc<FrontNode>,
     request: CallerRequest,
-    answer: &mut AnswerWriter<'_>,
+    answer: &mut AnswerWriter<'a>,
 ) -> CallOutcome {
     let mut trace = TraceGuard::new(node);
     let outcome = answer_call(node, request, answer, &mut trace.trace).await;
@@ -129,10 +136,10 @@
     outcome
 }
 
-async fn answer_call(
-    node: &Rc<FrontNode>,
+async fn answer_call<'a>(
+    node: &'a Rc<FrontNode>,
     mut request: CallerRequest,
-    answer: &mut AnswerWriter<'_>,
+    answer: &mut AnswerWriter<'a>,
     trace: &mut CallTrace,
 ) -> CallOutcome {
     let arrived = trace.arrived;
@@ -141,6 +148,9 @@
         Err(code) => return answer.refuse(code, None).await,
     };
     trace.request = call.id.clone();
+    if call.relayed_attempts.is_some() {
+        answer.mark_relayed(node.dialect.as_ref());
+    }
     let rules = node.current_rules();
     let view = RuleView { rules: rules.as_deref(), fresh: node.rules_are_fresh() };
     trace.rules = node.rules.borrow().version();
@@ -175,6 +185,8 @@
         return answer.refuse(ResultCode::LimitReached, Some(retry)).await;
     }
     let max_wait = call.max_wait.unwrap_or(route.timeout).min(route.timeout);
+    let relayed = call.relayed_attempts.unwrap_or(u32::MAX).max(1);
+    let max_attempts = route.max_attempts.min(relayed);
     node.dialect.strip_request(&mut request.head.headers);
     node.earn_retry(&service);
     let mut context = CallContext {
@@ -188,7 +200,7 @@
         fingerprint,
         rank: account.and_then(|account| account.rank).unwrap_or(route.rank),
         account: account.map(|account| account.name.clone()),
-        record: AttemptRecord::new(route.repeat, route.max_attempts),
+        record: AttemptRecord::new(route.repeat, max_attempts),
         route: admitted.route,
         rules: rules.clone(),
         service,
@@ -205,6 +217,9 @@
         first_chunk_at: None,
         last_chunk_at: None,
         longest_pause: None,
+        peer: None,
+        peer_in_flight: false,
+        relays_next: false,
     };
     let outcome = match timeout_at(context.deadline, context.serve()).await {
         Ok(outcome) => outcome,
@@ -248,7 +263,8 @@
 
     fn note_trace(&self, trace: &mut CallTrace) {
         trace.sent = self.record.sent() + u32::from(self.first_chunk_at.is_some());
-        trace.may_have_run = self.record.may_have_run() || self.current.is_some();
+        trace.may_have_run = self.record.may_have_run() || self.is_in_flight();
+        trace.peer = self.peer.clone();
         trace.endpoint = self.endpoint.clone();
         trace.chosen = self.chosen;
         trace.list_age = self.list_age;
@@ -260,6 +276,12 @@
 
     async fn serve(&mut self) -> CallOutcome {
         loop {
+            match self.next_hop() {
+                _ if self.relays_next => return self.serve_by_peers().await,
+                NextHop::Peer => return self.serve_by_peers().await,
+                NextHop::Nowhere => return self.give_up(ResultCode::NoEndpoint).await,
+                NextHop::Endpoint => {}
+            }
             let Some(choice) = self.choose_for_rollout().await else {
                 return self.refuse_unplaced().await;
             };
@@ -293,10 +315,15 @@
         }
     }
 
+    /// Whether an endpoint or a peer may be serving the request now.
+    fn is_in_flight(&self) -> bool {
+        self.current.is_some() || self.peer_in_flight
+    }
+
     /// Refunds the charge of a request that certainly did not run.
     fn refund_unused(&self) {
         let is_answered = self.first_chunk_at.is_some();
-        let has_run = is_answered || self.record.may_have_run() || self.current.is_some();
+        let has_run = is_answered || self.record.may_have_run() || self.is_in_flight();
         if let Some(charge) = self.charge.as_ref().filter(|_| !has_run) {
             limits::refund_quota(self.node, charge);
         }
@@ -310,11 +337,13 @@
         received: Option<EndpointAnswer>,
     ) -> Option<CallOutcome> {
         self.record.note(end);
-        let again = self.record.may_send()
+        let by_peer = self.next_hop() == NextHop::Peer;
+        let again = (self.record.may_send() || by_peer)
             && suspects::held_for(self.node, &self.fingerprint).is_none()
-            && self.choose().is_some()
+            && (by_peer || self.choose().is_some())
             && (self.record.sent() == 0 || self.node.spend_retry(&self.service))
-            && self.charge_retry(end).await;
+            && (by_peer || self.charge_retry(end).await);
+        self.relays_next = again && by_peer;
         self.node.meter.count_attempt(end.name());
         event!(self.node, AttemptEnded;
             "request" => self.call.id.as_str(),
@@ -358,7 +387,7 @@
                 self.note_broken(key, AttemptEnd::TimedOut);
             }
         }
-        let sent = self.current.is_some() || self.record.sent() > 0;
+        let sent = self.is_in_flight() || self.record.sent() > 0;
         let code = if sent { ResultCode::DeadlinePassed } else { ResultCode::DeadlineNotRun };
         self.give_up(code).await
     }
@@ -410,7 +439,10 @@
         if !fresh || !self.is_engine() {
             return None;
         }
-        let pressure = self.node.note_offered(&self.service, choice.unread);
+        // The load of a peer's callers is counted at the peer.
+        let is_own = self.call.relayed_attempts.is_none();
+        let offered = if is_own { choice.unread } else { 0 };
+        let pressure = self.node.note_offered(&self.service, offered);
         shed_delay(choice, &pressure, self.queue_limit(), call_salt(&self.call))
     }
 
--- a/crates/front/src/mesh/report.rs
+++ b/crates/front/src/mesh/report.rs
@@ -7,7 +7,7 @@
 use super::{MeshState, end_collecting_after_stall, update_fitness};
 use crate::events::event;
 use crate::node::FrontNode;
-use crate::{limits, releases, suspects, words};
+use crate::{limits, paths, releases, suspects, words};
 use actix::Addr;
 use compact_str::CompactString;
 use oleander_kind::{ClockTime, TimeSpan};
@@ -54,6 +54,7 @@
 
 async fn report_once(node: &Rc<FrontNode>, hub: &Addr<PeerHub<MeshBody>>) {
     update_fitness(node);
+    paths::watch_paths(node);
     releases::refresh(node);
     suspects::refresh_quarantine(node);
     words::apply_local_shares(node);
--- a/crates/front/src/meter.rs
+++ b/crates/front/src/meter.rs
@@ -27,6 +27,8 @@
     evidence_left_out: Counter<u64>,
     words: Counter<u64>,
     version_attempts: Counter<u64>,
+    relays: Counter<u64>,
+    path_losses: Counter<u64>,
     first_ms: Histogram<f64>,
     total_ms: Histogram<f64>,
     list_age_ms: Histogram<f64>,
@@ -53,6 +55,8 @@
             evidence_left_out: meter.u64_counter("oleander_front_evidence_left_out").build(),
             words: meter.u64_counter("oleander_front_words").build(),
             version_attempts: meter.u64_counter("oleander_front_version_attempts").build(),
+            relays: meter.u64_counter("oleander_front_relays").build(),
+            path_losses: meter.u64_counter("oleander_front_path_losses").build(),
             first_ms: latency("oleander_front_first_ms"),
             total_ms: latency("oleander_front_total_ms"),
             list_age_ms: latency("oleander_front_list_age_ms"),
@@ -140,6 +144,16 @@
         self.version_attempts.add(1, &labels);
     }
 
+    /// Counts a request that was relayed to a peer, by how that ended.
+    pub fn count_relay(&self, end: &'static str) {
+        self.relays.add(1, &[KeyValue::new("end", end)]);
+    }
+
+    /// Counts that this process lost its path to the endpoints of a service.
+    pub fn count_path_loss(&self, service: &str) {
+        self.path_losses.add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
     /// Counts a usage report, by whether the platform accepted it.
     pub fn count_usage(&self, taken: bool) {
         self.usage_reports.add(1, &[KeyValue::new("taken", taken)]);
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -8,6 +8,7 @@
 use crate::mesh::state::MeshState;
 use crate::meter::FrontMeter;
 use crate::port::PlatformDialect;
+use crate::relay::PeerRelays;
 use crate::releases::RolloutState;
 use crate::words::SignalOutbox;
 use actix::Addr;
@@ -24,7 +25,8 @@
 use oleander_outlet::{EndpointDialer, HttpCodec, LinkPool};
 use oleander_pace::{ASSUMED_PER_MS, PaceEstimator, ReadPace, ReadSample};
 use oleander_place::{
-    EndpointBoard, EndpointFact, EndpointKey, OfferedRate, PauseRecord, PrefixRecord, ServiceLoad,
+    EndpointBoard, EndpointFact, EndpointKey, OfferedRate, PathRecord, PauseRecord, PrefixRecord,
+    ServiceLoad,
 };
 use oleander_plat::FeedStore;
 use oleander_suspect::{CrashMonitor, SuspectTracker};
@@ -87,6 +89,10 @@
     pub prefixes: RefCell<PrefixRecord>,
     /// Idle connections to endpoints.
     pub pool: RefCell<LinkPool>,
+    /// Whether the endpoints of each service can be reached from here.
+    pub paths: RefCell<HashMap<ServiceName, PathRecord>>,
+    /// The requests that this process relays to its peers.
+    pub relays: RefCell<PeerRelays>,
     /// The limits of accounts.
     pub limits: RefCell<PoolGate>,
     /// Locked while a claim is under way: an account has one at a time.
@@ -155,6 +161,8 @@
             leaving: false,
             unfit: false,
             capacity: collector_capacity(settings.link_mbps, settings.cores),
+            caller_address: None,
+            unreached_services: Vec::new(),
             edition: 0,
         };
         let window = TimeSpan((settings.bounds.usage_window_s * 1000.0) as u64);
@@ -183,6 +191,8 @@
             orders_refresh: Notify::new(),
             prefixes: RefCell::default(),
             pool: RefCell::default(),
+            paths: RefCell::default(),
+            relays: RefCell::default(),
             limits: RefCell::default(),
             limit_exchange: tokio::sync::Mutex::default(),
             ledger_wanted: Notify::new(),
@@ -371,15 +381,16 @@
     }
 
     /// Runs `reading` from endpoint `key` until it ends; `None` as soon as a later incarnation of
-    /// the instance has started.
+    /// the instance has started. Without a key it runs to its end.
     ///
     /// An instance that lost power resets no connections. Its callers would wait until their
     /// timeouts, although the new incarnation has registered and knows nothing of their requests.
     pub async fn run_until_replaced<T>(
         &self,
-        key: EndpointKey,
+        key: Option<EndpointKey>,
         reading: impl Future<Output = T>,
     ) -> Option<T> {
+        let Some(key) = key else { return Some(reading.await) };
         let ended = async {
             loop {
                 let change = self.incarnation_ended.notified();
@@ -414,6 +425,11 @@
         self.with_budget(service, RetryBudget::earn);
     }
 
+    /// Takes back what a request earned that another process serves.
+    pub fn return_earned_retry(&self, service: &ServiceName) {
+        self.with_budget(service, RetryBudget::return_earned);
+    }
+
     fn with_budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_insert_with(|| {
--- a/crates/front/src/port.rs
+++ b/crates/front/src/port.rs
@@ -4,7 +4,7 @@
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, ResponseHead};
 use bytes::Bytes;
-use oleander_call::{AnswerHead, AttemptHeaders, CallHead, RuleSet};
+use oleander_call::{AnswerHead, AttemptHeaders, CallHead, RelayHeaders, RuleSet};
 use oleander_kind::{ClockTime, ResultCode};
 use oleander_place::EndpointEntry;
 use oleander_plat::FeedObject;
@@ -24,7 +24,13 @@
     /// Sets the headers that carry the data of an attempt to its endpoint.
     fn stamp_request(&self, headers: &mut HeaderMap, stamp: &AttemptHeaders);
 
-    /// Parses the head of an endpoint's answer.
+    /// Sets the headers of a request that is relayed to a peer.
+    fn stamp_relay(&self, headers: &mut HeaderMap, stamp: &RelayHeaders);
+
+    /// Marks the answer to a relayed request: the code of a refusal, or none for an endpoint's answer.
+    fn stamp_relay_answer(&self, headers: &mut HeaderMap, code: Option<ResultCode>);
+
+    /// Parses the head of an endpoint's or peer's answer.
     fn parse_answer(&self, head: &ResponseHead) -> AnswerHead;
 
     /// Removes hop-by-hop headers from an answer.
--- a/crates/front/src/process.rs
+++ b/crates/front/src/process.rs
@@ -9,7 +9,7 @@
 use actix_web::{App, HttpResponse, web};
 use oleander_board::{NodeClock, StopStage};
 use oleander_conf::FrontSettings;
-use oleander_kind::TimeSpan;
+use oleander_kind::{InstanceId, ServiceName, TimeSpan};
 use oleander_mesh::MeshBody;
 use oleander_outlet::{EndpointDialer, listen_socket};
 use oleander_plat::{DutyPort, FeedStore};
@@ -74,6 +74,11 @@
     let address = callers.local_addr()?;
     let peers = listen_socket(settings.peer)?;
     let node = FrontNode::new(settings, log, dialect, (ports.store, ports.dialer), ports.clock);
+    let caller_address = match address.ip().is_unspecified() {
+        true => SocketAddr::new(node.settings.peer.ip(), address.port()),
+        false => address,
+    };
+    node.mesh.borrow_mut().view.set_caller_address(caller_address);
     let traffic = node.traffic.clone();
     let hub = actix::Actor::start(PeerHub::<MeshBody>::new(traffic.clone()));
     if node.peers.set(hub.clone()).is_err() {
@@ -120,6 +125,14 @@
         node.prefixes.borrow_mut().sweep(node.clock.now());
         let endpoints = node.endpoints.borrow();
         node.pool.borrow_mut().sweep(|instance| endpoints.key(instance).is_some());
+        let mesh = node.mesh.borrow();
+        let is_member = |id: &InstanceId| mesh.view.others().any(|member| member.id == *id);
+        node.relays.borrow_mut().sweep(is_member);
+        let rules = node.current_rules();
+        let is_known = |service: &ServiceName| {
+            rules.as_ref().is_none_or(|rules| rules.service(service).is_some())
+        };
+        node.paths.borrow_mut().retain(|service, path| path.is_in_use() || is_known(service));
     }
 }
 
--- /dev/null
+++ b/crates/front/src/relay.rs
@@ -0,0 +1,357 @@
+//! Relays requests to peers, if this process does not reach the endpoints of their service.
+//!
+//! The peer serves a relayed request as it serves one of its own callers: it checks key and route, charges
+//! the account, and keeps to its limits and its retry budget. This process returns what it charged. A
+//! relayed request is marked, and no process relays it again.
+
+use crate::answer::AnswerStage;
+use crate::attempt::{CONNECT_TIMEOUT, IDLE_TIMEOUT, MAX_IDLE_LINKS};
+use crate::drive::{AttemptOutcome, CallContext, CallOutcome, EndpointAnswer, call_salt};
+use crate::events::event;
+use crate::node::FrontNode;
+use crate::{limits, paths, stream, whole};
+use actix_http::{RequestHead, ResponseHead, Version};
+use oleander_call::{AnswerHead, AnswerShape, AttemptEnd, RelayHeaders};
+use oleander_kind::{InstanceId, ResultCode, TimeSpan};
+use oleander_mesh::{RelayRequest, choose_peer};
+use oleander_outlet::{IdleLink, LinkError, LinkPool, SentLink, SocketBounds};
+use oleander_place::{
+    AnswerGrade, EndpointKey, HealthRecord, PathFault, PathState, PlacementChoice,
+};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::time::timeout_at;
+
+/// Peers to which one request is relayed at most.
+const MAX_PEERS: usize = 3;
+/// Attempts that fail before a byte was sent, after which a request goes to a peer.
+const UNSENT_BEFORE_RELAY: u32 = 2;
+
+/// This process's relayed requests and connections at its peers.
+#[derive(Default)]
+pub struct PeerRelays {
+    peers: HashMap<InstanceId, PeerState>,
+    pool: LinkPool,
+}
+
+#[derive(Debug, Default)]
+struct PeerState {
+    in_flight: u32,
+    health: HealthRecord,
+}
+
+impl PeerRelays {
+    /// Drops connections that cannot be used any more, and peers that `is_member` denies.
+    pub fn sweep(&mut self, is_member: impl Fn(&InstanceId) -> bool) {
+        self.peers.retain(|id, peer| peer.in_flight > 0 || is_member(id));
+        self.pool.sweep(is_member);
+    }
+
+    fn in_flight(&self, id: &InstanceId) -> u32 {
+        self.peers.get(id).map_or(0, |peer| peer.in_flight)
+    }
+}
+
+/// Counts a relayed request at its peer until it is dropped.
+struct RelayGuard(Rc<FrontNode>, InstanceId);
+
+impl RelayGuard {
+    fn begin(node: &Rc<FrontNode>, id: &InstanceId) -> Self {
+        node.relays.borrow_mut().peers.entry(id.clone()).or_default().in_flight += 1;
+        RelayGuard(node.clone(), id.clone())
+    }
+}
+
+impl Drop for RelayGuard {
+    fn drop(&mut self) {
+        if let Some(peer) = self.0.relays.borrow_mut().peers.get_mut(&self.1) {
+            peer.in_flight = peer.in_flight.saturating_sub(1);
+        }
+    }
+}
+
+/// How relaying a request to one peer ended.
+enum RelayOutcome {
+    /// The answer of an endpoint, or how the attempt ended without one.
+    Attempted(AttemptOutcome),
+    /// The peer refused the request and states the Retry-After time, if any.
+    Refused(ResultCode, Option<TimeSpan>),
+}
+
+/// Where a request goes next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NextHop {
+    /// To an endpoint.
+    Endpoint,
+    /// To a peer.
+    Peer,
+    /// It is lost: neither this process nor a peer is known to reach an endpoint.
+    Nowhere,
+}
+
+/// Whether a refusal says something about the peer alone, so that another one may serve the request.
+fn concerns_peer(code: ResultCode) -> bool {
+    matches!(
+        code,
+        ResultCode::NoEndpoint
+            | ResultCode::Draining
+            | ResultCode::NoBundle
+            | ResultCode::StaleBundle
+            | ResultCode::UnknownRoute
+            | ResultCode::BadCallerKey
+            | ResultCode::BudgetSpent
+    )
+}
+
+impl CallContext<'_, '_> {
+    /// Where the request goes next. It goes to a peer if this process does not reach the endpoints, or could
+    /// not for this request, and a peer says that it does. Open connections that still work are used.
+    pub(crate) fn next_hop(&self) -> NextHop {
+        let state = paths::path_state(self.node, &self.service);
+        let unsent = self.record.unsent();
+        if state == PathState::Open && unsent == 0 {
+            return NextHop::Endpoint;
+        }
+        let choice = self.choose();
+        let has_failed = unsent >= UNSENT_BEFORE_RELAY || (unsent > 0 && choice.is_none());
+        if state == PathState::Open && !has_failed {
+            return NextHop::Endpoint;
+        }
+        let is_refused = paths::path_fault(self.node, &self.service) == Some(PathFault::Refused);
+        let works = |choice: &PlacementChoice| self.has_open_link(choice.key);
+        if unsent == 0 && is_refused && choice.as_ref().is_some_and(works) {
+            return NextHop::Endpoint;
+        }
+        let may_relay = self.call.relayed_attempts.is_none() && self.record.may_relay();
+        match state {
+            _ if may_relay && self.choose_peer(&[]).is_some() => NextHop::Peer,
+            PathState::Lost => NextHop::Nowhere,
+            PathState::Open | PathState::Doubted => NextHop::Endpoint,
+        }
+    }
+
+    fn has_open_link(&self, key: EndpointKey) -> bool {
+        let board = self.node.endpoints.borrow();
+        let fact = board.get(key);
+        fact.is_some_and(|fact| self.node.pool.borrow().has_open(&fact.entry.instance))
+    }
+
+    fn choose_peer(&self, tried: &[InstanceId]) -> Option<(InstanceId, SocketAddr)> {
+        let now = self.node.clock.now();
+        let relays = self.node.relays.borrow();
+        let mesh = self.node.mesh.borrow();
+        let is_down = |id: &InstanceId| {
+            relays.peers.get(id).is_some_and(|peer| peer.health.is_backing_off(now))
+        };
+        let members = mesh.view.others().filter(|member| !is_down(&member.id));
+        let request = RelayRequest {
+            service: &self.service,
+            domain: &self.node.settings.domain,
+            tried,
+            salt: call_salt(&self.call),
+        };
+        let (id, address) = choose_peer(members, |id| relays.in_flight(id), &request)?;
+        Some((id.clone(), address))
+    }
+
+    /// Relays the request to one peer after another until one serves or refuses it.
+    pub(crate) async fn serve_by_peers(&mut self) -> CallOutcome {
+        self.begin_relaying();
+        let mut tried = Vec::new();
+        while tried.len() < MAX_PEERS
+            && let Some((id, address)) = self.choose_peer(&tried)
+        {
+            tried.push(id.clone());
+            let attempts = self.record.relayable();
+            self.peer = Some(id.clone());
+            let outcome = self.relay((&id, address), attempts).await;
+            self.peer_in_flight = false;
+            self.log_relay(&id, &outcome);
+            match outcome {
+                RelayOutcome::Attempted(AttemptOutcome::Delivered) => return Ok(()),
+                RelayOutcome::Attempted(AttemptOutcome::CallerGone) => {
+                    return Err(io::ErrorKind::ConnectionAborted.into());
+                }
+                RelayOutcome::Attempted(AttemptOutcome::Ended(end, Some(received))) => {
+                    self.record.note_relayed(end, attempts);
+                    return self.forward_failure(received).await;
+                }
+                RelayOutcome::Attempted(AttemptOutcome::Ended(end, None)) => {
+                    self.record.note_relayed(end, attempts);
+                    let again = self.record.may_relay()
+                        && (!end.may_have_run() || self.node.spend_retry(&self.service));
+                    if !again {
+                        return self.give_up(ResultCode::Uncertain).await;
+                    }
+                }
+                RelayOutcome::Refused(code, _) if concerns_peer(code) => {}
+                RelayOutcome::Refused(code, retry) => {
+                    if !code.guarantees_not_run() {
+                        self.record.note_relayed(AttemptEnd::Broken, attempts);
+                    }
+                    return self.refuse_as_peer(code, retry).await;
+                }
+            }
+        }
+        self.give_up(ResultCode::NoEndpoint).await
+    }
+
+    /// Leaves the accounting of the request to the peer: its charge, what it earned for retries, its usage
+    /// and its figures.
+    fn begin_relaying(&mut self) {
+        if let Some(charge) = self.charge.take().filter(|_| !self.record.may_have_run()) {
+            limits::refund_quota(self.node, &charge);
+        }
+        self.node.return_earned_retry(&self.service);
+        self.usage_recorded = true;
+        self.chosen = None;
+        self.endpoint = None;
+    }
+
+    /// Passes on a failure that an endpoint reported to the peer.
+    async fn forward_failure(&mut self, received: EndpointAnswer) -> CallOutcome {
+        if self.answer.stage() != AnswerStage::Waiting {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        self.answer.write_whole(received.status, received.headers, received.body).await
+    }
+
+    /// Passes on the peer's refusal.
+    async fn refuse_as_peer(&mut self, code: ResultCode, retry: Option<TimeSpan>) -> CallOutcome {
+        let is_waiting = self.answer.stage() == AnswerStage::Waiting;
+        if !is_waiting || (self.record.may_have_run() && code.guarantees_not_run()) {
+            return self.give_up(code).await;
+        }
+        self.answer.refuse(code, retry).await
+    }
+
+    async fn relay(
+        &mut self,
+        (id, address): (&InstanceId, SocketAddr),
+        attempts: u32,
+    ) -> RelayOutcome {
+        let _guard = RelayGuard::begin(self.node, id);
+        let ended = |end| RelayOutcome::Attempted(AttemptOutcome::Ended(end, None));
+        let mut sent = match self.send_to_peer(id, address, attempts).await {
+            Ok(sent) => sent,
+            Err(fault) => {
+                self.grade_peer(id, AnswerGrade::Dead);
+                event!(self.node, AttemptFault;
+                    "request" => self.call.id.as_str(), "peer" => id.as_str(),
+                    "fault" => fault.to_string());
+                return ended(AttemptEnd::NotSent);
+            }
+        };
+        self.peer_in_flight = true;
+        let head = match timeout_at(self.deadline, sent.read_head()).await {
+            Ok(Ok(head)) => head,
+            Ok(Err(fault)) => {
+                event!(self.node, AttemptFault;
+                    "request" => self.call.id.as_str(), "peer" => id.as_str(),
+                    "fault" => fault.to_string());
+                let unsent = !sent.may_have_sent();
+                return ended(if unsent { AttemptEnd::NotSent } else { AttemptEnd::Broken });
+            }
+            Err(_) => return ended(AttemptEnd::TimedOut),
+        };
+        self.grade_peer(id, AnswerGrade::Good);
+        self.handle_peer_answer(id, sent, head).await
+    }
+
+    async fn send_to_peer(
+        &self,
+        id: &InstanceId,
+        address: SocketAddr,
+        attempts: u32,
+    ) -> Result<SentLink, LinkError> {
+        let kept = self.node.relays.borrow_mut().pool.take(id);
+        let link = match kept {
+            Some(link) => link,
+            None => IdleLink::open(address, CONNECT_TIMEOUT, SocketBounds::default()).await?,
+        };
+        let mut head = RequestHead::default();
+        head.method = self.request.method.clone();
+        head.uri = self.request.uri.clone();
+        head.version = Version::HTTP_11;
+        head.headers = self.request.headers.clone();
+        let stamp = RelayHeaders {
+            key: self.call.key.clone(),
+            left: self.time_left(),
+            last_event: self.last_event,
+            attempts,
+        };
+        self.node.dialect.stamp_relay(&mut head.headers, &stamp);
+        link.send(&self.node.http, head, self.body.clone())
+    }
+
+    async fn handle_peer_answer(
+        &mut self,
+        id: &InstanceId,
+        sent: SentLink,
+        head: ResponseHead,
+    ) -> RelayOutcome {
+        let answer_head = self.node.dialect.parse_answer(&head);
+        let code = answer_head.relay_code;
+        let refusal = code.filter(|code| *code > 0).map(ResultCode::from_number);
+        let is_answer = code == Some(0) && answer_head.is_sound(&self.call.id);
+        let body = sent.into_body(&head);
+        if let Some(refusal) = refusal {
+            let retry = answer_head.retry_after;
+            // The body only describes the code.
+            let mut body = body;
+            while let Ok(Some(_)) = body.next().await {}
+            self.keep_peer_link(id, body.into_idle());
+            return RelayOutcome::Refused(refusal.unwrap_or(ResultCode::Uncertain), retry);
+        }
+        if !is_answer {
+            // Not a front process any more, or not one that knows relayed requests.
+            return RelayOutcome::Attempted(AttemptOutcome::Ended(AttemptEnd::Broken, None));
+        }
+        let (outcome, link) = self.forward_peer_answer(body, head, &answer_head).await;
+        self.keep_peer_link(id, link);
+        RelayOutcome::Attempted(outcome)
+    }
+
+    async fn forward_peer_answer(
+        &mut self,
+        body: oleander_outlet::BodyLink,
+        head: ResponseHead,
+        answer_head: &AnswerHead,
+    ) -> (AttemptOutcome, Option<IdleLink>) {
+        let events = self.route().shape == AnswerShape::Events && answer_head.is_success();
+        if events {
+            stream::forward_events(self, body, head, None).await
+        } else {
+            whole::forward_whole(self, body, head, answer_head, None).await
+        }
+    }
+
+    fn keep_peer_link(&self, id: &InstanceId, link: Option<IdleLink>) {
+        if let Some(link) = link {
+            self.node.relays.borrow_mut().pool.put(id, link, IDLE_TIMEOUT, MAX_IDLE_LINKS);
+        }
+    }
+
+    fn grade_peer(&self, id: &InstanceId, grade: AnswerGrade) {
+        let now = self.node.clock.now();
+        if let Some(peer) = self.node.relays.borrow_mut().peers.get_mut(id) {
+            peer.health.note(grade, now);
+        }
+    }
+
+    fn log_relay(&self, id: &InstanceId, outcome: &RelayOutcome) {
+        let end = match outcome {
+            RelayOutcome::Attempted(AttemptOutcome::Delivered) => "delivered",
+            RelayOutcome::Attempted(AttemptOutcome::CallerGone) => "caller_gone",
+            RelayOutcome::Attempted(AttemptOutcome::Ended(end, _)) => end.name(),
+            RelayOutcome::Refused(code, _) => code.name(),
+        };
+        self.node.meter.count_relay(end);
+        event!(self.node, RequestRelayed;
+            "request" => self.call.id.as_str(), "service" => self.service.as_str(),
+            "peer" => id.as_str(), "end" => end,
+            "path" => format!("{:?}", paths::path_state(self.node, &self.service)));
+    }
+}
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -3,6 +3,7 @@
 use crate::answer::AnswerStage;
 use crate::drive::{AttemptOutcome, CallContext};
 use crate::events::event;
+use crate::paths;
 use crate::work::WorkGuard;
 use actix_http::ResponseHead;
 use actix_http::header::HeaderMap;
@@ -22,12 +23,13 @@
 ///
 /// The response head is sent with the first event, so that an attempt that breaks before it can be
 /// retried unnoticed by the caller. Only complete events are sent: a stream that breaks in the middle of
-/// an event is resumed after the last complete one.
+/// an event is resumed after the last complete one. Without `work`, a peer answers, which accounts for the
+/// work of the endpoint.
 pub async fn forward_events(
     context: &mut CallContext<'_, '_>,
     mut body: BodyLink,
     mut head: ResponseHead,
-    work: &mut WorkGuard,
+    mut work: Option<&mut WorkGuard>,
 ) -> (AttemptOutcome, Option<IdleLink>) {
     let status = head.status;
     let mut headers = std::mem::replace(head.headers_mut(), HeaderMap::new());
@@ -35,8 +37,8 @@
     let mut headers = Some(headers);
     let mut splitter = EventSplitter::default();
     let mut resumes = context.answer.stage() != AnswerStage::Waiting;
-    let mut limit = context.first_chunk_deadline();
-    let (node, key) = (context.node.clone(), work.key());
+    let mut limit = if work.is_some() { context.first_chunk_deadline() } else { context.deadline };
+    let (node, key) = (context.node.clone(), work.as_ref().map(|work| work.key()));
     loop {
         let bytes = match timeout_at(limit, node.run_until_replaced(key, body.next())).await {
             Ok(Some(Ok(Some(bytes)))) => bytes,
@@ -53,8 +55,11 @@
         if out.is_empty() {
             continue;
         }
-        work.note_prompt_read();
-        work.note_answered();
+        if let Some(work) = &mut work {
+            paths::note_reached(&node, &context.service);
+            work.note_prompt_read();
+            work.note_answered();
+        }
         if context.answer.stage() == AnswerStage::Waiting {
             context.record_usage(Duration::ZERO);
             context.note_read();
@@ -71,7 +76,7 @@
         if write_events(context, status, &mut headers, out).await.is_err() {
             return (AttemptOutcome::CallerGone, None);
         }
-        limit = stall_deadline(context);
+        limit = stall_deadline(context, key.is_none());
     }
     let rest = splitter.take_incomplete();
     let written = async {
@@ -141,11 +146,13 @@
     }
 }
 
-fn stall_deadline(context: &CallContext<'_, '_>) -> Instant {
+/// When a silent stream is given up. A peer that relays it gets the time to resume it itself.
+fn stall_deadline(context: &CallContext<'_, '_>, is_relayed: bool) -> Instant {
+    let stalls = if is_relayed { 2 * STALL_PAUSES } else { STALL_PAUSES };
     let route = context.route();
     match (route.repeat, route.pause) {
         (RepeatRule::Resume, Some(pause)) => {
-            context.deadline.min(Instant::now() + pause.duration() * STALL_PAUSES)
+            context.deadline.min(Instant::now() + pause.duration() * stalls)
         }
         _ => context.deadline,
     }
--- a/crates/front/src/suspects.rs
+++ b/crates/front/src/suspects.rs
@@ -1,9 +1,10 @@
 //! Tracks requests that crash endpoints: records what failed attempts show about their endpoints,
 //! and tells which requests are quarantined.
 
-use crate::attempt::{CONNECT_TIMEOUT, IDLE_TIMEOUT, MAX_IDLE_LINKS};
+use crate::attempt::CONNECT_TIMEOUT;
 use crate::events::event;
 use crate::node::FrontNode;
+use crate::paths;
 use oleander_kind::TimeSpan;
 use oleander_outlet::LinkError;
 use oleander_place::EndpointEntry;
@@ -90,7 +91,7 @@
 async fn probe_for_exit(node: Rc<FrontNode>, life: EndpointIncarnation, address: SocketAddr) {
     let link = match node.dialer.dial(address, CONNECT_TIMEOUT).await {
         Ok(link) => link,
-        Err(fault) if is_port_closed(&fault) => return note_ended(&node, &life, "port closed"),
+        Err(fault) if is_port_closed(&fault) => return note_port_closed(&node, &life),
         // No answer may mean that this process is isolated; the endpoint list will show it.
         Err(_) => return,
     };
@@ -99,10 +100,7 @@
         // A proxy in front of the endpoint accepted the connection and could not reach it.
         return note_ended(&node, &life, "connection closed");
     }
-    let is_listed = node.endpoints.borrow().key(&life.instance).is_some();
-    if is_listed {
-        node.pool.borrow_mut().put(&life.instance, link, IDLE_TIMEOUT, MAX_IDLE_LINKS);
-    }
+    paths::keep_link(&node, &life.instance, link);
 }
 
 /// Whether the connection was refused because nothing listens on the port any more.
@@ -110,6 +108,27 @@
     matches!(fault, LinkError::ConnectFailed(cause) if cause.kind() == io::ErrorKind::ConnectionRefused)
 }
 
+/// Notes that the port of an endpoint is closed. The endpoint has ended if another one of its service
+/// can be reached; otherwise it may be this process that is cut off.
+pub fn note_port_closed(node: &Rc<FrontNode>, life: &EndpointIncarnation) {
+    if !node.crash_watch.borrow().is_broken(life) {
+        return;
+    }
+    let (node, life) = (node.clone(), life.clone());
+    actix_rt::spawn(async move {
+        let of = {
+            let board = node.endpoints.borrow();
+            board
+                .key(&life.instance)
+                .and_then(|key| Some((key, board.get(key)?.entry.service.clone())))
+        };
+        let Some((key, service)) = of else { return };
+        if paths::reaches_another(&node, &service, key).await != Some(false) {
+            note_ended(&node, &life, "port closed");
+        }
+    });
+}
+
 /// Notes that an endpoint ended without having signalled that it leaves, and records the crash for each request of
 /// this process that it was running. `by` names the evidence in the log.
 pub fn note_ended(node: &FrontNode, life: &EndpointIncarnation, by: &'static str) {
--- a/crates/front/src/trace.rs
+++ b/crates/front/src/trace.rs
@@ -31,6 +31,8 @@
     pub(crate) may_have_run: bool,
     /// Endpoint of the last attempt.
     pub(crate) endpoint: Option<InstanceId>,
+    /// Peer to which it was relayed last.
+    pub(crate) peer: Option<InstanceId>,
     /// The choice of that endpoint, with the figures it was based on.
     pub(crate) chosen: Option<PlacementChoice>,
     /// Age of the endpoint list at that choice.
@@ -55,6 +57,7 @@
             sent: 0,
             may_have_run: false,
             endpoint: None,
+            peer: None,
             chosen: None,
             list_age: None,
             last_event: None,
@@ -79,24 +82,25 @@
             node.meter.record_first_ms(&self.service, ms as f64);
         }
         let endpoint = self.endpoint.as_ref().map(|id| id.as_str());
+        let peer = self.peer.as_ref().map(|id| id.as_str());
         let fingerprint = self.fingerprint.map(|fingerprint| fingerprint.to_string());
         match (outcome, answer.code()) {
             (Err(fault), _) => event!(node, RequestCut;
                 "request" => request, "print" => fingerprint, "service" => self.service.as_str(),
                 "why" => fault.to_string(), "status" => answer.status(), "sent" => self.sent,
-                "endpoint" => endpoint, "last_event" => self.last_event, "total_ms" => total_ms,
+                "endpoint" => endpoint, "peer" => peer, "last_event" => self.last_event, "total_ms" => total_ms,
                 "rules" => self.rules),
             (Ok(()), Some(code)) => event!(node, RequestRefused;
                 "request" => request, "print" => fingerprint, "service" => self.service.as_str(),
                 "code" => code.number(), "name" => code.name(), "status" => code.status(),
                 "sent" => self.sent, "may_have_run" => self.may_have_run,
-                "endpoint" => endpoint, "total_ms" => total_ms, "rules" => self.rules,
+                "endpoint" => endpoint, "peer" => peer, "total_ms" => total_ms, "rules" => self.rules,
                 "fresh" => self.fresh, "ahead" => self.chosen.map(|choice| choice.tokens_ahead),
                 "running" => self.chosen.map(|choice| choice.running), "limit" => self.limit()),
             (Ok(()), None) => event!(node, RequestDone;
                 "request" => request, "print" => fingerprint, "service" => self.service.as_str(),
                 "status" => answer.status(), "sent" => self.sent, "endpoint" => endpoint,
-                "first_ms" => self.first_ms, "pause_ms" => self.longest_pause.map(|longest_pause| longest_pause.0),
+                "peer" => peer, "first_ms" => self.first_ms, "pause_ms" => self.longest_pause.map(|longest_pause| longest_pause.0),
                 "total_ms" => total_ms, "rules" => self.rules,
                 "ahead" => self.chosen.map(|choice| choice.tokens_ahead),
                 "unread" => self.chosen.map(|choice| choice.unread),
--- a/crates/front/src/whole.rs
+++ b/crates/front/src/whole.rs
@@ -13,13 +13,13 @@
 const BUFFER_LIMIT: usize = 4 << 20;
 
 /// Reads a complete answer and writes it to the caller. A server error is returned instead, because a
-/// retry may succeed.
+/// retry may succeed. Without a `key`, a peer answers.
 pub async fn forward_whole(
     context: &mut CallContext<'_, '_>,
     mut body: BodyLink,
     mut head: ResponseHead,
     answer_head: &AnswerHead,
-    key: EndpointKey,
+    key: Option<EndpointKey>,
 ) -> (AttemptOutcome, Option<IdleLink>) {
     let mut bytes = BytesMut::new();
     let node = context.node.clone();
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod loads;
 pub mod message;
 pub mod part_sizes;
+pub mod relay;
 mod report_history;
 pub mod rules;
 pub mod signals;
@@ -35,6 +36,7 @@
     ServiceDemand, ServicePace, ServicePeak, UsageCount,
 };
 pub use part_sizes::{PartSizes, digest_part_sizes, report_part_sizes};
+pub use relay::{RelayRequest, choose_peer};
 pub use rules::RulesBook;
 pub use signals::{EndpointSignals, RateShare, signals_hash};
 pub use view::{MeshView, collector_capacity, settled_term};
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -45,6 +45,13 @@
     /// [`collector_capacity`](crate::view::collector_capacity).
     #[serde(rename = "s", default)]
     pub capacity: u32,
+    /// The address for callers, at which peers may relay requests to it; `None` of a process that
+    /// does not take relayed requests.
+    #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
+    pub caller_address: Option<SocketAddr>,
+    /// Services of which it reaches no endpoint.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub unreached_services: Vec<ServiceName>,
     /// Incremented with each change within one incarnation; the highest is the newest.
     #[serde(rename = "n")]
     pub edition: u32,
--- a/crates/mesh/src/view.rs
+++ b/crates/mesh/src/view.rs
@@ -2,8 +2,9 @@
 
 use crate::message::MemberInfo;
 use oleander_kind::hash::{HASH_SEED, mix_bits, rendezvous_weight, stable_hash};
-use oleander_kind::{ClockTime, InstanceId, TimeSpan};
+use oleander_kind::{ClockTime, InstanceId, ServiceName, TimeSpan};
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 
 /// How long a member that did not answer is not chosen as the collector, at first; doubled with
 /// each failure. A restarted member is used again after seconds, and a dead one costs a few
@@ -71,6 +72,20 @@
         }
     }
 
+    /// Sets the address at which peers may relay requests to this process.
+    pub fn set_caller_address(&mut self, address: SocketAddr) {
+        self.me.caller_address = Some(address);
+        self.me.edition += 1;
+    }
+
+    /// Records of which services this process reaches no endpoint.
+    pub fn set_unreached_services(&mut self, services: Vec<ServiceName>) {
+        if self.me.unreached_services != services {
+            self.me.unreached_services = services;
+            self.me.edition += 1;
+        }
+    }
+
     /// Adds or updates a member, as announced by itself (`heard`) or by another process. The latest
     /// edition of the latest incarnation wins.
     pub fn take(&mut self, member: MemberInfo, heard: bool, now: ClockTime) {
--- a/crates/outlet/src/pool.rs
+++ b/crates/outlet/src/pool.rs
@@ -29,6 +29,14 @@
         None
     }
 
+    /// Whether a connection to `instance` is stored that is within its idle limit and open.
+    pub fn has_open(&self, instance: &InstanceId) -> bool {
+        let is_open = |pooled: &PooledLink| {
+            pooled.link.idle_for() < pooled.idle_limit && pooled.link.is_reusable()
+        };
+        self.links.get(instance).is_some_and(|links| links.iter().any(is_open))
+    }
+
     /// Stores `link` for at most `idle_limit`, unless `max_idle` connections to `instance` are
     /// stored already.
     pub fn put(
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod choose;
 pub mod cost;
 pub mod health;
+pub mod path;
 pub mod pause;
 pub mod prefix;
 pub mod shed;
@@ -17,6 +18,7 @@
 pub use choose::{PlacementChoice, PlacementRequest, available_in, choose_endpoint};
 pub use cost::expected_first_byte;
 pub use health::{AnswerGrade, HealthRecord};
+pub use path::{PathFault, PathRecord, PathState};
 pub use pause::PauseRecord;
 pub use prefix::PrefixRecord;
 pub use shed::{OfferedRate, ServiceLoad, queue_limit, shed_delay};
--- a/crates/suspect/src/monitor.rs
+++ b/crates/suspect/src/monitor.rs
@@ -99,6 +99,11 @@
         affected.into_iter().map(|broken| (broken.fingerprint, broken.end)).collect()
     }
 
+    /// Whether requests broke at `life` whose cause is not known yet.
+    pub fn is_broken(&self, life: &EndpointIncarnation) -> bool {
+        self.broken.iter().any(|broken| broken.end.life == *life)
+    }
+
     /// Whether the caller should probe `life` now; `false` if it was probed recently.
     pub fn start_probe(&mut self, life: &EndpointIncarnation, now: ClockTime) -> bool {
         self.probed.retain(|(_, at)| now - *at < PROBE_PERIOD);
--- a/tests/all/mesh.rs
+++ b/tests/all/mesh.rs
@@ -28,6 +28,8 @@
         leaving: false,
         unfit: false,
         capacity: 0,
+        caller_address: None,
+        unreached_services: Vec::new(),
         edition: 0,
     }
 }
