Brittle endpoints fall over under overload: failing tests

What callers would see: endpoints that say they are brittle fall over one after another, because no line reads that signal. Change: plays of nine and of sixty processes, with endpoints that fall over if they turn away more than two requests a second, at half more load than they can serve and at a third of it.

--- /dev/null
+++ b/tests/all/brittle.rs
@@ -0,0 +1,234 @@
+//! Endpoints that fall over if they have to turn away more than a few requests a second, with several
+//! front processes in virtual time.
+
+use crate::plays::{EndpointRegistry, ProcessGroup, play};
+use crate::scripted::read_request;
+use crate::tried_once::TriedOnce;
+use bytes::BytesMut;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep};
+
+/// Requests that an endpoint runs at once.
+const SLOTS: usize = 4;
+/// Requests that may wait at an endpoint.
+const WAITING: usize = 4;
+/// How long a request runs.
+const RUN_TIME: Duration = Duration::from_millis(200);
+/// How long an endpoint that fell over is gone.
+const GONE_TIME: Duration = Duration::from_secs(4);
+/// From the first brittle answer until fewer requests may wait.
+const CONTACT_TIME: Duration = Duration::from_millis(3000);
+/// Requests a second that an endpoint may have to turn away without falling over.
+const REFUSALS: usize = 2;
+
+/// An endpoint that is brittle at times.
+struct BrittleEndpoint {
+    is_brittle: Cell<bool>,
+    most_waiting: Cell<usize>,
+    running: Cell<usize>,
+    waiting: Cell<usize>,
+    freed: Notify,
+    refused_at: RefCell<VecDeque<Instant>>,
+    falls: Cell<u32>,
+    is_gone: Cell<bool>,
+    fell: Notify,
+}
+
+impl BrittleEndpoint {
+    fn refuse(self: &Rc<Self>) {
+        let now = Instant::now();
+        let mut refused_at = self.refused_at.borrow_mut();
+        refused_at.push_back(now);
+        refused_at.retain(|at| now - *at < Duration::from_secs(1));
+        if self.is_brittle.get() && refused_at.len() > REFUSALS && !self.is_gone.get() {
+            refused_at.clear();
+            self.falls.set(self.falls.get() + 1);
+            self.is_gone.set(true);
+            self.fell.notify_waiters();
+            let endpoint = self.clone();
+            tokio::task::spawn_local(async move {
+                sleep(GONE_TIME).await;
+                endpoint.is_gone.set(false);
+            });
+        }
+    }
+
+    /// Runs a request; returns whether there was room for it.
+    async fn run(self: &Rc<Self>) -> bool {
+        if self.running.get() >= SLOTS {
+            if self.waiting.get() >= self.most_waiting.get() {
+                self.refuse();
+                return false;
+            }
+            self.waiting.set(self.waiting.get() + 1);
+            while self.running.get() >= SLOTS {
+                self.freed.notified().await;
+            }
+            self.waiting.set(self.waiting.get() - 1);
+        }
+        self.running.set(self.running.get() + 1);
+        sleep(RUN_TIME).await;
+        self.running.set(self.running.get() - 1);
+        self.freed.notify_one();
+        true
+    }
+
+    async fn serve(self: Rc<Self>, mut stream: TcpStream) {
+        let mut buffer = BytesMut::new();
+        while let Some(request) = read_request(&mut stream, &mut buffer).await {
+            let id = request.header("x-oleandertack-request-id").unwrap_or_default().to_owned();
+            let has_run = self.run().await;
+            let brittle = if self.is_brittle.get() {
+                format!("Server-Brittle: {REFUSALS}\r\n")
+            } else {
+                String::new()
+            };
+            let (status, mark, body) = match has_run {
+                true => ("200 OK", "X-Oleandertack-Response-Seal: seal", "ok"),
+                false => ("503 Service Unavailable", "X-Oleandertack-Not-Executed: 1", ""),
+            };
+            let answer = format!(
+                "HTTP/1.1 {status}\r\nX-Oleandertack-Request-Id: {id}\r\n{mark}\r\n{brittle}\
+                 Content-Length: {}\r\n\r\n{body}",
+                body.len()
+            );
+            if stream.write_all(answer.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+async fn accept(endpoint: Rc<BrittleEndpoint>, listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        if endpoint.is_gone.get() {
+            continue;
+        }
+        let endpoint = endpoint.clone();
+        tokio::task::spawn_local(async move {
+            let fell = endpoint.clone();
+            tokio::select! {
+                () = fell.fell.notified() => {}
+                () = endpoint.serve(stream) => {}
+            }
+        });
+    }
+}
+
+fn entry_at(address: SocketAddr) -> String {
+    format!(
+        r#"{{"service":"s","address":"{address}","zone":"near","version":"v1","slots":{SLOTS},"state":"ready","seq":1}}"#
+    )
+}
+
+async fn start_endpoints(registry: &EndpointRegistry, count: usize) -> Vec<Rc<BrittleEndpoint>> {
+    let mut endpoints = Vec::new();
+    for at in 0..count {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let endpoint = Rc::new(BrittleEndpoint {
+            is_brittle: Cell::default(),
+            most_waiting: Cell::new(WAITING),
+            running: Cell::default(),
+            waiting: Cell::default(),
+            freed: Notify::new(),
+            refused_at: RefCell::default(),
+            falls: Cell::default(),
+            is_gone: Cell::default(),
+            fell: Notify::new(),
+        });
+        registry.put(&format!("b-{at}"), entry_at(address));
+        tokio::task::spawn_local(accept(endpoint.clone(), listener));
+        endpoints.push(endpoint);
+    }
+    endpoints
+}
+
+/// What a time came to in which all endpoints were brittle.
+#[derive(Debug)]
+struct BrittleTime {
+    asked: f64,
+    served: f64,
+    falls: u32,
+}
+
+/// Lets `processes` send `per_s` requests a second to `count` endpoints in all, which become brittle and
+/// are that for 12 s.
+async fn play_brittle_time(processes: usize, count: usize, per_s: f64) -> BrittleTime {
+    let group = ProcessGroup::start(processes).await;
+    group.remove_first_endpoints();
+    let endpoints = start_endpoints(&group.registry(), count).await;
+    sleep(Duration::from_secs(2)).await;
+    let period = Duration::from_secs_f64(processes as f64 / per_s);
+    let callers = TriedOnce::start(&group, period);
+    sleep(Duration::from_secs(4)).await;
+    endpoints.iter().for_each(|endpoint| endpoint.is_brittle.set(true));
+    sleep(CONTACT_TIME).await;
+    endpoints.iter().for_each(|endpoint| endpoint.most_waiting.set(1));
+    let before = callers.total();
+    sleep(Duration::from_secs(9)).await;
+    let after = callers.total();
+    callers.ends.set(true);
+    BrittleTime {
+        asked: f64::from(after.asked - before.asked),
+        served: f64::from(after.served - before.served),
+        falls: endpoints.iter().map(|endpoint| endpoint.falls.get()).sum(),
+    }
+}
+
+/// Requests a second that `count` endpoints can serve.
+fn capacity_per_s(count: usize) -> f64 {
+    (count * SLOTS) as f64 / RUN_TIME.as_secs_f64()
+}
+
+fn assert_few_falls(time: &BrittleTime, count: usize) {
+    assert!(f64::from(time.falls) <= 2.0 + 0.1 * count as f64, "{time:?}");
+}
+
+/// Callers ask for half more than brittle endpoints can serve.
+#[test]
+fn brittle_endpoints_do_not_fall_over_under_overload() {
+    play(async {
+        let offered = 1.5 * capacity_per_s(6);
+
+        let time = play_brittle_time(9, 6, offered).await;
+
+        assert_few_falls(&time, 6);
+        let possible = 9.0 * capacity_per_s(6);
+        assert!(time.served > 0.5 * possible, "{time:?} of {possible}");
+    });
+}
+
+/// Callers ask for a third of what brittle endpoints can serve.
+#[test]
+fn brittle_endpoints_that_are_not_overloaded_serve_as_before() {
+    play(async {
+        let offered = capacity_per_s(6) / 3.0;
+
+        let time = play_brittle_time(9, 6, offered).await;
+
+        assert_few_falls(&time, 6);
+        assert!(time.served > 0.95 * time.asked, "{time:?}");
+    });
+}
+
+/// Sixty processes send to as many brittle endpoints half more than these can serve.
+#[test]
+fn brittle_endpoints_do_not_fall_over_under_sixty_processes() {
+    play(async {
+        let offered = 1.5 * capacity_per_s(12);
+
+        let time = play_brittle_time(60, 12, offered).await;
+
+        assert_few_falls(&time, 12);
+        let possible = 9.0 * capacity_per_s(12);
+        assert!(time.served > 0.5 * possible, "{time:?} of {possible}");
+    });
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod adapter;
 mod arbitrary;
 mod board;
+mod brittle;
 mod bundle;
 mod call;
 mod check;
@@ -56,4 +57,5 @@
 mod speaking;
 mod suspect;
 mod trace;
+mod tried_once;
 mod words;
--- a/tests/all/no_path.rs
+++ b/tests/all/no_path.rs
@@ -1,12 +1,10 @@
 //! Processes that lose their way to all endpoints, while callers, the store and the other processes
 //! still reach them; in virtual time.
 
-use crate::front::{request, try_ask};
 use crate::path::PathMode;
 use crate::plays::{ProcessGroup, play};
 use crate::speaking::start_signal_endpoints;
-use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
+use crate::tried_once::TriedOnce;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -18,48 +16,6 @@
 /// How long a cut lasts.
 const CUT_TIME: Duration = Duration::from_secs(6);
 
-/// What callers got at one process.
-#[derive(Clone, Copy, Debug, Default)]
-struct ServedCount {
-    asked: u32,
-    served: u32,
-}
-
-/// Callers at each process, each of whose requests is tried once.
-#[derive(Default)]
-struct TriedOnce {
-    addresses: RefCell<Vec<SocketAddr>>,
-    counts: RefCell<Vec<ServedCount>>,
-    failed: RefCell<Vec<String>>,
-    ends: Cell<bool>,
-}
-
-impl TriedOnce {
-    async fn send_requests(self: Rc<Self>, process: usize) {
-        sleep(REQUEST_PERIOD * process as u32 / 7).await;
-        for number in 0_u64.. {
-            if self.ends.get() {
-                return;
-            }
-            tokio::task::spawn_local(self.clone().send_request(process, number));
-            sleep(REQUEST_PERIOD).await;
-        }
-    }
-
-    async fn send_request(self: Rc<Self>, process: usize, number: u64) {
-        let path = if number.is_multiple_of(2) { "/any/a" } else { "/once/a" };
-        let text = request("POST", path, &format!("w-{process}-{number}"), "", "x");
-        let address = self.addresses.borrow()[process];
-        self.counts.borrow_mut()[process].asked += 1;
-        let answer = try_ask(address, &text).await;
-        if answer.as_ref().is_some_and(|answer| answer.status() == "200") {
-            self.counts.borrow_mut()[process].served += 1;
-        } else {
-            self.failed.borrow_mut().push(format!("{process}: {answer:?}"));
-        }
-    }
-}
-
 /// Processes and endpoints, with callers at each process.
 struct CutTest {
     group: ProcessGroup,
@@ -72,13 +28,7 @@
         group.remove_first_endpoints();
         start_signal_endpoints(&group.registry(), endpoints).await;
         sleep(Duration::from_secs(2)).await;
-        let callers: Rc<TriedOnce> = Rc::default();
-        let addresses = group.processes.iter().map(|process| process.address());
-        *callers.addresses.borrow_mut() = addresses.collect();
-        *callers.counts.borrow_mut() = vec![ServedCount::default(); processes];
-        for process in 0..processes {
-            tokio::task::spawn_local(callers.clone().send_requests(process));
-        }
+        let callers = TriedOnce::start(&group, REQUEST_PERIOD);
         sleep(Duration::from_secs(2)).await;
         CutTest { group, callers }
     }
--- /dev/null
+++ b/tests/all/tried_once.rs
@@ -0,0 +1,83 @@
+//! Callers whose requests are tried once each, at every process of a group.
+
+use crate::front::{request, try_ask};
+use crate::plays::ProcessGroup;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// What callers got at one process.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ServedCount {
+    pub asked: u32,
+    pub served: u32,
+}
+
+/// Callers at each process, each of whose requests is tried once.
+pub struct TriedOnce {
+    period: Duration,
+    addresses: RefCell<Vec<SocketAddr>>,
+    pub counts: RefCell<Vec<ServedCount>>,
+    pub failed: RefCell<Vec<String>>,
+    pub ends: Cell<bool>,
+}
+
+impl TriedOnce {
+    /// Sends a request to each process once a `period`.
+    pub fn start(group: &ProcessGroup, period: Duration) -> Rc<Self> {
+        let count = group.processes.len();
+        let callers = Rc::new(TriedOnce {
+            period,
+            addresses: RefCell::default(),
+            counts: RefCell::new(vec![ServedCount::default(); count]),
+            failed: RefCell::default(),
+            ends: Cell::default(),
+        });
+        callers.follow(group);
+        for process in 0..count {
+            tokio::task::spawn_local(callers.clone().send_requests(process));
+        }
+        callers
+    }
+
+    /// Uses the present addresses of the processes.
+    pub fn follow(&self, group: &ProcessGroup) {
+        let addresses = group.processes.iter().map(|process| process.address());
+        *self.addresses.borrow_mut() = addresses.collect();
+    }
+
+    /// What callers got so far, over all processes.
+    pub fn total(&self) -> ServedCount {
+        let add = |sum: ServedCount, one: &ServedCount| ServedCount {
+            asked: sum.asked + one.asked,
+            served: sum.served + one.served,
+        };
+        self.counts.borrow().iter().fold(ServedCount::default(), add)
+    }
+
+    async fn send_requests(self: Rc<Self>, process: usize) {
+        sleep(self.period * process as u32 / 7).await;
+        for number in 0_u64.. {
+            if self.ends.get() {
+                return;
+            }
+            tokio::task::spawn_local(self.clone().send_request(process, number));
+            sleep(self.period).await;
+        }
+    }
+
+    async fn send_request(self: Rc<Self>, process: usize, number: u64) {
+        let path = if number.is_multiple_of(2) { "/any/a" } else { "/once/a" };
+        let text = request("POST", path, &format!("w-{process}-{number}"), "", "x");
+        let address = self.addresses.borrow()[process];
+        self.counts.borrow_mut()[process].asked += 1;
+        let answer = try_ask(address, &text).await;
+        if answer.as_ref().is_some_and(|answer| answer.status() == "200") {
+            self.counts.borrow_mut()[process].served += 1;
+        } else {
+            self.failed.borrow_mut().push(format!("{process}: {answer:?}"));
+        }
+    }
+}
