Requests at brittle endpoints stay within permits that all processes work out alike

What callers would see: endpoints that say they are brittle fall over under refusals, and with them what they run. Cause: the signal was not read, and a full endpoint was found out by its refusals, at each process by itself. Change: Server-Brittle is read, kept and passed on like the other signals (in all answers; missing in an answer of a request that ran, it ends). At a brittle endpoint all processes together keep within its slots, or what fits into its memory: the window is divided into permits, which each process works out from the members that all know, so nothing depends on the age of reports. Beyond its permits a process sends only what its part of half of the free room allows, at endpoints that are half empty by the last reports. A refusal closes the endpoint for a second, reduces the window by a quarter, and is passed on. Requests broken at a brittle endpoint are no suspects.

--- a/crates/call/src/head.rs
+++ b/crates/call/src/head.rs
@@ -118,6 +118,8 @@
     pub leaving: EndpointSignal<bool>,
     /// How long the endpoint, having refused this request, wants no more requests of this process.
     pub backoff: EndpointSignal<TimeSpan>,
+    /// The refusals a second for want of room at which the endpoint falls over.
+    pub brittle: EndpointSignal<u32>,
     /// Present if a peer answered a relayed request: the code of its refusal, or 0 if it passed on
     /// an endpoint's answer.
     pub relay_code: Option<u16>,
@@ -136,6 +138,13 @@
         self.id.as_deref().is_none_or(|named| named == id)
     }
 
+    /// Whether the endpoint refused the request for want of room.
+    pub fn is_full(&self) -> bool {
+        /// HTTP status of such a refusal.
+        const UNAVAILABLE: u16 = 503;
+        self.not_run && self.status == UNAVAILABLE
+    }
+
     /// Whether the answer may be passed to the caller of `id`.
     ///
     /// A corrupted endpoint may send bytes that parse as an answer. To avoid passing on an answer
--- a/crates/front/src/admin.rs
+++ b/crates/front/src/admin.rs
@@ -180,6 +180,8 @@
             "limit_part_per_s": fact.declared.bucket.per_s(node.clock.lease_now()),
             "limit_age_ms": fact.declared.limit.rate.map(|_| (now - fact.declared.limit.asked_at).0),
             "said_leaving": fact.declared.leaves,
+            "brittle": fact.declared.brittle.refusals,
+            "room": fact.is_brittle().then(|| fact.declared.room.current(fact.running_at_once(), now)),
             "rest_left_ms": (fact.declared.backoff_until - node.clock.lease_now()).0,
             "rests": fact.health.is_backing_off(now),
             "failure_share": fact.health.failure_share(now),
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -86,7 +86,8 @@
     }
 
     /// Reports a broken attempt, because the request may have crashed its endpoint. An endpoint that
-    /// signalled that it is leaving is left out: it ends all its requests.
+    /// signalled that it is leaving is left out: it ends all its requests. So is a brittle one, which falls
+    /// over under refusals and not under a request.
     pub(crate) fn note_broken(&self, key: EndpointKey, end: AttemptEnd) {
         let (Some((life, address)), Some(sent_at)) = (self.last_target.clone(), self.sent_at)
         else {
@@ -95,6 +96,9 @@
         let (takes_work, last_answer_at) = {
             let board = self.node.endpoints.borrow();
             let fact = board.get(key);
+            if fact.is_some_and(EndpointFact::is_brittle) {
+                return;
+            }
             let last_answer_at = fact.map(|fact| fact.health.good_at()).unwrap_or_default();
             (fact.map(EndpointFact::takes_work), last_answer_at)
         };
@@ -360,6 +364,7 @@
             self.note_failure(target, work, AnswerGrade::Bad);
             return AttemptOutcome::Ended(AttemptEnd::Broken, None);
         }
+        let is_full = answer_head.is_full();
         let signals_backoff = matches!(answer_head.backoff, EndpointSignal::Present(_));
         let body = sent.into_body(&head);
         let (outcome, link) = if events {
@@ -377,6 +382,12 @@
             AttemptOutcome::Ended(AttemptEnd::RefusedNotRun, _) if signals_backoff => {
                 self.tried.push(target.key);
             }
+            // It is healthy, and full.
+            AttemptOutcome::Ended(AttemptEnd::RefusedNotRun, _)
+                if is_full && words::note_full(self.node, target.key) =>
+            {
+                self.tried.push(target.key);
+            }
             AttemptOutcome::Ended(..) => {
                 self.tried.push(target.key);
                 self.note_failure(target, work, AnswerGrade::Bad);
--- a/crates/front/src/closed.rs
+++ b/crates/front/src/closed.rs
@@ -48,7 +48,8 @@
             "endpoints" => facts.len(), "limited" => count(&|declared| declared.limit.rate.is_some()),
             "with_part" => count(&|declared| declared.bucket.per_s(now).is_some()),
             "resting" => count(&|declared| now < declared.backoff_until),
-            "leaving" => count(&|declared| declared.leaves), "tried" => self.tried.len(),
+            "leaving" => count(&|declared| declared.leaves),
+            "brittle" => count(&|declared| declared.brittle.refusals.is_some()), "tried" => self.tried.len(),
             "retry_ms" => retry_in.0);
     }
 
--- a/crates/front/src/mesh/report.rs
+++ b/crates/front/src/mesh/report.rs
@@ -58,6 +58,7 @@
     releases::refresh(node);
     suspects::refresh_quarantine(node);
     words::apply_local_shares(node);
+    words::update_room_shares(node);
     // A new process adopts the collector of the others. When each chose one itself, from the few
     // members it knew, half of the processes that were killed and restarted followed a different
     // collector for a whole term.
--- a/crates/front/src/meter.rs
+++ b/crates/front/src/meter.rs
@@ -29,6 +29,7 @@
     version_attempts: Counter<u64>,
     relays: Counter<u64>,
     path_losses: Counter<u64>,
+    brittle_refusals: Counter<u64>,
     first_ms: Histogram<f64>,
     total_ms: Histogram<f64>,
     list_age_ms: Histogram<f64>,
@@ -57,6 +58,7 @@
             version_attempts: meter.u64_counter("oleander_front_version_attempts").build(),
             relays: meter.u64_counter("oleander_front_relays").build(),
             path_losses: meter.u64_counter("oleander_front_path_losses").build(),
+            brittle_refusals: meter.u64_counter("oleander_front_brittle_refusals").build(),
             first_ms: latency("oleander_front_first_ms"),
             total_ms: latency("oleander_front_total_ms"),
             list_age_ms: latency("oleander_front_list_age_ms"),
@@ -154,6 +156,11 @@
         self.path_losses.add(1, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    /// Counts a request that a brittle endpoint refused for want of room.
+    pub fn count_brittle_refusal(&self, service: &str) {
+        self.brittle_refusals.add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
     /// Counts a usage report, by whether the platform accepted it.
     pub fn count_usage(&self, taken: bool) {
         self.usage_reports.add(1, &[KeyValue::new("taken", taken)]);
--- a/crates/front/src/words.rs
+++ b/crates/front/src/words.rs
@@ -18,9 +18,10 @@
 use crate::node::FrontNode;
 use crate::suspects;
 use oleander_call::{AnswerHead, EndpointSignal};
-use oleander_kind::{ClockTime, RequestRate, ResultCode};
+use oleander_kind::hash::rendezvous_weight;
+use oleander_kind::{ClockTime, InstanceId, RequestRate, ResultCode, ServiceName};
 use oleander_limit::own_share;
-use oleander_place::{EndpointFact, EndpointKey, RateSignal};
+use oleander_place::{BrittleSignal, EndpointFact, EndpointKey, RateSignal, RoomShare};
 use oleander_suspect::EndpointIncarnation;
 
 /// How this process learned of a signal.
@@ -57,6 +58,7 @@
     }
     apply_leaving(node, key, answer_head);
     apply_backoff(node, key, answer_head);
+    apply_brittle(node, (key, answer_head), (request, asked_at));
     let rate = match &answer_head.limit {
         EndpointSignal::Present(rate) => Some(*rate),
         EndpointSignal::Absent
@@ -150,6 +152,95 @@
         "by" => source.name(), "age_ms" => (node.clock.now() - asked_at).0);
 }
 
+/// Applies whether an endpoint says that it is brittle. A missing header ends that as it ends a limit.
+fn apply_brittle(
+    node: &FrontNode,
+    (key, answer_head): (EndpointKey, &AnswerHead),
+    (request, asked_at): (&str, ClockTime),
+) {
+    let refusals = match &answer_head.brittle {
+        EndpointSignal::Present(refusals) => Some(*refusals),
+        EndpointSignal::Absent
+            if !answer_head.not_run && answer_head.id.as_deref() == Some(request) =>
+        {
+            None
+        }
+        EndpointSignal::Absent => return,
+        EndpointSignal::Unreadable(text) => {
+            return report_unreadable(node, key, ("brittle", text));
+        }
+    };
+    note_brittle(node, key, (BrittleSignal { refusals, asked_at }, SignalSource::Answer));
+}
+
+fn note_brittle(
+    node: &FrontNode,
+    key: EndpointKey,
+    (signal, source): (BrittleSignal, SignalSource),
+) {
+    let mut board = node.endpoints.borrow_mut();
+    let Some(before) = board.note_brittle(key, signal) else { return };
+    if let Some(fact) = board.get(key) {
+        node.meter.count_word("brittle", source.name());
+        event!(node, EndpointBrittle;
+            "endpoint" => fact.entry.instance.as_str(), "life" => fact.entry.life,
+            "service" => fact.entry.service.as_str(), "refusals" => signal.refusals,
+            "before" => before, "by" => source.name(), "requests" => fact.requests());
+    }
+    if source == SignalSource::Answer {
+        node.signals.borrow_mut().add(key);
+    }
+}
+
+/// Records that a brittle endpoint refused a request for want of room; returns whether it is brittle.
+pub(crate) fn note_full(node: &FrontNode, key: EndpointKey) -> bool {
+    let now = node.clock.now();
+    let mut board = node.endpoints.borrow_mut();
+    let Some(fact) = board.get_mut(key).filter(|fact| fact.is_brittle()) else { return false };
+    let requests = fact.requests();
+    let slots = fact.running_at_once();
+    fact.declared.room.note_refusal(slots, now);
+    node.meter.count_brittle_refusal(fact.entry.service.as_str());
+    event!(node, BrittleRefused;
+        "endpoint" => fact.entry.instance.as_str(), "service" => fact.entry.service.as_str(),
+        "requests" => requests, "own" => fact.own.requests, "slots" => slots,
+        "window" => fact.declared.room.reduced, "refusals" => fact.declared.brittle.refusals);
+    node.signals.borrow_mut().add(key);
+    true
+}
+
+/// Works out this process's place among those that share each brittle endpoint: the members that reach its
+/// service, in an order that differs from endpoint to endpoint and that hardly changes with the members.
+pub(crate) fn update_room_shares(node: &FrontNode) {
+    let mut board = node.endpoints.borrow_mut();
+    let brittle = board.speaking().filter(|(_, fact)| fact.is_brittle());
+    let keys: Vec<EndpointKey> = brittle.map(|(key, _)| key).collect();
+    let mesh = node.mesh.borrow();
+    for key in keys {
+        let Some(fact) = board.get_mut(key) else { continue };
+        let endpoint = fact.entry.instance.stable_hash();
+        let weight = |id: &InstanceId| rendezvous_weight(endpoint, id.stable_hash());
+        let others = mesh.view.others().filter(|member| {
+            !member.leaving && !member.unreached_services.contains(&fact.entry.service)
+        });
+        let others = others.map(|member| weight(&member.id));
+        let share = RoomShare::among(weight(&node.settings.instance), others);
+        let memory_bound = memory_bound(node, &fact.entry.service);
+        fact.room_share = Some(RoomShare { memory_bound, ..share });
+    }
+}
+
+/// The requests of the size that this process has seen that fit into the memory of an engine of `service`;
+/// `None` if its endpoints are no engines.
+fn memory_bound(node: &FrontNode, service: &ServiceName) -> Option<u32> {
+    let rules = node.current_rules()?;
+    let memory_tokens = rules.service(service)?.engine.as_ref()?.memory_tokens;
+    let demand = node.demand.borrow();
+    let seen = demand.get(service).filter(|seen| seen.requests > 0)?;
+    let tokens = (seen.unread_tokens + seen.answer_tokens) / seen.requests;
+    Some((memory_tokens / tokens.max(1)).clamp(1, u64::from(u32::MAX)) as u32)
+}
+
 fn report_unreadable(node: &FrontNode, key: EndpointKey, (word, text): (&'static str, &str)) {
     let board = node.endpoints.borrow();
     let endpoint = board.get(key).map(|fact| fact.entry.instance.as_str());
--- a/crates/front/src/words/outbox.rs
+++ b/crates/front/src/words/outbox.rs
@@ -11,6 +11,10 @@
     pub limit: Option<RequestRate>,
     /// Whether it is leaving.
     pub leaves: bool,
+    /// The refusals a second at which it falls over, if it is brittle.
+    pub brittle: Option<u32>,
+    /// The requests that it is assumed to have room for since it refused one.
+    pub window: Option<u32>,
 }
 
 /// Endpoints whose signals have to be reported, kept until a report that carried them was answered.
--- a/crates/front/src/words/tell.rs
+++ b/crates/front/src/words/tell.rs
@@ -5,11 +5,11 @@
 //! lost when the collector changes.
 
 use super::outbox::SignalState;
-use super::{SignalSource, apply_limit, mark_leaving};
+use super::{SignalSource, apply_limit, mark_leaving, note_brittle};
 use crate::node::FrontNode;
 use oleander_kind::{ClockTime, TimeSpan};
 use oleander_mesh::EndpointSignals;
-use oleander_place::{EndpointFact, RateSignal};
+use oleander_place::{BrittleSignal, EndpointFact, EndpointKey, RateSignal, RoomWindow};
 use oleander_suspect::EndpointIncarnation;
 use std::collections::HashMap;
 
@@ -22,18 +22,28 @@
 
 fn signals_of(fact: &EndpointFact, now: ClockTime) -> Option<EndpointSignals> {
     let RateSignal { rate, asked_at } = fact.declared.limit;
+    let (brittle, room) = (fact.declared.brittle, fact.declared.room);
     fact.declared.is_shared().then(|| EndpointSignals {
         instance: fact.entry.instance.clone(),
         life: fact.entry.life,
         limit: rate,
         age: now - asked_at,
         leaves: fact.declared.leaves,
+        brittle: (brittle.asked_at > ClockTime(0))
+            .then(|| (brittle.refusals, now - brittle.asked_at)),
+        room: room.reduced.map(|window| (window, now - room.refused_at)),
     })
 }
 
 /// The latest signals of an endpoint, in a form that can be compared.
 fn state_of(fact: &EndpointFact) -> SignalState {
-    SignalState { limit: fact.declared.limit.rate, leaves: fact.declared.leaves }
+    let declared = &fact.declared;
+    SignalState {
+        limit: declared.limit.rate,
+        leaves: declared.leaves,
+        brittle: declared.brittle.refusals,
+        window: declared.room.reduced,
+    }
 }
 
 /// Applies signals from another process, which were written at most `late` ago.
@@ -52,15 +62,40 @@
         let rate_signal = RateSignal { rate: signal.limit, asked_at: now - (signal.age + late) };
         if let Some(key) = key {
             apply_limit(node, key, (rate_signal, SignalSource::Peer));
+            apply_peer_brittle(node, key, signal, late);
         }
     }
 }
 
+fn apply_peer_brittle(
+    node: &FrontNode,
+    key: EndpointKey,
+    signal: &EndpointSignals,
+    late: TimeSpan,
+) {
+    let now = node.clock.now();
+    if let Some((refusals, age)) = signal.brittle {
+        let asked_at = now - (age + late);
+        note_brittle(node, key, (BrittleSignal { refusals, asked_at }, SignalSource::Peer));
+    }
+    if let Some((window, age)) = signal.room
+        && let Some(fact) = node.endpoints.borrow_mut().get_mut(key)
+        && fact.is_brittle()
+    {
+        let told = RoomWindow { reduced: Some(window), refused_at: now - (age + late) };
+        fact.declared.room.merge(told);
+    }
+}
+
 /// Applies the collector's full set of signals, and queues those for which it is out of date.
 pub(crate) fn apply_snapshot(node: &FrontNode, signals: &[EndpointSignals], late: TimeSpan) {
     apply_peer_signals(node, signals, late);
-    let state =
-        |signal: &EndpointSignals| SignalState { limit: signal.limit, leaves: signal.leaves };
+    let state = |signal: &EndpointSignals| SignalState {
+        limit: signal.limit,
+        leaves: signal.leaves,
+        brittle: signal.brittle.and_then(|(refusals, _)| refusals),
+        window: signal.room.map(|(window, _)| window),
+    };
     let signals: HashMap<_, _> =
         signals.iter().map(|signal| ((&signal.instance, signal.life), state(signal))).collect();
     let board = node.endpoints.borrow();
--- a/crates/mesh/src/signals.rs
+++ b/crates/mesh/src/signals.rs
@@ -24,12 +24,30 @@
     /// Whether it is leaving.
     #[serde(rename = "x", default)]
     pub leaves: bool,
+    /// The refusals a second at which it falls over, if it is brittle, and how long ago the request was
+    /// sent whose answer said so; `None` if it never said so.
+    #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
+    pub brittle: Option<(Option<u32>, TimeSpan)>,
+    /// The requests that it is assumed to have room for, and how long ago it refused one.
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub room: Option<(u32, TimeSpan)>,
 }
 
 impl EndpointSignals {
+    /// Whether it is brittle.
+    pub fn is_brittle(&self) -> bool {
+        matches!(self.brittle, Some((Some(_), _)))
+    }
+
     fn hash(&self) -> u64 {
         let limit = self.limit.map_or(0, |rate| 1 + rate.per_s().to_bits());
         let announced = mix_bits(limit ^ mix_bits(u64::from(self.leaves)));
+        let announced = match (self.is_brittle(), self.room) {
+            (true, room) => {
+                mix_bits(announced ^ (2 + room.map_or(0, |(window, _)| u64::from(window))))
+            }
+            (false, _) => announced,
+        };
         mix_bits(self.instance.stable_hash() ^ mix_bits(self.life) ^ announced)
     }
 }
@@ -37,7 +55,9 @@
 /// A hash of a set of signals, independent of their order and age. The end of a limit
 /// is passed on but not included, since only processes that knew the limit need to know of its end.
 pub fn signals_hash(all: &[EndpointSignals]) -> u64 {
-    let in_force = all.iter().filter(|signals| signals.leaves || signals.limit.is_some());
+    let in_force = all
+        .iter()
+        .filter(|signals| signals.leaves || signals.limit.is_some() || signals.is_brittle());
     in_force.fold(0, |hash, signals| hash ^ signals.hash())
 }
 
--- a/crates/place/src/board.rs
+++ b/crates/place/src/board.rs
@@ -1,12 +1,13 @@
 //! The endpoints known to this process, with the state that placement decisions use.
 
+use crate::brittle::{BrittleSignal, RoomShare, RoomUse, RoomWindow};
 use crate::health::HealthRecord;
 use crate::signal::{EndpointSignals, RateSignal, SignalCache};
 use compact_str::CompactString;
 use oleander_judge::BadTrait;
 use oleander_kind::endpoint::{EndpointStage, InstanceMarket};
 use oleander_kind::{
-    ArenaKey, ClockTime, DomainName, InstanceId, ItemArena, RequestRate, ServiceName,
+    ArenaKey, ClockTime, DomainName, InstanceId, ItemArena, RequestRate, ServiceName, TimeSpan,
 };
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -61,6 +62,8 @@
     /// The other processes' work there, as last reported. If this process does not receive reports
     /// on it, the mean of their work at the endpoints of its service.
     pub others: WorkLoad,
+    /// This process's place among those that share it, if it is brittle; `None` before it is known.
+    pub room_share: Option<RoomShare>,
     /// Whether this process receives reports on the other processes' work there.
     pub has_load_reports: bool,
     /// Whether it takes requests as an endpoint of a serving version.
@@ -97,6 +100,36 @@
         self.aside.filter(|(_, until)| now < *until).map(|(bad_trait, _)| bad_trait)
     }
 
+    /// Whether it declared that it is brittle.
+    pub fn is_brittle(&self) -> bool {
+        self.declared.brittle.refusals.is_some()
+    }
+
+    /// The requests that it runs at once, as far as that is known.
+    pub fn running_at_once(&self) -> u32 {
+        let slots = self.entry.slots;
+        self.room_share.map_or(slots, |share| share.running_at_once(slots))
+    }
+
+    /// The requests there, if it is brittle.
+    pub fn room_use(&self, now: ClockTime) -> Option<RoomUse> {
+        let window = self.declared.room.current(self.running_at_once(), now);
+        let permits = self.room_share.map_or(0, |share| share.permits(window));
+        let (own, others) = (self.own.requests, self.others.requests);
+        self.is_brittle().then_some(RoomUse { own, others, window, permits })
+    }
+
+    /// How long this process has to wait until it may send a request to it because it is brittle.
+    /// `has_spare`: whether this process may send one beyond its permits somewhere.
+    pub fn room_wait(&self, has_spare: bool, now: ClockTime) -> TimeSpan {
+        /// Within this time, reports tell of requests that have ended.
+        const REPORT_TIME: TimeSpan = TimeSpan(250);
+        let Some(room_use) = self.room_use(now) else { return TimeSpan(0) };
+        let may_spare = has_spare && self.declared.room.reduced.is_none();
+        let room_wait = if room_use.has_room(may_spare) { TimeSpan(0) } else { REPORT_TIME };
+        room_wait.max(self.declared.room.pause_left(now))
+    }
+
     /// Whether it takes new requests, by the list and by its own leaving signal, since the list may
     /// lag behind that.
     pub fn takes_work(&self) -> bool {
@@ -199,6 +232,22 @@
         (before != signal.rate).then_some(before)
     }
 
+    /// Records whether an endpoint declared that it is brittle. If that changes it, returns what it
+    /// declared before.
+    pub fn note_brittle(&mut self, key: EndpointKey, signal: BrittleSignal) -> Option<Option<u32>> {
+        let declared = &mut self.facts.get_mut(key)?.declared;
+        let was_never = signal.refusals.is_none() && declared.brittle.refusals.is_none();
+        if was_never || !signal.replaces(&declared.brittle) {
+            return None;
+        }
+        let before = std::mem::replace(&mut declared.brittle, signal).refusals;
+        if signal.refusals.is_none() {
+            declared.room = RoomWindow::default();
+        }
+        self.note_signals(key);
+        (before != signal.refusals).then_some(before)
+    }
+
     fn note_signals(&mut self, key: EndpointKey) {
         let is_shared = self.facts.get(key).is_some_and(|fact| fact.declared.is_shared());
         if is_shared && !self.speaking.contains(&key) {
@@ -224,6 +273,7 @@
             entry,
             own: WorkLoad::default(),
             others: WorkLoad::default(),
+            room_share: None,
             has_load_reports: true,
             serves: true,
             is_tried: false,
--- /dev/null
+++ b/crates/place/src/brittle.rs
@@ -0,0 +1,160 @@
+//! Room at brittle endpoints.
+//!
+//! A brittle endpoint ends if it has to turn away more than a few requests a second for want of room,
+//! counting those of all processes. Refusals must therefore not be the way to find out that it is full.
+//! All processes together keep their requests at it within a window. The window is divided into permits,
+//! and each process works out by itself which of them it holds, from the members that all know: what a
+//! process does within its permits needs no news of the others. As long as an endpoint is half empty by
+//! the last reports, a process may send a few requests beyond its permits.
+
+use oleander_kind::{ClockTime, TimeSpan};
+
+/// How long an endpoint that refused a request for want of room gets no further one from a process that
+/// knows of it: as long as the operators count refusals.
+const REFUSAL_PAUSE: TimeSpan = TimeSpan(1000);
+/// How long a window that was reduced stays as it is, and then grows by a request.
+const GROWTH_PERIOD: TimeSpan = TimeSpan(1500);
+/// The part of a window that is left after a refusal, in quarters.
+const KEPT_QUARTERS: u32 = 3;
+
+/// Whether an endpoint is brittle, as declared in an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BrittleSignal {
+    /// The refusals a second for want of room that it survives; `None` if it is not brittle.
+    pub refusals: Option<u32>,
+    /// When the request was sent whose answer declared it. Of two signals the later one is the newer.
+    pub asked_at: ClockTime,
+}
+
+impl BrittleSignal {
+    /// Whether this signal replaces `known`: it is newer, or equally old and stricter.
+    pub fn replaces(&self, known: &BrittleSignal) -> bool {
+        let is_stricter = self.refusals.is_some() && known.refusals.is_none();
+        self.asked_at > known.asked_at || (self.asked_at == known.asked_at && is_stricter)
+    }
+}
+
+/// The requests that a brittle endpoint is assumed to have room for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RoomWindow {
+    /// The window after the last refusal; `None` if it refused none for want of room.
+    pub reduced: Option<u32>,
+    /// When that refusal came.
+    pub refused_at: ClockTime,
+}
+
+impl RoomWindow {
+    /// Records that the endpoint, which runs `slots` requests at once, refused one for want of room.
+    pub fn note_refusal(&mut self, slots: u32, now: ClockTime) {
+        let kept = (self.current(slots, now) * KEPT_QUARTERS / 4).max(1);
+        *self = RoomWindow { reduced: Some(kept), refused_at: now };
+    }
+
+    /// Applies what another process knows; returns whether that is news. The later refusal counts.
+    pub fn merge(&mut self, other: RoomWindow) -> bool {
+        let is_news = other.reduced.is_some()
+            && other.reduced != self.reduced
+            && other.refused_at > self.refused_at;
+        if is_news {
+            *self = other;
+        }
+        is_news
+    }
+
+    /// The window now, of an endpoint that runs `slots` requests at once. None may wait: how many can
+    /// is not known.
+    pub fn current(&self, slots: u32, now: ClockTime) -> u32 {
+        let Some(reduced) = self.reduced else { return slots };
+        let grown = (now - self.refused_at).0 / GROWTH_PERIOD.0;
+        slots.min(reduced.saturating_add(grown.try_into().unwrap_or(u32::MAX)))
+    }
+
+    /// How much longer the endpoint gets no request because it refused one.
+    pub fn pause_left(&self, now: ClockTime) -> TimeSpan {
+        match self.reduced {
+            Some(_) => (self.refused_at + REFUSAL_PAUSE) - now,
+            None => TimeSpan(0),
+        }
+    }
+}
+
+/// A process's place among those that share an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RoomShare {
+    /// The number of processes that come before it.
+    pub rank: u32,
+    /// The number of processes.
+    pub sharers: u32,
+    /// Requests that fit into the endpoint's memory; `None` if memory does not bound them.
+    pub memory_bound: Option<u32>,
+}
+
+impl RoomShare {
+    /// The place of the process with `own` weight among the `others`.
+    pub fn among(own: u64, others: impl Iterator<Item = u64>) -> Self {
+        let start = RoomShare { rank: 0, sharers: 1, memory_bound: None };
+        others.fold(start, |share, other| RoomShare {
+            rank: share.rank + u32::from(other > own),
+            sharers: share.sharers + 1,
+            ..share
+        })
+    }
+
+    /// The requests that an endpoint with `slots` runs at once.
+    pub fn running_at_once(&self, slots: u32) -> u32 {
+        self.memory_bound.map_or(slots, |bound| slots.min(bound))
+    }
+
+    /// The requests that the process may have at the endpoint at once, whatever the others do. Those of
+    /// all processes add up to `window`.
+    pub fn permits(&self, window: u32) -> u32 {
+        window / self.sharers + u32::from(self.rank < window % self.sharers)
+    }
+}
+
+/// The requests at a brittle endpoint, as one process knows them.
+#[derive(Clone, Copy, Debug)]
+pub struct RoomUse {
+    /// Requests of this process.
+    pub own: u32,
+    /// Requests of the other processes, by their last reports.
+    pub others: u32,
+    /// The requests that it has room for.
+    pub window: u32,
+    /// The requests that this process may have there at once.
+    pub permits: u32,
+}
+
+impl RoomUse {
+    /// The requests for which there is room by the last reports.
+    pub fn free(&self) -> u32 {
+        self.window.saturating_sub(self.own + self.others)
+    }
+
+    /// Requests of this process beyond its permits.
+    pub fn spare(&self) -> u32 {
+        self.own.saturating_sub(self.permits)
+    }
+
+    /// Whether this process may send one more request, if it may (`has_spare`) send one beyond its permits
+    /// somewhere.
+    pub fn has_room(&self, has_spare: bool) -> bool {
+        let is_half_empty = (self.own + self.others) * 2 <= self.window;
+        self.free() > 0 && (self.own < self.permits || (has_spare && is_half_empty))
+    }
+}
+
+/// Whether one of `sharers` processes may send a request beyond its permits to one of these endpoints: if
+/// it has no permit left that it could use, and has sent no more beyond its permits than its part of half
+/// of what is free at all of them. One is allowed in any case, as they are spread over the endpoints.
+pub fn has_spare(uses: impl Iterator<Item = RoomUse>, sharers: u32) -> bool {
+    let (mut free, mut spare) = (0, 0);
+    for room_use in uses {
+        if room_use.has_room(false) {
+            return false;
+        }
+        free += room_use.free();
+        spare += room_use.spare();
+    }
+    spare < (free / (2 * sharers.max(1))).max(1)
+}
--- a/crates/place/src/choose.rs
+++ b/crates/place/src/choose.rs
@@ -3,6 +3,7 @@
 //! Costs are defined in [`cost`](crate::cost).
 
 use crate::board::{EndpointBoard, EndpointFact, EndpointKey};
+use crate::brittle::has_spare;
 use crate::cost::{
     CROSS_DOMAIN_MS, FAILURE_MS, LIMITED_GAIN_MS, engine_cost, paused_part, plain_cost,
     reading_work,
@@ -46,6 +47,8 @@
     pub is_trial: bool,
     /// Whether it may run again elsewhere if its endpoint fails.
     pub repeatable: bool,
+    /// The number of processes that send requests to the endpoints.
+    pub sharers: u32,
     /// Breaks ties; different for each request.
     pub salt: u64,
     /// The current time.
@@ -83,8 +86,8 @@
 /// Chooses an endpoint; returns `None` if the service has none that takes work, or none that
 /// accepts a request from this process now.
 ///
-/// Rate limits and backoffs that endpoints signal always hold, whatever else there is to choose
-/// from.
+/// Rate limits, backoffs and the room of brittle endpoints always hold, whatever else there
+/// is to choose from.
 ///
 /// Endpoints that are backing off after a failure, doubted ones and those that are set aside are
 /// left out, unless that would leave none: a wrong suspicion of all of them must not refuse every
@@ -94,8 +97,10 @@
     prefixes: &PrefixRecord,
     request: &PlacementRequest<'_>,
 ) -> Option<PlacementChoice> {
+    let has_spare = has_spare_room(board, request);
     let available = eligible_endpoints(board, request)
-        .filter(|(_, fact)| fact.declared.is_available(request.lease_now));
+        .filter(|(_, fact)| fact.declared.is_available(request.lease_now))
+        .filter(|(_, fact)| fact.room_wait(has_spare, request.now) == TimeSpan(0));
     let available: Vec<(EndpointKey, &EndpointFact)> = available.collect();
     let may_use_aside =
         request.repeatable && mix_bits(request.salt ^ TRIAL_SALT).is_multiple_of(TRIAL_ONE_IN);
@@ -126,11 +131,21 @@
 /// The time until an endpoint becomes available for the request, if only the endpoints' own signals
 /// exclude them now. `None` if one is available.
 pub fn available_in(board: &EndpointBoard, request: &PlacementRequest<'_>) -> Option<TimeSpan> {
-    let waits = eligible_endpoints(board, request)
-        .map(|(_, fact)| fact.declared.available_in(request.lease_now));
+    let has_spare = has_spare_room(board, request);
+    let waits = eligible_endpoints(board, request).map(|(_, fact)| {
+        let room_wait = fact.room_wait(has_spare, request.now);
+        let room_wait = (room_wait > TimeSpan(0)).then_some(room_wait);
+        fact.declared.available_in(request.lease_now).max(room_wait)
+    });
     waits.collect::<Option<Vec<TimeSpan>>>()?.into_iter().min()
 }
 
+fn has_spare_room(board: &EndpointBoard, request: &PlacementRequest<'_>) -> bool {
+    let facts = eligible_endpoints(board, request).map(|(_, fact)| fact);
+    let facts = facts.filter(|fact| fact.declared.room.pause_left(request.now) == TimeSpan(0));
+    has_spare(facts.filter_map(|fact| fact.room_use(request.now)), request.sharers)
+}
+
 /// The endpoints that may serve the request, whether or not their own signals allow it now.
 fn eligible_endpoints<'a>(
     board: &'a EndpointBoard,
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -5,6 +5,7 @@
 //! function of the board, the request and the time.
 
 pub mod board;
+pub mod brittle;
 pub mod choose;
 pub mod cost;
 pub mod health;
@@ -15,6 +16,7 @@
 pub mod signal;
 
 pub use board::{EndpointBoard, EndpointEntry, EndpointFact, EndpointKey, WorkLoad};
+pub use brittle::{BrittleSignal, RoomShare, RoomUse, RoomWindow};
 pub use choose::{PlacementChoice, PlacementRequest, available_in, choose_endpoint};
 pub use cost::expected_first_byte;
 pub use health::{AnswerGrade, HealthRecord};
--- a/crates/place/src/signal.rs
+++ b/crates/place/src/signal.rs
@@ -1,6 +1,7 @@
 //! Signals that an endpoint sends about itself in its answers: rate limit, backoff and leaving.
 
 use crate::board::EndpointFact;
+use crate::brittle::{BrittleSignal, RoomWindow};
 use oleander_kind::{ClockTime, InstanceId, RequestRate, TimeSpan};
 use oleander_limit::RateBucket;
 use std::collections::VecDeque;
@@ -19,6 +20,10 @@
     pub leaves: bool,
     /// Until when it asked this process to send no request.
     pub backoff_until: ClockTime,
+    /// Whether it declared that it is brittle, or that it is not any more.
+    pub brittle: BrittleSignal,
+    /// The requests that it has room for while it is brittle.
+    pub room: RoomWindow,
 }
 
 impl EndpointSignals {
@@ -49,7 +54,8 @@
 
     /// Whether it ever sent a signal that all processes must know.
     pub fn is_shared(&self) -> bool {
-        self.leaves || self.limit.asked_at > ClockTime(0)
+        let has_limit = self.limit.asked_at > ClockTime(0);
+        self.leaves || has_limit || self.brittle.asked_at > ClockTime(0)
     }
 }
 
--- a/tests/all/adapter.rs
+++ b/tests/all/adapter.rs
@@ -211,6 +211,23 @@
     assert_eq!(twice.leaving, EndpointSignal::Present(true));
 }
 
+/// Guards against overloading brittle endpoints, because the signal is misread.
+#[test]
+fn the_brittle_signal_is_read_from_answers() {
+    let brittle = |value| parse_head(&[("server-brittle", value)]).brittle;
+
+    assert_eq!(
+        (brittle("2"), brittle("0")),
+        (EndpointSignal::Present(2), EndpointSignal::Present(0))
+    );
+    assert_eq!(parse_head(&[("server-limit", "3")]).brittle, EndpointSignal::Absent);
+    for text in ["", "yes", "-1", "NaN"] {
+        assert!(matches!(brittle(text), EndpointSignal::Unreadable(_)), "{text}");
+    }
+    let twice = parse_head(&[("server-brittle", "5"), ("server-brittle", "3")]);
+    assert_eq!(twice.brittle, EndpointSignal::Present(3));
+}
+
 /// Guards against sending requests during the backoff of an endpoint, or never again, because the time is misread.
 #[test]
 fn the_backoff_signal_is_read_from_refusals() {
--- a/tests/all/brittle.rs
+++ b/tests/all/brittle.rs
@@ -5,6 +5,8 @@
 use crate::scripted::read_request;
 use crate::tried_once::TriedOnce;
 use bytes::BytesMut;
+use oleandertack::kind::hash::mix_bits;
+use oleandertack::place::RoomShare;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -23,7 +25,7 @@
 const RUN_TIME: Duration = Duration::from_millis(200);
 /// How long an endpoint that fell over is gone.
 const GONE_TIME: Duration = Duration::from_secs(4);
-/// From the first brittle answer until fewer requests may wait.
+/// From the first brittle answer until fewer requests may wait and the endpoints may fall over.
 const CONTACT_TIME: Duration = Duration::from_millis(3000);
 /// Requests a second that an endpoint may have to turn away without falling over.
 const REFUSALS: usize = 2;
@@ -31,6 +33,7 @@
 /// An endpoint that is brittle at times.
 struct BrittleEndpoint {
     is_brittle: Cell<bool>,
+    may_fall: Cell<bool>,
     most_waiting: Cell<usize>,
     running: Cell<usize>,
     waiting: Cell<usize>,
@@ -47,7 +50,7 @@
         let mut refused_at = self.refused_at.borrow_mut();
         refused_at.push_back(now);
         refused_at.retain(|at| now - *at < Duration::from_secs(1));
-        if self.is_brittle.get() && refused_at.len() > REFUSALS && !self.is_gone.get() {
+        if self.may_fall.get() && refused_at.len() > REFUSALS && !self.is_gone.get() {
             refused_at.clear();
             self.falls.set(self.falls.get() + 1);
             self.is_gone.set(true);
@@ -135,6 +138,7 @@
         let address = listener.local_addr().expect("an address");
         let endpoint = Rc::new(BrittleEndpoint {
             is_brittle: Cell::default(),
+            may_fall: Cell::default(),
             most_waiting: Cell::new(WAITING),
             running: Cell::default(),
             waiting: Cell::default(),
@@ -172,6 +176,7 @@
     endpoints.iter().for_each(|endpoint| endpoint.is_brittle.set(true));
     sleep(CONTACT_TIME).await;
     endpoints.iter().for_each(|endpoint| endpoint.most_waiting.set(1));
+    endpoints.iter().for_each(|endpoint| endpoint.may_fall.set(true));
     let before = callers.total();
     sleep(Duration::from_secs(9)).await;
     let after = callers.total();
@@ -232,3 +237,22 @@
         assert!(time.served > 0.5 * possible, "{time:?} of {possible}");
     });
 }
+
+/// Guards against processes that together hold more or fewer permits than an endpoint has room for.
+#[test]
+fn permits_of_all_processes_add_up_to_the_window() {
+    for sharers in [9, 60, 195] {
+        let weights: Vec<u64> = (0..sharers).map(|at| mix_bits(at + 1)).collect();
+        let share = |own: usize| {
+            let others = weights.iter().enumerate().filter(|(at, _)| *at != own);
+            RoomShare::among(weights[own], others.map(|(_, weight)| *weight))
+        };
+        let shares: Vec<RoomShare> = (0..weights.len()).map(share).collect();
+
+        for window in [1, 4, 16, 48, 200] {
+            let permits: u32 = shares.iter().map(|share| share.permits(window)).sum();
+
+            assert_eq!(permits, window, "{sharers} processes");
+        }
+    }
+}
--- a/tests/all/size.rs
+++ b/tests/all/size.rs
@@ -341,6 +341,8 @@
         life: 1_790_000_000_000 + at,
         limit: Some(RequestRate::per_second(2.8)),
         age: TimeSpan(350),
+        brittle: None,
+        room: None,
         leaves: false,
     };
     let share = |at: u64| RateShare {
