A sound endpoint may be silent for a second without its stream being run elsewhere

What callers saw: a stream whose endpoint paused for more than three of the route's pauses was resumed at another endpoint, while the first still ran it; and one request that was answered too late closed the open connections to all endpoints. Change: a stream that may be resumed waits 1.3 s for its next event at least; after a timeout only the silent endpoint's connections are dropped, unless no endpoint of the service was heard since. Measured: both tests failed before (events 3 and 4 missing, a third connection opened) and pass.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -13,7 +13,7 @@
 use oleander_call::{
     AnswerHead, AnswerShape, AttemptEnd, AttemptHeaders, EndpointSignal, RepeatRule,
 };
-use oleander_kind::TimeSpan;
+use oleander_kind::{ClockTime, TimeSpan};
 use oleander_outlet::{IdleLink, LinkError, SentLink};
 use oleander_pace::ReadSample;
 use oleander_place::{
@@ -36,10 +36,19 @@
 /// Most idle connections pooled for one endpoint.
 pub(crate) const MAX_IDLE_LINKS: usize = 32;
 
+/// How long a sound endpoint may say nothing, and some time for its next event to arrive. A stream that was
+/// resumed elsewhere sooner would run at two endpoints, and the one that was silent goes on for a while.
+pub(crate) const SILENCE_TOLERANCE: Duration = Duration::from_millis(1300);
+
 /// A pooled connection that fails within this time was already closed by its endpoint, not broken by the
 /// request: a round trip between failure domains takes 3 ms, and the shortest work of an endpoint about 15 ms.
 const STALE_LINK_WINDOW: Duration = Duration::from_millis(8);
 
+/// The time since `sent_at`.
+fn sent_for(sent_at: Instant) -> TimeSpan {
+    TimeSpan(sent_at.elapsed().as_millis() as u64)
+}
+
 /// The endpoint of an attempt.
 struct AttemptTarget {
     key: EndpointKey,
@@ -111,7 +120,7 @@
             AttemptEnd::NotSent | AttemptEnd::RefusedNotRun | AttemptEnd::Failed => return,
         };
         let at = self.node.clock.now();
-        let ran = TimeSpan(sent_at.elapsed().as_millis() as u64);
+        let ran = sent_for(sent_at);
         let times = AttemptTimes { sent_at: at - ran, last_answer_at, at };
         let may_probe = was_cut && takes_work.is_some();
         let broken = FailedAttempt { life, address, times, may_probe };
@@ -232,8 +241,7 @@
                     self.note_fault(target, work, &fault);
                 }
                 if reused && end == AttemptEnd::TimedOut {
-                    // Pooled connections go silent together when a device on the path drops its state.
-                    self.node.pool.borrow_mut().clear();
+                    self.drop_silent_links(target, self.node.clock.now() - sent_for(sent_at));
                 }
                 if end != AttemptEnd::NotSent || !reused {
                     self.tried.push(target.key);
@@ -248,6 +256,17 @@
         }
     }
 
+    /// Drops the connections that may be as silent as one to `target`. Connections go silent together when a
+    /// device on the path drops its state. If another endpoint was heard since then, only this one is
+    /// silent, as a sound one may be for a second.
+    fn drop_silent_links(&self, target: &AttemptTarget, sent_at: ClockTime) {
+        if paths::was_heard_since(self.node, &self.service, sent_at) {
+            self.node.pool.borrow_mut().forget(&target.life.instance);
+        } else {
+            self.node.pool.borrow_mut().clear();
+        }
+    }
+
     async fn send(
         &mut self,
         target: &AttemptTarget,
@@ -311,7 +330,10 @@
         if last || route.repeat == RepeatRule::Once {
             return self.deadline;
         }
-        self.deadline.min(Instant::now() + route.objective.duration() * OBJECTIVES_WAITED)
+        let waited = route.objective.duration() * OBJECTIVES_WAITED;
+        let least =
+            if route.repeat == RepeatRule::Resume { SILENCE_TOLERANCE } else { Duration::ZERO };
+        self.deadline.min(Instant::now() + waited.max(least))
     }
 
     /// Reads response heads until one belongs to this request. `slot` is empty after an error on a
--- a/crates/front/src/paths.rs
+++ b/crates/front/src/paths.rs
@@ -8,7 +8,7 @@
 use crate::events::event;
 use crate::node::FrontNode;
 use crate::suspects;
-use oleander_kind::{InstanceId, ServiceName};
+use oleander_kind::{ClockTime, InstanceId, ServiceName};
 use oleander_outlet::{IdleLink, LinkError};
 use oleander_place::{EndpointFact, EndpointKey, PathFault, PathRecord, PathState};
 use std::net::SocketAddr;
@@ -68,6 +68,11 @@
     node.paths.borrow().get(service)?.fault()
 }
 
+/// Whether an endpoint of a service was heard at `since` or later.
+pub fn was_heard_since(node: &FrontNode, service: &ServiceName, since: ClockTime) -> bool {
+    node.paths.borrow().get(service).is_some_and(|path| path.heard_at() >= since)
+}
+
 fn listed_count(node: &FrontNode, service: &ServiceName) -> usize {
     let board = node.endpoints.borrow();
     let facts = board.of_service(service).iter().filter_map(|key| board.get(*key));
@@ -201,5 +206,5 @@
     let mut others = probe_targets(node, service).into_iter().filter(|target| target.key != except);
     let target = others.next()?;
     probe(node.clone(), service.clone(), target).await;
-    Some(node.paths.borrow().get(service).is_some_and(|path| path.heard_at() >= asked_at))
+    Some(was_heard_since(node, service, asked_at))
 }
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -1,6 +1,7 @@
 //! Forwards answers that are server-sent event streams, and resumes broken ones.
 
 use crate::answer::AnswerStage;
+use crate::attempt::SILENCE_TOLERANCE;
 use crate::drive::{AttemptOutcome, CallContext};
 use crate::events::event;
 use crate::paths;
@@ -152,7 +153,8 @@
     let route = context.route();
     match (route.repeat, route.pause) {
         (RepeatRule::Resume, Some(pause)) => {
-            context.deadline.min(Instant::now() + pause.duration() * stalls)
+            let silence = (pause.duration() * stalls).max(SILENCE_TOLERANCE);
+            context.deadline.min(Instant::now() + silence)
         }
         _ => context.deadline,
     }
--- a/tests/all/front.rs
+++ b/tests/all/front.rs
@@ -8,7 +8,7 @@
 use oleandertack::conf::{FrontBounds, FrontSettings};
 use oleandertack::front::{FrontPorts, FrontProcess, start_front};
 use oleandertack::kind::TimeSpan;
-use oleandertack::outlet::TcpDialer;
+use oleandertack::outlet::{IdleLink, SocketBounds, TcpDialer};
 use oleandertack::plat::{
     FeedCondition, FeedEvent, FeedKind, FeedObject, FeedPage, FeedStore, Result, WatchOutcome,
     WriteOutcome,
@@ -432,6 +432,68 @@
     });
 }
 
+/// A sound endpoint that says nothing for a second in the middle of a stream goes on with it; the stream
+/// must not be run elsewhere meanwhile.
+#[test]
+fn a_stream_whose_endpoint_is_silent_for_a_second_is_not_run_elsewhere() {
+    run(async {
+        let near = scripted(vec![vec![
+            send_text(&stream_head("one")),
+            send_text(&chunk(&events(1, 2))),
+            Act::Pause(Duration::from_millis(1100)),
+            send_text(&chunk(&events(3, 4))),
+            send_text("0\r\n\r\n"),
+        ]])
+        .await;
+        let far = scripted(vec![vec![Act::Close]]).await;
+        let (_process, address) = front(&[near.address, far.address]).await;
+
+        let answer = ask(address, &request("POST", "/stream/a", "r1", "", "prompt")).await;
+
+        let shown: Vec<_> = answer.text.lines().filter(|line| line.starts_with("id: ")).collect();
+        assert_eq!(shown, ["id: 1", "id: 2", "id: 3", "id: 4"]);
+        assert_eq!((received_requests(&near), received_requests(&far)), (1, 0));
+    });
+}
+
+/// An endpoint that answers one request too late must not cost the open connections to the others.
+#[test]
+fn connections_to_other_endpoints_outlive_a_silent_one() {
+    run(async {
+        let near = scripted(vec![
+            vec![send_text(&valid_answer("a"))],
+            vec![Act::Pause(Duration::from_millis(1100)), send_text(&valid_answer("b"))],
+        ])
+        .await;
+        let far = good("c").await;
+        let (process, address) = front(&[near.address, far.address]).await;
+        ask(address, &request("POST", "/any/a", "r1", "", "")).await;
+        let (second, bounds) = (Duration::from_secs(1), SocketBounds::default());
+        let open = || IdleLink::open(far.address, second, bounds);
+        for _ in 0..2 {
+            let link = open().await.expect("it listens");
+            process.node.pool.borrow_mut().put(&"i-1".into(), link, 10 * second, 9);
+        }
+        let service = "s".into();
+        let hears_others = async {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            process
+                .node
+                .paths
+                .borrow_mut()
+                .entry(service)
+                .or_default()
+                .note_reached(process.node.clock.now());
+        };
+
+        let slow = request("POST", "/any/a", "r2", "", "");
+        let (late, ()) = tokio::join!(ask(address, &slow), hears_others);
+
+        assert_eq!(late.status(), "200", "{late:?}");
+        assert_eq!((received_requests(&far), far.seen.borrow().connections), (1, 2));
+    });
+}
+
 fn counted_usage(process: &FrontProcess) -> u64 {
     process.node.usage.borrow().counts().map(|(_, _, count)| count).sum()
 }
--- a/tests/all/scripted.rs
+++ b/tests/all/scripted.rs
@@ -4,14 +4,18 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
 
 /// An action of a scripted endpoint on a request.
 #[derive(Clone, Debug)]
 pub enum Act {
     /// Writes these bytes; `{id}` is replaced by the request id.
     Say(String),
+    /// Does nothing for a while.
+    Pause(Duration),
     /// Closes the connection in an orderly way.
     Close,
     /// Resets the connection.
@@ -91,6 +95,7 @@
                         return;
                     }
                 }
+                Act::Pause(time) => sleep(*time).await,
                 Act::Close => return,
                 Act::Reset => {
                     let _ = stream.set_zero_linger();
