Only TCP_USER_TIMEOUT bounds how long an unresponsive connection is kept

Cause: a user timeout that is set also decides when keepalive probes give up, whatever their number, so the number that was set had no effect; both said 3 s by chance. Change: SocketBounds has the one bound that counts and says why. Measured: the tests of connections pass as before.

--- a/crates/outlet/src/socket.rs
+++ b/crates/outlet/src/socket.rs
@@ -17,9 +17,7 @@
 pub struct SocketBounds {
     /// Idle time before the first keepalive probe, and interval between probes.
     pub probe_period: Duration,
-    /// Unanswered probes after which the connection is considered dead.
-    pub probes: u32,
-    /// How long sent bytes may stay unacknowledged.
+    /// How long sent bytes or probes may stay unacknowledged.
     pub unacked_timeout: Duration,
 }
 
@@ -29,7 +27,6 @@
     fn default() -> Self {
         SocketBounds {
             probe_period: Duration::from_secs(1),
-            probes: 2,
             unacked_timeout: Duration::from_secs(3),
         }
     }
@@ -37,14 +34,15 @@
 
 /// Sets the options of a connection: TCP_NODELAY and `bounds`.
 ///
+/// A TCP_USER_TIMEOUT that is set also decides when probes give up, whatever their number. No
+/// number is therefore set, and `unacked_timeout` is the only bound.
+///
 /// # Errors
 /// Returns the error of the system call.
 pub fn configure_socket(stream: &TcpStream, bounds: SocketBounds) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
-    let probes = TcpKeepalive::new()
-        .with_time(bounds.probe_period)
-        .with_interval(bounds.probe_period)
-        .with_retries(bounds.probes);
+    let probes =
+        TcpKeepalive::new().with_time(bounds.probe_period).with_interval(bounds.probe_period);
     let socket = SockRef::from(stream);
     socket.set_tcp_keepalive(&probes)?;
     socket.set_tcp_user_timeout(Some(bounds.unacked_timeout))
