A process whose path is lost charges nothing for requests that a peer will charge

What callers saw: an account with a limit got 19 requests answered at a process without a path where it got 45 at another. Cause: the process charged each request to its allotment before it relayed it and gave the tokens back to the same allotment, so they were missing at the peer, which charges as well. Change: where the path is lost and a peer reaches the service, nothing is charged here. Plays of relayed requests: a stream whole and in order, a peer that ends, a caller that leaves, no process with a path, probes that find the path, no crash and no quarantine out of a lost path, a forged mark, one charge; the choice of peers and the record of the path by themselves. Measured: the play of the limit failed before, 19 of 45, and passes; the others passed at once.

--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -8,7 +8,7 @@
 use crate::ingress::CallerRequest;
 use crate::limits::{self, QuotaCharge};
 use crate::node::FrontNode;
-use crate::relay::NextHop;
+use crate::relay::{self, NextHop};
 use crate::releases::CandidatePayment;
 use crate::suspects;
 use crate::trace::{CallTrace, TraceGuard};
@@ -178,7 +178,10 @@
     if let Some(left) = suspects::held_for(node, &fingerprint) {
         return answer.refuse(ResultCode::RequestHeld, Some(left)).await;
     }
-    let charge = account.and_then(|account| QuotaCharge::of(node, account, &call));
+    // A peer that serves the request charges it. Tokens that this process held would be missing there.
+    let relays = relay::is_relayed_at_once(node, &call, &service);
+    let charged = account.filter(|_| !relays);
+    let charge = charged.and_then(|account| QuotaCharge::of(node, account, &call));
     if let Some(charge) = &charge
         && let Err(retry) = limits::charge_quota(node, charge, call.id.as_str()).await
     {
@@ -219,7 +222,7 @@
         longest_pause: None,
         peer: None,
         peer_in_flight: false,
-        relays_next: false,
+        relays_next: relays,
     };
     let outcome = match timeout_at(context.deadline, context.serve()).await {
         Ok(outcome) => outcome,
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -11,8 +11,8 @@
 use crate::node::FrontNode;
 use crate::{limits, paths, stream, whole};
 use actix_http::{RequestHead, ResponseHead, Version};
-use oleander_call::{AnswerHead, AnswerShape, AttemptEnd, RelayHeaders};
-use oleander_kind::{InstanceId, ResultCode, TimeSpan};
+use oleander_call::{AnswerHead, AnswerShape, AttemptEnd, CallHead, RelayHeaders};
+use oleander_kind::{InstanceId, ResultCode, ServiceName, TimeSpan};
 use oleander_mesh::{RelayRequest, choose_peer};
 use oleander_outlet::{IdleLink, LinkError, LinkPool, SentLink, SocketBounds};
 use oleander_place::{
@@ -105,6 +105,32 @@
     )
 }
 
+/// Whether a request for a service is relayed before anything else is done for it: the path to the service is
+/// lost, and a peer says that it reaches it.
+pub fn is_relayed_at_once(node: &FrontNode, call: &CallHead, service: &ServiceName) -> bool {
+    call.relayed_attempts.is_none()
+        && paths::path_state(node, service) == PathState::Lost
+        && choose_reachable(node, (call, service), &[]).is_some()
+}
+
+/// Chooses a peer that reaches the service and was reached by this process.
+fn choose_reachable(
+    node: &FrontNode,
+    (call, service): (&CallHead, &ServiceName),
+    tried: &[InstanceId],
+) -> Option<(InstanceId, SocketAddr)> {
+    let now = node.clock.now();
+    let relays = node.relays.borrow();
+    let mesh = node.mesh.borrow();
+    let is_down =
+        |id: &InstanceId| relays.peers.get(id).is_some_and(|peer| peer.health.is_backing_off(now));
+    let members = mesh.view.others().filter(|member| !is_down(&member.id));
+    let domain = &node.settings.domain;
+    let request = RelayRequest { service, domain, tried, salt: call_salt(call) };
+    let (id, address) = choose_peer(members, |id| relays.in_flight(id), &request)?;
+    Some((id.clone(), address))
+}
+
 impl CallContext<'_, '_> {
     /// Where the request goes next. It goes to a peer if this process does not reach the endpoints, or could
     /// not for this request, and a peer says that it does. Open connections that still work are used.
@@ -139,21 +165,7 @@
     }
 
     fn choose_peer(&self, tried: &[InstanceId]) -> Option<(InstanceId, SocketAddr)> {
-        let now = self.node.clock.now();
-        let relays = self.node.relays.borrow();
-        let mesh = self.node.mesh.borrow();
-        let is_down = |id: &InstanceId| {
-            relays.peers.get(id).is_some_and(|peer| peer.health.is_backing_off(now))
-        };
-        let members = mesh.view.others().filter(|member| !is_down(&member.id));
-        let request = RelayRequest {
-            service: &self.service,
-            domain: &self.node.settings.domain,
-            tried,
-            salt: call_salt(&self.call),
-        };
-        let (id, address) = choose_peer(members, |id| relays.in_flight(id), &request)?;
-        Some((id.clone(), address))
+        choose_reachable(self.node, (&self.call, &self.service), tried)
     }
 
     /// Relays the request to one peer after another until one serves or refuses it.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -45,6 +45,7 @@
 mod pool;
 mod quota;
 mod rates;
+mod relaying;
 mod release;
 mod rollout;
 mod roster;
