--- a/crates/conf/src/front.rs
+++ b/crates/conf/src/front.rs
@@ -3,7 +3,7 @@
 use crate::reader::{FieldCheck, FieldError, require};
 use oleander_kind::{DomainName, InstanceId};
 use serde::Deserialize;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 /// Settings of a front process, which serves callers and performs control duties while it holds their lease.
 #[derive(Clone, Debug, Deserialize)]
@@ -29,6 +29,9 @@
     /// Address of the platform's cloud; none if endpoints are not scaled and usage is not reported.
     #[serde(default)]
     pub cloud: Option<SocketAddr>,
+    /// Address of this instance from which connections to endpoints are opened; none if the system chooses it.
+    #[serde(default)]
+    pub source: Option<IpAddr>,
     /// Bandwidth of this instance's network link, in megabits a second.
     #[serde(default = "default_link_mbps")]
     pub link_mbps: f64,
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -32,7 +32,7 @@
 pub(crate) const IDLE_TIMEOUT: Duration = Duration::from_millis(2000);
 /// Fraction of an endpoint's keep-alive time for which a connection is pooled, so that the endpoint
 /// does not close it while a request is in flight.
-const IDLE_FRACTION: f64 = 0.6;
+pub(crate) const IDLE_FRACTION: f64 = 0.6;
 /// Most idle connections pooled for one endpoint.
 pub(crate) const MAX_IDLE_LINKS: usize = 32;
 
@@ -240,6 +240,10 @@
                 if !reused || end == AttemptEnd::TimedOut {
                     self.note_fault(target, work, &fault);
                 }
+                if !reused && matches!(fault, LinkError::Interrupted(_)) {
+                    // Something in between may have accepted the connection and not reached the endpoint.
+                    paths::note_unreached(self.node, &self.service, (target.key, &fault));
+                }
                 if reused && end == AttemptEnd::TimedOut {
                     self.drop_silent_links(target, self.node.clock.now() - sent_for(sent_at));
                 }
@@ -288,9 +292,8 @@
 
     async fn dial(&self, target: &AttemptTarget) -> oleander_outlet::Result<IdleLink> {
         let dialed = self.node.dialer.dial(target.address, CONNECT_TIMEOUT).await;
-        match &dialed {
-            Ok(_) => paths::note_reached(self.node, &self.service),
-            Err(fault) => paths::note_unreached(self.node, &self.service, (target.key, fault)),
+        if let Err(fault) = &dialed {
+            paths::note_unreached(self.node, &self.service, (target.key, fault));
         }
         dialed
     }
--- a/crates/front/src/paths.rs
+++ b/crates/front/src/paths.rs
@@ -7,15 +7,21 @@
 use crate::attempt::{CONNECT_TIMEOUT, IDLE_TIMEOUT, MAX_IDLE_LINKS};
 use crate::events::event;
 use crate::node::FrontNode;
-use crate::suspects;
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use oleander_kind::{ClockTime, InstanceId, ServiceName};
 use oleander_outlet::{IdleLink, LinkError};
 use oleander_place::{EndpointFact, EndpointKey, PathFault, PathRecord, PathState};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
-/// Endpoints probed in one round.
-const PROBES: usize = 4;
+/// Most endpoints probed in one round.
+const MAX_PROBES: usize = 4;
+
+/// How long a probe connection is observed before it counts as stable: ten round trips between failure
+/// domains.
+pub(crate) const PROBE_SETTLE_TIME: Duration = Duration::from_millis(30);
 
 /// An endpoint to probe.
 struct ProbeTarget {
@@ -79,8 +85,7 @@
     facts.filter(|fact| fact.takes_work()).count()
 }
 
-/// Records that a connection to an endpoint of a service was established, or that bytes of its answer
-/// arrived.
+/// Records that bytes of an endpoint's answer arrived, or that a probe connection proved stable.
 pub fn note_reached(node: &FrontNode, service: &ServiceName) {
     let now = node.clock.now();
     let Some(since) = with_path(node, service, |path| path.note_reached(now)) else { return };
@@ -88,15 +93,22 @@
     publish_unreached(node);
 }
 
-/// Records that an endpoint could not be connected to. If that makes the path doubtful, others are probed
+/// Records that an endpoint could not be connected to, or closed a new connection without an answer. If that makes the path doubtful, others are probed
 /// at once.
 pub fn note_unreached(
     node: &Rc<FrontNode>,
     service: &ServiceName,
     (key, fault): (EndpointKey, &LinkError),
 ) {
-    let silent = !suspects::is_port_closed(fault);
-    let fault = if silent { PathFault::Silent } else { PathFault::Refused };
+    let fault = match fault {
+        LinkError::ConnectFailed(cause) if cause.kind() != io::ErrorKind::ConnectionRefused => {
+            PathFault::Silent
+        }
+        LinkError::TimedOut(_) => PathFault::Silent,
+        LinkError::ConnectFailed(_) | LinkError::Interrupted(_) | LinkError::Malformed(_) => {
+            PathFault::Refused
+        }
+    };
     let (listed, now) = (listed_count(node, service), node.clock.now());
     if with_path(node, service, |path| path.note_failed((key, fault), listed, now)) {
         apply_loss(node, service, fault);
@@ -137,10 +149,11 @@
 
 fn probe_if_due(node: &Rc<FrontNode>, service: &ServiceName) {
     let (now, random) = (node.clock.now(), node.random());
-    if !with_path(node, service, |path| path.start_probes(now, random)) {
+    let probes = with_path(node, service, |path| path.start_probes(now, random));
+    if probes == 0 {
         return;
     }
-    for target in probe_targets(node, service) {
+    for target in probe_targets(node, service).into_iter().take(probes) {
         actix_rt::spawn(probe(node.clone(), service.clone(), target));
     }
 }
@@ -159,7 +172,7 @@
     };
     facts.sort_by_cached_key(|(key, fact)| (failed.contains(key), drawn(fact)));
     let mut targets = Vec::new();
-    while targets.len() < PROBES && !facts.is_empty() {
+    while targets.len() < MAX_PROBES && !facts.is_empty() {
         let mut domains = Vec::new();
         let (round, rest): (Vec<_>, Vec<_>) = facts.into_iter().partition(|(_, fact)| {
             let is_first = !domains.contains(&&fact.entry.domain);
@@ -173,7 +186,7 @@
         }));
         facts = rest;
     }
-    targets.truncate(PROBES);
+    targets.truncate(MAX_PROBES);
     targets
 }
 
@@ -181,8 +194,13 @@
 async fn probe(node: Rc<FrontNode>, service: ServiceName, target: ProbeTarget) {
     match node.dialer.dial(target.address, CONNECT_TIMEOUT).await {
         Ok(link) => {
-            note_reached(&node, &service);
-            keep_link(&node, &target.instance, link);
+            actix_rt::time::sleep(PROBE_SETTLE_TIME).await;
+            if link.is_reusable() {
+                note_reached(&node, &service);
+                return keep_link(&node, &target.instance, link);
+            }
+            let closed = LinkError::Interrupted(io::ErrorKind::ConnectionReset.into());
+            note_unreached(&node, &service, (target.key, &closed));
         }
         Err(fault) => note_unreached(&node, &service, (target.key, &fault)),
     }
@@ -195,16 +213,22 @@
     }
 }
 
-/// Connects to another endpoint of the service than `except`; `None` if there is no other, else whether
-/// one was reached.
+/// Connects to other endpoints of the service than `except`; `None` if there is no other, else whether one
+/// was reached. Several are tried, as others may have ended at the same moment.
 pub async fn reaches_another(
     node: &Rc<FrontNode>,
     service: &ServiceName,
     except: EndpointKey,
 ) -> Option<bool> {
     let asked_at = node.clock.now();
-    let mut others = probe_targets(node, service).into_iter().filter(|target| target.key != except);
-    let target = others.next()?;
-    probe(node.clone(), service.clone(), target).await;
-    Some(was_heard_since(node, service, asked_at))
+    let others = probe_targets(node, service).into_iter().filter(|target| target.key != except);
+    let mut probes: FuturesUnordered<_> =
+        others.map(|target| probe(node.clone(), service.clone(), target)).collect();
+    probes.next().await?;
+    while !was_heard_since(node, service, asked_at) {
+        if probes.next().await.is_none() {
+            return Some(false);
+        }
+    }
+    Some(true)
 }
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -5,7 +5,7 @@
 //! relayed request is marked, and no process relays it again.
 
 use crate::answer::AnswerStage;
-use crate::attempt::{CONNECT_TIMEOUT, IDLE_TIMEOUT, MAX_IDLE_LINKS};
+use crate::attempt::{CONNECT_TIMEOUT, IDLE_FRACTION, IDLE_TIMEOUT, MAX_IDLE_LINKS};
 use crate::drive::{AttemptOutcome, CallContext, CallOutcome, EndpointAnswer, call_salt};
 use crate::events::event;
 use crate::node::FrontNode;
@@ -341,9 +341,11 @@
     }
 
     fn keep_peer_link(&self, id: &InstanceId, link: Option<IdleLink>) {
-        if let Some(link) = link {
-            self.node.relays.borrow_mut().pool.put(id, link, IDLE_TIMEOUT, MAX_IDLE_LINKS);
-        }
+        let Some(link) = link else { return };
+        // The peer closes connections that were idle for longer than callers' may be.
+        let idle_limit = self.rules.bounds().idle_timeout.duration().mul_f64(IDLE_FRACTION);
+        let keep = idle_limit.min(IDLE_TIMEOUT);
+        self.node.relays.borrow_mut().pool.put(id, link, keep, MAX_IDLE_LINKS);
     }
 
     fn grade_peer(&self, id: &InstanceId, grade: AnswerGrade) {
--- a/crates/front/src/suspects.rs
+++ b/crates/front/src/suspects.rs
@@ -15,11 +15,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
-
-/// How long a probe connection to an endpoint is observed before it counts as stable: ten round
-/// trips between failure domains.
-const PROBE_SETTLE_TIME: Duration = Duration::from_millis(30);
 
 /// Identifies the incarnation of an endpoint that `entry` describes.
 pub fn life_of(entry: &EndpointEntry) -> EndpointIncarnation {
@@ -95,10 +90,10 @@
         // No answer may mean that this process is isolated; the endpoint list will show it.
         Err(_) => return,
     };
-    actix_rt::time::sleep(PROBE_SETTLE_TIME).await;
+    actix_rt::time::sleep(paths::PROBE_SETTLE_TIME).await;
     if !link.is_reusable() {
         // A proxy in front of the endpoint accepted the connection and could not reach it.
-        return note_ended(&node, &life, "connection closed");
+        return note_port_closed(&node, &life);
     }
     paths::keep_link(&node, &life.instance, link);
 }
--- a/crates/outlet/src/dial.rs
+++ b/crates/outlet/src/dial.rs
@@ -6,7 +6,7 @@
 use crate::link::{IdleLink, Result};
 use crate::socket::SocketBounds;
 use futures_util::future::{FutureExt, LocalBoxFuture};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 /// Opens connections to endpoints.
@@ -21,10 +21,13 @@
 
 /// Opens TCP connections with the default [`SocketBounds`].
 #[derive(Clone, Copy, Debug, Default)]
-pub struct TcpDialer;
+pub struct TcpDialer {
+    /// The local address that connections come from; `None` if the system chooses it.
+    pub source: Option<IpAddr>,
+}
 
 impl EndpointDialer for TcpDialer {
     fn dial(&self, address: SocketAddr, limit: Duration) -> LocalBoxFuture<'_, Result<IdleLink>> {
-        IdleLink::open(address, limit, SocketBounds::default()).boxed_local()
+        IdleLink::open_from(self.source, address, limit, SocketBounds::default()).boxed_local()
     }
 }
--- a/crates/outlet/src/link.rs
+++ b/crates/outlet/src/link.rs
@@ -14,10 +14,10 @@
 use bytes::{Bytes, BytesMut};
 use quick_error::quick_error;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 /// Bytes per read. Most events and small answers fit.
 const READ_SIZE: usize = 4096;
@@ -83,13 +83,33 @@
     idle_since: Instant,
 }
 
+async fn connect(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
+    let Some(source) = source else { return TcpStream::connect(address).await };
+    let socket = if source.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 impl IdleLink {
     /// Connects to `address` within `limit`.
     ///
     /// # Errors
     /// [`LinkError::ConnectFailed`]; no byte of a request has been sent.
     pub async fn open(address: SocketAddr, limit: Duration, bounds: SocketBounds) -> Result<Self> {
-        let connecting = tokio::time::timeout(limit, TcpStream::connect(address)).await;
+        Self::open_from(None, address, limit, bounds).await
+    }
+
+    /// Connects to `address` within `limit`, from the local address `source` if one is given.
+    ///
+    /// # Errors
+    /// As [`open`](Self::open).
+    pub async fn open_from(
+        source: Option<IpAddr>,
+        address: SocketAddr,
+        limit: Duration,
+        bounds: SocketBounds,
+    ) -> Result<Self> {
+        let connecting = tokio::time::timeout(limit, connect(source, address)).await;
         let late = |_| LinkError::ConnectFailed(io::ErrorKind::TimedOut.into());
         let stream = connecting.map_err(late)?.map_err(LinkError::ConnectFailed)?;
         configure_socket(&stream, bounds).map_err(LinkError::ConnectFailed)?;
--- a/crates/place/src/path.rs
+++ b/crates/place/src/path.rs
@@ -14,7 +14,7 @@
 const LOSS_COUNT: usize = 4;
 /// How long requests may wait without a byte from any endpoint until probes are sent: longer than
 /// pauses between the events of a stream.
-const SILENCE_TIME: TimeSpan = TimeSpan(500);
+const SILENCE_TIME: TimeSpan = TimeSpan(700);
 /// The shortest time between two rounds of probes; a random part of the same length is added, so
 /// that processes that were cut off together do not probe at one moment.
 const PROBE_PERIOD: TimeSpan = TimeSpan(250);
@@ -55,7 +55,7 @@
 }
 
 impl PathRecord {
-    /// Records that a connection was established, or that bytes of an answer arrived. Returns since
+    /// Records that an endpoint was heard, or holds a connection open. Returns since
     /// when the path had been lost, if it had.
     pub fn note_reached(&mut self, now: ClockTime) -> Option<ClockTime> {
         self.heard_at = now;
@@ -130,18 +130,24 @@
         self.waiting > 0
     }
 
-    /// Whether probes are due: after failures, or because requests wait and nothing was heard from
-    /// any endpoint for too long. `random` spreads the next round over time.
-    pub fn start_probes(&mut self, now: ClockTime, random: u64) -> bool {
+    /// The number of endpoints to probe now: several after failures; one if requests wait and nothing was
+    /// heard from any endpoint for too long. `random` spreads the next round over time.
+    pub fn start_probes(&mut self, now: ClockTime, random: u64) -> usize {
         let quiet_since = self.waiting_since.max(self.heard_at);
         let is_silent = self.waiting > 0 && now - quiet_since >= SILENCE_TIME;
         let is_suspect = self.failed.len() >= DOUBT_COUNT || self.lost_since.is_some();
         let is_due = now - self.probed_at >= self.probe_pause;
-        if !is_due || !(is_silent || is_suspect) {
-            return false;
+        let probes = match (is_suspect, is_silent) {
+            (true, _) => LOSS_COUNT,
+            (false, true) if self.failed.is_empty() => 1,
+            (false, true) => LOSS_COUNT,
+            (false, false) => 0,
+        };
+        if !is_due || probes == 0 {
+            return 0;
         }
         self.probed_at = now;
         self.probe_pause = PROBE_PERIOD + TimeSpan(random % PROBE_PERIOD.0);
-        true
+        probes
     }
 }
--- a/src/bin/oleander-front.rs
+++ b/src/bin/oleander-front.rs
@@ -27,8 +27,12 @@
             let cloud: Rc<dyn DutyPort> = Rc::new(CloudClient::new(address, codec));
             cloud
         });
-        let ports =
-            FrontPorts { store, cloud, dialer: Rc::new(TcpDialer), clock: NodeClock::default() };
+        let ports = FrontPorts {
+            store,
+            cloud,
+            dialer: Rc::new(TcpDialer { source: settings.source }),
+            clock: NodeClock::default(),
+        };
         let path = arguments.settings.or(default_path);
         match start_front(settings, log, Box::new(HttpDialect), ports, path).await {
             Ok(process) => {
--- a/tests/all/front.rs
+++ b/tests/all/front.rs
@@ -155,7 +155,12 @@
 async fn front_with_store(store: Box<dyn FeedStore>) -> (FrontProcess, SocketAddr) {
     let bounds = FrontBounds { retry_slack: 100, grace_s: 4.0, ..FrontBounds::default() };
     front_with(
-        FrontPorts { store, cloud: None, dialer: Rc::new(TcpDialer), clock: NodeClock::default() },
+        FrontPorts {
+            store,
+            cloud: None,
+            dialer: Rc::new(TcpDialer::default()),
+            clock: NodeClock::default(),
+        },
         bounds,
     )
     .await
@@ -174,6 +179,7 @@
         seeds: Vec::new(),
         store: any,
         cloud: None,
+        source: None,
         link_mbps: 1000.0,
         cores: 0.25,
         bounds,
--- a/tests/all/holder.rs
+++ b/tests/all/holder.rs
@@ -131,7 +131,7 @@
     let ports = FrontPorts {
         store,
         cloud: Some(cloud.clone()),
-        dialer: Rc::new(TcpDialer),
+        dialer: Rc::new(TcpDialer::default()),
         clock: NodeClock::default(),
     };
     let (_process, address) = front_with(ports, bounds).await;
--- a/tests/all/lives.rs
+++ b/tests/all/lives.rs
@@ -236,7 +236,7 @@
         FrontPorts {
             store: Box::new(store),
             cloud: None,
-            dialer: Rc::new(TcpDialer),
+            dialer: Rc::new(TcpDialer::default()),
             clock: NodeClock::default(),
         },
         pushed,
--- a/tests/all/path.rs
+++ b/tests/all/path.rs
@@ -7,11 +7,14 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
 
+/// The address of the proxies, which no endpoint has.
+const PROXY_IP: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 9);
+
 /// How the network treats a process's connections to endpoints.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum PathMode {
@@ -50,7 +53,7 @@
         if let Some(proxy) = self.proxies.borrow().get(&address) {
             return Ok(proxy.address);
         }
-        let proxy = LoopProxy::open(address).await?;
+        let proxy = LoopProxy::open_at(PROXY_IP, address).await?;
         let opened = proxy.address;
         self.proxies.borrow_mut().insert(address, Rc::new(proxy));
         Ok(opened)
--- a/tests/all/paying.rs
+++ b/tests/all/paying.rs
@@ -30,7 +30,7 @@
     let ports = FrontPorts {
         store: Box::new(store),
         cloud: None,
-        dialer: Rc::new(TcpDialer),
+        dialer: Rc::new(TcpDialer::default()),
         clock: NodeClock::default(),
     };
     let (process, address) = front_with(ports, bounds).await;
--- a/tests/all/plays.rs
+++ b/tests/all/plays.rs
@@ -391,6 +391,7 @@
         seeds,
         store: any,
         cloud: None,
+        source: None,
         link_mbps: 1000.0,
         cores: 0.25,
         bounds: FrontBounds::default(),
--- a/tests/all/relaying.rs
+++ b/tests/all/relaying.rs
@@ -179,8 +179,8 @@
             sleep(Duration::from_millis(1000)).await;
 
             assert!(!is_lost(0) && !is_lost(1), "{mode:?}");
-            let told = group.processes[2].node.mesh.borrow();
             sleep(Duration::from_millis(600)).await;
+            let told = group.processes[2].node.mesh.borrow();
             assert!(told.view.others().all(|member| member.unreached_services.is_empty()));
         });
     }
--- a/tests/all/words.rs
+++ b/tests/all/words.rs
@@ -344,7 +344,7 @@
         let ports = FrontPorts {
             store,
             cloud: None,
-            dialer: Rc::new(TcpDialer),
+            dialer: Rc::new(TcpDialer::default()),
             clock: NodeClock::default(),
         };
         let (process, address) = front_with(ports, FrontBounds::default()).await;
@@ -380,7 +380,7 @@
         let ports = FrontPorts {
             store,
             cloud: None,
-            dialer: Rc::new(TcpDialer),
+            dialer: Rc::new(TcpDialer::default()),
             clock: NodeClock::default(),
         };
         let (process, address) = front_with(ports, FrontBounds::default()).await;
