--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -101,3 +101,21 @@
     assert!(report.made.iter().any(|made| made.contains("GoBack")), "{:#?}", report.made);
     std::fs::remove_dir_all(settings.folder).expect("the logs of a run that passed");
 }
+
+/// Guards against callers who are not served, and against wrong results for callers, while processes lose
+/// their way to all endpoints: alone at first, then among kills, pauses and planned stops.
+#[test]
+fn callers_are_served_while_processes_lose_their_way_to_all_endpoints() {
+    let settings = settings(15_000);
+
+    let report = actix_rt::System::new().block_on(run_seed(&settings)).expect("it starts");
+
+    assert!(report.broken.is_empty(), "{:#?}\n{:#?}", report.broken, report.made);
+    assert!(report.counts.0 > 100, "{:?}", report.counts);
+    assert!(
+        report.made.first().is_some_and(|made| made.contains("CutPaths")),
+        "{:#?}",
+        report.made
+    );
+    std::fs::remove_dir_all(settings.folder).expect("the logs of a run that passed");
+}
