--- a/tests/all/no_path.rs
+++ b/tests/all/no_path.rs
@@ -24,11 +24,16 @@
 
 impl CutTest {
     async fn start(processes: usize, endpoints: usize) -> Self {
+        Self::start_with((processes, endpoints), REQUEST_PERIOD).await
+    }
+
+    /// Like [`CutTest::start`], with a request a `period` at each process.
+    async fn start_with((processes, endpoints): (usize, usize), period: Duration) -> Self {
         let group = ProcessGroup::start(processes).await;
         group.remove_first_endpoints();
         start_signal_endpoints(&group.registry(), endpoints).await;
         sleep(Duration::from_secs(2)).await;
-        let callers = TriedOnce::start(&group, REQUEST_PERIOD);
+        let callers = TriedOnce::start(&group, period);
         sleep(Duration::from_secs(2)).await;
         CutTest { group, callers }
     }
@@ -99,3 +104,63 @@
         test.assert_served_through_cut(&[0, 1, 2, 3, 4, 5], PathMode::NewRefused).await;
     });
 }
+
+/// The collector and all but one of the processes are cut off.
+#[test]
+fn callers_are_served_where_the_collector_has_no_path() {
+    play(async {
+        let test = CutTest::start(5, 6).await;
+        let collector = test.group.collector();
+        let kept = (collector + 1) % 5;
+        let cut: Vec<usize> = (0..5).filter(|at| *at != kept).collect();
+
+        test.assert_served_through_cut(&cut, PathMode::Hanging).await;
+    });
+}
+
+/// Other processes are cut off while the first are, and these have their way back a moment later.
+#[test]
+fn callers_are_served_through_cuts_that_follow_one_another() {
+    play(async {
+        let test = CutTest::start(9, 6).await;
+        test.cut(&[0, 1, 2], PathMode::Reset);
+        sleep(Duration::from_secs(4)).await;
+        test.cut(&[3, 4, 5, 6], PathMode::Hanging);
+        sleep(Duration::from_millis(500)).await;
+        test.cut(&[0, 1, 2], PathMode::Open);
+
+        test.assert_served_through_cut(&[3, 4, 5, 6], PathMode::Hanging).await;
+    });
+}
+
+/// Sixty processes, of which two thirds are cut off, with a request a second each.
+#[test]
+fn callers_are_served_where_forty_of_sixty_processes_have_no_path() {
+    play(async {
+        let test = CutTest::start_with((60, 12), Duration::from_secs(1)).await;
+        let cut: Vec<usize> = (0..40).collect();
+
+        test.assert_served_through_cut(&cut, PathMode::Hanging).await;
+    });
+}
+
+/// A peer is asked to stop while it serves relayed requests: none of them may be cut.
+#[test]
+fn a_planned_stop_of_a_peer_cuts_no_relayed_request() {
+    play(async {
+        let mut test = CutTest::start(4, 6).await;
+        test.cut(&[0, 1], PathMode::Reset);
+        sleep(CONTACT_TIME).await;
+        test.callers.failed.take();
+
+        let stopping = test.group.processes.remove(3);
+        test.callers.leave(3);
+        stopping.stop().await;
+        sleep(Duration::from_secs(2)).await;
+
+        let failed = test.callers.failed.borrow();
+        let cut = failed.iter().filter(|text| !text.contains("HTTP/1.1 503"));
+        assert_eq!(cut.count(), 0, "{failed:#?}");
+        assert!(failed.len() < 5, "{failed:#?}");
+    });
+}
--- a/tests/all/tried_once.rs
+++ b/tests/all/tried_once.rs
@@ -22,6 +22,7 @@
     pub counts: RefCell<Vec<ServedCount>>,
     pub failed: RefCell<Vec<String>>,
     pub ends: Cell<bool>,
+    left: RefCell<Vec<usize>>,
 }
 
 impl TriedOnce {
@@ -34,6 +35,7 @@
             counts: RefCell::new(vec![ServedCount::default(); count]),
             failed: RefCell::default(),
             ends: Cell::default(),
+            left: RefCell::default(),
         });
         callers.follow(group);
         for process in 0..count {
@@ -48,6 +50,11 @@
         *self.addresses.borrow_mut() = addresses.collect();
     }
 
+    /// Sends no more to a process.
+    pub fn leave(&self, process: usize) {
+        self.left.borrow_mut().push(process);
+    }
+
     /// What callers got so far, over all processes.
     pub fn total(&self) -> ServedCount {
         let add = |sum: ServedCount, one: &ServedCount| ServedCount {
@@ -60,7 +67,7 @@
     async fn send_requests(self: Rc<Self>, process: usize) {
         sleep(self.period * process as u32 / 7).await;
         for number in 0_u64.. {
-            if self.ends.get() {
+            if self.ends.get() || self.left.borrow().contains(&process) {
                 return;
             }
             tokio::task::spawn_local(self.clone().send_request(process, number));
