The state of a path is found without counting endpoints while none has failed

Change: a process asks for it several times a request; the endpoints that are listed only matter after a failure.

--- a/crates/front/src/paths.rs
+++ b/crates/front/src/paths.rs
@@ -66,7 +66,10 @@
 /// Whether this process reaches the endpoints of a service.
 pub fn path_state(node: &FrontNode, service: &ServiceName) -> PathState {
     let paths = node.paths.borrow();
-    paths.get(service).map_or(PathState::Open, |path| path.state(listed_count(node, service)))
+    match paths.get(service) {
+        Some(path) if !path.failed().is_empty() => path.state(listed_count(node, service)),
+        _ => PathState::Open,
+    }
 }
 
 /// How the last connection to an endpoint of a service failed; `None` if one was established since.
