Relayed requests of one account go to the same two peers

What was seen: of 60 relayed requests of an account with a limit, at 14 a second of 20 allowed, 34 were answered at 60 processes and 27 at 195, 60 at 9. Cause: each request drew its peer anew, and each peer needs an allotment of the account's limit. Change: a process draws two peers for an account, and asks the less used one.

--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -6,12 +6,13 @@
 
 use crate::answer::AnswerStage;
 use crate::attempt::{CONNECT_TIMEOUT, IDLE_FRACTION, IDLE_TIMEOUT, MAX_IDLE_LINKS};
-use crate::drive::{AttemptOutcome, CallContext, CallOutcome, EndpointAnswer, call_salt};
+use crate::drive::{AttemptOutcome, CallContext, CallOutcome, EndpointAnswer};
 use crate::events::event;
 use crate::node::FrontNode;
 use crate::{limits, paths, stream, whole};
 use actix_http::{RequestHead, ResponseHead, Version};
 use oleander_call::{AnswerHead, AnswerShape, AttemptEnd, CallHead, RelayHeaders};
+use oleander_kind::hash::stable_hash;
 use oleander_kind::{InstanceId, ResultCode, ServiceName, TimeSpan};
 use oleander_mesh::{RelayRequest, choose_peer};
 use oleander_outlet::{IdleLink, LinkError, LinkPool, SentLink, SocketBounds};
@@ -126,7 +127,9 @@
         |id: &InstanceId| relays.peers.get(id).is_some_and(|peer| peer.health.is_backing_off(now));
     let members = mesh.view.others().filter(|member| !is_down(&member.id));
     let domain = &node.settings.domain;
-    let request = RelayRequest { service, domain, tried, salt: call_salt(call) };
+    // Requests of one account go to the same few peers: each peer needs an allotment of its limit.
+    let account_salt = stable_hash(node.settings.instance.stable_hash(), call.key.as_bytes());
+    let request = RelayRequest { service, domain, tried, salt: account_salt };
     let (id, address) = choose_peer(members, |id| relays.in_flight(id), &request)?;
     Some((id.clone(), address))
 }
