Scripted endpoints send small writes at once

Cause: on a connection that is used again, a scripted endpoint's second small write waits for a delayed acknowledgement, some 40 ms of real time, in which virtual time passes the deadline. Since requests of one account go to the same peers, the connection is used again. Change: scripted endpoints send without that delay.

--- a/tests/all/scripted.rs
+++ b/tests/all/scripted.rs
@@ -71,6 +71,8 @@
     actix_rt::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             shared.borrow_mut().connections += 1;
+            // Small writes that wait for acknowledgements take seconds of virtual time.
+            stream.set_nodelay(true).expect("an open connection");
             actix_rt::spawn(serve(stream, script.clone(), shared.clone()));
         }
     });
