What a process does not hear is no evidence while its own path may be the cause

Cause: answers that were overdue on hanging connections, and timeouts, were reported as evidence against endpoints before the path was known to be lost; a lost path of one service withdrew the evidence about all; each relayed request took back an earning that a full retry budget had not added; any break at a brittle endpoint was no suspicion, for as long as it was brittle. Change: an overdue answer counts once an endpoint of the service was heard since the request was sent; a timeout without a byte from the service grades the endpoint here alone; evidence is withdrawn by service; a request that is relayed at once earns nothing; only a brittle endpoint that refused requests within 2 s may have fallen over. The dump lists the peers to which requests are relayed.

--- a/crates/front/src/admin.rs
+++ b/crates/front/src/admin.rs
@@ -5,7 +5,7 @@
 use crate::releases::RunningOrder;
 use actix_web::{HttpResponse, web};
 use compact_str::CompactString;
-use oleander_kind::{RequestRate, ServiceName};
+use oleander_kind::{InstanceId, RequestRate, ServiceName};
 use oleander_list::FreshnessStamp;
 use oleander_mesh::PartSizes;
 use oleander_place::PathRecord;
@@ -70,6 +70,7 @@
         "held_requests": dump_quarantined(node),
         "idle_connections": node.pool.borrow().len(),
         "paths": dump_paths(node),
+        "relays": dump_relays(node),
         "known_prompt_parts": node.prefixes.borrow().len(),
         "members": mesh.view.members().iter().take(MAX_LISTED).map(|member| member.id.as_str().to_owned()).collect::<Vec<_>>(),
         "collector": mesh.view.chosen().map(|id| id.as_str()),
@@ -107,6 +108,14 @@
     failing.map(path).collect()
 }
 
+/// The peers to which this process relays requests.
+fn dump_relays(node: &FrontNode) -> Vec<Value> {
+    let now = node.clock.now();
+    let relays = node.relays.borrow();
+    let peer = |(id, in_flight, is_backing_off): (&InstanceId, u32, bool)| json!({ "peer": id.as_str(), "in_flight": in_flight, "unreached": is_backing_off });
+    relays.peers(now).map(peer).collect()
+}
+
 fn dump_sizes(sizes: &PartSizes) -> Value {
     let part = |(name, bytes): &(&str, usize)| ((*name).to_owned(), json!(bytes));
     Value::Object(sizes.iter().map(part).collect())
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -95,8 +95,8 @@
     }
 
     /// Reports a broken attempt, because the request may have crashed its endpoint. An endpoint that
-    /// signalled that it is leaving is left out: it ends all its requests. So is a brittle one, which falls
-    /// over under refusals and not under a request.
+    /// signalled that it is leaving is left out: it ends all its requests. So is a brittle one that
+    /// refused requests a moment ago: it falls over under refusals and not under a request.
     pub(crate) fn note_broken(&self, key: EndpointKey, end: AttemptEnd) {
         let (Some((life, address)), Some(sent_at)) = (self.last_target.clone(), self.sent_at)
         else {
@@ -105,7 +105,8 @@
         let (takes_work, last_answer_at) = {
             let board = self.node.endpoints.borrow();
             let fact = board.get(key);
-            if fact.is_some_and(EndpointFact::is_brittle) {
+            let now = self.node.clock.now();
+            if fact.is_some_and(|fact| fact.may_have_fallen(now)) {
                 return;
             }
             let last_answer_at = fact.map(|fact| fact.health.good_at()).unwrap_or_default();
@@ -441,8 +442,7 @@
             LinkError::ConnectFailed(_) | LinkError::TimedOut(_) => AnswerGrade::Dead,
             LinkError::Interrupted(_) | LinkError::Malformed(_) => AnswerGrade::Bad,
         };
-        let is_own = paths::path_state(self.node, &self.service) != PathState::Open;
-        if is_own && matches!(fault, LinkError::ConnectFailed(_)) {
+        if self.may_be_own_path(fault) {
             self.grade(target.key, grade);
         } else {
             self.note_failure(target, work, grade);
@@ -455,6 +455,24 @@
             "fault" => fault.to_string());
     }
 
+    /// Whether a failure may come from the path of this process: no endpoint of the service was reached
+    /// lately, or none was heard since the request was sent. It then says nothing about the endpoint.
+    fn may_be_own_path(&self, fault: &LinkError) -> bool {
+        let now = self.node.clock.now();
+        let is_heard = || {
+            self.sent_at.is_none_or(|sent_at| {
+                paths::was_heard_since(self.node, &self.service, now - sent_for(sent_at))
+            })
+        };
+        match fault {
+            LinkError::Malformed(_) => false,
+            LinkError::TimedOut(_) if !is_heard() => true,
+            LinkError::ConnectFailed(_) | LinkError::Interrupted(_) | LinkError::TimedOut(_) => {
+                paths::path_state(self.node, &self.service) != PathState::Open
+            }
+        }
+    }
+
     /// Updates the health of an endpoint, as this process sees it, by the result of an attempt.
     pub(crate) fn grade(&self, key: EndpointKey, grade: AnswerGrade) {
         let now = self.node.clock.now();
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -119,6 +119,8 @@
     pub(crate) peer_in_flight: bool,
     /// Whether the next attempt goes to a peer. It is not charged here, whatever the path does meanwhile.
     pub(crate) relays_next: bool,
+    /// Whether the request added to the retry budget of its service.
+    pub(crate) has_earned: bool,
 }
 
 /// Serves one request and writes its log line.
@@ -191,7 +193,9 @@
     let relayed = call.relayed_attempts.unwrap_or(u32::MAX).max(1);
     let max_attempts = route.max_attempts.min(relayed);
     node.dialect.strip_request(&mut request.head.headers);
-    node.earn_retry(&service);
+    if !relays {
+        node.earn_retry(&service);
+    }
     let mut context = CallContext {
         node,
         answer,
@@ -223,6 +227,7 @@
         peer: None,
         peer_in_flight: false,
         relays_next: relays,
+        has_earned: !relays,
     };
     let outcome = match timeout_at(context.deadline, context.serve()).await {
         Ok(outcome) => outcome,
--- a/crates/front/src/evidence.rs
+++ b/crates/front/src/evidence.rs
@@ -2,6 +2,7 @@
 //! collector.
 
 use crate::node::FrontNode;
+use crate::paths;
 use compact_str::CompactString;
 use oleander_judge::{AnswerSample, EvidenceTally};
 use oleander_kind::{ClockTime, TimeSpan};
@@ -23,6 +24,7 @@
 struct PendingAnswer {
     endpoint: EndpointKey,
     route: Option<CompactString>,
+    sent_at: ClockTime,
     due_at: ClockTime,
     is_reported: bool,
 }
@@ -47,19 +49,21 @@
 impl EvidenceBuffer {
     /// Tracks a request that was sent; its answer is overdue from `due_at` on.
     pub fn wait(&mut self, endpoint: EndpointKey, due_at: ClockTime) -> AnswerTicket {
-        self.track_on_route(endpoint, None, due_at)
+        self.track_on_route(endpoint, None, (due_at, due_at))
     }
 
-    /// Tracks a request whose answers are compared by route.
+    /// Tracks a request whose answers are compared by route. It was sent at `sent_at`, and its answer is
+    /// overdue from `due_at` on.
     pub fn track_on_route(
         &mut self,
         endpoint: EndpointKey,
         route: Option<CompactString>,
-        due_at: ClockTime,
+        (sent_at, due_at): (ClockTime, ClockTime),
     ) -> AnswerTicket {
         self.tickets += 1;
         let ticket = AnswerTicket(self.tickets);
-        self.waiting.insert(ticket, PendingAnswer { endpoint, route, due_at, is_reported: false });
+        self.waiting
+            .insert(ticket, PendingAnswer { endpoint, route, sent_at, due_at, is_reported: false });
         ticket
     }
 
@@ -91,7 +95,21 @@
 
     /// Starts a report: returns the evidence that no collector has confirmed yet, with requests that became overdue.
     pub fn next(&mut self, now: ClockTime) -> &HashMap<EndpointKey, EvidenceTally> {
-        let overdue = |waiting: &&mut PendingAnswer| !waiting.is_reported && now >= waiting.due_at;
+        self.next_heard(now, |_, _| true)
+    }
+
+    /// Like [`next`](Self::next). Overdue requests count only if `is_heard` says that an endpoint of the
+    /// same service was heard since the request was sent: otherwise the path of this process may be the
+    /// cause.
+    pub fn next_heard(
+        &mut self,
+        now: ClockTime,
+        is_heard: impl Fn(EndpointKey, ClockTime) -> bool,
+    ) -> &HashMap<EndpointKey, EvidenceTally> {
+        let overdue = |waiting: &&mut PendingAnswer| {
+            let is_due = !waiting.is_reported && now >= waiting.due_at;
+            is_due && is_heard(waiting.endpoint, waiting.sent_at)
+        };
         let overdue = self.waiting.values_mut().filter(overdue).map(|waiting| {
             waiting.is_reported = true;
             (waiting.endpoint, waiting.route.clone())
@@ -136,6 +154,18 @@
     }
 }
 
+impl EvidenceBuffer {
+    /// Discards what was observed of endpoints, and waits for none of their answers any more, because this
+    /// process may not have reached them.
+    pub fn discard_of(&mut self, is_unreached: impl Fn(EndpointKey) -> bool) {
+        self.seen.retain(|key, _| !is_unreached(*key));
+        self.sent.retain(|key, _| !is_unreached(*key));
+        self.seen_by_route.retain(|(key, _), _| !is_unreached(*key));
+        self.sent_by_route.retain(|(key, _), _| !is_unreached(*key));
+        self.waiting.retain(|_, waiting| !is_unreached(waiting.endpoint));
+    }
+}
+
 /// The evidence about endpoints for the next report, in total and by route.
 pub fn report_evidence(node: &FrontNode) -> (Vec<EndpointEvidence>, Vec<RouteEvidence>) {
     let board = node.endpoints.borrow();
@@ -146,7 +176,11 @@
         let (instance, life) = (entry.instance.clone(), IncarnationTag::of(entry.life));
         Some(EndpointEvidence { instance, life, tally: *tally })
     };
-    let all = buffer.next(node.clock.now()).iter();
+    let is_heard = |key: EndpointKey, sent_at: ClockTime| {
+        let service = board.get(key).map(|fact| &fact.entry.service);
+        service.is_none_or(|service| paths::was_heard_since(node, service, sent_at))
+    };
+    let all = buffer.next_heard(node.clock.now(), is_heard).iter();
     let all = all.filter_map(|(key, tally)| evidence(key, tally)).collect();
     let by_route = buffer.next_by_route().iter().filter_map(|((key, route), tally)| {
         Some(RouteEvidence { route: route.clone(), seen: evidence(key, tally)? })
--- a/crates/front/src/paths.rs
+++ b/crates/front/src/paths.rs
@@ -8,6 +8,7 @@
 use crate::events::event;
 use crate::node::FrontNode;
 use futures_util::stream::{FuturesUnordered, StreamExt};
+use oleander_kind::hash::mix_bits;
 use oleander_kind::{ClockTime, InstanceId, ServiceName};
 use oleander_outlet::{IdleLink, LinkError};
 use oleander_place::{EndpointFact, EndpointKey, PathFault, PathRecord, PathState};
@@ -72,7 +73,7 @@
     }
 }
 
-/// How the last connection to an endpoint of a service failed; `None` if one was established since.
+/// How the last connection to an endpoint of a service failed; `None` if an endpoint was heard since.
 pub fn path_fault(node: &FrontNode, service: &ServiceName) -> Option<PathFault> {
     node.paths.borrow().get(service)?.fault()
 }
@@ -96,8 +97,8 @@
     publish_unreached(node);
 }
 
-/// Records that an endpoint could not be connected to, or closed a new connection without an answer. If that makes the path doubtful, others are probed
-/// at once.
+/// Records that an endpoint could not be connected to, or closed a new connection without an answer. If that
+/// makes the path doubtful, others are probed at once.
 pub fn note_unreached(
     node: &Rc<FrontNode>,
     service: &ServiceName,
@@ -125,9 +126,11 @@
         "service" => service.as_str(), "by" => format!("{fault:?}"),
         "listed" => listed_count(node, service));
     node.meter.count_path_loss(service.as_str());
-    node.evidence.borrow_mut().discard();
+    let board = node.endpoints.borrow();
+    let is_unreached =
+        |key| board.get(key).is_some_and(|fact: &EndpointFact| fact.entry.service == *service);
+    node.evidence.borrow_mut().discard_of(is_unreached);
     if fault == PathFault::Silent {
-        let board = node.endpoints.borrow();
         let facts = board.of_service(service).iter().filter_map(|key| board.get(*key));
         let mut pool = node.pool.borrow_mut();
         facts.for_each(|fact| pool.forget(&fact.entry.instance));
@@ -144,6 +147,14 @@
     node.mesh.borrow_mut().view.set_unreached_services(services);
 }
 
+/// Forgets the paths to services that the rules name no longer.
+pub fn sweep(node: &FrontNode) {
+    let Some(rules) = node.current_rules() else { return };
+    let is_named = |service: &ServiceName| rules.service(service).is_some();
+    node.paths.borrow_mut().retain(|service, path| path.is_in_use() || is_named(service));
+    publish_unreached(node);
+}
+
 /// Probes the endpoints of each service whose path may be lost.
 pub fn watch_paths(node: &Rc<FrontNode>) {
     let services: Vec<ServiceName> = node.paths.borrow().keys().cloned().collect();
@@ -170,9 +181,7 @@
     let mut facts: Vec<(EndpointKey, &EndpointFact)> =
         facts.filter(|(_, fact)| fact.takes_work()).collect();
     let salt = node.random();
-    let drawn = |fact: &EndpointFact| {
-        oleander_kind::hash::mix_bits(salt ^ fact.entry.instance.stable_hash())
-    };
+    let drawn = |fact: &EndpointFact| mix_bits(salt ^ fact.entry.instance.stable_hash());
     facts.sort_by_cached_key(|(key, fact)| (failed.contains(key), drawn(fact)));
     let mut targets = Vec::new();
     while targets.len() < MAX_PROBES && !facts.is_empty() {
--- a/crates/front/src/process.rs
+++ b/crates/front/src/process.rs
@@ -5,11 +5,11 @@
 use crate::port::PlatformDialect;
 use crate::suspect_store::SuspectStore;
 use crate::window_store::WindowStore;
-use crate::{admin, discover, duties, feeds, ingress, kept, limits, mesh, reload};
+use crate::{admin, discover, duties, feeds, ingress, kept, limits, mesh, paths, reload};
 use actix_web::{App, HttpResponse, web};
 use oleander_board::{NodeClock, StopStage};
 use oleander_conf::FrontSettings;
-use oleander_kind::{InstanceId, ServiceName, TimeSpan};
+use oleander_kind::{InstanceId, TimeSpan};
 use oleander_mesh::MeshBody;
 use oleander_outlet::{EndpointDialer, listen_socket};
 use oleander_plat::{DutyPort, FeedStore};
@@ -123,19 +123,19 @@
     loop {
         actix_rt::time::sleep(SWEEP_PERIOD.duration()).await;
         node.prefixes.borrow_mut().sweep(node.clock.now());
-        let endpoints = node.endpoints.borrow();
-        node.pool.borrow_mut().sweep(|instance| endpoints.key(instance).is_some());
-        let mesh = node.mesh.borrow();
-        let is_member = |id: &InstanceId| mesh.view.others().any(|member| member.id == *id);
-        node.relays.borrow_mut().sweep(is_member);
-        let rules = node.current_rules();
-        let is_known = |service: &ServiceName| {
-            rules.as_ref().is_none_or(|rules| rules.service(service).is_some())
-        };
-        node.paths.borrow_mut().retain(|service, path| path.is_in_use() || is_known(service));
+        sweep_links(&node);
+        paths::sweep(&node);
     }
 }
 
+fn sweep_links(node: &FrontNode) {
+    let endpoints = node.endpoints.borrow();
+    node.pool.borrow_mut().sweep(|instance| endpoints.key(instance).is_some());
+    let mesh = node.mesh.borrow();
+    let is_member = |id: &InstanceId| mesh.view.others().any(|member| member.id == *id);
+    node.relays.borrow_mut().sweep(is_member);
+}
+
 /// Ends the process abruptly: requests are not finished, and other processes are not informed.
 impl Drop for FrontProcess {
     fn drop(&mut self) {
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -13,7 +13,7 @@
 use actix_http::{RequestHead, ResponseHead, Version};
 use oleander_call::{AnswerHead, AnswerShape, AttemptEnd, CallHead, RelayHeaders};
 use oleander_kind::hash::stable_hash;
-use oleander_kind::{InstanceId, ResultCode, ServiceName, TimeSpan};
+use oleander_kind::{ClockTime, InstanceId, ResultCode, ServiceName, TimeSpan};
 use oleander_mesh::{RelayRequest, choose_peer};
 use oleander_outlet::{IdleLink, LinkError, LinkPool, SentLink, SocketBounds};
 use oleander_place::{
@@ -50,6 +50,12 @@
         self.pool.sweep(is_member);
     }
 
+    /// The peers used so far, the requests relayed to each now, and whether it could not be reached.
+    pub fn peers(&self, now: ClockTime) -> impl Iterator<Item = (&InstanceId, u32, bool)> {
+        let peers = self.peers.iter();
+        peers.map(move |(id, peer)| (id, peer.in_flight, peer.health.is_backing_off(now)))
+    }
+
     fn in_flight(&self, id: &InstanceId) -> u32 {
         self.peers.get(id).map_or(0, |peer| peer.in_flight)
     }
@@ -219,7 +225,9 @@
         if let Some(charge) = self.charge.take().filter(|_| !self.record.may_have_run()) {
             limits::refund_quota(self.node, &charge);
         }
-        self.node.return_earned_retry(&self.service);
+        if std::mem::take(&mut self.has_earned) {
+            self.node.return_earned_retry(&self.service);
+        }
         self.usage_recorded = true;
         self.chosen = None;
         self.endpoint = None;
--- a/crates/front/src/work.rs
+++ b/crates/front/src/work.rs
@@ -50,7 +50,10 @@
     ) -> Self {
         let began_at = node.clock.now();
         let overdue_at = wait.overdue_at(began_at);
-        let ticket = node.evidence.borrow_mut().track_on_route(key, route.clone(), overdue_at);
+        let ticket = {
+            let times = (began_at, overdue_at);
+            node.evidence.borrow_mut().track_on_route(key, route.clone(), times)
+        };
         let ticket = Some(ticket);
         let node = node.clone();
         let answered_at = None;
--- a/crates/mesh/src/relay.rs
+++ b/crates/mesh/src/relay.rs
@@ -18,7 +18,7 @@
     pub domain: &'a DomainName,
     /// Peers that must not be tried again.
     pub tried: &'a [InstanceId],
-    /// Draws the peers; different for each request.
+    /// Draws the two peers; requests with the same salt go to the same ones.
     pub salt: u64,
 }
 
--- a/crates/place/src/board.rs
+++ b/crates/place/src/board.rs
@@ -105,6 +105,15 @@
         self.declared.brittle.refusals.is_some()
     }
 
+    /// Whether it may have fallen over: it is brittle and refused a request a moment ago. What it ran then
+    /// broke, whatever it was.
+    pub fn may_have_fallen(&self, now: ClockTime) -> bool {
+        /// From the refusals that make an endpoint fall over until what it ran is known to be broken.
+        const FALL_TIME: TimeSpan = TimeSpan(2000);
+        let room = self.declared.room;
+        self.is_brittle() && room.reduced.is_some() && now - room.refused_at < FALL_TIME
+    }
+
     /// The requests that it runs at once, as far as that is known.
     pub fn running_at_once(&self) -> u32 {
         let slots = self.entry.slots;
--- a/crates/place/src/path.rs
+++ b/crates/place/src/path.rs
@@ -97,7 +97,7 @@
         self.lost_since
     }
 
-    /// How the last connection failed; `None` if one has been established since.
+    /// How the last connection failed; `None` if an endpoint has been heard since.
     pub fn fault(&self) -> Option<PathFault> {
         self.fault
     }
--- a/tests/all/evidence.rs
+++ b/tests/all/evidence.rs
@@ -372,3 +372,36 @@
     assert_eq!(rig.take(report("front-2"), later + TimeSpan(1000)).verdicts.len(), 1);
     assert_eq!(rig.collector.judge(&four_endpoints(), later + TimeSpan(6000)).len(), 1);
 }
+
+/// An answer that is overdue says nothing about its endpoint while this process hears from none of the
+/// service, because its own path may be the cause.
+#[test]
+fn overdue_answers_count_once_another_endpoint_is_heard() {
+    let mut board = EndpointBoard::default();
+    let key = board.put(entry_of("i-0", "kopli"));
+    let mut outbox = EvidenceBuffer::default();
+    let at = |ms| ClockTime(START + ms);
+    outbox.track_on_route(key, None, (at(0), at(200)));
+
+    assert!(outbox.next_heard(at(400), |_, _| false).is_empty());
+    let seen = outbox.next_heard(at(700), |_, sent_at| sent_at == at(0));
+
+    assert!(seen.contains_key(&key));
+}
+
+/// What a process observed of endpoints that it may not have reached is withdrawn, and nothing else.
+#[test]
+fn evidence_about_one_service_is_discarded_alone() {
+    let mut board = EndpointBoard::default();
+    let [lost, other] = ["i-0", "i-1"].map(|name| board.put(entry_of(name, "kopli")));
+    let mut outbox = EvidenceBuffer::default();
+    let at = |ms| ClockTime(START + ms);
+    outbox.note(lost, AnswerSample::Failed);
+    outbox.note(other, AnswerSample::Failed);
+    outbox.wait(lost, at(100));
+
+    outbox.discard_of(|key| key == lost);
+
+    let seen = outbox.next(at(400));
+    assert_eq!((seen.contains_key(&lost), seen.contains_key(&other)), (false, true));
+}
