A process takes its permits as soon as it learns that an endpoint is brittle

Cause: permits were worked out with the next report alone, so for up to a quarter of a second nobody sent anything to endpoints that had just said that they are brittle. Change: they are worked out when the signal is noted, and with each report as before. Measured: found by front::what_a_fallen_endpoint_ran_is_no_suspect, whose second request was refused, and passes.

--- a/crates/front/src/words.rs
+++ b/crates/front/src/words.rs
@@ -180,7 +180,8 @@
 ) {
     let mut board = node.endpoints.borrow_mut();
     let Some(before) = board.note_brittle(key, signal) else { return };
-    if let Some(fact) = board.get(key) {
+    if let Some(fact) = board.get_mut(key) {
+        set_room_share(node, fact);
         node.meter.count_word("brittle", source.name());
         event!(node, EndpointBrittle;
             "endpoint" => fact.entry.instance.as_str(), "life" => fact.entry.life,
@@ -209,27 +210,33 @@
     true
 }
 
-/// Works out this process's place among those that share each brittle endpoint: the members that reach its
-/// service, in an order that differs from endpoint to endpoint and that hardly changes with the members.
+/// Updates this process's place among those that share each brittle endpoint.
 pub(crate) fn update_room_shares(node: &FrontNode) {
     let mut board = node.endpoints.borrow_mut();
     let brittle = board.speaking().filter(|(_, fact)| fact.is_brittle());
     let keys: Vec<EndpointKey> = brittle.map(|(key, _)| key).collect();
-    let mesh = node.mesh.borrow();
     for key in keys {
-        let Some(fact) = board.get_mut(key) else { continue };
-        let endpoint = fact.entry.instance.stable_hash();
-        let weight = |id: &InstanceId| rendezvous_weight(endpoint, id.stable_hash());
-        let others = mesh.view.others().filter(|member| {
-            !member.leaving && !member.unreached_services.contains(&fact.entry.service)
-        });
-        let others = others.map(|member| weight(&member.id));
-        let share = RoomShare::among(weight(&node.settings.instance), others);
-        let memory_bound = memory_bound(node, &fact.entry.service);
-        fact.room_share = Some(RoomShare { memory_bound, ..share });
+        if let Some(fact) = board.get_mut(key) {
+            set_room_share(node, fact);
+        }
     }
 }
 
+/// Works out this process's place among those that share a brittle endpoint: the members that reach its
+/// service, in an order that differs from endpoint to endpoint and that hardly changes with the members.
+fn set_room_share(node: &FrontNode, fact: &mut EndpointFact) {
+    let mesh = node.mesh.borrow();
+    let endpoint = fact.entry.instance.stable_hash();
+    let weight = |id: &InstanceId| rendezvous_weight(endpoint, id.stable_hash());
+    let others = mesh.view.others().filter(|member| {
+        !member.leaving && !member.unreached_services.contains(&fact.entry.service)
+    });
+    let others = others.map(|member| weight(&member.id));
+    let share = RoomShare::among(weight(&node.settings.instance), others);
+    let memory_bound = memory_bound(node, &fact.entry.service);
+    fact.room_share = Some(RoomShare { memory_bound, ..share });
+}
+
 /// The requests of the size that this process has seen that fit into the memory of an engine of `service`;
 /// `None` if its endpoints are no engines.
 fn memory_bound(node: &FrontNode, service: &ServiceName) -> Option<u32> {
