A relayed request is sent to no more endpoints than its route allows, whatever number of peers is asked

Cause: a peer whose endpoints had all refused the request said no endpoint, as one without a path does, and the next peer began anew: four arrivals where the route allows two, none of the further ones on the retry budget. Change: the mark of an answer also says how many endpoints were asked; they count as tried, and a further peer draws on the retry budget. Tests besides: the deadline over two hops, open connections while new ones are refused and no peer is there, the retry budget after a cut, members of the version before, what a fallen endpoint ran.

--- a/crates/call/src/attempt.rs
+++ b/crates/call/src/attempt.rs
@@ -111,6 +111,11 @@
         }
     }
 
+    /// Records that a peer refused the request after `sent` endpoints had refused it unrun.
+    pub fn note_refused_at_peer(&mut self, sent: u32) {
+        self.sent += sent;
+    }
+
     /// Whether the rules allow that a peer sends the request.
     pub fn may_relay(&self) -> bool {
         let allowed = self.repeat.may_run_again() || !self.may_have_run;
--- a/crates/call/src/head.rs
+++ b/crates/call/src/head.rs
@@ -82,6 +82,15 @@
     pub attempts: u32,
 }
 
+/// What a peer says of its answer to a relayed request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RelayedAnswer {
+    /// The code of its refusal, or 0 if it passes on an endpoint's answer.
+    pub code: u16,
+    /// The endpoints to which it sent the request.
+    pub sent: u32,
+}
+
 /// A value that an endpoint may announce about itself in an answer, such as its rate limit.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum EndpointSignal<T> {
@@ -120,9 +129,8 @@
     pub backoff: EndpointSignal<TimeSpan>,
     /// The refusals a second for want of room at which the endpoint falls over.
     pub brittle: EndpointSignal<u32>,
-    /// Present if a peer answered a relayed request: the code of its refusal, or 0 if it passed on
-    /// an endpoint's answer.
-    pub relay_code: Option<u16>,
+    /// Present if a peer answered a relayed request.
+    pub relayed: Option<RelayedAnswer>,
     /// When the sender may be asked again, if stated.
     pub retry_after: Option<TimeSpan>,
 }
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -15,7 +15,8 @@
 pub use attempt::{AttemptEnd, AttemptRecord, NextStep};
 pub use events::{CompleteEvent, EventSplitter};
 pub use head::{
-    AnswerHead, AttemptHeaders, CallHead, EndpointSignal, PromptPart, RelayHeaders, TokenCount,
+    AnswerHead, AttemptHeaders, CallHead, EndpointSignal, PromptPart, RelayHeaders, RelayedAnswer,
+    TokenCount,
 };
 pub use rules::{
     AccountKey, AccountRule, AnswerShape, CallerBounds, CurrentRules, EngineRule, RepeatRule,
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -7,6 +7,7 @@
 use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use actix_http::{ConnectionType, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
+use oleander_call::RelayedAnswer;
 use oleander_kind::{ResultCode, TimeSpan};
 use std::io;
 use tokio::io::AsyncWriteExt;
@@ -34,6 +35,7 @@
     status: u16,
     code: Option<ResultCode>,
     marks: Option<&'a dyn PlatformDialect>,
+    sent: u32,
 }
 
 impl<'a> AnswerWriter<'a> {
@@ -49,6 +51,7 @@
             status: 0,
             code: None,
             marks: None,
+            sent: 0,
         }
     }
 
@@ -77,6 +80,11 @@
         self.marks = Some(dialect);
     }
 
+    /// Records to how many endpoints the request was sent so far, for the mark of a relayed one.
+    pub fn note_sent(&mut self, sent: u32) {
+        self.sent = sent;
+    }
+
     /// Begins an answer with a chunked body. The head is sent with the first chunk.
     ///
     /// # Errors
@@ -94,7 +102,9 @@
         let mut response = Response::with_body(status, ());
         *response.headers_mut() = headers;
         if let Some(dialect) = self.marks {
-            dialect.stamp_relay_answer(response.headers_mut(), self.code);
+            let code = self.code.map_or(0, ResultCode::number);
+            let answer = RelayedAnswer { code, sent: self.sent };
+            dialect.stamp_relay_answer(response.headers_mut(), answer);
         }
         if self.closes {
             response.head_mut().set_connection_type(ConnectionType::Close);
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -345,6 +345,7 @@
         received: Option<EndpointAnswer>,
     ) -> Option<CallOutcome> {
         self.record.note(end);
+        self.answer.note_sent(self.record.sent());
         let by_peer = self.next_hop() == NextHop::Peer;
         let again = (self.record.may_send() || by_peer)
             && suspects::held_for(self.node, &self.fingerprint).is_none()
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -430,6 +430,11 @@
         self.with_budget(service, RetryBudget::return_earned);
     }
 
+    /// Whole retries left for `service` in this process's share of the budget.
+    pub fn retries_left(&self, service: &ServiceName) -> u64 {
+        self.with_budget(service, |budget| budget.left())
+    }
+
     fn with_budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_insert_with(|| {
--- a/crates/front/src/port.rs
+++ b/crates/front/src/port.rs
@@ -4,7 +4,7 @@
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, ResponseHead};
 use bytes::Bytes;
-use oleander_call::{AnswerHead, AttemptHeaders, CallHead, RelayHeaders, RuleSet};
+use oleander_call::{AnswerHead, AttemptHeaders, CallHead, RelayHeaders, RelayedAnswer, RuleSet};
 use oleander_kind::{ClockTime, ResultCode};
 use oleander_place::EndpointEntry;
 use oleander_plat::FeedObject;
@@ -27,8 +27,8 @@
     /// Sets the headers of a request that is relayed to a peer.
     fn stamp_relay(&self, headers: &mut HeaderMap, stamp: &RelayHeaders);
 
-    /// Marks the answer to a relayed request: the code of a refusal, or none for an endpoint's answer.
-    fn stamp_relay_answer(&self, headers: &mut HeaderMap, code: Option<ResultCode>);
+    /// Marks the answer to a relayed request.
+    fn stamp_relay_answer(&self, headers: &mut HeaderMap, answer: RelayedAnswer);
 
     /// Parses the head of an endpoint's or peer's answer.
     fn parse_answer(&self, head: &ResponseHead) -> AnswerHead;
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -83,8 +83,18 @@
 enum RelayOutcome {
     /// The answer of an endpoint, or how the attempt ended without one.
     Attempted(AttemptOutcome),
-    /// The peer refused the request and states the Retry-After time, if any.
-    Refused(ResultCode, Option<TimeSpan>),
+    /// The peer refused the request.
+    Refused(PeerRefusal),
+}
+
+/// A peer's refusal of a relayed request.
+#[derive(Clone, Copy, Debug)]
+struct PeerRefusal {
+    code: ResultCode,
+    /// The Retry-After time, if any.
+    retry: Option<TimeSpan>,
+    /// The endpoints that refused it before.
+    sent: u32,
 }
 
 /// Where a request goes next.
@@ -207,8 +217,16 @@
                         return self.give_up(ResultCode::Uncertain).await;
                     }
                 }
-                RelayOutcome::Refused(code, _) if concerns_peer(code) => {}
-                RelayOutcome::Refused(code, retry) => {
+                RelayOutcome::Refused(refusal) if concerns_peer(refusal.code) => {
+                    self.record.note_refused_at_peer(refusal.sent);
+                    let is_unsent = self.record.sent() == 0;
+                    let may_repeat =
+                        || self.record.may_relay() && self.node.spend_retry(&self.service);
+                    if !(is_unsent || may_repeat()) {
+                        break;
+                    }
+                }
+                RelayOutcome::Refused(PeerRefusal { code, retry, .. }) => {
                     if !code.guarantees_not_run() {
                         self.record.note_relayed(AttemptEnd::Broken, attempts);
                     }
@@ -316,21 +334,20 @@
         head: ResponseHead,
     ) -> RelayOutcome {
         let answer_head = self.node.dialect.parse_answer(&head);
-        let code = answer_head.relay_code;
-        let refusal = code.filter(|code| *code > 0).map(ResultCode::from_number);
-        let is_answer = code == Some(0) && answer_head.is_sound(&self.call.id);
-        let body = sent.into_body(&head);
-        if let Some(refusal) = refusal {
-            let retry = answer_head.retry_after;
+        let mut body = sent.into_body(&head);
+        let broken = RelayOutcome::Attempted(AttemptOutcome::Ended(AttemptEnd::Broken, None));
+        // Without a mark it is no front process any more, or one that knows no relayed requests.
+        let Some(answer) = answer_head.relayed else { return broken };
+        if answer.code > 0 {
+            let code = ResultCode::from_number(answer.code).unwrap_or(ResultCode::Uncertain);
             // The body only describes the code.
-            let mut body = body;
             while let Ok(Some(_)) = body.next().await {}
             self.keep_peer_link(id, body.into_idle());
-            return RelayOutcome::Refused(refusal.unwrap_or(ResultCode::Uncertain), retry);
+            let (retry, sent) = (answer_head.retry_after, answer.sent);
+            return RelayOutcome::Refused(PeerRefusal { code, retry, sent });
         }
-        if !is_answer {
-            // Not a front process any more, or not one that knows relayed requests.
-            return RelayOutcome::Attempted(AttemptOutcome::Ended(AttemptEnd::Broken, None));
+        if !answer_head.is_sound(&self.call.id) {
+            return broken;
         }
         let (outcome, link) = self.forward_peer_answer(body, head, &answer_head).await;
         self.keep_peer_link(id, link);
@@ -371,7 +388,7 @@
             RelayOutcome::Attempted(AttemptOutcome::Delivered) => "delivered",
             RelayOutcome::Attempted(AttemptOutcome::CallerGone) => "caller_gone",
             RelayOutcome::Attempted(AttemptOutcome::Ended(end, _)) => end.name(),
-            RelayOutcome::Refused(code, _) => code.name(),
+            RelayOutcome::Refused(refusal) => refusal.code.name(),
         };
         self.node.meter.count_relay(end);
         event!(self.node, RequestRelayed;
--- a/tests/all/front.rs
+++ b/tests/all/front.rs
@@ -14,6 +14,7 @@
     WriteOutcome,
 };
 use oleandertack::platform::HttpDialect;
+use oleandertack::suspect::EndpointIncarnation;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -500,6 +501,40 @@
     });
 }
 
+/// A brittle endpoint that just refused requests falls over under these, whatever it ran. One that refused none
+/// and ends under a request is taken for crashed by it.
+#[test]
+fn what_a_fallen_endpoint_ran_is_no_suspect() {
+    for (refuses, suspected) in [(true, false), (false, true)] {
+        run(async {
+            let brittle = |text: String| text.replace("\r\n\r\n", "\r\nServer-Brittle: 2\r\n\r\n");
+            let refusal = "HTTP/1.1 503 Full\r\nX-Oleandertack-Request-Id: {id}\r\n\
+                 X-Oleandertack-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+            let second = if refuses { refusal.to_owned() } else { valid_answer("b") };
+            let endpoint = scripted(vec![
+                vec![send_text(&brittle(valid_answer("a")))],
+                vec![send_text(&brittle(second))],
+                vec![Act::Pause(Duration::from_millis(20)), Act::Reset],
+            ])
+            .await;
+            let (process, address) = front(&[endpoint.address]).await;
+            let broken = async {
+                for number in 1..3 {
+                    ask(address, &request("POST", "/once/a", &format!("r{number}"), "", "")).await;
+                }
+                tokio::time::sleep(Duration::from_millis(1100)).await;
+                ask(address, &request("POST", "/once/a", "r3", "", "same")).await;
+            };
+
+            broken.await;
+
+            let life = EndpointIncarnation { instance: "i-0".into(), life: 0 };
+            assert_eq!(received_requests(&endpoint), 3, "refuses {refuses}");
+            assert_eq!(process.node.crash_watch.borrow().is_broken(&life), suspected);
+        });
+    }
+}
+
 fn counted_usage(process: &FrontProcess) -> u64 {
     process.node.usage.borrow().counts().map(|(_, _, count)| count).sum()
 }
--- a/tests/all/plays.rs
+++ b/tests/all/plays.rs
@@ -413,6 +413,11 @@
         Self::start_with(count, FrontBounds::default(), None).await
     }
 
+    /// Like [`ProcessGroup::start`], with other bounds.
+    pub async fn start_bounded(count: usize, bounds: FrontBounds) -> Self {
+        Self::start_with(count, bounds, None).await
+    }
+
     /// Like [`ProcessGroup::start`], with roll-outs: a candidate version may receive `share` of the
     /// requests, and `slack` requests more.
     pub async fn start_releasing(count: usize, (share, slack): (f64, u32)) -> Self {
--- a/tests/all/relaying.rs
+++ b/tests/all/relaying.rs
@@ -4,6 +4,7 @@
 use crate::path::PathMode;
 use crate::plays::{ProcessGroup, play};
 use crate::scripted::{Act, Scripted, scripted};
+use oleandertack::conf::FrontBounds;
 use oleandertack::kind::ClockTime;
 use oleandertack::mesh::{MemberInfo, RelayRequest, choose_peer};
 use oleandertack::place::{EndpointKey, PathFault, PathRecord, PathState};
@@ -28,7 +29,8 @@
 
 /// Lists scripted endpoints at a group of processes, in place of the first ones.
 async fn group_with(processes: usize, endpoints: &[&Scripted]) -> ProcessGroup {
-    let group = ProcessGroup::start(processes).await;
+    let bounds = FrontBounds { retry_slack: 100, ..FrontBounds::default() };
+    let group = ProcessGroup::start_bounded(processes, bounds).await;
     group.remove_first_endpoints();
     for (at, endpoint) in endpoints.iter().enumerate() {
         let body = format!(
@@ -272,6 +274,91 @@
     assert!(relayed * 10 >= direct * 9 && relayed <= direct + 5, "{relayed} of {direct}");
 }
 
+/// Guards against a request that reaches more endpoints by way of a peer than its route allows, or gets more
+/// time than its caller has.
+#[test]
+fn a_relayed_request_keeps_to_its_attempts_and_its_deadline() {
+    play(async {
+        let full = "HTTP/1.1 503 Full\r\nX-Oleandertack-Request-Id: {id}\r\n\
+             X-Oleandertack-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        let refusing = || scripted(vec![vec![Act::Say(full.to_owned())]]);
+        let endpoints = [refusing().await, refusing().await, refusing().await, refusing().await];
+        let group = group_with(3, &endpoints.each_ref()).await;
+        cut(&group, &[0], PathMode::Reset).await;
+
+        let answer = ask(address(&group, 0), &request("POST", "/any/a", "r1", "", "p")).await;
+
+        assert_eq!(answer.status(), "503", "{answer:?}");
+        let runs: usize = endpoints.iter().map(|endpoint| runs_of(endpoint, "r1")).sum();
+        assert!((1..=2).contains(&runs), "{runs} of 2 attempts");
+        let left = |endpoint: &Scripted| {
+            let seen = endpoint.seen.borrow();
+            let deadline = seen.requests.last()?.header("x-oleandertack-deadline-ms")?.parse();
+            deadline.ok().filter(|left: &u64| *left > 2000)
+        };
+        assert_eq!(endpoints.iter().find_map(left), None);
+    });
+}
+
+/// Open connections live on while new ones are refused, and there is no peer: what still works is used.
+#[test]
+fn an_open_connection_is_used_while_new_ones_are_refused() {
+    play(async {
+        let endpoint = good("ok").await;
+        let group = group_with(1, &[&endpoint]).await;
+        let asked = |number: u32| request("POST", "/once/a", &format!("r{number}"), "", "p");
+        ask(address(&group, 0), &asked(0)).await;
+        group.paths[0].set(PathMode::NewRefused);
+        let (first, second) = (asked(1), asked(2));
+        let (one, other) =
+            tokio::join!(ask(address(&group, 0), &first), ask(address(&group, 0), &second));
+        assert!([one.status(), other.status()].contains(&"503"), "{one:?} {other:?}");
+
+        for number in 3..8 {
+            let answer = ask(address(&group, 0), &asked(number)).await;
+            assert_eq!(answer.status(), "200", "{answer:?}");
+        }
+    });
+}
+
+/// Guards against a process without retries after a cut, because each relayed request took back what it had not
+/// added to a full budget.
+#[test]
+fn relayed_requests_leave_the_retry_budget_as_it_is() {
+    play(async {
+        let endpoint = good("ok").await;
+        let group = group_with(3, &[&endpoint]).await;
+        let node = &group.processes[0].node;
+        (0..40).for_each(|_| node.earn_retry(&"s".into()));
+        cut(&group, &[0], PathMode::Reset).await;
+
+        for number in 0..200 {
+            let text = request("POST", "/any/a", &format!("r{number}"), "", "p");
+            assert_eq!(ask(address(&group, 0), &text).await.status(), "200");
+        }
+
+        assert!(node.retries_left(&"s".into()) > 0);
+    });
+}
+
+/// Members as processes of the version before write and read them.
+#[test]
+fn members_are_read_by_and_from_processes_that_relay_nothing() {
+    let new = MemberInfo {
+        unreached_services: vec!["s".into()],
+        caller_address: "127.0.0.1:2".parse().ok(),
+        ..member("front-1", "near")
+    };
+    let mut written = serde_json::to_value(&new).expect("it is written");
+    let fields = written.as_object_mut().expect("an object");
+    let added: Vec<_> = ["f", "p"].iter().filter_map(|name| fields.remove(*name)).collect();
+
+    let read: MemberInfo = serde_json::from_value(written).expect("it is read");
+
+    assert_eq!(added.len(), 2);
+    assert_eq!(read, MemberInfo { caller_address: None, unreached_services: Vec::new(), ..new });
+}
+
 fn member(name: &str, domain: &str) -> MemberInfo {
     MemberInfo {
         id: name.into(),
