A request that nobody could serve is demand, once

Cause: demand was counted before an attempt had a connection, and not at all while the path was doubted or lost. In a cut of all processes demand fell to nothing, so the holder of the lease would have ordered fewer endpoints; without one, each refused connection counted a request. Change: an attempt counts once it has a connection, and a request that is refused because no endpoint could be asked counts once, at the process that its caller asked.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -71,12 +71,6 @@
         self.sent_at = None;
         self.chosen = Some(choice);
         self.note_list_age();
-        if paths::path_state(self.node, &self.service) == PathState::Open {
-            self.note_demand(choice.unread);
-            if self.record.sent() == 0 {
-                self.node.note_demand(&self.service, |demand| demand.sent += 1);
-            }
-        }
         let route = releases::evidence_route(self.node, &self.service, &self.route().name);
         let waits = (self.expected_wait(&choice), route);
         let _waiting = PathWait::begin(self.node, &self.service);
@@ -135,9 +129,26 @@
         AnswerWait { expected, objective: self.route().objective }
     }
 
+    /// Adds an attempt that has a connection to the demand of its service.
+    fn note_attempt_demand(&mut self) {
+        self.note_demand(self.chosen.map_or(0, |choice| choice.unread));
+        if self.record.sent() == 0 {
+            self.node.note_demand(&self.service, |demand| demand.sent += 1);
+        }
+    }
+
+    /// Adds a request that no endpoint could be asked for to the demand of its service, once: its caller wants
+    /// it served all the same. The process that relayed it counts it.
+    pub(crate) fn note_unserved_demand(&mut self) {
+        if !self.has_demanded && self.call.relayed_attempts.is_none() {
+            self.note_demand(self.call.tokens.unwrap_or_default().prompt);
+        }
+    }
+
     /// Adds the request to the demand of its service; `unread` is the number of prompt tokens that have to be
     /// prefilled.
-    pub(crate) fn note_demand(&self, unread: u64) {
+    pub(crate) fn note_demand(&mut self, unread: u64) {
+        self.has_demanded = true;
         let first = self.record.sent() == 0;
         let answer = self.call.tokens.map_or(0, |tokens| tokens.answer);
         let expected_answer = self.call.length_hint.unwrap_or(answer).min(answer.max(1));
@@ -217,6 +228,7 @@
                 return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
             }
         };
+        self.note_attempt_demand();
         let limit = self.first_chunk_deadline();
         let sent_at = Instant::now();
         self.sent_at = Some(sent_at);
--- a/crates/front/src/closed.rs
+++ b/crates/front/src/closed.rs
@@ -30,7 +30,10 @@
             None if self.may_refuse() && self.can_go_elsewhere() => {
                 self.answer.refuse(ResultCode::NoEndpoint, Some(ELSEWHERE_RETRY_AFTER)).await
             }
-            _ => self.give_up(ResultCode::NoEndpoint).await,
+            _ => {
+                self.note_unserved_demand();
+                self.give_up(ResultCode::NoEndpoint).await
+            }
         }
     }
 
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -119,6 +119,8 @@
     pub(crate) peer_in_flight: bool,
     /// Whether the next attempt goes to a peer. It is not charged here, whatever the path does meanwhile.
     pub(crate) relays_next: bool,
+    /// Whether the request was added to the demand of its service.
+    pub(crate) has_demanded: bool,
     /// Whether the request added to the retry budget of its service.
     pub(crate) has_earned: bool,
 }
@@ -227,6 +229,7 @@
         peer: None,
         peer_in_flight: false,
         relays_next: relays,
+        has_demanded: false,
         has_earned: !relays,
     };
     let outcome = match timeout_at(context.deadline, context.serve()).await {
@@ -287,7 +290,10 @@
             match self.next_hop() {
                 _ if self.relays_next => return self.serve_by_peers().await,
                 NextHop::Peer => return self.serve_by_peers().await,
-                NextHop::Nowhere => return self.give_up(ResultCode::NoEndpoint).await,
+                NextHop::Nowhere => {
+                    self.note_unserved_demand();
+                    return self.give_up(ResultCode::NoEndpoint).await;
+                }
                 NextHop::Endpoint => {}
             }
             let Some(choice) = self.choose_for_rollout().await else {
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -234,6 +234,9 @@
                 }
             }
         }
+        if self.record.sent() == 0 {
+            self.note_unserved_demand();
+        }
         self.give_up(ResultCode::NoEndpoint).await
     }
 
--- a/tests/all/relaying.rs
+++ b/tests/all/relaying.rs
@@ -5,6 +5,7 @@
 use crate::plays::{ProcessGroup, play};
 use crate::scripted::{Act, Scripted, scripted};
 use oleandertack::conf::FrontBounds;
+use oleandertack::front::FrontProcess;
 use oleandertack::kind::ClockTime;
 use oleandertack::mesh::{MemberInfo, RelayRequest, choose_peer};
 use oleandertack::place::{EndpointKey, PathFault, PathRecord, PathState};
@@ -163,6 +164,34 @@
     }
 }
 
+/// Guards against orders for fewer endpoints after a cut of all processes, because requests that were refused
+/// counted for nothing, and against orders for more, because one counted for each failed connection.
+#[test]
+fn requests_that_nobody_can_serve_are_demand_once() {
+    for mode in [PathMode::Reset, PathMode::Hanging] {
+        play(async {
+            let endpoint = good("ok").await;
+            let group = group_with(3, &[&endpoint]).await;
+            let demand = || -> u64 {
+                let of = |process: &FrontProcess| {
+                    process.node.demand.borrow().values().map(|demand| demand.requests).sum::<u64>()
+                };
+                group.processes.iter().map(of).sum()
+            };
+            group.paths.iter().for_each(|path| path.set(mode));
+
+            for number in 0..30 {
+                let text = request("POST", "/once/a", &format!("r{number}"), "", "p");
+                let answer = ask(address(&group, number % 3), &text).await;
+                assert_ne!(answer.status(), "200", "{answer:?}");
+                sleep(Duration::from_millis(50)).await;
+            }
+
+            assert_eq!(demand(), 30, "{mode:?}");
+        });
+    }
+}
+
 /// A path that is back is found without a request of a caller.
 #[test]
 fn a_path_that_is_back_is_found_by_probes() {
