request_done tells what showed that an answer had ended; a counter for it

Change: outlet::BodyLink::next returns a part or how the body ended (BodyEnd: stated or closed), so that each reader sees which; request_done has body_end and rest, and oleander_front_body_ends counts them. What is done with an answer is as before, except that a peer's refusal whose text breaks off is logged.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -379,11 +379,7 @@
                 return Ok((sent, head, answer_head));
             }
             let mut foreign = sent.into_body(&head);
-            let reading = async {
-                while foreign.next().await?.is_some() {}
-                Ok(())
-            };
-            timeout_at(limit, reading).await.map_err(late)??;
+            timeout_at(limit, foreign.skip()).await.map_err(late)??;
             *slot = foreign.await_next_answer(&self.node.http);
         }
         Err(exhausted())
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -22,6 +22,7 @@
 };
 use oleander_kind::hash::{HASH_SEED, mix_bits, stable_hash};
 use oleander_kind::{AccountName, InstanceId, ResultCode, ServiceName, TimeSpan};
+use oleander_outlet::BodyEnd;
 use oleander_place::{
     AnswerGrade, EndpointKey, PlacementChoice, PlacementRequest, choose_endpoint, queue_limit,
     shed_delay,
@@ -113,6 +114,10 @@
     pub(crate) last_chunk_at: Option<Instant>,
     /// Longest pause between two chunks of the stream.
     pub(crate) longest_pause: Option<TimeSpan>,
+    /// What showed that the last answer had ended.
+    pub(crate) body_end: Option<BodyEnd>,
+    /// Bytes of a stream that followed its last complete event.
+    pub(crate) rest_bytes: usize,
     /// The peer to which the request was relayed last.
     pub(crate) peer: Option<InstanceId>,
     /// Whether that peer may be serving it now.
@@ -226,6 +231,8 @@
         first_chunk_at: None,
         last_chunk_at: None,
         longest_pause: None,
+        body_end: None,
+        rest_bytes: 0,
         peer: None,
         peer_in_flight: false,
         relays_next: relays,
@@ -281,6 +288,8 @@
         trace.list_age = self.list_age;
         trace.last_event = self.last_event;
         trace.longest_pause = self.longest_pause;
+        trace.body_end = self.body_end;
+        trace.rest_bytes = self.rest_bytes;
         trace.first_ms =
             self.first_chunk_at.map(|at| at.duration_since(trace.arrived).as_millis() as u64);
     }
--- a/crates/front/src/meter.rs
+++ b/crates/front/src/meter.rs
@@ -18,6 +18,7 @@
     requests: Counter<u64>,
     attempts: Counter<u64>,
     resumes: Counter<u64>,
+    body_ends: Counter<u64>,
     unread_tokens: Counter<u64>,
     store_faults: Counter<u64>,
     store_returns: Counter<u64>,
@@ -47,6 +48,7 @@
             requests: meter.u64_counter("oleander_front_requests").build(),
             attempts: meter.u64_counter("oleander_front_attempts").build(),
             resumes: meter.u64_counter("oleander_front_resumes").build(),
+            body_ends: meter.u64_counter("oleander_front_body_ends").build(),
             unread_tokens: meter.u64_counter("oleander_front_unread_tokens").build(),
             store_faults: meter.u64_counter("oleander_front_store_faults").build(),
             store_returns: meter.u64_counter("oleander_front_store_returns").build(),
@@ -101,6 +103,12 @@
         self.resumes.add(1, &[]);
     }
 
+    /// Counts an endpoint's answer by what showed that it had ended.
+    pub fn count_body_end(&self, service: &str, end: &'static str) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.body_ends.add(1, &[service, KeyValue::new("end", end)]);
+    }
+
     /// Counts prompt tokens that an endpoint had to prefill.
     pub fn count_unread_tokens(&self, tokens: u64) {
         self.unread_tokens.add(tokens, &[]);
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -344,7 +344,11 @@
         if answer.code > 0 {
             let code = ResultCode::from_number(answer.code).unwrap_or(ResultCode::Uncertain);
             // The body only describes the code.
-            while let Ok(Some(_)) = body.next().await {}
+            if let Err(fault) = body.skip().await {
+                event!(self.node, AttemptFault;
+                    "request" => self.call.id.as_str(), "peer" => id.as_str(),
+                    "fault" => fault.to_string());
+            }
             self.keep_peer_link(id, body.into_idle());
             let (retry, sent) = (answer_head.retry_after, answer.sent);
             return RelayOutcome::Refused(PeerRefusal { code, retry, sent });
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -11,7 +11,7 @@
 use bytes::{Bytes, BytesMut};
 use oleander_call::{AttemptEnd, EventSplitter, RepeatRule};
 use oleander_kind::TimeSpan;
-use oleander_outlet::{BodyLink, IdleLink};
+use oleander_outlet::{BodyLink, BodyPart, IdleLink};
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
@@ -40,10 +40,10 @@
     let mut resumes = context.answer.stage() != AnswerStage::Waiting;
     let mut limit = if work.is_some() { context.first_chunk_deadline() } else { context.deadline };
     let (node, key) = (context.node.clone(), work.as_ref().map(|work| work.key()));
-    loop {
+    let body_end = loop {
         let bytes = match timeout_at(limit, node.run_until_replaced(key, body.next())).await {
-            Ok(Some(Ok(Some(bytes)))) => bytes,
-            Ok(Some(Ok(None))) => break,
+            Ok(Some(Ok(BodyPart::Bytes(bytes)))) => bytes,
+            Ok(Some(Ok(BodyPart::End(end)))) => break end,
             Ok(Some(Err(_)) | None) => {
                 return (AttemptOutcome::Ended(AttemptEnd::Broken, None), None);
             }
@@ -78,8 +78,10 @@
             return (AttemptOutcome::CallerGone, None);
         }
         limit = stall_deadline(context, key.is_none());
-    }
+    };
     let rest = splitter.take_incomplete();
+    context.body_end = Some(body_end);
+    context.rest_bytes = rest.len();
     let written = async {
         write_events(context, status, &mut headers, rest).await?;
         context.answer.finish().await
--- a/crates/front/src/trace.rs
+++ b/crates/front/src/trace.rs
@@ -6,6 +6,7 @@
 use crate::node::FrontNode;
 use compact_str::CompactString;
 use oleander_kind::{InstanceId, ResultCode, TimeSpan};
+use oleander_outlet::BodyEnd;
 use oleander_place::PlacementChoice;
 use oleander_suspect::RequestFingerprint;
 use std::rc::Rc;
@@ -43,6 +44,10 @@
     pub(crate) first_ms: Option<u64>,
     /// Longest pause between two chunks of the stream.
     pub(crate) longest_pause: Option<TimeSpan>,
+    /// What showed that the answer of the last endpoint had ended.
+    pub(crate) body_end: Option<BodyEnd>,
+    /// Bytes of a stream that followed its last complete event.
+    pub(crate) rest_bytes: usize,
 }
 
 impl CallTrace {
@@ -63,6 +68,8 @@
             last_event: None,
             first_ms: None,
             longest_pause: None,
+            body_end: None,
+            rest_bytes: 0,
         }
     }
 
@@ -78,6 +85,9 @@
         let request = self.request.as_str();
         let code = answer.code().map_or(0, ResultCode::number);
         node.meter.count_request(&self.service, code, total_ms as f64);
+        if let Some(end) = self.body_end {
+            node.meter.count_body_end(&self.service, end.name());
+        }
         if let Some(ms) = self.first_ms {
             node.meter.record_first_ms(&self.service, ms as f64);
         }
@@ -102,6 +112,7 @@
                 "status" => answer.status(), "sent" => self.sent, "endpoint" => endpoint,
                 "peer" => peer, "first_ms" => self.first_ms, "pause_ms" => self.longest_pause.map(|longest_pause| longest_pause.0),
                 "total_ms" => total_ms, "rules" => self.rules,
+                "body_end" => self.body_end.map(BodyEnd::name), "rest" => self.rest_bytes,
                 "ahead" => self.chosen.map(|choice| choice.tokens_ahead),
                 "unread" => self.chosen.map(|choice| choice.unread),
                 "list_ms" => self.list_age.map(|age| age.0),
--- a/crates/front/src/whole.rs
+++ b/crates/front/src/whole.rs
@@ -4,7 +4,7 @@
 use actix_http::ResponseHead;
 use bytes::BytesMut;
 use oleander_call::{AnswerHead, AttemptEnd};
-use oleander_outlet::{BodyLink, IdleLink};
+use oleander_outlet::{BodyLink, BodyPart, IdleLink};
 use oleander_place::EndpointKey;
 use tokio::time::Instant;
 
@@ -23,13 +23,13 @@
 ) -> (AttemptOutcome, Option<IdleLink>) {
     let mut bytes = BytesMut::new();
     let node = context.node.clone();
-    loop {
+    let body_end = loop {
         match node.run_until_replaced(key, body.next()).await {
-            Some(Ok(Some(more))) if bytes.len() + more.len() <= BUFFER_LIMIT => {
+            Some(Ok(BodyPart::Bytes(more))) if bytes.len() + more.len() <= BUFFER_LIMIT => {
                 bytes.extend_from_slice(&more);
             }
-            Some(Ok(None)) => break,
-            Some(Ok(Some(_)) | Err(_)) | None => {
+            Some(Ok(BodyPart::End(end))) => break end,
+            Some(Ok(BodyPart::Bytes(_)) | Err(_)) | None => {
                 let end = if answer_head.not_run {
                     AttemptEnd::RefusedNotRun
                 } else {
@@ -38,7 +38,8 @@
                 return (AttemptOutcome::Ended(end, None), None);
             }
         }
-    }
+    };
+    context.body_end = Some(body_end);
     let link = body.into_idle();
     if answer_head.not_run {
         return (AttemptOutcome::Ended(AttemptEnd::RefusedNotRun, None), link);
--- a/crates/outlet/src/lib.rs
+++ b/crates/outlet/src/lib.rs
@@ -12,6 +12,6 @@
 pub mod socket;
 
 pub use dial::{EndpointDialer, TcpDialer};
-pub use link::{BodyLink, HttpCodec, IdleLink, LinkError, Result, SentLink};
+pub use link::{BodyEnd, BodyLink, BodyPart, HttpCodec, IdleLink, LinkError, Result, SentLink};
 pub use pool::LinkPool;
 pub use socket::{SocketBounds, configure_socket, listen_socket};
--- a/crates/outlet/src/link.rs
+++ b/crates/outlet/src/link.rs
@@ -226,10 +226,10 @@
             || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
         let has_length = head.headers().contains_key(CONTENT_LENGTH);
         let framing = match self.coder.message_type() {
-            _ if no_body => BodyFraming::Complete,
+            _ if no_body => BodyFraming::Ended(BodyEnd::Stated),
             // The library treats an HTTP/1.1 answer without a length as empty; it ends with its
             // connection (RFC 9112, section 6.3).
-            MessageType::None if has_length => BodyFraming::Complete,
+            MessageType::None if has_length => BodyFraming::Ended(BodyEnd::Stated),
             MessageType::None | MessageType::Stream => BodyFraming::UntilClose,
             MessageType::Payload if head.version == Version::HTTP_10 && !has_length => {
                 BodyFraming::UntilClose
@@ -240,13 +240,42 @@
     }
 }
 
+/// What shows that a body has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// The endpoint said so: the length is reached, or the last chunk was received.
+    Stated,
+    /// The connection was closed in an orderly way, and the framing says nothing about the end. The body may
+    /// be complete, or the endpoint may have ended while it was writing.
+    Closed,
+}
+
+impl BodyEnd {
+    /// The name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            BodyEnd::Stated => "stated",
+            BodyEnd::Closed => "closed",
+        }
+    }
+}
+
+/// The next part of a body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BodyPart {
+    /// Some bytes.
+    Bytes(Bytes),
+    /// Nothing follows.
+    End(BodyEnd),
+}
+
 enum BodyFraming {
     /// A length or chunked encoding.
     Encoded(ClientPayloadCodec),
     /// The body lasts until the connection ends.
     UntilClose,
-    /// The body was read completely.
-    Complete,
+    /// The body has ended.
+    Ended(BodyEnd),
 }
 
 /// A connection whose answer body is being read.
@@ -257,29 +286,29 @@
 }
 
 impl BodyLink {
-    /// Returns the next bytes of the body, or `None` after its end.
+    /// Returns the next bytes of the body, or how it ended.
     ///
     /// # Errors
     /// [`LinkError::Interrupted`] if the connection ended too early or broke,
     /// [`LinkError::Malformed`] if the framing is invalid.
-    pub async fn next(&mut self) -> Result<Option<Bytes>> {
+    pub async fn next(&mut self) -> Result<BodyPart> {
         loop {
             match &mut self.framing {
-                BodyFraming::Complete => return Ok(None),
+                BodyFraming::Ended(end) => return Ok(BodyPart::End(*end)),
                 BodyFraming::UntilClose if !self.link.buffer.is_empty() => {
-                    return Ok(Some(self.link.buffer.split().freeze()));
+                    return Ok(BodyPart::Bytes(self.link.buffer.split().freeze()));
                 }
                 BodyFraming::UntilClose => {
                     self.reusable = false;
                     if self.read_more().await? == 0 {
-                        self.framing = BodyFraming::Complete;
+                        self.framing = BodyFraming::Ended(BodyEnd::Closed);
                     }
                 }
                 BodyFraming::Encoded(coder) => {
                     let decoded = coder.decode(&mut self.link.buffer);
                     match decoded.map_err(|fault| LinkError::Malformed(fault.to_string()))? {
-                        Some(Some(bytes)) => return Ok(Some(bytes)),
-                        Some(None) => self.framing = BodyFraming::Complete,
+                        Some(Some(bytes)) => return Ok(BodyPart::Bytes(bytes)),
+                        Some(None) => self.framing = BodyFraming::Ended(BodyEnd::Stated),
                         None => {
                             if self.read_more().await? == 0 {
                                 return Err(unexpected_eof());
@@ -291,14 +320,30 @@
         }
     }
 
+    /// Reads the rest of the body without keeping it.
+    ///
+    /// # Errors
+    /// As [`next`](Self::next).
+    pub async fn skip(&mut self) -> Result<BodyEnd> {
+        loop {
+            if let BodyPart::End(end) = self.next().await? {
+                return Ok(end);
+            }
+        }
+    }
+
     async fn read_more(&mut self) -> Result<usize> {
         self.link.buffer.reserve(READ_SIZE);
         self.link.stream.read_buf(&mut self.link.buffer).await.map_err(LinkError::Interrupted)
     }
 
+    fn is_stated(&self) -> bool {
+        matches!(self.framing, BodyFraming::Ended(BodyEnd::Stated))
+    }
+
     /// Returns the link if its answer was read completely and it can carry another request.
     pub fn into_idle(self) -> Option<IdleLink> {
-        let whole = matches!(self.framing, BodyFraming::Complete);
+        let whole = self.is_stated();
         let mut link = self.link;
         if !whole || !self.reusable || !link.buffer.is_empty() {
             return None;
@@ -316,8 +361,7 @@
     /// one is expected. Without waiting for another answer, a request that must not be repeated
     /// would be lost, although its own answer comes right after.
     pub fn await_next_answer(self, codec: &HttpCodec) -> Option<SentLink> {
-        let whole = matches!(self.framing, BodyFraming::Complete);
-        (whole && self.reusable).then(|| SentLink {
+        (self.is_stated() && self.reusable).then(|| SentLink {
             link: self.link,
             coder: ClientCodec::new(codec.config.clone()),
             unsent: BytesMut::new(),
--- a/tests/all/outlet.rs
+++ b/tests/all/outlet.rs
@@ -5,7 +5,7 @@
 use actix_http::{Method, RequestHead};
 use bytes::Bytes;
 use oleandertack::kind::InstanceId;
-use oleandertack::outlet::{HttpCodec, IdleLink, LinkError, LinkPool, SocketBounds};
+use oleandertack::outlet::{BodyPart, HttpCodec, IdleLink, LinkError, LinkPool, SocketBounds};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -39,7 +39,7 @@
     let head = sent.read_head().await?;
     let mut reading = sent.into_body(&head);
     let mut whole = Vec::new();
-    while let Some(bytes) = reading.next().await? {
+    while let BodyPart::Bytes(bytes) = reading.next().await? {
         whole.extend_from_slice(&bytes);
     }
     Ok((whole, reading.into_idle()))
