An answer is framed as complete only if its endpoint said that it is

Callers saw: streams that an endpoint broke off arrived with the beginning of an event and a last chunk; answers without a length got one. Cause: the end of a connection was taken for the end of an answer, and restated to the caller in a stronger form. What was left of an event was written out. Change: call::tail judges the end of a stream: inside an event it is broken off, whatever the framing says; an end that nobody stated is never put as a chunk. Answers that end with their connection go on in the same framing (no length, Connection: close), streams and others, also by a peer. Such a connection is reset unless the answer has ended, also if the process is killed; after an end the rest of what the caller sends is discarded before the close. An unstated end clears no suspect. Heads whose framing contradicts itself are no answers (a length and chunks, chunks in HTTP/1.0). Lines of events may end with a lone CR.

--- a/crates/call/src/attempt.rs
+++ b/crates/call/src/attempt.rs
@@ -14,6 +14,9 @@
     Failed,
     /// The connection broke, or delivered bytes that are no answer to this request.
     Broken,
+    /// The answer ended and nothing shows that it broke off, but the caller's answer has to state its end, and
+    /// the endpoint did not.
+    Unstated,
     /// Nothing arrived within the time limit.
     TimedOut,
 }
@@ -26,6 +29,7 @@
             AttemptEnd::RefusedNotRun => "refused_not_run",
             AttemptEnd::Failed => "failed",
             AttemptEnd::Broken => "broken",
+            AttemptEnd::Unstated => "unstated",
             AttemptEnd::TimedOut => "silent",
         }
     }
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -10,10 +10,11 @@
 pub mod events;
 pub mod head;
 pub mod rules;
+pub mod tail;
 
 pub use admit::{AdmittedCall, RuleView, admit_call};
 pub use attempt::{AttemptEnd, AttemptRecord, NextStep};
-pub use events::{CompleteEvent, EventSplitter};
+pub use events::{CompleteEvent, EventSplitter, StreamRest};
 pub use head::{
     AnswerHead, AttemptHeaders, CallHead, EndpointSignal, PromptPart, RelayHeaders, RelayedAnswer,
     TokenCount,
@@ -22,3 +23,4 @@
     AccountKey, AccountRule, AnswerShape, CallerBounds, CurrentRules, EngineRule, RepeatRule,
     RouteKey, RouteRule, RuleSet, ScaleRule, ServiceRule,
 };
+pub use tail::{StreamTail, TailVerdict};
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -4,11 +4,14 @@
 use actix_codec::Encoder;
 use actix_http::body::BodySize;
 use actix_http::h1::{Codec, Message};
-use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
+use actix_http::header::{
+    CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING,
+};
 use actix_http::{ConnectionType, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
 use oleander_call::RelayedAnswer;
 use oleander_kind::{ResultCode, TimeSpan};
+use oleander_outlet::{BodyEnd, set_reset_on_close};
 use std::io;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::WriteHalf;
@@ -24,14 +27,19 @@
     Done,
 }
 
-/// Writes the answer to one request. The connection is closed if it is dropped before the answer is
-/// complete, so that the caller cannot take a truncated answer for a complete one.
+/// Writes the answer to one request.
+///
+/// The end of an answer is framed as strongly as its endpoint framed it: an answer that ended with its
+/// connection ends with the caller's. If the writer is dropped before the answer is complete, the connection
+/// is closed, or reset if a close would be taken for the end.
 pub struct AnswerWriter<'a> {
     writer: WriteHalf<'a>,
     codec: &'a mut Codec,
     out: BytesMut,
     stage: AnswerStage,
     closes: bool,
+    /// What shows the caller that the answer has ended.
+    end: BodyEnd,
     status: u16,
     code: Option<ResultCode>,
     marks: Option<&'a dyn PlatformDialect>,
@@ -48,6 +56,7 @@
             out: BytesMut::new(),
             stage: AnswerStage::Waiting,
             closes,
+            end: BodyEnd::Stated,
             status: 0,
             code: None,
             marks: None,
@@ -85,11 +94,32 @@
         self.sent = sent;
     }
 
-    /// Begins an answer with a chunked body. The head is sent with the first chunk.
+    /// Whether the caller's answer has begun and has to state its end.
+    pub fn must_state_end(&self) -> bool {
+        self.stage == AnswerStage::Begun && self.end == BodyEnd::Stated
+    }
+
+    /// Whether the connection was closed in an orderly way, because that is how the answer ends.
+    pub fn has_ended_connection(&self) -> bool {
+        self.stage == AnswerStage::Done && self.end == BodyEnd::Closed
+    }
+
+    /// Begins an answer whose length is not known; its end is shown as `end` says. The head is sent with the
+    /// first chunk.
     ///
     /// # Errors
     /// An I/O error of the connection.
-    pub fn begin_stream(&mut self, status: StatusCode, headers: HeaderMap) -> io::Result<()> {
+    pub fn begin_stream(
+        &mut self,
+        status: StatusCode,
+        headers: HeaderMap,
+        end: BodyEnd,
+    ) -> io::Result<()> {
+        self.end = end;
+        if end == BodyEnd::Closed {
+            self.closes = true;
+            set_reset_on_close(self.writer.as_ref(), true)?;
+        }
         self.encode_head(status, headers, BodySize::Stream)
     }
 
@@ -101,6 +131,11 @@
     ) -> io::Result<()> {
         let mut response = Response::with_body(status, ());
         *response.headers_mut() = headers;
+        if self.end == BodyEnd::Closed {
+            response.head_mut().no_chunking(true);
+            response.headers_mut().remove(CONTENT_LENGTH);
+            response.headers_mut().remove(TRANSFER_ENCODING);
+        }
         if let Some(dialect) = self.marks {
             let code = self.code.map_or(0, ResultCode::number);
             let answer = RelayedAnswer { code, sent: self.sent };
@@ -123,17 +158,41 @@
         self.flush().await
     }
 
-    /// Ends a chunked body.
+    /// Ends an answer of unknown length.
     ///
     /// # Errors
     /// An I/O error of the connection.
     pub async fn finish(&mut self) -> io::Result<()> {
         self.codec.encode(Message::Chunk(None), &mut self.out)?;
         self.flush().await?;
+        if self.end == BodyEnd::Closed {
+            set_reset_on_close(self.writer.as_ref(), false)?;
+            self.writer.shutdown().await?;
+        }
         self.stage = AnswerStage::Done;
         Ok(())
     }
 
+    /// Writes an answer of an endpoint, which ended as `end` says.
+    ///
+    /// # Errors
+    /// An I/O error of the connection.
+    pub async fn write_received(
+        &mut self,
+        status: StatusCode,
+        headers: HeaderMap,
+        (body, end): (Bytes, BodyEnd),
+    ) -> io::Result<()> {
+        match end {
+            BodyEnd::Stated => self.write_whole(status, headers, body).await,
+            BodyEnd::Closed => {
+                self.begin_stream(status, headers, end)?;
+                self.write_chunk(body).await?;
+                self.finish().await
+            }
+        }
+    }
+
     /// Writes a complete answer.
     ///
     /// # Errors
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -14,7 +14,7 @@
     AnswerHead, AnswerShape, AttemptEnd, AttemptHeaders, EndpointSignal, RepeatRule,
 };
 use oleander_kind::{ClockTime, TimeSpan};
-use oleander_outlet::{IdleLink, LinkError, SentLink};
+use oleander_outlet::{BodyEnd, IdleLink, LinkError, SentLink};
 use oleander_pace::ReadSample;
 use oleander_place::{
     AnswerGrade, EndpointFact, EndpointKey, PathState, PlacementChoice, expected_first_byte,
@@ -69,6 +69,7 @@
         self.endpoint = Some(target.life.instance.clone());
         self.last_target = Some((target.life.clone(), target.address));
         self.sent_at = None;
+        (self.body_end, self.rest_bytes) = (None, 0);
         self.chosen = Some(choice);
         self.note_list_age();
         let route = releases::evidence_route(self.node, &self.service, &self.route().name);
@@ -79,6 +80,8 @@
         self.current = None;
         self.count_version(&target, &outcome);
         match &outcome {
+            // An endpoint that ends closes its connections too, so only a stated end clears a request.
+            AttemptOutcome::Delivered if self.body_end == Some(BodyEnd::Closed) => {}
             AttemptOutcome::Delivered => suspects::note_answer(self.node, self.fingerprint),
             AttemptOutcome::Ended(end, _) if !work.has_survived() => {
                 self.note_broken(target.key, *end)
@@ -112,7 +115,10 @@
         let was_cut = match end {
             AttemptEnd::Broken => true,
             AttemptEnd::TimedOut => false,
-            AttemptEnd::NotSent | AttemptEnd::RefusedNotRun | AttemptEnd::Failed => return,
+            AttemptEnd::NotSent
+            | AttemptEnd::RefusedNotRun
+            | AttemptEnd::Failed
+            | AttemptEnd::Unstated => return,
         };
         let at = self.node.clock.now();
         let ran = sent_for(sent_at);
@@ -412,6 +418,8 @@
                 work.note_answered();
             }
             AttemptOutcome::CallerGone => {}
+            // Nothing shows that the endpoint failed.
+            AttemptOutcome::Ended(AttemptEnd::Unstated, _) => self.tried.push(target.key),
             // The endpoint is healthy; it has signalled a backoff and says when it accepts requests again.
             AttemptOutcome::Ended(AttemptEnd::RefusedNotRun, _) if signals_backoff => {
                 self.tried.push(target.key);
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -49,7 +49,7 @@
     Delivered,
     /// The caller disconnected, so that its answer could not be written.
     CallerGone,
-    /// The attempt failed and may be retried; with the endpoint's answer, if it sent a complete one.
+    /// The attempt failed and may be retried; with the endpoint's answer, if one was received to its end.
     Ended(AttemptEnd, Option<EndpointAnswer>),
 }
 
@@ -59,8 +59,8 @@
     pub status: StatusCode,
     /// Headers to pass on to the caller.
     pub headers: HeaderMap,
-    /// The complete body.
-    pub body: Bytes,
+    /// The body, and what showed that it had ended.
+    pub body: (Bytes, BodyEnd),
 }
 
 /// State of one request while it is served.
@@ -373,6 +373,7 @@
             "request" => self.call.id.as_str(),
             "endpoint" => self.endpoint.as_ref().map(|id| id.as_str()),
             "end" => end.name(), "sent" => self.record.sent(), "last_event" => self.last_event,
+            "body_end" => self.body_end.map(BodyEnd::name), "rest" => self.rest_bytes,
             "print" => self.fingerprint.to_string(),
             "ran_ms" => self.sent_at.map(|at| at.elapsed().as_millis() as u64),
             "again" => again, "list_ms" => self.list_age.map(|age| age.0));
@@ -380,7 +381,9 @@
             (NextStep::Retry, _) => None,
             (NextStep::Forward, Some(received)) if self.answer.stage() == AnswerStage::Waiting => {
                 Some(
-                    self.answer.write_whole(received.status, received.headers, received.body).await,
+                    self.answer
+                        .write_received(received.status, received.headers, received.body)
+                        .await,
                 )
             }
             (NextStep::Forward, _) => Some(self.give_up(ResultCode::Uncertain).await),
--- a/crates/front/src/ingress.rs
+++ b/crates/front/src/ingress.rs
@@ -30,10 +30,10 @@
 const READ_SIZE: usize = 4096;
 /// Most bytes of pipelined requests that are buffered while one is answered; the rest stays in the socket.
 const PIPELINE_LIMIT: usize = 64 << 10;
-/// How long the rest of a refused request is read and discarded, so that its caller sees the refusal
-/// instead of a connection reset.
+/// How long what the caller still sends is read and discarded after the last answer of a connection, so that the
+/// caller sees the answer instead of a connection reset.
 const LINGER_TIME: Duration = Duration::from_millis(500);
-/// Most bytes of a refused request that are read and discarded.
+/// Most bytes that are read and discarded then.
 const LINGER_BYTES: usize = 1 << 20;
 
 /// A caller's request, read completely.
@@ -86,8 +86,12 @@
             Err(Some(code)) => return refuse_and_close(stream, &mut codec, code).await,
             Err(None) => return,
         };
-        if !answer_request(&node, &mut stream, &mut codec, &mut buffer, (request, body)).await {
-            return;
+        let answered =
+            answer_request(&node, &mut stream, &mut codec, &mut buffer, (request, body)).await;
+        match answered {
+            NextUse::Request => {}
+            NextUse::Close => return,
+            NextUse::Linger => return linger(&mut stream).await,
         }
     }
 }
@@ -202,14 +206,24 @@
     }
 }
 
-/// Answers one request; returns whether the connection can be used for another.
+/// What a connection is used for after an answer.
+enum NextUse {
+    /// For another request.
+    Request,
+    /// For nothing.
+    Close,
+    /// This side was closed in an orderly way; the caller still has to read what was sent.
+    Linger,
+}
+
+/// Answers one request.
 async fn answer_request(
     node: &Rc<FrontNode>,
     stream: &mut TcpStream,
     codec: &mut Codec,
     buffer: &mut BytesMut,
     (mut request, body): (Request, Bytes),
-) -> bool {
+) -> NextUse {
     node.in_flight.set(node.in_flight.get() + 1);
     let _guard = InflightGuard(&node.in_flight);
     let (mut reader, writer) = stream.split();
@@ -220,9 +234,13 @@
     tokio::select! {
         biased;
         outcome = serve_call(node, request, &mut answer) => {
-            outcome.is_ok() && answer.can_reuse()
+            match outcome {
+                Ok(()) if answer.can_reuse() => NextUse::Request,
+                Ok(()) if answer.has_ended_connection() => NextUse::Linger,
+                Ok(()) | Err(_) => NextUse::Close,
+            }
         }
-        () = wait_caller_close(&mut reader, buffer) => false,
+        () = wait_caller_close(&mut reader, buffer) => NextUse::Close,
     }
 }
 
@@ -247,12 +265,17 @@
         AnswerWriter::new(writer, codec, true).refuse(code, None).await
     };
     if written.is_ok() && stream.shutdown().await.is_ok() {
-        let lingering = tokio::time::timeout(LINGER_TIME, discard(&mut stream));
-        // The connection is closed whether or not the rest could be read.
-        let _ = lingering.await;
+        linger(&mut stream).await;
     }
 }
 
+/// Discards what the caller still sends, as unread bytes would reset the connection when it is closed, and the
+/// caller could lose the end of its answer.
+async fn linger(stream: &mut TcpStream) {
+    // The connection is closed whether or not the rest could be read.
+    let _ = tokio::time::timeout(LINGER_TIME, discard(stream)).await;
+}
+
 async fn discard(stream: &mut TcpStream) -> io::Result<()> {
     let mut left = LINGER_BYTES;
     let mut scratch = [0; READ_SIZE];
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -259,7 +259,7 @@
         if self.answer.stage() != AnswerStage::Waiting {
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
-        self.answer.write_whole(received.status, received.headers, received.body).await
+        self.answer.write_received(received.status, received.headers, received.body).await
     }
 
     /// Passes on the peer's refusal.
@@ -277,6 +277,7 @@
         attempts: u32,
     ) -> RelayOutcome {
         let _guard = RelayGuard::begin(self.node, id);
+        (self.body_end, self.rest_bytes) = (None, 0);
         let ended = |end| RelayOutcome::Attempted(AttemptOutcome::Ended(end, None));
         let mut sent = match self.send_to_peer(id, address, attempts).await {
             Ok(sent) => sent,
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -6,12 +6,12 @@
 use crate::events::event;
 use crate::paths;
 use crate::work::WorkGuard;
-use actix_http::ResponseHead;
 use actix_http::header::HeaderMap;
+use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
-use oleander_call::{AttemptEnd, EventSplitter, RepeatRule};
+use oleander_call::{AttemptEnd, EventSplitter, RepeatRule, StreamTail, TailVerdict};
 use oleander_kind::TimeSpan;
-use oleander_outlet::{BodyLink, BodyPart, IdleLink};
+use oleander_outlet::{BodyEnd, BodyLink, BodyPart, IdleLink};
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
@@ -24,7 +24,7 @@
 ///
 /// The response head is sent with the first event, so that an attempt that breaks before it can be
 /// retried unnoticed by the caller. Only complete events are sent: a stream that breaks in the middle of
-/// an event is resumed after the last complete one. Without `work`, a peer answers, which accounts for the
+/// an event is resumed after the last complete one. The end is framed as the endpoint framed it. Without `work`, a peer answers, which accounts for the
 /// work of the endpoint.
 pub async fn forward_events(
     context: &mut CallContext<'_, '_>,
@@ -37,6 +37,8 @@
     context.node.dialect.strip_answer(&mut headers);
     let mut headers = Some(headers);
     let mut splitter = EventSplitter::default();
+    let expected_end = body.expected_end();
+    let goes_on = context.last_event.is_some();
     let mut resumes = context.answer.stage() != AnswerStage::Waiting;
     let mut limit = if work.is_some() { context.first_chunk_deadline() } else { context.deadline };
     let (node, key) = (context.node.clone(), work.as_ref().map(|work| work.key()));
@@ -74,16 +76,33 @@
         }
         resumes = false;
         note_chunk(context);
-        if write_events(context, status, &mut headers, out).await.is_err() {
+        if write_events(context, (status, expected_end), &mut headers, out).await.is_err() {
             return (AttemptOutcome::CallerGone, None);
         }
         limit = stall_deadline(context, key.is_none());
     };
-    let rest = splitter.take_incomplete();
+    let rest = splitter.take_rest();
     context.body_end = Some(body_end);
     context.rest_bytes = rest.len();
+    let tail = StreamTail {
+        is_stated: body_end == BodyEnd::Stated,
+        is_inside_event: rest.is_inside_event(),
+        has_events: splitter.count() > 0,
+        goes_on,
+        must_state: context.answer.must_state_end(),
+    };
+    match tail.verdict() {
+        TailVerdict::Complete => {}
+        TailVerdict::BrokenOff => return (AttemptOutcome::Ended(AttemptEnd::Broken, None), None),
+        TailVerdict::Unstated => return (AttemptOutcome::Ended(AttemptEnd::Unstated, None), None),
+    }
     let written = async {
-        write_events(context, status, &mut headers, rest).await?;
+        if context.answer.stage() == AnswerStage::Waiting {
+            let headers = headers.take().unwrap_or_default();
+            let received = (rest.into_bytes(), body_end);
+            return context.answer.write_received(status, headers, received).await;
+        }
+        write_events(context, (status, expected_end), &mut headers, rest.into_bytes()).await?;
         context.answer.finish().await
     };
     match written.await {
@@ -114,13 +133,13 @@
 
 async fn write_events(
     context: &mut CallContext<'_, '_>,
-    status: actix_http::StatusCode,
+    (status, end): (StatusCode, BodyEnd),
     headers: &mut Option<HeaderMap>,
     chunk: Bytes,
 ) -> std::io::Result<()> {
     if context.answer.stage() == AnswerStage::Waiting {
         // A resumed stream keeps the head of its first attempt.
-        context.answer.begin_stream(status, headers.take().unwrap_or_default())?;
+        context.answer.begin_stream(status, headers.take().unwrap_or_default(), end)?;
     }
     if chunk.is_empty() {
         return Ok(());
--- a/crates/front/src/whole.rs
+++ b/crates/front/src/whole.rs
@@ -46,12 +46,13 @@
     }
     context.node.dialect.strip_answer(head.headers_mut());
     let headers = std::mem::replace(head.headers_mut(), actix_http::header::HeaderMap::new());
-    let received = EndpointAnswer { status: head.status, headers, body: bytes.freeze() };
+    let received =
+        EndpointAnswer { status: head.status, headers, body: (bytes.freeze(), body_end) };
     if head.status.is_server_error() {
         return (AttemptOutcome::Ended(AttemptEnd::Failed, Some(received)), link);
     }
     context.first_chunk_at = Some(Instant::now());
-    match context.answer.write_whole(received.status, received.headers, received.body).await {
+    match context.answer.write_received(received.status, received.headers, received.body).await {
         Ok(()) => (AttemptOutcome::Delivered, link),
         Err(_) => (AttemptOutcome::CallerGone, link),
     }
--- a/crates/outlet/src/lib.rs
+++ b/crates/outlet/src/lib.rs
@@ -14,4 +14,4 @@
 pub use dial::{EndpointDialer, TcpDialer};
 pub use link::{BodyEnd, BodyLink, BodyPart, HttpCodec, IdleLink, LinkError, Result, SentLink};
 pub use pool::LinkPool;
-pub use socket::{SocketBounds, configure_socket, listen_socket};
+pub use socket::{SocketBounds, configure_socket, listen_socket, set_reset_on_close};
--- a/crates/outlet/src/link.rs
+++ b/crates/outlet/src/link.rs
@@ -6,7 +6,7 @@
 use actix_codec::{Decoder, Encoder};
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
-use actix_http::header::CONTENT_LENGTH;
+use actix_http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use actix_http::{
     ConnectionType, KeepAlive, Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig,
     StatusCode, Version,
@@ -185,7 +185,7 @@
             let head = decoded.map_err(|fault| LinkError::Malformed(fault.to_string()))?;
             match head {
                 Some(head) if head.status.is_informational() => {}
-                Some(head) => return Ok(head),
+                Some(head) => return check_framing(head),
                 None => self.progress().await?,
             }
         }
@@ -224,14 +224,14 @@
             && self.unsent.is_empty();
         let no_body = self.head_only
             || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-        let has_length = head.headers().contains_key(CONTENT_LENGTH);
+        let length = head.headers().get(CONTENT_LENGTH);
+        let is_empty = length.is_some_and(|length| length.as_bytes() == b"0");
         let framing = match self.coder.message_type() {
-            _ if no_body => BodyFraming::Ended(BodyEnd::Stated),
+            _ if no_body || is_empty => BodyFraming::Ended(BodyEnd::Stated),
             // The library treats an HTTP/1.1 answer without a length as empty; it ends with its
             // connection (RFC 9112, section 6.3).
-            MessageType::None if has_length => BodyFraming::Ended(BodyEnd::Stated),
             MessageType::None | MessageType::Stream => BodyFraming::UntilClose,
-            MessageType::Payload if head.version == Version::HTTP_10 && !has_length => {
+            MessageType::Payload if head.version == Version::HTTP_10 && length.is_none() => {
                 BodyFraming::UntilClose
             }
             MessageType::Payload => BodyFraming::Encoded(self.coder.into_payload_codec()),
@@ -240,6 +240,17 @@
     }
 }
 
+/// Rejects a head whose framing contradicts itself (RFC 9112, section 6.3): such a head states no end.
+fn check_framing(head: ResponseHead) -> Result<ResponseHead> {
+    let headers = head.headers();
+    let has_length = headers.contains_key(CONTENT_LENGTH);
+    let is_encoded = headers.contains_key(TRANSFER_ENCODING);
+    if is_encoded && (has_length || head.version != Version::HTTP_11) {
+        return Err(LinkError::Malformed("contradicting framing".to_owned()));
+    }
+    Ok(head)
+}
+
 /// What shows that a body has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyEnd {
@@ -286,6 +297,15 @@
 }
 
 impl BodyLink {
+    /// What will show the end of the body, by its framing.
+    pub fn expected_end(&self) -> BodyEnd {
+        match self.framing {
+            BodyFraming::Encoded(_) => BodyEnd::Stated,
+            BodyFraming::UntilClose => BodyEnd::Closed,
+            BodyFraming::Ended(end) => end,
+        }
+    }
+
     /// Returns the next bytes of the body, or how it ended.
     ///
     /// # Errors
--- a/crates/outlet/src/socket.rs
+++ b/crates/outlet/src/socket.rs
@@ -48,6 +48,15 @@
     socket.set_tcp_user_timeout(Some(bounds.unacked_timeout))
 }
 
+/// Sets whether `stream` is reset when it is closed, also when the process ends, so that the other side
+/// cannot take the end of the connection for the end of what it receives.
+///
+/// # Errors
+/// Returns the error of the system call.
+pub fn set_reset_on_close(stream: &TcpStream, resets: bool) -> std::io::Result<()> {
+    SockRef::from(stream).set_linger(resets.then_some(Duration::ZERO))
+}
+
 /// Listens at `address`, which can be reused right after an earlier process ended.
 ///
 /// # Errors
--- a/tests/all/call.rs
+++ b/tests/all/call.rs
@@ -3,7 +3,8 @@
 use arbtest::arbtest;
 use oleandertack::call::{
     AccountRule, AnswerHead, AnswerShape, AttemptEnd, AttemptRecord, CallHead, CallerBounds,
-    CurrentRules, EventSplitter, NextStep, RepeatRule, RouteRule, RuleSet, RuleView, admit_call,
+    CurrentRules, EventSplitter, NextStep, RepeatRule, RouteRule, RuleSet, RuleView, StreamTail,
+    TailVerdict, admit_call,
 };
 use oleandertack::kind::{ResultCode, TimeSpan};
 
@@ -109,11 +110,12 @@
     assert_eq!(old.count(), 90);
 }
 
-const ENDS: [AttemptEnd; 5] = [
+const ENDS: [AttemptEnd; 6] = [
     AttemptEnd::NotSent,
     AttemptEnd::RefusedNotRun,
     AttemptEnd::Failed,
     AttemptEnd::Broken,
+    AttemptEnd::Unstated,
     AttemptEnd::TimedOut,
 ];
 
@@ -181,7 +183,76 @@
         }
 
         assert_eq!(ids, [Some(1), Some(2)]);
-        assert_eq!(&splitter.take_incomplete()[..], b"id: 3\ndata: c");
+        assert_eq!(&splitter.take_rest().into_bytes()[..], b"id: 3\ndata: c");
         Ok(())
     });
 }
+
+/// A part of an event is passed on, an event is lost or doubled, or a torn stream passes for whole, wherever it
+/// breaks and however its lines end.
+#[test]
+fn a_stream_that_breaks_at_any_byte_yields_whole_events_and_no_stated_end() {
+    let events =
+        ["id: 1\ndata: a\n\n", ": ping\n\n", "v: 2\nid: 2\ndata: b\n\n", "id: 3\ndata:\n\n"];
+    arbtest(|u| {
+        let line_end = *u.choose(&["\n", "\r\n", "\r"])?;
+        let events = events.map(|event| event.replace('\n', line_end));
+        let whole = events.concat();
+        let broken_at = u.int_in_range(0..=whole.len())?;
+        let mut splitter = EventSplitter::default();
+        let mut shown = Vec::new();
+        let mut left = &whole.as_bytes()[..broken_at];
+        while !left.is_empty() {
+            let (part, tail) = left.split_at(u.int_in_range(1..=left.len())?);
+            splitter.push(part);
+            while let Some(event) = splitter.next_event().expect("short events") {
+                shown.push(String::from_utf8_lossy(&event.raw).into_owned());
+            }
+            left = tail;
+        }
+
+        let count = shown.len();
+        let is_inside_event = splitter.take_rest().is_inside_event();
+        let tail = StreamTail {
+            is_stated: false,
+            is_inside_event,
+            has_events: count > 0,
+            goes_on: false,
+            must_state: true,
+        };
+
+        assert_eq!(shown, events[..count]);
+        let passed: usize = events[..count].iter().map(String::len).sum();
+        let begun = &whole[passed..broken_at];
+        let has_begun = begun.chars().any(|letter| !matches!(letter, '\r' | '\n'));
+        assert!(is_inside_event || !has_begun || begun.starts_with(':'), "{begun:?}");
+        assert_ne!(tail.verdict(), TailVerdict::Complete);
+        Ok(())
+    });
+}
+
+#[test]
+fn a_stream_is_complete_only_if_nothing_speaks_against_it() {
+    let whole = StreamTail {
+        is_stated: true,
+        is_inside_event: false,
+        has_events: true,
+        goes_on: false,
+        must_state: true,
+    };
+    let closed = StreamTail { is_stated: false, must_state: false, ..whole };
+    let none = StreamTail { has_events: false, ..closed };
+    let cases = [
+        (whole, TailVerdict::Complete),
+        (StreamTail { has_events: false, ..whole }, TailVerdict::Complete),
+        (StreamTail { is_inside_event: true, ..whole }, TailVerdict::BrokenOff),
+        (closed, TailVerdict::Complete),
+        (StreamTail { must_state: true, ..closed }, TailVerdict::Unstated),
+        (StreamTail { is_inside_event: true, ..closed }, TailVerdict::BrokenOff),
+        (none, TailVerdict::BrokenOff),
+        (StreamTail { goes_on: true, ..none }, TailVerdict::Unstated),
+    ];
+    for (tail, verdict) in cases {
+        assert_eq!(tail.verdict(), verdict, "{tail:?}");
+    }
+}
--- a/tests/all/outlet.rs
+++ b/tests/all/outlet.rs
@@ -5,7 +5,9 @@
 use actix_http::{Method, RequestHead};
 use bytes::Bytes;
 use oleandertack::kind::InstanceId;
-use oleandertack::outlet::{BodyPart, HttpCodec, IdleLink, LinkError, LinkPool, SocketBounds};
+use oleandertack::outlet::{
+    BodyEnd, BodyPart, HttpCodec, IdleLink, LinkError, LinkPool, SocketBounds,
+};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -95,6 +97,54 @@
     });
 }
 
+/// Bytes after a head whose framing contradicts itself are taken for a complete answer.
+#[test]
+fn contradicting_framing_is_no_answer() {
+    run(async {
+        let lines = [
+            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+            "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
+        ];
+        for line in lines {
+            let answer = format!("{line}\r\n5\r\nhello\r\n0\r\n\r\n");
+            let endpoint = scripted(vec![vec![say(&answer), Act::Close]]).await;
+
+            let outcome = exchange(open(endpoint.address).await, b"").await;
+
+            assert!(matches!(outcome, Err(LinkError::Malformed(_))), "{line}");
+        }
+    });
+}
+
+/// An end that was stated is taken for one that was not, or the reverse, in unusual heads.
+#[test]
+fn what_shows_the_end_is_told_for_unusual_heads() {
+    run(async {
+        let cases = [
+            ("HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n\r\nhello", BodyEnd::Closed),
+            ("HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nhello", BodyEnd::Closed),
+            ("HTTP/1.0 200 OK\r\n\r\nhello", BodyEnd::Closed),
+            ("HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\n\r\nhello", BodyEnd::Closed),
+            ("HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nhello", BodyEnd::Stated),
+            ("HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n", BodyEnd::Stated),
+            ("HTTP/1.1 204 No Content\r\n\r\n", BodyEnd::Stated),
+            ("HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", BodyEnd::Stated),
+        ];
+        for (answer, expected) in cases {
+            let endpoint = scripted(vec![vec![say(answer), Act::Close]]).await;
+            let link = open(endpoint.address).await;
+            let mut sent = link.send(&HttpCodec::default(), head(), Bytes::new()).expect("a head");
+            let head = sent.read_head().await.expect("a head");
+
+            let end = sent.into_body(&head).skip().await.expect("an end");
+
+            assert_eq!(end, expected, "{answer}");
+        }
+    });
+}
+
 #[test]
 fn a_link_with_unread_bytes_is_not_reused() {
     // The endpoint answers one request twice. The next caller must not get the answer of another.
--- a/tests/all/unframed.rs
+++ b/tests/all/unframed.rs
@@ -6,7 +6,7 @@
 use crate::front::{RULES, request};
 use crate::path::PathMode;
 use crate::plays::{ProcessGroup, play};
-use crate::scripted::read_request;
+use crate::scripted::{Act, Scripted, read_request, scripted};
 use bytes::BytesMut;
 use oleandertack::conf::FrontBounds;
 use std::cell::RefCell;
@@ -348,7 +348,8 @@
 
 /// A group whose endpoints answer by the book.
 async fn case_group(processes: usize, book: &Rc<CaseBook>) -> ProcessGroup {
-    let bounds = FrontBounds { retry_slack: 100, ..FrontBounds::default() };
+    // Most cases are retried, and each request earns a fifth of a retry.
+    let bounds = FrontBounds { retry_slack: 1000, ..FrontBounds::default() };
     let group = ProcessGroup::start_bounded(processes, bounds).await;
     group.put_rules(&rules_with_fixed_streams());
     group.remove_first_endpoints();
@@ -452,3 +453,104 @@
     walk_relayed(RouteKind::Safe);
     walk_relayed(RouteKind::Once);
 }
+
+/// Events `numbers` of a stream that ends with its connection, or in chunks.
+fn stream_acts(is_chunked: bool, numbers: &[u32]) -> Vec<Act> {
+    let framing = if is_chunked { "Transfer-Encoding: chunked\r\n" } else { "" };
+    let chunk = |number: &u32| {
+        let text = event_text(*number);
+        match is_chunked {
+            true => Act::Say(format!("{:x}\r\n{text}\r\n", text.len())),
+            false => Act::Say(text),
+        }
+    };
+    let head = Act::Say(head_text("{id}", framing));
+    std::iter::once(head).chain(numbers.iter().map(chunk)).collect()
+}
+
+async fn group_of(endpoint: &Scripted) -> ProcessGroup {
+    let bounds = FrontBounds { retry_slack: 100, ..FrontBounds::default() };
+    let group = ProcessGroup::start_bounded(1, bounds).await;
+    group.put_rules(&rules_with_fixed_streams());
+    group.remove_first_endpoints();
+    for name in ["r-1", "r-2"] {
+        let body = format!(
+            r#"{{"service":"s","address":"{}","zone":"near","version":"v1","slots":6,"state":"ready","seq":1}}"#,
+            endpoint.address
+        );
+        group.registry().put(name, body);
+    }
+    sleep(Duration::from_secs(2)).await;
+    group
+}
+
+async fn send(group: &ProcessGroup, path: &str) -> TcpStream {
+    let mut caller = TcpStream::connect(group.processes[0].address()).await.expect("it listens");
+    caller.write_all(request("POST", path, "r1", "", "p").as_bytes()).await.expect("written");
+    caller
+}
+
+/// A stream that was begun in chunks and goes on with an answer whose end nobody stated gets a last chunk.
+#[test]
+fn a_chunked_stream_is_not_ended_by_an_answer_that_states_no_end() {
+    play(async {
+        let first = stream_acts(true, &[1]).into_iter().chain([Act::Reset]).collect();
+        let second = stream_acts(false, &[2, 3]).into_iter().chain([Act::Close]).collect();
+        let endpoint = scripted(vec![first, second]).await;
+        let group = group_of(&endpoint).await;
+
+        let (end, body) = view(&mut send(&group, "/stream/a").await).await;
+
+        assert_eq!((end, body), (ViewEnd::Cut, events_text(1..=3)));
+    });
+}
+
+/// The end of a process closes its connections, which would end an answer that has no framing.
+#[test]
+fn an_answer_without_framing_is_reset_if_its_process_ends() {
+    play(async {
+        let acts = stream_acts(false, &[1]).into_iter().chain([Act::AwaitClose]).collect();
+        let endpoint = scripted(vec![acts]).await;
+        let mut group = group_of(&endpoint).await;
+        let mut caller = send(&group, "/fixed/a").await;
+        sleep(Duration::from_millis(100)).await;
+
+        group.kill(&[0], Duration::from_millis(100)).await;
+        let (end, body) = view(&mut caller).await;
+
+        assert_eq!((end, body), (ViewEnd::Cut, event_text(1)));
+    });
+}
+
+/// An answer to another request that ends with its connection is passed on, or waited for without end.
+#[test]
+fn an_unframed_answer_to_another_request_is_not_passed_on() {
+    play(async {
+        let foreign = head_text("other", "").replace("{id}", "other") + &events_text(1..=3);
+        let endpoint = scripted(vec![vec![Act::Say(foreign), Act::Close]]).await;
+        let group = group_of(&endpoint).await;
+
+        let (end, _) = view(&mut send(&group, "/fixed/a").await).await;
+
+        assert_eq!(end, ViewEnd::Failed);
+    });
+}
+
+/// A caller that sends more while its answer ends with its connection loses the end to a reset.
+#[test]
+fn an_answer_that_ends_its_connection_is_read_whole_although_more_is_sent() {
+    play(async {
+        let acts = stream_acts(false, &[1, 2, 3]).into_iter().chain([Act::Close]).collect();
+        let endpoint = scripted(vec![acts]).await;
+        let group = group_of(&endpoint).await;
+        let mut caller = send(&group, "/fixed/a").await;
+        sleep(Duration::from_millis(20)).await;
+
+        let next = request("POST", "/fixed/a", "r2", "", &"x".repeat(300_000));
+        caller.write_all(next.as_bytes()).await.expect("written");
+        sleep(Duration::from_millis(20)).await;
+        let (end, body) = view(&mut caller).await;
+
+        assert_eq!((end, body), (ViewEnd::Closed, events_text(1..=3)));
+    });
+}
