An entry does not pass an answer on whose end its client library misses

Cause: the library takes an answer that ends with its connection for empty; an entry kept and passed on that empty body as the whole answer. Change: a plain call's answer whose head states no end is a lost answer: sent again if it may be, else uncertain. The endpoint is charged with nothing. Streams of the entry end at their finish marker only and were sound.

--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -15,6 +15,8 @@
 use actix_web::web::Payload;
 use actix_web::{HttpRequest, HttpResponse};
 use awc::error::SendRequestError;
+use awc::http::StatusCode;
+use awc::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use bytes::Bytes;
 use oleander_board::EndpointKey;
 use oleander_claim::{ClaimKey, ClaimRecord, ClaimVerdict, claim_key, request_digest};
@@ -421,10 +423,13 @@
     if response.headers().contains_key("x-not-run") {
         return Err(running.refused_by_endpoint(now));
     }
+    if !states_end(&ask.method, &response) {
+        return Err(running.connection_lost(node.clock.now(), true));
+    }
     let Ok(body) = response.body().limit(ANSWER_LIMIT).await else {
         return Err(running.connection_lost(node.clock.now(), true));
     };
-    // The length was checked by the client: a body that ends early is an error above.
+    // The client checked the length or the last chunk: a body that ends early is an error above.
     running.take_chunk(0, 1);
     running.finish(1);
     note_success(&mut node.board.borrow_mut(), endpoint);
@@ -448,6 +453,16 @@
     })
 }
 
+/// Whether the head says where the body ends. The client takes a body that ends with its connection for empty.
+fn states_end(method: &awc::http::Method, response: &awc::ClientResponse) -> bool {
+    let framing = [CONTENT_LENGTH, TRANSFER_ENCODING];
+    let status = response.status();
+    let is_bodiless = status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
+    *method == awc::http::Method::HEAD
+        || is_bodiless
+        || framing.iter().any(|name| response.headers().contains_key(name))
+}
+
 async fn send_call(
     node: &EntryNode,
     ask: &PlainAsk,
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -29,6 +29,8 @@
     pub slow_ms: u64,
     /// Runs the call and cuts the connection, for the next so many calls.
     pub cut_after_run: u32,
+    /// Answers without a length and without chunks, so that the answer ends with its connection.
+    pub unframed: bool,
 }
 
 /// All calls that ran, over every replica of the services here, and the faults.
@@ -120,8 +122,14 @@
         });
         return HttpResponse::Ok().streaming(cut);
     }
-    HttpResponse::Ok()
-        .content_type("application/json")
-        .insert_header(("x-service", "linescreen"))
-        .body(plain_answer(request.path(), &body))
+    let answer = plain_answer(request.path(), &body);
+    let mut response = HttpResponse::Ok();
+    response.content_type("application/json").insert_header(("x-service", "linescreen"));
+    if faults.unframed {
+        let whole = std::iter::once(Ok::<_, std::io::Error>(Bytes::from(answer)));
+        let mut unframed = response.force_close().streaming(futures_util::stream::iter(whole));
+        unframed.head_mut().no_chunking(true);
+        return unframed;
+    }
+    response.body(answer)
 }
--- a/tests/all/errors.rs
+++ b/tests/all/errors.rs
@@ -76,16 +76,40 @@
     assert_eq!((response.status().as_u16(), code.as_bytes()), (400, &b"1013"[..]));
 }
 
+/// The empty beginning of an answer that ends with its connection passes for the whole answer.
+#[actix_rt::test]
+async fn an_answer_whose_end_the_client_library_misses_is_not_complete() {
+    let rig = start().await;
+    for address in rig.endpoint_addresses(PLAIN).await {
+        let faults = serde_json::json!({ "unframed": true });
+        let told = awc::Client::default().post(format!("http://{address}/faults"));
+        told.send_json(&faults).await.expect("an answer");
+    }
+    let url = format!("http://{}/{PLAIN}/labels", rig.entries[0].address);
+    let request = awc::Client::default()
+        .post(url)
+        .insert_header(("authorization", format!("Bearer {CALLER_KEY}")));
+
+    let response = request.send_body("{}").await.expect("an answer");
+
+    assert_eq!(response.status().as_u16(), 502, "{response:?}");
+}
+
 #[actix_rt::test]
 async fn without_endpoints_callers_are_refused_at_once_as_not_run() {
     // Guards against an "uncertain" answer where "not run" (1008 or 1015) is certain: every engine was
     // ended without notice, and the entry's connections are refused, so no byte was sent.
     let rig = start().await;
+    let addresses = rig.endpoint_addresses(MODEL).await;
     for domain in oleandertack::rig::cluster::DOMAINS {
         let body = serde_json::json!({ "domain": domain, "notice_ms": 0 });
         rig.post("/reclaim", &body).await.expect("reclaimed");
     }
     while !rig.endpoint_addresses(MODEL).await.is_empty() {}
+    // An engine may leave the list before its port is closed.
+    for address in addresses {
+        while tokio::net::TcpStream::connect(address.as_str()).await.is_ok() {}
+    }
 
     let answer = post(&rig, "/v1/chat/completions", CALLER_KEY, chat(MODEL)).await;
 
