Log lines of requests tell the software version of the endpoint, and which attempt a caller takes up

Cause: the record of streams at two versions tells neither at which version an attempt ran nor what a caller's next attempt takes up. Change: the platform's header Resumes is read into the head of a call; request_done, request_refused, request_cut, attempt_ended and stream_resumed have the version, the first three also resumes. Nothing is decided by either.

--- a/crates/call/src/head.rs
+++ b/crates/call/src/head.rs
@@ -43,6 +43,9 @@
     pub max_wait: Option<TimeSpan>,
     /// The last event the caller has received; `None` to start from the beginning.
     pub last_event: Option<u64>,
+    /// The id of the caller's attempt that brought the first event of the stream which this one takes up, if
+    /// it says so.
+    pub resumes: Option<CompactString>,
     /// Token counts, if the request states them.
     pub tokens: Option<TokenCount>,
     /// The parts of the prompt in order; the last is unique to the request.
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -67,6 +67,7 @@
         };
         self.current = Some(target.key);
         self.endpoint = Some(target.life.instance.clone());
+        self.version = Some(target.version.clone());
         self.last_target = Some((target.life.clone(), target.address));
         self.sent_at = None;
         (self.body_end, self.rest_bytes) = (None, 0);
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -15,6 +15,7 @@
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, StatusCode};
 use bytes::Bytes;
+use compact_str::CompactString;
 use oleander_board::StopStage;
 use oleander_call::{
     AccountRule, AttemptEnd, AttemptRecord, CallHead, NextStep, RouteKey, RouteRule, RuleSet,
@@ -98,6 +99,8 @@
     pub(crate) current: Option<EndpointKey>,
     /// Endpoint of the last attempt.
     pub(crate) endpoint: Option<InstanceId>,
+    /// Software version of that endpoint.
+    pub(crate) version: Option<CompactString>,
     /// Incarnation and address of the endpoint of the last attempt.
     pub(crate) last_target: Option<(EndpointIncarnation, SocketAddr)>,
     /// The last choice of an endpoint, with the figures it was based on.
@@ -157,6 +160,7 @@
         Err(code) => return answer.refuse(code, None).await,
     };
     trace.request = call.id.clone();
+    trace.resumes = call.resumes.clone();
     if call.relayed_attempts.is_some() {
         answer.mark_relayed(node.dialect.as_ref());
     }
@@ -223,6 +227,7 @@
         tried: Vec::new(),
         current: None,
         endpoint: None,
+        version: None,
         last_target: None,
         chosen: None,
         list_age: None,
@@ -284,6 +289,7 @@
         trace.may_have_run = self.record.may_have_run() || self.is_in_flight();
         trace.peer = self.peer.clone();
         trace.endpoint = self.endpoint.clone();
+        trace.version = self.version.clone();
         trace.chosen = self.chosen;
         trace.list_age = self.list_age;
         trace.last_event = self.last_event;
@@ -372,7 +378,7 @@
         event!(self.node, AttemptEnded;
             "request" => self.call.id.as_str(),
             "endpoint" => self.endpoint.as_ref().map(|id| id.as_str()),
-            "end" => end.name(), "sent" => self.record.sent(), "last_event" => self.last_event,
+            "version" => self.version.as_deref(), "end" => end.name(), "sent" => self.record.sent(), "last_event" => self.last_event,
             "body_end" => self.body_end.map(BodyEnd::name), "rest" => self.rest_bytes,
             "print" => self.fingerprint.to_string(),
             "ran_ms" => self.sent_at.map(|at| at.elapsed().as_millis() as u64),
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -252,6 +252,7 @@
         self.usage_recorded = true;
         self.chosen = None;
         self.endpoint = None;
+        self.version = None;
     }
 
     /// Passes on a failure that an endpoint reported to the peer.
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -72,6 +72,7 @@
             event!(context.node, StreamResumed;
                 "request" => context.call.id.as_str(),
                 "endpoint" => context.endpoint.as_ref().map(|id| id.as_str()),
+                "version" => context.version.as_deref(),
                 "last_event" => context.last_event);
         }
         resumes = false;
--- a/crates/front/src/trace.rs
+++ b/crates/front/src/trace.rs
@@ -32,6 +32,10 @@
     pub(crate) may_have_run: bool,
     /// Endpoint of the last attempt.
     pub(crate) endpoint: Option<InstanceId>,
+    /// Software version of that endpoint.
+    pub(crate) version: Option<CompactString>,
+    /// The caller's attempt that began the stream which this one takes up.
+    pub(crate) resumes: Option<CompactString>,
     /// Peer to which it was relayed last.
     pub(crate) peer: Option<InstanceId>,
     /// The choice of that endpoint, with the figures it was based on.
@@ -62,6 +66,8 @@
             sent: 0,
             may_have_run: false,
             endpoint: None,
+            version: None,
+            resumes: None,
             peer: None,
             chosen: None,
             list_age: None,
@@ -99,12 +105,14 @@
                 "request" => request, "print" => fingerprint, "service" => self.service.as_str(),
                 "why" => fault.to_string(), "status" => answer.status(), "sent" => self.sent,
                 "endpoint" => endpoint, "peer" => peer, "last_event" => self.last_event, "total_ms" => total_ms,
+                "version" => self.version.as_deref(), "resumes" => self.resumes.as_deref(),
                 "rules" => self.rules),
             (Ok(()), Some(code)) => event!(node, RequestRefused;
                 "request" => request, "print" => fingerprint, "service" => self.service.as_str(),
                 "code" => code.number(), "name" => code.name(), "status" => code.status(),
                 "sent" => self.sent, "may_have_run" => self.may_have_run,
                 "endpoint" => endpoint, "peer" => peer, "total_ms" => total_ms, "rules" => self.rules,
+                "version" => self.version.as_deref(), "resumes" => self.resumes.as_deref(),
                 "fresh" => self.fresh, "ahead" => self.chosen.map(|choice| choice.tokens_ahead),
                 "running" => self.chosen.map(|choice| choice.running), "limit" => self.limit()),
             (Ok(()), None) => event!(node, RequestDone;
@@ -112,6 +120,7 @@
                 "status" => answer.status(), "sent" => self.sent, "endpoint" => endpoint,
                 "peer" => peer, "first_ms" => self.first_ms, "pause_ms" => self.longest_pause.map(|longest_pause| longest_pause.0),
                 "total_ms" => total_ms, "rules" => self.rules,
+                "version" => self.version.as_deref(), "resumes" => self.resumes.as_deref(),
                 "body_end" => self.body_end.map(BodyEnd::name), "rest" => self.rest_bytes,
                 "ahead" => self.chosen.map(|choice| choice.tokens_ahead),
                 "unread" => self.chosen.map(|choice| choice.unread),
