A stream goes on only at the software version that began it

Callers saw: streams with events of two versions of an engine's software, within one answer and over their tries. Cause: a stream that goes on was placed as any request; what the process that began it knew went to nobody, and a caller names only its own attempt. Change: within an answer the stream is bound to the version of its first event, also by a peer; where nobody of that version takes work the connection is cut. A caller's take-up is bound by what Resumes names, in this order: the own record, records that three processes keep (rendezvous over the members, one of each failure domain first), or that one version alone was on a fresh list for as long as a stream may be taken up, which a process that would have a record has to confirm. Otherwise it is refused at once as not run (1026), or if the version is gone (1027). Records are sent only while it is not certain that one version alone serves, all own ones at the moment that it becomes uncertain, all of them before a planned stop. Keys are digests of account, service and id, so no account reaches another's. Members say whether they bind streams; bound requests are relayed to no others. A take-up is routed by the id that it names. Resumes and the version are not passed to endpoints.

--- a/crates/call/src/head.rs
+++ b/crates/call/src/head.rs
@@ -55,6 +55,8 @@
     /// Present if a peer relayed the request: the attempts that the peer leaves to this process. A
     /// relayed request is never relayed again.
     pub relayed_attempts: Option<u32>,
+    /// The software version at which a relayed stream has to go on, as the peer knows it.
+    pub origin: Option<CompactString>,
 }
 
 /// Headers that the proxy adds to an attempt.
@@ -83,15 +85,19 @@
     pub last_event: Option<u64>,
     /// The number of endpoints to which the peer may send the request.
     pub attempts: u32,
+    /// The software version at which the stream has to go on, if it has begun.
+    pub origin: Option<CompactString>,
 }
 
 /// What a peer says of its answer to a relayed request.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RelayedAnswer {
     /// The code of its refusal, or 0 if it passes on an endpoint's answer.
     pub code: u16,
     /// The endpoints to which it sent the request.
     pub sent: u32,
+    /// The software version at which the stream that it passes on began.
+    pub origin: Option<CompactString>,
 }
 
 /// A value that an endpoint may announce about itself in an answer, such as its rate limit.
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -9,6 +9,7 @@
 };
 use actix_http::{ConnectionType, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
+use compact_str::CompactString;
 use oleander_call::RelayedAnswer;
 use oleander_kind::{ResultCode, TimeSpan};
 use oleander_outlet::{BodyEnd, set_reset_on_close};
@@ -44,6 +45,7 @@
     code: Option<ResultCode>,
     marks: Option<&'a dyn PlatformDialect>,
     sent: u32,
+    origin: Option<CompactString>,
 }
 
 impl<'a> AnswerWriter<'a> {
@@ -61,6 +63,7 @@
             code: None,
             marks: None,
             sent: 0,
+            origin: None,
         }
     }
 
@@ -104,6 +107,11 @@
         self.stage == AnswerStage::Done && self.end == BodyEnd::Closed
     }
 
+    /// Records the software version to which the stream is bound, for the mark of a relayed one.
+    pub fn note_origin(&mut self, origin: Option<CompactString>) {
+        self.origin = origin;
+    }
+
     /// Begins an answer whose length is not known; its end is shown as `end` says. The head is sent with the
     /// first chunk.
     ///
@@ -138,7 +146,7 @@
         }
         if let Some(dialect) = self.marks {
             let code = self.code.map_or(0, ResultCode::number);
-            let answer = RelayedAnswer { code, sent: self.sent };
+            let answer = RelayedAnswer { code, sent: self.sent, origin: self.origin.clone() };
             dialect.stamp_relay_answer(response.headers_mut(), answer);
         }
         if self.closes {
--- a/crates/front/src/closed.rs
+++ b/crates/front/src/closed.rs
@@ -27,6 +27,10 @@
                 }
                 self.answer.refuse(ResultCode::EndpointsFull, Some(retry_in)).await
             }
+            None if self.may_refuse() && self.is_version_gone() => {
+                self.node.meter.count_binding("gone");
+                self.answer.refuse(ResultCode::OriginGone, None).await
+            }
             None if self.may_refuse() && self.can_go_elsewhere() => {
                 self.answer.refuse(ResultCode::NoEndpoint, Some(ELSEWHERE_RETRY_AFTER)).await
             }
@@ -37,6 +41,15 @@
         }
     }
 
+    /// Whether the request is bound to a version of which no endpoint takes requests.
+    fn is_version_gone(&self) -> bool {
+        let board = self.node.endpoints.borrow();
+        let mut facts = board.of_service(&self.service).iter().filter_map(|key| board.get(*key));
+        self.binding.version().is_some_and(|version| {
+            !facts.any(|fact| fact.takes_work() && fact.entry.release == version)
+        })
+    }
+
     /// Logs for how many endpoints each of the reasons holds that exclude one.
     fn log_unavailable(&self, retry_in: TimeSpan) {
         let now = self.node.clock.lease_now();
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -8,6 +8,7 @@
 use crate::ingress::CallerRequest;
 use crate::limits::{self, QuotaCharge};
 use crate::node::FrontNode;
+use crate::origins::{self, StreamBinding};
 use crate::relay::{self, NextHop};
 use crate::releases::CandidatePayment;
 use crate::suspects;
@@ -101,6 +102,8 @@
     pub(crate) endpoint: Option<InstanceId>,
     /// Software version of that endpoint.
     pub(crate) version: Option<CompactString>,
+    /// The software version to which the request is bound.
+    pub(crate) binding: StreamBinding,
     /// Incarnation and address of the endpoint of the last attempt.
     pub(crate) last_target: Option<(EndpointIncarnation, SocketAddr)>,
     /// The last choice of an endpoint, with the figures it was based on.
@@ -181,7 +184,7 @@
         answer.close_after();
         return answer.refuse(ResultCode::Draining, Some(DRAINING_RETRY)).await;
     }
-    let Some(service) = route.service_for(call_salt(&call)).cloned() else {
+    let Some(service) = route.service_for(stream_salt(&call)).cloned() else {
         return answer.refuse(ResultCode::NoEndpoint, Some(NO_ENDPOINT_RETRY)).await;
     };
     trace.service = service.0.clone();
@@ -191,8 +194,13 @@
     if let Some(left) = suspects::held_for(node, &fingerprint) {
         return answer.refuse(ResultCode::RequestHeld, Some(left)).await;
     }
+    let owner = account.map(|account| &account.name);
+    let binding = match origins::bind_request(node, (&call, route), (owner, &service)).await {
+        Ok(binding) => binding,
+        Err(refusal) => return answer.refuse(refusal.code, refusal.retry).await,
+    };
     // A peer that serves the request charges it. Tokens that this process held would be missing there.
-    let relays = relay::is_relayed_at_once(node, &call, &service);
+    let relays = relay::is_relayed_at_once(node, (&call, &service), &binding);
     let charged = account.filter(|_| !relays);
     let charge = charged.and_then(|account| QuotaCharge::of(node, account, &call));
     if let Some(charge) = &charge
@@ -228,6 +236,7 @@
         current: None,
         endpoint: None,
         version: None,
+        binding,
         last_target: None,
         chosen: None,
         list_age: None,
@@ -273,6 +282,13 @@
     (code.status() == StatusCode::SERVICE_UNAVAILABLE.as_u16()).then_some(NO_ENDPOINT_RETRY)
 }
 
+/// Hash of the id of the attempt that began the stream, or else of the request id: a stream that is taken up goes
+/// to the service that began it.
+fn stream_salt(call: &CallHead) -> u64 {
+    let id = call.resumes.as_ref().unwrap_or(&call.id);
+    mix_bits(stable_hash(HASH_SEED, id.as_bytes()))
+}
+
 /// Hash of the request id, used to spread choices and retry times over requests.
 pub(crate) fn call_salt(call: &CallHead) -> u64 {
     mix_bits(stable_hash(HASH_SEED, call.id.as_bytes()))
@@ -427,6 +443,9 @@
 
     /// Chooses an endpoint for the next attempt; `None` if there is none.
     pub(crate) fn choose(&self) -> Option<PlacementChoice> {
+        if self.binding == StreamBinding::Unknown {
+            return None;
+        }
         let request = self.placement_request();
         choose_endpoint(&self.node.endpoints.borrow(), &self.node.prefixes.borrow(), &request)
     }
@@ -444,6 +463,7 @@
             queue_limit: self.queue_limit(),
             read_per_ms: self.node.read_per_ms(&self.service),
             is_trial: self.rollout_payment.is_some(),
+            version: self.binding.version(),
             pause: self.route().pause,
             pause_weight: self.node.pause_weight(&self.service),
             repeatable: self.route().repeat.may_run_again(),
--- a/crates/front/src/events.rs
+++ b/crates/front/src/events.rs
@@ -58,6 +58,9 @@
     PathLost = "path_lost", 20, "this process reaches no endpoint of a service, while others may: `service`, how connections fail (`by`: `Refused` or `Silent`), the number of `listed` endpoints";
     PathBack = "path_back", 20, "this process reaches the endpoints of a service again: `service`, how long it did not (`lost_ms`)";
     StreamResumed = "stream_resumed", 40, "a stream was resumed at another endpoint: `endpoint` and its `version`, `last_event`";
+    StreamBound = "stream_bound", 40, "a caller takes up a stream, and the software version that began it is known: the attempt that it names (`resumes`), `service`, `version`, by what it is known (`by`: `own` record, `told` by another process, or `alone`: no other version served), `last_event`, how long the question took (`took_ms`)";
+    StreamUnbound = "stream_unbound", 40, "a caller takes up a stream, and the software version that began it cannot be known, so it is refused: `resumes`, `service`, `last_event`, processes `asked` and `answered`, `took_ms`, for how long this process has had a fresh list (`watched_ms`)";
+    OriginsUnsent = "origins_unsent", 20, "a process that was to keep the versions at which streams began did not answer: `peer`, number of `records`";
     CallerFault = "caller_fault", 20, "a connection of a caller failed: `fault`, or the `code` of the refusal";
     FeedChanged = "feed_changed", 20, "the store became unreachable or reachable: `feed`, `fresh`, `fault`";
     FeedFault = "feed_fault", 10, "a call to the store failed: `feed`, `fault`";
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod mesh;
 pub mod meter;
 pub mod node;
+mod origins;
 mod paths;
 pub mod port;
 pub mod process;
--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -11,6 +11,7 @@
 
 pub use collect::MeshPeers;
 pub(crate) use collect::{answer_limit_ask, limit_by_name};
+pub(crate) use report::call_peer;
 pub use report::run_reports;
 pub use state::MeshState;
 
--- a/crates/front/src/mesh/collect.rs
+++ b/crates/front/src/mesh/collect.rs
@@ -9,7 +9,7 @@
 use crate::roster;
 use crate::rules::apply_rules;
 use crate::words::{self, ReporterState};
-use crate::{limits, releases, suspects};
+use crate::{limits, origins, releases, suspects};
 use oleander_call::RuleSet;
 use oleander_kind::{AccountName, ResultCode, TimeSpan};
 use oleander_limit::{PoolAllotment, PoolLimit};
@@ -58,13 +58,22 @@
             MeshBody::RequestLimit(ask) => {
                 MeshBody::Allotted(answer_limit_ask(&self.0, &ask).map(Box::new))
             }
+            MeshBody::KeepOrigins(entries) => {
+                origins::keep_records(&self.0, &entries);
+                MeshBody::OriginsKept
+            }
+            MeshBody::AskOrigin(question) => {
+                MeshBody::Origin(origins::answer_question(&self.0, &question))
+            }
             // These are answers; no process sends them as requests.
             MeshBody::Digest(_)
             | MeshBody::Allotted(_)
             | MeshBody::Part(_)
             | MeshBody::Leaving(_)
             | MeshBody::Follow(_)
-            | MeshBody::Members(_) => MeshBody::Leaving(self.0.mesh.borrow().view.me().clone()),
+            | MeshBody::Members(_)
+            | MeshBody::OriginsKept
+            | MeshBody::Origin(_) => MeshBody::Leaving(self.0.mesh.borrow().view.me().clone()),
         };
         Box::pin(std::future::ready(answer))
     }
--- a/crates/front/src/mesh/report.rs
+++ b/crates/front/src/mesh/report.rs
@@ -7,7 +7,7 @@
 use super::{MeshState, end_collecting_after_stall, update_fitness};
 use crate::events::event;
 use crate::node::FrontNode;
-use crate::{limits, paths, releases, suspects, words};
+use crate::{limits, origins, paths, releases, suspects, words};
 use actix::Addr;
 use compact_str::CompactString;
 use oleander_kind::{ClockTime, TimeSpan};
@@ -56,6 +56,7 @@
     update_fitness(node);
     paths::watch_paths(node);
     releases::refresh(node);
+    origins::watch_versions(node);
     suspects::refresh_quarantine(node);
     words::apply_local_shares(node);
     words::update_room_shares(node);
@@ -172,7 +173,7 @@
 }
 
 /// Calls another process; `None` if it did not answer, which is logged.
-pub(super) async fn call_peer(
+pub(crate) async fn call_peer(
     node: &FrontNode,
     hub: &Addr<PeerHub<MeshBody>>,
     (address, body): (CompactString, MeshBody),
@@ -283,7 +284,11 @@
             | MeshBody::RequestLimit(_)
             | MeshBody::Allotted(_)
             | MeshBody::RequestPart(_)
-            | MeshBody::Part(_),
+            | MeshBody::Part(_)
+            | MeshBody::KeepOrigins(_)
+            | MeshBody::OriginsKept
+            | MeshBody::AskOrigin(_)
+            | MeshBody::Origin(_),
         )
         | None => ReportOutcome::Failed,
     }
--- a/crates/front/src/meter.rs
+++ b/crates/front/src/meter.rs
@@ -19,6 +19,8 @@
     attempts: Counter<u64>,
     resumes: Counter<u64>,
     body_ends: Counter<u64>,
+    bindings: Counter<u64>,
+    origins_sent: Counter<u64>,
     unread_tokens: Counter<u64>,
     store_faults: Counter<u64>,
     store_returns: Counter<u64>,
@@ -48,6 +50,8 @@
             requests: meter.u64_counter("oleander_front_requests").build(),
             attempts: meter.u64_counter("oleander_front_attempts").build(),
             resumes: meter.u64_counter("oleander_front_resumes").build(),
+            bindings: meter.u64_counter("oleander_front_bindings").build(),
+            origins_sent: meter.u64_counter("oleander_front_origins_sent").build(),
             body_ends: meter.u64_counter("oleander_front_body_ends").build(),
             unread_tokens: meter.u64_counter("oleander_front_unread_tokens").build(),
             store_faults: meter.u64_counter("oleander_front_store_faults").build(),
@@ -109,6 +113,16 @@
         self.body_ends.add(1, &[service, KeyValue::new("end", end)]);
     }
 
+    /// Counts a stream that was to be taken up, by what its version is known from.
+    pub fn count_binding(&self, by: &'static str) {
+        self.bindings.add(1, &[KeyValue::new("by", by)]);
+    }
+
+    /// Counts records of streams that were sent to another process, by whether it keeps them.
+    pub fn count_origins_sent(&self, records: u64, is_kept: bool) {
+        self.origins_sent.add(records, &[KeyValue::new("kept", is_kept)]);
+    }
+
     /// Counts prompt tokens that an endpoint had to prefill.
     pub fn count_unread_tokens(&self, tokens: u64) {
         self.unread_tokens.add(tokens, &[]);
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -7,6 +7,7 @@
 use crate::limits::SpendTracker;
 use crate::mesh::state::MeshState;
 use crate::meter::FrontMeter;
+use crate::origins::StreamOrigins;
 use crate::port::PlatformDialect;
 use crate::relay::PeerRelays;
 use crate::releases::RolloutState;
@@ -91,6 +92,10 @@
     pub pool: RefCell<LinkPool>,
     /// Whether the endpoints of each service can be reached from here.
     pub paths: RefCell<HashMap<ServiceName, PathRecord>>,
+    /// The versions at which streams began.
+    pub origins: RefCell<StreamOrigins>,
+    /// Wakes the task that sends records of streams to other processes.
+    pub origins_queued: Notify,
     /// The requests that this process relays to its peers.
     pub relays: RefCell<PeerRelays>,
     /// The limits of accounts.
@@ -163,6 +168,7 @@
             capacity: collector_capacity(settings.link_mbps, settings.cores),
             caller_address: None,
             unreached_services: Vec::new(),
+            binds_streams: true,
             edition: 0,
         };
         let window = TimeSpan((settings.bounds.usage_window_s * 1000.0) as u64);
@@ -192,6 +198,8 @@
             prefixes: RefCell::default(),
             pool: RefCell::default(),
             paths: RefCell::default(),
+            origins: RefCell::default(),
+            origins_queued: Notify::new(),
             relays: RefCell::default(),
             limits: RefCell::default(),
             limit_exchange: tokio::sync::Mutex::default(),
--- a/crates/front/src/process.rs
+++ b/crates/front/src/process.rs
@@ -5,7 +5,7 @@
 use crate::port::PlatformDialect;
 use crate::suspect_store::SuspectStore;
 use crate::window_store::WindowStore;
-use crate::{admin, discover, duties, feeds, ingress, kept, limits, mesh, paths, reload};
+use crate::{admin, discover, duties, feeds, ingress, kept, limits, mesh, origins, paths, reload};
 use actix_web::{App, HttpResponse, web};
 use oleander_board::{NodeClock, StopStage};
 use oleander_conf::FrontSettings;
@@ -97,6 +97,7 @@
         actix_rt::spawn(limits::log_limits(node.clone())),
         actix_rt::spawn(mesh::run_reports(node.clone(), hub)),
         actix_rt::spawn(discover::run_discovery(node.clone())),
+        actix_rt::spawn(origins::run_sender(node.clone())),
         actix_rt::spawn(kept::sync_record(node.clone(), SuspectStore)),
         actix_rt::spawn(kept::sync_record(node.clone(), WindowStore::default())),
         actix_rt::spawn(ingress::accept_callers(node.clone(), callers)),
@@ -125,6 +126,7 @@
         node.prefixes.borrow_mut().sweep(node.clock.now());
         sweep_links(&node);
         paths::sweep(&node);
+        node.origins.borrow_mut().book.sweep(node.clock.now());
     }
 }
 
@@ -161,6 +163,7 @@
         event!(node, ProcessLeaving; "in_flight" => node.in_flight.get());
         node.stop.set(StopStage::Unready);
         node.mesh.borrow_mut().view.leave();
+        origins::hand_over(node);
         tokio::time::sleep(BALANCER_NOTICE_TIME).await;
         node.stop.set(StopStage::Draining);
         node.close_idle.notify_waiters();
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -9,8 +9,10 @@
 use crate::drive::{AttemptOutcome, CallContext, CallOutcome, EndpointAnswer};
 use crate::events::event;
 use crate::node::FrontNode;
+use crate::origins::StreamBinding;
 use crate::{limits, paths, stream, whole};
 use actix_http::{RequestHead, ResponseHead, Version};
+use compact_str::CompactString;
 use oleander_call::{AnswerHead, AnswerShape, AttemptEnd, CallHead, RelayHeaders};
 use oleander_kind::hash::stable_hash;
 use oleander_kind::{ClockTime, InstanceId, ResultCode, ServiceName, TimeSpan};
@@ -124,17 +126,22 @@
 
 /// Whether a request for a service is relayed before anything else is done for it: the path to the service is
 /// lost, and a peer says that it reaches it.
-pub fn is_relayed_at_once(node: &FrontNode, call: &CallHead, service: &ServiceName) -> bool {
+pub(crate) fn is_relayed_at_once(
+    node: &FrontNode,
+    (call, service): (&CallHead, &ServiceName),
+    binding: &StreamBinding,
+) -> bool {
+    let is_bound = *binding != StreamBinding::Free;
     call.relayed_attempts.is_none()
         && paths::path_state(node, service) == PathState::Lost
-        && choose_reachable(node, (call, service), &[]).is_some()
+        && choose_reachable(node, (call, service), (&[], is_bound)).is_some()
 }
 
 /// Chooses a peer that reaches the service and was reached by this process.
 fn choose_reachable(
     node: &FrontNode,
     (call, service): (&CallHead, &ServiceName),
-    tried: &[InstanceId],
+    (tried, is_bound): (&[InstanceId], bool),
 ) -> Option<(InstanceId, SocketAddr)> {
     let now = node.clock.now();
     let relays = node.relays.borrow();
@@ -145,7 +152,7 @@
     let domain = &node.settings.domain;
     // Requests of one account go to the same few peers: each peer needs an allotment of its limit.
     let account_salt = stable_hash(node.settings.instance.stable_hash(), call.key.as_bytes());
-    let request = RelayRequest { service, domain, tried, salt: account_salt };
+    let request = RelayRequest { service, domain, is_bound, tried, salt: account_salt };
     let (id, address) = choose_peer(members, |id| relays.in_flight(id), &request)?;
     Some((id.clone(), address))
 }
@@ -184,7 +191,12 @@
     }
 
     fn choose_peer(&self, tried: &[InstanceId]) -> Option<(InstanceId, SocketAddr)> {
-        choose_reachable(self.node, (&self.call, &self.service), tried)
+        let is_bound = match self.binding {
+            StreamBinding::Free => false,
+            StreamBinding::To(_) => true,
+            StreamBinding::Unknown => return None,
+        };
+        choose_reachable(self.node, (&self.call, &self.service), (tried, is_bound))
     }
 
     /// Relays the request to one peer after another until one serves or refuses it.
@@ -327,6 +339,7 @@
             left: self.time_left(),
             last_event: self.last_event,
             attempts,
+            origin: self.binding.version().map(CompactString::from),
         };
         self.node.dialect.stamp_relay(&mut head.headers, &stamp);
         link.send(&self.node.http, head, self.body.clone())
@@ -342,7 +355,7 @@
         let mut body = sent.into_body(&head);
         let broken = RelayOutcome::Attempted(AttemptOutcome::Ended(AttemptEnd::Broken, None));
         // Without a mark it is no front process any more, or one that knows no relayed requests.
-        let Some(answer) = answer_head.relayed else { return broken };
+        let Some(answer) = answer_head.relayed.clone() else { return broken };
         if answer.code > 0 {
             let code = ResultCode::from_number(answer.code).unwrap_or(ResultCode::Uncertain);
             // The body only describes the code.
@@ -358,6 +371,7 @@
         if !answer_head.is_sound(&self.call.id) {
             return broken;
         }
+        self.version = answer.origin;
         let (outcome, link) = self.forward_peer_answer(body, head, &answer_head).await;
         self.keep_peer_link(id, link);
         RelayOutcome::Attempted(outcome)
--- a/crates/front/src/releases/lane.rs
+++ b/crates/front/src/releases/lane.rs
@@ -18,6 +18,9 @@
 impl CallContext<'_, '_> {
     /// Chooses an endpoint, of the candidate version if the request is one that goes there.
     pub(crate) async fn choose_for_rollout(&mut self) -> Option<PlacementChoice> {
+        if self.binding.version().is_some() {
+            return self.choose_bound().await;
+        }
         let draw = mix_bits(call_salt(&self.call) ^ u64::from(self.record.sent())) as f64;
         let draw = draw / u64::MAX as f64;
         self.rollout_payment =
@@ -32,6 +35,26 @@
         }
     }
 
+    /// Chooses an endpoint of the version to which the stream is bound. If that is the candidate, the attempt is
+    /// paid for as any other.
+    async fn choose_bound(&mut self) -> Option<PlacementChoice> {
+        if let Some(choice) = self.choose() {
+            return Some(choice);
+        }
+        /// Draws the candidate whatever its share.
+        const FIRST_DRAW: f64 = 0.0;
+        let expected = self.expected_duration();
+        self.rollout_payment =
+            pay_for_candidate(self.node, &self.service, (FIRST_DRAW, expected)).await;
+        let choice = self.choose();
+        if choice.is_none()
+            && let Some(rollout_payment) = self.rollout_payment.take()
+        {
+            refund(self.node, &rollout_payment);
+        }
+        choice
+    }
+
     /// Refunds an attempt that certainly did not run.
     pub(crate) fn refund_unrun_attempt(&mut self, end: AttemptEnd) {
         if let Some(rollout_payment) = self.rollout_payment.take().filter(|_| !end.may_have_run()) {
--- a/crates/front/src/roster.rs
+++ b/crates/front/src/roster.rs
@@ -3,7 +3,7 @@
 use crate::era;
 use crate::events::event;
 use crate::node::FrontNode;
-use crate::{releases, suspects};
+use crate::{origins, releases, suspects};
 use oleander_kind::{ClockTime, TimeSpan};
 use oleander_list::{
     DecodedEntry, ExpiryTimes, FreshnessStamp, JoinedParts, RosterAction, RosterContext,
@@ -175,7 +175,12 @@
         fact.serves = rollouts.book.takes(version, VersionLane::Serving, node.clock.now());
         rollouts.is_stale |= !fact.serves;
     }
+    let listed =
+        board.get(key).map(|fact| (fact.entry.service.clone(), fact.entry.release.clone()));
     drop(board);
+    if let Some((service, version)) = listed {
+        origins::note_listed(node, &service, &version);
+    }
     if let Some(life) = former_incarnation {
         suspects::note_ended(node, &life, "later life");
     }
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -4,8 +4,8 @@
 use crate::attempt::SILENCE_TOLERANCE;
 use crate::drive::{AttemptOutcome, CallContext};
 use crate::events::event;
-use crate::paths;
 use crate::work::WorkGuard;
+use crate::{origins, paths};
 use actix_http::header::HeaderMap;
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
@@ -64,6 +64,7 @@
             work.note_answered();
         }
         if context.answer.stage() == AnswerStage::Waiting {
+            origins::bind_begun(context);
             context.record_usage(Duration::ZERO);
             context.note_read();
             context.first_chunk_at = Some(Instant::now());
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -32,8 +32,8 @@
 pub use loads::{EndpointLoad, LoadTable, LoadUpdate, MeanLoad};
 pub use message::{
     EndpointEvidence, EndpointHash, EndpointVerdict, IncarnationTag, LeaseNotice, MemberInfo,
-    MemberList, MeshBody, MeshDigest, NodeReport, NodeUsage, RouteEvidence, RulesStatus,
-    ServiceDemand, ServicePace, ServicePeak, UsageCount,
+    MemberList, MeshBody, MeshDigest, NodeReport, NodeUsage, OriginQuestion, RouteEvidence,
+    RulesStatus, ServiceDemand, ServicePace, ServicePeak, UsageCount,
 };
 pub use part_sizes::{PartSizes, digest_part_sizes, report_part_sizes};
 pub use relay::{RelayRequest, choose_peer};
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -7,12 +7,13 @@
 use compact_str::CompactString;
 use oleander_judge::{BadTrait, EvidenceTally};
 use oleander_kind::hash::mix_bits;
-use oleander_kind::{AccountName, ClockTime, DomainName, InstanceId, ServiceName};
+use oleander_kind::{AccountName, ClockTime, DomainName, InstanceId, ServiceName, TimeSpan};
 use oleander_lease::LeaseRecord;
 use oleander_limit::{LastLedger, PoolAllotment};
 use oleander_list::{
     FreshnessNote, PartRequest, RosterPart, RosterStatus, RosterUpdate, RosterVersion,
 };
+use oleander_origin::{OriginAnswer, OriginEntry, StreamKey};
 use oleander_pace::ReadPace;
 use oleander_plat::FeedObject;
 use oleander_release::OrderNews;
@@ -52,6 +53,9 @@
     /// Services of which it reaches no endpoint.
     #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
     pub unreached_services: Vec<ServiceName>,
+    /// Whether it keeps and tells the versions at which streams began, and binds relayed streams to theirs.
+    #[serde(rename = "b", default, skip_serializing_if = "std::ops::Not::not")]
+    pub binds_streams: bool,
     /// Incremented with each change within one incarnation; the highest is the newest.
     #[serde(rename = "n")]
     pub edition: u32,
@@ -396,6 +400,20 @@
     pub collector: Option<MemberInfo>,
 }
 
+/// A question after the version at which a stream began.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginQuestion {
+    /// The stream.
+    #[serde(rename = "k")]
+    pub key: StreamKey,
+    /// Its service.
+    #[serde(rename = "s")]
+    pub service: ServiceName,
+    /// How long ago it may have begun.
+    #[serde(rename = "t")]
+    pub span: TimeSpan,
+}
+
 /// A call or its answer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum MeshBody {
@@ -429,4 +447,16 @@
     /// A redirect: the called process follows this collector, and so should the caller.
     #[serde(rename = "f")]
     Follow(MemberInfo),
+    /// Versions at which streams began, for the called process to keep.
+    #[serde(rename = "o")]
+    KeepOrigins(Vec<OriginEntry>),
+    /// The called process keeps them.
+    #[serde(rename = "n")]
+    OriginsKept,
+    /// A question after the version at which a stream began.
+    #[serde(rename = "q")]
+    AskOrigin(OriginQuestion),
+    /// What the called process knows of it.
+    #[serde(rename = "t")]
+    Origin(OriginAnswer),
 }
--- a/crates/mesh/src/relay.rs
+++ b/crates/mesh/src/relay.rs
@@ -16,6 +16,8 @@
     pub service: &'a ServiceName,
     /// The failure domain of this process.
     pub domain: &'a DomainName,
+    /// Whether the request is a stream that has to go on at a certain version.
+    pub is_bound: bool,
     /// Peers that must not be tried again.
     pub tried: &'a [InstanceId],
     /// Draws the two peers; requests with the same salt go to the same ones.
@@ -33,6 +35,7 @@
         !member.leaving
             && !member.unreached_services.contains(request.service)
             && !request.tried.contains(&member.id)
+            && (member.binds_streams || !request.is_bound)
     });
     let able = able.filter_map(|member| Some((member, member.caller_address?)));
     let mut drawn: Vec<_> =
--- a/crates/oleandertack/src/lib.rs
+++ b/crates/oleandertack/src/lib.rs
@@ -24,6 +24,7 @@
 pub use oleander_load as load;
 pub use oleander_member as member;
 pub use oleander_mesh as mesh;
+pub use oleander_origin as origin;
 pub use oleander_outlet as outlet;
 pub use oleander_pace as pace;
 pub use oleander_place as place;
--- a/crates/place/src/choose.rs
+++ b/crates/place/src/choose.rs
@@ -45,6 +45,8 @@
     pub pause_weight: f64,
     /// Whether it goes to the version that is being rolled out.
     pub is_trial: bool,
+    /// The only software version that may serve it; `None` if any may.
+    pub version: Option<&'a str>,
     /// Whether it may run again elsewhere if its endpoint fails.
     pub repeatable: bool,
     /// Breaks ties; different for each request.
@@ -155,6 +157,7 @@
     facts
         .filter_map(|key| board.get(*key).map(|fact| (*key, fact)))
         .filter(|(_, fact)| if request.is_trial { fact.is_tried } else { fact.serves })
+        .filter(|(_, fact)| request.version.is_none_or(|version| fact.entry.release == version))
         .filter(|(key, fact)| fact.takes_work() && !request.tried.contains(key))
 }
 
--- a/tests/all/mesh.rs
+++ b/tests/all/mesh.rs
@@ -30,6 +30,7 @@
         capacity: 0,
         caller_address: None,
         unreached_services: Vec::new(),
+        binds_streams: true,
         edition: 0,
     }
 }
--- a/tests/all/pauses.rs
+++ b/tests/all/pauses.rs
@@ -191,6 +191,7 @@
             pause: Some(PAUSE),
             pause_weight: 1.0,
             is_trial: false,
+            version: None,
             repeatable: false,
             salt,
             now: ClockTime(START + ms),
--- a/tests/all/place.rs
+++ b/tests/all/place.rs
@@ -78,6 +78,7 @@
             pause: None,
             pause_weight: 0.0,
             is_trial: false,
+            version: None,
             repeatable: self.repeatable,
             salt,
             now: self.now,
--- a/tests/all/relaying.rs
+++ b/tests/all/relaying.rs
@@ -375,17 +375,26 @@
 fn members_are_read_by_and_from_processes_that_relay_nothing() {
     let new = MemberInfo {
         unreached_services: vec!["s".into()],
+        binds_streams: true,
         caller_address: "127.0.0.1:2".parse().ok(),
         ..member("front-1", "near")
     };
     let mut written = serde_json::to_value(&new).expect("it is written");
     let fields = written.as_object_mut().expect("an object");
-    let added: Vec<_> = ["f", "p"].iter().filter_map(|name| fields.remove(*name)).collect();
+    let added: Vec<_> = ["f", "p", "b"].iter().filter_map(|name| fields.remove(*name)).collect();
 
     let read: MemberInfo = serde_json::from_value(written).expect("it is read");
 
-    assert_eq!(added.len(), 2);
-    assert_eq!(read, MemberInfo { caller_address: None, unreached_services: Vec::new(), ..new });
+    assert_eq!(added.len(), 3);
+    assert_eq!(
+        read,
+        MemberInfo {
+            caller_address: None,
+            unreached_services: Vec::new(),
+            binds_streams: false,
+            ..new
+        }
+    );
 }
 
 fn member(name: &str, domain: &str) -> MemberInfo {
@@ -399,6 +408,7 @@
         capacity: 0,
         caller_address: "127.0.0.1:2".parse().ok(),
         unreached_services: Vec::new(),
+        binds_streams: true,
         edition: 0,
     }
 }
@@ -417,7 +427,8 @@
     let (service, domain) = ("s".into(), "near".into());
 
     for salt in 0..100 {
-        let request = RelayRequest { service: &service, domain: &domain, tried: &[], salt };
+        let request =
+            RelayRequest { service: &service, domain: &domain, is_bound: false, tried: &[], salt };
         let chosen = choose_peer(members.iter(), |_| 0, &request).map(|(id, _)| id.clone());
         assert_eq!(chosen, Some("able".into()));
         let tried = [able.id.clone()];
@@ -435,7 +446,8 @@
     let mut counts: BTreeMap<String, u32> = BTreeMap::new();
 
     for salt in 0..6000 {
-        let request = RelayRequest { service: &service, domain: &domain, tried: &[], salt };
+        let request =
+            RelayRequest { service: &service, domain: &domain, is_bound: false, tried: &[], salt };
         let in_flight = |id: &_| counts.get(&format!("{id:?}")).copied().unwrap_or_default();
         let chosen =
             choose_peer(members.iter(), in_flight, &request).map(|(id, _)| format!("{id:?}"));
