--- a/crates/front/src/admin.rs
+++ b/crates/front/src/admin.rs
@@ -5,7 +5,7 @@
 use crate::releases::RunningOrder;
 use actix_web::{HttpResponse, web};
 use compact_str::CompactString;
-use oleander_kind::{InstanceId, RequestRate, ServiceName};
+use oleander_kind::{InstanceId, RequestRate, ServiceName, TimeSpan};
 use oleander_list::FreshnessStamp;
 use oleander_mesh::PartSizes;
 use oleander_place::PathRecord;
@@ -66,6 +66,7 @@
         "endpoints": dump_endpoints(node),
         "releases": dump_releases(node),
         "limits": limits::dump_limits(node, &mesh),
+        "origins": dump_origins(node),
         "suspects": node.suspects.borrow().len(),
         "held_requests": dump_quarantined(node),
         "idle_connections": node.pool.borrow().len(),
@@ -108,6 +109,20 @@
     failing.map(path).collect()
 }
 
+/// What is known of the versions at which streams began.
+fn dump_origins(node: &FrontNode) -> Value {
+    let now = node.clock.now();
+    let origins = node.origins.borrow();
+    let version = |(service, version, ago): (&ServiceName, &CompactString, TimeSpan)| json!({ "service": service.as_str(), "version": version.as_str(), "listed_ms": ago.0 });
+    json!({
+        "records": origins.book.len(),
+        "rejected": origins.book.rejected(),
+        "list_watched_ms": origins.history.watched_for(now).map(|span| span.0),
+        "versions": origins.history.versions(now).take(MAX_LISTED).map(version).collect::<Vec<_>>(),
+        "uncertain": origins.uncertain().map(ServiceName::as_str).collect::<Vec<_>>(),
+    })
+}
+
 /// The peers to which this process relays requests.
 fn dump_relays(node: &FrontNode) -> Vec<Value> {
     let now = node.clock.now();
