--- a/crates/front/src/origins/bind.rs
+++ b/crates/front/src/origins/bind.rs
@@ -136,7 +136,9 @@
     }
     let is_confirmed =
         inquiry.awaits_confirmation() && list_confirmed_since(node, arrived_at).await;
-    if let InquiryStep::Bound(version, basis) = inquiry.conclude(is_confirmed) {
+    // The confirmation may have brought another version.
+    let confirmed = own_knowledge(node, question, node.clock.now()).alone.filter(|_| is_confirmed);
+    if let InquiryStep::Bound(version, basis) = inquiry.conclude(confirmed.as_ref()) {
         outcome.found = Some((version, basis));
     }
     outcome
--- a/crates/origin/src/inquiry.rs
+++ b/crates/origin/src/inquiry.rs
@@ -113,10 +113,10 @@
         })
     }
 
-    /// Concludes when no further answer is to be expected. `is_confirmed` says that the store has confirmed the
-    /// list since the stream was to be taken up: then no other version can have begun it.
-    pub fn conclude(&self, is_confirmed: bool) -> InquiryStep {
-        let alone = self.own.alone.as_ref().filter(|_| is_confirmed);
+    /// Concludes when no further answer is to be expected. `confirmed` is the version that alone was on the list when
+    /// the store had confirmed it once more since the inquiry began: then no other version can have begun the stream.
+    pub fn conclude(&self, confirmed: Option<&CompactString>) -> InquiryStep {
+        let alone = self.own.alone.as_ref().filter(|alone| confirmed == Some(alone));
         alone.map_or(InquiryStep::Unknown, |version| {
             InquiryStep::Bound(version.clone(), OriginBasis::Alone)
         })
--- a/tests/all/origin_rules.rs
+++ b/tests/all/origin_rules.rs
@@ -392,6 +392,8 @@
     assert_eq!(inquiry.take(&conclusive, true), InquiryStep::Open);
     assert_eq!(inquiry.take(&conclusive, true), bound("v1", OriginBasis::Alone));
     let (inquiry, _) = OriginInquiry::begin(certain, 3);
-    assert_eq!(inquiry.conclude(false), InquiryStep::Unknown);
-    assert_eq!(inquiry.conclude(true), bound("v1", OriginBasis::Alone));
+    let (v1, v2) = (CompactString::from("v1"), CompactString::from("v2"));
+    assert_eq!(inquiry.conclude(None), InquiryStep::Unknown);
+    assert_eq!(inquiry.conclude(Some(&v2)), InquiryStep::Unknown);
+    assert_eq!(inquiry.conclude(Some(&v1)), bound("v1", OriginBasis::Alone));
 }
