Endpoint lists go to peers only as fast as the sender's link leaves room

Cause: list content had no bound at its sender. While the list fills, a collector sent up to 512 changes in each answer and every requested part; its link was full, answers came later than 300 ms, reporters chose another collector, and that one sent the same again: up to four collectors at 23 to 25 MB a second each. Processes that had lost touch doubted a thousand entries and named each in four reports a second (50 KB a report). Change: SendBudget gives list content .3 of the own link; beyond that an update is to be fetched in parts, and a part is asked of a peer that has a newer list, with a growing pause. At most 128 changes an answer (512). The collector asks one process in 50 ms for its newer list, not all. A report that would name more than 64 doubts names none, and says so. Parts no longer copy the whole log of changes. Counter lists_withheld.

--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -2,6 +2,7 @@
 //! digests. One process at a time is the collector.
 
 mod account;
+mod bulk;
 mod collect;
 mod digest;
 mod make;
--- a/crates/front/src/mesh/collect.rs
+++ b/crates/front/src/mesh/collect.rs
@@ -1,6 +1,7 @@
 //! The collector's side: answers the reports of the other processes.
 
 use super::account::collect_and_measure;
+use super::bulk::{answer_part_request, bound_update};
 use super::parts::fetch_list;
 use super::state::{MeshState, followed_collector};
 use super::{end_collecting_after_stall, pool_limit};
@@ -11,7 +12,7 @@
 use crate::words::{self, ReporterState};
 use crate::{limits, origins, releases, suspects};
 use oleander_call::RuleSet;
-use oleander_kind::{AccountName, ResultCode, TimeSpan};
+use oleander_kind::{AccountName, ClockTime, ResultCode, TimeSpan};
 use oleander_limit::{PoolAllotment, PoolLimit};
 use oleander_list::RosterUpdate;
 use oleander_mesh::{
@@ -50,9 +51,7 @@
                 collect_and_measure(&self.0, *report)
             }
             MeshBody::RequestPart(ask) => {
-                let now = self.0.clock.now();
-                let part = self.0.roster.borrow().part(&ask, now);
-                MeshBody::Part(Box::new(part))
+                MeshBody::Part(Box::new(answer_part_request(&self.0, &ask)))
             }
             MeshBody::Greet(member) => answer_greeting(&self.0, member),
             MeshBody::RequestLimit(ask) => {
@@ -152,10 +151,12 @@
         now,
     };
     let reporter = ReporterState::of(&report, facts.oldest_term);
-    let MeshState { view, collector, .. } = &mut *mesh;
+    let MeshState { view, collector, list_asked_at, .. } = &mut *mesh;
     match collector {
         Some(collector) => {
             let mut digest = collector.take(report, view, &facts);
+            digest.roster_update = bound_update(node, digest.roster_update);
+            digest.wants_roster = digest.wants_roster && may_ask_for_list(list_asked_at, now);
             words::add_endpoint_signals(node, (&reporter, view), collector, &mut digest);
             MeshBody::Digest(Box::new(digest))
         }
@@ -163,6 +164,18 @@
     }
 }
 
+/// Whether one more process is asked for its newer list. At a change of the collector hundreds may have
+/// one, and the first that answers is enough.
+fn may_ask_for_list(asked_at: &mut Option<ClockTime>, now: ClockTime) -> bool {
+    /// Interval between two processes that are asked.
+    const ASK_PERIOD: TimeSpan = TimeSpan(50);
+    let may_ask = asked_at.is_none_or(|at| now - at >= ASK_PERIOD);
+    if may_ask {
+        *asked_at = Some(now);
+    }
+    may_ask
+}
+
 /// Answers a process that needs more of an account's limit; `None` if this process has no ledger.
 pub(crate) fn answer_limit_ask(node: &FrontNode, ask: &LimitRequest) -> Option<PoolAllotment> {
     end_collecting_after_stall(node);
--- a/crates/front/src/mesh/make.rs
+++ b/crates/front/src/mesh/make.rs
@@ -1,5 +1,6 @@
 //! Builds the report of this process to the collector.
 
+use super::bulk::bound_update;
 use super::state::MeshState;
 use crate::evidence::report_evidence;
 use crate::node::FrontNode;
@@ -33,7 +34,8 @@
     let claims = with_claims.then(|| limits.claims(now).into_iter().map(claim_of).collect());
     let usage = node.usage.borrow().counts().map(usage_of).collect();
     let roster = node.roster.borrow();
-    let update_for_collector = |theirs| roster.update_for(theirs, None, node.incarnation_id);
+    let update_for_collector =
+        |theirs| bound_update(node, roster.update_for(theirs, None, node.incarnation_id));
     let roster_update = mesh.wants_roster.as_ref().map(update_for_collector);
     let mut suspects = node.suspects.borrow_mut();
     let rules_text = mesh.wants_rules.then(|| node.rules.borrow().text().cloned()).flatten();
@@ -45,7 +47,7 @@
         members_hash: mesh.view.members_hash(),
         served: node.rules_feed.get().is_served() && node.endpoints_feed.get().is_served(),
         rules: node.rules.borrow().status(node.clock.now()),
-        roster: roster.status(node.clock.now()),
+        roster: roster.status(node.clock.now()).for_report(),
         roster_version: roster.followed(),
         claims,
         bond: limits.bond(now),
--- a/crates/front/src/mesh/parts.rs
+++ b/crates/front/src/mesh/parts.rs
@@ -13,44 +13,58 @@
 /// Timeout for one part. Nothing else waits for it.
 const PART_TIMEOUT: TimeSpan = TimeSpan(400);
 /// Interval between fetches of a whole list.
-const FETCH_PERIOD: TimeSpan = TimeSpan(1000);
-/// Most peers asked for one list, if some do not have it.
-const MAX_PEERS_ASKED: usize = 4;
+const FETCH_PERIOD: TimeSpan = TimeSpan(250);
+/// Most peers asked in a row that do not have a newer list, or do not send it now.
+const MAX_PEERS_ASKED: usize = 6;
+/// First and longest pause before another peer is asked; doubled each time.
+const PEER_PAUSES: (TimeSpan, TimeSpan) = (TimeSpan(25), TimeSpan(200));
 
-/// Starts to fetch the missing part of the list, unless a fetch started shortly before. It asks the
-/// process at `first`, which has the list as of `list_revision`, and others only if that one does
-/// not answer: most of them lack it as well.
+/// Starts to fetch the missing part of the list, unless a fetch is under way or started shortly before.
+/// It asks the process at `first`, which has the list as of `list_revision`, and others if that one does
+/// not send it now. Any list newer than this process's own is accepted from them: changes since then
+/// are few, and come with the next answer of the collector.
 pub(super) fn fetch_list(node: &Rc<FrontNode>, first: SocketAddr, list_revision: u64) {
     let now = node.clock.now();
     let mut mesh = node.mesh.borrow_mut();
-    if mesh.fetched_at.is_some_and(|at| now - at < FETCH_PERIOD) {
+    if mesh.is_fetching || mesh.fetched_at.is_some_and(|at| now - at < FETCH_PERIOD) {
         return;
     }
-    mesh.fetched_at = Some(now);
+    (mesh.fetched_at, mesh.is_fetching) = (Some(now), true);
     drop(mesh);
-    actix_rt::spawn(fetch(node.clone(), first, list_revision));
+    let node = node.clone();
+    actix_rt::spawn(async move {
+        fetch(&node, first, list_revision).await;
+        node.mesh.borrow_mut().is_fetching = false;
+    });
 }
 
-async fn fetch(node: Rc<FrontNode>, first: SocketAddr, list_revision: u64) {
+async fn fetch(node: &FrontNode, first: SocketAddr, list_revision: u64) {
     let mut assembler = PartsAssembler::default();
-    let mut request = {
+    let (mut request, own_revision) = {
         let status = node.roster.borrow().status(node.clock.now());
+        let own_revision = status.mark();
         let known = status.freshness.filter(|_| !status.needs_whole);
-        PartRequest { since: known.map(|freshness| freshness.mark), after: None }
+        let since = known.map(|freshness| freshness.mark);
+        (PartRequest { since, after: None }, own_revision)
     };
-    let mut peer = Some(first);
-    let mut asked = 1;
-    while let Some(address) = peer.filter(|_| asked <= MAX_PEERS_ASKED) {
-        match fetch_part(&node, address, (&mut assembler, request.clone(), list_revision)).await {
-            PartStep::RequestAfter(name) => request.after = Some(name),
-            PartStep::Joined(parts) => return roster::apply_parts(&node, &parts),
+    let mut peer = Some((first, list_revision));
+    let (mut pause, longest) = PEER_PAUSES;
+    let mut refused = 0;
+    while let Some((address, least)) = peer.filter(|_| refused < MAX_PEERS_ASKED) {
+        match fetch_part(node, address, (&mut assembler, request.clone(), least)).await {
+            PartStep::RequestAfter(name) => {
+                request.after = Some(name);
+                (pause, refused) = (PEER_PAUSES.0, 0);
+            }
+            PartStep::Joined(parts) => return roster::apply_parts(node, &parts),
             PartStep::TooOld => {
-                peer = random_peer(&node);
-                asked += 1;
+                pause = node.back_off(pause, longest).await;
+                peer = random_peer(node).map(|address| (address, own_revision + 1));
+                refused += 1;
             }
         }
     }
-    event!(node, MemberFault; "fault" => "none of the asked peers has the endpoint list");
+    event!(node, MemberFault; "fault" => "none of the asked peers sent the endpoint list");
 }
 
 async fn fetch_part(
--- a/crates/front/src/mesh/state.rs
+++ b/crates/front/src/mesh/state.rs
@@ -52,6 +52,10 @@
     pub(super) measured_at: Option<ClockTime>,
     /// When this process last started to fetch a whole endpoint list from peers.
     pub(super) fetched_at: Option<ClockTime>,
+    /// Whether that fetch is under way.
+    pub(super) is_fetching: bool,
+    /// When this process, as the collector, last asked another one for its newer list.
+    pub(super) list_asked_at: Option<ClockTime>,
 }
 
 impl MeshState {
@@ -76,6 +80,8 @@
             exchange_sizes: ExchangeSizes::default(),
             measured_at: None,
             fetched_at: None,
+            is_fetching: false,
+            list_asked_at: None,
         }
     }
 
--- a/crates/front/src/meter.rs
+++ b/crates/front/src/meter.rs
@@ -25,6 +25,7 @@
     store_faults: Counter<u64>,
     store_returns: Counter<u64>,
     lists_ignored: Counter<u64>,
+    lists_withheld: Counter<u64>,
     orders: Counter<u64>,
     usage_reports: Counter<u64>,
     evidence_left_out: Counter<u64>,
@@ -57,6 +58,7 @@
             store_faults: meter.u64_counter("oleander_front_store_faults").build(),
             store_returns: meter.u64_counter("oleander_front_store_returns").build(),
             lists_ignored: meter.u64_counter("oleander_front_lists_ignored").build(),
+            lists_withheld: meter.u64_counter("oleander_front_lists_withheld").build(),
             orders: meter.u64_counter("oleander_front_orders").build(),
             usage_reports: meter.u64_counter("oleander_front_usage_reports").build(),
             evidence_left_out: meter.u64_counter("oleander_front_evidence_left_out").build(),
@@ -143,6 +145,12 @@
         self.lists_ignored.add(1, &[]);
     }
 
+    /// Counts list content that another process lacks and that was not sent, because the link had no
+    /// room for it: an `update` of a report or its answer, or a requested `part`.
+    pub fn count_list_withheld(&self, content: &'static str) {
+        self.lists_withheld.add(1, &[KeyValue::new("content", content)]);
+    }
+
     /// Counts an order for endpoints, by whether the cloud accepted it.
     pub fn count_order(&self, taken: bool) {
         self.orders.add(1, &[KeyValue::new("taken", taken)]);
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -21,7 +21,7 @@
 use oleander_kind::hash::mix_bits;
 use oleander_kind::{AccountName, ClockTime, ServiceName, StoreEra, TimeSpan};
 use oleander_limit::PoolGate;
-use oleander_list::{RosterReplica, StalenessLimits};
+use oleander_list::{RosterReplica, SendBudget, StalenessLimits};
 use oleander_mesh::{MemberInfo, MeshBody, RulesBook, ServiceDemand, collector_capacity};
 use oleander_outlet::{EndpointDialer, HttpCodec, LinkPool};
 use oleander_pace::{ASSUMED_PER_MS, PaceEstimator, ReadPace, ReadSample};
@@ -80,6 +80,8 @@
     pub endpoints_feed: Cell<FeedState>,
     /// The endpoint list as it was read.
     pub roster: RefCell<RosterReplica>,
+    /// Bytes of the list that may be sent to other processes.
+    pub list_budget: RefCell<SendBudget>,
     /// The endpoints, with what this process knows of their load and health.
     pub endpoints: RefCell<EndpointBoard>,
     /// The state of roll-outs.
@@ -172,6 +174,7 @@
             edition: 0,
         };
         let window = TimeSpan((settings.bounds.usage_window_s * 1000.0) as u64);
+        let list_budget = SendBudget::of_link(settings.link_mbps);
         Rc::new(FrontNode {
             bounds: RefCell::new(Rc::new(settings.bounds.clone())),
             seeds: RefCell::new(settings.seeds.clone()),
@@ -192,6 +195,7 @@
             rules_feed: Cell::default(),
             endpoints_feed: Cell::default(),
             roster: RefCell::default(),
+            list_budget: RefCell::new(list_budget),
             endpoints: RefCell::default(),
             releases: RefCell::default(),
             orders_refresh: Notify::new(),
--- a/crates/list/src/changes.rs
+++ b/crates/list/src/changes.rs
@@ -64,14 +64,20 @@
     }
 
     /// The changes after the one with this number; `None` if the log no longer has them all.
-    pub(crate) fn after_number(&self, number: u64) -> Option<Vec<FeedEvent>> {
+    pub(crate) fn after_number(
+        &self,
+        number: u64,
+    ) -> Option<impl ExactSizeIterator<Item = &FeedEvent>> {
         let missing = usize::try_from(self.noted.checked_sub(number)?).ok()?;
         let from = self.kept.len().checked_sub(missing)?;
         Some(self.from(from))
     }
 
     /// The changes that a list at `mark` may lack; `None` if the log no longer has them all.
-    pub(crate) fn after_mark(&self, mark: u64) -> Option<Vec<FeedEvent>> {
+    pub(crate) fn after_mark(
+        &self,
+        mark: u64,
+    ) -> Option<impl ExactSizeIterator<Item = &FeedEvent>> {
         if mark < self.floor {
             return None;
         }
@@ -79,7 +85,7 @@
         Some(self.from(from))
     }
 
-    fn from(&self, from: usize) -> Vec<FeedEvent> {
-        self.kept.range(from..).map(|change| change.event.clone()).collect()
+    fn from(&self, from: usize) -> impl ExactSizeIterator<Item = &FeedEvent> {
+        self.kept.range(from..).map(|change| &change.event)
     }
 }
--- a/crates/list/src/lib.rs
+++ b/crates/list/src/lib.rs
@@ -9,6 +9,7 @@
 //! each failure domain read the list and forward changes, and probes carry a digest that reveals
 //! gaps.
 
+pub mod budget;
 mod changes;
 pub mod freshness;
 pub mod keeper;
@@ -16,6 +17,7 @@
 pub mod roster;
 pub mod update;
 
+pub use budget::SendBudget;
 pub use freshness::{FreshnessNote, FreshnessStamp, StalenessLimits};
 pub use keeper::{ListChange, ListReplica, ListSummary};
 pub use parts::{JoinedParts, PartRequest, PartStep, PartsAssembler, RosterPart};
--- a/crates/list/src/parts.rs
+++ b/crates/list/src/parts.rs
@@ -5,7 +5,7 @@
 //! Each part is small and requested separately, and any peer may send the next one as long as its
 //! list is at least as new as the first part.
 
-use crate::roster::{RosterReplica, RosterStatus, RosterUpdate};
+use crate::roster::{RosterReplica, RosterStatus, RosterUpdate, entry_bytes, name_bytes};
 use compact_str::CompactString;
 use oleander_kind::{ClockTime, TimeSpan};
 use oleander_plat::{FeedEvent, FeedObject};
@@ -47,14 +47,34 @@
     pub is_last: bool,
 }
 
+impl RosterPart {
+    /// The answer of a process that sends no part now. The requester treats it like a part of an
+    /// unknown list, and asks another peer.
+    pub fn unavailable() -> Self {
+        RosterPart {
+            status: RosterStatus::default(),
+            since: None,
+            gone: Vec::new(),
+            objects: Vec::new(),
+            is_last: true,
+        }
+    }
+
+    /// About how many bytes the part takes in a message.
+    pub fn bytes(&self) -> usize {
+        let gone: usize = self.gone.iter().map(|(name, _)| name_bytes(name)).sum();
+        gone + self.objects.iter().map(entry_bytes).sum::<usize>()
+    }
+}
+
 impl RosterReplica {
     /// Builds the requested part.
     pub fn part(&self, request: &PartRequest, now: ClockTime) -> RosterPart {
         use std::ops::Bound::{Excluded, Unbounded};
         let changes = request.since.and_then(|mark| Some((mark, self.changes.after_mark(mark)?)));
         let (since, changes) = changes.unzip();
-        let gone = |event: FeedEvent| match event {
-            FeedEvent::Gone { name, revision } => Some((name, revision)),
+        let gone = |event: &FeedEvent| match event {
+            FeedEvent::Gone { name, revision } => Some((name.clone(), *revision)),
             FeedEvent::Put(_) => None,
         };
         let is_first = request.after.is_none();
--- a/crates/list/src/roster.rs
+++ b/crates/list/src/roster.rs
@@ -28,8 +28,8 @@
 
 /// The longest list that is sent in one message; a longer one is requested in parts.
 const MAX_WHOLE_ENTRIES: usize = 512;
-/// The most changes sent in one message, so that an answer takes about 100 ms on a slow link.
-const MAX_CHANGES: usize = 512;
+/// The most changes sent in one message, so that an answer takes less than 30 ms on a slow link.
+const MAX_CHANGES: usize = 128;
 
 /// The result of decoding an entry.
 pub type Result<T> = std::result::Result<T, String>;
@@ -139,9 +139,26 @@
     /// whole list is needed.
     #[serde(rename = "w", default, skip_serializing_if = "std::ops::Not::not")]
     pub needs_whole: bool,
+    /// Whether `doubted` was left out because there are too many. Nothing may then be concluded about
+    /// entries of the list; its revision and hash still tell what its process lacks.
+    #[serde(rename = "o", default, skip_serializing_if = "std::ops::Not::not")]
+    pub omits_doubts: bool,
 }
 
 impl RosterStatus {
+    /// The status as a report carries it, four times a second.
+    ///
+    /// A process that lost touch with the store for seconds may doubt a thousand entries. Named in the
+    /// reports of hundreds of processes, they fill the collector's link.
+    pub fn for_report(self) -> Self {
+        /// The most doubts that a report names.
+        const MAX_DOUBTS: usize = 64;
+        if self.doubted.len() <= MAX_DOUBTS {
+            return self;
+        }
+        RosterStatus { doubted: Vec::new(), omits_doubts: true, ..self }
+    }
+
     /// The store revision of the list; 0 if it is unknown.
     pub fn mark(&self) -> u64 {
         self.freshness.as_ref().map_or(0, |note| note.mark)
@@ -190,8 +207,39 @@
     pub(crate) needs_whole: bool,
 }
 
-fn changes_or_parts(changes: Vec<FeedEvent>) -> RosterUpdate {
-    if changes.len() > MAX_CHANGES { RosterUpdate::InParts } else { RosterUpdate::Changes(changes) }
+fn changes_or_parts<'a>(changes: impl ExactSizeIterator<Item = &'a FeedEvent>) -> RosterUpdate {
+    if changes.len() > MAX_CHANGES {
+        RosterUpdate::InParts
+    } else {
+        RosterUpdate::Changes(changes.cloned().collect())
+    }
+}
+
+/// About how many bytes an entry takes in a message.
+pub(crate) fn entry_bytes(object: &FeedObject) -> usize {
+    name_bytes(&object.name) + object.body.len()
+}
+
+/// About how many bytes a removed entry takes in a message.
+pub(crate) fn name_bytes(name: &CompactString) -> usize {
+    /// The revision, and the names of fields.
+    const FIELD_BYTES: usize = 24;
+    name.len() + FIELD_BYTES
+}
+
+impl RosterUpdate {
+    /// About how many bytes the update takes in a message.
+    pub fn bytes(&self) -> usize {
+        let change_bytes = |event: &FeedEvent| match event {
+            FeedEvent::Put(object) => entry_bytes(object),
+            FeedEvent::Gone { name, .. } => name_bytes(name),
+        };
+        match self {
+            RosterUpdate::Behind | RosterUpdate::InParts => 0,
+            RosterUpdate::Changes(events) => events.iter().map(change_bytes).sum(),
+            RosterUpdate::Whole(objects) => objects.iter().map(entry_bytes).sum(),
+        }
+    }
 }
 
 pub(crate) fn object_hash(object: &FeedObject) -> u64 {
@@ -255,6 +303,7 @@
             unsettled: unsettled.map(|until| until - now),
             doubted: self.doubted_items().map(doubt).collect(),
             needs_whole: self.needs_whole,
+            omits_doubts: false,
         }
     }
 
@@ -293,7 +342,8 @@
         let is_unsettled = self.unsettled_until.is_some_and(|until| now < until);
         let is_settled_there =
             is_unsettled && theirs.unsettled.is_none() && theirs.mark() == self.revision();
-        theirs.sum != self.sum && (is_settled_there || theirs.mark() > self.revision())
+        let is_newer = is_settled_there || theirs.mark() > self.revision();
+        theirs.sum != self.sum && !theirs.omits_doubts && is_newer
     }
 
     /// Records a change that belongs to the list at `mark`.
--- a/crates/list/src/update.rs
+++ b/crates/list/src/update.rs
@@ -110,7 +110,7 @@
         else {
             return Vec::new();
         };
-        if matches!(update, RosterUpdate::Behind | RosterUpdate::InParts) {
+        if status.omits_doubts || matches!(update, RosterUpdate::Behind | RosterUpdate::InParts) {
             return Vec::new();
         }
         let mut updater = self.updater(context, freshness.mark);
--- a/tests/all/lives.rs
+++ b/tests/all/lives.rs
@@ -341,6 +341,7 @@
     };
     let status = RosterStatus {
         needs_whole: false,
+        omits_doubts: false,
         freshness: Some(FreshnessNote { mark: as_of, age: TimeSpan(0), by: "front-1".into() }),
         sum: 1,
         unsettled: Some(TimeSpan(1000)),
@@ -364,6 +365,7 @@
         // ago, so it would doubt the entry first.
         let settled = RosterStatus {
             needs_whole: false,
+            omits_doubts: false,
             freshness: Some(FreshnessNote { mark: 1, age: TimeSpan(0), by: "front-1".into() }),
             ..RosterStatus::default()
         };
--- a/tests/all/roster.rs
+++ b/tests/all/roster.rs
@@ -60,6 +60,7 @@
     };
     RosterStatus {
         needs_whole: false,
+        omits_doubts: false,
         freshness: Some(FreshnessNote { mark, age: TimeSpan(0), by: "front-1".into() }),
         sum: 0,
         unsettled: unsettled.map(TimeSpan),
--- a/tests/all/size.rs
+++ b/tests/all/size.rs
@@ -2,19 +2,21 @@
 //! with ten times as many endpoints.
 
 use crate::mesh::{CollectorRig, NOW, endpoint_hash, report, rig};
+use crate::plays::{ProcessGroup, entry, play};
 use crate::roster::{listed, roster_context};
+use oleandertack::front::mesh::MeshPeers;
 use oleandertack::kind::hash::mix_bits;
 use oleandertack::kind::{ClockTime, RequestRate, TimeSpan};
 use oleandertack::list::{
-    FreshnessStamp, PartRequest, PartStep, PartsAssembler, RosterPart, RosterReplica, RosterStatus,
-    RosterUpdate, RosterVersion,
+    DoubtedEndpoint, FreshnessStamp, PartRequest, PartStep, PartsAssembler, RosterPart,
+    RosterReplica, RosterStatus, RosterUpdate, RosterVersion, SendBudget,
 };
 use oleandertack::mesh::{
     EndpointHash, EndpointLoad, EndpointSignals, LoadTable, MeshBody, NodeReport, RateShare,
     digest_part_sizes, signals_hash,
 };
 use oleandertack::plat::{FeedEvent, FeedObject, FeedPage};
-use oleandertack::wire::encode_frame;
+use oleandertack::wire::{PeerHandler, encode_frame};
 use std::collections::BTreeMap;
 
 /// Endpoints per process.
@@ -373,3 +375,82 @@
     let account = digest_part_sizes(&digest);
     account.iter().find(|(part, _)| *part == "words").map(|(_, bytes)| *bytes).expect("counted")
 }
+
+/// Guards against late answers of the collector, and with them lost limits and a second collector, while
+/// hundreds of processes lack thousands of entries of the endpoint list.
+#[test]
+fn list_content_leaves_most_of_the_link_to_short_answers() {
+    const LINK_MBPS: f64 = 200.0;
+    const LINK_BYTES_PER_S: usize = 25_000_000;
+    const PART_BYTES: usize = 30_000;
+    let mut budget = SendBudget::of_link(LINK_MBPS);
+    let mut sent = 0;
+
+    for ms in 0..2000 {
+        let now = NOW + TimeSpan(ms);
+        // Each of 300 processes asks for a part every 100 ms.
+        for _ in 0..3 {
+            if budget.is_open(now) {
+                budget.take(PART_BYTES);
+                sent += PART_BYTES;
+            }
+        }
+    }
+
+    assert!(sent / 2 < LINK_BYTES_PER_S * 4 / 10, "{sent} bytes in 2 s");
+    assert!(sent / 2 > LINK_BYTES_PER_S / 5, "{sent} bytes in 2 s");
+}
+
+/// Guards against a process whose link is full of the endpoint list because many ask it for parts at the
+/// same moment.
+#[test]
+fn a_process_does_not_send_every_part_that_it_is_asked_for_at_once() {
+    const ASKED: usize = 3000;
+    const LINK_BYTES_PER_S: usize = 125_000_000;
+    play(async {
+        let group = ProcessGroup::start(1).await;
+        let registry = group.registry();
+        let body = String::from_utf8(entry("ready").to_vec()).expect("text");
+        (0..400).for_each(|at| registry.put(&endpoint(at), body.clone()));
+        group.until_listed(403).await;
+        let peers = MeshPeers(group.processes[0].node.clone());
+
+        let mut bytes = 0;
+        for _ in 0..ASKED {
+            let answer = peers.answer(MeshBody::RequestPart(PartRequest::default())).await;
+            bytes += encode_frame(1, answer).len();
+        }
+
+        assert!(bytes < LINK_BYTES_PER_S / 4, "{bytes} bytes at once");
+    });
+}
+
+/// Guards against reports that fill the collector's link after processes lost touch with the store: each
+/// names every entry that it doubts, four times a second.
+#[test]
+fn a_report_does_not_name_a_thousand_doubts() {
+    let doubt = |at: usize| DoubtedEndpoint {
+        name: endpoint(at).as_str().into(),
+        left: TimeSpan(1000),
+        is_listed: false,
+    };
+    let mut collector = replica_in_contact(&page(LIST_LENGTH, 5000), NOW);
+    let known = collector.status(NOW);
+    let mut theirs = replica_in_contact(&page(LIST_LENGTH, 5001), NOW).status(NOW);
+    theirs.sum = 1;
+    theirs.doubted = (0..1000).map(doubt).collect();
+
+    let reported = theirs.clone().for_report();
+
+    let bytes = |roster: RosterStatus| {
+        let report = NodeReport { roster, ..report("front-1") };
+        encode_frame(1, MeshBody::Report(Box::new(report))).len()
+    };
+    assert!(bytes(reported.clone()) < bytes(RosterStatus::default()) + 200);
+    // Without the doubts the list must not be taken for newer, nor its freshness for one of all entries.
+    assert!(collector.lacks(&theirs, NOW) && !collector.lacks(&reported, NOW));
+    let told = (&reported, TimeSpan(0));
+    let changes = RosterUpdate::Changes(Vec::new());
+    collector.apply_update(&changes, told, None, &roster_context(NOW));
+    assert_eq!(collector.status(NOW), known);
+}
