Usage: a holder waits for counts of a window that ended before it collected; lines for windows without a report

Change: usage_skipped, usage_resumed, call_withheld; UsageReporter::may_lack_counts keeps such a window open until its due time.

--- a/crates/duty/src/usage.rs
+++ b/crates/duty/src/usage.rs
@@ -107,6 +107,13 @@
         self.reported = self.reported.max(window);
     }
 
+    /// Whether a process that knows no counts of `window` and has collected them since the true time `since` may merely
+    /// not have received them yet: what the collector before it had counted comes with the report of a process that
+    /// it passed them on to.
+    pub fn may_lack_counts(&self, window: u64, since: ClockTime, has_counts: bool) -> bool {
+        !has_counts && since > self.end_of(window)
+    }
+
     /// Whether a report of `window` would be past its due time.
     pub fn is_late(&self, window: u64, now: ClockTime) -> bool {
         now > self.end_of(window) + self.due
--- a/crates/front/src/duties.rs
+++ b/crates/front/src/duties.rs
@@ -80,8 +80,11 @@
         let fence = match keeper.fence_for_call(now, self.margin()) {
             None if self.allows_overdue() => keeper.fence_for_overdue_call(now, OVERDUE_LIFETIME),
             held => held,
-        }?;
-        Some(DutyStamp { holder: self.node.settings.instance.clone(), fence })
+        };
+        if fence.is_none() {
+            event!(self.node, CallWithheld; "fence" => self.node.mesh.borrow().lease.as_ref().map(|l| l.record.fence));
+        }
+        Some(DutyStamp { holder: self.node.settings.instance.clone(), fence: fence? })
     }
 }
 
--- a/crates/front/src/duties/usage.rs
+++ b/crates/front/src/duties/usage.rs
@@ -6,6 +6,7 @@
 use oleander_duty::usage::window_of;
 use oleander_duty::{UsageReporter, UsageStep};
 use oleander_kind::{AccountName, ClockTime, TimeSpan};
+use oleander_mesh::MeshCollector;
 use oleander_plat::{DutyAnswer, DutyPort, FeedCondition, FeedKind, UsageReport, WriteOutcome};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -48,9 +49,15 @@
         else {
             continue;
         };
-        if reporter.is_late(window, now)
-            || report_window(&node, cloud.as_ref(), lease.as_ref(), window).await
-        {
+        let is_late = reporter.is_late(window, now);
+        if is_late {
+            event!(node, UsageSkipped; "window" => window, "why" => "late",
+                "requests" => counts_of(&node, window).values().sum::<u64>());
+        }
+        if !is_late && may_lack_counts(&node, reporter, window) {
+            continue;
+        }
+        if is_late || report_window(&node, cloud.as_ref(), lease.as_ref(), window).await {
             reporter.done(window);
             let mut mesh = node.mesh.borrow_mut();
             mesh.reported_window = mesh.reported_window.max(window);
@@ -61,6 +68,18 @@
     }
 }
 
+/// Whether the counts of a window may still arrive, by the true time since which this process collects them.
+fn may_lack_counts(node: &FrontNode, reporter: &UsageReporter, window: u64) -> bool {
+    let began_at = node.mesh.borrow().collector.as_ref().map(MeshCollector::began_at);
+    let since = began_at.map_or(node.true_now(), |at| node.true_now() - (node.clock.now() - at));
+    reporter.may_lack_counts(window, since, !counts_of(node, window).is_empty())
+}
+
+fn counts_of(node: &FrontNode, window: u64) -> BTreeMap<AccountName, u64> {
+    let mesh = node.mesh.borrow();
+    mesh.collector.as_ref().map(|collector| collector.usage_of(window)).unwrap_or_default()
+}
+
 /// Creates a reporter that continues after the windows already known to be reported.
 fn resume_usage(
     node: &FrontNode,
@@ -73,6 +92,7 @@
     if reported <= window_of(now, length) {
         reporter.done(reported);
     }
+    event!(node, UsageResumed; "after" => reporter.reported(), "known" => reported);
     reporter
 }
 
@@ -93,14 +113,14 @@
     lease: &DutyLease,
     window: u64,
 ) -> bool {
-    let counts = {
-        let mesh = node.mesh.borrow();
-        mesh.collector.as_ref().map(|collector| collector.usage_of(window)).unwrap_or_default()
-    };
+    let counts = counts_of(node, window);
     let Some(persisted) = persist_report(node, PersistedReport { window, counts }).await else {
         return false;
     };
     if persisted.window != window || persisted.counts.is_empty() {
+        let why =
+            if persisted.window == window { "no requests" } else { "a later window is stored" };
+        event!(node, UsageSkipped; "window" => window, "why" => why, "requests" => 0);
         return true;
     }
     let report = UsageReport { window, counts: persisted.counts };
--- a/crates/front/src/events.rs
+++ b/crates/front/src/events.rs
@@ -111,6 +111,9 @@
     LeaseFault = "lease_fault", 10, "a store call for the lease failed: `fault`";
     UsageReported = "usage_reported", 20, "the platform accepted the usage report of a window: `window`, `requests`";
     UsageFault = "usage_fault", 20, "a usage report failed and is retried: `window`, `fault`";
+    UsageSkipped = "usage_skipped", 20, "no report of a window is sent: `window`, `why` (it is past its due time; no requests are known; a later window is stored in its place), the known `requests`";
+    UsageResumed = "usage_resumed", 20, "a holder of the lease begins to report usage `after` a window; `known` is the last one that it was told is reported";
+    CallWithheld = "call_withheld", 5, "a call for which this process holds the lease is not made: another process may have made one within a lease duration: `fence`";
     EndpointsOrdered = "endpoints_ordered", 40, "replicas were ordered: `service`, `domain`, `market`, `count`, `needed`, `fence`, `answer`";
     InternalFault = "internal_fault", 20, "an internal error: `fault`";
     LinesLeftOut = "lines_left_out", 10, "lines of a kind were dropped in the last second: `kind`, `count`";
--- a/tests/all/duty.rs
+++ b/tests/all/duty.rs
@@ -331,3 +331,17 @@
     assert!(engines_lost_to_limits(limits([1.0, 1.0, 1.0]), 0.0, 3.0).abs() < 1e-9);
     assert!((engines_lost_to_limits(limits([0.5, 0.5, 0.5]), 1.0, 0.2) - 1.5).abs() < 1e-9);
 }
+
+/// Guards against a window that nobody reports: its collector stops after its end, and the next holder takes
+/// counts that it has not received yet for a window in which nothing ran.
+#[test]
+fn a_holder_that_collects_only_since_a_window_ended_waits_for_its_counts() {
+    let end = ClockTime(LENGTH.0 * 10);
+    let reporter = UsageReporter::begin(LENGTH, DUE, end);
+    let window = 9;
+    let (before, after) = (ClockTime(end.0 - 1), ClockTime(end.0 + 1));
+
+    assert!(reporter.may_lack_counts(window, after, false));
+    assert!(!reporter.may_lack_counts(window, before, false));
+    assert!(!reporter.may_lack_counts(window, after, true));
+}
