A stopping process no longer names itself as the collector to processes that start

Change: a leaving process names nobody. Result: greeting::a_leaving_process_does_not_name_itself_as_the_collector.

--- a/crates/front/src/mesh/collect.rs
+++ b/crates/front/src/mesh/collect.rs
@@ -87,8 +87,11 @@
     let members = me.chain(mesh.view.others().cloned()).collect();
     let collector = match followed_collector(&mesh, now) {
         Some(member) => Some(member),
-        // This process, if it collects for others. A process that just started knows only itself.
-        None if mesh.view.serving() > 1 && mesh.view.collects() => Some(mesh.view.me().clone()),
+        // This process, if it collects for others and is not leaving. A process that just started knows
+        // only itself.
+        None if mesh.view.serving() > 1 && mesh.view.collects() && !mesh.view.me().leaving => {
+            Some(mesh.view.me().clone())
+        }
         None => None,
     };
     MeshBody::Members(MemberList { members, collector })
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -20,6 +20,7 @@
 mod fleet;
 mod flow;
 mod front;
+mod greeting;
 mod holder;
 mod keeping;
 mod lease;
