--- a/crates/duty/src/usage.rs
+++ b/crates/duty/src/usage.rs
@@ -107,11 +107,18 @@
         self.reported = self.reported.max(window);
     }
 
-    /// Whether a process that knows no counts of `window` and has collected them since the true time `since` may merely
-    /// not have received them yet: what the collector before it had counted comes with the report of a process that
-    /// it passed them on to.
-    pub fn may_lack_counts(&self, window: u64, since: ClockTime, has_counts: bool) -> bool {
-        !has_counts && since > self.end_of(window)
+    /// Whether a process that knows no counts of `window` at the true time `now`, and has collected them since
+    /// `since`, may merely not have received them yet: what the collector before it had counted comes with the first
+    /// reports of the process that has it.
+    pub fn may_lack_counts(
+        &self,
+        window: u64,
+        (since, now): (ClockTime, ClockTime),
+        has_counts: bool,
+    ) -> bool {
+        /// Several report periods, and the time in which two collectors find each other.
+        const ARRIVAL_TIME: TimeSpan = TimeSpan(2000);
+        !has_counts && since > self.end_of(window) && now - since < ARRIVAL_TIME
     }
 
     /// Whether a report of `window` would be past its due time.
--- a/crates/front/src/duties/usage.rs
+++ b/crates/front/src/duties/usage.rs
@@ -71,8 +71,9 @@
 /// Whether the counts of a window may still arrive, by the true time since which this process collects them.
 fn may_lack_counts(node: &FrontNode, reporter: &UsageReporter, window: u64) -> bool {
     let began_at = node.mesh.borrow().collector.as_ref().map(MeshCollector::began_at);
-    let since = began_at.map_or(node.true_now(), |at| node.true_now() - (node.clock.now() - at));
-    reporter.may_lack_counts(window, since, !counts_of(node, window).is_empty())
+    let now = node.true_now();
+    let since = began_at.map_or(now, |at| now - (node.clock.now() - at));
+    reporter.may_lack_counts(window, (since, now), !counts_of(node, window).is_empty())
 }
 
 fn counts_of(node: &FrontNode, window: u64) -> BTreeMap<AccountName, u64> {
--- a/tests/all/duty.rs
+++ b/tests/all/duty.rs
@@ -341,7 +341,10 @@
     let window = 9;
     let (before, after) = (ClockTime(end.0 - 1), ClockTime(end.0 + 1));
 
-    assert!(reporter.may_lack_counts(window, after, false));
-    assert!(!reporter.may_lack_counts(window, before, false));
-    assert!(!reporter.may_lack_counts(window, after, true));
+    let soon = after + TimeSpan(500);
+    assert!(reporter.may_lack_counts(window, (after, soon), false));
+    assert!(!reporter.may_lack_counts(window, (before, soon), false));
+    assert!(!reporter.may_lack_counts(window, (after, soon), true));
+    // Windows in which nothing ran do not hold up the next ones.
+    assert!(!reporter.may_lack_counts(window, (after, after + TimeSpan(2000)), false));
 }
