The lease's record names who made calls, so that a restarted process waits for its own calls alone

Cause: a process that starts again and gets the lease from another one made no call for a lease duration from its start, because its earlier incarnation may have made one. Change: LeaseRecord::callers: former holders that made calls within a lease duration, each with the least time since; written when the lease is released, aged at each renewal, and unknown in records of processes of the version before, which wait as they did. A holder that did not release the lease counts as calling until it is taken. Result: three new tests of lease (a released record with no callers: no wait; with its own call 3.5 s ago: 0.5 s), the former ones unchanged; a record without the field waits as before.

--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -24,6 +24,19 @@
     pub fence: u64,
     /// Incremented with each renewal, so that others see that the holder is alive.
     pub renewals: u64,
+    /// The former holders that may have made calls within the last lease duration; `None` if that is
+    /// not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub callers: Option<Vec<FormerCaller>>,
+}
+
+/// A former holder that made calls.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FormerCaller {
+    /// Its name.
+    pub holder: InstanceId,
+    /// The least time since its last call when the record was written, in milliseconds.
+    pub ago: TimeSpan,
 }
 
 /// The name of the lease object of shard `shard`.
@@ -103,6 +116,8 @@
     /// When this incarnation started, if calls of an earlier one have to be considered.
     started_at: Option<ClockTime>,
     last_call: Option<LastCall>,
+    /// When this process took the lease under its present token.
+    taken_at: Option<ClockTime>,
 }
 
 /// The time and fencing token of this process's last fenced call.
@@ -159,6 +174,7 @@
             lost_until: ClockTime(0),
             started_at: None,
             last_call: None,
+            taken_at: None,
         }
     }
 
@@ -301,7 +317,14 @@
             return LeaseAction::Wait;
         }
         self.held_until = ClockTime(0);
-        let record = LeaseRecord { holder: InstanceId::default(), ..seen.record };
+        let mut callers = self.callers_at(&seen, now);
+        if let (Some(callers), Some(call)) = (&mut callers, self.last_call)
+            && now - call.at < self.duration
+        {
+            callers.retain(|caller| caller.holder != self.me);
+            callers.push(FormerCaller { holder: self.me.clone(), ago: now - call.at });
+        }
+        let record = LeaseRecord { holder: InstanceId::default(), callers, ..seen.record };
         self.last_replaced = seen.version;
         self.pending = Some(self.pending_write(&record, now));
         LeaseAction::Write { version: seen.version, record }
@@ -322,9 +345,9 @@
         };
         let mine = self.is_mine(&seen.record);
         let from_another = !mine && !self.is_own_earlier(&seen.record) && seen.record.fence > 0;
+        let callers = self.callers_at(seen, now);
         if from_another && self.last_call.is_none() {
-            // An earlier incarnation may have made calls until this one started.
-            self.last_call = self.started_at.map(|at| LastCall { fence: 0, at });
+            self.last_call = self.earlier_call(callers.as_deref(), now);
         }
         let lowest = first_fence(self.era.unwrap_or_default());
         let keeps = mine && !self.is_from_copy(&seen.record);
@@ -333,6 +356,7 @@
             incarnation: self.incarnation,
             fence: if keeps { seen.record.fence } else { (seen.record.fence + 1).max(lowest) },
             renewals: seen.record.renewals + 1,
+            callers,
         };
         let version = seen.version;
         self.last_replaced = version;
@@ -340,6 +364,47 @@
         LeaseAction::Write { version, record }
     }
 
+    /// The last call that an earlier incarnation of this process may have made: none if `callers` do not name
+    /// it, and none after this one started.
+    fn earlier_call(&self, callers: Option<&[FormerCaller]>, now: ClockTime) -> Option<LastCall> {
+        let started_at = self.started_at?;
+        let at = match callers {
+            Some(callers) => {
+                let own = callers.iter().find(|caller| caller.holder == self.me)?;
+                started_at.min(now - own.ago)
+            }
+            None => started_at,
+        };
+        Some(LastCall { fence: 0, at })
+    }
+
+    /// The former callers for a record that replaces `seen` at `now`.
+    fn callers_at(&self, seen: &ObservedLease, now: ClockTime) -> Option<Vec<FormerCaller>> {
+        let passed = now - seen.changed_at;
+        let holder = &seen.record.holder;
+        let callers = match &seen.record.callers {
+            Some(callers) => callers.clone(),
+            // The first holder of all, or one that has held the lease for so long that the calls of all
+            // others are older than a lease duration.
+            None if seen.record.fence == 0 || self.is_alone_since(now) => Vec::new(),
+            None => return None,
+        };
+        let aged =
+            callers.into_iter().map(|caller| FormerCaller { ago: caller.ago + passed, ..caller });
+        let mut callers: Vec<FormerCaller> = aged.collect();
+        if !holder.as_str().is_empty() && !self.is_mine(&seen.record) {
+            // It did not release the lease, and may have made calls until now: also overdue ones.
+            callers.push(FormerCaller { holder: holder.clone(), ago: TimeSpan(0) });
+        }
+        callers.retain(|caller| caller.ago < self.duration);
+        Some(callers)
+    }
+
+    /// Whether this process has held the lease under one token for a lease duration.
+    fn is_alone_since(&self, now: ClockTime) -> bool {
+        self.taken_at.is_some_and(|at| now - at >= self.duration)
+    }
+
     /// Notes the era that the store's answers name; to be called before [`said`](Self::said) and
     /// [`tick`](Self::tick).
     ///
@@ -409,6 +474,8 @@
             return;
         }
         if self.is_mine(&pending.record) {
+            let is_renewal = self.own_fence() == Some(pending.record.fence);
+            self.taken_at = self.taken_at.filter(|_| is_renewal).or(Some(now));
             self.held_until = pending.sent_at + self.duration;
         }
         self.seen =
--- a/tests/all/lease.rs
+++ b/tests/all/lease.rs
@@ -1,13 +1,13 @@
 //! Tests of the control-work lease: which process takes it, when, and with which token.
 
 use oleandertack::kind::{ClockTime, StoreEra, TimeSpan};
-use oleandertack::lease::{LeaseAction, LeaseManager, LeaseRecord, LeaseReply};
+use oleandertack::lease::{FormerCaller, LeaseAction, LeaseManager, LeaseRecord, LeaseReply};
 
 const DURATION: TimeSpan = TimeSpan(4000);
 const START: ClockTime = ClockTime(100_000);
 
 fn record(holder: &str, incarnation: u64) -> LeaseRecord {
-    LeaseRecord { holder: holder.into(), incarnation, fence: 3, renewals: 7 }
+    LeaseRecord { holder: holder.into(), incarnation, fence: 3, renewals: 7, callers: None }
 }
 
 fn manager(incarnation: u64) -> LeaseManager {
@@ -285,3 +285,56 @@
 
     assert!(taken_at.is_some_and(|at| at <= START + DURATION + DURATION), "{taken_at:?}");
 }
+
+/// Guards against unreported usage while processes are stopped in turn: a process that starts again and
+/// gets the lease makes no call for a lease duration, although its earlier incarnation made none.
+#[test]
+fn a_restarted_process_waits_only_for_calls_that_its_earlier_incarnation_made() {
+    let released = |callers| LeaseRecord { holder: "".into(), callers, ..record("front-1", 10) };
+    let called = |holder: &str, ago| FormerCaller { holder: holder.into(), ago: TimeSpan(ago) };
+    let first_call = |callers: Vec<FormerCaller>| {
+        let mut manager = reader(manager(20).with_start(START), released(Some(callers)));
+        taken(&mut manager, 6, START);
+        let can_call = |at: &u64| {
+            let now = START + TimeSpan(*at);
+            manager.clone().fence_for_call(now, TimeSpan(0)).is_some()
+        };
+        (0..DURATION.0).step_by(10).find(can_call)
+    };
+
+    assert_eq!(first_call(vec![called("front-1", 0)]), Some(0));
+    assert_eq!(first_call(vec![called("front-0", DURATION.0 - 500)]), Some(500));
+    assert_eq!(first_call(vec![called("front-0", 0)]), None);
+}
+
+/// Guards against calls of two holders at once: the record of a released lease must name each process
+/// that made calls within a lease duration, with no less than the time since then.
+#[test]
+fn a_released_lease_names_who_made_calls_under_it() {
+    let mut silent = reader(manager(20), LeaseRecord::default());
+    let mut calling = silent.clone();
+    taken(&mut silent, 6, START);
+    taken(&mut calling, 6, START);
+    assert!(calling.fence_for_call(START + TimeSpan(100), TimeSpan(0)).is_some());
+
+    let at = START + TimeSpan(400);
+    let [silent, calling] = [silent, calling]
+        .map(|mut manager| written(manager.release(at)).expect("it is given back").callers);
+
+    assert_eq!(silent, Some(Vec::new()));
+    let called = FormerCaller { holder: "front-0".into(), ago: TimeSpan(300) };
+    assert_eq!(calling, Some(vec![called]));
+}
+
+/// The same if the holder died without releasing the lease: nobody knows when it made its last call.
+#[test]
+fn a_holder_that_did_not_release_the_lease_counts_as_calling_until_it_is_taken() {
+    let died = LeaseRecord { callers: Some(Vec::new()), ..record("front-1", 10) };
+    let mut manager = reader(manager(20), died);
+    let late = START + DURATION + TimeSpan(600);
+
+    let taken = written(manager.tick(late)).expect("the lease has expired");
+
+    let called = FormerCaller { holder: "front-1".into(), ago: TimeSpan(0) };
+    assert_eq!(taken.callers, Some(vec![called]));
+}
