Who made calls counts as unknown after a record that does not tell it, and in a later era

Cause: found in reading: a manager that had once held the lease for its duration took a record of a process of the version before for one that names all callers, and so did one that found a copy's record after the store came back. A restarted process could then have called right after another holder. Change: unknown unless the record is of this era, and names its callers or is this process's own since a lease duration.

--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -380,19 +380,24 @@
 
     /// The former callers for a record that replaces `seen` at `now`.
     fn callers_at(&self, seen: &ObservedLease, now: ClockTime) -> Option<Vec<FormerCaller>> {
+        if self.is_from_copy(&seen.record) {
+            // The store lost who held the lease since the copy was made.
+            return None;
+        }
         let passed = now - seen.changed_at;
         let holder = &seen.record.holder;
+        let is_mine = self.is_mine(&seen.record);
         let callers = match &seen.record.callers {
             Some(callers) => callers.clone(),
             // The first holder of all, or one that has held the lease for so long that the calls of all
             // others are older than a lease duration.
-            None if seen.record.fence == 0 || self.is_alone_since(now) => Vec::new(),
+            None if seen.record.fence == 0 || (is_mine && self.is_alone_since(now)) => Vec::new(),
             None => return None,
         };
         let aged =
             callers.into_iter().map(|caller| FormerCaller { ago: caller.ago + passed, ..caller });
         let mut callers: Vec<FormerCaller> = aged.collect();
-        if !holder.as_str().is_empty() && !self.is_mine(&seen.record) {
+        if !holder.as_str().is_empty() && !is_mine {
             // It did not release the lease, and may have made calls until now: also overdue ones.
             callers.push(FormerCaller { holder: holder.clone(), ago: TimeSpan(0) });
         }
--- a/tests/all/lease.rs
+++ b/tests/all/lease.rs
@@ -338,3 +338,23 @@
     let called = FormerCaller { holder: "front-1".into(), ago: TimeSpan(0) };
     assert_eq!(taken.callers, Some(vec![called]));
 }
+
+/// Guards against calls of two holders at once: who made calls must not pass for known if a process of the
+/// version before wrote the record, or if the store came back from a copy.
+#[test]
+fn who_made_calls_is_unknown_after_a_holder_that_does_not_tell_it() {
+    let untold = |fence| LeaseRecord { holder: "".into(), fence, ..record("front-1", 10) };
+    let told = LeaseRecord { callers: Some(Vec::new()), ..untold(3) };
+    let mut held_long_ago = reader(manager(20), told.clone());
+    taken(&mut held_long_ago, 6, START);
+    held_long_ago.note_change(9, untold(5), START + TimeSpan(1000));
+    let mut returned = manager(20);
+    returned.note_era(Some(StoreEra(1)), START);
+    let mut returned = reader(returned, told);
+
+    let late = START + TimeSpan(DURATION.0 * 3);
+    let callers = [&mut held_long_ago, &mut returned]
+        .map(|manager| written(manager.tick(late)).expect("the lease is free").callers);
+
+    assert_eq!(callers, [None, None]);
+}
