Small list updates cannot starve the parts of the list for longer than a second

Cause, found in reading the change: small updates are sent whatever is left of the budget and were taken from it without bound, so that a collector on a slow link would have answered no request for a part until the debt of a whole wave was earned back. Change: the debt is at most a second's budget. Result: size::parts_are_sent_again_within_a_second_after_a_wave_of_small_updates.

--- a/crates/list/src/budget.rs
+++ b/crates/list/src/budget.rs
@@ -11,6 +11,9 @@
 const LINK_PART: f64 = 0.3;
 /// The time over which unused bytes accumulate.
 const BURST_TIME: TimeSpan = TimeSpan(250);
+/// The longest time for which nothing may be sent after too much was. Small updates are sent whatever is left, and
+/// a wave of them must not keep parts from being sent long after it.
+const MAX_DEBT_TIME: TimeSpan = TimeSpan(1000);
 
 /// Bytes of list content that a process may send.
 #[derive(Clone, Debug)]
@@ -43,6 +46,7 @@
 
     /// Takes the bytes of a message that is sent.
     pub fn take(&mut self, bytes: usize) {
-        self.left -= bytes as f64;
+        let most_debt = self.bytes_per_ms * MAX_DEBT_TIME.0 as f64;
+        self.left = (self.left - bytes as f64).max(-most_debt);
     }
 }
--- a/tests/all/size.rs
+++ b/tests/all/size.rs
@@ -454,3 +454,18 @@
     collector.apply_update(&changes, told, None, &roster_context(NOW));
     assert_eq!(collector.status(NOW), known);
 }
+
+/// Guards against processes that get no parts of the list long after a wave of changes: small updates are sent
+/// whatever the budget, and what they took was to be earned back first.
+#[test]
+fn parts_are_sent_again_within_a_second_after_a_wave_of_small_updates() {
+    let mut budget = SendBudget::of_link(10.0);
+    for ms in 0..10_000 {
+        budget.is_open(NOW + TimeSpan(ms));
+        budget.take(4000);
+    }
+    let end = NOW + TimeSpan(10_000);
+
+    assert!(!budget.is_open(end));
+    assert!(budget.is_open(end + TimeSpan(1001)));
+}
