A fetch of the endpoint list ends after three seconds

Cause, found in reading: a fetch went on as long as each part arrived in the end, and no other began meanwhile. Change: a time limit, and a line. Result: covered by no test of its own.

--- a/crates/front/src/mesh/parts.rs
+++ b/crates/front/src/mesh/parts.rs
@@ -14,6 +14,9 @@
 const PART_TIMEOUT: TimeSpan = TimeSpan(400);
 /// Interval between fetches of a whole list.
 const FETCH_PERIOD: TimeSpan = TimeSpan(250);
+/// How long one fetch may take. Later the list has been learned in another way, or a new fetch has fewer entries
+/// to ask for.
+const FETCH_TIMEOUT: TimeSpan = TimeSpan(3000);
 /// Most peers asked in a row that do not have a newer list, or do not send it now.
 const MAX_PEERS_ASKED: usize = 6;
 /// First and longest pause before another peer is asked; doubled each time.
@@ -33,7 +36,10 @@
     drop(mesh);
     let node = node.clone();
     actix_rt::spawn(async move {
-        fetch(&node, first, list_revision).await;
+        let fetching = fetch(&node, first, list_revision);
+        if actix_rt::time::timeout(FETCH_TIMEOUT.duration(), fetching).await.is_err() {
+            event!(node, MemberFault; "fault" => "the endpoint list was not fetched in time");
+        }
         node.mesh.borrow_mut().is_fetching = false;
     });
 }
