--- a/tests/all/lease.rs
+++ b/tests/all/lease.rs
@@ -1,5 +1,6 @@
 //! Tests of the control-work lease: which process takes it, when, and with which token.
 
+use arbtest::arbtest;
 use oleandertack::kind::{ClockTime, StoreEra, TimeSpan};
 use oleandertack::lease::{FormerCaller, LeaseAction, LeaseManager, LeaseRecord, LeaseReply};
 
@@ -358,3 +359,88 @@
 
     assert_eq!(callers, [None, None]);
 }
+
+/// One process of [`no_order_of_stops_and_kills_lets_a_holder_call_around_another`].
+struct LeasePlayer {
+    name: &'static str,
+    incarnation: u64,
+    manager: LeaseManager,
+}
+
+impl LeasePlayer {
+    fn start(name: &'static str, incarnation: u64, now: ClockTime) -> Self {
+        let manager = LeaseManager::new(name.into(), incarnation, DURATION);
+        LeasePlayer { name, incarnation, manager: manager.with_takeover().with_start(now) }
+    }
+
+    /// Carries out an action against the stored object.
+    fn carry_out(
+        &mut self,
+        action: LeaseAction,
+        stored: &mut Option<(u64, LeaseRecord)>,
+        now: ClockTime,
+    ) {
+        let reply = match action {
+            LeaseAction::Wait => return,
+            LeaseAction::Read => LeaseReply::Read(stored.clone()),
+            LeaseAction::Write { version, record } => {
+                let known = stored.as_ref().map(|(version, _)| *version);
+                if known == version {
+                    let next = known.unwrap_or(0) + 1;
+                    *stored = Some((next, record));
+                    LeaseReply::Written(next)
+                } else {
+                    LeaseReply::Changed
+                }
+            }
+        };
+        self.manager.said(reply, now);
+    }
+}
+
+/// Guards against calls of one process, another, and the first again within a lease duration, in whatever order
+/// processes are stopped, killed and started again.
+#[test]
+fn no_order_of_stops_and_kills_lets_a_holder_call_around_another() {
+    arbtest(|input| {
+        let mut now = START;
+        let mut stored = None;
+        let mut players =
+            ["front-0", "front-1", "front-2"].map(|name| LeasePlayer::start(name, 1, now));
+        let mut calls: Vec<(&str, ClockTime)> = Vec::new();
+        for _ in 0..60 {
+            now = now + TimeSpan(input.int_in_range(0..=900)?);
+            let player = &mut players[input.int_in_range(0..=2_usize)?];
+            match input.int_in_range(0..=9_u8)? {
+                0 => {
+                    let action = player.manager.release(now);
+                    player.carry_out(action, &mut stored, now);
+                }
+                1 | 2 => {
+                    let action = player.manager.release(now);
+                    player.carry_out(action, &mut stored, now);
+                    *player = LeasePlayer::start(player.name, player.incarnation + 1, now);
+                }
+                3 => *player = LeasePlayer::start(player.name, player.incarnation + 1, now),
+                _ => {
+                    for _ in 0..3 {
+                        let action = player.manager.tick(now);
+                        player.carry_out(action, &mut stored, now);
+                    }
+                    if player.manager.fence_for_call(now, TimeSpan(0)).is_some() {
+                        calls.push((player.name, now));
+                    }
+                }
+            }
+        }
+        for (at, (last, ended)) in calls.iter().enumerate() {
+            let recent = calls[..at].iter().rev().take_while(|(_, at)| *ended - *at < DURATION);
+            let mut other = false;
+            for (name, _) in recent {
+                assert!(!(other && name == last), "{calls:?}");
+                other |= name != last;
+            }
+        }
+        Ok(())
+    });
+}
