A process waits for each call of its earlier incarnations, in whatever order they were stopped and killed

Cause: the drawn check of lease failed in the suite. Three orders broke it: a process that got the lease back and waited was killed, and its next incarnation, which takes over its own record, did not wait (older than the record's callers); a release replaced a later call of the incarnation before by an older one; an incarnation that knew an older call of its own did not look again when it took the lease back from another process. Change: an incarnation that takes its own record over waits for its own call that the record names; a release keeps the later one; what the record tells is joined with a call of an earlier incarnation, never with own calls.

--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -123,10 +123,17 @@
 /// The time and fencing token of this process's last fenced call.
 #[derive(Clone, Copy, Debug)]
 struct LastCall {
+    /// 0 for a call that an earlier incarnation may have made.
     fence: u64,
     at: ClockTime,
 }
 
+impl LastCall {
+    fn is_earlier(self) -> bool {
+        self.fence == 0
+    }
+}
+
 /// The state at one moment, with times relative to it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LeaseView {
@@ -321,8 +328,11 @@
         if let (Some(callers), Some(call)) = (&mut callers, self.last_call)
             && now - call.at < self.duration
         {
+            // The incarnation before may have made a later call than the last one known here.
+            let known = callers.iter().find(|caller| caller.holder == self.me);
+            let ago = known.map_or(now - call.at, |known| known.ago.min(now - call.at));
             callers.retain(|caller| caller.holder != self.me);
-            callers.push(FormerCaller { holder: self.me.clone(), ago: now - call.at });
+            callers.push(FormerCaller { holder: self.me.clone(), ago });
         }
         let record = LeaseRecord { holder: InstanceId::default(), callers, ..seen.record };
         self.last_replaced = seen.version;
@@ -344,10 +354,10 @@
             return LeaseAction::Read;
         };
         let mine = self.is_mine(&seen.record);
-        let from_another = !mine && !self.is_own_earlier(&seen.record) && seen.record.fence > 0;
         let callers = self.callers_at(seen, now);
-        if from_another && self.last_call.is_none() {
-            self.last_call = self.earlier_call(callers.as_deref(), now);
+        if !mine && seen.record.fence > 0 && self.last_call.is_none_or(LastCall::is_earlier) {
+            let told = self.earlier_call(seen, now);
+            self.last_call = self.last_call.into_iter().chain(told).max_by_key(|call| call.at);
         }
         let lowest = first_fence(self.era.unwrap_or_default());
         let keeps = mine && !self.is_from_copy(&seen.record);
@@ -364,15 +374,17 @@
         LeaseAction::Write { version, record }
     }
 
-    /// The last call that an earlier incarnation of this process may have made: none if `callers` do not name
-    /// it, and none after this one started.
-    fn earlier_call(&self, callers: Option<&[FormerCaller]>, now: ClockTime) -> Option<LastCall> {
+    /// The last call that an earlier incarnation of this process may have made before another process made one:
+    /// none if the callers of `seen` do not name it, and none after this one started.
+    fn earlier_call(&self, seen: &ObservedLease, now: ClockTime) -> Option<LastCall> {
         let started_at = self.started_at?;
-        let at = match callers {
+        let at = match self.aged_callers(seen, now) {
             Some(callers) => {
                 let own = callers.iter().find(|caller| caller.holder == self.me)?;
                 started_at.min(now - own.ago)
             }
+            // No other process made a call since the incarnation before took the lease.
+            None if self.is_own_earlier(&seen.record) => return None,
             None => started_at,
         };
         Some(LastCall { fence: 0, at })
@@ -380,12 +392,23 @@
 
     /// The former callers for a record that replaces `seen` at `now`.
     fn callers_at(&self, seen: &ObservedLease, now: ClockTime) -> Option<Vec<FormerCaller>> {
+        let holder = &seen.record.holder;
+        let mut callers = self.aged_callers(seen, now)?;
+        if !holder.as_str().is_empty() && !self.is_mine(&seen.record) {
+            // It did not release the lease, and may have made calls until now: also overdue ones.
+            callers.retain(|caller| caller.holder != *holder);
+            callers.push(FormerCaller { holder: holder.clone(), ago: TimeSpan(0) });
+        }
+        Some(callers)
+    }
+
+    /// The callers that `seen` names, with their times as of `now`.
+    fn aged_callers(&self, seen: &ObservedLease, now: ClockTime) -> Option<Vec<FormerCaller>> {
         if self.is_from_copy(&seen.record) {
             // The store lost who held the lease since the copy was made.
             return None;
         }
         let passed = now - seen.changed_at;
-        let holder = &seen.record.holder;
         let is_mine = self.is_mine(&seen.record);
         let callers = match &seen.record.callers {
             Some(callers) => callers.clone(),
@@ -396,13 +419,7 @@
         };
         let aged =
             callers.into_iter().map(|caller| FormerCaller { ago: caller.ago + passed, ..caller });
-        let mut callers: Vec<FormerCaller> = aged.collect();
-        if !holder.as_str().is_empty() && !is_mine {
-            // It did not release the lease, and may have made calls until now: also overdue ones.
-            callers.push(FormerCaller { holder: holder.clone(), ago: TimeSpan(0) });
-        }
-        callers.retain(|caller| caller.ago < self.duration);
-        Some(callers)
+        Some(aged.filter(|caller| caller.ago < self.duration).collect())
     }
 
     /// Whether this process has held the lease under one token for a lease duration.
--- a/tests/all/lease.rs
+++ b/tests/all/lease.rs
@@ -360,6 +360,22 @@
     assert_eq!(callers, [None, None]);
 }
 
+/// Guards against calls around those of another process: a process that got the lease back waits, is killed, and
+/// its next incarnation takes the lease over and does not wait.
+#[test]
+fn an_incarnation_that_takes_the_lease_over_waits_like_the_one_before() {
+    let called = FormerCaller { holder: "front-0".into(), ago: TimeSpan(500) };
+    let held = LeaseRecord { callers: Some(vec![called]), ..record("front-0", 10) };
+    let mut manager = reader(manager(20).with_start(START), held);
+    taken(&mut manager, 6, START);
+
+    let at = |ms| START + TimeSpan(ms);
+    let early = manager.fence_for_call(at(DURATION.0 - 501), TimeSpan(0));
+    let late = manager.fence_for_call(at(DURATION.0 - 500), TimeSpan(0));
+
+    assert!(early.is_none() && late.is_some());
+}
+
 /// One process of [`no_order_of_stops_and_kills_lets_a_holder_call_around_another`].
 struct LeasePlayer {
     name: &'static str,
