Records are written as soon as the store answers again

Cause: two crashes were noted while the store refused calls; the task that writes the record waited up to 2 s after its failures, and all processes were killed within a second of the store's return. Change: the wait ends when a feed of the process is answered again.

--- a/crates/front/src/feeds.rs
+++ b/crates/front/src/feeds.rs
@@ -219,6 +219,9 @@
         },
     };
     state.set(now);
+    if was.lost_since.is_some() && now.lost_since.is_none() {
+        node.store_returned.notify_waiters();
+    }
     if let Some(fault) = fault {
         node.meter.count_store_fault(kind.name());
         event!(node, FeedFault;
--- a/crates/front/src/kept.rs
+++ b/crates/front/src/kept.rs
@@ -93,11 +93,20 @@
         };
         pause = match known {
             Some(_) => first,
-            None => node.back_off(pause, longest).await,
+            None => back_off_until_return(&node, pause, longest).await,
         };
     }
 }
 
+/// Waits for a while after a failed call, or until the store answers a feed of this process again: what was
+/// noted during an outage would be lost if all processes were killed shortly after it.
+async fn back_off_until_return(node: &FrontNode, pause: TimeSpan, longest: TimeSpan) -> TimeSpan {
+    tokio::select! {
+        next = node.back_off(pause, longest) => next,
+        () = node.store_returned.notified() => FAULT_BACKOFF.0,
+    }
+}
+
 /// Reads and applies the object; none if the read failed.
 async fn read_object<R: StoredRecord>(
     node: &FrontNode,
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -72,6 +72,8 @@
     pub(crate) store_returned_at: Cell<Option<ClockTime>>,
     /// Wakes what has to begin anew in a later era.
     pub(crate) era_rose: Notify,
+    /// Wakes tasks that wait for the store to answer again.
+    pub(crate) store_returned: Notify,
     /// The operators' rules.
     pub rules: RefCell<RulesBook>,
     /// The state of the rules feed.
@@ -191,6 +193,7 @@
             store_era: Cell::default(),
             store_returned_at: Cell::default(),
             era_rose: Notify::new(),
+            store_returned: Notify::new(),
             rules: RefCell::default(),
             rules_feed: Cell::default(),
             endpoints_feed: Cell::default(),
--- a/tests/all/ending.rs
+++ b/tests/all/ending.rs
@@ -3,7 +3,7 @@
 
 use crate::front::{CallerAnswer, ask, request, try_ask};
 use crate::mortal::{CrashingFleet, FATAL};
-use crate::plays::{ProcessGroup, play};
+use crate::plays::{ProcessGroup, StoreMode, play};
 use futures_util::future::join_all;
 use oleandertack::kind::ResultCode;
 use oleandertack::plat::FeedKind;
@@ -302,3 +302,28 @@
         simulation.assert_honest_unharmed();
     });
 }
+
+/// Guards against a request that crashes more than three endpoints: two crashed while the store refused every
+/// call, and all processes are killed shortly after it answers again.
+#[test]
+fn crashes_during_a_store_outage_are_stored_as_soon_as_it_ends() {
+    /// Longer than it takes until a process finds that the store answers again.
+    const RETURN_TIME: Duration = Duration::from_millis(950);
+    play(async {
+        let mut simulation = CrashSimulation::start().await;
+        let body = format!("{FATAL} 1");
+
+        for _ in 0..5 {
+            simulation.group.set_all(StoreMode::Refused);
+            simulation.repeat("/once/f", &body, 2).await;
+            sleep(Duration::from_secs(4)).await;
+            simulation.group.set_all(StoreMode::Served);
+            sleep(RETURN_TIME).await;
+            simulation.kill(&[0, 1, 2, 3, 4]).await;
+            sleep(DETECTION_TIMEOUT).await;
+        }
+
+        simulation.assert_bounded(&body);
+        simulation.assert_honest_unharmed();
+    });
+}
