--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -178,3 +178,20 @@
     assert!(report.ends.1 >= 3, "{:?} endpoints ended", report.ends);
     remove_logs(settings);
 }
+
+/// Guards against requests that were read, and answers that were begun, ending without a whole answer or a refusal while
+/// sound endpoints fall silent, configs change and processes are stopped one after another.
+#[test]
+fn what_was_read_is_answered_while_sound_endpoints_fall_silent() {
+    let settings = settings(22_000);
+
+    let report = play(&settings);
+
+    assert_kept(&report);
+    assert_served(&report);
+    for doing in ["silent", "config", "stop", "settings"] {
+        assert!(report.made.iter().any(|made| made.contains(doing)), "{:#?}", report.made);
+    }
+    assert!(report.kept.0 > 0, "{:?}", report.kept);
+    remove_logs(settings);
+}
