Lines: why no attempt follows a failed one, why an answer was cut, for how long nothing had come

An answer that had begun was cut with 'connection aborted' whatever ended it, and five conditions hid behind again=false. attempt_ended has barred; request_cut has cause, barred and silent_ms; oleander_front_cuts counts cuts by service and cause. No decision changes.

--- a/crates/call/src/attempt.rs
+++ b/crates/call/src/attempt.rs
@@ -51,6 +51,34 @@
     GiveUp(ResultCode),
 }
 
+/// What keeps a request from being sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryBarrier {
+    /// The rules allow no further attempt, or the request may not run again.
+    Attempts,
+    /// The request is quarantined.
+    Quarantined,
+    /// No endpoint can be chosen.
+    NoEndpoint,
+    /// No retry is left in the budget of the service.
+    Budget,
+    /// The account's limit leaves no room.
+    Limit,
+}
+
+impl RetryBarrier {
+    /// The name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            RetryBarrier::Attempts => "attempts",
+            RetryBarrier::Quarantined => "quarantined",
+            RetryBarrier::NoEndpoint => "no_endpoint",
+            RetryBarrier::Budget => "budget",
+            RetryBarrier::Limit => "limit",
+        }
+    }
+}
+
 /// Maximum number of attempts per request that failed before a byte was sent.
 ///
 /// Each costs up to the connect timeout; after three unreachable endpoints so much time is lost
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod tail;
 
 pub use admit::{AdmittedCall, RuleView, admit_call};
-pub use attempt::{AttemptEnd, AttemptRecord, NextStep};
+pub use attempt::{AttemptEnd, AttemptRecord, NextStep, RetryBarrier};
 pub use events::{CompleteEvent, EventSplitter, StreamRest};
 pub use head::{
     AnswerHead, AttemptHeaders, CallHead, EndpointSignal, PromptPart, RelayHeaders, RelayedAnswer,
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -19,8 +19,8 @@
 use compact_str::CompactString;
 use oleander_board::StopStage;
 use oleander_call::{
-    AccountRule, AttemptEnd, AttemptRecord, CallHead, NextStep, RouteKey, RouteRule, RuleSet,
-    RuleView, admit_call,
+    AccountRule, AttemptEnd, AttemptRecord, CallHead, NextStep, RetryBarrier, RouteKey, RouteRule,
+    RuleSet, RuleView, admit_call,
 };
 use oleander_kind::hash::{HASH_SEED, mix_bits, stable_hash};
 use oleander_kind::{AccountName, InstanceId, ResultCode, ServiceName, TimeSpan};
@@ -139,6 +139,35 @@
     pub(crate) has_demanded: bool,
     /// Whether the request added to the retry budget of its service.
     pub(crate) has_earned: bool,
+    /// What kept the request from being sent again after its last attempt.
+    pub(crate) barrier: Option<RetryBarrier>,
+    /// Why an answer that had begun was cut.
+    pub(crate) cut_cause: Option<CutCause>,
+}
+
+/// Why an answer that had begun was cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CutCause {
+    /// The caller's connection broke.
+    Caller,
+    /// The request's deadline passed.
+    Deadline,
+    /// An attempt ended in this way and none could follow it.
+    Attempt(AttemptEnd),
+    /// No peer served it to the end.
+    Peers,
+}
+
+impl CutCause {
+    /// The name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            CutCause::Caller => "caller",
+            CutCause::Deadline => "deadline",
+            CutCause::Attempt(end) => end.name(),
+            CutCause::Peers => "peers",
+        }
+    }
 }
 
 /// Serves one request and writes its log line.
@@ -260,6 +289,8 @@
         relays_next: relays,
         has_demanded: false,
         has_earned: !relays,
+        barrier: None,
+        cut_cause: None,
     };
     let outcome = match timeout_at(context.deadline, context.serve()).await {
         Ok(outcome) => outcome,
@@ -325,6 +356,9 @@
         trace.longest_pause = self.longest_pause;
         trace.body_end = self.body_end;
         trace.rest_bytes = self.rest_bytes;
+        trace.barrier = self.barrier;
+        trace.cut_cause = self.cut_cause;
+        trace.silent_ms = self.last_chunk_at.map(|at| at.elapsed().as_millis() as u64);
         trace.first_ms =
             self.first_chunk_at.map(|at| at.duration_since(trace.arrived).as_millis() as u64);
     }
@@ -351,7 +385,7 @@
             }
             match self.attempt(choice).await {
                 AttemptOutcome::Delivered => return Ok(()),
-                AttemptOutcome::CallerGone => return Err(io::ErrorKind::ConnectionAborted.into()),
+                AttemptOutcome::CallerGone => return self.cut(CutCause::Caller),
                 AttemptOutcome::Ended(end, received) => {
                     self.refund_unrun_attempt(end);
                     if let Some(outcome) = self.decide_next(end, received).await {
@@ -397,11 +431,8 @@
         self.record.note(end);
         self.answer.note_sent(self.record.sent());
         let by_peer = self.next_hop() == NextHop::Peer;
-        let again = (self.record.may_send() || by_peer)
-            && suspects::refused_for(self.node, &self.suspects).is_none()
-            && (by_peer || self.choose().is_some())
-            && (self.record.sent() == 0 || self.node.spend_retry(&self.service))
-            && (by_peer || self.charge_retry(end).await);
+        self.barrier = self.secure_retry(end, by_peer).await.err();
+        let again = self.barrier.is_none();
         self.relays_next = again && by_peer;
         self.node.meter.count_attempt(end.name());
         event!(self.node, AttemptEnded;
@@ -412,7 +443,7 @@
             "print" => self.suspects.request.to_string(), "parts" => self.part_names(),
             "ran_ms" => self.sent_at.map(|at| at.elapsed().as_millis() as u64),
             "fallen" => self.may_have_fallen(),
-            "again" => again, "list_ms" => self.list_age.map(|age| age.0));
+            "again" => again, "barred" => self.barrier.map(RetryBarrier::name), "list_ms" => self.list_age.map(|age| age.0));
         match (self.record.next_step(end, again), received) {
             (NextStep::Retry, _) => None,
             (NextStep::Forward, Some(received)) if self.answer.stage() == AnswerStage::Waiting => {
@@ -422,12 +453,37 @@
                         .await,
                 )
             }
+            _ if self.answer.stage() != AnswerStage::Waiting => {
+                Some(self.cut(CutCause::Attempt(end)))
+            }
             (NextStep::Forward, _) => Some(self.give_up(ResultCode::Uncertain).await),
             (NextStep::GiveUp(ResultCode::NoEndpoint), _) => Some(self.refuse_unplaced().await),
             (NextStep::GiveUp(code), _) => Some(self.give_up(code).await),
         }
     }
 
+    /// Takes what another attempt needs from the retry budget and the account's limit.
+    ///
+    /// # Errors
+    /// What keeps the request from being sent again.
+    async fn secure_retry(&self, end: AttemptEnd, by_peer: bool) -> Result<(), RetryBarrier> {
+        let ensure = |holds: bool, barrier| if holds { Ok(()) } else { Err(barrier) };
+        ensure(self.record.may_send() || by_peer, RetryBarrier::Attempts)?;
+        let refused = suspects::refused_for(self.node, &self.suspects);
+        ensure(refused.is_none(), RetryBarrier::Quarantined)?;
+        ensure(by_peer || self.choose().is_some(), RetryBarrier::NoEndpoint)?;
+        let is_first = self.record.sent() == 0;
+        ensure(is_first || self.node.spend_retry(&self.service), RetryBarrier::Budget)?;
+        ensure(by_peer || self.charge_retry(end).await, RetryBarrier::Limit)
+    }
+
+    /// Closes the connection to the caller in the middle of its answer.
+    pub(crate) fn cut(&mut self, cause: CutCause) -> CallOutcome {
+        self.cut_cause = Some(cause);
+        self.node.meter.count_cut(&self.service.0, cause.name());
+        Err(io::ErrorKind::ConnectionAborted.into())
+    }
+
     /// The fingerprints of the shared parts of the prompt, for the log.
     fn part_names(&self) -> String {
         let names: Vec<String> = self.suspects.parts.iter().map(ToString::to_string).collect();
@@ -437,7 +493,7 @@
     /// Ends the request with a refusal, or by closing the connection if the answer has begun.
     pub(crate) async fn give_up(&mut self, code: ResultCode) -> CallOutcome {
         if self.answer.stage() != AnswerStage::Waiting {
-            return Err(io::ErrorKind::ConnectionAborted.into());
+            return self.cut(CutCause::Peers);
         }
         // An attempt may have run, so a code that says "not run" would be false.
         let code = if self.record.may_have_run() && code.guarantees_not_run() {
@@ -456,6 +512,9 @@
                 self.note_broken(key, AttemptEnd::TimedOut);
             }
         }
+        if self.answer.stage() != AnswerStage::Waiting {
+            return self.cut(CutCause::Deadline);
+        }
         let sent = self.is_in_flight() || self.record.sent() > 0;
         let code = if sent { ResultCode::DeadlinePassed } else { ResultCode::DeadlineNotRun };
         self.give_up(code).await
--- a/crates/front/src/meter.rs
+++ b/crates/front/src/meter.rs
@@ -19,6 +19,7 @@
     attempts: Counter<u64>,
     resumes: Counter<u64>,
     body_ends: Counter<u64>,
+    cuts: Counter<u64>,
     bindings: Counter<u64>,
     origins_sent: Counter<u64>,
     unread_tokens: Counter<u64>,
@@ -54,6 +55,7 @@
             bindings: meter.u64_counter("oleander_front_bindings").build(),
             origins_sent: meter.u64_counter("oleander_front_origins_sent").build(),
             body_ends: meter.u64_counter("oleander_front_body_ends").build(),
+            cuts: meter.u64_counter("oleander_front_cuts").build(),
             unread_tokens: meter.u64_counter("oleander_front_unread_tokens").build(),
             store_faults: meter.u64_counter("oleander_front_store_faults").build(),
             store_returns: meter.u64_counter("oleander_front_store_returns").build(),
@@ -115,6 +117,12 @@
         self.body_ends.add(1, &[service, KeyValue::new("end", end)]);
     }
 
+    /// Counts an answer that was cut after it had begun, by the cause.
+    pub fn count_cut(&self, service: &str, cause: &'static str) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.cuts.add(1, &[service, KeyValue::new("cause", cause)]);
+    }
+
     /// Counts a stream that was to be taken up, by what its version is known from.
     pub fn count_binding(&self, by: &'static str) {
         self.bindings.add(1, &[KeyValue::new("by", by)]);
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -7,7 +7,7 @@
 
 use crate::answer::AnswerStage;
 use crate::attempt::{CONNECT_TIMEOUT, IDLE_FRACTION, IDLE_TIMEOUT, MAX_IDLE_LINKS};
-use crate::drive::{AttemptOutcome, CallContext, CallOutcome, EndpointAnswer};
+use crate::drive::{AttemptOutcome, CallContext, CallOutcome, CutCause, EndpointAnswer};
 use crate::events::event;
 use crate::node::FrontNode;
 use crate::origins::StreamBinding;
@@ -23,7 +23,6 @@
     AnswerGrade, EndpointKey, HealthRecord, PathFault, PathState, PlacementChoice, has_free_room,
 };
 use std::collections::HashMap;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::time::timeout_at;
@@ -278,7 +277,7 @@
             match outcome {
                 RelayOutcome::Attempted(AttemptOutcome::Delivered) => return Some(Ok(())),
                 RelayOutcome::Attempted(AttemptOutcome::CallerGone) => {
-                    return Some(Err(io::ErrorKind::ConnectionAborted.into()));
+                    return Some(self.cut(CutCause::Caller));
                 }
                 RelayOutcome::Attempted(AttemptOutcome::Ended(end, Some(received))) => {
                     self.record.note_relayed(end, attempts);
@@ -333,7 +332,7 @@
     /// Passes on a failure that an endpoint reported to the peer.
     async fn forward_failure(&mut self, received: EndpointAnswer) -> CallOutcome {
         if self.answer.stage() != AnswerStage::Waiting {
-            return Err(io::ErrorKind::ConnectionAborted.into());
+            return self.cut(CutCause::Peers);
         }
         self.answer.write_received(received.status, received.headers, received.body).await
     }
--- a/crates/front/src/trace.rs
+++ b/crates/front/src/trace.rs
@@ -1,10 +1,11 @@
 //! Writes one log line for each finished request, whatever its outcome.
 
 use crate::answer::AnswerWriter;
-use crate::drive::CallOutcome;
+use crate::drive::{CallOutcome, CutCause};
 use crate::events::event;
 use crate::node::FrontNode;
 use compact_str::CompactString;
+use oleander_call::RetryBarrier;
 use oleander_kind::{InstanceId, ResultCode, TimeSpan};
 use oleander_outlet::BodyEnd;
 use oleander_place::PlacementChoice;
@@ -52,6 +53,12 @@
     pub(crate) body_end: Option<BodyEnd>,
     /// Bytes of a stream that followed its last complete event.
     pub(crate) rest_bytes: usize,
+    /// What kept the request from being sent again after its last attempt.
+    pub(crate) barrier: Option<RetryBarrier>,
+    /// Why its answer was cut.
+    pub(crate) cut_cause: Option<CutCause>,
+    /// Milliseconds since the last part of its answer was received.
+    pub(crate) silent_ms: Option<u64>,
 }
 
 impl CallTrace {
@@ -76,6 +83,9 @@
             longest_pause: None,
             body_end: None,
             rest_bytes: 0,
+            barrier: None,
+            cut_cause: None,
+            silent_ms: None,
         }
     }
 
@@ -103,7 +113,9 @@
         match (outcome, answer.code()) {
             (Err(fault), _) => event!(node, RequestCut;
                 "request" => request, "print" => fingerprint, "service" => self.service.as_str(),
-                "why" => fault.to_string(), "status" => answer.status(), "sent" => self.sent,
+                "why" => fault.to_string(), "cause" => self.cut_cause.map(CutCause::name),
+                "barred" => self.barrier.map(RetryBarrier::name), "silent_ms" => self.silent_ms,
+                "status" => answer.status(), "sent" => self.sent,
                 "endpoint" => endpoint, "peer" => peer, "last_event" => self.last_event, "total_ms" => total_ms,
                 "version" => self.version.as_deref(), "resumes" => self.resumes.as_deref(),
                 "rules" => self.rules),
