--- a/crates/call/src/attempt.rs
+++ b/crates/call/src/attempt.rs
@@ -64,6 +64,8 @@
     Budget,
     /// The account's limit leaves no room.
     Limit,
+    /// The exposure of the version to which the stream is bound leaves no room.
+    Exposure,
 }
 
 impl RetryBarrier {
@@ -75,6 +77,7 @@
             RetryBarrier::NoEndpoint => "no_endpoint",
             RetryBarrier::Budget => "budget",
             RetryBarrier::Limit => "limit",
+            RetryBarrier::Exposure => "exposure",
         }
     }
 }
@@ -120,6 +123,13 @@
         self.may_have_run |= end.may_have_run();
     }
 
+    /// Records that the request was also sent to another endpoint, which was left again when the one before it went
+    /// on.
+    pub fn note_beside(&mut self) {
+        self.sent += 1;
+        self.may_have_run = true;
+    }
+
     /// Number of attempts that failed before a byte was sent.
     pub fn unsent(&self) -> u32 {
         self.unsent
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -5,6 +5,7 @@
 use crate::drive::{AttemptOutcome, CallContext};
 use crate::events::event;
 use crate::paths::PathWait;
+use crate::standby::{AnswerSilence, StandbyAttempt, StandbyLink};
 use crate::suspects::FailedAttempt;
 use crate::work::{AnswerWait, WorkGuard};
 use crate::{paths, releases, stream, suspects, whole, words};
@@ -46,14 +47,14 @@
 const STALE_LINK_WINDOW: Duration = Duration::from_millis(8);
 
 /// The time since `sent_at`.
-fn sent_for(sent_at: Instant) -> TimeSpan {
+pub(crate) fn sent_for(sent_at: Instant) -> TimeSpan {
     TimeSpan(sent_at.elapsed().as_millis() as u64)
 }
 
 /// The endpoint of an attempt.
-struct AttemptTarget {
-    key: EndpointKey,
-    life: EndpointIncarnation,
+pub(crate) struct AttemptTarget {
+    pub key: EndpointKey,
+    pub life: EndpointIncarnation,
     address: SocketAddr,
     version: CompactString,
 }
@@ -66,6 +67,30 @@
         else {
             return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
         };
+        let work = self.begin_work(&target, &choice);
+        self.run_attempt((target, choice), work, None).await
+    }
+
+    /// Goes on with an attempt that was sent while the one before it was silent.
+    pub(crate) async fn take_over(&mut self, standby: StandbyAttempt) -> AttemptOutcome {
+        let StandbyAttempt { target, choice, work, link, payment } = standby;
+        self.rollout_payment = payment;
+        self.run_attempt((target, choice), work, Some(link)).await
+    }
+
+    /// Counts an attempt in the load of its endpoint.
+    pub(crate) fn begin_work(&self, target: &AttemptTarget, choice: &PlacementChoice) -> WorkGuard {
+        let route = releases::evidence_route(self.node, &self.service, &self.route().name);
+        let waits = (self.expected_wait(choice), route);
+        WorkGuard::begin(self.node, target.key, choice.unread, waits)
+    }
+
+    async fn run_attempt(
+        &mut self,
+        (target, choice): (AttemptTarget, PlacementChoice),
+        mut work: WorkGuard,
+        link: Option<StandbyLink>,
+    ) -> AttemptOutcome {
         self.current = Some(target.key);
         self.endpoint = Some(target.life.instance.clone());
         self.version = Some(target.version.clone());
@@ -75,11 +100,8 @@
         self.chosen = Some(choice);
         self.room_use = self.room_use(target.key);
         self.note_list_age();
-        let route = releases::evidence_route(self.node, &self.service, &self.route().name);
-        let waits = (self.expected_wait(&choice), route);
         let _waiting = PathWait::begin(self.node, &self.service);
-        let mut work = WorkGuard::begin(self.node, target.key, choice.unread, waits);
-        let outcome = self.send_and_read(&target, &mut work).await;
+        let outcome = self.send_and_read(&target, &mut work, link).await;
         self.current = None;
         match &outcome {
             AttemptOutcome::CallerGone | AttemptOutcome::Ended(AttemptEnd::TimedOut, _) => {}
@@ -216,12 +238,12 @@
         self.node.note_read(&self.service, sample);
     }
 
-    fn room_use(&self, key: EndpointKey) -> Option<RoomUse> {
+    pub(crate) fn room_use(&self, key: EndpointKey) -> Option<RoomUse> {
         let now = self.node.clock.now();
         self.node.endpoints.borrow().get(key)?.room_use(now)
     }
 
-    fn target(&self, key: EndpointKey) -> Option<AttemptTarget> {
+    pub(crate) fn target(&self, key: EndpointKey) -> Option<AttemptTarget> {
         let board = self.node.endpoints.borrow();
         let fact = board.get(key)?;
         let (entry, usable) = (&fact.entry, fact.takes_work());
@@ -244,7 +266,7 @@
     }
 
     /// Takes one request from this process's share of the endpoint's rate limit; returns whether there was one.
-    fn spend_endpoint_limit(&self, key: EndpointKey) -> bool {
+    pub(crate) fn spend_endpoint_limit(&self, key: EndpointKey) -> bool {
         let now = self.node.clock.lease_now();
         let mut board = self.node.endpoints.borrow_mut();
         board.get_mut(key).is_some_and(|fact| fact.declared.try_acquire(now))
@@ -254,9 +276,16 @@
         &mut self,
         target: &AttemptTarget,
         work: &mut WorkGuard,
+        link: Option<StandbyLink>,
     ) -> AttemptOutcome {
-        let (mut sent, reused) = match self.send(target).await {
-            Ok(sent) => sent,
+        let sending = async {
+            match link {
+                Some(link) => Ok(link),
+                None => self.send(target).await,
+            }
+        };
+        let link = match sending.await {
+            Ok(link) => link,
             Err(fault) => {
                 self.note_fault(target, work, &fault);
                 self.tried.push(target.key);
@@ -264,10 +293,10 @@
             }
         };
         self.note_attempt_demand();
-        let limit = self.first_chunk_deadline();
-        let sent_at = Instant::now();
+        let StandbyLink { sent, reused, sent_at, head } = link;
+        let mut sent = Some(sent);
         self.sent_at = Some(sent_at);
-        match self.read_matching_head(target.key, &mut sent, limit).await {
+        match self.read_matching_head(target.key, &mut sent, head).await {
             Ok((sent, head, answer_head)) => {
                 self.node.meter.count_unread_tokens(work.unread_tokens());
                 let begins_later =
@@ -319,26 +348,32 @@
         }
     }
 
-    async fn send(
-        &mut self,
-        target: &AttemptTarget,
-    ) -> oleander_outlet::Result<(Option<SentLink>, bool)> {
+    async fn send(&self, target: &AttemptTarget) -> oleander_outlet::Result<StandbyLink> {
         let kept = self.node.pool.borrow_mut().take(&target.life.instance);
         let reused = kept.is_some();
         let link = match kept {
             Some(link) => link,
             None => self.dial(target).await?,
         };
+        self.send_on(target, (link, reused))
+    }
+
+    /// Encodes the request for a connection to its endpoint.
+    pub(crate) fn send_on(
+        &self,
+        target: &AttemptTarget,
+        (link, reused): (IdleLink, bool),
+    ) -> oleander_outlet::Result<StandbyLink> {
         let head = self.request_head(target);
         let sent = link.send(&self.node.http, head, self.body.clone())?;
         if !self.call.parts.is_empty() {
             let now = self.node.clock.now();
             self.node.prefixes.borrow_mut().note(&self.call.parts, target.key, now);
         }
-        Ok((Some(sent), reused))
+        Ok(StandbyLink { sent, reused, sent_at: Instant::now(), head: None })
     }
 
-    async fn dial(&self, target: &AttemptTarget) -> oleander_outlet::Result<IdleLink> {
+    pub(crate) async fn dial(&self, target: &AttemptTarget) -> oleander_outlet::Result<IdleLink> {
         let dialed = self.node.dialer.dial(target.address, CONNECT_TIMEOUT).await;
         if let Err(fault) = &dialed {
             paths::note_unreached(self.node, &self.service, (target.key, fault));
@@ -368,23 +403,20 @@
         TimeSpan(left.as_millis() as u64)
     }
 
-    /// When an attempt is given up if its answer has not begun.
+    /// How long an attempt may be silent before its answer begins until another one is prepared; `None` if there
+    /// can be none.
     ///
-    /// If a retry is allowed, an endpoint that hangs is given up after a few times the latency objective:
-    /// the answer is late, but there is time for another attempt. On the last attempt it waits until the
-    /// deadline, because the answer may still arrive.
-    pub fn first_chunk_deadline(&self) -> Instant {
+    /// It is a few times the latency objective: the answer is late, but there is time for another attempt.
+    pub fn first_patience(&self) -> Option<Duration> {
         /// Multiple of the latency objective; up to this, the delay can be caused by a queue at the endpoint.
         const OBJECTIVES_WAITED: u32 = 3;
         let route = self.route();
-        let last = self.record.sent() + 1 >= route.max_attempts;
-        if last || route.repeat == RepeatRule::Once {
-            return self.deadline;
-        }
         let waited = route.objective.duration() * OBJECTIVES_WAITED;
-        let least =
-            if route.repeat == RepeatRule::Resume { SILENCE_TOLERANCE } else { Duration::ZERO };
-        self.deadline.min(Instant::now() + waited.max(least))
+        match route.repeat {
+            RepeatRule::Once => None,
+            RepeatRule::Resume => Some(waited.max(SILENCE_TOLERANCE)),
+            RepeatRule::Idempotent => Some(waited),
+        }
     }
 
     /// Reads response heads until one belongs to this request. `slot` is empty after an error on a
@@ -393,19 +425,27 @@
         &mut self,
         key: EndpointKey,
         slot: &mut Option<SentLink>,
-        limit: Instant,
+        mut early: Option<ResponseHead>,
     ) -> oleander_outlet::Result<(SentLink, ResponseHead, AnswerHead)> {
         /// Answers to other requests that are discarded; an endpoint that sends more is broken.
         const MAX_FOREIGN: u32 = 2;
         let began = Instant::now();
+        let silence = AnswerSilence::begin(self.first_patience());
         let asked_at = self.node.clock.now();
-        let late = |_| LinkError::TimedOut(began.elapsed());
+        let late = || LinkError::TimedOut(began.elapsed());
         let exhausted = || LinkError::Malformed("answers to other requests".to_owned());
         let ended = || LinkError::Interrupted(io::ErrorKind::ConnectionReset.into());
         for _ in 0..=MAX_FOREIGN {
             let sent = slot.as_mut().ok_or_else(exhausted)?;
-            let reading = self.node.run_until_replaced(Some(key), sent.read_head());
-            let head = timeout_at(limit, reading).await.map_err(late)?.ok_or_else(ended)??;
+            let head = match early.take() {
+                Some(head) => head,
+                None => {
+                    let node = self.node.clone();
+                    let reading = node.run_until_replaced(Some(key), sent.read_head());
+                    let read = self.read_patiently(silence, reading).await;
+                    read.ok_or_else(late)?.ok_or_else(ended)??
+                }
+            };
             paths::note_reached(self.node, &self.service);
             let answer_head = self.node.dialect.parse_answer(&head);
             let sent = slot.take().ok_or_else(exhausted)?;
@@ -414,7 +454,7 @@
                 return Ok((sent, head, answer_head));
             }
             let mut foreign = sent.into_body(&head);
-            timeout_at(limit, foreign.skip()).await.map_err(late)??;
+            timeout_at(self.deadline, foreign.skip()).await.map_err(|_| late())??;
             *slot = foreign.await_next_answer(&self.node.http);
         }
         Err(exhausted())
@@ -436,8 +476,6 @@
             self.note_failure(target, work, AnswerGrade::Bad);
             return AttemptOutcome::Ended(AttemptEnd::Broken, None);
         }
-        let is_full = answer_head.is_full();
-        let signals_backoff = matches!(answer_head.backoff, EndpointSignal::Present(_));
         let body = sent.into_body(&head);
         let (outcome, link) = if events {
             stream::forward_events(self, body, head, Some(work)).await
@@ -452,15 +490,9 @@
             AttemptOutcome::CallerGone => {}
             // Nothing shows that the endpoint failed.
             AttemptOutcome::Ended(AttemptEnd::Unstated, _) => self.tried.push(target.key),
-            // The endpoint is healthy; it has signalled a backoff and says when it accepts requests again.
-            AttemptOutcome::Ended(AttemptEnd::RefusedNotRun, _) if signals_backoff => {
-                self.tried.push(target.key);
-            }
-            // It is healthy, and full.
-            AttemptOutcome::Ended(AttemptEnd::RefusedNotRun, _)
-                if is_full && words::note_full(self.node, target.key, self.room_use) =>
-            {
+            AttemptOutcome::Ended(AttemptEnd::RefusedNotRun, _) => {
                 self.tried.push(target.key);
+                self.note_refusal(target, work, (&answer_head, self.room_use));
             }
             AttemptOutcome::Ended(..) => {
                 self.tried.push(target.key);
@@ -478,6 +510,22 @@
         outcome
     }
 
+    /// Counts a refusal unless it says that the endpoint is healthy: it has signalled a backoff, and says when it
+    /// accepts requests again, or it is brittle and full.
+    pub(crate) fn note_refusal(
+        &self,
+        target: &AttemptTarget,
+        work: &mut WorkGuard,
+        (answer_head, room_use): (&AnswerHead, Option<RoomUse>),
+    ) {
+        let signals_backoff = matches!(answer_head.backoff, EndpointSignal::Present(_));
+        let is_healthy = signals_backoff
+            || (answer_head.is_full() && words::note_full(self.node, target.key, room_use));
+        if !is_healthy {
+            self.note_failure(target, work, AnswerGrade::Bad);
+        }
+    }
+
     /// Counts a failure in the health of the endpoint at this process, and in the evidence for the collector.
     fn note_failure(&self, target: &AttemptTarget, work: &mut WorkGuard, grade: AnswerGrade) {
         self.grade(target.key, grade);
@@ -485,7 +533,12 @@
     }
 
     /// Counts a failed connection or exchange, and logs it.
-    fn note_fault(&self, target: &AttemptTarget, work: &mut WorkGuard, fault: &LinkError) {
+    pub(crate) fn note_fault(
+        &self,
+        target: &AttemptTarget,
+        work: &mut WorkGuard,
+        fault: &LinkError,
+    ) {
         let grade = match fault {
             LinkError::ConnectFailed(_) | LinkError::TimedOut(_) => AnswerGrade::Dead,
             LinkError::Interrupted(_) | LinkError::Malformed(_) => AnswerGrade::Bad,
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -9,8 +9,9 @@
 use crate::limits::{self, QuotaCharge};
 use crate::node::FrontNode;
 use crate::origins::{self, StreamBinding};
-use crate::relay::{self, NextHop};
+use crate::relay::{self, NextHop, RelayTurn};
 use crate::releases::CandidatePayment;
+use crate::standby::StandbyAttempt;
 use crate::suspects;
 use crate::trace::{CallTrace, TraceGuard};
 use actix_http::header::HeaderMap;
@@ -143,6 +144,10 @@
     pub(crate) barrier: Option<RetryBarrier>,
     /// Why an answer that had begun was cut.
     pub(crate) cut_cause: Option<CutCause>,
+    /// The attempt that takes over from a silent one.
+    pub(crate) standby: Option<Box<StandbyAttempt>>,
+    /// The peers to which the request is relayed; `None` if it is not.
+    pub(crate) relay_turn: Option<RelayTurn>,
 }
 
 /// Why an answer that had begun was cut.
@@ -291,6 +296,8 @@
         has_earned: !relays,
         barrier: None,
         cut_cause: None,
+        standby: None,
+        relay_turn: None,
     };
     let outcome = match timeout_at(context.deadline, context.serve()).await {
         Ok(outcome) => outcome,
@@ -365,25 +372,14 @@
 
     async fn serve(&mut self) -> CallOutcome {
         loop {
-            match self.next_hop() {
-                _ if self.relays_next => return self.serve_by_peers().await,
-                NextHop::Peer => return self.serve_by_peers().await,
-                NextHop::Nowhere => {
-                    self.note_unserved_demand();
-                    return self.give_up(ResultCode::NoEndpoint).await;
-                }
-                NextHop::Endpoint => {}
-            }
-            let Some(choice) = self.choose_for_rollout().await else {
-                return self.refuse_unplaced().await;
+            let outcome = match self.standby.take() {
+                Some(standby) => self.take_over(*standby).await,
+                None => match self.place().await {
+                    Ok(choice) => self.attempt(choice).await,
+                    Err(outcome) => return outcome,
+                },
             };
-            if let Some(retry_in) = self.overload_retry_after(&choice) {
-                // A refused request counts as demand too, so that more endpoints are ordered for it.
-                self.note_demand(choice.unread);
-                self.chosen = Some(choice);
-                return self.answer.refuse(ResultCode::Overloaded, Some(retry_in)).await;
-            }
-            match self.attempt(choice).await {
+            match outcome {
                 AttemptOutcome::Delivered => return Ok(()),
                 AttemptOutcome::CallerGone => return self.cut(CutCause::Caller),
                 AttemptOutcome::Ended(end, received) => {
@@ -396,15 +392,30 @@
         }
     }
 
-    /// Charges the account for a retry if the failed attempt may have run: the tokens of each attempt that
-    /// runs count against the limit. Returns whether the retry is admitted.
-    async fn charge_retry(&self, end: AttemptEnd) -> bool {
-        match &self.charge {
-            Some(charge) if end.may_have_run() => {
-                limits::charge_retry(self.node, charge, self.call.id.as_str()).await
+    /// Chooses an endpoint for the next attempt.
+    ///
+    /// # Errors
+    /// The outcome of the request, if it goes to no endpoint of this process's choice.
+    async fn place(&mut self) -> Result<PlacementChoice, CallOutcome> {
+        match self.next_hop() {
+            _ if self.relays_next => return Err(self.serve_by_peers().await),
+            NextHop::Peer => return Err(self.serve_by_peers().await),
+            NextHop::Nowhere => {
+                self.note_unserved_demand();
+                return Err(self.give_up(ResultCode::NoEndpoint).await);
             }
-            _ => true,
+            NextHop::Endpoint => {}
+        }
+        let Some(choice) = self.choose_for_rollout().await else {
+            return Err(self.refuse_unplaced().await);
+        };
+        if let Some(retry_in) = self.overload_retry_after(&choice) {
+            // A refused request counts as demand too, so that more endpoints are ordered for it.
+            self.note_demand(choice.unread);
+            self.chosen = Some(choice);
+            return Err(self.answer.refuse(ResultCode::Overloaded, Some(retry_in)).await);
         }
+        Ok(choice)
     }
 
     /// Whether an endpoint or a peer may be serving the request now.
@@ -454,7 +465,9 @@
                 )
             }
             _ if self.answer.stage() != AnswerStage::Waiting => {
-                Some(self.cut(CutCause::Attempt(end)))
+                let is_late = Instant::now() >= self.deadline;
+                let cause = if is_late { CutCause::Deadline } else { CutCause::Attempt(end) };
+                Some(self.cut(cause))
             }
             (NextStep::Forward, _) => Some(self.give_up(ResultCode::Uncertain).await),
             (NextStep::GiveUp(ResultCode::NoEndpoint), _) => Some(self.refuse_unplaced().await),
@@ -467,14 +480,44 @@
     /// # Errors
     /// What keeps the request from being sent again.
     async fn secure_retry(&self, end: AttemptEnd, by_peer: bool) -> Result<(), RetryBarrier> {
+        if self.standby.is_some() {
+            return Ok(());
+        }
         let ensure = |holds: bool, barrier| if holds { Ok(()) } else { Err(barrier) };
         ensure(self.record.may_send() || by_peer, RetryBarrier::Attempts)?;
         let refused = suspects::refused_for(self.node, &self.suspects);
         ensure(refused.is_none(), RetryBarrier::Quarantined)?;
         ensure(by_peer || self.choose().is_some(), RetryBarrier::NoEndpoint)?;
-        let is_first = self.record.sent() == 0;
-        ensure(is_first || self.node.spend_retry(&self.service), RetryBarrier::Budget)?;
-        ensure(by_peer || self.charge_retry(end).await, RetryBarrier::Limit)
+        // A request that did not run is charged already, and a peer charges what is relayed to it.
+        let charge = self.charge.as_ref().filter(|_| end.may_have_run() && !by_peer);
+        self.pay_for_retry(charge, self.record.sent() > 0).await
+    }
+
+    /// Takes what another attempt uses up: `charge`, and a retry of the budget if it `is_repeat`. Takes neither if
+    /// one cannot be had.
+    ///
+    /// # Errors
+    /// Which of them cannot.
+    pub(crate) async fn pay_for_retry(
+        &self,
+        charge: Option<&QuotaCharge>,
+        is_repeat: bool,
+    ) -> Result<(), RetryBarrier> {
+        if is_repeat && self.node.retries_left(&self.service) == 0 {
+            return Err(RetryBarrier::Budget);
+        }
+        if let Some(charge) = charge
+            && !limits::charge_retry(self.node, charge, self.call.id.as_str()).await
+        {
+            return Err(RetryBarrier::Limit);
+        }
+        if is_repeat && !self.node.spend_retry(&self.service) {
+            if let Some(charge) = charge {
+                limits::refund_quota(self.node, charge);
+            }
+            return Err(RetryBarrier::Budget);
+        }
+        Ok(())
     }
 
     /// Closes the connection to the caller in the middle of its answer.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod reload;
 pub mod roster;
 pub mod rules;
+mod standby;
 pub mod stream;
 mod suspect_store;
 pub mod suspects;
--- a/crates/front/src/releases/lane.rs
+++ b/crates/front/src/releases/lane.rs
@@ -1,6 +1,6 @@
 //! Chooses the version that an attempt goes to.
 
-use super::{pay_for_candidate, refund};
+use super::{CandidatePayment, pay_for_candidate, refund};
 use crate::drive::{CallContext, call_salt};
 use oleander_call::AttemptEnd;
 use oleander_kind::TimeSpan;
@@ -41,11 +41,7 @@
         if let Some(choice) = self.choose() {
             return Some(choice);
         }
-        /// Draws the candidate whatever its share.
-        const FIRST_DRAW: f64 = 0.0;
-        let expected = self.expected_duration();
-        self.rollout_payment =
-            pay_for_candidate(self.node, &self.service, (FIRST_DRAW, expected)).await;
+        self.rollout_payment = self.pay_for_bound().await;
         let choice = self.choose();
         if choice.is_none()
             && let Some(rollout_payment) = self.rollout_payment.take()
@@ -55,6 +51,14 @@
         choice
     }
 
+    /// Pays for an attempt at the candidate, to which the stream is bound; `None` if that is not allowed.
+    pub(crate) async fn pay_for_bound(&self) -> Option<CandidatePayment> {
+        /// Draws the candidate whatever its share.
+        const FIRST_DRAW: f64 = 0.0;
+        let expected = self.expected_duration();
+        pay_for_candidate(self.node, &self.service, (FIRST_DRAW, expected)).await
+    }
+
     /// Refunds an attempt that certainly did not run.
     pub(crate) fn refund_unrun_attempt(&mut self, end: AttemptEnd) {
         if let Some(rollout_payment) = self.rollout_payment.take().filter(|_| !end.may_have_run()) {
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -4,6 +4,7 @@
 use crate::attempt::SILENCE_TOLERANCE;
 use crate::drive::{AttemptOutcome, CallContext};
 use crate::events::event;
+use crate::standby::AnswerSilence;
 use crate::work::WorkGuard;
 use crate::{origins, paths};
 use actix_http::header::HeaderMap;
@@ -13,9 +14,9 @@
 use oleander_kind::TimeSpan;
 use oleander_outlet::{BodyEnd, BodyLink, BodyPart, IdleLink};
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
-/// Multiple of the route's pause objective after which a silent stream is resumed at another endpoint.
+/// Multiple of the route's pause objective after which another endpoint is sought for a silent stream.
 /// An engine that has to prefill a prompt again in the middle of a stream is silent for a few hundred
 /// milliseconds; callers disconnect after about eight such pauses.
 const STALL_PAUSES: u32 = 3;
@@ -40,17 +41,19 @@
     let expected_end = body.expected_end();
     let goes_on = context.last_event.is_some();
     let mut resumes = context.answer.stage() != AnswerStage::Waiting;
-    let mut limit = if work.is_some() { context.first_chunk_deadline() } else { context.deadline };
+    let patience = work.as_ref().and_then(|_| context.first_patience());
+    let mut silence = AnswerSilence::begin(patience);
     let (node, key) = (context.node.clone(), work.as_ref().map(|work| work.key()));
     let mut are_parts_sound = false;
     let body_end = loop {
-        let bytes = match timeout_at(limit, node.run_until_replaced(key, body.next())).await {
-            Ok(Some(Ok(BodyPart::Bytes(bytes)))) => bytes,
-            Ok(Some(Ok(BodyPart::End(end)))) => break end,
-            Ok(Some(Err(_)) | None) => {
+        let reading = node.run_until_replaced(key, body.next());
+        let bytes = match context.read_patiently(silence, reading).await {
+            Some(Some(Ok(BodyPart::Bytes(bytes)))) => bytes,
+            Some(Some(Ok(BodyPart::End(end)))) => break end,
+            Some(Some(Err(_)) | None) => {
                 return (AttemptOutcome::Ended(AttemptEnd::Broken, None), None);
             }
-            Err(_) => return (AttemptOutcome::Ended(AttemptEnd::TimedOut, None), None),
+            None => return (AttemptOutcome::Ended(AttemptEnd::TimedOut, None), None),
         };
         splitter.push(&bytes);
         let Some(out) = complete_events(context, &mut splitter) else {
@@ -86,7 +89,7 @@
         if write_events(context, (status, expected_end), &mut headers, out).await.is_err() {
             return (AttemptOutcome::CallerGone, None);
         }
-        limit = stall_deadline(context, key.is_none());
+        silence = AnswerSilence::begin(context.stall_patience());
     };
     let rest = splitter.take_rest();
     context.body_end = Some(body_end);
@@ -175,15 +178,13 @@
     }
 }
 
-/// When a silent stream is given up. A peer that relays it gets the time to resume it itself.
-fn stall_deadline(context: &CallContext<'_, '_>, is_relayed: bool) -> Instant {
-    let stalls = if is_relayed { 2 * STALL_PAUSES } else { STALL_PAUSES };
-    let route = context.route();
-    match (route.repeat, route.pause) {
-        (RepeatRule::Resume, Some(pause)) => {
-            let silence = (pause.duration() * stalls).max(SILENCE_TOLERANCE);
-            context.deadline.min(Instant::now() + silence)
-        }
-        _ => context.deadline,
+impl CallContext<'_, '_> {
+    /// How long a stream may be silent until another attempt is prepared; `None` if there can be none. A peer that
+    /// relays it gets the time to resume it itself.
+    pub(crate) fn stall_patience(&self) -> Option<Duration> {
+        let stalls = if self.relay_turn.is_some() { 2 * STALL_PAUSES } else { STALL_PAUSES };
+        let route = self.route();
+        let pause = route.pause.filter(|_| route.repeat == RepeatRule::Resume)?;
+        Some((pause.duration() * stalls).max(SILENCE_TOLERANCE))
     }
 }
--- a/crates/place/src/board.rs
+++ b/crates/place/src/board.rs
@@ -105,6 +105,21 @@
         self.aside.filter(|(_, until)| now < *until).map(|(bad_trait, _)| bad_trait)
     }
 
+    /// Whether it could be reached when it was last tried, and its entry is certain.
+    pub fn is_reachable(&self, now: ClockTime) -> bool {
+        !self.health.is_backing_off(now) && !self.doubted
+    }
+
+    /// Whether nothing speaks against it: it also answers as well as the others of its service.
+    pub fn is_trusted(&self, now: ClockTime) -> bool {
+        self.is_reachable(now) && self.bad_trait(now).is_none()
+    }
+
+    /// Whether it has places left by the last reports, so that it would run one more request at once.
+    pub fn has_free_place(&self) -> bool {
+        self.requests() < self.entry.slots
+    }
+
     /// Whether it declared that it is brittle.
     pub fn is_brittle(&self) -> bool {
         self.declared.brittle.refusals.is_some()
--- a/crates/place/src/choose.rs
+++ b/crates/place/src/choose.rs
@@ -103,9 +103,8 @@
     let may_use_aside =
         request.repeatable && mix_bits(request.salt ^ TRIAL_SALT).is_multiple_of(TRIAL_ONE_IN);
     let is_usable = |fact: &EndpointFact| may_use_aside || fact.bad_trait(request.now).is_none();
-    let healthy = available.iter().filter(|(_, fact)| {
-        !fact.health.is_backing_off(request.now) && !fact.doubted && is_usable(fact)
-    });
+    let healthy =
+        available.iter().filter(|(_, fact)| fact.is_reachable(request.now) && is_usable(fact));
     let healthy: Vec<_> = healthy.copied().collect();
     let candidates = if healthy.is_empty() { available } else { healthy };
     let home = home_endpoint(&candidates, request);
--- a/tests/all/front.rs
+++ b/tests/all/front.rs
@@ -397,7 +397,7 @@
     (from..=to).map(|n| format!("id: {n}\ndata: x\n\n")).collect()
 }
 
-fn chunk(text: &str) -> String {
+pub fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
 }
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -59,6 +59,7 @@
 mod seeds;
 mod settings;
 mod signals;
+mod silent;
 mod size;
 mod soak;
 mod speaking;
--- a/tests/all/relaying.rs
+++ b/tests/all/relaying.rs
@@ -61,7 +61,7 @@
 }
 
 /// Sends a request without waiting for its answer.
-async fn send(address: SocketAddr, text: &str) -> TcpStream {
+pub async fn send(address: SocketAddr, text: &str) -> TcpStream {
     let mut stream = TcpStream::connect(address).await.expect("it listens");
     stream.write_all(text.as_bytes()).await.expect("written");
     stream
--- /dev/null
+++ b/tests/all/silent.rs
@@ -0,0 +1,687 @@
+//! Requests whose endpoint falls silent: what their callers get if it is sound and goes on, or if it hangs.
+//!
+//! The table walks how long and where an endpoint is silent, what the route allows, what keeps the request from other
+//! endpoints, and whether a peer relays it. The cells run at once in virtual time, each with a service of its own.
+
+use crate::front::{RULES, ask, chunk, request};
+use crate::path::PathMode;
+use crate::plays::{ProcessGroup, play};
+use crate::relaying::send;
+use crate::scripted::{SeenRequest, read_request};
+use crate::unframed::{PLAIN, RouteKind, ViewEnd, event_text, events_text, head_text, view};
+use bytes::BytesMut;
+use futures_util::future::join_all;
+use oleandertack::conf::FrontBounds;
+use oleandertack::front::FrontProcess;
+use oleandertack::front::suspects::{held_for, refresh_quarantine};
+use oleandertack::kind::{AccountName, ServiceName, TimeSpan};
+use oleandertack::suspect::{
+    EndpointCrash, EndpointIncarnation, RequestContent, SuspectFingerprint,
+};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, sleep};
+
+/// Events of a complete stream.
+const EVENTS: u32 = 4;
+/// Events before a silence in the middle of a stream.
+const EVENTS_BEFORE: u32 = 2;
+/// How long sound endpoints are silent, in milliseconds.
+const SILENCES: [u64; 5] = [500, 1100, 1500, 2000, 3000];
+/// Longer than any request may take.
+const FOR_GOOD: Duration = Duration::from_secs(60);
+/// The time limit of the requests.
+const DEADLINE: Duration = Duration::from_secs(8);
+/// By then a caller has the answer of another endpoint if its own one hangs: twice the time that a sound one may be
+/// silent, and some time for the answer.
+const HANG_LIMIT: Duration = Duration::from_millis(2 * 1300 + 300);
+/// Longer than the window of an account's limit.
+const SETTLE_TIME: Duration = Duration::from_secs(10);
+/// Time between the first requests of two cells.
+const STAGGER: Duration = Duration::from_millis(3);
+/// The pause between two events of a stream of another caller, and their number.
+const BEAT_PAUSE: Duration = Duration::from_millis(100);
+const BEATS: u32 = 60;
+
+/// The pause between two tries to use a limit up.
+const PRESS_PAUSE: Duration = Duration::from_millis(20);
+
+/// Where an answer is interrupted by silence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SilencePoint {
+    BeforeHead,
+    BeforeFirst,
+    BetweenEvents,
+    InsideEvent,
+    InsideBody,
+}
+
+/// What keeps a request from another endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SendBarrier {
+    Nothing,
+    /// There is no other.
+    Alone,
+    /// The others refuse it unrun.
+    OthersFull,
+    /// The others reset the connection as soon as they have it.
+    OthersReset,
+    /// The retry budget of its service is spent.
+    Budget,
+    /// Its account has no tokens left.
+    Limit,
+    /// It was quarantined since it was sent.
+    Held,
+    /// The other has another software version.
+    OtherVersion,
+    /// It is the last attempt: the first endpoint reset the connection, or refused what may run only once.
+    Last,
+    /// It is the last attempt: the first endpoint reset the connection after an event.
+    LastBegun,
+    /// Nothing, but one of the others refuses it unrun.
+    OneFull,
+    /// Nothing, but no other endpoint is heard meanwhile.
+    NoneHeard,
+}
+
+/// A request and its endpoints.
+#[derive(Clone, Copy, Debug)]
+struct SilenceCell {
+    route: RouteKind,
+    at: SilencePoint,
+    silence: Duration,
+    barrier: SendBarrier,
+}
+
+/// What an endpoint does with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EndpointTurn {
+    Sound,
+    Silent,
+    Full,
+    Reset,
+    ResetAfterEvent,
+}
+
+impl SilenceCell {
+    fn table(route: RouteKind) -> impl Iterator<Item = SilenceCell> {
+        let barriers = barriers_of(route).iter();
+        barriers.flat_map(move |barrier| {
+            points_of(route, *barrier).iter().flat_map(move |at| {
+                SILENCES.into_iter().map(move |ms| {
+                    let silence = Duration::from_millis(ms);
+                    SilenceCell { route, at: *at, silence, barrier: *barrier }
+                })
+            })
+        })
+    }
+
+    /// Requests of a route whose endpoint hangs, and that another may serve.
+    fn hanging(route: RouteKind) -> impl Iterator<Item = SilenceCell> {
+        let points = match route {
+            RouteKind::Resumable => points_of(route, SendBarrier::Nothing),
+            // The rest of a plain answer is waited for until the deadline.
+            _ => &[SilencePoint::BeforeHead],
+        };
+        let barriers = [SendBarrier::Nothing, SendBarrier::OneFull, SendBarrier::NoneHeard];
+        barriers.into_iter().flat_map(move |barrier| {
+            points.iter().map(move |at| SilenceCell { route, at: *at, silence: FOR_GOOD, barrier })
+        })
+    }
+
+    fn is_stream(&self) -> bool {
+        matches!(self.route, RouteKind::Resumable | RouteKind::Fixed)
+    }
+
+    /// Whether other callers get answers of other endpoints meanwhile.
+    fn has_beats(&self) -> bool {
+        self.silence == FOR_GOOD && self.barrier != SendBarrier::NoneHeard
+    }
+
+    fn may_run_again(&self) -> bool {
+        matches!(self.route, RouteKind::Resumable | RouteKind::Safe)
+    }
+
+    /// Number of endpoints that are listed.
+    fn endpoints(&self) -> usize {
+        match self.barrier {
+            SendBarrier::Alone => 1,
+            SendBarrier::Last | SendBarrier::LastBegun => 3,
+            _ if self.has_beats() => 4,
+            _ => 2,
+        }
+    }
+
+    /// Number of requests that its endpoints get before one is silent.
+    fn sends_before(&self) -> usize {
+        usize::from(matches!(self.barrier, SendBarrier::Last | SendBarrier::LastBegun))
+    }
+
+    /// The number of endpoints to which the route allows to send a request.
+    fn max_attempts(&self) -> usize {
+        // A process that relays keeps one back.
+        if self.barrier == SendBarrier::OneFull { 4 } else { 2 }
+    }
+
+    /// The largest number of requests that its endpoints may get.
+    fn most_sends(&self) -> usize {
+        match self.barrier {
+            _ if !self.may_run_again() => self.sends_before() + 1,
+            SendBarrier::Alone
+            | SendBarrier::Budget
+            | SendBarrier::Held
+            | SendBarrier::OtherVersion => 1,
+            // Tokens may come back before the silence is over.
+            _ => self.max_attempts(),
+        }
+    }
+
+    fn turn(&self, sends: usize) -> EndpointTurn {
+        match self.barrier {
+            _ if sends == self.sends_before() => EndpointTurn::Silent,
+            SendBarrier::OthersFull => EndpointTurn::Full,
+            SendBarrier::OthersReset => EndpointTurn::Reset,
+            SendBarrier::OneFull if sends == 1 => EndpointTurn::Full,
+            SendBarrier::Last if sends == 0 && !self.may_run_again() => EndpointTurn::Full,
+            SendBarrier::Last if sends == 0 => EndpointTurn::Reset,
+            SendBarrier::LastBegun if sends == 0 => EndpointTurn::ResetAfterEvent,
+            _ => EndpointTurn::Sound,
+        }
+    }
+
+    /// The answer after the event `last`, before and after the silence.
+    fn answer(&self, id: &str, last: u32) -> (String, String) {
+        let length = format!("Content-Length: {}\r\n", PLAIN.len());
+        let framing = if self.is_stream() { "Transfer-Encoding: chunked\r\n" } else { &length };
+        let head = head_text(id, framing);
+        let middle = EVENTS_BEFORE.max(last);
+        let (first, rest) = (events_text(last + 1..=middle), events_text(middle + 1..=EVENTS));
+        let torn = event_text(middle + 1).len() / 2;
+        let end = "0\r\n\r\n";
+        match self.at {
+            _ if !self.is_stream() => {
+                let split = match self.at {
+                    SilencePoint::BeforeHead => 0,
+                    _ => head.len() + PLAIN.len() / 2,
+                };
+                let whole = head + PLAIN;
+                (whole[..split].to_owned(), whole[split..].to_owned())
+            }
+            SilencePoint::BeforeHead => (String::new(), head + &chunks(&(first + &rest)) + end),
+            SilencePoint::BeforeFirst => (head, chunks(&(first + &rest)) + end),
+            SilencePoint::InsideEvent => {
+                let before = first + &rest[..torn];
+                (head + &chunks(&before), chunks(&rest[torn..]) + end)
+            }
+            _ => (head + &chunks(&first), chunks(&rest) + end),
+        }
+    }
+
+    fn whole_body(&self) -> String {
+        if self.is_stream() { events_text(1..=EVENTS) } else { PLAIN.to_owned() }
+    }
+
+    fn route_rule(&self, number: usize) -> String {
+        let kind = match self.route {
+            RouteKind::Resumable => r#""streaming","stream-resume":true,"gap-aim-ms":300"#,
+            RouteKind::Fixed => r#""streaming","gap-aim-ms":300"#,
+            RouteKind::Safe => r#""safe""#,
+            RouteKind::Once => r#""unsafe""#,
+        };
+        let objective = if self.is_stream() { 500 } else { 100 };
+        let (timeout, attempts) = (DEADLINE.as_millis(), self.max_attempts());
+        format!(
+            r#"{{"name":"c{number}","host":"h","path-prefix":"/c{number}/","kind":{kind},"timeout-ms":{timeout},"target-latency-ms":{objective},"priority":1,"service":"c{number}","max-attempts":{attempts}}}"#
+        )
+    }
+
+    /// What is wrong with the answer that a caller got.
+    fn faults(&self, answer: &CellAnswer) -> Vec<String> {
+        let mut faults = Vec::new();
+        let (end, body) = &answer.view;
+        if *end != ViewEnd::Stated || *body != self.whole_body() {
+            faults.push(format!("{end:?} with {body:?}"));
+        }
+        if answer.sends > self.most_sends() {
+            faults.push(format!("sent to {} endpoints", answer.sends));
+        }
+        if self.has_beats() && answer.took > HANG_LIMIT {
+            faults.push("late".to_owned());
+        }
+        faults
+    }
+}
+
+fn barriers_of(route: RouteKind) -> &'static [SendBarrier] {
+    use SendBarrier as By;
+    match route {
+        RouteKind::Resumable => &[
+            By::Nothing,
+            By::Alone,
+            By::OthersFull,
+            By::OthersReset,
+            By::Budget,
+            By::Limit,
+            By::Held,
+            By::OtherVersion,
+            By::Last,
+            By::LastBegun,
+        ],
+        RouteKind::Safe => &[
+            By::Nothing,
+            By::Alone,
+            By::OthersFull,
+            By::OthersReset,
+            By::Budget,
+            By::Limit,
+            By::Held,
+            By::Last,
+        ],
+        RouteKind::Fixed | RouteKind::Once => &[By::Nothing, By::Alone, By::Last],
+    }
+}
+
+fn points_of(route: RouteKind, barrier: SendBarrier) -> &'static [SilencePoint] {
+    use SilencePoint as At;
+    match route {
+        RouteKind::Safe | RouteKind::Once => &[At::BeforeHead, At::InsideBody],
+        // Before its first event a stream is bound to no version.
+        _ if barrier == SendBarrier::OtherVersion => &[At::BetweenEvents, At::InsideEvent],
+        _ => &[At::BeforeHead, At::BeforeFirst, At::BetweenEvents, At::InsideEvent],
+    }
+}
+
+/// `text` in one chunk, or in none: an empty one would end the answer.
+fn chunks(text: &str) -> String {
+    if text.is_empty() { String::new() } else { chunk(text) }
+}
+
+/// What a caller got.
+struct CellAnswer {
+    view: (ViewEnd, String),
+    sends: usize,
+    took: Duration,
+}
+
+/// The cells, and the endpoints that got the request of each.
+struct CellBook {
+    cells: Vec<SilenceCell>,
+    sent_to: RefCell<HashMap<String, Vec<String>>>,
+}
+
+impl CellBook {
+    fn sent_to(&self, id: &str) -> Vec<String> {
+        self.sent_to.borrow().get(id).cloned().unwrap_or_default()
+    }
+
+    /// Notes a request; returns the number of those before.
+    fn note(&self, id: &str, instance: &str) -> usize {
+        let mut sent_to = self.sent_to.borrow_mut();
+        let sent_to = sent_to.entry(id.to_owned()).or_default();
+        sent_to.push(instance.to_owned());
+        sent_to.len() - 1
+    }
+
+    /// The cell to which a request belongs.
+    fn cell_of(&self, seen: &SeenRequest) -> SilenceCell {
+        let number = seen.head.split_once("/c").and_then(|(_, rest)| rest.split_once('/'));
+        let number: usize = number.expect("a cell's path").0.parse().expect("a number");
+        self.cells[number]
+    }
+}
+
+/// Listens as all the endpoints of the cells.
+async fn cell_endpoints(book: Rc<CellBook>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    actix_rt::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            stream.set_nodelay(true).expect("an open connection");
+            actix_rt::spawn(serve(stream, book.clone()));
+        }
+    });
+    address
+}
+
+async fn serve(mut stream: TcpStream, book: Rc<CellBook>) {
+    let mut buffer = BytesMut::new();
+    while let Some(seen) = read_request(&mut stream, &mut buffer).await {
+        if serve_one(&mut stream, &book, &seen).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Answers a request; an error means that the connection ends.
+async fn serve_one(
+    stream: &mut TcpStream,
+    book: &CellBook,
+    seen: &SeenRequest,
+) -> std::io::Result<()> {
+    let id = seen.header("x-oleandertack-request-id").unwrap_or_default();
+    let instance = seen.header("x-oleandertack-expect-instance").unwrap_or_default();
+    let sends = book.note(id, instance);
+    let cell = book.cell_of(seen);
+    let turn = match id.split_once('-') {
+        None => cell.turn(sends),
+        Some(("beat", _)) => return beat(stream, id).await,
+        Some(_) => EndpointTurn::Sound,
+    };
+    let last = seen.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let (before, after) = cell.answer(id, last);
+    match turn {
+        EndpointTurn::Sound => stream.write_all((before + &after).as_bytes()).await,
+        EndpointTurn::Silent => {
+            stream.write_all(before.as_bytes()).await?;
+            sleep(cell.silence).await;
+            stream.write_all(after.as_bytes()).await
+        }
+        EndpointTurn::Full => {
+            let refusal = format!(
+                "HTTP/1.1 503 Full\r\nX-Oleandertack-Request-Id: {id}\r\n\
+                 X-Oleandertack-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            );
+            stream.write_all(refusal.as_bytes()).await
+        }
+        EndpointTurn::Reset => reset(stream),
+        EndpointTurn::ResetAfterEvent => {
+            let head = head_text(id, "Transfer-Encoding: chunked\r\n");
+            let begun = head + &chunk(&event_text(1));
+            stream.write_all(begun.as_bytes()).await?;
+            sleep(Duration::from_millis(30)).await;
+            reset(stream)
+        }
+    }
+}
+
+fn reset(stream: &mut TcpStream) -> std::io::Result<()> {
+    stream.set_zero_linger()?;
+    Err(std::io::ErrorKind::ConnectionReset.into())
+}
+
+/// Answers with a stream that goes on while others hang.
+async fn beat(stream: &mut TcpStream, id: &str) -> std::io::Result<()> {
+    let head = head_text(id, "Transfer-Encoding: chunked\r\n");
+    stream.write_all(head.as_bytes()).await?;
+    for number in 1..=BEATS {
+        stream.write_all(chunk(&event_text(number)).as_bytes()).await?;
+        sleep(BEAT_PAUSE).await;
+    }
+    stream.write_all(b"0\r\n\r\n").await
+}
+
+/// Rules with a route and a service for each cell, and an account for each that is to reach its limit.
+fn rules(cells: &[SilenceCell]) -> String {
+    let cells = cells.iter().enumerate();
+    let routes = cells.clone().map(|(number, cell)| {
+        let beat = format!(
+            r#"{{"name":"b{number}","host":"h","path-prefix":"/c{number}/beat","kind":"streaming","timeout-ms":8000,"target-latency-ms":500,"priority":1,"service":"c{number}","max-attempts":1}},"#
+        );
+        let beat = if cell.has_beats() { beat } else { String::new() };
+        cell.route_rule(number) + "," + &beat
+    });
+    let services = cells.clone().map(|(number, _)| {
+        format!(r#"{{"name":"c{number}","health-check":"/health","max-connections":100}},"#)
+    });
+    let limited = cells.filter(|(_, cell)| cell.barrier == SendBarrier::Limit);
+    let accounts = limited.map(|(number, _)| {
+        format!(
+            r#"{{"name":"a{number}","api-keys":["limited-{number}"],"plain-tokens":200,"rate-per-s":100,"burst":400}},"#
+        )
+    });
+    let rules = RULES.replace("\"version\":7", "\"version\":8");
+    let rules =
+        rules.replacen("\"routes\":[", &format!("\"routes\":[{}", routes.collect::<String>()), 1);
+    let rules = rules.replacen(
+        "\"services\":[",
+        &format!("\"services\":[{}", services.collect::<String>()),
+        1,
+    );
+    let accounts = accounts.collect::<String>();
+    rules.replacen("\"tenants\":[", &format!("\"tenants\":[{accounts}"), 1)
+}
+
+/// Processes before the endpoints of the cells. Requests reach the first process.
+struct CellPlay {
+    group: ProcessGroup,
+    book: Rc<CellBook>,
+}
+
+impl CellPlay {
+    async fn start(processes: usize, cells: Vec<SilenceCell>) -> Self {
+        let bounds = FrontBounds { retry_slack: 100, ..FrontBounds::default() };
+        let group = ProcessGroup::start_bounded(processes, bounds).await;
+        group.put_rules(&rules(&cells));
+        group.remove_first_endpoints();
+        let book = Rc::new(CellBook { cells, sent_to: RefCell::default() });
+        let address = cell_endpoints(book.clone()).await;
+        for (number, cell) in book.cells.iter().enumerate() {
+            for at in 0..cell.endpoints() {
+                let is_other = cell.barrier == SendBarrier::OtherVersion && at > 0;
+                let version = if is_other { "v2" } else { "v1" };
+                let body = format!(
+                    r#"{{"service":"c{number}","address":"{address}","zone":"near","version":"{version}","slots":6,"state":"ready","seq":1}}"#
+                );
+                group.registry().put(&format!("c{number}-{at}"), body);
+            }
+        }
+        sleep(SETTLE_TIME).await;
+        group.until_listed(book.cells.iter().map(SilenceCell::endpoints).sum()).await;
+        CellPlay { group, book }
+    }
+
+    /// Cuts the first process off, so that it relays.
+    async fn cut_off_first(&self) {
+        self.group.paths[0].set(PathMode::Reset);
+        let notices = (0..self.book.cells.len()).map(|number| async move {
+            sleep(STAGGER * number as u32).await;
+            let id = format!("notice-{number}");
+            let text = request("POST", &format!("/c{number}/notice"), &id, "", "");
+            let answer = ask(self.group.processes[0].address(), &text).await;
+            assert_eq!(answer.status(), "200", "{:?}", self.book.cells[number]);
+        });
+        join_all(notices).await;
+        sleep(Duration::from_secs(2)).await;
+    }
+
+    /// Runs all cells and lists those whose callers did not get what they should.
+    async fn walk(&self) {
+        let cells = (0..self.book.cells.len()).map(|number| async move {
+            sleep(STAGGER * number as u32).await;
+            let cell = self.book.cells[number];
+            let answer = self.run_cell(number).await;
+            let faults = cell.faults(&answer);
+            let (sends, took) = (answer.sends, answer.took);
+            (!faults.is_empty())
+                .then(|| format!("{cell:?}: {}; {sends} sent, {took:?}", faults.join(", ")))
+        });
+
+        let wrong: Vec<String> = join_all(cells).await.into_iter().flatten().collect();
+
+        let all = self.book.cells.len();
+        assert!(wrong.is_empty(), "{} of {all} cells:\n{}", wrong.len(), wrong.join("\n"));
+    }
+
+    async fn run_cell(&self, number: usize) -> CellAnswer {
+        let cell = self.book.cells[number];
+        let id = format!("c{number}");
+        let _beats = self.send_beats(number).await;
+        let text = request("POST", &format!("/c{number}/a"), &id, "", &id);
+        let text =
+            text.replace("Deadline-Ms: 2000", &format!("Deadline-Ms: {}", DEADLINE.as_millis()));
+        let text = self.with_key(number, &text);
+        let mut caller = send(self.group.processes[0].address(), &text).await;
+        let began = Instant::now();
+        while self.book.sent_to(&id).len() <= cell.sends_before() && began.elapsed() < DEADLINE {
+            sleep(Duration::from_millis(1)).await;
+        }
+        self.raise_barrier(number);
+
+        let view = tokio::select! {
+            view = view(&mut caller) => view,
+            never = self.press_limit(number) => match never {},
+        };
+
+        let took = began.elapsed();
+        self.check_beats(number);
+        CellAnswer { view, sends: self.book.sent_to(&id).len(), took }
+    }
+
+    /// Bars a request that has been sent from other endpoints.
+    fn raise_barrier(&self, number: usize) {
+        let service = ServiceName::from(format!("c{number}").as_str());
+        for process in &self.group.processes {
+            match self.book.cells[number].barrier {
+                SendBarrier::Budget => while process.node.spend_retry(&service) {},
+                SendBarrier::Held => hold(process, number),
+                _ => {}
+            }
+        }
+    }
+
+    /// Keeps the limit of a cell's account used up, without end.
+    async fn press_limit(&self, number: usize) -> Infallible {
+        if self.book.cells[number].barrier != SendBarrier::Limit {
+            return std::future::pending().await;
+        }
+        let text = request("POST", &format!("/c{number}/other"), "other-1", "", "");
+        let text = self.with_key(number, &text);
+        loop {
+            for process in &self.group.processes {
+                while ask(process.address(), &text).await.status() == "200" {}
+            }
+            sleep(PRESS_PAUSE).await;
+        }
+    }
+
+    /// A request with the key of its cell's account.
+    fn with_key(&self, number: usize, text: &str) -> String {
+        match self.book.cells[number].barrier {
+            SendBarrier::Limit => text.replace("key-1", &format!("limited-{number}")),
+            _ => text.to_owned(),
+        }
+    }
+
+    /// Streams of other callers at the service of a hanging endpoint.
+    async fn send_beats(&self, number: usize) -> Vec<TcpStream> {
+        let mut callers = Vec::new();
+        if !self.book.cells[number].has_beats() {
+            return callers;
+        }
+        for (at, process) in self.group.processes.iter().enumerate() {
+            let text = request("POST", &format!("/c{number}/beat"), &beat_id(number, at), "", "");
+            let text = text.replace("Deadline-Ms: 2000", "Deadline-Ms: 8000");
+            callers.push(send(process.address(), &text).await);
+        }
+        sleep(Duration::from_millis(300)).await;
+        callers
+    }
+
+    fn check_beats(&self, number: usize) {
+        let cell = self.book.cells[number];
+        if !cell.has_beats() {
+            return;
+        }
+        let silent_at = self.book.sent_to(&format!("c{number}"));
+        let beats = (0..self.group.processes.len()).map(|at| beat_id(number, at));
+        let beat_at: Vec<String> = beats.flat_map(|id| self.book.sent_to(&id)).collect();
+        let is_heard = beat_at.iter().any(|instance| Some(instance) != silent_at.first());
+        assert!(is_heard, "{cell:?}: {beat_at:?}, {silent_at:?}");
+    }
+}
+
+fn beat_id(number: usize, process: usize) -> String {
+    format!("beat-{number}-{process}")
+}
+
+/// Quarantines the request of a cell at a process.
+fn hold(process: &FrontProcess, number: usize) {
+    let node = &process.node;
+    let (account, path, body) =
+        (AccountName::from("tartu"), format!("/c{number}/a"), format!("c{number}"));
+    let print = SuspectFingerprint::of(RequestContent {
+        account: Some(&account),
+        method: "POST",
+        host: "h",
+        path: &path,
+        body: body.as_bytes(),
+    });
+    for crash in 1..=3 {
+        let instance = format!("fallen-{number}-{crash}").as_str().into();
+        let at = node.clock.now() - TimeSpan(crash * 1000);
+        let life = EndpointIncarnation { instance, life: 1 };
+        let crash = EndpointCrash { life, at, ran: TimeSpan(50), under: 0 };
+        node.suspects.borrow_mut().record_crash(print, crash);
+    }
+    refresh_quarantine(node);
+    assert!(held_for(node, &print).is_some(), "it is quarantined");
+}
+
+fn walk_direct(cells: impl Iterator<Item = SilenceCell>) {
+    play(async {
+        let cells = CellPlay::start(1, cells.collect()).await;
+
+        cells.walk().await;
+    });
+}
+
+fn walk_relayed(cells: impl Iterator<Item = SilenceCell>) {
+    play(async {
+        let cells = CellPlay::start(3, cells.collect()).await;
+        cells.cut_off_first().await;
+
+        cells.walk().await;
+    });
+}
+
+/// A stream is cut because its sound endpoint was silent for a while and no other could take it over.
+#[test]
+fn a_resumable_stream_is_whole_although_its_endpoint_was_silent() {
+    walk_direct(SilenceCell::table(RouteKind::Resumable));
+}
+
+/// A request fails because its sound endpoint was silent for a while and no other could take it over.
+#[test]
+fn a_safe_request_is_answered_although_its_endpoint_was_silent() {
+    walk_direct(SilenceCell::table(RouteKind::Safe));
+}
+
+/// A request that may run only once is given up, or sent again, because its sound endpoint was silent for a while.
+#[test]
+fn a_request_that_runs_once_is_answered_although_its_endpoint_was_silent() {
+    let streams = SilenceCell::table(RouteKind::Fixed);
+    walk_direct(streams.chain(SilenceCell::table(RouteKind::Once)));
+}
+
+/// A peer cuts a relayed stream, or the process that relays it does, because its sound endpoint was silent.
+#[test]
+fn a_relayed_stream_is_whole_although_its_endpoint_was_silent() {
+    walk_relayed(SilenceCell::table(RouteKind::Resumable));
+}
+
+/// A peer fails a relayed request because its sound endpoint was silent for a while.
+#[test]
+fn a_relayed_request_is_answered_although_its_endpoint_was_silent() {
+    let once = SilenceCell::table(RouteKind::Fixed).chain(SilenceCell::table(RouteKind::Once));
+    walk_relayed(once.chain(SilenceCell::table(RouteKind::Safe)));
+}
+
+/// A request waits for an endpoint that hangs, although others answer.
+#[test]
+fn an_endpoint_that_hangs_is_left_for_another() {
+    let streams = SilenceCell::hanging(RouteKind::Resumable);
+    walk_direct(streams.chain(SilenceCell::hanging(RouteKind::Safe)));
+}
+
+/// A relayed request waits for an endpoint that hangs, although others answer.
+#[test]
+fn an_endpoint_that_hangs_is_left_for_another_by_a_peer() {
+    let streams = SilenceCell::hanging(RouteKind::Resumable);
+    walk_relayed(streams.chain(SilenceCell::hanging(RouteKind::Safe)));
+}
--- a/tests/all/unframed.rs
+++ b/tests/all/unframed.rs
@@ -21,7 +21,7 @@
 /// Events of a complete stream.
 const EVENTS: u32 = 3;
 /// Body of a complete answer of a plain service.
-const PLAIN: &str = "plain answer of a service";
+pub const PLAIN: &str = "plain answer of a service";
 /// Time between two requests, after which the endpoints' earlier failures hardly count.
 const BETWEEN: Duration = Duration::from_secs(4);
 /// Longer than any request may take.
@@ -50,8 +50,9 @@
     Silence,
 }
 
+/// What a route allows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum RouteKind {
+pub enum RouteKind {
     Resumable,
     Fixed,
     Safe,
@@ -199,15 +200,15 @@
     Failed,
 }
 
-fn event_text(number: u32) -> String {
+pub fn event_text(number: u32) -> String {
     format!("id: {number}\ndata: piece {number}\n\n")
 }
 
-fn events_text(numbers: impl Iterator<Item = u32>) -> String {
+pub fn events_text(numbers: impl Iterator<Item = u32>) -> String {
     numbers.map(event_text).collect()
 }
 
-fn head_text(id: &str, framing: &str) -> String {
+pub fn head_text(id: &str, framing: &str) -> String {
     format!(
         "HTTP/1.1 200 OK\r\nX-Oleandertack-Request-Id: {id}\r\n\
          X-Oleandertack-Response-Seal: seal\r\n{framing}\r\n"
