--- a/crates/call/src/attempt.rs
+++ b/crates/call/src/attempt.rs
@@ -51,6 +51,37 @@
     GiveUp(ResultCode),
 }
 
+/// What keeps a request from being sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryBarrier {
+    /// The rules allow no further attempt, or the request may not run again.
+    Attempts,
+    /// The request is quarantined.
+    Quarantined,
+    /// No endpoint can be chosen.
+    NoEndpoint,
+    /// No retry is left in the budget of the service.
+    Budget,
+    /// The account's limit leaves no room.
+    Limit,
+    /// The exposure of the version to which the stream is bound leaves no room.
+    Exposure,
+}
+
+impl RetryBarrier {
+    /// The name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            RetryBarrier::Attempts => "attempts",
+            RetryBarrier::Quarantined => "quarantined",
+            RetryBarrier::NoEndpoint => "no_endpoint",
+            RetryBarrier::Budget => "budget",
+            RetryBarrier::Limit => "limit",
+            RetryBarrier::Exposure => "exposure",
+        }
+    }
+}
+
 /// Maximum number of attempts per request that failed before a byte was sent.
 ///
 /// Each costs up to the connect timeout; after three unreachable endpoints so much time is lost
@@ -92,6 +123,13 @@
         self.may_have_run |= end.may_have_run();
     }
 
+    /// Records that the request was also sent to another endpoint, which was left again when the one before it went
+    /// on.
+    pub fn note_beside(&mut self) {
+        self.sent += 1;
+        self.may_have_run = true;
+    }
+
     /// Number of attempts that failed before a byte was sent.
     pub fn unsent(&self) -> u32 {
         self.unsent
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -9,8 +9,9 @@
 use crate::limits::{self, QuotaCharge};
 use crate::node::FrontNode;
 use crate::origins::{self, StreamBinding};
-use crate::relay::{self, NextHop};
+use crate::relay::{self, NextHop, RelayTurn};
 use crate::releases::CandidatePayment;
+use crate::standby::StandbyAttempt;
 use crate::suspects;
 use crate::trace::{CallTrace, TraceGuard};
 use actix_http::header::HeaderMap;
@@ -19,8 +20,8 @@
 use compact_str::CompactString;
 use oleander_board::StopStage;
 use oleander_call::{
-    AccountRule, AttemptEnd, AttemptRecord, CallHead, NextStep, RouteKey, RouteRule, RuleSet,
-    RuleView, admit_call,
+    AccountRule, AttemptEnd, AttemptRecord, CallHead, NextStep, RetryBarrier, RouteKey, RouteRule,
+    RuleSet, RuleView, admit_call,
 };
 use oleander_kind::hash::{HASH_SEED, mix_bits, stable_hash};
 use oleander_kind::{AccountName, InstanceId, ResultCode, ServiceName, TimeSpan};
@@ -139,6 +140,39 @@
     pub(crate) has_demanded: bool,
     /// Whether the request added to the retry budget of its service.
     pub(crate) has_earned: bool,
+    /// What kept the request from being sent again after its last attempt.
+    pub(crate) barrier: Option<RetryBarrier>,
+    /// Why an answer that had begun was cut.
+    pub(crate) cut_cause: Option<CutCause>,
+    /// The attempt that takes over from a silent one.
+    pub(crate) standby: Option<Box<StandbyAttempt>>,
+    /// The peers to which the request is relayed; `None` if it is not.
+    pub(crate) relay_turn: Option<RelayTurn>,
+}
+
+/// Why an answer that had begun was cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CutCause {
+    /// The caller's connection broke.
+    Caller,
+    /// The request's deadline passed.
+    Deadline,
+    /// An attempt ended in this way and none could follow it.
+    Attempt(AttemptEnd),
+    /// No peer served it to the end.
+    Peers,
+}
+
+impl CutCause {
+    /// The name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            CutCause::Caller => "caller",
+            CutCause::Deadline => "deadline",
+            CutCause::Attempt(end) => end.name(),
+            CutCause::Peers => "peers",
+        }
+    }
 }
 
 /// Serves one request and writes its log line.
@@ -260,6 +294,10 @@
         relays_next: relays,
         has_demanded: false,
         has_earned: !relays,
+        barrier: None,
+        cut_cause: None,
+        standby: None,
+        relay_turn: None,
     };
     let outcome = match timeout_at(context.deadline, context.serve()).await {
         Ok(outcome) => outcome,
@@ -325,33 +363,25 @@
         trace.longest_pause = self.longest_pause;
         trace.body_end = self.body_end;
         trace.rest_bytes = self.rest_bytes;
+        trace.barrier = self.barrier;
+        trace.cut_cause = self.cut_cause;
+        trace.silent_ms = self.last_chunk_at.map(|at| at.elapsed().as_millis() as u64);
         trace.first_ms =
             self.first_chunk_at.map(|at| at.duration_since(trace.arrived).as_millis() as u64);
     }
 
     async fn serve(&mut self) -> CallOutcome {
         loop {
-            match self.next_hop() {
-                _ if self.relays_next => return self.serve_by_peers().await,
-                NextHop::Peer => return self.serve_by_peers().await,
-                NextHop::Nowhere => {
-                    self.note_unserved_demand();
-                    return self.give_up(ResultCode::NoEndpoint).await;
-                }
-                NextHop::Endpoint => {}
-            }
-            let Some(choice) = self.choose_for_rollout().await else {
-                return self.refuse_unplaced().await;
+            let outcome = match self.standby.take() {
+                Some(standby) => self.take_over(*standby).await,
+                None => match self.place().await {
+                    Ok(choice) => self.attempt(choice).await,
+                    Err(outcome) => return outcome,
+                },
             };
-            if let Some(retry_in) = self.overload_retry_after(&choice) {
-                // A refused request counts as demand too, so that more endpoints are ordered for it.
-                self.note_demand(choice.unread);
-                self.chosen = Some(choice);
-                return self.answer.refuse(ResultCode::Overloaded, Some(retry_in)).await;
-            }
-            match self.attempt(choice).await {
+            match outcome {
                 AttemptOutcome::Delivered => return Ok(()),
-                AttemptOutcome::CallerGone => return Err(io::ErrorKind::ConnectionAborted.into()),
+                AttemptOutcome::CallerGone => return self.cut(CutCause::Caller),
                 AttemptOutcome::Ended(end, received) => {
                     self.refund_unrun_attempt(end);
                     if let Some(outcome) = self.decide_next(end, received).await {
@@ -362,15 +392,30 @@
         }
     }
 
-    /// Charges the account for a retry if the failed attempt may have run: the tokens of each attempt that
-    /// runs count against the limit. Returns whether the retry is admitted.
-    async fn charge_retry(&self, end: AttemptEnd) -> bool {
-        match &self.charge {
-            Some(charge) if end.may_have_run() => {
-                limits::charge_retry(self.node, charge, self.call.id.as_str()).await
+    /// Chooses an endpoint for the next attempt.
+    ///
+    /// # Errors
+    /// The outcome of the request, if it goes to no endpoint of this process's choice.
+    async fn place(&mut self) -> Result<PlacementChoice, CallOutcome> {
+        match self.next_hop() {
+            _ if self.relays_next => return Err(self.serve_by_peers().await),
+            NextHop::Peer => return Err(self.serve_by_peers().await),
+            NextHop::Nowhere => {
+                self.note_unserved_demand();
+                return Err(self.give_up(ResultCode::NoEndpoint).await);
             }
-            _ => true,
+            NextHop::Endpoint => {}
+        }
+        let Some(choice) = self.choose_for_rollout().await else {
+            return Err(self.refuse_unplaced().await);
+        };
+        if let Some(retry_in) = self.overload_retry_after(&choice) {
+            // A refused request counts as demand too, so that more endpoints are ordered for it.
+            self.note_demand(choice.unread);
+            self.chosen = Some(choice);
+            return Err(self.answer.refuse(ResultCode::Overloaded, Some(retry_in)).await);
         }
+        Ok(choice)
     }
 
     /// Whether an endpoint or a peer may be serving the request now.
@@ -397,11 +442,8 @@
         self.record.note(end);
         self.answer.note_sent(self.record.sent());
         let by_peer = self.next_hop() == NextHop::Peer;
-        let again = (self.record.may_send() || by_peer)
-            && suspects::refused_for(self.node, &self.suspects).is_none()
-            && (by_peer || self.choose().is_some())
-            && (self.record.sent() == 0 || self.node.spend_retry(&self.service))
-            && (by_peer || self.charge_retry(end).await);
+        self.barrier = self.secure_retry(end, by_peer).await.err();
+        let again = self.barrier.is_none();
         self.relays_next = again && by_peer;
         self.node.meter.count_attempt(end.name());
         event!(self.node, AttemptEnded;
@@ -412,7 +454,7 @@
             "print" => self.suspects.request.to_string(), "parts" => self.part_names(),
             "ran_ms" => self.sent_at.map(|at| at.elapsed().as_millis() as u64),
             "fallen" => self.may_have_fallen(),
-            "again" => again, "list_ms" => self.list_age.map(|age| age.0));
+            "again" => again, "barred" => self.barrier.map(RetryBarrier::name), "list_ms" => self.list_age.map(|age| age.0));
         match (self.record.next_step(end, again), received) {
             (NextStep::Retry, _) => None,
             (NextStep::Forward, Some(received)) if self.answer.stage() == AnswerStage::Waiting => {
@@ -422,12 +464,69 @@
                         .await,
                 )
             }
+            _ if self.answer.stage() != AnswerStage::Waiting => {
+                let is_late = Instant::now() >= self.deadline;
+                let cause = if is_late { CutCause::Deadline } else { CutCause::Attempt(end) };
+                Some(self.cut(cause))
+            }
             (NextStep::Forward, _) => Some(self.give_up(ResultCode::Uncertain).await),
             (NextStep::GiveUp(ResultCode::NoEndpoint), _) => Some(self.refuse_unplaced().await),
             (NextStep::GiveUp(code), _) => Some(self.give_up(code).await),
         }
     }
 
+    /// Takes what another attempt needs from the retry budget and the account's limit.
+    ///
+    /// # Errors
+    /// What keeps the request from being sent again.
+    async fn secure_retry(&self, end: AttemptEnd, by_peer: bool) -> Result<(), RetryBarrier> {
+        if self.standby.is_some() {
+            return Ok(());
+        }
+        let ensure = |holds: bool, barrier| if holds { Ok(()) } else { Err(barrier) };
+        ensure(self.record.may_send() || by_peer, RetryBarrier::Attempts)?;
+        let refused = suspects::refused_for(self.node, &self.suspects);
+        ensure(refused.is_none(), RetryBarrier::Quarantined)?;
+        ensure(by_peer || self.choose().is_some(), RetryBarrier::NoEndpoint)?;
+        // A request that did not run is charged already, and a peer charges what is relayed to it.
+        let charge = self.charge.as_ref().filter(|_| end.may_have_run() && !by_peer);
+        self.pay_for_retry(charge, self.record.sent() > 0).await
+    }
+
+    /// Takes what another attempt uses up: `charge`, and a retry of the budget if it `is_repeat`. Takes neither if
+    /// one cannot be had.
+    ///
+    /// # Errors
+    /// Which of them cannot.
+    pub(crate) async fn pay_for_retry(
+        &self,
+        charge: Option<&QuotaCharge>,
+        is_repeat: bool,
+    ) -> Result<(), RetryBarrier> {
+        if is_repeat && self.node.retries_left(&self.service) == 0 {
+            return Err(RetryBarrier::Budget);
+        }
+        if let Some(charge) = charge
+            && !limits::charge_retry(self.node, charge, self.call.id.as_str()).await
+        {
+            return Err(RetryBarrier::Limit);
+        }
+        if is_repeat && !self.node.spend_retry(&self.service) {
+            if let Some(charge) = charge {
+                limits::refund_quota(self.node, charge);
+            }
+            return Err(RetryBarrier::Budget);
+        }
+        Ok(())
+    }
+
+    /// Closes the connection to the caller in the middle of its answer.
+    pub(crate) fn cut(&mut self, cause: CutCause) -> CallOutcome {
+        self.cut_cause = Some(cause);
+        self.node.meter.count_cut(&self.service.0, cause.name());
+        Err(io::ErrorKind::ConnectionAborted.into())
+    }
+
     /// The fingerprints of the shared parts of the prompt, for the log.
     fn part_names(&self) -> String {
         let names: Vec<String> = self.suspects.parts.iter().map(ToString::to_string).collect();
@@ -437,7 +536,7 @@
     /// Ends the request with a refusal, or by closing the connection if the answer has begun.
     pub(crate) async fn give_up(&mut self, code: ResultCode) -> CallOutcome {
         if self.answer.stage() != AnswerStage::Waiting {
-            return Err(io::ErrorKind::ConnectionAborted.into());
+            return self.cut(CutCause::Peers);
         }
         // An attempt may have run, so a code that says "not run" would be false.
         let code = if self.record.may_have_run() && code.guarantees_not_run() {
@@ -456,6 +555,9 @@
                 self.note_broken(key, AttemptEnd::TimedOut);
             }
         }
+        if self.answer.stage() != AnswerStage::Waiting {
+            return self.cut(CutCause::Deadline);
+        }
         let sent = self.is_in_flight() || self.record.sent() > 0;
         let code = if sent { ResultCode::DeadlinePassed } else { ResultCode::DeadlineNotRun };
         self.give_up(code).await
