--- a/tests/all/silent.rs
+++ b/tests/all/silent.rs
@@ -34,6 +34,11 @@
 const EVENTS_BEFORE: u32 = 2;
 /// How long sound endpoints are silent, in milliseconds.
 const SILENCES: [u64; 5] = [500, 1100, 1500, 2000, 3000];
+/// The same around the times at which a request is sent to another endpoint too.
+const RACE_SILENCES: [u64; 20] = [
+    295, 300, 305, 310, 320, 350, 1295, 1300, 1305, 1310, 1320, 1350, 1495, 1500, 1505, 1510, 1520,
+    1550, 2600, 2610,
+];
 /// Longer than any request may take.
 const FOR_GOOD: Duration = Duration::from_secs(60);
 /// The time limit of the requests.
@@ -49,6 +54,9 @@
 const BEAT_PAUSE: Duration = Duration::from_millis(100);
 const BEATS: u32 = 60;
 
+/// How long a slow endpoint takes to answer, and one to refuse.
+const SLOW_TIME: Duration = Duration::from_millis(40);
+const REFUSAL_TIME: Duration = Duration::from_millis(10);
 /// The pause between two tries to use a limit up.
 const PRESS_PAUSE: Duration = Duration::from_millis(20);
 
@@ -72,6 +80,12 @@
     OthersFull,
     /// The others reset the connection as soon as they have it.
     OthersReset,
+    /// The others are silent too.
+    OthersSilent,
+    /// Nothing, but the others answer some time later.
+    OthersSlow,
+    /// The others refuse it unrun a little later.
+    OthersFullLater,
     /// The retry budget of its service is spent.
     Budget,
     /// Its account has no tokens left.
@@ -104,18 +118,44 @@
 enum EndpointTurn {
     Sound,
     Silent,
+    Slow,
     Full,
+    FullLater,
     Reset,
     ResetAfterEvent,
 }
 
+impl EndpointTurn {
+    /// The time before it.
+    fn delay(self) -> Duration {
+        match self {
+            EndpointTurn::Slow => SLOW_TIME,
+            EndpointTurn::FullLater => REFUSAL_TIME,
+            _ => Duration::ZERO,
+        }
+    }
+}
+
 impl SilenceCell {
     fn table(route: RouteKind) -> impl Iterator<Item = SilenceCell> {
-        let barriers = barriers_of(route).iter();
-        barriers.flat_map(move |barrier| {
+        Self::cross(route, barriers_of(route), &SILENCES)
+    }
+
+    /// Requests whose endpoint goes on when another may just have been asked.
+    fn racing(route: RouteKind) -> impl Iterator<Item = SilenceCell> {
+        const BARRIERS: [SendBarrier; 2] = [SendBarrier::OthersSlow, SendBarrier::OthersFullLater];
+        Self::cross(route, &BARRIERS, &RACE_SILENCES)
+    }
+
+    fn cross(
+        route: RouteKind,
+        barriers: &'static [SendBarrier],
+        silences: &'static [u64],
+    ) -> impl Iterator<Item = SilenceCell> {
+        barriers.iter().flat_map(move |barrier| {
             points_of(route, *barrier).iter().flat_map(move |at| {
-                SILENCES.into_iter().map(move |ms| {
-                    let silence = Duration::from_millis(ms);
+                silences.iter().map(move |ms| {
+                    let silence = Duration::from_millis(*ms);
                     SilenceCell { route, at: *at, silence, barrier: *barrier }
                 })
             })
@@ -187,6 +227,9 @@
             _ if sends == self.sends_before() => EndpointTurn::Silent,
             SendBarrier::OthersFull => EndpointTurn::Full,
             SendBarrier::OthersReset => EndpointTurn::Reset,
+            SendBarrier::OthersSilent => EndpointTurn::Silent,
+            SendBarrier::OthersSlow => EndpointTurn::Slow,
+            SendBarrier::OthersFullLater => EndpointTurn::FullLater,
             SendBarrier::OneFull if sends == 1 => EndpointTurn::Full,
             SendBarrier::Last if sends == 0 && !self.may_run_again() => EndpointTurn::Full,
             SendBarrier::Last if sends == 0 => EndpointTurn::Reset,
@@ -266,6 +309,7 @@
             By::Alone,
             By::OthersFull,
             By::OthersReset,
+            By::OthersSilent,
             By::Budget,
             By::Limit,
             By::Held,
@@ -278,6 +322,7 @@
             By::Alone,
             By::OthersFull,
             By::OthersReset,
+            By::OthersSilent,
             By::Budget,
             By::Limit,
             By::Held,
@@ -375,14 +420,17 @@
     };
     let last = seen.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
     let (before, after) = cell.answer(id, last);
+    sleep(turn.delay()).await;
     match turn {
-        EndpointTurn::Sound => stream.write_all((before + &after).as_bytes()).await,
+        EndpointTurn::Sound | EndpointTurn::Slow => {
+            stream.write_all((before + &after).as_bytes()).await
+        }
         EndpointTurn::Silent => {
             stream.write_all(before.as_bytes()).await?;
             sleep(cell.silence).await;
             stream.write_all(after.as_bytes()).await
         }
-        EndpointTurn::Full => {
+        EndpointTurn::Full | EndpointTurn::FullLater => {
             let refusal = format!(
                 "HTTP/1.1 503 Full\r\nX-Oleandertack-Request-Id: {id}\r\n\
                  X-Oleandertack-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -672,6 +720,21 @@
     walk_relayed(once.chain(SilenceCell::table(RouteKind::Safe)));
 }
 
+/// A request fails, or its caller gets an event twice or not at all, because its endpoint goes on in the moment in
+/// which another one was asked.
+#[test]
+fn an_endpoint_that_goes_on_as_another_is_asked_costs_no_answer() {
+    let streams = SilenceCell::racing(RouteKind::Resumable);
+    walk_direct(streams.chain(SilenceCell::racing(RouteKind::Safe)));
+}
+
+/// The same for relayed requests.
+#[test]
+fn an_endpoint_that_goes_on_as_a_peer_asks_another_costs_no_answer() {
+    let streams = SilenceCell::racing(RouteKind::Resumable);
+    walk_relayed(streams.chain(SilenceCell::racing(RouteKind::Safe)));
+}
+
 /// A request waits for an endpoint that hangs, although others answer.
 #[test]
 fn an_endpoint_that_hangs_is_left_for_another() {
