Say what a dropped request waited for, and log connections cut in a request

Cause: the trace of a request was filled only at its end, so that the line of one whose caller left said `sent` 0 and nothing of an attempt under way. A connection that ended with a request half read had no line. Change: the trace is filled when the request's context is dropped: endpoint, peer, attempts with the one under way, status and what it waited for (`stage`). An event `connection_cut` and a counter of ended connections by reason; idle ones are only counted. No change of behaviour towards callers.

--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -77,6 +77,11 @@
         self.status
     }
 
+    /// Whether a part of the answer waits for the caller to take it.
+    pub fn is_writing(&self) -> bool {
+        !self.out.is_empty()
+    }
+
     /// Result code of the refusal; none if the answer is not a refusal.
     pub fn code(&self) -> Option<ResultCode> {
         self.code
--- /dev/null
+++ b/crates/front/src/connection.rs
@@ -0,0 +1,131 @@
+//! Counts how callers' connections end, and logs those that end with a request half read.
+
+use crate::events::event;
+use crate::node::FrontNode;
+use oleander_board::StopStage;
+use oleander_kind::ResultCode;
+use std::rc::Rc;
+use tokio::time::Instant;
+
+/// Why a caller's connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// The caller closed it, or it broke.
+    Caller,
+    /// It was idle for too long.
+    Idle,
+    /// This process stops.
+    Stop,
+    /// A request could not be read to its end, and was refused.
+    Refused(ResultCode),
+    /// The last answer ended it.
+    Answered,
+}
+
+impl ConnectionEnd {
+    /// The name in the log and in the metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            ConnectionEnd::Caller => "caller",
+            ConnectionEnd::Idle => "idle",
+            ConnectionEnd::Stop => "stop",
+            ConnectionEnd::Refused(ResultCode::SlowHead | ResultCode::SlowBody) => "time",
+            ConnectionEnd::Refused(_) => "malformed",
+            ConnectionEnd::Answered => "answered",
+        }
+    }
+
+    fn code(self) -> Option<ResultCode> {
+        match self {
+            ConnectionEnd::Refused(code) => Some(code),
+            _ => None,
+        }
+    }
+}
+
+/// What was read of a request that is not complete.
+#[derive(Clone, Copy, Debug)]
+struct PartialRequest {
+    bytes: usize,
+    has_head: bool,
+    began: Instant,
+}
+
+/// Follows the requests on one connection. When it is dropped, the end of the connection is counted, and
+/// logged if a request was read in part.
+pub struct ConnectionTrace {
+    node: Rc<FrontNode>,
+    /// Requests that were read completely.
+    requests: u64,
+    /// When the connection was opened or its last answer ended.
+    idle_since: Instant,
+    reading: Option<PartialRequest>,
+    /// None if the task of the connection was dropped.
+    end: Option<ConnectionEnd>,
+}
+
+impl ConnectionTrace {
+    /// Follows a connection that was opened now.
+    pub fn new(node: &Rc<FrontNode>) -> Self {
+        ConnectionTrace {
+            node: node.clone(),
+            requests: 0,
+            idle_since: Instant::now(),
+            reading: None,
+            end: None,
+        }
+    }
+
+    /// The first bytes of a request have been read.
+    pub fn note_begun(&mut self, bytes: usize) {
+        self.reading = Some(PartialRequest { bytes, has_head: false, began: Instant::now() });
+    }
+
+    /// More bytes of it have been read.
+    pub fn note_read(&mut self, count: usize) {
+        if let Some(reading) = &mut self.reading {
+            reading.bytes += count;
+        }
+    }
+
+    /// Its head is complete.
+    pub fn note_head(&mut self) {
+        if let Some(reading) = &mut self.reading {
+            reading.has_head = true;
+        }
+    }
+
+    /// It is complete.
+    pub fn note_complete(&mut self) {
+        self.reading = None;
+        self.requests += 1;
+    }
+
+    /// Its answer has ended, and the connection is idle.
+    pub fn note_answered(&mut self) {
+        self.idle_since = Instant::now();
+    }
+
+    /// The connection ends; `unread` bytes of a further request were read and are dropped.
+    pub fn end(&mut self, end: ConnectionEnd, unread: usize) {
+        self.end = Some(end);
+        if unread > 0 && self.reading.is_none() {
+            self.note_begun(unread);
+        }
+    }
+}
+
+impl Drop for ConnectionTrace {
+    fn drop(&mut self) {
+        let end = self.end.unwrap_or(ConnectionEnd::Stop);
+        self.node.meter.count_connection_end(end.name(), self.reading.is_some());
+        let Some(reading) = self.reading else { return };
+        let idle = reading.began.duration_since(self.idle_since);
+        event!(self.node, ConnectionCut;
+            "why" => end.name(), "code" => end.code().map(ResultCode::number),
+            "bytes" => reading.bytes, "part" => if reading.has_head { "body" } else { "head" },
+            "first" => self.requests == 0, "idle_ms" => idle.as_millis() as u64,
+            "ms" => reading.began.elapsed().as_millis() as u64,
+            "stops" => self.node.stop.get() != StopStage::Serving);
+    }
+}
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -13,7 +13,7 @@
 use crate::releases::CandidatePayment;
 use crate::standby::StandbyAttempt;
 use crate::suspects;
-use crate::trace::{CallTrace, TraceGuard};
+use crate::trace::{CallStage, CallTrace, TraceGuard};
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, StatusCode};
 use bytes::Bytes;
@@ -148,6 +148,8 @@
     pub(crate) standby: Option<Box<StandbyAttempt>>,
     /// The peers to which the request is relayed; `None` if it is not.
     pub(crate) relay_turn: Option<RelayTurn>,
+    /// What the log line of the request is written from; filled when the context is dropped.
+    pub(crate) trace: Option<&'a mut CallTrace>,
 }
 
 /// Why an answer that had begun was cut.
@@ -235,6 +237,7 @@
         return answer.refuse(ResultCode::RequestHeld, Some(left)).await;
     }
     let owner = account.map(|account| &account.name);
+    trace.stage = CallStage::Origin;
     let binding = match origins::bind_request(node, (&call, route), (owner, &service)).await {
         Ok(binding) => binding,
         Err(refusal) => return answer.refuse(refusal.code, refusal.retry).await,
@@ -243,6 +246,7 @@
     let relays = relay::is_relayed_at_once(node, (&call, &service), &binding);
     let charged = account.filter(|_| !relays);
     let charge = charged.and_then(|account| QuotaCharge::of(node, account, &call));
+    trace.stage = CallStage::Ledger;
     if let Some(charge) = &charge
         && let Err(retry) = limits::charge_quota(node, charge, call.id.as_str()).await
     {
@@ -298,13 +302,13 @@
         cut_cause: None,
         standby: None,
         relay_turn: None,
+        trace: Some(trace),
     };
     let outcome = match timeout_at(context.deadline, context.serve()).await {
         Ok(outcome) => outcome,
         Err(_) => context.expire().await,
     };
     context.refund_unused();
-    context.note_trace(trace);
     outcome
 }
 
@@ -351,7 +355,7 @@
         self.rules.route(self.route)
     }
 
-    fn note_trace(&self, trace: &mut CallTrace) {
+    pub(crate) fn note_trace(&self, trace: &mut CallTrace) {
         trace.sent = self.record.sent() + u32::from(self.first_chunk_at.is_some());
         trace.may_have_run = self.record.may_have_run() || self.is_in_flight();
         trace.peer = self.peer.clone();
--- a/crates/front/src/ingress.rs
+++ b/crates/front/src/ingress.rs
@@ -5,6 +5,7 @@
 //! the rules in force, so this module has its own loop and uses only the codec of `actix_http`.
 
 use crate::answer::AnswerWriter;
+use crate::connection::{ConnectionEnd, ConnectionTrace};
 use crate::drive::serve_call;
 use crate::events::event;
 use crate::node::FrontNode;
@@ -60,39 +61,31 @@
     }
 }
 
-enum HeadOutcome {
-    Read(Request),
-    Closed,
-    Refused(ResultCode),
+/// A caller's connection.
+struct CallerConnection {
+    node: Rc<FrontNode>,
+    stream: TcpStream,
+    codec: Codec,
+    buffer: BytesMut,
+    trace: ConnectionTrace,
 }
 
-async fn serve_connection(node: Rc<FrontNode>, mut stream: TcpStream) {
+async fn serve_connection(node: Rc<FrontNode>, stream: TcpStream) {
     if let Err(fault) = configure_socket(&stream, SocketBounds::default()) {
         event!(node, CallerFault; "fault" => fault.to_string());
     }
-    let mut codec = Codec::new(node.http.config().clone());
-    let mut buffer = BytesMut::new();
-    loop {
-        let bounds = caller_bounds(&node);
-        let outcome = read_head(&node, &mut stream, &mut codec, &mut buffer, bounds).await;
-        let request = match outcome {
-            HeadOutcome::Read(request) => request,
-            HeadOutcome::Closed => return,
-            HeadOutcome::Refused(code) => return refuse_and_close(stream, &mut codec, code).await,
-        };
-        let body = read_body(&mut stream, &mut codec, &mut buffer, &request, bounds).await;
-        let body = match body {
-            Ok(body) => body,
-            Err(Some(code)) => return refuse_and_close(stream, &mut codec, code).await,
-            Err(None) => return,
-        };
-        let answered =
-            answer_request(&node, &mut stream, &mut codec, &mut buffer, (request, body)).await;
-        match answered {
-            NextUse::Request => {}
-            NextUse::Close => return,
-            NextUse::Linger => return linger(&mut stream).await,
-        }
+    let mut connection = CallerConnection {
+        codec: Codec::new(node.http.config().clone()),
+        buffer: BytesMut::new(),
+        trace: ConnectionTrace::new(&node),
+        node,
+        stream,
+    };
+    let end = connection.serve().await;
+    connection.trace.end(end, connection.buffer.len());
+    drop(connection.trace);
+    if let ConnectionEnd::Refused(code) = end {
+        refuse_and_close(connection.stream, &mut connection.codec, code).await;
     }
 }
 
@@ -100,100 +93,152 @@
     node.rules.borrow().current().map_or_else(CallerBounds::default, |rules| rules.bounds())
 }
 
-/// Waits for a request and reads its head within the limits of `bounds`.
-async fn read_head(
-    node: &FrontNode,
-    stream: &mut TcpStream,
-    codec: &mut Codec,
-    buffer: &mut BytesMut,
-    bounds: CallerBounds,
-) -> HeadOutcome {
-    if buffer.is_empty() && !wait_first_byte(node, stream, buffer, bounds).await {
-        return HeadOutcome::Closed;
-    }
-    let until = Instant::now() + bounds.head_timeout.duration();
-    loop {
-        let buffered = buffer.len();
-        match codec.decode(buffer) {
-            Ok(Some(Message::Item(request))) => {
-                let too_long = buffered - buffer.len() > bounds.head_bytes;
-                let upgrade = codec.message_type() == MessageType::Stream;
-                return match (too_long, upgrade) {
-                    (true, _) => HeadOutcome::Refused(ResultCode::HeaderTooLarge),
-                    (_, true) => HeadOutcome::Refused(ResultCode::BadHead),
-                    _ => HeadOutcome::Read(request),
-                };
-            }
-            Ok(Some(Message::Chunk(_))) => return HeadOutcome::Refused(ResultCode::BadHead),
-            Ok(None) if buffered > bounds.head_bytes => {
-                return HeadOutcome::Refused(ResultCode::HeaderTooLarge);
-            }
-            Ok(None) => {}
-            Err(ParseError::TooLarge) => {
-                return HeadOutcome::Refused(ResultCode::HeaderTooLarge);
+impl CallerConnection {
+    /// Answers requests until the connection ends.
+    async fn serve(&mut self) -> ConnectionEnd {
+        loop {
+            let request = match self.read_request().await {
+                Ok(request) => request,
+                Err(end) => return end,
+            };
+            match self.answer(request).await {
+                NextUse::Request => self.trace.note_answered(),
+                NextUse::Close => return ConnectionEnd::Answered,
+                NextUse::CallerGone => return ConnectionEnd::Caller,
+                NextUse::Linger => {
+                    linger(&mut self.stream).await;
+                    return ConnectionEnd::Answered;
+                }
             }
-            Err(_) => return HeadOutcome::Refused(ResultCode::BadHead),
-        }
-        buffer.reserve(READ_SIZE);
-        match timeout_at(until, stream.read_buf(buffer)).await {
-            Ok(Ok(0)) | Ok(Err(_)) => return HeadOutcome::Closed,
-            Ok(Ok(_)) => {}
-            Err(_) => return HeadOutcome::Refused(ResultCode::SlowHead),
         }
     }
-}
 
-/// Waits for the first byte of a request; returns false if the caller closed the connection, the idle
-/// timeout passed, or the process closes idle connections because it stops.
-async fn wait_first_byte(
-    node: &FrontNode,
-    stream: &mut TcpStream,
-    buffer: &mut BytesMut,
-    bounds: CallerBounds,
-) -> bool {
-    buffer.reserve(READ_SIZE);
-    tokio::select! {
-        biased;
-        read = stream.read_buf(buffer) => matches!(read, Ok(count) if count > 0),
-        () = node.close_idle.notified() => false,
-        () = tokio::time::sleep(bounds.idle_timeout.duration()) => false,
+    /// Waits for a request and reads it; an error is the end of the connection.
+    async fn read_request(&mut self) -> Result<(Request, Bytes), ConnectionEnd> {
+        let bounds = caller_bounds(&self.node);
+        if self.buffer.is_empty() {
+            self.wait_first_byte(bounds).await?;
+        }
+        self.trace.note_begun(self.buffer.len());
+        let request = self.read_head(bounds).await?;
+        self.trace.note_head();
+        let body = self.read_body(&request, bounds).await?;
+        self.trace.note_complete();
+        Ok((request, body))
     }
-}
 
-/// Reads a request's body. `Err(None)` means that the caller disconnected.
-async fn read_body(
-    stream: &mut TcpStream,
-    codec: &mut Codec,
-    buffer: &mut BytesMut,
-    request: &Request,
-    bounds: CallerBounds,
-) -> Result<Bytes, Option<ResultCode>> {
-    if codec.message_type() == MessageType::None {
-        return Ok(Bytes::new());
+    /// Waits for the first byte of a request; fails if the caller closed the connection, the idle
+    /// timeout passed, or the process closes idle connections because it stops.
+    async fn wait_first_byte(&mut self, bounds: CallerBounds) -> Result<(), ConnectionEnd> {
+        self.buffer.reserve(READ_SIZE);
+        tokio::select! {
+            biased;
+            read = self.stream.read_buf(&mut self.buffer) => match read {
+                Ok(0) | Err(_) => Err(ConnectionEnd::Caller),
+                Ok(_) => Ok(()),
+            },
+            () = self.node.close_idle.notified() => Err(ConnectionEnd::Stop),
+            () = tokio::time::sleep(bounds.idle_timeout.duration()) => Err(ConnectionEnd::Idle),
+        }
     }
-    if request.head().expect() {
-        let written = stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
-        written.map_err(|_| None)?;
+
+    /// Reads the head of a request within the limits of `bounds`.
+    async fn read_head(&mut self, bounds: CallerBounds) -> Result<Request, ConnectionEnd> {
+        let until = Instant::now() + bounds.head_timeout.duration();
+        let refused = |code| Err(ConnectionEnd::Refused(code));
+        loop {
+            let buffered = self.buffer.len();
+            match self.codec.decode(&mut self.buffer) {
+                Ok(Some(Message::Item(request))) => {
+                    let too_long = buffered - self.buffer.len() > bounds.head_bytes;
+                    let upgrade = self.codec.message_type() == MessageType::Stream;
+                    return match (too_long, upgrade) {
+                        (true, _) => refused(ResultCode::HeaderTooLarge),
+                        (_, true) => refused(ResultCode::BadHead),
+                        _ => Ok(request),
+                    };
+                }
+                Ok(Some(Message::Chunk(_))) => return refused(ResultCode::BadHead),
+                Ok(None) if buffered > bounds.head_bytes => {
+                    return refused(ResultCode::HeaderTooLarge);
+                }
+                Ok(None) => {}
+                Err(ParseError::TooLarge) => return refused(ResultCode::HeaderTooLarge),
+                Err(_) => return refused(ResultCode::BadHead),
+            }
+            match timeout_at(until, self.read_more()).await {
+                Ok(read) => read?,
+                Err(_) => return refused(ResultCode::SlowHead),
+            }
+        }
     }
-    let mut body = BytesMut::new();
-    loop {
-        match codec.decode(buffer) {
-            Ok(Some(Message::Chunk(Some(bytes)))) => body.extend_from_slice(&bytes),
-            Ok(Some(Message::Chunk(None))) => return Ok(body.freeze()),
-            Ok(Some(Message::Item(_))) | Err(_) => return Err(Some(ResultCode::BadHead)),
-            Ok(None) => {
-                buffer.reserve(READ_SIZE);
-                let read =
-                    tokio::time::timeout(bounds.idle_timeout.duration(), stream.read_buf(buffer));
-                match read.await {
-                    Ok(Ok(0)) | Ok(Err(_)) => return Err(None),
-                    Ok(Ok(_)) => {}
-                    Err(_) => return Err(Some(ResultCode::SlowBody)),
+
+    /// Reads the body of a request.
+    async fn read_body(
+        &mut self,
+        request: &Request,
+        bounds: CallerBounds,
+    ) -> Result<Bytes, ConnectionEnd> {
+        if self.codec.message_type() == MessageType::None {
+            return Ok(Bytes::new());
+        }
+        if request.head().expect() {
+            let written = self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+            written.map_err(|_| ConnectionEnd::Caller)?;
+        }
+        let refused = |code| Err(ConnectionEnd::Refused(code));
+        let mut body = BytesMut::new();
+        loop {
+            match self.codec.decode(&mut self.buffer) {
+                Ok(Some(Message::Chunk(Some(bytes)))) => body.extend_from_slice(&bytes),
+                Ok(Some(Message::Chunk(None))) => return Ok(body.freeze()),
+                Ok(Some(Message::Item(_))) | Err(_) => return refused(ResultCode::BadHead),
+                Ok(None) => {
+                    let limit = bounds.idle_timeout.duration();
+                    match tokio::time::timeout(limit, self.read_more()).await {
+                        Ok(read) => read?,
+                        Err(_) => return refused(ResultCode::SlowBody),
+                    }
                 }
             }
+            if body.len() > bounds.body_bytes {
+                return refused(ResultCode::BodyTooLarge);
+            }
         }
-        if body.len() > bounds.body_bytes {
-            return Err(Some(ResultCode::BodyTooLarge));
+    }
+
+    /// Reads more bytes of a request.
+    async fn read_more(&mut self) -> Result<(), ConnectionEnd> {
+        self.buffer.reserve(READ_SIZE);
+        match self.stream.read_buf(&mut self.buffer).await {
+            Ok(0) | Err(_) => Err(ConnectionEnd::Caller),
+            Ok(count) => {
+                self.trace.note_read(count);
+                Ok(())
+            }
+        }
+    }
+
+    /// Answers one request.
+    async fn answer(&mut self, (mut request, body): (Request, Bytes)) -> NextUse {
+        let CallerConnection { node, stream, codec, buffer, .. } = self;
+        node.in_flight.set(node.in_flight.get() + 1);
+        let _guard = InflightGuard(&node.in_flight);
+        let (mut reader, writer) = stream.split();
+        let closes = node.stop.get() != StopStage::Serving;
+        let mut answer = AnswerWriter::new(writer, codec, closes);
+        let head = std::mem::take(request.head_mut());
+        let request = CallerRequest { head, body };
+        tokio::select! {
+            biased;
+            outcome = serve_call(node, request, &mut answer) => {
+                match outcome {
+                    Ok(()) if answer.can_reuse() => NextUse::Request,
+                    Ok(()) if answer.has_ended_connection() => NextUse::Linger,
+                    Ok(()) | Err(_) => NextUse::Close,
+                }
+            }
+            () = wait_caller_close(&mut reader, buffer) => NextUse::CallerGone,
         }
     }
 }
@@ -212,38 +257,12 @@
     Request,
     /// For nothing.
     Close,
+    /// For nothing: the caller closed it before it had its answer.
+    CallerGone,
     /// This side was closed in an orderly way; the caller still has to read what was sent.
     Linger,
 }
 
-/// Answers one request.
-async fn answer_request(
-    node: &Rc<FrontNode>,
-    stream: &mut TcpStream,
-    codec: &mut Codec,
-    buffer: &mut BytesMut,
-    (mut request, body): (Request, Bytes),
-) -> NextUse {
-    node.in_flight.set(node.in_flight.get() + 1);
-    let _guard = InflightGuard(&node.in_flight);
-    let (mut reader, writer) = stream.split();
-    let closes = node.stop.get() != StopStage::Serving;
-    let mut answer = AnswerWriter::new(writer, codec, closes);
-    let head = std::mem::take(request.head_mut());
-    let request = CallerRequest { head, body };
-    tokio::select! {
-        biased;
-        outcome = serve_call(node, request, &mut answer) => {
-            match outcome {
-                Ok(()) if answer.can_reuse() => NextUse::Request,
-                Ok(()) if answer.has_ended_connection() => NextUse::Linger,
-                Ok(()) | Err(_) => NextUse::Close,
-            }
-        }
-        () = wait_caller_close(&mut reader, buffer) => NextUse::Close,
-    }
-}
-
 /// Waits until the caller closes its side. Bytes that it sends meanwhile are buffered as pipelined requests.
 async fn wait_caller_close(reader: &mut ReadHalf<'_>, buffer: &mut BytesMut) {
     while buffer.len() < PIPELINE_LIMIT {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod answer;
 pub mod attempt;
 mod closed;
+mod connection;
 pub mod discover;
 pub mod drive;
 pub mod duties;
--- a/crates/front/src/meter.rs
+++ b/crates/front/src/meter.rs
@@ -35,6 +35,7 @@
     relays: Counter<u64>,
     path_losses: Counter<u64>,
     brittle_refusals: Counter<u64>,
+    connection_ends: Counter<u64>,
     first_ms: Histogram<f64>,
     total_ms: Histogram<f64>,
     list_age_ms: Histogram<f64>,
@@ -69,6 +70,7 @@
             relays: meter.u64_counter("oleander_front_relays").build(),
             path_losses: meter.u64_counter("oleander_front_path_losses").build(),
             brittle_refusals: meter.u64_counter("oleander_front_brittle_refusals").build(),
+            connection_ends: meter.u64_counter("oleander_front_connection_ends").build(),
             first_ms: latency("oleander_front_first_ms"),
             total_ms: latency("oleander_front_total_ms"),
             list_age_ms: latency("oleander_front_list_age_ms"),
@@ -199,6 +201,11 @@
         self.brittle_refusals.add(1, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    /// Counts a caller's connection that ended, by the reason, and whether a request had been read in part.
+    pub fn count_connection_end(&self, why: &'static str, is_cut: bool) {
+        self.connection_ends.add(1, &[KeyValue::new("why", why), KeyValue::new("cut", is_cut)]);
+    }
+
     /// Counts a usage report, by whether the platform accepted it.
     pub fn count_usage(&self, taken: bool) {
         self.usage_reports.add(1, &[KeyValue::new("taken", taken)]);
--- a/crates/front/src/trace.rs
+++ b/crates/front/src/trace.rs
@@ -1,10 +1,11 @@
 //! Writes one log line for each finished request, whatever its outcome.
 
 use crate::answer::AnswerWriter;
-use crate::drive::{CallOutcome, CutCause};
+use crate::drive::{CallContext, CallOutcome, CutCause};
 use crate::events::event;
 use crate::node::FrontNode;
 use compact_str::CompactString;
+use oleander_board::StopStage;
 use oleander_call::RetryBarrier;
 use oleander_kind::{InstanceId, ResultCode, TimeSpan};
 use oleander_outlet::BodyEnd;
@@ -13,6 +14,36 @@
 use std::rc::Rc;
 use tokio::time::Instant;
 
+/// What a request waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallStage {
+    /// The rules: it is judged by them, and may be refused.
+    Rules,
+    /// The software version that began its stream.
+    Origin,
+    /// The charge of its account.
+    Ledger,
+    /// An endpoint.
+    Endpoint,
+    /// A peer to which it is relayed.
+    Peer,
+    /// Its caller, who has to take the answer.
+    Caller,
+}
+
+impl CallStage {
+    fn name(self) -> &'static str {
+        match self {
+            CallStage::Rules => "rules",
+            CallStage::Origin => "origin",
+            CallStage::Ledger => "ledger",
+            CallStage::Endpoint => "endpoint",
+            CallStage::Peer => "peer",
+            CallStage::Caller => "caller",
+        }
+    }
+}
+
 /// Data of a request for its log line.
 pub struct CallTrace {
     /// When its head was read.
@@ -59,6 +90,12 @@
     pub(crate) cut_cause: Option<CutCause>,
     /// Milliseconds since the last part of its answer was received.
     pub(crate) silent_ms: Option<u64>,
+    /// What it waits for.
+    pub(crate) stage: CallStage,
+    /// Whether an endpoint or a peer may be running it.
+    pub(crate) under_way: bool,
+    /// Status of the answer that has begun; 0 before.
+    pub(crate) status: u16,
 }
 
 impl CallTrace {
@@ -86,6 +123,9 @@
             barrier: None,
             cut_cause: None,
             silent_ms: None,
+            stage: CallStage::Rules,
+            under_way: false,
+            status: 0,
         }
     }
 
@@ -118,7 +158,8 @@
                 "status" => answer.status(), "sent" => self.sent,
                 "endpoint" => endpoint, "peer" => peer, "last_event" => self.last_event, "total_ms" => total_ms,
                 "version" => self.version.as_deref(), "resumes" => self.resumes.as_deref(),
-                "rules" => self.rules),
+                "rules" => self.rules,
+                "stage" => (self.stage == CallStage::Caller).then(|| self.stage.name())),
             (Ok(()), Some(code)) => event!(node, RequestRefused;
                 "request" => request, "print" => fingerprint, "service" => self.service.as_str(),
                 "code" => code.number(), "name" => code.name(), "status" => code.status(),
@@ -168,9 +209,40 @@
         if self.logged {
             return;
         }
-        let total_ms = self.trace.arrived.elapsed().as_millis() as u64;
+        let trace = &self.trace;
+        let why = match self.node.stop.get() {
+            StopStage::Stopped => "the process ended",
+            StopStage::Serving | StopStage::Unready | StopStage::Draining => {
+                "the caller disconnected"
+            }
+        };
         event!(self.node, RequestCut;
-            "request" => self.trace.request.as_str(), "service" => self.trace.service.as_str(),
-            "why" => "the caller disconnected", "sent" => self.trace.sent, "total_ms" => total_ms);
+            "request" => trace.request.as_str(),
+            "print" => trace.fingerprint.map(|fingerprint| fingerprint.to_string()),
+            "service" => trace.service.as_str(), "why" => why, "status" => trace.status,
+            "sent" => trace.sent, "stage" => trace.stage.name(), "under_way" => trace.under_way,
+            "endpoint" => trace.endpoint.as_ref().map(|id| id.as_str()),
+            "peer" => trace.peer.as_ref().map(|id| id.as_str()), "last_event" => trace.last_event,
+            "total_ms" => trace.arrived.elapsed().as_millis() as u64,
+            "version" => trace.version.as_deref(), "resumes" => trace.resumes.as_deref(),
+            "rules" => trace.rules);
+    }
+}
+
+/// Fills the trace also when the task of the request is dropped.
+impl Drop for CallContext<'_, '_> {
+    fn drop(&mut self) {
+        let Some(trace) = self.trace.take() else { return };
+        self.note_trace(trace);
+        let runs_at_endpoint = self.current.is_some() && self.sent_at.is_some();
+        trace.sent = trace.sent.max(self.record.sent() + u32::from(runs_at_endpoint));
+        trace.under_way = runs_at_endpoint || self.peer_in_flight;
+        trace.status = self.answer.status();
+        trace.stage = match self.peer {
+            _ if self.answer.is_writing() => CallStage::Caller,
+            _ if self.current.is_some() => CallStage::Endpoint,
+            Some(_) => CallStage::Peer,
+            None => CallStage::Ledger,
+        };
     }
 }
--- a/tests/all/front.rs
+++ b/tests/all/front.rs
@@ -169,6 +169,15 @@
 
 /// Starts a process with these ports and bounds, and waits until it is ready.
 pub async fn front_with(ports: FrontPorts, bounds: FrontBounds) -> (FrontProcess, SocketAddr) {
+    front_with_log(ports, bounds, slog::Logger::root(slog::Discard, slog::o!())).await
+}
+
+/// Like [`front_with`], with a log.
+pub async fn front_with_log(
+    ports: FrontPorts,
+    bounds: FrontBounds,
+    log: slog::Logger,
+) -> (FrontProcess, SocketAddr) {
     let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
     let settings = FrontSettings {
         instance: "front-0".into(),
@@ -185,7 +194,6 @@
         cores: 0.25,
         bounds,
     };
-    let log = slog::Logger::root(slog::Discard, slog::o!());
     let process = start_front(settings, log, Box::new(HttpDialect), ports, None);
     let process = process.await.expect("it listens");
     while !process.node.is_ready() {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -26,6 +26,7 @@
 mod lease;
 mod leaving;
 mod limit;
+mod lines;
 mod list;
 mod lives;
 mod member;
