Judge a request and an idle connection by the larger of the limits then and now

Cause: the limits of a connection were read once, before it waited for a request. An idle timeout that grew meanwhile did not hold, while callers count on four fifths of the newest one; a request that began later was judged by the limits of before, and one that arrived while they grew was refused. Change: an idle connection is kept for the longer of the timeout at the beginning of the wait and the newest one, read again when it passes. A request keeps to the larger of each limit as it began and now: size of head and body, time of the head, pause of the body. Nothing is buffered beyond the newest limit in the hope that it grows.

--- a/crates/call/src/rules.rs
+++ b/crates/call/src/rules.rs
@@ -175,6 +175,18 @@
     }
 }
 
+impl CallerBounds {
+    /// The larger of each bound.
+    pub fn larger(self, other: CallerBounds) -> CallerBounds {
+        CallerBounds {
+            head_bytes: self.head_bytes.max(other.head_bytes),
+            body_bytes: self.body_bytes.max(other.body_bytes),
+            head_timeout: self.head_timeout.max(other.head_timeout),
+            idle_timeout: self.idle_timeout.max(other.idle_timeout),
+        }
+    }
+}
+
 /// One version of the rules.
 #[derive(Clone, Debug, Default)]
 pub struct RuleSet {
--- a/crates/front/src/ingress.rs
+++ b/crates/front/src/ingress.rs
@@ -113,40 +113,56 @@
         }
     }
 
+    /// The larger of the bounds that were in force at a moment and those that are now.
+    ///
+    /// A caller may count on the newest ones as soon as they are written, and on older ones for what it has begun.
+    fn bounds_since(&self, before: CallerBounds) -> CallerBounds {
+        before.larger(caller_bounds(&self.node))
+    }
+
     /// Waits for a request and reads it; an error is the end of the connection.
     async fn read_request(&mut self) -> Result<(Request, Bytes), ConnectionEnd> {
-        let bounds = caller_bounds(&self.node);
         if self.buffer.is_empty() {
-            self.wait_first_byte(bounds).await?;
+            self.wait_first_byte().await?;
         }
         self.trace.note_begun(self.buffer.len());
-        let request = self.read_head(bounds).await?;
+        let begun = caller_bounds(&self.node);
+        let request = self.read_head(begun).await?;
         self.trace.note_head();
-        let body = self.read_body(&request, bounds).await?;
+        let body = self.read_body(&request, begun).await?;
         self.trace.note_complete();
         Ok((request, body))
     }
 
     /// Waits for the first byte of a request; fails if the caller closed the connection, the idle
     /// timeout passed, or the process closes idle connections because it stops.
-    async fn wait_first_byte(&mut self, bounds: CallerBounds) -> Result<(), ConnectionEnd> {
-        self.buffer.reserve(READ_SIZE);
-        tokio::select! {
-            biased;
-            read = self.stream.read_buf(&mut self.buffer) => match read {
-                Ok(0) | Err(_) => Err(ConnectionEnd::Caller),
-                Ok(_) => Ok(()),
-            },
-            () = self.node.close_idle.notified() => Err(ConnectionEnd::Stop),
-            () = tokio::time::sleep(bounds.idle_timeout.duration()) => Err(ConnectionEnd::Idle),
+    async fn wait_first_byte(&mut self) -> Result<(), ConnectionEnd> {
+        let (since, before) = (Instant::now(), caller_bounds(&self.node));
+        loop {
+            let limit = self.bounds_since(before).idle_timeout;
+            self.buffer.reserve(READ_SIZE);
+            tokio::select! {
+                biased;
+                read = self.stream.read_buf(&mut self.buffer) => return match read {
+                    Ok(0) | Err(_) => Err(ConnectionEnd::Caller),
+                    Ok(_) => Ok(()),
+                },
+                () = self.node.close_idle.notified() => return Err(ConnectionEnd::Stop),
+                () = tokio::time::sleep_until(since + limit.duration()) => {
+                    if self.bounds_since(before).idle_timeout <= limit {
+                        return Err(ConnectionEnd::Idle);
+                    }
+                }
+            }
         }
     }
 
-    /// Reads the head of a request within the limits of `bounds`.
-    async fn read_head(&mut self, bounds: CallerBounds) -> Result<Request, ConnectionEnd> {
-        let until = Instant::now() + bounds.head_timeout.duration();
+    /// Reads the head of a request that began under the limits `begun`.
+    async fn read_head(&mut self, begun: CallerBounds) -> Result<Request, ConnectionEnd> {
+        let since = Instant::now();
         let refused = |code| Err(ConnectionEnd::Refused(code));
         loop {
+            let bounds = self.bounds_since(begun);
             let buffered = self.buffer.len();
             match self.codec.decode(&mut self.buffer) {
                 Ok(Some(Message::Item(request))) => {
@@ -166,18 +182,19 @@
                 Err(ParseError::TooLarge) => return refused(ResultCode::HeaderTooLarge),
                 Err(_) => return refused(ResultCode::BadHead),
             }
-            match timeout_at(until, self.read_more()).await {
+            match timeout_at(since + bounds.head_timeout.duration(), self.read_more()).await {
                 Ok(read) => read?,
+                Err(_) if bounds.head_timeout < self.bounds_since(begun).head_timeout => {}
                 Err(_) => return refused(ResultCode::SlowHead),
             }
         }
     }
 
-    /// Reads the body of a request.
+    /// Reads the body of a request that began under the limits `begun`.
     async fn read_body(
         &mut self,
         request: &Request,
-        bounds: CallerBounds,
+        begun: CallerBounds,
     ) -> Result<Bytes, ConnectionEnd> {
         if self.codec.message_type() == MessageType::None {
             return Ok(Bytes::new());
@@ -188,15 +205,21 @@
         }
         let refused = |code| Err(ConnectionEnd::Refused(code));
         let mut body = BytesMut::new();
+        let mut since = Instant::now();
         loop {
+            let bounds = self.bounds_since(begun);
             match self.codec.decode(&mut self.buffer) {
                 Ok(Some(Message::Chunk(Some(bytes)))) => body.extend_from_slice(&bytes),
                 Ok(Some(Message::Chunk(None))) => return Ok(body.freeze()),
                 Ok(Some(Message::Item(_))) | Err(_) => return refused(ResultCode::BadHead),
                 Ok(None) => {
-                    let limit = bounds.idle_timeout.duration();
-                    match tokio::time::timeout(limit, self.read_more()).await {
-                        Ok(read) => read?,
+                    let until = since + bounds.idle_timeout.duration();
+                    match timeout_at(until, self.read_more()).await {
+                        Ok(read) => {
+                            read?;
+                            since = Instant::now();
+                        }
+                        Err(_) if bounds.idle_timeout < self.bounds_since(begun).idle_timeout => {}
                         Err(_) => return refused(ResultCode::SlowBody),
                     }
                 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod adapter;
 mod arbitrary;
 mod board;
+mod bounds;
 mod brittle;
 mod bundle;
 mod call;
--- a/tests/all/plays.rs
+++ b/tests/all/plays.rs
@@ -497,6 +497,11 @@
         self.until(|process| process.node.is_ready()).await;
     }
 
+    /// Waits until a version of the rules is in force at every process.
+    pub async fn until_rules(&self, version: u64) {
+        self.until(|process| process.node.rules.borrow().version() == version).await;
+    }
+
     /// Waits until a condition holds at every process.
     async fn until(&self, holds: impl Fn(&FrontProcess) -> bool) {
         let began = Instant::now();
