Close every caller's connection in order before a stopping process ends

Cause: a stop waited for requests whose body was complete, and for nothing else. What was being read when the last of them ended was reset; so was a request in the socket of an idle connection that nobody had looked at since, one sent after the end of a stream whose caller was not told that the connection closes, and the end of an answer on a connection with unread bytes. When the grace time was over, requests without an answer were reset too. Change: the process ends when no caller's connection is open, within the grace time. An idle one is closed after a last look at its socket, and 200 ms after its last answer or its opening at the earliest. An answer says `Connection: close` if the process stops by the time it begins, not by the time its request came. After a whole answer the connection is shut down and what still comes is discarded, at any time. The listener closes when nothing is under way, after what waits there was accepted. At the end of the grace time a request that is being read is refused as not run, one without an answer as uncertain.

--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -10,9 +10,11 @@
 use actix_http::{ConnectionType, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
+use oleander_board::StopStage;
 use oleander_call::RelayedAnswer;
 use oleander_kind::{ResultCode, TimeSpan};
 use oleander_outlet::{BodyEnd, set_reset_on_close};
+use std::cell::Cell;
 use std::io;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::WriteHalf;
@@ -39,6 +41,7 @@
     out: BytesMut,
     stage: AnswerStage,
     closes: bool,
+    stop: Option<&'a Cell<StopStage>>,
     /// What shows the caller that the answer has ended.
     end: BodyEnd,
     status: u16,
@@ -58,6 +61,7 @@
             out: BytesMut::new(),
             stage: AnswerStage::Waiting,
             closes,
+            stop: None,
             end: BodyEnd::Stated,
             status: 0,
             code: None,
@@ -67,6 +71,12 @@
         }
     }
 
+    /// Adds `Connection: close` to the answer if the process stops by the time it begins.
+    pub fn follow_stop(mut self, stop: &'a Cell<StopStage>) -> Self {
+        self.stop = Some(stop);
+        self
+    }
+
     /// How much of the answer has been encoded.
     pub fn stage(&self) -> AnswerStage {
         self.stage
@@ -107,9 +117,16 @@
         self.stage == AnswerStage::Begun && self.end == BodyEnd::Stated
     }
 
-    /// Whether the connection was closed in an orderly way, because that is how the answer ends.
-    pub fn has_ended_connection(&self) -> bool {
-        self.stage == AnswerStage::Done && self.end == BodyEnd::Closed
+    /// Closes this side of the connection after a complete answer; the caller still has to read what was sent.
+    ///
+    /// # Errors
+    /// An I/O error of the connection.
+    pub async fn shut_down(&mut self) -> io::Result<()> {
+        match self.end {
+            // The end of the answer did so.
+            BodyEnd::Closed => Ok(()),
+            BodyEnd::Stated => self.writer.shutdown().await,
+        }
     }
 
     /// Records the software version to which the stream is bound, for the mark of a relayed one.
@@ -154,6 +171,7 @@
             let answer = RelayedAnswer { code, sent: self.sent, origin: self.origin.clone() };
             dialect.stamp_relay_answer(response.headers_mut(), answer);
         }
+        self.closes |= self.stop.is_some_and(|stop| stop.get() != StopStage::Serving);
         if self.closes {
             response.head_mut().set_connection_type(ConnectionType::Close);
         }
--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -5,6 +5,7 @@
 use oleander_board::StopStage;
 use oleander_kind::ResultCode;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Why a caller's connection ended.
@@ -28,7 +29,7 @@
         match self {
             ConnectionEnd::Caller => "caller",
             ConnectionEnd::Idle => "idle",
-            ConnectionEnd::Stop => "stop",
+            ConnectionEnd::Stop | ConnectionEnd::Refused(ResultCode::Draining) => "stop",
             ConnectionEnd::Refused(ResultCode::SlowHead | ResultCode::SlowBody) => "time",
             ConnectionEnd::Refused(_) => "malformed",
             ConnectionEnd::Answered => "answered",
@@ -51,7 +52,7 @@
     began: Instant,
 }
 
-/// Follows the requests on one connection. When it is dropped, the end of the connection is counted, and
+/// Follows the requests on one connection, and counts it as open until it is dropped. Its end is counted, and
 /// logged if a request was read in part.
 pub struct ConnectionTrace {
     node: Rc<FrontNode>,
@@ -60,19 +61,19 @@
     /// When the connection was opened or its last answer ended.
     idle_since: Instant,
     reading: Option<PartialRequest>,
-    /// None if the task of the connection was dropped.
-    end: Option<ConnectionEnd>,
+    has_ended: bool,
 }
 
 impl ConnectionTrace {
     /// Follows a connection that was opened now.
     pub fn new(node: &Rc<FrontNode>) -> Self {
+        node.connections.set(node.connections.get() + 1);
         ConnectionTrace {
             node: node.clone(),
             requests: 0,
             idle_since: Instant::now(),
             reading: None,
-            end: None,
+            has_ended: false,
         }
     }
 
@@ -106,18 +107,22 @@
         self.idle_since = Instant::now();
     }
 
-    /// The connection ends; `unread` bytes of a further request were read and are dropped.
+    /// Whether a request was read in part.
+    pub fn is_reading(&self) -> bool {
+        self.reading.is_some()
+    }
+
+    /// How long the connection has been idle.
+    pub fn idle_for(&self) -> Duration {
+        self.idle_since.elapsed()
+    }
+
+    /// No more requests are read, and `unread` bytes of a further one are dropped.
     pub fn end(&mut self, end: ConnectionEnd, unread: usize) {
-        self.end = Some(end);
+        self.has_ended = true;
         if unread > 0 && self.reading.is_none() {
             self.note_begun(unread);
         }
-    }
-}
-
-impl Drop for ConnectionTrace {
-    fn drop(&mut self) {
-        let end = self.end.unwrap_or(ConnectionEnd::Stop);
         self.node.meter.count_connection_end(end.name(), self.reading.is_some());
         let Some(reading) = self.reading else { return };
         let idle = reading.began.duration_since(self.idle_since);
@@ -129,3 +134,12 @@
             "stops" => self.node.stop.get() != StopStage::Serving);
     }
 }
+
+impl Drop for ConnectionTrace {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.end(ConnectionEnd::Stop, 0);
+        }
+        self.node.connections.set(self.node.connections.get().saturating_sub(1));
+    }
+}
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -220,7 +220,7 @@
         return answer.refuse(ResultCode::NoBundle, Some(NO_ENDPOINT_RETRY)).await;
     };
     let route = rules.route(admitted.route);
-    if node.stop.get() == StopStage::Draining {
+    if matches!(node.stop.get(), StopStage::Draining | StopStage::Stopped) {
         // The request could outlast the process. The load balancer sends the next connection to another one.
         answer.close_after();
         return answer.refuse(ResultCode::Draining, Some(DRAINING_RETRY)).await;
--- a/crates/front/src/ingress.rs
+++ b/crates/front/src/ingress.rs
@@ -4,7 +4,7 @@
 //! The connection loop of `actix_http` fixes its limits when it is built. Here the limits change with
 //! the rules in force, so this module has its own loop and uses only the codec of `actix_http`.
 
-use crate::answer::AnswerWriter;
+use crate::answer::{AnswerStage, AnswerWriter};
 use crate::connection::{ConnectionEnd, ConnectionTrace};
 use crate::drive::serve_call;
 use crate::events::event;
@@ -25,7 +25,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::ReadHalf;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// Bytes reserved for one read.
 const READ_SIZE: usize = 4096;
@@ -37,6 +37,10 @@
 /// Most bytes that are read and discarded then.
 const LINGER_BYTES: usize = 1 << 20;
 
+/// How long a connection is left open while the process stops: a caller that has just had an answer, or has just
+/// connected, may be sending a request, which is refused as not run.
+const SETTLE_TIME: Duration = Duration::from_millis(200);
+
 /// A caller's request, read completely.
 pub struct CallerRequest {
     /// Request line and headers.
@@ -45,22 +49,50 @@
     pub body: Bytes,
 }
 
-/// Accepts connections of callers until the task is cancelled.
+/// Accepts connections of callers until the process stops and has no request under way.
 pub async fn accept_callers(node: Rc<FrontNode>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                actix_rt::spawn(serve_connection(node.clone(), stream));
+        tokio::select! {
+            biased;
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => spawn_connection(&node, stream),
+                Err(fault) => {
+                    // Most likely the process is out of file descriptors; connections that close release some soon.
+                    event!(node, CallerFault; "fault" => fault.to_string());
+                    actix_rt::time::sleep(Duration::from_millis(20)).await;
+                }
+            },
+            () = node.close_idle.notified() => {
+                if node.stop.get() != StopStage::Serving && node.in_flight.get() == 0 {
+                    break;
+                }
             }
+        }
+    }
+    // What waits to be accepted would be reset with the listener.
+    tokio::task::yield_now().await;
+    while let Ok(accepted) = timeout(Duration::ZERO, listener.accept()).await {
+        match accepted {
+            Ok((stream, _)) => spawn_connection(&node, stream),
             Err(fault) => {
-                // Most likely the process is out of file descriptors; connections that close release some soon.
                 event!(node, CallerFault; "fault" => fault.to_string());
-                actix_rt::time::sleep(Duration::from_millis(20)).await;
+                return;
             }
         }
     }
 }
 
+fn spawn_connection(node: &Rc<FrontNode>, stream: TcpStream) {
+    let connection = CallerConnection {
+        node: node.clone(),
+        stream,
+        codec: Codec::new(node.http.config().clone()),
+        buffer: BytesMut::new(),
+        trace: ConnectionTrace::new(node),
+    };
+    actix_rt::spawn(serve_connection(connection));
+}
+
 /// A caller's connection.
 struct CallerConnection {
     node: Rc<FrontNode>,
@@ -70,22 +102,15 @@
     trace: ConnectionTrace,
 }
 
-async fn serve_connection(node: Rc<FrontNode>, stream: TcpStream) {
-    if let Err(fault) = configure_socket(&stream, SocketBounds::default()) {
-        event!(node, CallerFault; "fault" => fault.to_string());
+async fn serve_connection(mut connection: CallerConnection) {
+    if let Err(fault) = configure_socket(&connection.stream, SocketBounds::default()) {
+        event!(connection.node, CallerFault; "fault" => fault.to_string());
     }
-    let mut connection = CallerConnection {
-        codec: Codec::new(node.http.config().clone()),
-        buffer: BytesMut::new(),
-        trace: ConnectionTrace::new(&node),
-        node,
-        stream,
-    };
     let end = connection.serve().await;
     connection.trace.end(end, connection.buffer.len());
-    drop(connection.trace);
+    let CallerConnection { stream, mut codec, trace: _trace, .. } = connection;
     if let ConnectionEnd::Refused(code) = end {
-        refuse_and_close(connection.stream, &mut connection.codec, code).await;
+        refuse_and_close(stream, &mut codec, code).await;
     }
 }
 
@@ -96,8 +121,17 @@
 impl CallerConnection {
     /// Answers requests until the connection ends.
     async fn serve(&mut self) -> ConnectionEnd {
+        let node = self.node.clone();
         loop {
-            let request = match self.read_request().await {
+            let read = tokio::select! {
+                biased;
+                read = self.read_request() => read,
+                () = node.until_stopped() => Err(match self.trace.is_reading() {
+                    true => ConnectionEnd::Refused(ResultCode::Draining),
+                    false => ConnectionEnd::Stop,
+                }),
+            };
+            let request = match read {
                 Ok(request) => request,
                 Err(end) => return end,
             };
@@ -147,16 +181,31 @@
                     Ok(0) | Err(_) => Err(ConnectionEnd::Caller),
                     Ok(_) => Ok(()),
                 },
-                () = self.node.close_idle.notified() => return Err(ConnectionEnd::Stop),
+                () = self.node.close_idle.notified() => {
+                    if self.trace.idle_for() >= SETTLE_TIME {
+                        return self.end_unless_sent(ConnectionEnd::Stop).await;
+                    }
+                }
                 () = tokio::time::sleep_until(since + limit.duration()) => {
                     if self.bounds_since(before).idle_timeout <= limit {
-                        return Err(ConnectionEnd::Idle);
+                        return self.end_unless_sent(ConnectionEnd::Idle).await;
                     }
                 }
             }
         }
     }
 
+    /// Ends an idle connection, unless a request is in its socket that the runtime has not seen yet.
+    async fn end_unless_sent(&mut self, end: ConnectionEnd) -> Result<(), ConnectionEnd> {
+        tokio::task::yield_now().await;
+        match self.stream.try_read_buf(&mut self.buffer) {
+            Ok(0) => Err(ConnectionEnd::Caller),
+            Ok(_) => Ok(()),
+            Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => Err(end),
+            Err(_) => Err(ConnectionEnd::Caller),
+        }
+    }
+
     /// Reads the head of a request that began under the limits `begun`.
     async fn read_head(&mut self, begun: CallerBounds) -> Result<Request, ConnectionEnd> {
         let since = Instant::now();
@@ -248,20 +297,27 @@
         node.in_flight.set(node.in_flight.get() + 1);
         let _guard = InflightGuard(&node.in_flight);
         let (mut reader, writer) = stream.split();
-        let closes = node.stop.get() != StopStage::Serving;
-        let mut answer = AnswerWriter::new(writer, codec, closes);
+        let mut answer = AnswerWriter::new(writer, codec, false).follow_stop(&node.stop);
         let head = std::mem::take(request.head_mut());
         let request = CallerRequest { head, body };
         tokio::select! {
             biased;
-            outcome = serve_call(node, request, &mut answer) => {
-                match outcome {
-                    Ok(()) if answer.can_reuse() => NextUse::Request,
-                    Ok(()) if answer.has_ended_connection() => NextUse::Linger,
-                    Ok(()) | Err(_) => NextUse::Close,
-                }
-            }
+            outcome = serve_call(node, request, &mut answer) => match outcome {
+                Ok(()) if answer.can_reuse() => NextUse::Request,
+                Ok(()) => end_answered(&mut answer).await,
+                Err(_) => NextUse::Close,
+            },
             () = wait_caller_close(&mut reader, buffer) => NextUse::CallerGone,
+            () = node.until_stopped() => match answer.stage() {
+                AnswerStage::Waiting => {
+                    // It may be under way at an endpoint.
+                    match answer.refuse(ResultCode::Uncertain, None).await {
+                        Ok(()) => end_answered(&mut answer).await,
+                        Err(_) => NextUse::Close,
+                    }
+                }
+                AnswerStage::Begun | AnswerStage::Done => NextUse::Close,
+            },
         }
     }
 }
@@ -286,6 +342,14 @@
     Linger,
 }
 
+/// Closes this side of the connection after an answer to its end.
+async fn end_answered(answer: &mut AnswerWriter<'_>) -> NextUse {
+    match answer.shut_down().await {
+        Ok(()) => NextUse::Linger,
+        Err(_) => NextUse::Close,
+    }
+}
+
 /// Waits until the caller closes its side. Bytes that it sends meanwhile are buffered as pipelined requests.
 async fn wait_caller_close(reader: &mut ReadHalf<'_>, buffer: &mut BytesMut) {
     while buffer.len() < PIPELINE_LIMIT {
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -145,12 +145,14 @@
     pub(crate) persisted_reports: RefCell<HashMap<String, (u64, PersistedReport)>>,
     /// The progress of a planned stop.
     pub stop: Cell<StopStage>,
-    /// Wakes idle connections when they have to close.
+    /// Wakes connections of callers, and the task that accepts them, again and again while the process stops.
     pub close_idle: Notify,
     /// Wakes attempts when a later incarnation of an instance has started.
     pub incarnation_ended: Notify,
     /// Requests under way.
     pub in_flight: Cell<usize>,
+    /// Open connections of callers.
+    pub connections: Cell<usize>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     random: Cell<u64>,
 }
@@ -234,6 +236,7 @@
             close_idle: Notify::new(),
             incarnation_ended: Notify::new(),
             in_flight: Cell::default(),
+            connections: Cell::default(),
             budgets: RefCell::default(),
             random: Cell::new(rand::random()),
         })
@@ -289,6 +292,17 @@
         }
     }
 
+    /// Waits until the grace time of a stop is over.
+    pub(crate) async fn until_stopped(&self) {
+        loop {
+            let change = self.close_idle.notified();
+            if self.stop.get() == StopStage::Stopped {
+                return;
+            }
+            change.await;
+        }
+    }
+
     /// Whether an endpoint is listed and has not signalled that it leaves.
     pub fn takes_work(&self, key: EndpointKey) -> bool {
         self.endpoints.borrow().get(key).is_some_and(EndpointFact::takes_work)
--- a/crates/front/src/process.rs
+++ b/crates/front/src/process.rs
@@ -29,6 +29,8 @@
 const BALANCER_NOTICE_TIME: Duration = Duration::from_millis(2600);
 /// Interval between checks for remaining requests.
 const POLL_PERIOD: Duration = Duration::from_millis(20);
+/// How long refusals to the requests that the grace time cuts may take.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
 /// Reserved part of the grace time for the exit of the process itself.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(300);
 /// Interval between removals of outdated state.
@@ -42,6 +44,7 @@
     _ready: HttpSite,
     _admin: HttpSite,
     _peers: PeerListener,
+    accepting: JoinHandle<()>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -100,8 +103,8 @@
         actix_rt::spawn(origins::run_sender(node.clone())),
         actix_rt::spawn(kept::sync_record(node.clone(), SuspectStore)),
         actix_rt::spawn(kept::sync_record(node.clone(), WindowStore::default())),
-        actix_rt::spawn(ingress::accept_callers(node.clone(), callers)),
     ];
+    let accepting = actix_rt::spawn(ingress::accept_callers(node.clone(), callers));
     if let Some((path, hang_ups)) = followed {
         tasks.push(actix_rt::spawn(reload::follow_settings(node.clone(), path, hang_ups)));
     }
@@ -109,7 +112,15 @@
         tasks.push(actix_rt::spawn(duties::run_duties(node.clone(), cloud)));
     }
     event!(node, ProcessStarted; "listen" => node.settings.listen.to_string());
-    Ok(FrontProcess { node, address, _ready: ready, _admin: admin, _peers: peers, tasks })
+    Ok(FrontProcess {
+        node,
+        address,
+        _ready: ready,
+        _admin: admin,
+        _peers: peers,
+        accepting,
+        tasks,
+    })
 }
 
 async fn ready(node: web::Data<Rc<FrontNode>>) -> HttpResponse {
@@ -141,6 +152,7 @@
 /// Ends the process abruptly: requests are not finished, and other processes are not informed.
 impl Drop for FrontProcess {
     fn drop(&mut self) {
+        self.accepting.abort();
         self.tasks.iter().for_each(JoinHandle::abort);
     }
 }
@@ -155,7 +167,8 @@
     ///
     /// The load balancer is informed first, and callers are served until it has noticed; each
     /// answer asks its caller to open its next connection elsewhere. Connections that are idle
-    /// after that are closed, and requests under way are finished.
+    /// after that are closed, and requests under way are finished. The process ends when no connection
+    /// of a caller is open; requests that the grace time cuts are refused, if they have no answer yet.
     pub async fn stop(self) {
         let node = &self.node;
         let grace = Duration::from_secs_f64(node.bounds().grace_s);
@@ -166,13 +179,21 @@
         origins::hand_over(node);
         tokio::time::sleep(BALANCER_NOTICE_TIME).await;
         node.stop.set(StopStage::Draining);
-        node.close_idle.notify_waiters();
-        while node.in_flight.get() > 0 && Instant::now() < until {
-            tokio::time::sleep(POLL_PERIOD).await;
-            node.close_idle.notify_waiters();
-        }
+        self.close_connections(until).await;
+        let left = node.in_flight.get();
         node.stop.set(StopStage::Stopped);
+        self.close_connections(Instant::now() + LAST_ANSWERS_TIME).await;
         self.tasks.iter().for_each(JoinHandle::abort);
-        event!(node, ProcessStopped; "left" => node.in_flight.get());
+        event!(node, ProcessStopped; "left" => left);
+    }
+
+    /// Closes idle connections until no connection of a caller is open.
+    async fn close_connections(&self, until: Instant) {
+        let node = &self.node;
+        let is_open = || node.connections.get() > 0 || !self.accepting.is_finished();
+        while is_open() && Instant::now() < until {
+            node.close_idle.notify_waiters();
+            tokio::time::sleep(POLL_PERIOD).await;
+        }
     }
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -65,6 +65,7 @@
 mod size;
 mod soak;
 mod speaking;
+mod stopping;
 mod suspect;
 mod trace;
 mod tried_once;
