Another attempt takes over only if it does not fail at once, and a relayed stream stays with its peer

Now a server error, an unsound head or a broken connection within 100 ms leaves the silent attempt where it is; the process that relays leaves all this to the peer; nothing is sent at or shortly before the deadline; only parts of answers show that others answer; dials that fail use up no attempt; what is known to bar an attempt is asked before a connection is opened, which goes back to the pool if it is not used; a broken attempt beside is reported as any other.

--- a/crates/call/src/attempt.rs
+++ b/crates/call/src/attempt.rs
@@ -60,6 +60,10 @@
     Quarantined,
     /// No endpoint can be chosen.
     NoEndpoint,
+    /// No endpoint of the service answered lately, so that another one is not likely to do better.
+    NoneAnswers,
+    /// Too little time is left.
+    Deadline,
     /// No retry is left in the budget of the service.
     Budget,
     /// The account's limit leaves no room.
@@ -75,6 +79,8 @@
             RetryBarrier::Attempts => "attempts",
             RetryBarrier::Quarantined => "quarantined",
             RetryBarrier::NoEndpoint => "no_endpoint",
+            RetryBarrier::NoneAnswers => "none_answers",
+            RetryBarrier::Deadline => "deadline",
             RetryBarrier::Budget => "budget",
             RetryBarrier::Limit => "limit",
             RetryBarrier::Exposure => "exposure",
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -25,7 +25,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 /// Timeout of a connection to an endpoint. A lost SYN is sent again only after a second, and by then
 /// another endpoint has answered.
@@ -44,7 +44,7 @@
 
 /// A pooled connection that fails within this time was already closed by its endpoint, not broken by the
 /// request: a round trip between failure domains takes 3 ms, and the shortest work of an endpoint about 15 ms.
-const STALE_LINK_WINDOW: Duration = Duration::from_millis(8);
+pub(crate) const STALE_LINK_WINDOW: Duration = Duration::from_millis(8);
 
 /// The time since `sent_at`.
 pub(crate) fn sent_for(sent_at: Instant) -> TimeSpan {
@@ -55,7 +55,7 @@
 pub(crate) struct AttemptTarget {
     pub key: EndpointKey,
     pub life: EndpointIncarnation,
-    address: SocketAddr,
+    pub address: SocketAddr,
     version: CompactString,
 }
 
@@ -127,10 +127,18 @@
     /// signalled that it is leaving is left out: it ends all its requests. So is a brittle one that
     /// refused requests a moment ago: it falls over under refusals and not under a request.
     pub(crate) fn note_broken(&self, key: EndpointKey, end: AttemptEnd) {
-        let (Some((life, address)), Some(sent_at)) = (self.last_target.clone(), self.sent_at)
-        else {
-            return;
-        };
+        if let (Some(target), Some(sent_at)) = (self.last_target.clone(), self.sent_at) {
+            self.note_broken_at((key, target), sent_at, end);
+        }
+    }
+
+    /// As [`note_broken`](Self::note_broken), of an attempt that was sent at `sent_at`.
+    pub(crate) fn note_broken_at(
+        &self,
+        (key, (life, address)): (EndpointKey, (EndpointIncarnation, SocketAddr)),
+        sent_at: Instant,
+        end: AttemptEnd,
+    ) {
         let (takes_work, last_answer_at) = {
             let board = self.node.endpoints.borrow();
             let fact = board.get(key);
@@ -429,9 +437,9 @@
     ) -> oleander_outlet::Result<(SentLink, ResponseHead, AnswerHead)> {
         /// Answers to other requests that are discarded; an endpoint that sends more is broken.
         const MAX_FOREIGN: u32 = 2;
-        let began = Instant::now();
+        let began = self.sent_at.unwrap_or_else(Instant::now);
         let silence = AnswerSilence::begin(self.first_patience());
-        let asked_at = self.node.clock.now();
+        let asked_at = self.node.clock.now() - sent_for(began);
         let late = || LinkError::TimedOut(began.elapsed());
         let exhausted = || LinkError::Malformed("answers to other requests".to_owned());
         let ended = || LinkError::Interrupted(io::ErrorKind::ConnectionReset.into());
@@ -446,7 +454,7 @@
                     read.ok_or_else(late)?.ok_or_else(ended)??
                 }
             };
-            paths::note_reached(self.node, &self.service);
+            paths::note_answered(self.node, &self.service);
             let answer_head = self.node.dialect.parse_answer(&head);
             let sent = slot.take().ok_or_else(exhausted)?;
             words::apply_answer_signals(self.node, (key, &answer_head), (&self.call.id, asked_at));
@@ -454,7 +462,8 @@
                 return Ok((sent, head, answer_head));
             }
             let mut foreign = sent.into_body(&head);
-            timeout_at(self.deadline, foreign.skip()).await.map_err(|_| late())??;
+            let skipped = self.read_patiently(silence, foreign.skip()).await;
+            skipped.ok_or_else(late)??;
             *slot = foreign.await_next_answer(&self.node.http);
         }
         Err(exhausted())
@@ -527,7 +536,12 @@
     }
 
     /// Counts a failure in the health of the endpoint at this process, and in the evidence for the collector.
-    fn note_failure(&self, target: &AttemptTarget, work: &mut WorkGuard, grade: AnswerGrade) {
+    pub(crate) fn note_failure(
+        &self,
+        target: &AttemptTarget,
+        work: &mut WorkGuard,
+        grade: AnswerGrade,
+    ) {
         self.grade(target.key, grade);
         work.note_failed();
     }
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -9,7 +9,7 @@
 use crate::limits::{self, QuotaCharge};
 use crate::node::FrontNode;
 use crate::origins::{self, StreamBinding};
-use crate::relay::{self, NextHop, RelayTurn};
+use crate::relay::{self, NextHop};
 use crate::releases::CandidatePayment;
 use crate::standby::StandbyAttempt;
 use crate::suspects;
@@ -146,8 +146,6 @@
     pub(crate) cut_cause: Option<CutCause>,
     /// The attempt that takes over from a silent one.
     pub(crate) standby: Option<Box<StandbyAttempt>>,
-    /// The peers to which the request is relayed; `None` if it is not.
-    pub(crate) relay_turn: Option<RelayTurn>,
     /// What the log line of the request is written from; filled when the context is dropped.
     pub(crate) trace: Option<&'a mut CallTrace>,
 }
@@ -301,7 +299,6 @@
         barrier: None,
         cut_cause: None,
         standby: None,
-        relay_turn: None,
         trace: Some(trace),
     };
     let outcome = match timeout_at(context.deadline, context.serve()).await {
@@ -488,6 +485,7 @@
             return Ok(());
         }
         let ensure = |holds: bool, barrier| if holds { Ok(()) } else { Err(barrier) };
+        ensure(Instant::now() < self.deadline, RetryBarrier::Deadline)?;
         ensure(self.record.may_send() || by_peer, RetryBarrier::Attempts)?;
         let refused = suspects::refused_for(self.node, &self.suspects);
         ensure(refused.is_none(), RetryBarrier::Quarantined)?;
--- a/crates/front/src/limits.rs
+++ b/crates/front/src/limits.rs
@@ -14,4 +14,5 @@
     resume_ledger,
 };
 pub(crate) use pay::charge_rollout;
+pub(crate) use pay::is_full;
 pub use pay::{QuotaCharge, charge_quota, charge_retry, refund_quota};
--- a/crates/front/src/limits/pay.rs
+++ b/crates/front/src/limits/pay.rs
@@ -81,6 +81,11 @@
     Err(left)
 }
 
+/// Whether the ledger said that the account's window is full now.
+pub(crate) fn is_full(node: &FrontNode, charge: &QuotaCharge) -> bool {
+    full_for(node, charge).is_some()
+}
+
 /// Charges a retry of a request; returns whether it was admitted.
 pub async fn charge_retry(node: &FrontNode, charge: &QuotaCharge, request: &str) -> bool {
     let is_charged = charge_quota(node, charge, request).await.is_ok();
--- a/crates/front/src/paths.rs
+++ b/crates/front/src/paths.rs
@@ -83,17 +83,35 @@
     node.paths.borrow().get(service).is_some_and(|path| path.heard_at() >= since)
 }
 
+/// Whether a part of an answer of a service's endpoint arrived at `since` or later.
+pub fn was_answered_since(node: &FrontNode, service: &ServiceName, since: ClockTime) -> bool {
+    node.paths.borrow().get(service).is_some_and(|path| path.answered_at() >= since)
+}
+
 fn listed_count(node: &FrontNode, service: &ServiceName) -> usize {
     let board = node.endpoints.borrow();
     let facts = board.of_service(service).iter().filter_map(|key| board.get(*key));
     facts.filter(|fact| fact.takes_work()).count()
 }
 
-/// Records that bytes of an endpoint's answer arrived, or that a probe connection proved stable.
-pub fn note_reached(node: &FrontNode, service: &ServiceName) {
+/// Records that a part of an endpoint's answer arrived.
+pub fn note_answered(node: &FrontNode, service: &ServiceName) {
     let now = node.clock.now();
-    let Some(since) = with_path(node, service, |path| path.note_reached(now)) else { return };
-    event!(node, PathBack; "service" => service.as_str(), "lost_ms" => (now - since).0);
+    let lost_since = with_path(node, service, |path| path.note_answered(now));
+    publish_return(node, service, lost_since);
+}
+
+/// Records that a probe connection proved stable.
+fn note_probed(node: &FrontNode, service: &ServiceName) {
+    let now = node.clock.now();
+    let lost_since = with_path(node, service, |path| path.note_reached(now));
+    publish_return(node, service, lost_since);
+}
+
+fn publish_return(node: &FrontNode, service: &ServiceName, lost_since: Option<ClockTime>) {
+    let Some(since) = lost_since else { return };
+    let lost = node.clock.now() - since;
+    event!(node, PathBack; "service" => service.as_str(), "lost_ms" => lost.0);
     publish_unreached(node);
 }
 
@@ -208,7 +226,7 @@
         Ok(link) => {
             actix_rt::time::sleep(PROBE_SETTLE_TIME).await;
             if link.is_reusable() {
-                note_reached(&node, &service);
+                note_probed(&node, &service);
                 return keep_link(&node, &target.instance, link);
             }
             let closed = LinkError::Interrupted(io::ErrorKind::ConnectionReset.into());
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -14,7 +14,7 @@
 use crate::{limits, paths, stream, whole};
 use actix_http::{RequestHead, ResponseHead, Version};
 use compact_str::CompactString;
-use oleander_call::{AnswerHead, AnswerShape, AttemptEnd, CallHead, RelayHeaders, RetryBarrier};
+use oleander_call::{AnswerHead, AnswerShape, AttemptEnd, CallHead, RelayHeaders};
 use oleander_kind::hash::stable_hash;
 use oleander_kind::{ClockTime, InstanceId, ResultCode, ServiceName, TimeSpan};
 use oleander_mesh::{RelayRequest, choose_peer};
@@ -110,15 +110,6 @@
     Nowhere,
 }
 
-/// The peers to which a request was relayed in turn.
-#[derive(Debug)]
-pub(crate) struct RelayTurn {
-    cause: RelayCause,
-    /// Endpoints to which the present peer may send it.
-    attempts: u32,
-    tried: Vec<InstanceId>,
-}
-
 /// Why a request is relayed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RelayCause {
@@ -273,13 +264,12 @@
     /// Relays the request to one peer after another until one serves or refuses it; `None` if none did.
     async fn relay_in_turn(&mut self, cause: RelayCause) -> Option<CallOutcome> {
         self.begin_relaying();
-        self.relay_turn = Some(RelayTurn { cause, attempts: 0, tried: Vec::new() });
-        while let Some((id, address)) = self.choose_next_peer() {
+        let mut tried = Vec::new();
+        while tried.len() < MAX_PEERS
+            && let Some((id, address)) = self.choose_peer(cause, &tried)
+        {
+            tried.push(id.clone());
             let attempts = self.record.relayable();
-            if let Some(turn) = &mut self.relay_turn {
-                turn.tried.push(id.clone());
-                turn.attempts = attempts;
-            }
             self.peer = Some(id.clone());
             let outcome = self.relay((&id, address), attempts).await;
             self.peer_in_flight = false;
@@ -324,44 +314,6 @@
         None
     }
 
-    fn choose_next_peer(&self) -> Option<(InstanceId, SocketAddr)> {
-        let turn = self.relay_turn.as_ref().filter(|turn| turn.tried.len() < MAX_PEERS)?;
-        self.choose_peer(turn.cause, &turn.tried)
-    }
-
-    /// Opens a connection to another peer that may serve the request after the present one.
-    ///
-    /// # Errors
-    /// What keeps it from being relayed again.
-    pub(crate) async fn prepare_peer(&self) -> Result<(), RetryBarrier> {
-        let mut record = self.record;
-        let attempts = self.relay_turn.as_ref().map_or(0, |turn| turn.attempts);
-        record.note_relayed(AttemptEnd::TimedOut, attempts);
-        if !record.may_relay() {
-            return Err(RetryBarrier::Attempts);
-        }
-        if self.node.retries_left(&self.service) == 0 {
-            return Err(RetryBarrier::Budget);
-        }
-        let (id, address) = self.choose_next_peer().ok_or(RetryBarrier::NoEndpoint)?;
-        if self.node.relays.borrow().pool.has_open(&id) {
-            return Ok(());
-        }
-        match IdleLink::open(address, CONNECT_TIMEOUT, SocketBounds::default()).await {
-            Ok(link) => {
-                self.keep_peer_link(&id, Some(link));
-                Ok(())
-            }
-            Err(fault) => {
-                self.grade_peer(&id, AnswerGrade::Dead);
-                event!(self.node, AttemptFault;
-                    "request" => self.call.id.as_str(), "peer" => id.as_str(),
-                    "fault" => fault.to_string());
-                Err(RetryBarrier::NoEndpoint)
-            }
-        }
-    }
-
     /// Leaves the accounting of the request to the peer: its charge, what it earned for retries, its usage
     /// and its figures.
     fn begin_relaying(&mut self) {
--- a/crates/front/src/standby.rs
+++ b/crates/front/src/standby.rs
@@ -2,10 +2,10 @@
 //!
 //! A silent endpoint may be sound and go on, and a request that has left it cannot come back. So its attempt
 //! goes on until another endpoint has taken the request: everything that the next attempt needs is taken first,
-//! it is sent, and only if it is not refused at once is the silent one ended. Whatever fails on the way costs
-//! the request nothing.
+//! it is sent, and only if it does not fail at once is the silent one ended. Whatever fails on the way leaves
+//! the request where it is.
 
-use crate::attempt::{AttemptTarget, sent_for};
+use crate::attempt::{AttemptTarget, IDLE_TIMEOUT, MAX_IDLE_LINKS, STALE_LINK_WINDOW, sent_for};
 use crate::drive::CallContext;
 use crate::events::event;
 use crate::releases::{CandidatePayment, refund};
@@ -14,8 +14,11 @@
 use actix_http::ResponseHead;
 use oleander_call::{AttemptEnd, RetryBarrier};
 use oleander_kind::TimeSpan;
+use oleander_kind::hash::mix_bits;
 use oleander_outlet::{IdleLink, LinkError, SentLink};
-use oleander_place::{EndpointKey, PlacementChoice, PlacementRequest, choose_endpoint};
+use oleander_place::{
+    AnswerGrade, EndpointKey, PlacementChoice, PlacementRequest, choose_endpoint,
+};
 use std::cell::Cell;
 use std::pin::pin;
 use std::time::Duration;
@@ -24,11 +27,11 @@
 /// Interval between attempts to prepare another one while an endpoint stays silent.
 const RECHECK_PERIOD: Duration = Duration::from_millis(250);
 
-/// How long a refusal of the new attempt is waited for before the silent one is ended: some round trips between
-/// failure domains. Meanwhile two endpoints may have the request, so it is kept short.
-const REFUSAL_WAIT: Duration = Duration::from_millis(40);
+/// How long a failure of the new attempt is waited for before the silent one is ended. Two endpoints have the request
+/// meanwhile, which operators allow for 400 ms.
+const FAILURE_WAIT: Duration = Duration::from_millis(100);
 
-/// Part of a silence that tells nothing: what was received at its beginning may have been sent before.
+/// Part of a silence in which what is received from other endpoints shows nothing, as it may have been sent before.
 const HEARING_MARGIN: TimeSpan = TimeSpan(20);
 
 /// Since when nothing was received from an endpoint or peer, and how long that may last until another attempt is
@@ -84,13 +87,6 @@
     Failed(EndpointKey, AttemptEnd),
 }
 
-/// What takes over from a silent attempt.
-enum NextInLine {
-    Endpoint(Box<StandbyAttempt>),
-    /// A peer, to which a connection is open.
-    Peer,
-}
-
 impl CallContext<'_, '_> {
     /// Waits for `reading`. If the silence exceeds its patience, another attempt is prepared beside. Returns `None` if
     /// that one takes over, or if the deadline has passed.
@@ -105,7 +101,7 @@
         }
         while Instant::now() < self.deadline {
             let is_sent = Cell::new(false);
-            let preparing = self.prepare_next(silence, &is_sent);
+            let preparing = self.prepare_attempt(silence, &is_sent);
             let prepared = tokio::select! {
                 biased;
                 read = &mut reading => Err(read),
@@ -118,11 +114,10 @@
                     }
                     return Some(read);
                 }
-                Ok(Ok(NextInLine::Endpoint(standby))) => {
-                    self.standby = Some(standby);
+                Ok(Ok(standby)) => {
+                    self.standby = Some(Box::new(standby));
                     return None;
                 }
-                Ok(Ok(NextInLine::Peer)) => return None,
                 Ok(Err(fault)) => self.note_standby_fault(silence, fault),
             }
             let recheck_at = self.deadline.min(Instant::now() + RECHECK_PERIOD);
@@ -133,29 +128,16 @@
         None
     }
 
-    async fn prepare_next(
-        &self,
-        silence: AnswerSilence,
-        is_sent: &Cell<bool>,
-    ) -> Result<NextInLine, StandbyFault> {
-        if self.relay_turn.is_some() {
-            return self
-                .prepare_peer()
-                .await
-                .map(|()| NextInLine::Peer)
-                .map_err(StandbyFault::Barred);
-        }
-        let standby = self.prepare_endpoint(silence, is_sent).await?;
-        Ok(NextInLine::Endpoint(Box::new(standby)))
-    }
-
     /// Notes that no other attempt took over, once for each reason.
     fn note_standby_fault(&mut self, silence: AnswerSilence, fault: StandbyFault) {
         let (barrier, end) = match fault {
             StandbyFault::Barred(barrier) => (Some(barrier), None),
             StandbyFault::Failed(key, end) => {
-                self.record.note(end);
-                self.answer.note_sent(self.record.sent());
+                // What could not be sent shows nothing about later endpoints.
+                if end != AttemptEnd::NotSent {
+                    self.record.note(end);
+                    self.answer.note_sent(self.record.sent());
+                }
                 self.node.meter.count_attempt(end.name());
                 self.tried.push(key);
                 (None, Some(end))
@@ -168,43 +150,38 @@
         event!(self.node, EndpointSilent;
             "request" => self.call.id.as_str(), "service" => self.service.as_str(),
             "endpoint" => self.endpoint.as_ref().map(|id| id.as_str()),
-            "peer" => self.peer.as_ref().map(|id| id.as_str()),
             "silent_ms" => silence.began.elapsed().as_millis() as u64, "last_event" => self.last_event,
             "barred" => barrier.map(RetryBarrier::name), "end" => end.map(AttemptEnd::name),
             "sent" => self.record.sent());
     }
 
-    /// Whether the rules would allow an attempt after the present one.
+    /// Whether an attempt may follow the present one, as far as that is known without asking anyone.
     fn may_follow(&self) -> Result<(), RetryBarrier> {
+        let ensure = |holds: bool, barrier| if holds { Ok(()) } else { Err(barrier) };
         let mut record = self.record;
         record.note(AttemptEnd::TimedOut);
-        if !record.may_send() {
-            return Err(RetryBarrier::Attempts);
-        }
-        if suspects::refused_for(self.node, &self.suspects).is_some() {
-            return Err(RetryBarrier::Quarantined);
-        }
-        Ok(())
+        ensure(record.may_send(), RetryBarrier::Attempts)?;
+        let refused = suspects::refused_for(self.node, &self.suspects);
+        ensure(refused.is_none(), RetryBarrier::Quarantined)?;
+        let has_time = self.time_left() > self.route().objective;
+        ensure(has_time, RetryBarrier::Deadline)?;
+        ensure(self.node.retries_left(&self.service) > 0, RetryBarrier::Budget)?;
+        let is_full = self.charge.as_ref().is_some_and(|charge| limits::is_full(self.node, charge));
+        ensure(!is_full, RetryBarrier::Limit)
     }
 
-    /// Sends the request to another endpoint. Returns when that has not refused it at once.
-    async fn prepare_endpoint(
+    /// Sends the request to another endpoint. Returns when that has not failed at once.
+    async fn prepare_attempt(
         &self,
         silence: AnswerSilence,
         is_sent: &Cell<bool>,
     ) -> Result<StandbyAttempt, StandbyFault> {
         self.may_follow().map_err(StandbyFault::Barred)?;
-        let is_heard = self.was_heard_since(silence.began);
-        let choice = self.choose_standby().filter(|_| is_heard || silence.is_long());
+        let (choice, is_trial) = self.choose_standby(silence).map_err(StandbyFault::Barred)?;
         let no_endpoint = StandbyFault::Barred(RetryBarrier::NoEndpoint);
-        let Some((choice, is_trial)) = choice else { return Err(no_endpoint) };
         let Some(target) = self.target(choice.key) else { return Err(no_endpoint) };
-        if self.node.retries_left(&self.service) == 0 {
-            // Checked before a connection is opened.
-            return Err(StandbyFault::Barred(RetryBarrier::Budget));
-        }
         let mut work = self.begin_work(&target, &choice);
-        let link = match self.open_link(&target, is_heard).await {
+        let link = match self.open_link(&target, silence).await {
             Ok(link) => link,
             Err(fault) => {
                 self.note_fault(&target, &mut work, &fault);
@@ -216,13 +193,16 @@
             Ok(payment) => payment,
             Err(barrier) => {
                 work.note_done();
+                let (link, _) = link;
+                let mut pool = self.node.pool.borrow_mut();
+                pool.put(&target.life.instance, link, IDLE_TIMEOUT, MAX_IDLE_LINKS);
                 return Err(StandbyFault::Barred(barrier));
             }
         };
         let sent = self.send_on(&target, link);
         is_sent.set(sent.is_ok());
         let end = match sent {
-            Ok(mut link) => match self.await_refusal(&target, &mut work, &mut link).await {
+            Ok(mut link) => match self.await_failure(&target, &mut work, &mut link).await {
                 None => return Ok(StandbyAttempt { target, choice, work, link, payment }),
                 Some(end) => end,
             },
@@ -238,8 +218,8 @@
         Err(StandbyFault::Failed(target.key, end))
     }
 
-    /// Waits for a moment whether the endpoint of a new attempt refuses it, and returns how it then ended.
-    async fn await_refusal(
+    /// Waits for a moment whether a new attempt fails, and returns how it then ended.
+    async fn await_failure(
         &self,
         target: &AttemptTarget,
         work: &mut WorkGuard,
@@ -247,55 +227,78 @@
     ) -> Option<AttemptEnd> {
         let room_use = self.room_use(target.key);
         let asked_at = self.node.clock.now() - sent_for(link.sent_at);
-        let head = match timeout(REFUSAL_WAIT, link.sent.read_head()).await {
+        let head = match timeout(FAILURE_WAIT, link.sent.read_head()).await {
             Err(_) => return None,
             Ok(Ok(head)) => head,
-            Ok(Err(fault)) => {
-                self.note_fault(target, work, &fault);
-                let is_unsent = !link.sent.may_have_sent();
-                return Some(if is_unsent { AttemptEnd::NotSent } else { AttemptEnd::Broken });
-            }
+            Ok(Err(fault)) => return Some(self.note_broken_standby(target, work, (link, fault))),
         };
         let answer_head = self.node.dialect.parse_answer(&head);
-        if !answer_head.not_run || !answer_head.belongs_to(&self.call.id) {
+        paths::note_answered(self.node, &self.service);
+        let signals = (target.key, &answer_head);
+        words::apply_answer_signals(self.node, signals, (&self.call.id, asked_at));
+        if answer_head.belongs_to(&self.call.id) && answer_head.not_run {
+            self.note_refusal(target, work, (&answer_head, room_use));
+            return Some(AttemptEnd::RefusedNotRun);
+        }
+        if answer_head.is_sound(&self.call.id) && !head.status.is_server_error() {
             link.head = Some(head);
             return None;
         }
-        paths::note_reached(self.node, &self.service);
-        words::apply_answer_signals(
-            self.node,
-            (target.key, &answer_head),
-            (&self.call.id, asked_at),
-        );
-        self.note_refusal(target, work, (&answer_head, room_use));
-        Some(AttemptEnd::RefusedNotRun)
+        self.note_failure(target, work, AnswerGrade::Bad);
+        let is_failure = answer_head.is_sound(&self.call.id);
+        Some(if is_failure { AttemptEnd::Failed } else { AttemptEnd::Broken })
     }
 
-    /// Whether an endpoint of the service was heard after a silence had begun, so that it is not all of them that
-    /// are silent, or the way to them.
-    fn was_heard_since(&self, began: Instant) -> bool {
-        let since = self.node.clock.now() - sent_for(began) + HEARING_MARGIN;
-        paths::was_heard_since(self.node, &self.service, since)
+    fn note_broken_standby(
+        &self,
+        target: &AttemptTarget,
+        work: &mut WorkGuard,
+        (link, fault): (&StandbyLink, LinkError),
+    ) -> AttemptEnd {
+        // A kept connection that fails at once was most likely closed by its idle timeout.
+        if !(link.reused && link.sent_at.elapsed() < STALE_LINK_WINDOW) {
+            self.note_fault(target, work, &fault);
+        }
+        if !link.sent.may_have_sent() {
+            return AttemptEnd::NotSent;
+        }
+        let broken = (target.key, (target.life.clone(), target.address));
+        self.note_broken_at(broken, link.sent_at, AttemptEnd::Broken);
+        AttemptEnd::Broken
     }
 
     /// Chooses an endpoint that very likely takes the request and answers it; also tells whether it is one of the
-    /// candidate version, to which the stream is bound.
-    fn choose_standby(&self) -> Option<(PlacementChoice, bool)> {
-        let serving = || self.choose_other(false).map(|choice| (choice, false));
-        let bound = || self.choose_other(true).map(|choice| (choice, true));
-        serving().or_else(|| self.binding.version().and_then(|_| bound()))
+    /// candidate version, to which the stream is bound. If all endpoints are silent, or the way to them, another one
+    /// is no better, so that the request waits longer.
+    fn choose_standby(
+        &self,
+        silence: AnswerSilence,
+    ) -> Result<(PlacementChoice, bool), RetryBarrier> {
+        let since = self.node.clock.now() - sent_for(silence.began) + HEARING_MARGIN;
+        let others_answer = paths::was_answered_since(self.node, &self.service, since);
+        if !(others_answer || silence.is_long()) {
+            return Err(RetryBarrier::NoneAnswers);
+        }
+        let serving = || self.choose_other(silence, false).map(|choice| (choice, false));
+        let bound = || self.choose_other(silence, true).map(|choice| (choice, true));
+        let choice = serving().or_else(|| self.binding.version().and_then(|_| bound()));
+        choice.ok_or(RetryBarrier::NoEndpoint)
     }
 
-    fn choose_other(&self, is_trial: bool) -> Option<PlacementChoice> {
+    fn choose_other(&self, silence: AnswerSilence, is_trial: bool) -> Option<PlacementChoice> {
         let mut tried = self.tried.clone();
         tried.extend(self.current);
         let request = self.placement_request();
-        let request = PlacementRequest { tried: &tried, repeatable: false, is_trial, ..request };
+        // Each time other endpoints are compared.
+        let salt = mix_bits(request.salt ^ silence.began.elapsed().as_millis() as u64);
+        let request =
+            PlacementRequest { tried: &tried, repeatable: false, is_trial, salt, ..request };
         let board = self.node.endpoints.borrow();
         let choice = choose_endpoint(&board, &self.node.prefixes.borrow(), &request)?;
         let fact = board.get(choice.key)?;
-        let is_quick = !request.engine || choice.queue() <= request.queue_limit;
-        (fact.is_trusted(request.now) && fact.has_free_place() && is_quick).then_some(choice)
+        let is_free =
+            fact.has_free_place() && (!request.engine || choice.queue() <= request.queue_limit);
+        (fact.is_trusted(request.now) && (is_free || silence.is_long())).then_some(choice)
     }
 
     /// A connection to an endpoint, and whether it was used before. Without a sign that the way works, only a new
@@ -303,10 +306,12 @@
     async fn open_link(
         &self,
         target: &AttemptTarget,
-        is_heard: bool,
+        silence: AnswerSilence,
     ) -> Result<(IdleLink, bool), LinkError> {
+        let since = self.node.clock.now() - sent_for(silence.began) + HEARING_MARGIN;
+        let is_reached = paths::was_heard_since(self.node, &self.service, since);
         let take = || self.node.pool.borrow_mut().take(&target.life.instance);
-        match is_heard.then(take).flatten() {
+        match is_reached.then(take).flatten() {
             Some(link) => Ok((link, true)),
             None => self.dial(target).await.map(|link| (link, false)),
         }
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -63,7 +63,7 @@
             continue;
         }
         if let Some(work) = &mut work {
-            paths::note_reached(&node, &context.service);
+            paths::note_answered(&node, &context.service);
             work.note_prompt_read();
             work.note_answered();
             context.answer_began.get_or_insert_with(Instant::now);
@@ -89,7 +89,7 @@
         if write_events(context, (status, expected_end), &mut headers, out).await.is_err() {
             return (AttemptOutcome::CallerGone, None);
         }
-        silence = AnswerSilence::begin(context.stall_patience());
+        silence = AnswerSilence::begin(context.stall_patience(key.is_none()));
     };
     let rest = splitter.take_rest();
     context.body_end = Some(body_end);
@@ -180,11 +180,11 @@
 
 impl CallContext<'_, '_> {
     /// How long a stream may be silent until another attempt is prepared; `None` if there can be none. A peer that
-    /// relays it gets the time to resume it itself.
-    pub(crate) fn stall_patience(&self) -> Option<Duration> {
-        let stalls = if self.relay_turn.is_some() { 2 * STALL_PAUSES } else { STALL_PAUSES };
+    /// relays it prepares one itself.
+    fn stall_patience(&self, is_relayed: bool) -> Option<Duration> {
         let route = self.route();
-        let pause = route.pause.filter(|_| route.repeat == RepeatRule::Resume)?;
-        Some((pause.duration() * stalls).max(SILENCE_TOLERANCE))
+        let is_resumable = route.repeat == RepeatRule::Resume && !is_relayed;
+        let pause = route.pause.filter(|_| is_resumable)?;
+        Some((pause.duration() * STALL_PAUSES).max(SILENCE_TOLERANCE))
     }
 }
--- a/crates/place/src/path.rs
+++ b/crates/place/src/path.rs
@@ -48,6 +48,7 @@
     fault: Option<PathFault>,
     lost_since: Option<ClockTime>,
     heard_at: ClockTime,
+    answered_at: ClockTime,
     waiting: u32,
     waiting_since: ClockTime,
     probed_at: ClockTime,
@@ -64,6 +65,12 @@
         self.lost_since.take()
     }
 
+    /// Records that a part of an endpoint's answer arrived. Returns since when the path had been lost, if it had.
+    pub fn note_answered(&mut self, now: ClockTime) -> Option<ClockTime> {
+        self.answered_at = now;
+        self.note_reached(now)
+    }
+
     /// Records that an endpoint could not be connected to; `listed` endpoints take requests.
     /// Returns whether the path is lost by that.
     pub fn note_failed(
@@ -112,6 +119,11 @@
         self.heard_at
     }
 
+    /// When a part of an endpoint's answer last arrived.
+    pub fn answered_at(&self) -> ClockTime {
+        self.answered_at
+    }
+
     /// Records that a request was sent, until [`note_ended`](Self::note_ended).
     pub fn note_sent(&mut self, now: ClockTime) {
         if self.waiting == 0 {
--- a/tests/all/silent.rs
+++ b/tests/all/silent.rs
@@ -102,6 +102,22 @@
     OneFull,
     /// Nothing, but no other endpoint is heard meanwhile.
     NoneHeard,
+    /// The others answer with a failure at once.
+    OthersFail,
+    /// The others refuse it unrun, after 60 ms.
+    OthersFullLate,
+    /// The other one has no free place.
+    OthersBusy,
+    /// All endpoints hang.
+    AllHang,
+    /// There is no other, and the route allows four attempts.
+    AloneOfFour,
+    /// As `Held`, and the route allows four attempts.
+    HeldOfFour,
+    /// As `OthersFull`, and the route allows four attempts.
+    OthersFullOfFour,
+    /// The first endpoint begins with an answer to another request, and hangs in the middle of it.
+    Foreign,
 }
 
 /// A request and its endpoints.
@@ -123,6 +139,9 @@
     FullLater,
     Reset,
     ResetAfterEvent,
+    Fail,
+    FullLate,
+    Foreign,
 }
 
 impl EndpointTurn {
@@ -181,7 +200,11 @@
 
     /// Whether other callers get answers of other endpoints meanwhile.
     fn has_beats(&self) -> bool {
-        self.silence == FOR_GOOD && self.barrier != SendBarrier::NoneHeard
+        self.silence == FOR_GOOD
+            && !matches!(
+                self.barrier,
+                SendBarrier::NoneHeard | SendBarrier::AllHang | SendBarrier::Foreign
+            )
     }
 
     fn may_run_again(&self) -> bool {
@@ -191,8 +214,9 @@
     /// Number of endpoints that are listed.
     fn endpoints(&self) -> usize {
         match self.barrier {
-            SendBarrier::Alone => 1,
+            SendBarrier::Alone | SendBarrier::AloneOfFour => 1,
             SendBarrier::Last | SendBarrier::LastBegun => 3,
+            SendBarrier::OthersBusy => 2,
             _ if self.has_beats() => 4,
             _ => 2,
         }
@@ -206,7 +230,13 @@
     /// The number of endpoints to which the route allows to send a request.
     fn max_attempts(&self) -> usize {
         // A process that relays keeps one back.
-        if self.barrier == SendBarrier::OneFull { 4 } else { 2 }
+        match self.barrier {
+            SendBarrier::OneFull
+            | SendBarrier::AloneOfFour
+            | SendBarrier::HeldOfFour
+            | SendBarrier::OthersFullOfFour => 4,
+            _ => 2,
+        }
     }
 
     /// The largest number of requests that its endpoints may get.
@@ -224,8 +254,12 @@
 
     fn turn(&self, sends: usize) -> EndpointTurn {
         match self.barrier {
+            SendBarrier::AllHang => EndpointTurn::Silent,
+            SendBarrier::Foreign if sends == 0 => EndpointTurn::Foreign,
             _ if sends == self.sends_before() => EndpointTurn::Silent,
-            SendBarrier::OthersFull => EndpointTurn::Full,
+            SendBarrier::OthersFail => EndpointTurn::Fail,
+            SendBarrier::OthersFullLate => EndpointTurn::FullLate,
+            SendBarrier::OthersFull | SendBarrier::OthersFullOfFour => EndpointTurn::Full,
             SendBarrier::OthersReset => EndpointTurn::Reset,
             SendBarrier::OthersSilent => EndpointTurn::Silent,
             SendBarrier::OthersSlow => EndpointTurn::Slow,
@@ -358,6 +392,8 @@
 struct CellBook {
     cells: Vec<SilenceCell>,
     sent_to: RefCell<HashMap<String, Vec<String>>>,
+    sent_at: RefCell<HashMap<String, Vec<Instant>>>,
+    accepted: RefCell<Vec<Instant>>,
 }
 
 impl CellBook {
@@ -367,6 +403,7 @@
 
     /// Notes a request; returns the number of those before.
     fn note(&self, id: &str, instance: &str) -> usize {
+        self.sent_at.borrow_mut().entry(id.to_owned()).or_default().push(Instant::now());
         let mut sent_to = self.sent_to.borrow_mut();
         let sent_to = sent_to.entry(id.to_owned()).or_default();
         sent_to.push(instance.to_owned());
@@ -388,6 +425,7 @@
     actix_rt::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             stream.set_nodelay(true).expect("an open connection");
+            book.accepted.borrow_mut().push(Instant::now());
             actix_rt::spawn(serve(stream, book.clone()));
         }
     });
@@ -437,6 +475,26 @@
             );
             stream.write_all(refusal.as_bytes()).await
         }
+        EndpointTurn::Fail => {
+            let text = format!(
+                "HTTP/1.1 500 Failed\r\nX-Oleandertack-Request-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+            );
+            stream.write_all(text.as_bytes()).await
+        }
+        EndpointTurn::FullLate => {
+            sleep(Duration::from_millis(60)).await;
+            let refusal = format!(
+                "HTTP/1.1 503 Full\r\nX-Oleandertack-Request-Id: {id}\r\n\
+                 X-Oleandertack-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            );
+            stream.write_all(refusal.as_bytes()).await
+        }
+        EndpointTurn::Foreign => {
+            let head = head_text("another", "Content-Length: 100\r\n") + "half";
+            stream.write_all(head.as_bytes()).await?;
+            sleep(FOR_GOOD).await;
+            Ok(())
+        }
         EndpointTurn::Reset => reset(stream),
         EndpointTurn::ResetAfterEvent => {
             let head = head_text(id, "Transfer-Encoding: chunked\r\n");
@@ -507,14 +565,20 @@
         let group = ProcessGroup::start_bounded(processes, bounds).await;
         group.put_rules(&rules(&cells));
         group.remove_first_endpoints();
-        let book = Rc::new(CellBook { cells, sent_to: RefCell::default() });
+        let book = Rc::new(CellBook {
+            cells,
+            sent_to: RefCell::default(),
+            sent_at: RefCell::default(),
+            accepted: Default::default(),
+        });
         let address = cell_endpoints(book.clone()).await;
         for (number, cell) in book.cells.iter().enumerate() {
             for at in 0..cell.endpoints() {
                 let is_other = cell.barrier == SendBarrier::OtherVersion && at > 0;
                 let version = if is_other { "v2" } else { "v1" };
+                let slots = if cell.barrier == SendBarrier::OthersBusy { 1 } else { 6 };
                 let body = format!(
-                    r#"{{"service":"c{number}","address":"{address}","zone":"near","version":"{version}","slots":6,"state":"ready","seq":1}}"#
+                    r#"{{"service":"c{number}","address":"{address}","zone":"near","version":"{version}","slots":{slots},"state":"ready","seq":1}}"#
                 );
                 group.registry().put(&format!("c{number}-{at}"), body);
             }
@@ -587,7 +651,7 @@
         for process in &self.group.processes {
             match self.book.cells[number].barrier {
                 SendBarrier::Budget => while process.node.spend_retry(&service) {},
-                SendBarrier::Held => hold(process, number),
+                SendBarrier::Held | SendBarrier::HeldOfFour => hold(process, number),
                 _ => {}
             }
         }
@@ -748,3 +812,201 @@
     let streams = SilenceCell::hanging(RouteKind::Resumable);
     walk_relayed(streams.chain(SilenceCell::hanging(RouteKind::Safe)));
 }
+
+fn silence_cell(route: RouteKind, at: SilencePoint, ms: u64, barrier: SendBarrier) -> SilenceCell {
+    SilenceCell { route, at, silence: Duration::from_millis(ms), barrier }
+}
+
+/// A begun stream is cut because the endpoint that took over answers with a failure at once.
+#[test]
+fn another_endpoint_that_fails_at_once_does_not_take_over() {
+    use SilencePoint as At;
+    let points = [At::BeforeHead, At::BeforeFirst, At::BetweenEvents, At::InsideEvent];
+    walk_direct(
+        points
+            .into_iter()
+            .map(|at| silence_cell(RouteKind::Resumable, at, 2000, SendBarrier::OthersFail)),
+    );
+}
+
+/// A begun stream is cut because the endpoint that took over refuses it late.
+#[test]
+fn another_endpoint_that_refuses_late_does_not_cost_the_answer() {
+    use SilencePoint as At;
+    let points = [At::BeforeHead, At::BeforeFirst, At::BetweenEvents, At::InsideEvent];
+    walk_direct(
+        points
+            .into_iter()
+            .map(|at| silence_cell(RouteKind::Resumable, at, 2000, SendBarrier::OthersFullLate)),
+    );
+}
+
+/// A silent request opens or closes a connection to a sound endpoint each time its account's limit bars it.
+#[test]
+fn a_request_barred_by_its_limit_costs_no_connections() {
+    play(async {
+        let at = SilencePoint::BetweenEvents;
+        let cells = [RouteKind::Fixed, RouteKind::Resumable];
+        let cells = cells.map(|route| silence_cell(route, at, 4000, SendBarrier::Limit));
+        let cells = CellPlay::start(1, cells.to_vec()).await;
+        let opened = async |number| {
+            let before = cells.book.accepted.borrow().len();
+            cells.run_cell(number).await;
+            cells.book.accepted.borrow().len() - before
+        };
+
+        let fixed = opened(0).await;
+        let resumable = opened(1).await;
+
+        assert!(resumable <= fixed + 2, "{resumable} connections, {fixed} without another attempt");
+    });
+}
+
+/// A request goes from one hanging endpoint to another as if one had been heard.
+#[test]
+fn a_request_waits_twice_if_no_endpoint_is_heard() {
+    play(async {
+        let cell = silence_cell(
+            RouteKind::Resumable,
+            SilencePoint::BetweenEvents,
+            60000,
+            SendBarrier::AllHang,
+        );
+        let cells = CellPlay::start(1, vec![cell]).await;
+
+        cells.run_cell(0).await;
+
+        let at = cells.book.sent_at.borrow()["c0"].clone();
+        let gaps: Vec<Duration> = at.windows(2).map(|two| two[1] - two[0]).collect();
+        let accepted = cells.book.accepted.borrow();
+        let dialed: Vec<Duration> =
+            accepted.iter().filter(|at_| **at_ >= at[0]).map(|at_| *at_ - at[0]).collect();
+        let is_patient = gaps.iter().all(|gap| *gap >= Duration::from_millis(2600));
+        assert!(is_patient, "sent after {gaps:?}, connections after {dialed:?}");
+    });
+}
+
+/// A request is sent once more when its time is over.
+#[test]
+fn nothing_is_sent_at_the_deadline() {
+    play(async {
+        let cells = [RouteKind::Resumable, RouteKind::Safe].map(|route| {
+            silence_cell(route, SilencePoint::BeforeHead, 60000, SendBarrier::OthersBusy)
+        });
+        let cells = CellPlay::start(1, cells.to_vec()).await;
+        let mut late = Vec::new();
+
+        for number in 0..2 {
+            let _beats = cells.send_beats(number).await;
+            let id = format!("c{number}");
+            let text = request("POST", &format!("/c{number}/a"), &id, "", &id);
+            let text = text.replace("Deadline-Ms: 2000", "Deadline-Ms: 3000");
+            let process = &cells.group.processes[0];
+            let mut caller = send(process.address(), &text).await;
+            sleep(Duration::from_millis(2500)).await;
+            let others = (0..4).map(|other| {
+                let text =
+                    request("POST", &format!("/c{number}/a"), &format!("other-{other}"), "", "");
+                async move { ask(process.address(), &text).await }
+            });
+            join_all(others).await;
+            view(&mut caller).await;
+            sleep(Duration::from_millis(50)).await;
+            let at = cells.book.sent_at.borrow()[&id].clone();
+            late.push(at.iter().map(|sent| *sent - at[0]).collect::<Vec<_>>());
+        }
+
+        let last = Duration::from_millis(2900);
+        assert!(late.iter().flatten().all(|at| *at < last), "{late:?}");
+    });
+}
+
+/// An endpoint that closed a connection which rested counts as failing if the request was sent beside.
+#[test]
+fn a_kept_connection_that_was_forgotten_is_no_failure() {
+    play(async {
+        let cell =
+            silence_cell(RouteKind::Safe, SilencePoint::BeforeHead, 600, SendBarrier::OthersReset);
+        let cells = CellPlay::start(1, vec![cell]).await;
+        let process = &cells.group.processes[0];
+        let other = |number: u32| {
+            let text = request("POST", "/c0/other", &format!("other-{number}"), "", "");
+            async move { ask(process.address(), &text).await }
+        };
+        join_all([other(1), other(2)]).await;
+
+        let (_, ()) = tokio::join!(cells.run_cell(0), async {
+            sleep(Duration::from_millis(100)).await;
+            other(3).await;
+        });
+
+        let node = &process.node;
+        let sent_to = cells.book.sent_to("c0");
+        let (board, now) = (node.endpoints.borrow(), node.clock.now());
+        let key = board.key(&sent_to[1].as_str().into()).expect("listed");
+        let share = board.get(key).expect("listed").health.failure_share(now);
+        let accepted = cells.book.accepted.borrow().len();
+        assert!(share == 0.0, "{share}, {accepted} connections, {sent_to:?}");
+    });
+}
+
+/// A request waits to its deadline behind an answer to another request that does not end.
+#[test]
+fn an_answer_to_another_request_that_hangs_is_left() {
+    play(async {
+        let cell =
+            silence_cell(RouteKind::Safe, SilencePoint::BeforeHead, 60000, SendBarrier::Foreign);
+        let cells = CellPlay::start(1, vec![cell]).await;
+
+        let answer = cells.run_cell(0).await;
+
+        assert!(answer.took < HANG_LIMIT, "{:?} {:?}", answer.took, answer.view);
+    });
+}
+
+/// Relayed streams are cut because another one took the last retry while they opened a connection.
+#[test]
+fn relayed_streams_go_on_if_one_takes_the_last_retry() {
+    play(async {
+        let cell = silence_cell(
+            RouteKind::Resumable,
+            SilencePoint::BetweenEvents,
+            3000,
+            SendBarrier::AloneOfFour,
+        );
+        let cells = CellPlay::start(3, vec![cell]).await;
+        cells.cut_off_first().await;
+        let first = &cells.group.processes[0];
+        let service = ServiceName::from("c0");
+        for process in &cells.group.processes[1..] {
+            while process.node.spend_retry(&service) {}
+        }
+        while first.node.retries_left(&service) > 1 {
+            first.node.spend_retry(&service);
+        }
+
+        let streams = (0..4).map(|number| {
+            let text = request("POST", "/c0/a", &format!("s{number}"), "", "");
+            let text = text.replace("Deadline-Ms: 2000", "Deadline-Ms: 8000");
+            let address = first.address();
+            async move {
+                let mut caller = send(address, &text).await;
+                view(&mut caller).await
+            }
+        });
+        let views = join_all(streams).await;
+
+        let cut = views.iter().filter(|(end, _)| *end != ViewEnd::Stated).count();
+        assert!(cut == 0, "{cut} of 4: {views:?}");
+    });
+}
+
+/// A relayed stream is cut because the next peer refuses it.
+#[test]
+fn a_relayed_stream_goes_on_if_the_next_peer_refuses_it() {
+    use SilencePoint as At;
+    walk_relayed([At::BetweenEvents, At::InsideEvent].into_iter().flat_map(|at| {
+        [SendBarrier::HeldOfFour, SendBarrier::OthersFullOfFour]
+            .map(|barrier| silence_cell(RouteKind::Resumable, at, 3000, barrier))
+    }));
+}
