A peer's refusal of a request that it did not read to its end is known as one

A relayed request is longer than its caller's by the headers of the relay. Beyond the peer's limits it was refused there without the mark of relayed answers, and the process that relayed it told the caller 502, may have run.

--- a/crates/front/src/ingress.rs
+++ b/crates/front/src/ingress.rs
@@ -108,9 +108,9 @@
     }
     let end = connection.serve().await;
     connection.trace.end(end, connection.buffer.len());
-    let CallerConnection { stream, mut codec, trace: _trace, .. } = connection;
+    let CallerConnection { node, stream, mut codec, trace: _trace, .. } = connection;
     if let ConnectionEnd::Refused(code) = end {
-        refuse_and_close(stream, &mut codec, code).await;
+        refuse_and_close(&node, stream, &mut codec, code).await;
     }
 }
 
@@ -365,10 +365,18 @@
 /// Refuses a request that was not read completely, and closes the connection. The rest of the request
 /// is read first: closing a socket with unread bytes resets the connection, and the caller would lose
 /// the refusal.
-async fn refuse_and_close(mut stream: TcpStream, codec: &mut Codec, code: ResultCode) {
+async fn refuse_and_close(
+    node: &FrontNode,
+    mut stream: TcpStream,
+    codec: &mut Codec,
+    code: ResultCode,
+) {
     let written = {
         let (_, writer) = stream.split();
-        AnswerWriter::new(writer, codec, true).refuse(code, None).await
+        let mut answer = AnswerWriter::new(writer, codec, true);
+        // A peer may have sent it, and has to know that this process refused it.
+        answer.mark_relayed(node.dialect.as_ref());
+        answer.refuse(code, None).await
     };
     if written.is_ok() && stream.shutdown().await.is_ok() {
         linger(&mut stream).await;
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -144,6 +144,8 @@
             | ResultCode::UnknownRoute
             | ResultCode::BadCallerKey
             | ResultCode::BudgetSpent
+            | ResultCode::HeaderTooLarge
+            | ResultCode::BodyTooLarge
     )
 }
 
