--- a/crates/front/src/limits/pay.rs
+++ b/crates/front/src/limits/pay.rs
@@ -123,7 +123,9 @@
     if let Some(left) = full_for(node, charge) {
         return Err(ChargeError::Full(left));
     }
-    if node.clock.now() < node.ledger_retry_at.get() {
+    let account_retry_at = node.account_retry_at.borrow().get(&charge.account).copied();
+    let retry_at = node.ledger_retry_at.get().max(account_retry_at.unwrap_or_default());
+    if node.clock.now() < retry_at {
         return Err(ChargeError::Unreached);
     }
     let began = Instant::now();
@@ -150,11 +152,17 @@
     }
     let claimed_at = node.clock.lease_now();
     let claim = node.limits.borrow_mut().claim(&charge.account, charge.tokens, claimed_at);
-    let Some(allotment) =
-        send_claim(node, AccountClaim { account: charge.account.clone(), claim }).await
-    else {
-        node.ledger_retry_at.set(node.clock.now() + ASK_BACKOFF);
-        return Err(ChargeError::Unreached);
+    let claim = AccountClaim { account: charge.account.clone(), claim };
+    let allotment = match send_claim(node, claim).await {
+        LedgerAnswer::Allotted(allotment) => allotment,
+        LedgerAnswer::UnknownAccount => {
+            pause_account(node, &charge.account);
+            return Err(ChargeError::Unreached);
+        }
+        LedgerAnswer::Silent => {
+            node.ledger_retry_at.set(node.clock.now() + ASK_BACKOFF);
+            return Err(ChargeError::Unreached);
+        }
     };
     let times = (claimed_at, node.clock.lease_now());
     node.limits.borrow_mut().take(&charge.account, allotment, times);
@@ -164,28 +172,58 @@
     Err(full_for(node, charge).map_or(ChargeError::Unreached, ChargeError::Full))
 }
 
-async fn send_claim(node: &FrontNode, claim: AccountClaim) -> Option<PoolAllotment> {
+/// Asks for an account no more for a while; the others are still asked for.
+fn pause_account(node: &FrontNode, account: &AccountName) {
+    let now = node.clock.now();
+    let mut retry_at = node.account_retry_at.borrow_mut();
+    retry_at.retain(|_, at| now < *at);
+    retry_at.insert(account.clone(), now + ASK_BACKOFF);
+}
+
+/// What the ledger says to a claim.
+enum LedgerAnswer {
+    Allotted(PoolAllotment),
+    /// By the rules that it has, the account has no limit; or it is no ledger any more.
+    UnknownAccount,
+    /// It did not answer, or cannot be reached.
+    Silent,
+}
+
+impl From<Option<PoolAllotment>> for LedgerAnswer {
+    fn from(allotment: Option<PoolAllotment>) -> Self {
+        allotment.map_or(LedgerAnswer::UnknownAccount, LedgerAnswer::Allotted)
+    }
+}
+
+async fn send_claim(node: &FrontNode, claim: AccountClaim) -> LedgerAnswer {
     let (collector, ask) = {
         let mesh = node.mesh.borrow();
         let me = mesh.view.me();
         let bond = node.limits.borrow().bond(node.clock.lease_now());
         let ask = LimitRequest { id: me.id.clone(), life: me.life, bond, claim };
-        let address =
-            if mesh.has_ledger() { None } else { Some(mesh.ledger_address(node.clock.now())?) };
+        let address = if mesh.has_ledger() {
+            None
+        } else {
+            let Some(address) = mesh.ledger_address(node.clock.now()) else {
+                return LedgerAnswer::Silent;
+            };
+            Some(address)
+        };
         (address, ask)
     };
-    let Some(address) = collector else { return answer_limit_ask(node, &ask) };
+    let Some(address) = collector else { return answer_limit_ask(node, &ask).into() };
+    let Some(peers) = node.peers.get() else { return LedgerAnswer::Silent };
     let call = CallPeer { address, body: MeshBody::RequestLimit(ask), limit: ASK_TIMEOUT };
-    match node.peers.get()?.send(call).await {
-        Ok(Ok(MeshBody::Allotted(allotment))) => allotment.map(|allotment| *allotment),
-        Ok(Ok(_)) => None,
+    match peers.send(call).await {
+        Ok(Ok(MeshBody::Allotted(allotment))) => allotment.map(|allotment| *allotment).into(),
+        Ok(Ok(_)) => LedgerAnswer::Silent,
         Ok(Err(fault)) => {
             event!(node, MemberFault; "fault" => fault.to_string());
-            None
+            LedgerAnswer::Silent
         }
         Err(fault) => {
             event!(node, InternalFault; "fault" => fault.to_string());
-            None
+            LedgerAnswer::Silent
         }
     }
 }
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -112,6 +112,8 @@
     pub ledger_wanted: Notify,
     /// When the ledger may be asked again after it did not answer.
     pub ledger_retry_at: Cell<ClockTime>,
+    /// When the ledger may be asked again for accounts for which it had no limit.
+    pub(crate) account_retry_at: RefCell<HashMap<AccountName, ClockTime>>,
     /// The bytes and frames on the connections to the other processes.
     pub traffic: Rc<TrafficCounters>,
     /// The connections to the other processes.
@@ -217,6 +219,7 @@
             limit_exchange: tokio::sync::Mutex::default(),
             ledger_wanted: Notify::new(),
             ledger_retry_at: Cell::default(),
+            account_retry_at: RefCell::default(),
             traffic: Rc::default(),
             peers: OnceCell::new(),
             spend_tracker: RefCell::default(),
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod brittle;
 mod bundle;
 mod call;
+mod changes;
 mod check;
 mod claim;
 mod cluster;
--- a/tests/all/relaying.rs
+++ b/tests/all/relaying.rs
@@ -45,7 +45,7 @@
 }
 
 /// Cuts processes off and lets them notice it by a request each.
-async fn cut(group: &ProcessGroup, processes: &[usize], mode: PathMode) {
+pub async fn cut(group: &ProcessGroup, processes: &[usize], mode: PathMode) {
     for at in processes {
         group.paths[*at].set(mode);
     }
