--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -9,11 +9,11 @@
 use crate::limits::{self, QuotaCharge};
 use crate::node::FrontNode;
 use crate::origins::{self, StreamBinding};
-use crate::relay::{self, NextHop, RelayTurn};
+use crate::relay::{self, NextHop};
 use crate::releases::CandidatePayment;
 use crate::standby::StandbyAttempt;
 use crate::suspects;
-use crate::trace::{CallTrace, TraceGuard};
+use crate::trace::{CallStage, CallTrace, TraceGuard};
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, StatusCode};
 use bytes::Bytes;
@@ -146,8 +146,8 @@
     pub(crate) cut_cause: Option<CutCause>,
     /// The attempt that takes over from a silent one.
     pub(crate) standby: Option<Box<StandbyAttempt>>,
-    /// The peers to which the request is relayed; `None` if it is not.
-    pub(crate) relay_turn: Option<RelayTurn>,
+    /// What the log line of the request is written from; filled when the context is dropped.
+    pub(crate) trace: Option<&'a mut CallTrace>,
 }
 
 /// Why an answer that had begun was cut.
@@ -218,7 +218,7 @@
         return answer.refuse(ResultCode::NoBundle, Some(NO_ENDPOINT_RETRY)).await;
     };
     let route = rules.route(admitted.route);
-    if node.stop.get() == StopStage::Draining {
+    if matches!(node.stop.get(), StopStage::Draining | StopStage::Stopped) {
         // The request could outlast the process. The load balancer sends the next connection to another one.
         answer.close_after();
         return answer.refuse(ResultCode::Draining, Some(DRAINING_RETRY)).await;
@@ -235,20 +235,28 @@
         return answer.refuse(ResultCode::RequestHeld, Some(left)).await;
     }
     let owner = account.map(|account| &account.name);
-    let binding = match origins::bind_request(node, (&call, route), (owner, &service)).await {
-        Ok(binding) => binding,
-        Err(refusal) => return answer.refuse(refusal.code, refusal.retry).await,
+    let max_wait = call.max_wait.unwrap_or(route.timeout).min(route.timeout);
+    let deadline = arrived + max_wait.duration();
+    trace.stage = CallStage::Origin;
+    let binding = origins::bind_request(node, (&call, route), (owner, &service));
+    let binding = match timeout_at(deadline, binding).await {
+        Ok(Ok(binding)) => binding,
+        Ok(Err(refusal)) => return answer.refuse(refusal.code, refusal.retry).await,
+        Err(_) => return answer.refuse(ResultCode::DeadlineNotRun, None).await,
     };
     // A peer that serves the request charges it. Tokens that this process held would be missing there.
     let relays = relay::is_relayed_at_once(node, (&call, &service), &binding);
     let charged = account.filter(|_| !relays);
     let charge = charged.and_then(|account| QuotaCharge::of(node, account, &call));
-    if let Some(charge) = &charge
-        && let Err(retry) = limits::charge_quota(node, charge, call.id.as_str()).await
-    {
-        return answer.refuse(ResultCode::LimitReached, Some(retry)).await;
+    trace.stage = CallStage::Ledger;
+    if let Some(charge) = &charge {
+        let charging = limits::charge_quota(node, charge, call.id.as_str());
+        match timeout_at(deadline, charging).await {
+            Ok(Ok(())) => {}
+            Ok(Err(retry)) => return answer.refuse(ResultCode::LimitReached, Some(retry)).await,
+            Err(_) => return answer.refuse(ResultCode::DeadlineNotRun, None).await,
+        }
     }
-    let max_wait = call.max_wait.unwrap_or(route.timeout).min(route.timeout);
     let relayed = call.relayed_attempts.unwrap_or(u32::MAX).max(1);
     let max_attempts = route.max_attempts.min(relayed);
     node.dialect.strip_request(&mut request.head.headers);
@@ -258,7 +266,7 @@
     let mut context = CallContext {
         node,
         answer,
-        deadline: arrived + max_wait.duration(),
+        deadline,
         last_event: call.last_event,
         call,
         charge,
@@ -297,14 +305,13 @@
         barrier: None,
         cut_cause: None,
         standby: None,
-        relay_turn: None,
+        trace: Some(trace),
     };
     let outcome = match timeout_at(context.deadline, context.serve()).await {
         Ok(outcome) => outcome,
         Err(_) => context.expire().await,
     };
     context.refund_unused();
-    context.note_trace(trace);
     outcome
 }
 
@@ -351,7 +358,7 @@
         self.rules.route(self.route)
     }
 
-    fn note_trace(&self, trace: &mut CallTrace) {
+    pub(crate) fn note_trace(&self, trace: &mut CallTrace) {
         trace.sent = self.record.sent() + u32::from(self.first_chunk_at.is_some());
         trace.may_have_run = self.record.may_have_run() || self.is_in_flight();
         trace.peer = self.peer.clone();
@@ -484,6 +491,7 @@
             return Ok(());
         }
         let ensure = |holds: bool, barrier| if holds { Ok(()) } else { Err(barrier) };
+        ensure(Instant::now() < self.deadline, RetryBarrier::Deadline)?;
         ensure(self.record.may_send() || by_peer, RetryBarrier::Attempts)?;
         let refused = suspects::refused_for(self.node, &self.suspects);
         ensure(refused.is_none(), RetryBarrier::Quarantined)?;
--- a/crates/front/src/ingress.rs
+++ b/crates/front/src/ingress.rs
@@ -4,7 +4,8 @@
 //! The connection loop of `actix_http` fixes its limits when it is built. Here the limits change with
 //! the rules in force, so this module has its own loop and uses only the codec of `actix_http`.
 
-use crate::answer::AnswerWriter;
+use crate::answer::{AnswerStage, AnswerWriter};
+use crate::connection::{ConnectionEnd, ConnectionTrace};
 use crate::drive::serve_call;
 use crate::events::event;
 use crate::node::FrontNode;
@@ -24,7 +25,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::ReadHalf;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// Bytes reserved for one read.
 const READ_SIZE: usize = 4096;
@@ -36,6 +37,10 @@
 /// Most bytes that are read and discarded then.
 const LINGER_BYTES: usize = 1 << 20;
 
+/// How long a connection is left open while the process stops: a caller that has just had an answer, or has just
+/// connected, may be sending a request, which is refused as not run.
+const SETTLE_TIME: Duration = Duration::from_millis(200);
+
 /// A caller's request, read completely.
 pub struct CallerRequest {
     /// Request line and headers.
@@ -44,55 +49,68 @@
     pub body: Bytes,
 }
 
-/// Accepts connections of callers until the task is cancelled.
+/// Accepts connections of callers until the process stops and has no request under way.
 pub async fn accept_callers(node: Rc<FrontNode>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                actix_rt::spawn(serve_connection(node.clone(), stream));
+        tokio::select! {
+            biased;
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => spawn_connection(&node, stream),
+                Err(fault) => {
+                    // Most likely the process is out of file descriptors; connections that close release some soon.
+                    event!(node, CallerFault; "fault" => fault.to_string());
+                    actix_rt::time::sleep(Duration::from_millis(20)).await;
+                }
+            },
+            () = node.close_idle.notified() => {
+                if node.stop.get() != StopStage::Serving && node.in_flight.get() == 0 {
+                    break;
+                }
             }
+        }
+    }
+    // What waits to be accepted would be reset with the listener.
+    tokio::task::yield_now().await;
+    while let Ok(accepted) = timeout(Duration::ZERO, listener.accept()).await {
+        match accepted {
+            Ok((stream, _)) => spawn_connection(&node, stream),
             Err(fault) => {
-                // Most likely the process is out of file descriptors; connections that close release some soon.
                 event!(node, CallerFault; "fault" => fault.to_string());
-                actix_rt::time::sleep(Duration::from_millis(20)).await;
+                return;
             }
         }
     }
 }
 
-enum HeadOutcome {
-    Read(Request),
-    Closed,
-    Refused(ResultCode),
+fn spawn_connection(node: &Rc<FrontNode>, stream: TcpStream) {
+    let connection = CallerConnection {
+        node: node.clone(),
+        stream,
+        codec: Codec::new(node.http.config().clone()),
+        buffer: BytesMut::new(),
+        trace: ConnectionTrace::new(node),
+    };
+    actix_rt::spawn(serve_connection(connection));
+}
+
+/// A caller's connection.
+struct CallerConnection {
+    node: Rc<FrontNode>,
+    stream: TcpStream,
+    codec: Codec,
+    buffer: BytesMut,
+    trace: ConnectionTrace,
 }
 
-async fn serve_connection(node: Rc<FrontNode>, mut stream: TcpStream) {
-    if let Err(fault) = configure_socket(&stream, SocketBounds::default()) {
-        event!(node, CallerFault; "fault" => fault.to_string());
+async fn serve_connection(mut connection: CallerConnection) {
+    if let Err(fault) = configure_socket(&connection.stream, SocketBounds::default()) {
+        event!(connection.node, CallerFault; "fault" => fault.to_string());
     }
-    let mut codec = Codec::new(node.http.config().clone());
-    let mut buffer = BytesMut::new();
-    loop {
-        let bounds = caller_bounds(&node);
-        let outcome = read_head(&node, &mut stream, &mut codec, &mut buffer, bounds).await;
-        let request = match outcome {
-            HeadOutcome::Read(request) => request,
-            HeadOutcome::Closed => return,
-            HeadOutcome::Refused(code) => return refuse_and_close(stream, &mut codec, code).await,
-        };
-        let body = read_body(&mut stream, &mut codec, &mut buffer, &request, bounds).await;
-        let body = match body {
-            Ok(body) => body,
-            Err(Some(code)) => return refuse_and_close(stream, &mut codec, code).await,
-            Err(None) => return,
-        };
-        let answered =
-            answer_request(&node, &mut stream, &mut codec, &mut buffer, (request, body)).await;
-        match answered {
-            NextUse::Request => {}
-            NextUse::Close => return,
-            NextUse::Linger => return linger(&mut stream).await,
-        }
+    let end = connection.serve().await;
+    connection.trace.end(end, connection.buffer.len());
+    let CallerConnection { node, stream, mut codec, trace: _trace, .. } = connection;
+    if let ConnectionEnd::Refused(code) = end {
+        refuse_and_close(&node, stream, &mut codec, code).await;
     }
 }
 
@@ -100,100 +118,206 @@
     node.rules.borrow().current().map_or_else(CallerBounds::default, |rules| rules.bounds())
 }
 
-/// Waits for a request and reads its head within the limits of `bounds`.
-async fn read_head(
-    node: &FrontNode,
-    stream: &mut TcpStream,
-    codec: &mut Codec,
-    buffer: &mut BytesMut,
-    bounds: CallerBounds,
-) -> HeadOutcome {
-    if buffer.is_empty() && !wait_first_byte(node, stream, buffer, bounds).await {
-        return HeadOutcome::Closed;
-    }
-    let until = Instant::now() + bounds.head_timeout.duration();
-    loop {
-        let buffered = buffer.len();
-        match codec.decode(buffer) {
-            Ok(Some(Message::Item(request))) => {
-                let too_long = buffered - buffer.len() > bounds.head_bytes;
-                let upgrade = codec.message_type() == MessageType::Stream;
-                return match (too_long, upgrade) {
-                    (true, _) => HeadOutcome::Refused(ResultCode::HeaderTooLarge),
-                    (_, true) => HeadOutcome::Refused(ResultCode::BadHead),
-                    _ => HeadOutcome::Read(request),
-                };
-            }
-            Ok(Some(Message::Chunk(_))) => return HeadOutcome::Refused(ResultCode::BadHead),
-            Ok(None) if buffered > bounds.head_bytes => {
-                return HeadOutcome::Refused(ResultCode::HeaderTooLarge);
-            }
-            Ok(None) => {}
-            Err(ParseError::TooLarge) => {
-                return HeadOutcome::Refused(ResultCode::HeaderTooLarge);
+impl CallerConnection {
+    /// Answers requests until the connection ends.
+    async fn serve(&mut self) -> ConnectionEnd {
+        let node = self.node.clone();
+        loop {
+            let read = tokio::select! {
+                biased;
+                read = self.read_request() => read,
+                () = node.until_stopped() => Err(match self.trace.is_reading() {
+                    true => ConnectionEnd::Refused(ResultCode::Draining),
+                    false => ConnectionEnd::Stop,
+                }),
+            };
+            let request = match read {
+                Ok(request) => request,
+                Err(end) => return end,
+            };
+            match self.answer(request).await {
+                NextUse::Request => self.trace.note_answered(),
+                NextUse::Close => return ConnectionEnd::Answered,
+                NextUse::CallerGone => return ConnectionEnd::Caller,
+                NextUse::Linger => {
+                    linger(&mut self.stream).await;
+                    return ConnectionEnd::Answered;
+                }
             }
-            Err(_) => return HeadOutcome::Refused(ResultCode::BadHead),
         }
-        buffer.reserve(READ_SIZE);
-        match timeout_at(until, stream.read_buf(buffer)).await {
-            Ok(Ok(0)) | Ok(Err(_)) => return HeadOutcome::Closed,
-            Ok(Ok(_)) => {}
-            Err(_) => return HeadOutcome::Refused(ResultCode::SlowHead),
+    }
+
+    /// The larger of the bounds that were in force at a moment and those that are now.
+    ///
+    /// A caller may count on the newest ones as soon as they are written, and on older ones for what it has begun.
+    fn bounds_since(&self, before: CallerBounds) -> CallerBounds {
+        before.larger(caller_bounds(&self.node))
+    }
+
+    /// Waits for a request and reads it; an error is the end of the connection.
+    async fn read_request(&mut self) -> Result<(Request, Bytes), ConnectionEnd> {
+        if self.buffer.is_empty() {
+            self.wait_first_byte().await?;
         }
+        self.trace.note_begun(self.buffer.len());
+        let begun = caller_bounds(&self.node);
+        let request = self.read_head(begun).await?;
+        self.trace.note_head();
+        let body = self.read_body(&request, begun).await?;
+        self.trace.note_complete();
+        Ok((request, body))
     }
-}
 
-/// Waits for the first byte of a request; returns false if the caller closed the connection, the idle
-/// timeout passed, or the process closes idle connections because it stops.
-async fn wait_first_byte(
-    node: &FrontNode,
-    stream: &mut TcpStream,
-    buffer: &mut BytesMut,
-    bounds: CallerBounds,
-) -> bool {
-    buffer.reserve(READ_SIZE);
-    tokio::select! {
-        biased;
-        read = stream.read_buf(buffer) => matches!(read, Ok(count) if count > 0),
-        () = node.close_idle.notified() => false,
-        () = tokio::time::sleep(bounds.idle_timeout.duration()) => false,
+    /// Waits for the first byte of a request; fails if the caller closed the connection, the idle
+    /// timeout passed, or the process closes idle connections because it stops.
+    async fn wait_first_byte(&mut self) -> Result<(), ConnectionEnd> {
+        let (since, before) = (Instant::now(), caller_bounds(&self.node));
+        loop {
+            let limit = self.bounds_since(before).idle_timeout;
+            self.buffer.reserve(READ_SIZE);
+            tokio::select! {
+                biased;
+                read = self.stream.read_buf(&mut self.buffer) => return match read {
+                    Ok(0) | Err(_) => Err(ConnectionEnd::Caller),
+                    Ok(_) => Ok(()),
+                },
+                () = self.node.close_idle.notified() => {
+                    if self.trace.idle_for() >= SETTLE_TIME {
+                        return self.end_unless_sent(ConnectionEnd::Stop).await;
+                    }
+                }
+                () = tokio::time::sleep_until(since + limit.duration()) => {
+                    if self.bounds_since(before).idle_timeout <= limit {
+                        return self.end_unless_sent(ConnectionEnd::Idle).await;
+                    }
+                }
+            }
+        }
     }
-}
 
-/// Reads a request's body. `Err(None)` means that the caller disconnected.
-async fn read_body(
-    stream: &mut TcpStream,
-    codec: &mut Codec,
-    buffer: &mut BytesMut,
-    request: &Request,
-    bounds: CallerBounds,
-) -> Result<Bytes, Option<ResultCode>> {
-    if codec.message_type() == MessageType::None {
-        return Ok(Bytes::new());
+    /// Ends an idle connection, unless a request is in its socket that the runtime has not seen yet.
+    async fn end_unless_sent(&mut self, end: ConnectionEnd) -> Result<(), ConnectionEnd> {
+        tokio::task::yield_now().await;
+        match self.stream.try_read_buf(&mut self.buffer) {
+            Ok(0) => Err(ConnectionEnd::Caller),
+            Ok(_) => Ok(()),
+            Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => Err(end),
+            Err(_) => Err(ConnectionEnd::Caller),
+        }
     }
-    if request.head().expect() {
-        let written = stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
-        written.map_err(|_| None)?;
+
+    /// Reads the head of a request that began under the limits `begun`.
+    async fn read_head(&mut self, begun: CallerBounds) -> Result<Request, ConnectionEnd> {
+        let since = Instant::now();
+        let refused = |code| Err(ConnectionEnd::Refused(code));
+        loop {
+            let bounds = self.bounds_since(begun);
+            let buffered = self.buffer.len();
+            match self.codec.decode(&mut self.buffer) {
+                Ok(Some(Message::Item(request))) => {
+                    let too_long = buffered - self.buffer.len() > bounds.head_bytes;
+                    let upgrade = self.codec.message_type() == MessageType::Stream;
+                    return match (too_long, upgrade) {
+                        (true, _) => refused(ResultCode::HeaderTooLarge),
+                        (_, true) => refused(ResultCode::BadHead),
+                        _ => Ok(request),
+                    };
+                }
+                Ok(Some(Message::Chunk(_))) => return refused(ResultCode::BadHead),
+                Ok(None) if buffered > bounds.head_bytes => {
+                    return refused(ResultCode::HeaderTooLarge);
+                }
+                Ok(None) => {}
+                Err(ParseError::TooLarge) => return refused(ResultCode::HeaderTooLarge),
+                Err(_) => return refused(ResultCode::BadHead),
+            }
+            match timeout_at(since + bounds.head_timeout.duration(), self.read_more()).await {
+                Ok(read) => read?,
+                Err(_) if bounds.head_timeout < self.bounds_since(begun).head_timeout => {}
+                Err(_) => return refused(ResultCode::SlowHead),
+            }
+        }
     }
-    let mut body = BytesMut::new();
-    loop {
-        match codec.decode(buffer) {
-            Ok(Some(Message::Chunk(Some(bytes)))) => body.extend_from_slice(&bytes),
-            Ok(Some(Message::Chunk(None))) => return Ok(body.freeze()),
-            Ok(Some(Message::Item(_))) | Err(_) => return Err(Some(ResultCode::BadHead)),
-            Ok(None) => {
-                buffer.reserve(READ_SIZE);
-                let read =
-                    tokio::time::timeout(bounds.idle_timeout.duration(), stream.read_buf(buffer));
-                match read.await {
-                    Ok(Ok(0)) | Ok(Err(_)) => return Err(None),
-                    Ok(Ok(_)) => {}
-                    Err(_) => return Err(Some(ResultCode::SlowBody)),
+
+    /// Reads the body of a request that began under the limits `begun`.
+    async fn read_body(
+        &mut self,
+        request: &Request,
+        begun: CallerBounds,
+    ) -> Result<Bytes, ConnectionEnd> {
+        if self.codec.message_type() == MessageType::None {
+            return Ok(Bytes::new());
+        }
+        if request.head().expect() {
+            let written = self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+            written.map_err(|_| ConnectionEnd::Caller)?;
+        }
+        let refused = |code| Err(ConnectionEnd::Refused(code));
+        let mut body = BytesMut::new();
+        let mut since = Instant::now();
+        loop {
+            let bounds = self.bounds_since(begun);
+            match self.codec.decode(&mut self.buffer) {
+                Ok(Some(Message::Chunk(Some(bytes)))) => body.extend_from_slice(&bytes),
+                Ok(Some(Message::Chunk(None))) => return Ok(body.freeze()),
+                Ok(Some(Message::Item(_))) | Err(_) => return refused(ResultCode::BadHead),
+                Ok(None) => {
+                    let until = since + bounds.idle_timeout.duration();
+                    match timeout_at(until, self.read_more()).await {
+                        Ok(read) => {
+                            read?;
+                            since = Instant::now();
+                        }
+                        Err(_) if bounds.idle_timeout < self.bounds_since(begun).idle_timeout => {}
+                        Err(_) => return refused(ResultCode::SlowBody),
+                    }
                 }
             }
+            if body.len() > bounds.body_bytes {
+                return refused(ResultCode::BodyTooLarge);
+            }
         }
-        if body.len() > bounds.body_bytes {
-            return Err(Some(ResultCode::BodyTooLarge));
+    }
+
+    /// Reads more bytes of a request.
+    async fn read_more(&mut self) -> Result<(), ConnectionEnd> {
+        self.buffer.reserve(READ_SIZE);
+        match self.stream.read_buf(&mut self.buffer).await {
+            Ok(0) | Err(_) => Err(ConnectionEnd::Caller),
+            Ok(count) => {
+                self.trace.note_read(count);
+                Ok(())
+            }
+        }
+    }
+
+    /// Answers one request.
+    async fn answer(&mut self, (mut request, body): (Request, Bytes)) -> NextUse {
+        let CallerConnection { node, stream, codec, buffer, .. } = self;
+        node.in_flight.set(node.in_flight.get() + 1);
+        let _guard = InflightGuard(&node.in_flight);
+        let (mut reader, writer) = stream.split();
+        let mut answer = AnswerWriter::new(writer, codec, false).follow_stop(&node.stop);
+        let head = std::mem::take(request.head_mut());
+        let request = CallerRequest { head, body };
+        tokio::select! {
+            biased;
+            outcome = serve_call(node, request, &mut answer) => match outcome {
+                Ok(()) if answer.can_reuse() => NextUse::Request,
+                Ok(()) => end_answered(&mut answer).await,
+                Err(_) => NextUse::Close,
+            },
+            () = wait_caller_close(&mut reader, buffer) => NextUse::CallerGone,
+            () = node.until_stopped() => match answer.stage() {
+                AnswerStage::Waiting => {
+                    // It may be under way at an endpoint.
+                    match answer.refuse(ResultCode::Uncertain, None).await {
+                        Ok(()) => end_answered(&mut answer).await,
+                        Err(_) => NextUse::Close,
+                    }
+                }
+                AnswerStage::Begun | AnswerStage::Done => NextUse::Close,
+            },
         }
     }
 }
@@ -212,35 +336,17 @@
     Request,
     /// For nothing.
     Close,
+    /// For nothing: the caller closed it before it had its answer.
+    CallerGone,
     /// This side was closed in an orderly way; the caller still has to read what was sent.
     Linger,
 }
 
-/// Answers one request.
-async fn answer_request(
-    node: &Rc<FrontNode>,
-    stream: &mut TcpStream,
-    codec: &mut Codec,
-    buffer: &mut BytesMut,
-    (mut request, body): (Request, Bytes),
-) -> NextUse {
-    node.in_flight.set(node.in_flight.get() + 1);
-    let _guard = InflightGuard(&node.in_flight);
-    let (mut reader, writer) = stream.split();
-    let closes = node.stop.get() != StopStage::Serving;
-    let mut answer = AnswerWriter::new(writer, codec, closes);
-    let head = std::mem::take(request.head_mut());
-    let request = CallerRequest { head, body };
-    tokio::select! {
-        biased;
-        outcome = serve_call(node, request, &mut answer) => {
-            match outcome {
-                Ok(()) if answer.can_reuse() => NextUse::Request,
-                Ok(()) if answer.has_ended_connection() => NextUse::Linger,
-                Ok(()) | Err(_) => NextUse::Close,
-            }
-        }
-        () = wait_caller_close(&mut reader, buffer) => NextUse::Close,
+/// Closes this side of the connection after an answer to its end.
+async fn end_answered(answer: &mut AnswerWriter<'_>) -> NextUse {
+    match answer.shut_down().await {
+        Ok(()) => NextUse::Linger,
+        Err(_) => NextUse::Close,
     }
 }
 
@@ -259,10 +365,18 @@
 /// Refuses a request that was not read completely, and closes the connection. The rest of the request
 /// is read first: closing a socket with unread bytes resets the connection, and the caller would lose
 /// the refusal.
-async fn refuse_and_close(mut stream: TcpStream, codec: &mut Codec, code: ResultCode) {
+async fn refuse_and_close(
+    node: &FrontNode,
+    mut stream: TcpStream,
+    codec: &mut Codec,
+    code: ResultCode,
+) {
     let written = {
         let (_, writer) = stream.split();
-        AnswerWriter::new(writer, codec, true).refuse(code, None).await
+        let mut answer = AnswerWriter::new(writer, codec, true);
+        // A peer may have sent it, and has to know that this process refused it.
+        answer.mark_relayed(node.dialect.as_ref());
+        answer.refuse(code, None).await
     };
     if written.is_ok() && stream.shutdown().await.is_ok() {
         linger(&mut stream).await;
