A begun stream is not taken over by an answer that states no end; short deadlines are not waited out

Seen in the head, that counts as a failure of the new attempt now. It waits once if the deadline leaves no time for more.

--- a/crates/front/src/standby.rs
+++ b/crates/front/src/standby.rs
@@ -53,9 +53,12 @@
         self.patience.map_or(deadline, |patience| deadline.min(self.began + patience))
     }
 
-    /// Whether it has lasted so long that another endpoint is tried although none was heard meanwhile.
-    fn is_long(&self) -> bool {
-        self.patience.is_some_and(|patience| self.began.elapsed() >= 2 * patience)
+    /// Whether it has lasted so long that another endpoint is tried although none was heard meanwhile: for twice its
+    /// patience, or less if the time until `deadline` is too short for that and an answer.
+    fn is_long(&self, deadline: Instant) -> bool {
+        self.patience.is_some_and(|patience| {
+            self.began.elapsed() >= 2 * patience || self.began + 3 * patience > deadline
+        })
     }
 }
 
@@ -163,7 +166,7 @@
         ensure(record.may_send(), RetryBarrier::Attempts)?;
         let refused = suspects::refused_for(self.node, &self.suspects);
         ensure(refused.is_none(), RetryBarrier::Quarantined)?;
-        let has_time = self.time_left() > self.route().objective;
+        let has_time = self.time_left().duration() > 2 * FAILURE_WAIT;
         ensure(has_time, RetryBarrier::Deadline)?;
         ensure(self.node.retries_left(&self.service) > 0, RetryBarrier::Budget)?;
         let is_full = self.charge.as_ref().is_some_and(|charge| limits::is_full(self.node, charge));
@@ -241,6 +244,10 @@
             return Some(AttemptEnd::RefusedNotRun);
         }
         if answer_head.is_sound(&self.call.id) && !head.status.is_server_error() {
+            // The end of such a stream could not be passed on.
+            if self.answer.must_state_end() && link.sent.ends_with_connection(&head) {
+                return Some(AttemptEnd::Unstated);
+            }
             link.head = Some(head);
             return None;
         }
@@ -276,7 +283,7 @@
     ) -> Result<(PlacementChoice, bool), RetryBarrier> {
         let since = self.node.clock.now() - sent_for(silence.began) + HEARING_MARGIN;
         let others_answer = paths::was_answered_since(self.node, &self.service, since);
-        if !(others_answer || silence.is_long()) {
+        if !(others_answer || silence.is_long(self.deadline)) {
             return Err(RetryBarrier::NoneAnswers);
         }
         let serving = || self.choose_other(silence, false).map(|choice| (choice, false));
@@ -298,7 +305,8 @@
         let fact = board.get(choice.key)?;
         let is_free =
             fact.has_free_place() && (!request.engine || choice.queue() <= request.queue_limit);
-        (fact.is_trusted(request.now) && (is_free || silence.is_long())).then_some(choice)
+        (fact.is_trusted(request.now) && (is_free || silence.is_long(self.deadline)))
+            .then_some(choice)
     }
 
     /// A connection to an endpoint, and whether it was used before. Without a sign that the way works, only a new
--- a/crates/outlet/src/link.rs
+++ b/crates/outlet/src/link.rs
@@ -215,6 +215,23 @@
         }
     }
 
+    /// Whether nothing but the end of the connection will show the end of the body that follows `head`.
+    pub fn ends_with_connection(&self, head: &ResponseHead) -> bool {
+        let length = head.headers().get(CONTENT_LENGTH);
+        let is_empty = length.is_some_and(|length| length.as_bytes() == b"0");
+        match self.coder.message_type() {
+            _ if self.has_no_body(head) || is_empty => false,
+            // The library treats an HTTP/1.1 answer without a length as empty; it ends with its
+            // connection (RFC 9112, section 6.3).
+            MessageType::None | MessageType::Stream => true,
+            MessageType::Payload => head.version == Version::HTTP_10 && length.is_none(),
+        }
+    }
+
+    fn has_no_body(&self, head: &ResponseHead) -> bool {
+        self.head_only || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+    }
+
     /// Returns the link for reading the body that follows `head`.
     pub fn into_body(self, head: &ResponseHead) -> BodyLink {
         let closes = head.connection_type() == ConnectionType::Close;
@@ -222,19 +239,14 @@
             && !closes
             && head.version == Version::HTTP_11
             && self.unsent.is_empty();
-        let no_body = self.head_only
-            || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
         let length = head.headers().get(CONTENT_LENGTH);
         let is_empty = length.is_some_and(|length| length.as_bytes() == b"0");
-        let framing = match self.coder.message_type() {
-            _ if no_body || is_empty => BodyFraming::Ended(BodyEnd::Stated),
-            // The library treats an HTTP/1.1 answer without a length as empty; it ends with its
-            // connection (RFC 9112, section 6.3).
-            MessageType::None | MessageType::Stream => BodyFraming::UntilClose,
-            MessageType::Payload if head.version == Version::HTTP_10 && length.is_none() => {
-                BodyFraming::UntilClose
-            }
-            MessageType::Payload => BodyFraming::Encoded(self.coder.into_payload_codec()),
+        let framing = if self.ends_with_connection(head) {
+            BodyFraming::UntilClose
+        } else if self.has_no_body(head) || is_empty {
+            BodyFraming::Ended(BodyEnd::Stated)
+        } else {
+            BodyFraming::Encoded(self.coder.into_payload_codec())
         };
         BodyLink { link: self.link, framing, reusable }
     }
