--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -450,7 +450,13 @@
                 None => {
                     let node = self.node.clone();
                     let reading = node.run_until_replaced(Some(key), sent.read_head());
-                    let read = self.read_patiently(silence, reading).await;
+                    let is_end = |read: &Option<oleander_outlet::Result<ResponseHead>>| match read {
+                        Some(Ok(head)) => {
+                            head.status.is_client_error() || head.status.is_server_error()
+                        }
+                        Some(Err(_)) | None => true,
+                    };
+                    let read = self.read_patiently(silence, reading, is_end).await;
                     read.ok_or_else(late)?.ok_or_else(ended)??
                 }
             };
@@ -462,7 +468,7 @@
                 return Ok((sent, head, answer_head));
             }
             let mut foreign = sent.into_body(&head);
-            let skipped = self.read_patiently(silence, foreign.skip()).await;
+            let skipped = self.read_patiently(silence, foreign.skip(), Result::is_err).await;
             skipped.ok_or_else(late)??;
             *slot = foreign.await_next_answer(&self.node.http);
         }
--- a/crates/front/src/standby.rs
+++ b/crates/front/src/standby.rs
@@ -92,11 +92,13 @@
 
 impl CallContext<'_, '_> {
     /// Waits for `reading`. If the silence exceeds its patience, another attempt is prepared beside. Returns `None` if
-    /// that one takes over, or if the deadline has passed.
+    /// that one takes over, or if the deadline has passed. If the present attempt ends by what was read, as `is_end`
+    /// tells, while another one is on its way, that one is kept for it.
     pub(crate) async fn read_patiently<T>(
         &mut self,
         silence: AnswerSilence,
         reading: impl Future<Output = T>,
+        is_end: fn(&T) -> bool,
     ) -> Option<T> {
         let mut reading = pin!(reading);
         if let Ok(read) = timeout_at(silence.prepare_at(self.deadline), &mut reading).await {
@@ -104,24 +106,25 @@
         }
         while Instant::now() < self.deadline {
             let is_sent = Cell::new(false);
-            let preparing = self.prepare_attempt(silence, &is_sent);
-            let prepared = tokio::select! {
-                biased;
-                read = &mut reading => Err(read),
-                prepared = preparing => Ok(prepared),
+            let (read, prepared) = {
+                let mut preparing = pin!(self.prepare_attempt(silence, &is_sent));
+                tokio::select! {
+                    biased;
+                    read = &mut reading => match is_sent.get() && is_end(&read) {
+                        true => (Some(read), Some(preparing.await)),
+                        false => (Some(read), None),
+                    },
+                    prepared = &mut preparing => (None, Some(prepared)),
+                }
             };
             match prepared {
-                Err(read) => {
-                    if is_sent.get() {
-                        self.record.note_beside();
-                    }
-                    return Some(read);
-                }
-                Ok(Ok(standby)) => {
-                    self.standby = Some(Box::new(standby));
-                    return None;
-                }
-                Ok(Err(fault)) => self.note_standby_fault(silence, fault),
+                Some(Ok(standby)) => self.standby = Some(Box::new(standby)),
+                Some(Err(fault)) => self.note_standby_fault(silence, fault),
+                None if is_sent.get() => self.record.note_beside(),
+                None => {}
+            }
+            if read.is_some() || self.standby.is_some() {
+                return read;
             }
             let recheck_at = self.deadline.min(Instant::now() + RECHECK_PERIOD);
             if let Ok(read) = timeout_at(recheck_at, &mut reading).await {
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -47,7 +47,9 @@
     let mut are_parts_sound = false;
     let body_end = loop {
         let reading = node.run_until_replaced(key, body.next());
-        let bytes = match context.read_patiently(silence, reading).await {
+        let is_end =
+            |read: &Option<oleander_outlet::Result<BodyPart>>| !matches!(read, Some(Ok(_)));
+        let bytes = match context.read_patiently(silence, reading, is_end).await {
             Some(Some(Ok(BodyPart::Bytes(bytes)))) => bytes,
             Some(Some(Ok(BodyPart::End(end)))) => break end,
             Some(Some(Err(_)) | None) => {
--- a/tests/all/front.rs
+++ b/tests/all/front.rs
@@ -471,6 +471,34 @@
     });
 }
 
+/// A silent stream whose endpoint ends while another one already has the request must not be given up.
+#[test]
+fn a_silent_stream_that_breaks_goes_on_where_it_was_sent_meanwhile() {
+    run(async {
+        let near = scripted(vec![vec![
+            send_text(&stream_head("one")),
+            send_text(&chunk(&events(1, 2))),
+            Act::Pause(Duration::from_millis(1340)),
+            Act::Reset,
+        ]])
+        .await;
+        let far = scripted(vec![vec![
+            Act::Pause(Duration::from_millis(90)),
+            send_text(&stream_head("two")),
+            send_text(&chunk(&events(3, 4))),
+            send_text("0\r\n\r\n"),
+        ]])
+        .await;
+        let (_process, address) = front(&[near.address, far.address]).await;
+
+        let answer = ask(address, &request("POST", "/stream/a", "r1", "", "prompt")).await;
+
+        let shown: Vec<_> = answer.text.lines().filter(|line| line.starts_with("id: ")).collect();
+        assert_eq!(shown, ["id: 1", "id: 2", "id: 3", "id: 4"]);
+        assert_eq!((received_requests(&near), received_requests(&far)), (1, 1));
+    });
+}
+
 /// An endpoint that answers one request too late must not cost the open connections to the others.
 #[test]
 fn connections_to_other_endpoints_outlive_a_silent_one() {
