Lines of attempts say what broke them, lines of cut requests how long they might take

Cause: the hypotheses of the incident could not be told apart: attempt_ended said broken and not why, and request_cut not which time limit its deadline came from. Change: fault in attempt_ended, limit_ms in request_cut. Result: the tests of lines and of the page of events pass; no logic changes.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -96,7 +96,7 @@
         self.version = Some(target.version.clone());
         self.last_target = Some((target.life.clone(), target.address));
         (self.sent_at, self.answer_began) = (None, None);
-        (self.body_end, self.rest_bytes) = (None, 0);
+        (self.body_end, self.rest_bytes, self.fault) = (None, 0, None);
         self.chosen = Some(choice);
         self.room_use = self.room_use(target.key);
         self.note_list_age();
@@ -315,6 +315,7 @@
                 self.handle_answer(target, work, sent, (head, answer_head)).await
             }
             Err(fault) => {
+                self.fault = Some(fault.to_string());
                 let may_have_sent = sent.is_none_or(|sent| sent.may_have_sent());
                 let end = match fault {
                     _ if !may_have_sent => AttemptEnd::NotSent,
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -130,6 +130,8 @@
     pub(crate) body_end: Option<BodyEnd>,
     /// Bytes of a stream that followed its last complete event.
     pub(crate) rest_bytes: usize,
+    /// What broke the last attempt, for the log.
+    pub(crate) fault: Option<String>,
     /// The peer to which the request was relayed last.
     pub(crate) peer: Option<InstanceId>,
     /// Whether that peer may be serving it now.
@@ -237,6 +239,7 @@
     let owner = account.map(|account| &account.name);
     let max_wait = call.max_wait.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived + max_wait.duration();
+    trace.max_wait = Some(max_wait);
     trace.stage = CallStage::Origin;
     let binding = origins::bind_request(node, (&call, route), (owner, &service));
     let binding = match timeout_at(deadline, binding).await {
@@ -297,6 +300,7 @@
         longest_pause: None,
         body_end: None,
         rest_bytes: 0,
+        fault: None,
         peer: None,
         peer_in_flight: false,
         relays_next: relays,
@@ -457,7 +461,7 @@
             "request" => self.call.id.as_str(),
             "endpoint" => self.endpoint.as_ref().map(|id| id.as_str()),
             "version" => self.version.as_deref(), "end" => end.name(), "sent" => self.record.sent(), "last_event" => self.last_event,
-            "body_end" => self.body_end.map(BodyEnd::name), "rest" => self.rest_bytes,
+            "body_end" => self.body_end.map(BodyEnd::name), "rest" => self.rest_bytes, "fault" => self.fault.as_deref(),
             "print" => self.suspects.request.to_string(), "parts" => self.part_names(),
             "ran_ms" => self.sent_at.map(|at| at.elapsed().as_millis() as u64),
             "fallen" => self.may_have_fallen(),
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -354,7 +354,7 @@
         attempts: u32,
     ) -> RelayOutcome {
         let _guard = RelayGuard::begin(self.node, id);
-        (self.body_end, self.rest_bytes) = (None, 0);
+        (self.body_end, self.rest_bytes, self.fault) = (None, 0, None);
         let ended = |end| RelayOutcome::Attempted(AttemptOutcome::Ended(end, None));
         let mut sent = match self.send_to_peer(id, address, attempts).await {
             Ok(sent) => sent,
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -12,7 +12,7 @@
 use bytes::{Bytes, BytesMut};
 use oleander_call::{AttemptEnd, EventSplitter, RepeatRule, StreamTail, TailVerdict};
 use oleander_kind::TimeSpan;
-use oleander_outlet::{BodyEnd, BodyLink, BodyPart, IdleLink};
+use oleander_outlet::{BodyEnd, BodyLink, BodyPart, IdleLink, LinkError};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -52,7 +52,8 @@
         let bytes = match context.read_patiently(silence, reading, is_end).await {
             Some(Some(Ok(BodyPart::Bytes(bytes)))) => bytes,
             Some(Some(Ok(BodyPart::End(end)))) => break end,
-            Some(Some(Err(_)) | None) => {
+            Some(broken) => {
+                context.fault = Some(describe_break(broken.and_then(Result::err)));
                 return (AttemptOutcome::Ended(AttemptEnd::Broken, None), None);
             }
             None => return (AttemptOutcome::Ended(AttemptEnd::TimedOut, None), None),
@@ -126,6 +127,11 @@
     }
 }
 
+/// Why an answer broke off: by a `fault` of its connection, or because the endpoint has started again.
+pub(crate) fn describe_break(fault: Option<LinkError>) -> String {
+    fault.map_or_else(|| "the endpoint has started again".to_owned(), |fault| fault.to_string())
+}
+
 /// The complete events in `splitter` that the caller has not received yet; `None` if an event is too long.
 fn complete_events(
     context: &mut CallContext<'_, '_>,
--- a/crates/front/src/trace.rs
+++ b/crates/front/src/trace.rs
@@ -90,6 +90,8 @@
     pub(crate) cut_cause: Option<CutCause>,
     /// Milliseconds since the last part of its answer was received.
     pub(crate) silent_ms: Option<u64>,
+    /// How long it may take in all, by its caller and its route; `None` if it was refused before that was known.
+    pub(crate) max_wait: Option<TimeSpan>,
     /// What it waits for.
     pub(crate) stage: CallStage,
     /// Whether an endpoint or a peer may be running it.
@@ -123,6 +125,7 @@
             barrier: None,
             cut_cause: None,
             silent_ms: None,
+            max_wait: None,
             stage: CallStage::Rules,
             under_way: false,
             status: 0,
@@ -157,6 +160,7 @@
                 "barred" => self.barrier.map(RetryBarrier::name), "silent_ms" => self.silent_ms,
                 "status" => answer.status(), "sent" => self.sent,
                 "endpoint" => endpoint, "peer" => peer, "last_event" => self.last_event, "total_ms" => total_ms,
+                "limit_ms" => self.max_wait.map(|max_wait| max_wait.0),
                 "version" => self.version.as_deref(), "resumes" => self.resumes.as_deref(),
                 "rules" => self.rules,
                 "stage" => (self.stage == CallStage::Caller).then(|| self.stage.name())),
@@ -224,6 +228,7 @@
             "endpoint" => trace.endpoint.as_ref().map(|id| id.as_str()),
             "peer" => trace.peer.as_ref().map(|id| id.as_str()), "last_event" => trace.last_event,
             "total_ms" => trace.arrived.elapsed().as_millis() as u64,
+            "limit_ms" => trace.max_wait.map(|max_wait| max_wait.0),
             "version" => trace.version.as_deref(), "resumes" => trace.resumes.as_deref(),
             "rules" => trace.rules);
     }
--- a/crates/front/src/whole.rs
+++ b/crates/front/src/whole.rs
@@ -1,6 +1,7 @@
 //! Forwards answers that are not streams, buffered until they are complete.
 
 use crate::drive::{AttemptOutcome, CallContext, EndpointAnswer};
+use crate::stream::describe_break;
 use actix_http::ResponseHead;
 use bytes::BytesMut;
 use oleander_call::{AnswerHead, AttemptEnd};
@@ -29,7 +30,12 @@
                 bytes.extend_from_slice(&more);
             }
             Some(Ok(BodyPart::End(end))) => break end,
-            Some(Ok(BodyPart::Bytes(_)) | Err(_)) | None => {
+            broken => {
+                let fault = match broken {
+                    Some(Ok(_)) => "the answer is too long".to_owned(),
+                    broken => describe_break(broken.and_then(Result::err)),
+                };
+                context.fault = Some(fault);
                 let end = if answer_head.not_run {
                     AttemptEnd::RefusedNotRun
                 } else {
