A silent attempt is kept until another endpoint has begun to answer

Callers saw: begun streams cut, and requests failed with time left, beside endpoints that were silent for a second or two and went on.

Cause: another attempt took over when it had not failed for 250 ms. What had only been sent counted as secured. If it then was refused, broke, or showed that it states no end, no attempt was left, and the endpoint that would have gone on had been let go.

Change: the silent attempt is ended when a part of the other answer has arrived: its head, of a stream an event beyond the last one that the caller has. Two may have a request for 250 ms as before; if the new one has said nothing by then, it is left, and not asked again. It is asked only if it is expected to answer in half of that, or if the silence has lasted for 3 s, longer than a sound endpoint is silent: then it takes over in any case if others of the service answer. If the silent one ends while another is on its way, that one is kept, as before.

--- a/crates/call/src/attempt.rs
+++ b/crates/call/src/attempt.rs
@@ -62,6 +62,8 @@
     NoEndpoint,
     /// No endpoint of the service answered lately, so that another one is not likely to do better.
     NoneAnswers,
+    /// No endpoint is expected to answer soon enough to take over.
+    Slow,
     /// Too little time is left.
     Deadline,
     /// No retry is left in the budget of the service.
@@ -80,6 +82,7 @@
             RetryBarrier::Quarantined => "quarantined",
             RetryBarrier::NoEndpoint => "no_endpoint",
             RetryBarrier::NoneAnswers => "none_answers",
+            RetryBarrier::Slow => "slow",
             RetryBarrier::Deadline => "deadline",
             RetryBarrier::Budget => "budget",
             RetryBarrier::Limit => "limit",
@@ -129,8 +132,8 @@
         self.may_have_run |= end.may_have_run();
     }
 
-    /// Records that the request was also sent to another endpoint, which was left again when the one before it went
-    /// on.
+    /// Records that the request was also sent to another endpoint, which was left again: the one before it went on, or
+    /// it did not answer soon enough.
     pub fn note_beside(&mut self) {
         self.sent += 1;
         self.may_have_run = true;
--- a/crates/call/src/events.rs
+++ b/crates/call/src/events.rs
@@ -17,6 +17,13 @@
     pub id: Option<u64>,
 }
 
+impl CompleteEvent {
+    /// Whether a caller whose last event was `last_event` does not have it yet.
+    pub fn is_after(&self, last_event: Option<u64>) -> bool {
+        !matches!((self.id, last_event), (Some(id), Some(last)) if id <= last)
+    }
+}
+
 /// Error for an event larger than [`EVENT_LIMIT`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EventTooLong;
@@ -41,6 +48,11 @@
         self.count
     }
 
+    /// Whether what follows the last complete event is part of one.
+    pub fn is_inside_event(&self) -> bool {
+        is_inside_event(&self.buffer)
+    }
+
     /// Returns and removes what follows the last complete event.
     pub fn take_rest(&mut self) -> StreamRest {
         self.searched = 0;
@@ -64,6 +76,13 @@
     }
 }
 
+fn is_inside_event(rest: &[u8]) -> bool {
+    let is_end = |byte: &u8| matches!(byte, b'\n' | b'\r');
+    let mut lines = rest.split(is_end).rev();
+    let unfinished = lines.next().unwrap_or_default();
+    !unfinished.is_empty() || lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+}
+
 /// The bytes that follow the last complete event of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StreamRest(Bytes);
@@ -71,10 +90,7 @@
 impl StreamRest {
     /// Whether the bytes are part of an event. Blank lines and complete comment lines are not.
     pub fn is_inside_event(&self) -> bool {
-        let is_end = |byte: &u8| matches!(byte, b'\n' | b'\r');
-        let mut lines = self.0.split(is_end).rev();
-        let unfinished = lines.next().unwrap_or_default();
-        !unfinished.is_empty() || lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+        is_inside_event(&self.0)
     }
 
     /// Number of bytes.
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -2,14 +2,16 @@
 //!
 //! Grades the endpoint by the result, and reports failures to the other processes.
 
+use crate::answer::AnswerStage;
+use crate::answering::{EarlyAnswer, LinkState, StandbyLink};
 use crate::drive::{AttemptOutcome, CallContext};
 use crate::events::event;
 use crate::paths::PathWait;
-use crate::standby::{AnswerSilence, StandbyAttempt, StandbyLink};
+use crate::standby::{AnswerSilence, StandbyAttempt};
 use crate::suspects::FailedAttempt;
 use crate::work::{AnswerWait, WorkGuard};
 use crate::{paths, releases, stream, suspects, whole, words};
-use actix_http::{RequestHead, ResponseHead, Version};
+use actix_http::{RequestHead, ResponseHead, StatusCode, Version};
 use compact_str::CompactString;
 use oleander_call::{
     AnswerHead, AnswerShape, AttemptEnd, AttemptHeaders, EndpointSignal, RepeatRule,
@@ -59,6 +61,13 @@
     version: CompactString,
 }
 
+impl AttemptTarget {
+    /// Its key, incarnation and address.
+    pub(crate) fn identity(&self) -> (EndpointKey, (EndpointIncarnation, SocketAddr)) {
+        (self.key, (self.life.clone(), self.address))
+    }
+}
+
 impl CallContext<'_, '_> {
     /// Sends the request to the chosen endpoint and passes on its answer.
     pub async fn attempt(&mut self, choice: PlacementChoice) -> AttemptOutcome {
@@ -73,7 +82,7 @@
 
     /// Goes on with an attempt that was sent while the one before it was silent.
     pub(crate) async fn take_over(&mut self, standby: StandbyAttempt) -> AttemptOutcome {
-        let StandbyAttempt { target, choice, work, link, payment } = standby;
+        let StandbyAttempt { target, choice, work, link, payment, .. } = standby;
         self.rollout_payment = payment;
         self.run_attempt((target, choice), work, Some(link)).await
     }
@@ -183,7 +192,7 @@
     }
 
     /// How long the first part of the answer is expected to take.
-    fn expected_wait(&self, choice: &PlacementChoice) -> AnswerWait {
+    pub(crate) fn expected_wait(&self, choice: &PlacementChoice) -> AnswerWait {
         let read_per_ms = self.node.read_per_ms(&self.service);
         let expected = expected_first_byte(choice, self.is_engine(), read_per_ms);
         AnswerWait { expected, objective: self.route().objective }
@@ -301,18 +310,28 @@
             }
         };
         self.note_attempt_demand();
-        let StandbyLink { sent, reused, sent_at, head } = link;
-        let mut sent = Some(sent);
+        let StandbyLink { state, reused, sent_at } = link;
         self.sent_at = Some(sent_at);
-        match self.read_matching_head(target.key, &mut sent, head).await {
-            Ok((sent, head, answer_head)) => {
+        let (mut sent, early) = match state {
+            LinkState::Sent(sent) => (Some(sent), None),
+            LinkState::Answering(early) => (None, Some(early)),
+            LinkState::Taken => (None, None),
+        };
+        let answering = async {
+            match early {
+                Some(early) => Ok(early),
+                None => self.read_matching_head(target.key, &mut sent).await,
+            }
+        };
+        match answering.await {
+            Ok(early) => {
+                let answer_head = self.node.dialect.parse_answer(&early.head);
                 self.node.meter.count_unread_tokens(work.unread_tokens());
-                let begins_later =
-                    answer_head.is_success() && self.route().shape == AnswerShape::Events;
+                let begins_later = self.forwards_events(early.head.status);
                 if !answer_head.not_run && !begins_later {
                     self.record_usage(sent_at.elapsed());
                 }
-                self.handle_answer(target, work, sent, (head, answer_head)).await
+                self.handle_answer(target, work, (early, answer_head)).await
             }
             Err(fault) => {
                 self.fault = Some(fault.to_string());
@@ -379,7 +398,7 @@
             let now = self.node.clock.now();
             self.node.prefixes.borrow_mut().note(&self.call.parts, target.key, now);
         }
-        Ok(StandbyLink { sent, reused, sent_at: Instant::now(), head: None })
+        Ok(StandbyLink::new(sent, reused))
     }
 
     pub(crate) async fn dial(&self, target: &AttemptTarget) -> oleander_outlet::Result<IdleLink> {
@@ -434,8 +453,7 @@
         &mut self,
         key: EndpointKey,
         slot: &mut Option<SentLink>,
-        mut early: Option<ResponseHead>,
-    ) -> oleander_outlet::Result<(SentLink, ResponseHead, AnswerHead)> {
+    ) -> oleander_outlet::Result<EarlyAnswer> {
         /// Answers to other requests that are discarded; an endpoint that sends more is broken.
         const MAX_FOREIGN: u32 = 2;
         let began = self.sent_at.unwrap_or_else(Instant::now);
@@ -446,27 +464,20 @@
         let ended = || LinkError::Interrupted(io::ErrorKind::ConnectionReset.into());
         for _ in 0..=MAX_FOREIGN {
             let sent = slot.as_mut().ok_or_else(exhausted)?;
-            let head = match early.take() {
-                Some(head) => head,
-                None => {
-                    let node = self.node.clone();
-                    let reading = node.run_until_replaced(Some(key), sent.read_head());
-                    let is_end = |read: &Option<oleander_outlet::Result<ResponseHead>>| match read {
-                        Some(Ok(head)) => {
-                            head.status.is_client_error() || head.status.is_server_error()
-                        }
-                        Some(Err(_)) | None => true,
-                    };
-                    let read = self.read_patiently(silence, reading, is_end).await;
-                    read.ok_or_else(late)?.ok_or_else(ended)??
-                }
+            let node = self.node.clone();
+            let reading = node.run_until_replaced(Some(key), sent.read_head());
+            let is_end = |read: &Option<oleander_outlet::Result<ResponseHead>>| match read {
+                Some(Ok(head)) => head.status.is_client_error() || head.status.is_server_error(),
+                Some(Err(_)) | None => true,
             };
+            let read = self.read_patiently(silence, reading, is_end).await;
+            let head = read.ok_or_else(late)?.ok_or_else(ended)??;
             paths::note_answered(self.node, &self.service);
             let answer_head = self.node.dialect.parse_answer(&head);
             let sent = slot.take().ok_or_else(exhausted)?;
             words::apply_answer_signals(self.node, (key, &answer_head), (&self.call.id, asked_at));
             if answer_head.belongs_to(&self.call.id) {
-                return Ok((sent, head, answer_head));
+                return Ok(EarlyAnswer::new(sent.into_body(&head), head));
             }
             let mut foreign = sent.into_body(&head);
             let skipped = self.read_patiently(silence, foreign.skip(), Result::is_err).await;
@@ -476,14 +487,26 @@
         Err(exhausted())
     }
 
+    /// Whether an answer with `status` is a stream of events.
+    pub(crate) fn forwards_events(&self, status: StatusCode) -> bool {
+        self.route().shape == AnswerShape::Events && status.is_success()
+    }
+
+    /// Whether an answer with `status` can be passed on: a begun stream goes on with events alone.
+    pub(crate) fn may_forward(&self, status: StatusCode) -> bool {
+        match self.answer.stage() {
+            AnswerStage::Waiting => !status.is_server_error(),
+            AnswerStage::Begun | AnswerStage::Done => self.forwards_events(status),
+        }
+    }
+
     async fn handle_answer(
         &mut self,
         target: &AttemptTarget,
         work: &mut WorkGuard,
-        sent: SentLink,
-        (head, answer_head): (ResponseHead, AnswerHead),
+        (early, answer_head): (EarlyAnswer, AnswerHead),
     ) -> AttemptOutcome {
-        let events = self.route().shape == AnswerShape::Events && answer_head.is_success();
+        let events = self.forwards_events(early.head.status);
         if !events {
             self.answer_began = Some(Instant::now());
         }
@@ -492,10 +515,10 @@
             self.note_failure(target, work, AnswerGrade::Bad);
             return AttemptOutcome::Ended(AttemptEnd::Broken, None);
         }
-        let body = sent.into_body(&head);
         let (outcome, link) = if events {
-            stream::forward_events(self, body, head, Some(work)).await
+            stream::forward_events(self, early, Some(work)).await
         } else {
+            let (head, body, _) = early.into_parts();
             whole::forward_whole(self, body, head, &answer_head, Some(target.key)).await
         };
         match &outcome {
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -98,6 +98,8 @@
     pub(crate) record: AttemptRecord,
     /// Endpoints that failed or refused an attempt.
     pub(crate) tried: Vec<EndpointKey>,
+    /// Endpoints that were asked beside a silent one, and left because they did not answer soon.
+    pub(crate) left: Vec<EndpointKey>,
     /// Endpoint of the attempt under way.
     pub(crate) current: Option<EndpointKey>,
     /// Endpoint of the last attempt.
@@ -284,6 +286,7 @@
         request: request.head,
         body: request.body,
         tried: Vec::new(),
+        left: Vec::new(),
         current: None,
         endpoint: None,
         version: None,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admin;
 pub mod answer;
+mod answering;
 pub mod attempt;
 mod closed;
 mod connection;
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -6,6 +6,7 @@
 //! relayed request is marked, and no process relays it again.
 
 use crate::answer::AnswerStage;
+use crate::answering::EarlyAnswer;
 use crate::attempt::{CONNECT_TIMEOUT, IDLE_FRACTION, IDLE_TIMEOUT, MAX_IDLE_LINKS};
 use crate::drive::{AttemptOutcome, CallContext, CallOutcome, CutCause, EndpointAnswer};
 use crate::events::event;
@@ -14,7 +15,7 @@
 use crate::{limits, paths, stream, whole};
 use actix_http::{RequestHead, ResponseHead, Version};
 use compact_str::CompactString;
-use oleander_call::{AnswerHead, AnswerShape, AttemptEnd, CallHead, RelayHeaders};
+use oleander_call::{AnswerHead, AttemptEnd, CallHead, RelayHeaders};
 use oleander_kind::hash::stable_hash;
 use oleander_kind::{ClockTime, InstanceId, ResultCode, ServiceName, TimeSpan};
 use oleander_mesh::{RelayRequest, choose_peer};
@@ -447,9 +448,8 @@
         head: ResponseHead,
         answer_head: &AnswerHead,
     ) -> (AttemptOutcome, Option<IdleLink>) {
-        let events = self.route().shape == AnswerShape::Events && answer_head.is_success();
-        if events {
-            stream::forward_events(self, body, head, None).await
+        if self.forwards_events(head.status) {
+            stream::forward_events(self, EarlyAnswer::new(body, head), None).await
         } else {
             whole::forward_whole(self, body, head, answer_head, None).await
         }
--- a/crates/front/src/standby.rs
+++ b/crates/front/src/standby.rs
@@ -1,10 +1,12 @@
 //! Prepares the next attempt of a request while its endpoint says nothing.
 //!
 //! A silent endpoint may be sound and go on, and a request that has left it cannot come back. So its attempt
-//! goes on until another endpoint has taken the request: everything that the next attempt needs is taken first,
-//! it is sent, and only if it does not fail at once is the silent one ended. Whatever fails on the way leaves
-//! the request where it is.
+//! goes on until another endpoint has begun to answer: everything that the next attempt needs is taken first, it is
+//! sent, and only when a part of its answer has arrived is the silent one ended. Two endpoints may have a request
+//! for a moment only; if the new one has said nothing by then, it is the one that is left. Whatever fails on the way
+//! leaves the request where it is.
 
+use crate::answering::{LinkState, StandbyLink};
 use crate::attempt::{AttemptTarget, IDLE_TIMEOUT, MAX_IDLE_LINKS, STALE_LINK_WINDOW, sent_for};
 use crate::drive::CallContext;
 use crate::events::event;
@@ -15,21 +17,28 @@
 use oleander_call::{AttemptEnd, RetryBarrier};
 use oleander_kind::TimeSpan;
 use oleander_kind::hash::mix_bits;
-use oleander_outlet::{IdleLink, LinkError, SentLink};
+use oleander_outlet::{IdleLink, LinkError};
 use oleander_place::{
     AnswerGrade, EndpointKey, PlacementChoice, PlacementRequest, choose_endpoint,
 };
 use std::cell::Cell;
 use std::pin::pin;
 use std::time::Duration;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 /// Interval between attempts to prepare another one while an endpoint stays silent.
 const RECHECK_PERIOD: Duration = Duration::from_millis(250);
 
-/// How long a failure of the new attempt is waited for before the silent one is ended. Two endpoints have the request
-/// meanwhile, which operators allow for 400 ms; the rest is for timers that fire late and the way to the silent one.
-const FAILURE_WAIT: Duration = Duration::from_millis(250);
+/// How long the new attempt is waited for before one of the two is ended. Two endpoints have the request
+/// meanwhile, which operators allow for 400 ms; the rest is for timers that fire late and the way to the endpoints.
+const ANSWER_WAIT: Duration = Duration::from_millis(250);
+
+/// Part of [`ANSWER_WAIT`] in which the new endpoint has to be expected to answer; the estimate leaves out what other
+/// processes send there meanwhile.
+const EXPECTED_WAIT: TimeSpan = TimeSpan(ANSWER_WAIT.as_millis() as u64 / 2);
+
+/// Longer than a sound endpoint is silent. Callers of a stream leave a second later.
+const HANG_TIME: Duration = Duration::from_secs(3);
 
 /// Part of a silence in which what is received from other endpoints shows nothing, as it may have been sent before.
 const HEARING_MARGIN: TimeSpan = TimeSpan(20);
@@ -53,6 +62,11 @@
         self.patience.map_or(deadline, |patience| deadline.min(self.began + patience))
     }
 
+    /// Whether the endpoint more likely hangs than goes on.
+    fn is_hang(&self) -> bool {
+        self.began.elapsed() >= HANG_TIME
+    }
+
     /// Whether it has lasted so long that another endpoint is tried although none was heard meanwhile: for twice its
     /// patience, or less if the time until `deadline` is too short for that and an answer.
     fn is_long(&self, deadline: Instant) -> bool {
@@ -68,26 +82,39 @@
     pub choice: PlacementChoice,
     pub work: WorkGuard,
     pub link: StandbyLink,
+    /// Whether a part of its answer has arrived.
+    has_answered: bool,
     /// Charge for an attempt on the version that is being rolled out.
     pub payment: Option<CandidatePayment>,
 }
 
-/// The connection of an attempt that was sent.
-pub(crate) struct StandbyLink {
-    pub sent: SentLink,
-    /// Whether the connection carried another request before.
-    pub reused: bool,
-    pub sent_at: Instant,
-    /// The head of the answer, if it has been read.
-    pub head: Option<ResponseHead>,
-}
-
 /// Why no other attempt could take over.
 enum StandbyFault {
     /// Nothing was sent.
     Barred(RetryBarrier),
     /// The endpoint could not be reached, or refused the request.
     Failed(EndpointKey, AttemptEnd),
+    /// The endpoint said nothing while two might have the request.
+    Unanswered(EndpointKey),
+}
+
+impl StandbyFault {
+    /// What kept an attempt from being sent.
+    fn barrier(&self) -> Option<RetryBarrier> {
+        match self {
+            StandbyFault::Barred(barrier) => Some(*barrier),
+            StandbyFault::Failed(..) | StandbyFault::Unanswered(_) => None,
+        }
+    }
+
+    /// How an attempt ended that was sent, for logs and metrics.
+    fn end_name(&self) -> Option<&'static str> {
+        match self {
+            StandbyFault::Barred(_) => None,
+            StandbyFault::Failed(_, end) => Some(end.name()),
+            StandbyFault::Unanswered(_) => Some("unanswered"),
+        }
+    }
 }
 
 impl CallContext<'_, '_> {
@@ -98,7 +125,7 @@
         &mut self,
         silence: AnswerSilence,
         reading: impl Future<Output = T>,
-        is_end: fn(&T) -> bool,
+        is_end: impl Fn(&T) -> bool,
     ) -> Option<T> {
         let mut reading = pin!(reading);
         if let Ok(read) = timeout_at(silence.prepare_at(self.deadline), &mut reading).await {
@@ -118,7 +145,13 @@
                 }
             };
             match prepared {
-                Some(Ok(standby)) => self.standby = Some(Box::new(standby)),
+                Some(Ok(standby)) if read.is_some() || self.may_replace(silence, &standby) => {
+                    self.standby = Some(Box::new(standby));
+                }
+                Some(Ok(standby)) => {
+                    let key = standby.target.key;
+                    self.note_standby_fault(silence, StandbyFault::Unanswered(key));
+                }
                 Some(Err(fault)) => self.note_standby_fault(silence, fault),
                 None if is_sent.get() => self.record.note_beside(),
                 None => {}
@@ -134,21 +167,39 @@
         None
     }
 
+    /// Whether `standby` takes the place of the attempt that is silent: it has begun to answer, or that one hangs while
+    /// others answer.
+    fn may_replace(&self, silence: AnswerSilence, standby: &StandbyAttempt) -> bool {
+        standby.has_answered || (silence.is_hang() && self.others_answer(silence))
+    }
+
+    /// Whether an endpoint of the service sent a part of an answer since the silence began.
+    fn others_answer(&self, silence: AnswerSilence) -> bool {
+        let since = self.node.clock.now() - sent_for(silence.began) + HEARING_MARGIN;
+        paths::was_answered_since(self.node, &self.service, since)
+    }
+
     /// Notes that no other attempt took over, once for each reason.
     fn note_standby_fault(&mut self, silence: AnswerSilence, fault: StandbyFault) {
-        let (barrier, end) = match fault {
-            StandbyFault::Barred(barrier) => (Some(barrier), None),
+        let (barrier, end) = (fault.barrier(), fault.end_name());
+        match fault {
+            StandbyFault::Barred(_) => {}
             StandbyFault::Failed(key, end) => {
                 // What could not be sent shows nothing about later endpoints.
                 if end != AttemptEnd::NotSent {
                     self.record.note(end);
-                    self.answer.note_sent(self.record.sent());
                 }
-                self.node.meter.count_attempt(end.name());
                 self.tried.push(key);
-                (None, Some(end))
             }
-        };
+            StandbyFault::Unanswered(key) => {
+                self.record.note_beside();
+                self.left.push(key);
+            }
+        }
+        self.answer.note_sent(self.record.sent());
+        if let Some(end) = end {
+            self.node.meter.count_attempt(end);
+        }
         if barrier.is_some() && self.barrier == barrier {
             return;
         }
@@ -157,7 +208,7 @@
             "request" => self.call.id.as_str(), "service" => self.service.as_str(),
             "endpoint" => self.endpoint.as_ref().map(|id| id.as_str()),
             "silent_ms" => silence.began.elapsed().as_millis() as u64, "last_event" => self.last_event,
-            "barred" => barrier.map(RetryBarrier::name), "end" => end.map(AttemptEnd::name),
+            "barred" => barrier.map(RetryBarrier::name), "end" => end,
             "sent" => self.record.sent());
     }
 
@@ -169,14 +220,14 @@
         ensure(record.may_send(), RetryBarrier::Attempts)?;
         let refused = suspects::refused_for(self.node, &self.suspects);
         ensure(refused.is_none(), RetryBarrier::Quarantined)?;
-        let has_time = self.time_left().duration() > FAILURE_WAIT;
+        let has_time = self.time_left().duration() > ANSWER_WAIT;
         ensure(has_time, RetryBarrier::Deadline)?;
         ensure(self.node.retries_left(&self.service) > 0, RetryBarrier::Budget)?;
         let is_full = self.charge.as_ref().is_some_and(|charge| limits::is_full(self.node, charge));
         ensure(!is_full, RetryBarrier::Limit)
     }
 
-    /// Sends the request to another endpoint. Returns when that has not failed at once.
+    /// Sends the request to another endpoint. Returns when that has begun to answer, or was waited for long enough.
     async fn prepare_attempt(
         &self,
         silence: AnswerSilence,
@@ -208,9 +259,18 @@
         let sent = self.send_on(&target, link);
         is_sent.set(sent.is_ok());
         let end = match sent {
-            Ok(mut link) => match self.await_failure(&target, &mut work, &mut link).await {
-                None => return Ok(StandbyAttempt { target, choice, work, link, payment }),
-                Some(end) => end,
+            Ok(mut link) => match self.await_answer(&target, &mut work, &mut link).await {
+                Ok(has_answered) => {
+                    return Ok(StandbyAttempt {
+                        target,
+                        choice,
+                        work,
+                        link,
+                        has_answered,
+                        payment,
+                    });
+                }
+                Err(end) => end,
             },
             Err(fault) => {
                 self.note_fault(&target, &mut work, &fault);
@@ -224,39 +284,73 @@
         Err(StandbyFault::Failed(target.key, end))
     }
 
-    /// Waits for a moment whether a new attempt fails, and returns how it then ended.
-    async fn await_failure(
+    /// Waits for a moment for a part of the answer to a new attempt; returns whether one came.
+    ///
+    /// # Errors
+    /// How the attempt ended.
+    async fn await_answer(
         &self,
         target: &AttemptTarget,
         work: &mut WorkGuard,
         link: &mut StandbyLink,
-    ) -> Option<AttemptEnd> {
-        let room_use = self.room_use(target.key);
+    ) -> Result<bool, AttemptEnd> {
+        let until = link.sent_at + ANSWER_WAIT;
+        if let LinkState::Sent(sent) = &mut link.state {
+            let head = match timeout_at(until, sent.read_head()).await {
+                Err(_) => return Ok(false),
+                Ok(Ok(head)) => head,
+                Ok(Err(fault)) => {
+                    return Err(self.note_broken_standby(target, work, (link, fault)));
+                }
+            };
+            self.judge_early_head(target, work, (link, &head))?;
+            link.begin_answer(head);
+        }
+        let LinkState::Answering(early) = &mut link.state else { return Ok(false) };
+        if !self.forwards_events(early.head.status) {
+            return Ok(true);
+        }
+        let (last_event, must_state) = (self.last_event, self.answer.must_state_end());
+        match timeout_at(until, early.read_beyond(last_event, must_state)).await {
+            Err(_) => Ok(false),
+            Ok(Ok(())) => Ok(true),
+            Ok(Err(AttemptEnd::Unstated)) => Err(AttemptEnd::Unstated),
+            Ok(Err(end)) => {
+                self.note_failure(target, work, AnswerGrade::Bad);
+                self.note_broken_at(target.identity(), link.sent_at, end);
+                Err(end)
+            }
+        }
+    }
+
+    /// Applies what the head of a new attempt's answer says.
+    ///
+    /// # Errors
+    /// How the attempt ended, if its endpoint refused or failed it, or could not end the caller's answer.
+    fn judge_early_head(
+        &self,
+        target: &AttemptTarget,
+        work: &mut WorkGuard,
+        (link, head): (&StandbyLink, &ResponseHead),
+    ) -> Result<(), AttemptEnd> {
+        let answer_head = self.node.dialect.parse_answer(head);
         let asked_at = self.node.clock.now() - sent_for(link.sent_at);
-        let head = match timeout(FAILURE_WAIT, link.sent.read_head()).await {
-            Err(_) => return None,
-            Ok(Ok(head)) => head,
-            Ok(Err(fault)) => return Some(self.note_broken_standby(target, work, (link, fault))),
-        };
-        let answer_head = self.node.dialect.parse_answer(&head);
         paths::note_answered(self.node, &self.service);
         let signals = (target.key, &answer_head);
         words::apply_answer_signals(self.node, signals, (&self.call.id, asked_at));
         if answer_head.belongs_to(&self.call.id) && answer_head.not_run {
+            let room_use = self.room_use(target.key);
             self.note_refusal(target, work, (&answer_head, room_use));
-            return Some(AttemptEnd::RefusedNotRun);
+            return Err(AttemptEnd::RefusedNotRun);
         }
-        if answer_head.is_sound(&self.call.id) && !head.status.is_server_error() {
+        let is_sound = answer_head.is_sound(&self.call.id);
+        if is_sound && self.may_forward(head.status) {
             // The end of such a stream could not be passed on.
-            if self.answer.must_state_end() && link.sent.ends_with_connection(&head) {
-                return Some(AttemptEnd::Unstated);
-            }
-            link.head = Some(head);
-            return None;
+            let is_unstated = self.answer.must_state_end() && link.ends_with_connection(head);
+            return if is_unstated { Err(AttemptEnd::Unstated) } else { Ok(()) };
         }
         self.note_failure(target, work, AnswerGrade::Bad);
-        let is_failure = answer_head.is_sound(&self.call.id);
-        Some(if is_failure { AttemptEnd::Failed } else { AttemptEnd::Broken })
+        Err(if is_sound { AttemptEnd::Failed } else { AttemptEnd::Broken })
     }
 
     fn note_broken_standby(
@@ -269,11 +363,10 @@
         if !(link.reused && link.sent_at.elapsed() < STALE_LINK_WINDOW) {
             self.note_fault(target, work, &fault);
         }
-        if !link.sent.may_have_sent() {
+        if !link.may_have_sent() {
             return AttemptEnd::NotSent;
         }
-        let broken = (target.key, (target.life.clone(), target.address));
-        self.note_broken_at(broken, link.sent_at, AttemptEnd::Broken);
+        self.note_broken_at(target.identity(), link.sent_at, AttemptEnd::Broken);
         AttemptEnd::Broken
     }
 
@@ -284,20 +377,21 @@
         &self,
         silence: AnswerSilence,
     ) -> Result<(PlacementChoice, bool), RetryBarrier> {
-        let since = self.node.clock.now() - sent_for(silence.began) + HEARING_MARGIN;
-        let others_answer = paths::was_answered_since(self.node, &self.service, since);
-        if !(others_answer || silence.is_long(self.deadline)) {
+        if !(self.others_answer(silence) || silence.is_long(self.deadline)) {
             return Err(RetryBarrier::NoneAnswers);
         }
         let serving = || self.choose_other(silence, false).map(|choice| (choice, false));
         let bound = || self.choose_other(silence, true).map(|choice| (choice, true));
         let choice = serving().or_else(|| self.binding.version().and_then(|_| bound()));
-        choice.ok_or(RetryBarrier::NoEndpoint)
+        let choice = choice.ok_or(RetryBarrier::NoEndpoint)?;
+        let is_soon = self.expected_wait(&choice.0).expected <= EXPECTED_WAIT;
+        if is_soon || silence.is_hang() { Ok(choice) } else { Err(RetryBarrier::Slow) }
     }
 
     fn choose_other(&self, silence: AnswerSilence, is_trial: bool) -> Option<PlacementChoice> {
         let mut tried = self.tried.clone();
         tried.extend(self.current);
+        tried.extend(&self.left);
         let request = self.placement_request();
         // Each time other endpoints are compared.
         let salt = mix_bits(request.salt ^ silence.began.elapsed().as_millis() as u64);
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -1,18 +1,19 @@
 //! Forwards answers that are server-sent event streams, and resumes broken ones.
 
 use crate::answer::AnswerStage;
+use crate::answering::EarlyAnswer;
 use crate::attempt::SILENCE_TOLERANCE;
 use crate::drive::{AttemptOutcome, CallContext};
 use crate::events::event;
 use crate::standby::AnswerSilence;
 use crate::work::WorkGuard;
 use crate::{origins, paths};
+use actix_http::StatusCode;
 use actix_http::header::HeaderMap;
-use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 use oleander_call::{AttemptEnd, EventSplitter, RepeatRule, StreamTail, TailVerdict};
 use oleander_kind::TimeSpan;
-use oleander_outlet::{BodyEnd, BodyLink, BodyPart, IdleLink, LinkError};
+use oleander_outlet::{BodyEnd, BodyPart, IdleLink, LinkError};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -27,12 +28,13 @@
 /// retried unnoticed by the caller. Only complete events are sent: a stream that breaks in the middle of
 /// an event is resumed after the last complete one. The end is framed as the endpoint framed it. Without `work`, a peer answers, which accounts for the
 /// work of the endpoint.
-pub async fn forward_events(
+pub(crate) async fn forward_events(
     context: &mut CallContext<'_, '_>,
-    mut body: BodyLink,
-    mut head: ResponseHead,
+    early: EarlyAnswer,
     mut work: Option<&mut WorkGuard>,
 ) -> (AttemptOutcome, Option<IdleLink>) {
+    let (mut head, mut body, read) = early.into_parts();
+    let mut read = Some(read).filter(|read| !read.is_empty());
     let status = head.status;
     let mut headers = std::mem::replace(head.headers_mut(), HeaderMap::new());
     context.node.dialect.strip_answer(&mut headers);
@@ -46,10 +48,16 @@
     let (node, key) = (context.node.clone(), work.as_ref().map(|work| work.key()));
     let mut are_parts_sound = false;
     let body_end = loop {
-        let reading = node.run_until_replaced(key, body.next());
-        let is_end =
-            |read: &Option<oleander_outlet::Result<BodyPart>>| !matches!(read, Some(Ok(_)));
-        let bytes = match context.read_patiently(silence, reading, is_end).await {
+        let part = match read.take() {
+            Some(read) => Some(Some(Ok(BodyPart::Bytes(read)))),
+            None => {
+                let reading = node.run_until_replaced(key, body.next());
+                let is_end =
+                    |read: &Option<oleander_outlet::Result<BodyPart>>| !matches!(read, Some(Ok(_)));
+                context.read_patiently(silence, reading, is_end).await
+            }
+        };
+        let bytes = match part {
             Some(Some(Ok(BodyPart::Bytes(bytes)))) => bytes,
             Some(Some(Ok(BodyPart::End(end)))) => break end,
             Some(broken) => {
@@ -139,8 +147,7 @@
 ) -> Option<Bytes> {
     let mut out = BytesMut::new();
     while let Some(event) = splitter.next_event().ok()? {
-        let known = matches!((event.id, context.last_event), (Some(id), Some(last)) if id <= last);
-        if known {
+        if !event.is_after(context.last_event) {
             continue;
         }
         context.last_event = event.id.or(context.last_event);
