A begun stream does not get a second head when the next endpoint rejects it

Cause: an answer that is no stream of events (such as 404) was written to the caller whatever the caller had already: in a begun stream, a head and a body inside a chunked answer, logged as done.

Change: in a begun stream such an answer is a failure of its endpoint, as a server error is, and the stream goes on elsewhere or is cut. Relayed answers take the same way.

Result: the new cell (first endpoint resets after an event, the second answers 404, the third is sound) failed before: the caller got a head where a chunk was due; whole now. 42 tests of silent and relaying pass.

--- a/crates/front/src/whole.rs
+++ b/crates/front/src/whole.rs
@@ -14,7 +14,7 @@
 const BUFFER_LIMIT: usize = 4 << 20;
 
 /// Reads a complete answer and writes it to the caller. A server error is returned instead, because a
-/// retry may succeed. Without a `key`, a peer answers.
+/// retry may succeed, and so is whatever cannot go on with a begun stream. Without a `key`, a peer answers.
 pub async fn forward_whole(
     context: &mut CallContext<'_, '_>,
     mut body: BodyLink,
@@ -54,7 +54,7 @@
     let headers = std::mem::replace(head.headers_mut(), actix_http::header::HeaderMap::new());
     let received =
         EndpointAnswer { status: head.status, headers, body: (bytes.freeze(), body_end) };
-    if head.status.is_server_error() {
+    if !context.may_forward(head.status) {
         return (AttemptOutcome::Ended(AttemptEnd::Failed, Some(received)), link);
     }
     context.first_chunk_at = Some(Instant::now());
--- a/tests/all/silent.rs
+++ b/tests/all/silent.rs
@@ -130,6 +130,8 @@
     Foreign,
     /// The others take it, say nothing for some milliseconds, and fail.
     OthersFailAfter(LateFailure, u64),
+    /// It is begun elsewhere after its first endpoint reset the connection, and an endpoint then rejects it.
+    Rejected,
 }
 
 /// How an endpoint fails that has taken a request.
@@ -174,6 +176,7 @@
     FullLate,
     Foreign,
     FailAfter(LateFailure, u64),
+    Reject,
 }
 
 impl EndpointTurn {
@@ -283,7 +286,7 @@
     fn endpoints(&self) -> usize {
         match self.barrier {
             SendBarrier::Alone | SendBarrier::AloneOfFour => 1,
-            SendBarrier::Last | SendBarrier::LastBegun => 3,
+            SendBarrier::Last | SendBarrier::LastBegun | SendBarrier::Rejected => 3,
             SendBarrier::OthersBusy => 2,
             _ if self.has_beats() => 4,
             _ => 2,
@@ -299,6 +302,7 @@
     fn max_attempts(&self) -> usize {
         // A process that relays keeps one back.
         match self.barrier {
+            SendBarrier::Rejected => 3,
             SendBarrier::OneFull
             | SendBarrier::AloneOfFour
             | SendBarrier::HeldOfFour
@@ -324,6 +328,11 @@
         match self.barrier {
             SendBarrier::AllHang => EndpointTurn::Silent,
             SendBarrier::Foreign if sends == 0 => EndpointTurn::Foreign,
+            SendBarrier::Rejected => match sends {
+                0 => EndpointTurn::ResetAfterEvent,
+                1 => EndpointTurn::Reject,
+                _ => EndpointTurn::Sound,
+            },
             _ if sends == self.sends_before() => EndpointTurn::Silent,
             SendBarrier::OthersFail => EndpointTurn::Fail,
             SendBarrier::OthersUnframed => EndpointTurn::Unframed,
@@ -583,6 +592,10 @@
             sleep(FOR_GOOD).await;
             Ok(())
         }
+        EndpointTurn::Reject => {
+            let text = head_text(id, "Content-Length: 2\r\n").replace("200 OK", "404 Not Found");
+            stream.write_all((text + "no").as_bytes()).await
+        }
         EndpointTurn::ResetAfterEvent => {
             let head = head_text(id, "Transfer-Encoding: chunked\r\n");
             let begun = head + &chunk(&event_text(1));
@@ -970,6 +983,13 @@
     }));
 }
 
+/// A second answer is written into a begun stream because the endpoint that goes on with it rejects it.
+#[test]
+fn a_begun_stream_that_the_next_endpoint_rejects_goes_on_at_a_third() {
+    let at = SilencePoint::BetweenEvents;
+    walk_direct([silence_cell(RouteKind::Resumable, at, 0, SendBarrier::Rejected)].into_iter());
+}
+
 /// A silent request opens or closes a connection to a sound endpoint each time its account's limit bars it.
 #[test]
 fn a_request_barred_by_its_limit_costs_no_connections() {
