A stream that ends inside an event leaves no attempt that is on its way

Callers saw: a begun stream cut, although another endpoint had just been asked for it.

Cause: the other attempt was kept only if the silent one ended by an error. An end of the answer, also one inside an event, counted as a success of the silent one, the other was left, and its attempt was used up. Class: what replaces an answer is let go before the answer is known to be whole.

Change: the end of an answer is judged as its tail is, before the other attempt is left.

--- a/crates/call/src/tail.rs
+++ b/crates/call/src/tail.rs
@@ -4,6 +4,8 @@
 //! complete and when its endpoint ends. Nothing may tell the caller that a stream is complete unless the
 //! endpoint said so.
 
+use crate::events::EventSplitter;
+
 /// What is known when the answer of an endpoint to a stream request has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StreamTail {
@@ -31,6 +33,21 @@
 }
 
 impl StreamTail {
+    /// The end of an answer whose events `splitter` has returned so far. `goes_on` and `must_state` are as in the fields.
+    pub fn after(
+        splitter: &EventSplitter,
+        is_stated: bool,
+        (goes_on, must_state): (bool, bool),
+    ) -> Self {
+        StreamTail {
+            is_stated,
+            is_inside_event: splitter.is_inside_event(),
+            has_events: splitter.count() > 0,
+            goes_on,
+            must_state,
+        }
+    }
+
     /// Returns what the end means.
     pub fn verdict(self) -> TailVerdict {
         match self {
--- a/crates/front/src/answering.rs
+++ b/crates/front/src/answering.rs
@@ -112,19 +112,13 @@
     }
 
     fn judge_end(
-        &mut self,
+        &self,
         end: BodyEnd,
         last_event: Option<u64>,
         must_state: bool,
     ) -> Result<(), AttemptEnd> {
-        let tail = StreamTail {
-            is_stated: end == BodyEnd::Stated,
-            is_inside_event: self.splitter.is_inside_event(),
-            has_events: self.splitter.count() > 0,
-            goes_on: last_event.is_some(),
-            must_state,
-        };
-        match tail.verdict() {
+        let caller = (last_event.is_some(), must_state);
+        match StreamTail::after(&self.splitter, end == BodyEnd::Stated, caller).verdict() {
             TailVerdict::Complete => Ok(()),
             TailVerdict::BrokenOff => Err(AttemptEnd::Broken),
             TailVerdict::Unstated => Err(AttemptEnd::Unstated),
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -52,8 +52,17 @@
             Some(read) => Some(Some(Ok(BodyPart::Bytes(read)))),
             None => {
                 let reading = node.run_until_replaced(key, body.next());
-                let is_end =
-                    |read: &Option<oleander_outlet::Result<BodyPart>>| !matches!(read, Some(Ok(_)));
+                let must_state = context.answer.must_state_end();
+                let is_complete = |end| {
+                    let tail =
+                        StreamTail::after(&splitter, end == BodyEnd::Stated, (goes_on, must_state));
+                    tail.verdict() == TailVerdict::Complete
+                };
+                let is_end = |read: &Option<oleander_outlet::Result<BodyPart>>| match read {
+                    Some(Ok(BodyPart::Bytes(_))) => false,
+                    Some(Ok(BodyPart::End(end))) => !is_complete(*end),
+                    Some(Err(_)) | None => true,
+                };
                 context.read_patiently(silence, reading, is_end).await
             }
         };
@@ -102,16 +111,11 @@
         }
         silence = AnswerSilence::begin(context.stall_patience(key.is_none()));
     };
+    let caller = (goes_on, context.answer.must_state_end());
+    let tail = StreamTail::after(&splitter, body_end == BodyEnd::Stated, caller);
     let rest = splitter.take_rest();
     context.body_end = Some(body_end);
     context.rest_bytes = rest.len();
-    let tail = StreamTail {
-        is_stated: body_end == BodyEnd::Stated,
-        is_inside_event: rest.is_inside_event(),
-        has_events: splitter.count() > 0,
-        goes_on,
-        must_state: context.answer.must_state_end(),
-    };
     match tail.verdict() {
         TailVerdict::Complete => {}
         TailVerdict::BrokenOff => return (AttemptOutcome::Ended(AttemptEnd::Broken, None), None),
--- a/tests/all/silent.rs
+++ b/tests/all/silent.rs
@@ -130,6 +130,8 @@
     Foreign,
     /// The others take it, say nothing for some milliseconds, and fail.
     OthersFailAfter(LateFailure, u64),
+    /// The first endpoint ends its stream inside an event; the others answer some time later.
+    TornWhileAsked,
     /// It is begun elsewhere after its first endpoint reset the connection, and an endpoint then rejects it.
     Rejected,
 }
@@ -177,6 +179,7 @@
     Foreign,
     FailAfter(LateFailure, u64),
     Reject,
+    Torn,
 }
 
 impl EndpointTurn {
@@ -328,6 +331,8 @@
         match self.barrier {
             SendBarrier::AllHang => EndpointTurn::Silent,
             SendBarrier::Foreign if sends == 0 => EndpointTurn::Foreign,
+            SendBarrier::TornWhileAsked if sends == 0 => EndpointTurn::Torn,
+            SendBarrier::TornWhileAsked => EndpointTurn::Slow,
             SendBarrier::Rejected => match sends {
                 0 => EndpointTurn::ResetAfterEvent,
                 1 => EndpointTurn::Reject,
@@ -592,6 +597,11 @@
             sleep(FOR_GOOD).await;
             Ok(())
         }
+        EndpointTurn::Torn => {
+            stream.write_all(before.as_bytes()).await?;
+            sleep(cell.silence).await;
+            stream.write_all(b"0\r\n\r\n").await
+        }
         EndpointTurn::Reject => {
             let text = head_text(id, "Content-Length: 2\r\n").replace("200 OK", "404 Not Found");
             stream.write_all((text + "no").as_bytes()).await
@@ -990,6 +1000,17 @@
     walk_direct([silence_cell(RouteKind::Resumable, at, 0, SendBarrier::Rejected)].into_iter());
 }
 
+/// A stream is cut because its endpoint ends it inside an event while another endpoint is being asked.
+#[test]
+fn a_stream_that_is_torn_while_another_endpoint_is_asked_goes_on_there() {
+    let at = SilencePoint::InsideEvent;
+    // Nothing else is heard, so another one is asked after twice the patience.
+    let silences = (2600..2900).step_by(10);
+    walk_direct(
+        silences.map(|ms| silence_cell(RouteKind::Resumable, at, ms, SendBarrier::TornWhileAsked)),
+    );
+}
+
 /// A silent request opens or closes a connection to a sound endpoint each time its account's limit bars it.
 #[test]
 fn a_request_barred_by_its_limit_costs_no_connections() {
