An answer that is final does not wait for another endpoint that is being asked

Callers saw: a rejection (4xx) of a silent endpoint up to 250 ms late.

Cause: each status from 400 on counted as an end after which the other attempt is needed. Most of 4xx are the request's answer; the other attempt was waited for and then dropped.

Change: only what a request may go on from counts: refusals as not run, server errors, answers that are not sound.

--- a/crates/call/src/head.rs
+++ b/crates/call/src/head.rs
@@ -162,6 +162,12 @@
         self.not_run && self.status == UNAVAILABLE
     }
 
+    /// Whether the answer to request `id` is a failure after which the request may go on elsewhere.
+    pub fn fails(&self, id: &str) -> bool {
+        let is_server_error = self.status >= 500;
+        self.belongs_to(id) && (self.not_run || is_server_error || !self.is_sound(id))
+    }
+
     /// Whether the answer may be passed to the caller of `id`.
     ///
     /// A corrupted endpoint may send bytes that parse as an answer. To avoid passing on an answer
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -466,8 +466,9 @@
             let sent = slot.as_mut().ok_or_else(exhausted)?;
             let node = self.node.clone();
             let reading = node.run_until_replaced(Some(key), sent.read_head());
+            let id = self.call.id.clone();
             let is_end = |read: &Option<oleander_outlet::Result<ResponseHead>>| match read {
-                Some(Ok(head)) => head.status.is_client_error() || head.status.is_server_error(),
+                Some(Ok(head)) => node.dialect.parse_answer(head).fails(&id),
                 Some(Err(_)) | None => true,
             };
             let read = self.read_patiently(silence, reading, is_end).await;
--- a/tests/all/silent.rs
+++ b/tests/all/silent.rs
@@ -132,6 +132,8 @@
     OthersFailAfter(LateFailure, u64),
     /// The first endpoint ends its stream inside an event; the others answer some time later.
     TornWhileAsked,
+    /// The first endpoint rejects it; the others never answer.
+    RejectedWhileAsked,
     /// It is begun elsewhere after its first endpoint reset the connection, and an endpoint then rejects it.
     Rejected,
 }
@@ -179,6 +181,7 @@
     Foreign,
     FailAfter(LateFailure, u64),
     Reject,
+    SilentReject,
     Torn,
 }
 
@@ -333,6 +336,8 @@
             SendBarrier::Foreign if sends == 0 => EndpointTurn::Foreign,
             SendBarrier::TornWhileAsked if sends == 0 => EndpointTurn::Torn,
             SendBarrier::TornWhileAsked => EndpointTurn::Slow,
+            SendBarrier::RejectedWhileAsked if sends == 0 => EndpointTurn::SilentReject,
+            SendBarrier::RejectedWhileAsked => EndpointTurn::FailAfter(LateFailure::Hangs, 0),
             SendBarrier::Rejected => match sends {
                 0 => EndpointTurn::ResetAfterEvent,
                 1 => EndpointTurn::Reject,
@@ -602,7 +607,10 @@
             sleep(cell.silence).await;
             stream.write_all(b"0\r\n\r\n").await
         }
-        EndpointTurn::Reject => {
+        EndpointTurn::Reject | EndpointTurn::SilentReject => {
+            if turn == EndpointTurn::SilentReject {
+                sleep(cell.silence).await;
+            }
             let text = head_text(id, "Content-Length: 2\r\n").replace("200 OK", "404 Not Found");
             stream.write_all((text + "no").as_bytes()).await
         }
@@ -1011,6 +1019,28 @@
     );
 }
 
+/// A caller waits for its endpoint's rejection longer because another endpoint is being asked.
+#[test]
+fn a_rejection_does_not_wait_for_another_endpoint_that_is_asked() {
+    play(async {
+        let silence = 320;
+        let at = SilencePoint::BeforeHead;
+        let cell = silence_cell(RouteKind::Safe, at, silence, SendBarrier::RejectedWhileAsked);
+        let cells = CellPlay::start(1, vec![cell]).await;
+        let process = &cells.group.processes[0];
+        let notice = request("POST", "/c0/other", "other-1", "", "");
+
+        let (answer, _) = tokio::join!(cells.run_cell(0), async {
+            sleep(Duration::from_millis(100)).await;
+            ask(process.address(), &notice).await
+        });
+
+        assert_eq!((answer.view.0, answer.sends), (ViewEnd::Failed, 2));
+        let limit = Duration::from_millis(silence + 100);
+        assert!(answer.took < limit, "{:?}", answer.took);
+    });
+}
+
 /// A silent request opens or closes a connection to a sound endpoint each time its account's limit bars it.
 #[test]
 fn a_request_barred_by_its_limit_costs_no_connections() {
