An endpoint that hangs is left for one that was too slow to take over before

Callers saw, after the mend of late failures: a stream at an endpoint that hangs waits until its caller leaves, if the other endpoints need more than 250 ms for a first event and the route allows two.

Cause: the endpoint that was asked and left has used up the last attempt.

Change: when the silence has lasted for 3 s, longer than a sound endpoint is silent, and others of the service answer, such an endpoint may be asked once more. Operators bound the endpoints that may get a request, not how often; the retry budget and the account's limit are charged again.

Result: first endpoint hangs, the others begin after 500 ms: 502 or a cut before, whole in less than 4 s, at two endpoints, now. 27 tests of silence pass.

--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -469,7 +469,12 @@
             "ran_ms" => self.sent_at.map(|at| at.elapsed().as_millis() as u64),
             "fallen" => self.may_have_fallen(),
             "again" => again, "barred" => self.barrier.map(RetryBarrier::name), "list_ms" => self.list_age.map(|age| age.0));
-        match (self.record.next_step(end, again), received) {
+        // An attempt that was sent beside was counted then.
+        let step = match &self.standby {
+            Some(_) => NextStep::Retry,
+            None => self.record.next_step(end, again),
+        };
+        match (step, received) {
             (NextStep::Retry, _) => None,
             (NextStep::Forward, Some(received)) if self.answer.stage() == AnswerStage::Waiting => {
                 Some(
--- a/crates/front/src/standby.rs
+++ b/crates/front/src/standby.rs
@@ -213,11 +213,9 @@
     }
 
     /// Whether an attempt may follow the present one, as far as that is known without asking anyone.
-    fn may_follow(&self) -> Result<(), RetryBarrier> {
+    fn may_follow(&self, silence: AnswerSilence) -> Result<(), RetryBarrier> {
         let ensure = |holds: bool, barrier| if holds { Ok(()) } else { Err(barrier) };
-        let mut record = self.record;
-        record.note(AttemptEnd::TimedOut);
-        ensure(record.may_send(), RetryBarrier::Attempts)?;
+        ensure(self.may_send_beside() || self.may_return(silence), RetryBarrier::Attempts)?;
         let refused = suspects::refused_for(self.node, &self.suspects);
         ensure(refused.is_none(), RetryBarrier::Quarantined)?;
         let has_time = self.time_left().duration() > ANSWER_WAIT;
@@ -227,13 +225,40 @@
         ensure(!is_full, RetryBarrier::Limit)
     }
 
+    /// Whether the rules allow to send the request to one more endpoint.
+    fn may_send_beside(&self) -> bool {
+        let mut record = self.record;
+        record.note(AttemptEnd::TimedOut);
+        record.may_send()
+    }
+
+    /// Whether an endpoint may be asked once more that was left: the silent one hangs, and others answer. The rules
+    /// bound the endpoints that get a request.
+    fn may_return(&self, silence: AnswerSilence) -> bool {
+        !self.left.is_empty() && silence.is_hang() && self.others_answer(silence)
+    }
+
+    /// The endpoints to which the request must not be sent now.
+    fn barred_endpoints(&self) -> Vec<EndpointKey> {
+        let mut barred = self.tried.clone();
+        barred.extend(self.current);
+        if self.may_send_beside() {
+            barred.extend(&self.left);
+        } else {
+            let board = self.node.endpoints.borrow();
+            let is_new = |key: &&EndpointKey| !self.left.contains(key);
+            barred.extend(board.of_service(&self.service).iter().filter(is_new));
+        }
+        barred
+    }
+
     /// Sends the request to another endpoint. Returns when that has begun to answer, or was waited for long enough.
     async fn prepare_attempt(
         &self,
         silence: AnswerSilence,
         is_sent: &Cell<bool>,
     ) -> Result<StandbyAttempt, StandbyFault> {
-        self.may_follow().map_err(StandbyFault::Barred)?;
+        self.may_follow(silence).map_err(StandbyFault::Barred)?;
         let (choice, is_trial) = self.choose_standby(silence).map_err(StandbyFault::Barred)?;
         let no_endpoint = StandbyFault::Barred(RetryBarrier::NoEndpoint);
         let Some(target) = self.target(choice.key) else { return Err(no_endpoint) };
@@ -389,9 +414,7 @@
     }
 
     fn choose_other(&self, silence: AnswerSilence, is_trial: bool) -> Option<PlacementChoice> {
-        let mut tried = self.tried.clone();
-        tried.extend(self.current);
-        tried.extend(&self.left);
+        let tried = self.barred_endpoints();
         let request = self.placement_request();
         // Each time other endpoints are compared.
         let salt = mix_bits(request.salt ^ silence.began.elapsed().as_millis() as u64);
--- a/tests/all/silent.rs
+++ b/tests/all/silent.rs
@@ -48,6 +48,8 @@
 /// By then a caller has the answer of another endpoint if its own one hangs: twice the time that a sound one may be
 /// silent, and some time for the answer.
 const HANG_LIMIT: Duration = Duration::from_millis(2 * 1300 + 300);
+/// Callers of streams leave after this time without an event.
+const LEAVE_TIME: Duration = Duration::from_secs(4);
 /// Longer than the window of an account's limit.
 const SETTLE_TIME: Duration = Duration::from_secs(10);
 /// Time between the first requests of two cells.
@@ -65,6 +67,7 @@
 /// How long a slow endpoint takes to answer, and one to refuse.
 const SLOW_TIME: Duration = Duration::from_millis(40);
 const REFUSAL_TIME: Duration = Duration::from_millis(10);
+const SLOWER_TIME: Duration = Duration::from_millis(500);
 /// The pause between two tries to use a limit up.
 const PRESS_PAUSE: Duration = Duration::from_millis(20);
 
@@ -132,6 +135,8 @@
     OthersFailAfter(LateFailure, u64),
     /// The first endpoint ends its stream inside an event; the others answer some time later.
     TornWhileAsked,
+    /// The first endpoint hangs; the others answer later than two may have the request.
+    OthersSlowLater,
     /// The first endpoint rejects it; the others never answer.
     RejectedWhileAsked,
     /// It is begun elsewhere after its first endpoint reset the connection, and an endpoint then rejects it.
@@ -182,6 +187,7 @@
     FailAfter(LateFailure, u64),
     Reject,
     SilentReject,
+    SlowLater,
     Torn,
 }
 
@@ -190,6 +196,7 @@
     fn delay(self) -> Duration {
         match self {
             EndpointTurn::Slow => SLOW_TIME,
+            EndpointTurn::SlowLater => SLOWER_TIME,
             EndpointTurn::FullLater => REFUSAL_TIME,
             EndpointTurn::FailAfter(_, ms) => Duration::from_millis(ms),
             _ => Duration::ZERO,
@@ -344,6 +351,7 @@
                 _ => EndpointTurn::Sound,
             },
             _ if sends == self.sends_before() => EndpointTurn::Silent,
+            SendBarrier::OthersSlowLater => EndpointTurn::SlowLater,
             SendBarrier::OthersFail => EndpointTurn::Fail,
             SendBarrier::OthersUnframed => EndpointTurn::Unframed,
             SendBarrier::OthersFullLate => EndpointTurn::FullLate,
@@ -549,7 +557,7 @@
     let (before, after) = cell.answer(id, last);
     sleep(turn.delay()).await;
     match turn {
-        EndpointTurn::Sound | EndpointTurn::Slow => {
+        EndpointTurn::Sound | EndpointTurn::Slow | EndpointTurn::SlowLater => {
             stream.write_all((before + &after).as_bytes()).await
         }
         EndpointTurn::Silent => {
@@ -924,6 +932,32 @@
     walk_direct(streams.chain(SilenceCell::hanging(RouteKind::Safe)));
 }
 
+/// A stream waits for an endpoint that hangs until its caller leaves, because the others need long for a first event.
+#[test]
+fn an_endpoint_that_hangs_is_left_for_one_that_is_slow_to_begin() {
+    play(async {
+        let points = points_of(RouteKind::Resumable, SendBarrier::Nothing);
+        let cells = points.iter().map(|at| SilenceCell {
+            silence: FOR_GOOD,
+            ..silence_cell(RouteKind::Resumable, *at, 0, SendBarrier::OthersSlowLater)
+        });
+        let cells = CellPlay::start(1, cells.collect()).await;
+        let runs = (0..cells.book.cells.len()).map(|number| cells.run_cell(number));
+
+        let answers = join_all(runs).await;
+
+        for (number, answer) in answers.iter().enumerate() {
+            let cell = cells.book.cells[number];
+            let mut sent_to = cells.book.sent_to(&format!("c{number}"));
+            sent_to.sort();
+            sent_to.dedup();
+            assert_eq!(answer.view, (ViewEnd::Stated, cell.whole_body()), "{cell:?}");
+            assert!(answer.took < LEAVE_TIME, "{cell:?}: {:?}", answer.took);
+            assert!(sent_to.len() <= cell.max_attempts(), "{cell:?}: {sent_to:?}");
+        }
+    });
+}
+
 /// A relayed request waits for an endpoint that hangs, although others answer.
 #[test]
 fn an_endpoint_that_hangs_is_left_for_another_by_a_peer() {
