Signals are received before a program does anything else

Cause: the handler for hang-ups was set up as the front process began to listen, those for stop signals only after its start, and entry, fleet process and stand-in had the same order; the last three had none for hang-ups.

Change: every program that waits for signals makes its runtime and receives hang-ups and stop signals as the first thing of main, and only then reads its arguments and settings. The front process gets the stream of hang-ups with the path of its settings, so that one which came meanwhile makes it read them again. Entry and fleet process read their settings only at the start, and log a hang-up. A program that cannot receive signals says so and does not start; so far it would have waited without ever being asked to stop.

Left: a signal between exec and main still ends a process.

--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -46,3 +46,4 @@
 pub use node::FrontNode;
 pub use port::PlatformDialect;
 pub use process::{FrontPorts, FrontProcess, start_front};
+pub use reload::SettingsFile;
--- a/crates/front/src/process.rs
+++ b/crates/front/src/process.rs
@@ -3,6 +3,7 @@
 use crate::events::event;
 use crate::node::FrontNode;
 use crate::port::PlatformDialect;
+use crate::reload::SettingsFile;
 use crate::suspect_store::SuspectStore;
 use crate::window_store::WindowStore;
 use crate::{admin, discover, duties, feeds, ingress, kept, limits, mesh, origins, paths, reload};
@@ -16,7 +17,6 @@
 use oleander_serve::{HttpSite, local_data, serve_app};
 use oleander_wire::{PeerHandler, PeerHub, PeerListener, serve_peers};
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::JoinHandle;
@@ -60,7 +60,7 @@
     pub clock: NodeClock,
 }
 
-/// Starts a front process; `path` is the settings file to follow.
+/// Starts a front process; `file` is the settings file to follow.
 ///
 /// # Errors
 /// Returns the error of the system if it cannot listen on one of its addresses.
@@ -69,10 +69,8 @@
     log: slog::Logger,
     dialect: Box<dyn PlatformDialect>,
     ports: FrontPorts,
-    path: Option<PathBuf>,
+    file: Option<SettingsFile>,
 ) -> std::io::Result<FrontProcess> {
-    // Whoever sees the process listen may tell it that its settings have changed.
-    let followed = path.map(|path| (path, reload::hang_up_signals()));
     let callers = listen_socket(settings.listen)?;
     let address = callers.local_addr()?;
     let peers = listen_socket(settings.peer)?;
@@ -105,8 +103,8 @@
         actix_rt::spawn(kept::sync_record(node.clone(), WindowStore::default())),
     ];
     let accepting = actix_rt::spawn(ingress::accept_callers(node.clone(), callers));
-    if let Some((path, hang_ups)) = followed {
-        tasks.push(actix_rt::spawn(reload::follow_settings(node.clone(), path, hang_ups)));
+    if let Some(file) = file {
+        tasks.push(actix_rt::spawn(reload::follow_settings(node.clone(), file)));
     }
     if let Some(cloud) = ports.cloud {
         tasks.push(actix_rt::spawn(duties::run_duties(node.clone(), cloud)));
--- a/crates/oleandertack/src/start.rs
+++ b/crates/oleandertack/src/start.rs
@@ -1,8 +1,11 @@
 //! What the binaries share: arguments, settings, signals.
 
+use actix_rt::signal::unix::{Signal, SignalKind, signal};
+use actix_rt::{System, SystemRunner};
 use lexopt::Arg;
 use oleander_conf::{FieldCheck, read_settings};
 use serde::de::DeserializeOwned;
+use std::io;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -95,17 +98,62 @@
     Ok((settings, arguments))
 }
 
-/// Waits until the process is asked to stop.
-pub async fn wait_stop() {
-    use actix_rt::signal::unix::{SignalKind, signal};
-    let term = signal(SignalKind::terminate());
-    let interrupt = signal(SignalKind::interrupt());
-    match (term, interrupt) {
-        (Ok(mut term), Ok(mut interrupt)) => {
-            let term = std::pin::pin!(term.recv());
-            let interrupt = std::pin::pin!(interrupt.recv());
-            futures_util::future::select(term, interrupt).await;
+/// The signals that a process receives from the moment this is made. None of them takes the system's default action
+/// from then on, and none that comes before somebody waits for it is lost.
+pub struct ProcessSignals {
+    /// Tells that the settings file changed.
+    pub hang_ups: Signal,
+    /// Asks the process to stop.
+    pub stops: StopSignals,
+}
+
+/// The signals that ask a process to stop.
+pub struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl ProcessSignals {
+    /// Receives signals from now on. Needs a runtime.
+    ///
+    /// # Errors
+    /// The system's.
+    pub fn receive() -> io::Result<Self> {
+        let stops = StopSignals {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        };
+        Ok(ProcessSignals { hang_ups: signal(SignalKind::hangup())?, stops })
+    }
+}
+
+impl StopSignals {
+    /// Waits until the process is asked to stop.
+    pub async fn wait(&mut self) {
+        let terminate = std::pin::pin!(self.terminate.recv());
+        let interrupt = std::pin::pin!(self.interrupt.recv());
+        futures_util::future::select(terminate, interrupt).await;
+    }
+}
+
+/// Starts the runtime and receives signals. A program does this first: until then, a signal ends it.
+///
+/// # Errors
+/// The exit code, after one line on standard error.
+pub fn runtime_or_exit(program: &str) -> Result<(SystemRunner, ProcessSignals), ExitCode> {
+    let runtime = System::new();
+    match runtime.block_on(async { ProcessSignals::receive() }) {
+        Ok(signals) => Ok((runtime, signals)),
+        Err(fault) => {
+            eprintln!("{program}: cannot receive signals: {fault}");
+            Err(ExitCode::FAILURE)
         }
-        _ => std::future::pending().await,
+    }
+}
+
+/// Logs hang-ups at a process that reads its settings only when it starts.
+pub async fn log_hang_ups(mut hang_ups: Signal, log: slog::Logger) {
+    while hang_ups.recv().await.is_some() {
+        slog::info!(log, "changed settings take effect at the next start");
     }
 }
--- a/src/bin/oleander-front.rs
+++ b/src/bin/oleander-front.rs
@@ -3,16 +3,20 @@
 use oleandertack::board::NodeClock;
 use oleandertack::board::json_logger;
 use oleandertack::conf::FrontSettings;
-use oleandertack::front::{FrontPorts, start_front};
+use oleandertack::front::{FrontPorts, SettingsFile, start_front};
 use oleandertack::outlet::{HttpCodec, TcpDialer};
 use oleandertack::plat::DutyPort;
 use oleandertack::platform::{CloudClient, HttpDialect, SETTINGS_VARIABLE, StoreClient};
-use oleandertack::start::{read_or_exit_with, wait_stop};
+use oleandertack::start::{read_or_exit_with, runtime_or_exit};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 
 fn main() -> ExitCode {
+    let (runtime, mut signals) = match runtime_or_exit("oleander-front") {
+        Ok(started) => started,
+        Err(code) => return code,
+    };
     let default_path: Option<PathBuf> = std::env::var_os(SETTINGS_VARIABLE).map(Into::into);
     let read = read_or_exit_with::<FrontSettings>("oleander-front", &[], default_path.clone());
     let (settings, arguments) = match read {
@@ -20,7 +24,7 @@
         Err(code) => return code,
     };
     let log = json_logger("oleander-front", settings.instance.as_str());
-    actix_rt::System::new().block_on(async move {
+    runtime.block_on(async move {
         let codec = HttpCodec::default();
         let store = Box::new(StoreClient::new(settings.store, codec.clone()));
         let cloud = settings.cloud.map(|address| {
@@ -34,9 +38,10 @@
             clock: NodeClock::default(),
         };
         let path = arguments.settings.or(default_path);
-        match start_front(settings, log, Box::new(HttpDialect), ports, path).await {
+        let file = path.map(|path| SettingsFile { path, hang_ups: signals.hang_ups });
+        match start_front(settings, log, Box::new(HttpDialect), ports, file).await {
             Ok(process) => {
-                wait_stop().await;
+                signals.stops.wait().await;
                 process.stop().await;
                 ExitCode::SUCCESS
             }
--- a/src/bin/oleander-standin.rs
+++ b/src/bin/oleander-standin.rs
@@ -1,18 +1,22 @@
 //! The stand-ins for platform, cloud and endpoints. For tests and the demo only.
 
 use oleandertack::standin::{StandinSettings, StandinSite};
-use oleandertack::start::{read_or_exit, wait_stop};
+use oleandertack::start::{read_or_exit, runtime_or_exit};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
+    let (runtime, mut signals) = match runtime_or_exit("oleander-standin") {
+        Ok(started) => started,
+        Err(code) => return code,
+    };
     let (settings, _) = match read_or_exit::<StandinSettings>("oleander-standin", &[]) {
         Ok(read) => read,
         Err(code) => return code,
     };
-    actix_rt::System::new().block_on(async move {
+    runtime.block_on(async move {
         match StandinSite::listen(settings).await {
             Ok(listening) => {
-                wait_stop().await;
+                signals.stops.wait().await;
                 drop(listening);
                 ExitCode::SUCCESS
             }
