edge: a stream leaves a leaving engine only when another one answers

Cause: move_away dropped the answer and cancelled the stream at its engine 1.5 s before that one's announced end, and looked for another engine afterwards. Without one, or with one that hung, the stream was cut although its engine would have finished it.

Change: edge::moves looks for the other engine (KV copy, request, first part of its answer) while the answer of the leaving one is read on; then flow's move_to drops what both showed, and the leaving one is told to cancel. A prepared stream that is not needed is cancelled where it was begun. If the leaving engine ends first, the stream goes on with the move that is being prepared; without one it is resumed or run again as before.

--- a/crates/edge/src/drive.rs
+++ b/crates/edge/src/drive.rs
@@ -3,13 +3,16 @@
 //! The decisions are `oleander-flow`'s; `open` makes the calls, and here their answers are read.
 
 use crate::book::{LiveRequest, LiveStage, ShownPiece};
+use crate::moves::{MovedStream, prepare_move};
 use crate::node::EntryNode;
-use crate::open::{BodyStream, Opened, choose_endpoint, open_fresh, open_resume};
+use crate::open::{BodyStream, Opened, open_fresh, open_resume};
 use crate::shadow;
 use crate::sse::{AnswerEvent, EventKind, EventReader};
 use crate::steps::EntryStep;
 use bytes::Bytes;
+use compact_str::CompactString;
 use futures_util::StreamExt;
+use futures_util::future::{FutureExt, LocalBoxFuture};
 use oleander_board::EndpointKey;
 use oleander_claim::ClaimKey;
 use oleander_flow::{
@@ -22,7 +25,8 @@
 
 /// The most attempts of one stream. Each loses an endpoint, so only a wave reaches it.
 const MOST_ATTEMPTS: u32 = 24;
-/// A leaving endpoint's streams are moved this long before its end.
+/// This long before a leaving endpoint's end its streams begin to be moved: time to copy KV and to be
+/// admitted elsewhere.
 const MOVE_MARGIN: TimeSpan = TimeSpan(1500);
 /// An endpoint that sends nothing for this long while a stream runs counts as lost.
 const SILENCE_LIMIT: TimeSpan = TimeSpan(60_000);
@@ -149,9 +153,7 @@
             let Some(flow) = flow else {
                 return Attempt::Ended(EndState::Complete);
             };
-            let outcome = read_answer(node, job, flow, (body, endpoint, prefill)).await;
-            note_ended(&mut node.board.borrow_mut(), endpoint);
-            outcome
+            read_answer(node, job, flow, (body, endpoint, prefill)).await
         }
     }
 }
@@ -163,64 +165,146 @@
     }
 }
 
+/// Why the reading of an answer ended.
+enum ReadEnd {
+    /// The answer is whole, or another entry's.
+    Whole,
+    /// It broke off.
+    Cut,
+    /// The caller went away and did not come back.
+    Deserted,
+    /// Its deadline passed.
+    Late,
+}
+
 async fn read_answer(
     node: &Rc<EntryNode>,
     job: &mut StreamJob,
     mut flow: RequestFlow<Running>,
-    (mut body, endpoint, prefill): (BodyStream, EndpointKey, u64),
+    (body, mut endpoint, prefill): (BodyStream, EndpointKey, u64),
 ) -> Attempt {
+    let begun = (body, &mut endpoint, prefill);
+    let end = read_to_end(node, job, &mut flow, begun).await;
+    let attempt = match end {
+        ReadEnd::Whole => Attempt::Whole,
+        ReadEnd::Cut => cut_answer(node, job, flow, endpoint),
+        ReadEnd::Deserted => Attempt::Deserted(flow),
+        ReadEnd::Late => {
+            cancel_upstream(node, job).await;
+            Attempt::Ended(flow.stop(ResultCode::DeadlinePassed))
+        }
+    };
+    note_ended(&mut node.board.borrow_mut(), endpoint);
+    attempt
+}
+
+async fn read_to_end(
+    node: &Rc<EntryNode>,
+    job: &StreamJob,
+    flow: &mut RequestFlow<Running>,
+    (body, endpoint, prefill): (BodyStream, &mut EndpointKey, u64),
+) -> ReadEnd {
+    let mut body = Some(body);
     let mut reader = EventReader::default();
     let mut first = true;
     let mut half = false;
     let mut deserted_since = None;
+    let mut moving: Option<LocalBoxFuture<'_, MovedStream>> = None;
     loop {
-        let move_at = move_time(node, endpoint);
+        let move_at = move_time(node, *endpoint);
         let desert_at = desert_time(node, &job.live, &mut deserted_since);
         tokio::select! {
-            chunk = body.next() => {
-                let Some(Ok(bytes)) = chunk else { return cut_answer(node, job, flow, endpoint) };
-                if first {
+            chunk = next_chunk(&mut body) => {
+                if first && let Some(Ok(_)) = chunk {
                     first = false;
-                    note_first_token(&mut node.board.borrow_mut(), endpoint, prefill);
+                    note_first_token(&mut node.board.borrow_mut(), *endpoint, prefill);
                     node.meter.note_first_token((node.clock.now() - job.live.began).0 as f64);
                 }
-                reader.push(&bytes);
-                match take_events(node, job, &mut flow, &mut reader) {
+                let taken = match chunk {
+                    Some(Ok(bytes)) => {
+                        reader.push(&bytes);
+                        take_events(node, job, flow, &mut reader)
+                    }
+                    _ => TakenEvents::Broken,
+                };
+                match taken {
                     TakenEvents::More => pass_half(node, job, &mut half).await,
                     TakenEvents::Whole => {
                         node.step(EntryStep::Finished).await;
-                        note_success(&mut node.board.borrow_mut(), endpoint);
-                        return Attempt::Whole;
+                        note_success(&mut node.board.borrow_mut(), *endpoint);
+                        return ReadEnd::Whole;
                     }
-                    TakenEvents::Broken => return cut_answer(node, job, flow, endpoint),
+                    // Another endpoint is being prepared: the stream goes on there.
+                    TakenEvents::Broken if moving.is_some() => body = None,
+                    TakenEvents::Broken => return ReadEnd::Cut,
                 }
             }
             () = actix_rt::time::sleep(SILENCE_LIMIT.duration()) => {
-                return cut_answer(node, job, flow, endpoint);
+                return ReadEnd::Cut;
+            }
+            () = sleep_until(node, move_at), if moving.is_none() => {
+                let source = flow.endpoint().cloned().unwrap_or_default();
+                let attempt = flow.attempt() + 1;
+                let prepared = async move { prepare_move(node, job, &source, attempt).await };
+                moving = Some(prepared.boxed_local());
             }
-            () = sleep_until(node, move_at) => {
-                drop(body);
-                return move_away(node, job, flow).await;
+            moved = next_move(&mut moving) => {
+                moving = None;
+                reader = EventReader::default();
+                (body, *endpoint) = move_on(node, job, flow, (*endpoint, moved));
             }
+            () = sleep_until(node, Some(job.deadline)), if body.is_none() => {}
             () = node.notices.notified() => {}
             () = job.live.deserted(), if desert_at.is_none() && !job.live.run_on => {}
             () = sleep_until(node, desert_at) => {
-                return Attempt::Deserted(flow);
+                return ReadEnd::Deserted;
             }
         }
         if job.live.is_given_away() {
             job.live.set_stage(LiveStage::Moved);
         }
         if job.live.stage() == LiveStage::Moved {
-            return Attempt::Whole;
+            return ReadEnd::Whole;
         }
         if node.clock.now() >= job.deadline {
-            cancel_upstream(node, job).await;
-            return Attempt::Ended(flow.stop(ResultCode::DeadlinePassed));
+            return ReadEnd::Late;
         }
     }
 }
 
+/// The next part of the answer; pending if the connection is gone.
+async fn next_chunk(body: &mut Option<BodyStream>) -> Option<Result<Bytes, ()>> {
+    match body {
+        Some(body) => body.next().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// The prepared move; pending if none is being prepared.
+async fn next_move(moving: &mut Option<LocalBoxFuture<'_, MovedStream>>) -> MovedStream {
+    match moving {
+        Some(moving) => moving.await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Leaves the endpoint that is about to end for the one that has begun to answer.
+fn move_on(
+    node: &Rc<EntryNode>,
+    job: &StreamJob,
+    flow: &mut RequestFlow<Running>,
+    (left, moved): (EndpointKey, MovedStream),
+) -> (Option<BodyStream>, EndpointKey) {
+    let MovedStream { body, mut place } = moved;
+    place.keep();
+    cancel_later(node, job);
+    note_ended(&mut node.board.borrow_mut(), left);
+    flow.move_to(place.instance.clone());
+    shadow::update_place(job, (&place.instance, &place.address, &place.handle));
+    actix_rt::spawn(shadow::put_shadow(node.clone(), job.key, job.live.clone()));
+    (Some(body), place.endpoint)
+}
+
 async fn pass_half(node: &EntryNode, job: &StreamJob, passed: &mut bool) {
     if !*passed && 2 * job.live.shown() >= u64::from(job.head.output_token_limit()) {
         *passed = true;
@@ -334,34 +418,34 @@
     next_attempt(flow.connection_lost(now, lives))
 }
 
-/// The endpoint is about to end: its KV goes to another endpoint, and the stream follows.
-async fn move_away(
-    node: &Rc<EntryNode>,
-    job: &mut StreamJob,
-    flow: RequestFlow<Running>,
-) -> Attempt {
-    if let Some(instance) = flow.endpoint() {
-        job.tried.push(instance.clone());
-    }
-    if let Some(target) = choose_endpoint(node, job) {
-        crate::kv::copy_kv(node, job, target).await;
+/// Tells the endpoint that nobody wants the stream any more, so that it computes no more of it.
+pub async fn cancel_upstream(node: &EntryNode, job: &StreamJob) {
+    if let Some((address, handle)) = upstream(job) {
+        cancel_at(node, &address, &handle).await;
     }
-    cancel_upstream(node, job).await;
-    next_attempt(flow.connection_lost(node.clock.now(), false))
 }
 
-/// Tells the endpoint that nobody wants the stream any more, so that it computes no more of it.
-pub async fn cancel_upstream(node: &EntryNode, job: &StreamJob) {
-    let target = {
-        let record = job.live.record.borrow();
-        record.as_ref().map(|record| (record.address.clone(), record.handle.clone()))
-    };
-    let Some((address, handle)) = target else {
-        return;
-    };
+/// The same without waiting for the endpoint's answer.
+fn cancel_later(node: &Rc<EntryNode>, job: &StreamJob) {
+    let Some((address, handle)) = upstream(job) else { return };
+    let node = node.clone();
+    actix_rt::spawn(async move { cancel_at(&node, &address, &handle).await });
+}
+
+/// The address of the endpoint that runs the stream, and its handle there.
+fn upstream(job: &StreamJob) -> Option<(CompactString, CompactString)> {
+    let record = job.live.record.borrow();
+    record.as_ref().map(|record| (record.address.clone(), record.handle.clone()))
+}
+
+/// Cancels the stream of `handle` at the endpoint at `address`.
+pub async fn cancel_at(node: &EntryNode, address: &str, handle: &str) {
     let url = format!("http://{address}/v1/streams/{handle}");
     let limit = TimeSpan(1000).duration();
-    let _ = node.client.delete(url).timeout(limit).send().await;
+    if let Err(fault) = node.client.delete(url).timeout(limit).send().await {
+        slog::info!(node.log, "a stream was not cancelled";
+            "handle" => handle, "fault" => fault.to_string());
+    }
 }
 
 fn close_books(node: &Rc<EntryNode>, job: &StreamJob, ending: EndState) {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod kv;
 pub mod lists;
 pub mod loads;
+pub mod moves;
 pub mod node;
 pub mod open;
 pub mod peers;
--- a/crates/edge/src/open.rs
+++ b/crates/edge/src/open.rs
@@ -19,7 +19,7 @@
 use std::rc::Rc;
 
 /// Between two looks for an endpoint while an accepted stream has none.
-const SEARCH_PAUSE: TimeSpan = TimeSpan(100);
+pub(crate) const SEARCH_PAUSE: TimeSpan = TimeSpan(100);
 
 /// The bytes of an answer as they come.
 pub type BodyStream = Pin<Box<dyn Stream<Item = Result<Bytes, ()>>>>;
@@ -178,7 +178,16 @@
 }
 
 /// The endpoint to try next, if one takes work.
-pub fn choose_endpoint(node: &EntryNode, job: &StreamJob) -> Option<EndpointKey> {
+fn choose_endpoint(node: &EntryNode, job: &StreamJob) -> Option<EndpointKey> {
+    choose_untried(node, job, &job.tried)
+}
+
+/// The endpoint to try next except for those in `tried`, if one takes work.
+pub(crate) fn choose_untried(
+    node: &EntryNode,
+    job: &StreamJob,
+    tried: &[InstanceId],
+) -> Option<EndpointKey> {
     let service = job.service();
     let version = job.version();
     let pinned = (!version.as_str().is_empty()).then_some(&version);
@@ -187,13 +196,14 @@
         version: pinned,
         blocks: &job.head.blocks,
         prompt_tokens: job.head.prompt_tokens(),
-        tried: &job.tried,
+        tried,
     };
     let board = node.board.borrow();
     node.router.borrow_mut().choose(&board, &ask, node.clock.now(), node.random())
 }
 
-fn note_sent(node: &EntryNode, job: &StreamJob, endpoint: EndpointKey) -> u64 {
+/// Counts a request that is sent to `endpoint`. Returns the prompt tokens that it computes for it.
+pub(crate) fn note_sent(node: &EntryNode, job: &StreamJob, endpoint: EndpointKey) -> u64 {
     let service = job.service();
     let ask = RouteRequest {
         service: &service,
@@ -205,7 +215,11 @@
     node.router.borrow_mut().note_sent(&mut node.board.borrow_mut(), endpoint, &ask)
 }
 
-async fn send_request(
+/// Sends the request to `address` as attempt `attempt`, with the shown tokens as the start of the answer.
+///
+/// # Errors
+/// The client's, if no head came.
+pub(crate) async fn send_request(
     node: &EntryNode,
     job: &StreamJob,
     (address, handle, attempt): (&str, &str, u32),
@@ -254,14 +268,16 @@
     serde_json::to_vec(&value).map_or(body, Bytes::from)
 }
 
-fn body_stream<S>(response: ClientResponse<S>) -> BodyStream
+/// The body of `response` as it comes.
+pub(crate) fn body_stream<S>(response: ClientResponse<S>) -> BodyStream
 where
     S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin + 'static,
 {
     Box::pin(response.map(|chunk| chunk.map_err(|_| ())))
 }
 
-fn take_head<S>(
+/// Takes what the head of an answer says of its endpoint.
+pub(crate) fn take_head<S>(
     node: &EntryNode,
     job: &StreamJob,
     response: &ClientResponse<S>,
--- a/crates/flow/src/life.rs
+++ b/crates/flow/src/life.rs
@@ -252,7 +252,18 @@
         self.facts.whole
     }
 
-    /// The connection broke, or the endpoint is about to shut down, before the answer was complete.
+    /// The request goes on at `endpoint`, which has begun to answer beside the endpoint that did before. Chunks of
+    /// that one are dropped from now on.
+    pub fn move_to(&mut self, endpoint: InstanceId) {
+        self.facts.may_have_run = true;
+        self.attempts += 1;
+        self.stalled_attempts += 1;
+        self.resumes = 0;
+        self.splice.begin_attempt(self.attempts);
+        self.endpoint = Some(endpoint);
+    }
+
+    /// The connection broke before the answer was complete.
     ///
     /// A stream is first resumed at the same endpoint, which computes no token again. If that failed once
     /// for this endpoint, the request runs at another one. A non-idempotent request ends as uncertain.
--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -184,3 +184,122 @@
 
     assert_eq!(cancelled, 1);
 }
+
+/// The notice of a reclaim after which a stream's engine goes on and an entry prepares to leave it at once, in
+/// milliseconds.
+const SHORT_NOTICE_MS: u64 = 1500;
+/// Tokens of a stream that ends well within the notice.
+const SHORT_TOKENS: u64 = 250;
+
+/// The failure domain of the only engine that runs a stream.
+async fn domain_of_stream(rig: &oleandertack::rig::Rig) -> String {
+    use oleandertack::rig::cluster::MODEL;
+    let client = awc::Client::default();
+    let mut list = client.get(format!("{}/list", rig.standin)).send().await.expect("a list");
+    let list: serde_json::Value = list.json().await.expect("a list");
+    for record in list.as_array().expect("records").iter().filter(|one| one["service"] == MODEL) {
+        let url = format!("http://{}/counts", record["address"].as_str().expect("an address"));
+        let mut counts = client.get(url).send().await.expect("counts");
+        let counts: serde_json::Value = counts.json().await.expect("counts");
+        if counts["streams"] == 1 {
+            return record["domain"].as_str().expect("a domain").to_owned();
+        }
+    }
+    panic!("no engine runs the stream");
+}
+
+/// Streams `SHORT_TOKENS` tokens, lets `disturb` act on the rig with the domain of the stream's engine,
+/// and returns what the caller read.
+async fn read_beside<F>(disturb: impl FnOnce(oleandertack::rig::Rig, String) -> F) -> (String, u64)
+where
+    F: Future<Output = oleandertack::rig::Rig>,
+{
+    use oleandertack::rig::cluster::{CALLER_KEY, MODEL};
+    let settings = oleandertack::rig::RigSettings { engines: 1, ..Default::default() };
+    let rig = oleandertack::rig::Rig::start(settings, |_, _| None).await.expect("up");
+    let client = awc::Client::builder().timeout(std::time::Duration::from_secs(30)).finish();
+    let body = serde_json::json!({
+        "model": MODEL, "stream": true, "max_tokens": SHORT_TOKENS,
+        "messages": [{ "role": "user", "content": "soup" }],
+    });
+    let url = format!("http://{}/v1/chat/completions", rig.entries[0].address);
+    let request = client.post(url).insert_header(("authorization", format!("Bearer {CALLER_KEY}")));
+    let mut response = request.send_json(&body).await.expect("a stream");
+    read_until(&mut response, "id: 5\n").await;
+    let domain = domain_of_stream(&rig).await;
+    let _rig = disturb(rig, domain).await;
+    let reading = read_until(&mut response, "[DONE]");
+    let read = actix_rt::time::timeout(std::time::Duration::from_secs(6), reading).await;
+    read.unwrap_or_default()
+}
+
+/// Gives notice to the endpoints of `domain`.
+async fn give_notice(rig: &oleandertack::rig::Rig, domain: &str, notice_ms: u64) {
+    let body = serde_json::json!({ "domain": domain, "notice_ms": notice_ms });
+    let given = oleandertack::rig::cluster::post_json(&rig.standin, "/reclaim", &body).await;
+    given.expect("notice");
+}
+
+/// Guards against a stream that is cut although its engine would have finished it. The engine gets notice, and
+/// the entry leaves it 1.5 s before its end, with no other engine to go to.
+#[actix_rt::test]
+async fn a_stream_stays_at_a_leaving_engine_if_there_is_no_other() {
+    use oleandertack::rig::cluster::DOMAINS;
+
+    let (text, last) = read_beside(async |rig, domain| {
+        for other in DOMAINS.iter().filter(|other| **other != domain) {
+            give_notice(&rig, other, 0).await;
+        }
+        give_notice(&rig, &domain, SHORT_NOTICE_MS).await;
+        rig
+    })
+    .await;
+
+    assert!(text.contains("[DONE]"), "cut after token {last}");
+    assert_eq!(last, SHORT_TOKENS);
+}
+
+/// The same failure where the other engines take the request and answer nothing.
+#[actix_rt::test]
+async fn a_stream_stays_at_a_leaving_engine_until_another_one_answers() {
+    use oleandertack::rig::cluster::MODEL;
+
+    let (text, last) = read_beside(async |rig, domain| {
+        let hang = serde_json::json!({ "hang": true });
+        for address in rig.endpoint_addresses(MODEL).await {
+            let base = format!("http://{address}");
+            let set = oleandertack::rig::cluster::post_json(&base, "/faults", &hang).await;
+            set.expect("faults");
+        }
+        give_notice(&rig, &domain, SHORT_NOTICE_MS).await;
+        rig
+    })
+    .await;
+
+    assert!(text.contains("[DONE]"), "cut after token {last}");
+    assert_eq!(last, SHORT_TOKENS);
+}
+
+/// Guards against a stream that stays at a leaving engine until that one ends although another one takes it.
+#[actix_rt::test]
+async fn a_stream_leaves_an_engine_before_its_end_once_another_one_answers() {
+    let (cancelled, recomputed) = (std::cell::Cell::new(0), std::cell::Cell::new(u64::MAX));
+
+    let (_, last) = read_beside(async |rig, domain| {
+        give_notice(&rig, &domain, SHORT_NOTICE_MS).await;
+        let client = awc::Client::default();
+        let until = std::time::Instant::now() + std::time::Duration::from_millis(SHORT_NOTICE_MS);
+        while cancelled.get() == 0 && std::time::Instant::now() < until {
+            let url = format!("{}/totals", rig.standin);
+            let mut totals = client.get(url).send().await.expect("totals");
+            let totals: serde_json::Value = totals.json().await.expect("totals");
+            cancelled.set(totals["engines"]["cancelled"].as_u64().expect("a count"));
+            recomputed.set(totals["engines"]["recomputed"].as_u64().expect("a count"));
+        }
+        rig
+    })
+    .await;
+
+    assert_eq!((cancelled.get(), last), (1, SHORT_TOKENS));
+    assert!(recomputed.get() < SHORT_TOKENS, "no KV came: {} tokens again", recomputed.get());
+}
--- a/tests/all/flow.rs
+++ b/tests/all/flow.rs
@@ -47,6 +47,20 @@
     assert!(matches!(step, NextStep::Ended(EndState::Uncertain(ResultCode::Uncertain))));
 }
 
+#[test]
+fn a_request_that_moves_drops_what_its_former_endpoint_showed_again() {
+    // The next endpoint was asked from token 1 on, and the former one went on to token 3 meanwhile.
+    let mut running = admitted(true).place(endpoint()).begin_write();
+    running.take_chunk(0, 3);
+
+    running.move_to(InstanceId::from("i-2"));
+
+    assert_eq!(running.take_chunk(1, 1), ChunkVerdict::Drop);
+    assert_eq!(running.take_chunk(2, 2), ChunkVerdict::Deliver { skip: 1 });
+    assert_eq!((running.endpoint(), running.attempt()), (Some(&InstanceId::from("i-2")), 2));
+    assert!(running.finish(4));
+}
+
 #[test]
 fn an_unsafe_request_that_the_endpoint_refused_unrun_is_sent_to_another() {
     // The first endpoint answers that it did not run the request. The bytes sent to it must not prevent a
