wire: a connection that is given up still answers the calls sent on it before

Cause: when a call was not answered in time, front's call_peer gave its connection up (ClosePeer), and every other call on it failed at once, before a new connection existed, although the peer might answer it within its own limit. A stream that was being taken up was refused then, because the processes that know its version were not heard.

Change: the connection takes no new calls, and is read for 2 s more while calls on it are open.

--- a/crates/wire/src/hub.rs
+++ b/crates/wire/src/hub.rs
@@ -26,6 +26,9 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Timeout for the TCP connect and, separately, for the WebSocket handshake.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long answers are still read from a connection that is used no more; longer than calls between front
+/// processes wait.
+const LATE_ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Counters for bytes and frames exchanged with peers.
 #[derive(Debug, Default)]
@@ -87,8 +90,9 @@
     pub limit: TimeSpan,
 }
 
-/// Closes the connection to a peer that does not answer. A connection can stop delivering data
-/// permanently while new connections work, so the next call opens a new one.
+/// Gives up the connection to a peer that does not answer. A connection can stop delivering data
+/// permanently while new connections work, so the next call opens a new one. Calls that were sent on it
+/// before keep their time limits, as the peer may yet answer them.
 #[derive(Message)]
 #[rtype(result = "()")]
 pub struct ClosePeer(pub CompactString);
@@ -204,14 +208,19 @@
     let opened = actix_rt::time::timeout(CONNECT_TIMEOUT, opening).await;
     let (socket, _) = opened.map_err(|_| unreached())?.map_err(|_| unreached())?;
     let (mut sink, mut source) = socket.split();
-    loop {
+    let mut ends_at = None;
+    while ends_at.is_none() || !calls.borrow().is_empty() {
         tokio::select! {
-            frame = frames.recv() => {
-                let Some(frame) = frame else { return Ok(()) };
+            frame = frames.recv(), if ends_at.is_none() => {
+                let Some(frame) = frame else {
+                    ends_at = Some(tokio::time::Instant::now() + LATE_ANSWER_TIMEOUT);
+                    continue;
+                };
                 traffic.count_sent(frame.len());
                 let sent = sink.send(WsMessage::Binary(frame)).await;
                 sent.map_err(|_| unreached())?;
             }
+            () = reached(ends_at) => return Ok(()),
             message = source.next() => {
                 let message = message.ok_or_else(unreached)?.map_err(|_| unreached())?;
                 let WsMessage::Binary(bytes) = message else { continue };
@@ -224,4 +233,13 @@
             }
         }
     }
+    Ok(())
+}
+
+/// Returns at `time`; never if there is none.
+async fn reached(time: Option<tokio::time::Instant>) {
+    match time {
+        Some(time) => tokio::time::sleep_until(time).await,
+        None => std::future::pending().await,
+    }
 }
--- /dev/null
+++ b/tests/all/links.rs
@@ -0,0 +1,82 @@
+//! Connections between processes; in virtual time.
+
+use crate::plays::{ProcessGroup, play};
+use oleandertack::kind::TimeSpan;
+use oleandertack::mesh::MeshBody;
+use oleandertack::wire::{CallPeer, ClosePeer, PeerHandler, bind_peer_listener, serve_peers};
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// How long the peer takes to answer a batch of records.
+const ANSWER_TIME: Duration = Duration::from_millis(250);
+
+/// A peer that takes a while for batches of records, and answers nothing else.
+struct SlowPeer;
+
+impl PeerHandler<MeshBody> for SlowPeer {
+    fn answer(&self, body: MeshBody) -> Pin<Box<dyn Future<Output = MeshBody>>> {
+        Box::pin(async move {
+            match body {
+                MeshBody::KeepOrigins(_) => sleep(ANSWER_TIME).await,
+                _ => std::future::pending().await,
+            }
+            MeshBody::OriginsKept
+        })
+    }
+}
+
+fn call_peer(address: std::net::SocketAddr, body: MeshBody, limit_ms: u64) -> CallPeer<MeshBody> {
+    CallPeer { address: address.to_string().into(), body, limit: TimeSpan(limit_ms) }
+}
+
+/// Guards against a call that fails because another one on its connection was not answered in time: a stream that
+/// is taken up is refused, because the processes that know its version were not heard.
+#[test]
+fn a_call_is_answered_although_another_one_gave_its_connection_up() {
+    play(async {
+        let group = ProcessGroup::start(1).await;
+        let node = &group.processes[0].node;
+        let hub = node.peers.get().expect("a started process").clone();
+        let any = "127.0.0.1:0".parse().expect("an address");
+        let listener = bind_peer_listener(any).await.expect("a free port");
+        let peer = serve_peers(listener, Rc::new(SlowPeer), Rc::default()).expect("it listens");
+        let greeting = MeshBody::Greet(node.mesh.borrow().view.me().clone());
+        let slow = hub.send(call_peer(peer.address(), MeshBody::KeepOrigins(Vec::new()), 1000));
+
+        let unanswered = hub.send(call_peer(peer.address(), greeting, 100)).await;
+        hub.do_send(ClosePeer(peer.address().to_string().into()));
+        let answer = slow.await;
+
+        assert!(matches!(unanswered, Ok(Err(_))), "{unanswered:?}");
+        assert!(matches!(answer, Ok(Ok(MeshBody::OriginsKept))), "{answer:?}");
+    });
+}
+
+/// Guards against calls that wait for a connection that was given up: a new one is opened at once, and what the
+/// old one does not answer ends by its own time limit.
+#[test]
+fn a_call_after_a_connection_was_given_up_has_a_new_one() {
+    play(async {
+        let group = ProcessGroup::start(1).await;
+        let node = &group.processes[0].node;
+        let hub = node.peers.get().expect("a started process").clone();
+        let any = "127.0.0.1:0".parse().expect("an address");
+        let listener = bind_peer_listener(any).await.expect("a free port");
+        let peer = serve_peers(listener, Rc::new(SlowPeer), Rc::default()).expect("it listens");
+        let greeting = MeshBody::Greet(node.mesh.borrow().view.me().clone());
+        let began = Instant::now();
+        let unanswered = hub.send(call_peer(peer.address(), greeting, 600));
+        hub.do_send(ClosePeer(peer.address().to_string().into()));
+
+        let next =
+            hub.send(call_peer(peer.address(), MeshBody::KeepOrigins(Vec::new()), 400)).await;
+        let unanswered = unanswered.await;
+
+        assert!(matches!(next, Ok(Ok(MeshBody::OriginsKept))), "{next:?}");
+        assert!(matches!(unanswered, Ok(Err(_))), "{unanswered:?}");
+        assert!(began.elapsed() < Duration::from_millis(700), "{:?}", began.elapsed());
+    });
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -29,6 +29,7 @@
 mod leaving;
 mod limit;
 mod lines;
+mod links;
 mod list;
 mod lives;
 mod member;
