origins: records that a silent connection swallowed are sent once more

Cause: the sender took the records of streams' versions out of the outbox and let them go when their keeper did not answer in time, also while the process stops. A connection that has fallen silent is replaced by that first failure only. A stream that its caller takes up elsewhere is refused if nobody else has its record.

Change: a batch that is not answered is sent a second time, by then on a new connection.

--- a/crates/front/src/origins/send.rs
+++ b/crates/front/src/origins/send.rs
@@ -14,6 +14,9 @@
 const BATCH_TIME: Duration = Duration::from_millis(20);
 /// Timeout of a message; nothing waits for its answer.
 const SEND_TIMEOUT: TimeSpan = TimeSpan(400);
+/// How often a message is sent until it is answered. A connection that has fallen silent is replaced after the
+/// first time.
+const MAX_SENDS: u32 = 2;
 /// Most records in a message, some tens of kilobytes.
 const MAX_BATCH: usize = 500;
 
@@ -85,9 +88,14 @@
 async fn send(node: Rc<FrontNode>, address: SocketAddr, records: Vec<OriginEntry>) {
     let Some(hub) = node.peers.get() else { return };
     for batch in records.chunks(MAX_BATCH) {
-        let call = (address.to_string().into(), MeshBody::KeepOrigins(batch.to_vec()));
-        let answer = call_peer(&node, hub, call, SEND_TIMEOUT).await;
-        let is_kept = matches!(answer, Some(MeshBody::OriginsKept));
+        let mut is_kept = false;
+        let mut sends = 0;
+        while !is_kept && sends < MAX_SENDS {
+            let call = (address.to_string().into(), MeshBody::KeepOrigins(batch.to_vec()));
+            let answer = call_peer(&node, hub, call, SEND_TIMEOUT).await;
+            is_kept = matches!(answer, Some(MeshBody::OriginsKept));
+            sends += 1;
+        }
         node.meter.count_origins_sent(batch.len() as u64, is_kept);
         if !is_kept {
             event!(node, OriginsUnsent; "peer" => address.to_string(), "records" => batch.len());
--- a/tests/all/links.rs
+++ b/tests/all/links.rs
@@ -1,9 +1,11 @@
 //! Connections between processes; in virtual time.
 
 use crate::plays::{ProcessGroup, play};
-use oleandertack::kind::TimeSpan;
-use oleandertack::mesh::MeshBody;
+use oleandertack::kind::{ServiceName, TimeSpan};
+use oleandertack::mesh::{MemberInfo, MeshBody};
+use oleandertack::origin::StreamKey;
 use oleandertack::wire::{CallPeer, ClosePeer, PeerHandler, bind_peer_listener, serve_peers};
+use std::cell::Cell;
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -80,3 +82,54 @@
         assert!(began.elapsed() < Duration::from_millis(700), "{:?}", began.elapsed());
     });
 }
+
+/// A process that does not answer the first batch of records it gets, and keeps those of the next ones.
+#[derive(Default)]
+struct ForgetfulKeeper {
+    batches: Cell<u32>,
+    records: Cell<usize>,
+}
+
+impl PeerHandler<MeshBody> for ForgetfulKeeper {
+    fn answer(&self, body: MeshBody) -> Pin<Box<dyn Future<Output = MeshBody>>> {
+        let MeshBody::KeepOrigins(records) = body else { return Box::pin(std::future::pending()) };
+        self.batches.set(self.batches.get() + 1);
+        if self.batches.get() == 1 {
+            return Box::pin(std::future::pending());
+        }
+        self.records.set(self.records.get() + records.len());
+        Box::pin(std::future::ready(MeshBody::OriginsKept))
+    }
+}
+
+/// Guards against a stream that nobody may take up: the process that began it stops, and a connection that has
+/// fallen silent swallows the records that it hands over.
+#[test]
+fn records_of_streams_are_handed_over_although_a_connection_is_silent() {
+    play(async {
+        let mut group = ProcessGroup::start(1).await;
+        let process = group.processes.remove(0);
+        let any = "127.0.0.1:0".parse().expect("an address");
+        let listener = bind_peer_listener(any).await.expect("a free port");
+        let keeper = Rc::new(ForgetfulKeeper::default());
+        let peer = serve_peers(listener, keeper.clone(), Rc::default()).expect("it listens");
+        let now = process.node.clock.now();
+        let member = MemberInfo {
+            id: "front-keeper".into(),
+            address: peer.address(),
+            unfit: true,
+            binds_streams: true,
+            ..process.node.mesh.borrow().view.me().clone()
+        };
+        process.node.mesh.borrow_mut().view.take(member, true, now);
+        let service = ServiceName::from("s");
+        let key = StreamKey::of(None, &service, "r1");
+        let record = (&service, &"v1".into());
+        process.node.origins.borrow_mut().book.note_own(key, record, (now, TimeSpan(30_000)));
+
+        process.stop().await;
+        sleep(Duration::from_secs(1)).await;
+
+        assert_eq!((keeper.batches.get(), keeper.records.get()), (2, 1));
+    });
+}
