edge: an adopted stream has a copy elsewhere again

Cause: an entry that adopts a request ends the copy that it held itself, and a stream that is resumed sends none: only one that runs afresh did. If the adopting entry died as well, its caller was told that the request is unknown, although the engine kept the stream.

Change: adopting sends a copy to the holder, as beginning does.

--- a/crates/edge/src/again.rs
+++ b/crates/edge/src/again.rs
@@ -6,7 +6,7 @@
 use crate::drive::{StreamJob, drive_stream};
 use crate::node::EntryNode;
 use crate::refuse::{ID_HEADER, RefusalNote};
-use crate::shadow::holders;
+use crate::shadow::{holders, put_shadow};
 use crate::sse::{EventKind, read_events};
 use actix_web::http::StatusCode;
 use actix_web::web::Path;
@@ -134,6 +134,8 @@
     // It was accepted by the entry that began it, so it must go on until it is whole.
     live.set_stage(LiveStage::Accepted);
     node.book.borrow_mut().begin(key, live.clone());
+    // The only copy may have been held here, and a resumed stream sends none.
+    actix_rt::spawn(put_shadow(node.clone(), key, live.clone()));
     let job =
         StreamJob { key, live: live.clone(), head, deadline, adopted: true, tried: Vec::new() };
     actix_rt::spawn(drive_stream(node.clone(), job));
--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -303,3 +303,48 @@
     assert_eq!((cancelled.get(), last), (1, SHORT_TOKENS));
     assert!(recomputed.get() < SHORT_TOKENS, "no KV came: {} tokens again", recomputed.get());
 }
+
+/// Guards against a stream that is lost with the second of two entries. The first one dies, its caller comes back to
+/// the entry that holds the copy, and that one goes on without a copy elsewhere and dies as well.
+#[actix_rt::test]
+async fn streams_survive_two_entries_that_die_one_after_the_other() {
+    use oleandertack::rig::cluster::{CALLER_KEY, EntryCommand, MODEL};
+    const STREAMS: usize = 8;
+    const SETTLE_TIME: std::time::Duration = std::time::Duration::from_millis(2500);
+    let rig = oleandertack::rig::Rig::start(Default::default(), |_, _| None).await.expect("up");
+    let client = awc::Client::builder().timeout(std::time::Duration::from_secs(30)).finish();
+    let auth = ("authorization", format!("Bearer {CALLER_KEY}"));
+    let body = serde_json::json!({
+        "model": MODEL, "stream": true, "max_tokens": 50_000,
+        "messages": [{ "role": "user", "content": "soup" }],
+    });
+    let mut held = Vec::new();
+    for number in 0..STREAMS {
+        let url = format!("http://{}/v1/chat/completions", rig.entries[0].address);
+        let request = client.post(url).insert_header(auth.clone());
+        let key = ("idempotency-key", format!("twice-{number}"));
+        let mut response = request.insert_header(key).send_json(&body).await.expect("a stream");
+        read_until(&mut response, "id: 5\n").await;
+        held.push(response);
+    }
+
+    let mut answered = Vec::new();
+    for (dying, next) in [(0, 1), (1, 2)] {
+        rig.entries[dying].commands.send(EntryCommand::Kill).expect("it runs");
+        held.clear();
+        answered.clear();
+        for number in 0..STREAMS {
+            let url = format!("http://{}/v1/requests/twice-{number}", rig.entries[next].address);
+            let request = client.get(url).insert_header(auth.clone());
+            let mut response = request.send().await.expect("an answer");
+            answered.push(response.status().as_u16());
+            if response.status().is_success() {
+                read_until(&mut response, "id: 6\n").await;
+            }
+            held.push(response);
+        }
+        actix_rt::time::sleep(SETTLE_TIME).await;
+    }
+
+    assert_eq!(answered, [200; STREAMS]);
+}
