--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -195,3 +195,22 @@
     assert!(report.kept.0 > 0, "{:?}", report.kept);
     remove_logs(settings);
 }
+
+/// Guards against answers that are lost, and processes that end, while endpoints fail late what they took, and processes are
+/// told of their settings right after their start and in their stop, and stopped in haste.
+#[test]
+fn what_was_read_is_answered_while_endpoints_fail_late_and_signals_come_at_any_time() {
+    let (faults, planned) = (Duration::ZERO, Duration::from_secs(8));
+    let settings = SoakSettings { faults, planned, ..settings(23_000) };
+
+    let report = play(&settings);
+
+    assert_kept(&report);
+    assert_served(&report);
+    for doing in ["late", "at its start", "in its stop"] {
+        assert!(report.made.iter().any(|made| made.contains(doing)), "{:#?}", report.made);
+    }
+    assert!(report.late > 0, "{} failed late", report.late);
+    assert!(report.kept.0 > 0, "{:?}", report.kept);
+    remove_logs(settings);
+}
