Lines and counts for what was sent on a caller's connection and has no answer

Cause: a request that was under way as this process closed an idle connection, that followed an answer which ended the connection, or of which only the body was read in part could not be found in the log.

Change: connection_cut has the id of the request, tells a broken connection (with its fault) and an unfinished answer from others, and tells of requests that crossed the close of an idle connection. For that this process closes its side first and looks for up to 100 ms at what still comes, without taking it from the socket: unread bytes reset the connection, so that the caller knows that its request did not run. The count of ends has the label "unused".

The check of unused connections looks for the new label and still requires why="caller" and cut="false".

The new tests were not run on the code before.

--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -1,9 +1,11 @@
-//! Counts how callers' connections end, and logs those that end with a request half read.
+//! Counts how callers' connections end, and logs those that end with something sent and not answered.
 
 use crate::events::event;
 use crate::node::FrontNode;
+use compact_str::CompactString;
 use oleander_board::StopStage;
 use oleander_kind::ResultCode;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -11,8 +13,10 @@
 /// Why a caller's connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionEnd {
-    /// The caller closed it, or it broke.
+    /// The caller closed it.
     Caller,
+    /// It broke.
+    Broken(ErrorKind),
     /// It was idle for too long.
     Idle,
     /// This process stops.
@@ -21,6 +25,8 @@
     Refused(ResultCode),
     /// The last answer ended it.
     Answered,
+    /// The last answer could not be written to its end.
+    Unfinished,
 }
 
 impl ConnectionEnd {
@@ -28,11 +34,13 @@
     pub fn name(self) -> &'static str {
         match self {
             ConnectionEnd::Caller => "caller",
+            ConnectionEnd::Broken(_) => "broken",
             ConnectionEnd::Idle => "idle",
             ConnectionEnd::Stop | ConnectionEnd::Refused(ResultCode::Draining) => "stop",
             ConnectionEnd::Refused(ResultCode::SlowHead | ResultCode::SlowBody) => "time",
             ConnectionEnd::Refused(_) => "malformed",
             ConnectionEnd::Answered => "answered",
+            ConnectionEnd::Unfinished => "unfinished",
         }
     }
 
@@ -42,6 +50,29 @@
             _ => None,
         }
     }
+
+    fn fault(self) -> Option<ErrorKind> {
+        match self {
+            ConnectionEnd::Broken(fault) => Some(fault),
+            _ => None,
+        }
+    }
+
+    /// Whether this process closes the connection while nothing is asked on it, so that a request may cross the close.
+    pub fn is_idle_close(self) -> bool {
+        matches!(self, ConnectionEnd::Idle | ConnectionEnd::Stop)
+    }
+}
+
+/// Bytes that a caller sent on a connection that ends, and that are part of no answered request.
+#[derive(Clone, Debug, Default)]
+pub struct UnansweredBytes {
+    /// How many there are; at most the size of one read of those that crossed its close.
+    pub count: usize,
+    /// Id of the request to which they belong, if its head is complete.
+    pub request: Option<CompactString>,
+    /// Whether they came only after this process had closed its side.
+    pub crossed: bool,
 }
 
 /// What was read of a request that is not complete.
@@ -53,7 +84,7 @@
 }
 
 /// Follows the requests on one connection, and counts it as open until it is dropped. Its end is counted, and
-/// logged if a request was read in part.
+/// logged if something that was sent on it has no answer.
 pub struct ConnectionTrace {
     node: Rc<FrontNode>,
     /// Requests that were read completely.
@@ -117,17 +148,20 @@
         self.idle_since.elapsed()
     }
 
-    /// No more requests are read, and `unread` bytes of a further one are dropped.
-    pub fn end(&mut self, end: ConnectionEnd, unread: usize) {
+    /// No more requests are read, and `left` of a further one is dropped.
+    pub fn end(&mut self, end: ConnectionEnd, left: UnansweredBytes) {
         self.has_ended = true;
-        if unread > 0 && self.reading.is_none() {
-            self.note_begun(unread);
+        if left.count > 0 && self.reading.is_none() {
+            self.note_begun(left.count);
         }
-        self.node.meter.count_connection_end(end.name(), self.reading.is_some());
+        let is_unused = self.requests == 0 && self.reading.is_none();
+        self.node.meter.count_connection_end(end.name(), self.reading.is_some(), is_unused);
         let Some(reading) = self.reading else { return };
         let idle = reading.began.duration_since(self.idle_since);
         event!(self.node, ConnectionCut;
-            "why" => end.name(), "code" => end.code().map(ResultCode::number),
+            "request" => left.request.as_deref(), "why" => end.name(),
+            "code" => end.code().map(ResultCode::number),
+            "fault" => end.fault().map(|fault| fault.to_string()), "crossed" => left.crossed,
             "bytes" => reading.bytes, "part" => if reading.has_head { "body" } else { "head" },
             "first" => self.requests == 0, "idle_ms" => idle.as_millis() as u64,
             "ms" => reading.began.elapsed().as_millis() as u64,
@@ -138,7 +172,7 @@
 impl Drop for ConnectionTrace {
     fn drop(&mut self) {
         if !self.has_ended {
-            self.end(ConnectionEnd::Stop, 0);
+            self.end(ConnectionEnd::Stop, UnansweredBytes::default());
         }
         self.node.connections.set(self.node.connections.get().saturating_sub(1));
     }
--- a/crates/front/src/ingress.rs
+++ b/crates/front/src/ingress.rs
@@ -5,7 +5,7 @@
 //! the rules in force, so this module has its own loop and uses only the codec of `actix_http`.
 
 use crate::answer::{AnswerStage, AnswerWriter};
-use crate::connection::{ConnectionEnd, ConnectionTrace};
+use crate::connection::{ConnectionEnd, ConnectionTrace, UnansweredBytes};
 use crate::drive::serve_call;
 use crate::events::event;
 use crate::node::FrontNode;
@@ -14,6 +14,7 @@
 use actix_http::h1::{Codec, Message, MessageType};
 use actix_http::{Request, RequestHead};
 use bytes::{Bytes, BytesMut};
+use compact_str::CompactString;
 use oleander_board::StopStage;
 use oleander_call::CallerBounds;
 use oleander_kind::ResultCode;
@@ -36,6 +37,9 @@
 const LINGER_TIME: Duration = Duration::from_millis(500);
 /// Most bytes that are read and discarded then.
 const LINGER_BYTES: usize = 1 << 20;
+/// How long a request that crosses the close of an idle connection is watched for: more than a round trip to any
+/// caller.
+const CROSSING_TIME: Duration = Duration::from_millis(100);
 
 /// How long a connection is left open while the process stops: a caller that has just had an answer, or has just
 /// connected, may be sending a request, which is refused as not run.
@@ -88,6 +92,8 @@
         stream,
         codec: Codec::new(node.http.config().clone()),
         buffer: BytesMut::new(),
+        discarded: 0,
+        partial_id: None,
         trace: ConnectionTrace::new(node),
     };
     actix_rt::spawn(serve_connection(connection));
@@ -99,6 +105,10 @@
     stream: TcpStream,
     codec: Codec,
     buffer: BytesMut,
+    /// Bytes that were read and discarded after the last answer.
+    discarded: usize,
+    /// Id of the request of which only the body was not read to its end.
+    partial_id: Option<CompactString>,
     trace: ConnectionTrace,
 }
 
@@ -107,7 +117,8 @@
         event!(connection.node, CallerFault; "fault" => fault.to_string());
     }
     let end = connection.serve().await;
-    connection.trace.end(end, connection.buffer.len());
+    let left = connection.take_unanswered(end).await;
+    connection.trace.end(end, left);
     let CallerConnection { node, stream, mut codec, trace: _trace, .. } = connection;
     if let ConnectionEnd::Refused(code) = end {
         refuse_and_close(&node, stream, &mut codec, code).await;
@@ -137,10 +148,10 @@
             };
             match self.answer(request).await {
                 NextUse::Request => self.trace.note_answered(),
-                NextUse::Close => return ConnectionEnd::Answered,
+                NextUse::Close => return ConnectionEnd::Unfinished,
                 NextUse::CallerGone => return ConnectionEnd::Caller,
                 NextUse::Linger => {
-                    linger(&mut self.stream).await;
+                    self.discarded = linger(&mut self.stream).await;
                     return ConnectionEnd::Answered;
                 }
             }
@@ -163,9 +174,57 @@
         let begun = caller_bounds(&self.node);
         let request = self.read_head(begun).await?;
         self.trace.note_head();
-        let body = self.read_body(&request, begun).await?;
-        self.trace.note_complete();
-        Ok((request, body))
+        match self.read_body(&request, begun).await {
+            Ok(body) => {
+                self.trace.note_complete();
+                Ok((request, body))
+            }
+            Err(end) => {
+                self.partial_id = self.request_id(&request);
+                Err(end)
+            }
+        }
+    }
+
+    fn request_id(&self, request: &Request) -> Option<CompactString> {
+        self.node.dialect.parse_request(request.head()).ok().map(|call| call.id)
+    }
+
+    /// What was sent on the connection and gets no answer, as it ends. If this process closes an idle connection, that
+    /// includes what was under way to it then.
+    async fn take_unanswered(&mut self, end: ConnectionEnd) -> UnansweredBytes {
+        let crossed = end.is_idle_close() && self.buffer.is_empty();
+        if crossed {
+            self.watch_crossing().await;
+        }
+        let count = self.buffer.len() + self.discarded;
+        let is_refused = matches!(end, ConnectionEnd::Refused(_));
+        let request = self.partial_id.take().or_else(|| match is_refused {
+            true => None,
+            false => self.buffered_id(),
+        });
+        UnansweredBytes { count, request, crossed: crossed && count > 0 }
+    }
+
+    /// Id of the request whose head is in the buffer.
+    fn buffered_id(&mut self) -> Option<CompactString> {
+        match self.codec.decode(&mut self.buffer) {
+            Ok(Some(Message::Item(request))) => self.request_id(&request),
+            _ => None,
+        }
+    }
+
+    /// Closes this side, and copies what the caller sends before it sees that. It is not taken from the socket: a
+    /// connection that is closed with unread bytes is reset, which tells the caller that its request did not run.
+    async fn watch_crossing(&mut self) {
+        if self.stream.shutdown().await.is_err() {
+            return;
+        }
+        let mut scratch = [0; READ_SIZE];
+        // The connection is closed whether or not the caller has closed its side by then.
+        if let Ok(Ok(count)) = timeout(CROSSING_TIME, self.stream.peek(&mut scratch)).await {
+            self.buffer.extend_from_slice(&scratch[..count]);
+        }
     }
 
     /// Waits for the first byte of a request; fails if the caller closed the connection, the idle
@@ -177,10 +236,7 @@
             self.buffer.reserve(READ_SIZE);
             tokio::select! {
                 biased;
-                read = self.stream.read_buf(&mut self.buffer) => return match read {
-                    Ok(0) | Err(_) => Err(ConnectionEnd::Caller),
-                    Ok(_) => Ok(()),
-                },
+                read = self.stream.read_buf(&mut self.buffer) => return some_bytes(read).map(drop),
                 () = self.node.close_idle.notified() => {
                     if self.trace.idle_for() >= SETTLE_TIME {
                         return self.end_unless_sent(ConnectionEnd::Stop).await;
@@ -199,10 +255,8 @@
     async fn end_unless_sent(&mut self, end: ConnectionEnd) -> Result<(), ConnectionEnd> {
         tokio::task::yield_now().await;
         match self.stream.try_read_buf(&mut self.buffer) {
-            Ok(0) => Err(ConnectionEnd::Caller),
-            Ok(_) => Ok(()),
             Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => Err(end),
-            Err(_) => Err(ConnectionEnd::Caller),
+            read => some_bytes(read).map(drop),
         }
     }
 
@@ -250,7 +304,7 @@
         }
         if request.head().expect() {
             let written = self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
-            written.map_err(|_| ConnectionEnd::Caller)?;
+            written.map_err(|fault| ConnectionEnd::Broken(fault.kind()))?;
         }
         let refused = |code| Err(ConnectionEnd::Refused(code));
         let mut body = BytesMut::new();
@@ -282,13 +336,9 @@
     /// Reads more bytes of a request.
     async fn read_more(&mut self) -> Result<(), ConnectionEnd> {
         self.buffer.reserve(READ_SIZE);
-        match self.stream.read_buf(&mut self.buffer).await {
-            Ok(0) | Err(_) => Err(ConnectionEnd::Caller),
-            Ok(count) => {
-                self.trace.note_read(count);
-                Ok(())
-            }
-        }
+        let count = some_bytes(self.stream.read_buf(&mut self.buffer).await)?;
+        self.trace.note_read(count);
+        Ok(())
     }
 
     /// Answers one request.
@@ -322,6 +372,15 @@
     }
 }
 
+/// The number of bytes read, or how the connection ended.
+fn some_bytes(read: io::Result<usize>) -> Result<usize, ConnectionEnd> {
+    match read {
+        Ok(0) => Err(ConnectionEnd::Caller),
+        Ok(count) => Ok(count),
+        Err(fault) => Err(ConnectionEnd::Broken(fault.kind())),
+    }
+}
+
 struct InflightGuard<'a>(&'a Cell<usize>);
 
 impl Drop for InflightGuard<'_> {
@@ -384,21 +443,21 @@
 }
 
 /// Discards what the caller still sends, as unread bytes would reset the connection when it is closed, and the
-/// caller could lose the end of its answer.
-async fn linger(stream: &mut TcpStream) {
+/// caller could lose the end of its answer. Returns how many bytes that were.
+async fn linger(stream: &mut TcpStream) -> usize {
+    let mut discarded = 0;
     // The connection is closed whether or not the rest could be read.
-    let _ = tokio::time::timeout(LINGER_TIME, discard(stream)).await;
+    let _ = timeout(LINGER_TIME, discard(stream, &mut discarded)).await;
+    discarded
 }
 
-async fn discard(stream: &mut TcpStream) -> io::Result<()> {
-    let mut left = LINGER_BYTES;
+async fn discard(stream: &mut TcpStream, discarded: &mut usize) -> io::Result<()> {
     let mut scratch = [0; READ_SIZE];
-    while left > 0 {
-        let count = stream.read(&mut scratch).await?;
-        if count == 0 {
-            return Ok(());
+    while *discarded < LINGER_BYTES {
+        match stream.read(&mut scratch).await? {
+            0 => break,
+            count => *discarded += count,
         }
-        left = left.saturating_sub(count);
     }
     Ok(())
 }
--- a/crates/front/src/meter.rs
+++ b/crates/front/src/meter.rs
@@ -201,9 +201,15 @@
         self.brittle_refusals.add(1, &[KeyValue::new("service", service.to_owned())]);
     }
 
-    /// Counts a caller's connection that ended, by the reason, and whether a request had been read in part.
-    pub fn count_connection_end(&self, why: &'static str, is_cut: bool) {
-        self.connection_ends.add(1, &[KeyValue::new("why", why), KeyValue::new("cut", is_cut)]);
+    /// Counts a caller's connection that ended, by the reason, whether something that was sent on it has no answer,
+    /// and whether nothing was ever sent on it.
+    pub fn count_connection_end(&self, why: &'static str, is_cut: bool, is_unused: bool) {
+        let labels = [
+            KeyValue::new("why", why),
+            KeyValue::new("cut", is_cut),
+            KeyValue::new("unused", is_unused),
+        ];
+        self.connection_ends.add(1, &labels);
     }
 
     /// Counts a usage report, by whether the platform accepted it.
--- a/tests/all/lines.rs
+++ b/tests/all/lines.rs
@@ -4,17 +4,17 @@
     StaticStore, ask, front_with_log, good, read_answer, request, run, static_store,
 };
 use crate::scripted::{Act, scripted};
-use oleandertack::board::NodeClock;
+use oleandertack::board::{NodeClock, StopStage};
 use oleandertack::conf::FrontBounds;
 use oleandertack::front::{FrontPorts, FrontProcess};
-use oleandertack::outlet::TcpDialer;
+use oleandertack::outlet::{TcpDialer, set_reset_on_close};
 use slog::{Drain, KV, OwnedKVList, Record, Serializer};
 use std::fmt::Arguments;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
@@ -103,6 +103,9 @@
     stream
 }
 
+/// How long a connection has been idle when a stop closes it.
+const SETTLED: Duration = Duration::from_millis(250);
+
 const CUT_FIELDS: [&str; 6] = ["request", "stage", "under_way", "sent", "endpoint", "status"];
 
 /// Guards against lines of dropped requests that do not tell of an attempt under way.
@@ -231,7 +234,7 @@
 fn a_connection_without_a_request_is_counted_and_not_logged() {
     run(async {
         let (process, address, log) = logged_front(static_store(&[])).await;
-        let counted = r#"cut="false""#;
+        let counted = r#"unused="true""#;
 
         drop(TcpStream::connect(address).await.expect("it listens"));
         while !process.node.meter.text().contains(counted) {
@@ -241,9 +244,84 @@
         let text = process.node.meter.text();
         let metric = text.lines().find(|line| line.contains(counted)).unwrap_or_default();
         assert!(
-            metric.contains("connection_ends") && metric.contains(r#"why="caller""#),
+            ["connection_ends", r#"why="caller""#, r#"cut="false""#]
+                .iter()
+                .all(|part| metric.contains(part)),
             "{metric}"
         );
         assert!(log.lines("connection_cut").is_empty());
     });
 }
+
+/// Guards against requests that vanish without a line because they crossed the close of an idle connection.
+#[test]
+fn a_request_that_crosses_the_close_of_an_idle_connection_is_logged_with_its_id() {
+    run(async {
+        let (process, address, log) = logged_front(static_store(&[])).await;
+        let mut caller = TcpStream::connect(address).await.expect("it listens");
+        while process.node.connections.get() == 0 {
+            tokio::task::yield_now().await;
+        }
+        sleep(SETTLED).await;
+
+        process.node.stop.set(StopStage::Draining);
+        process.node.close_idle.notify_waiters();
+        assert_eq!(caller.read(&mut [0; 1]).await.expect("an orderly close"), 0);
+        let text = request("POST", "/once/a", "r1", "", "x");
+        caller.write_all(text.as_bytes()).await.expect("written");
+        let line = log.first("connection_cut").await;
+
+        let fields = line.values(["request", "why", "crossed", "stops"]);
+        assert_eq!(fields, ["r1", "stop", "true", "true"]);
+    });
+}
+
+/// Guards against requests that vanish without a line because they follow an answer that ends its connection.
+#[test]
+fn a_request_after_an_answer_that_ends_its_connection_is_logged() {
+    run(async {
+        let (process, address, log) = logged_front(static_store(&[])).await;
+        process.node.stop.set(StopStage::Draining);
+        let text = request("POST", "/once/a", "r1", "", "x");
+        let mut caller = send(address, &text).await;
+        let answer = read_answer(&mut caller).await;
+
+        caller.write_all(text.as_bytes()).await.expect("written");
+        drop(caller);
+        let line = log.first("connection_cut").await;
+
+        assert!(answer.has("connection: close"), "{answer:?}");
+        let bytes = text.len().to_string();
+        assert_eq!(line.values(["why", "bytes", "first"]), ["answered", &bytes, "false"]);
+    });
+}
+
+/// Guards against requests that cannot be found by their id because their body was not read to its end.
+#[test]
+fn a_connection_that_ends_in_a_body_is_logged_with_the_id_of_its_request() {
+    run(async {
+        let (_process, address, log) = logged_front(static_store(&[])).await;
+        let text = request("POST", "/once/a", "r1", "", "body");
+
+        drop(send(address, &text[..text.len() - 1]).await);
+        let line = log.first("connection_cut").await;
+
+        assert_eq!(line.values(["request", "why", "part"]), ["r1", "caller", "body"]);
+    });
+}
+
+/// Guards against a broken connection that is taken for one that its caller closed.
+#[test]
+fn a_connection_that_is_reset_in_a_head_is_logged_with_the_fault() {
+    run(async {
+        let (_process, address, log) = logged_front(static_store(&[])).await;
+        let caller = send(address, "POST /once/a HT").await;
+        sleep(Duration::from_millis(50)).await;
+
+        set_reset_on_close(&caller, true).expect("a socket");
+        drop(caller);
+        let line = log.first("connection_cut").await;
+
+        assert_eq!(line.values(["why", "fault"]), ["broken", "connection reset"]);
+    });
+}
