An answer that is not passed on holds no other one up

Callers saw: a begun stream cut although another endpoint had just been asked for it, when its own one rejected it (404); and a request waited to its deadline for the end of a refusal.

Cause: a rejection counted as an answer, also in a begun stream, which cannot pass it on; and the bodies of refusals and failures were read to their ends, however long that takes, while another endpoint was answering. Found by a review.

Change: a rejection of a begun stream keeps the attempt that is on its way.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -466,9 +466,14 @@
             let sent = slot.as_mut().ok_or_else(exhausted)?;
             let node = self.node.clone();
             let reading = node.run_until_replaced(Some(key), sent.read_head());
-            let id = self.call.id.clone();
+            let (id, is_begun) =
+                (self.call.id.clone(), self.answer.stage() != AnswerStage::Waiting);
             let is_end = |read: &Option<oleander_outlet::Result<ResponseHead>>| match read {
-                Some(Ok(head)) => node.dialect.parse_answer(head).fails(&id),
+                Some(Ok(head)) => {
+                    let answer = node.dialect.parse_answer(head);
+                    let is_rejection = is_begun && !answer.is_success();
+                    answer.fails(&id) || (is_rejection && answer.belongs_to(&id))
+                }
                 Some(Err(_)) | None => true,
             };
             let read = self.read_patiently(silence, reading, is_end).await;
--- a/tests/all/silent.rs
+++ b/tests/all/silent.rs
@@ -142,6 +142,10 @@
     Rejected,
     /// Nothing, but the others answer only after some milliseconds.
     OthersSlowBy(u64),
+    /// It is begun elsewhere; the next endpoint is silent and rejects it; the others answer some time later.
+    BegunRejectedWhileAsked,
+    /// The first endpoint begins to refuse it unrun and never ends the refusal; the others answer some time later.
+    HalfRefusedWhileAsked,
 }
 
 /// How an endpoint fails that has taken a request.
@@ -192,6 +196,7 @@
     SilentReject,
     Torn,
     SlowBy(u64),
+    SilentHalfRefuse,
 }
 
 impl EndpointTurn {
@@ -301,7 +306,10 @@
     fn endpoints(&self) -> usize {
         match self.barrier {
             SendBarrier::Alone | SendBarrier::AloneOfFour => 1,
-            SendBarrier::Last | SendBarrier::LastBegun | SendBarrier::Rejected => 3,
+            SendBarrier::Last
+            | SendBarrier::LastBegun
+            | SendBarrier::Rejected
+            | SendBarrier::BegunRejectedWhileAsked => 3,
             SendBarrier::OthersBusy => 2,
             _ if self.has_beats() => 4,
             _ => 2,
@@ -317,7 +325,7 @@
     fn max_attempts(&self) -> usize {
         // A process that relays keeps one back.
         match self.barrier {
-            SendBarrier::Rejected => 3,
+            SendBarrier::Rejected | SendBarrier::BegunRejectedWhileAsked => 3,
             SendBarrier::OneFull
             | SendBarrier::AloneOfFour
             | SendBarrier::HeldOfFour
@@ -354,6 +362,13 @@
                 1 => EndpointTurn::Reject,
                 _ => EndpointTurn::Sound,
             },
+            SendBarrier::HalfRefusedWhileAsked if sends == 0 => EndpointTurn::SilentHalfRefuse,
+            SendBarrier::BegunRejectedWhileAsked => match sends {
+                0 => EndpointTurn::ResetAfterEvent,
+                1 => EndpointTurn::SilentReject,
+                _ => EndpointTurn::Slow,
+            },
+            SendBarrier::HalfRefusedWhileAsked => EndpointTurn::Slow,
             _ if sends == self.sends_before() => EndpointTurn::Silent,
             SendBarrier::OthersSlowBy(ms) => EndpointTurn::SlowBy(ms),
             SendBarrier::OthersFail => EndpointTurn::Fail,
@@ -626,6 +641,16 @@
             sleep(FOR_GOOD).await;
             Ok(())
         }
+        EndpointTurn::SilentHalfRefuse => {
+            sleep(cell.silence).await;
+            let refusal = format!(
+                "HTTP/1.1 503 Full\r\nX-Oleandertack-Request-Id: {id}\r\n\
+                 X-Oleandertack-Not-Executed: 1\r\nContent-Length: 9\r\n\r\nhalf"
+            );
+            stream.write_all(refusal.as_bytes()).await?;
+            sleep(FOR_GOOD).await;
+            Ok(())
+        }
         EndpointTurn::Torn => {
             stream.write_all(before.as_bytes()).await?;
             sleep(cell.silence).await;
@@ -1286,6 +1311,16 @@
     }));
 }
 
+/// A begun stream is cut because its endpoint rejects it while another endpoint is being asked, which is then left.
+#[test]
+fn a_begun_stream_that_is_rejected_while_another_endpoint_is_asked_goes_on_there() {
+    let at = SilencePoint::BetweenEvents;
+    // Nothing else is heard, so another one is asked after twice the patience of 1.5 s.
+    walk_direct((2960..3080).step_by(10).map(|ms| {
+        silence_cell(RouteKind::Resumable, at, ms, SendBarrier::BegunRejectedWhileAsked)
+    }));
+}
+
 /// A request waits to its deadline for an endpoint that hangs because the others take longer than the time for which
 /// two may have it.
 #[test]
@@ -1302,6 +1337,17 @@
     walk_direct(cells(RouteKind::Resumable).chain(cells(RouteKind::Safe)));
 }
 
+/// A request waits to its deadline for the end of a refusal, although another endpoint is answering it.
+#[test]
+fn a_refusal_that_does_not_end_is_left_for_an_endpoint_that_was_asked() {
+    let at = SilencePoint::BeforeHead;
+    walk_direct(
+        (780..860)
+            .step_by(10)
+            .map(|ms| silence_cell(RouteKind::Safe, at, ms, SendBarrier::HalfRefusedWhileAsked)),
+    );
+}
+
 /// Two endpoints have a request for longer than operators allow, because the one that is left is not told.
 #[test]
 fn two_endpoints_have_a_request_for_a_moment_only() {
