Lines tell what broke an answer that was begun beside a silent one

Cause: the fault of its connection was dropped; endpoint_silent said broken alone. Change: attempt_fault, as for other attempts; two comments say what has to have arrived.

--- a/crates/front/src/answering.rs
+++ b/crates/front/src/answering.rs
@@ -7,7 +7,7 @@
 use actix_http::ResponseHead;
 use bytes::{Bytes, BytesMut};
 use oleander_call::{AttemptEnd, EventSplitter, StreamTail, TailVerdict};
-use oleander_outlet::{BodyEnd, BodyLink, BodyPart, SentLink};
+use oleander_outlet::{BodyEnd, BodyLink, BodyPart, LinkError, SentLink};
 use tokio::time::Instant;
 
 /// The connection of an attempt that was sent.
@@ -36,6 +36,8 @@
     pub head: ResponseHead,
     /// The connection, for the rest of the body.
     pub body: BodyLink,
+    /// What broke it, if anything did.
+    pub fault: Option<LinkError>,
     read: BytesMut,
     splitter: EventSplitter,
 }
@@ -70,7 +72,8 @@
 impl EarlyAnswer {
     /// An answer of which nothing but the head was read.
     pub(crate) fn new(body: BodyLink, head: ResponseHead) -> Self {
-        EarlyAnswer { head, body, read: BytesMut::new(), splitter: EventSplitter::default() }
+        let (read, splitter) = (BytesMut::new(), EventSplitter::default());
+        EarlyAnswer { head, body, fault: None, read, splitter }
     }
 
     /// The head, the connection for the rest of the body, and what was read of it.
@@ -98,7 +101,7 @@
                     }
                 }
                 Ok(BodyPart::End(end)) => return self.judge_end(end, last_event, must_state),
-                Err(_) => return Err(AttemptEnd::Broken),
+                Err(fault) => return self.note_fault(fault),
             }
         }
     }
@@ -112,12 +115,17 @@
             match self.body.next().await {
                 Ok(BodyPart::Bytes(bytes)) => self.read.extend_from_slice(&bytes),
                 Ok(BodyPart::End(_)) => return Ok(()),
-                Err(_) => break,
+                Err(fault) => return self.note_fault(fault),
             }
         }
         Err(AttemptEnd::Broken)
     }
 
+    fn note_fault(&mut self, fault: LinkError) -> Result<(), AttemptEnd> {
+        self.fault = Some(fault);
+        Err(AttemptEnd::Broken)
+    }
+
     fn has_event_after(&mut self, last_event: Option<u64>) -> Result<bool, AttemptEnd> {
         while let Some(event) = self.splitter.next_event().map_err(|_| AttemptEnd::Broken)? {
             if event.is_after(last_event) {
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -600,6 +600,10 @@
         if suspects::is_port_closed(fault) && self.node.takes_work(target.key) {
             suspects::note_port_closed(self.node, &target.life);
         }
+        self.log_fault(target, fault);
+    }
+
+    pub(crate) fn log_fault(&self, target: &AttemptTarget, fault: &LinkError) {
         event!(self.node, AttemptFault;
             "request" => self.call.id.as_str(), "endpoint" => target.life.instance.as_str(),
             "fault" => fault.to_string());
--- a/crates/front/src/standby.rs
+++ b/crates/front/src/standby.rs
@@ -2,7 +2,7 @@
 //!
 //! A silent endpoint may be sound and go on, and a request that has left it cannot come back. So its attempt
 //! goes on until another endpoint has begun to answer: everything that the next attempt needs is taken first, it is
-//! sent, and only when a part of its answer has arrived is the silent one ended. Two endpoints may have a request
+//! sent, and only when an event of its stream, or its whole plain answer, has arrived is the silent one ended. Two endpoints may have a request
 //! for a moment only; if the new one has said nothing by then, it is the one that is left. Whatever fails on the way
 //! leaves the request where it is.
 
@@ -82,7 +82,7 @@
     pub choice: PlacementChoice,
     pub work: WorkGuard,
     pub link: StandbyLink,
-    /// Whether a part of its answer has arrived.
+    /// Whether its answer can take the place of the silent one.
     has_answered: bool,
     /// Charge for an attempt on the version that is being rolled out.
     pub payment: Option<CandidatePayment>,
@@ -345,6 +345,9 @@
             Ok(Ok(())) => Ok(true),
             Ok(Err(AttemptEnd::Unstated)) => Err(AttemptEnd::Unstated),
             Ok(Err(end)) => {
+                if let Some(fault) = &early.fault {
+                    self.log_fault(target, fault);
+                }
                 self.note_failure(target, work, AnswerGrade::Bad);
                 self.note_broken_at(target.identity(), link.sent_at, end);
                 Err(end)
