What leaves the other attempt of a stream is what its caller can have

Callers saw: a stream waited to its deadline at an endpoint that sends parts of an event and completes none, while another endpoint would have served it.

Cause: any bytes of the silent endpoint ended the wait, so that the attempt beside it was left, and its attempt was spent. Of the new attempt an event beyond the caller's last one was asked for.

Change: both are read in the same unit: complete events that the caller does not have, or the end and what it means. What was read of the new attempt is not split a second time. A fault has one type, which lines show.

--- a/crates/front/src/answering.rs
+++ b/crates/front/src/answering.rs
@@ -6,8 +6,9 @@
 use crate::whole::BUFFER_LIMIT;
 use actix_http::ResponseHead;
 use bytes::{Bytes, BytesMut};
-use oleander_call::{AttemptEnd, EventSplitter, StreamTail, TailVerdict};
+use oleander_call::{CompleteEvent, EventSplitter, StreamRest, StreamTail, TailVerdict};
 use oleander_outlet::{BodyEnd, BodyLink, BodyPart, LinkError, SentLink};
+use quick_error::quick_error;
 use tokio::time::Instant;
 
 /// The connection of an attempt that was sent.
@@ -36,10 +37,42 @@
     pub head: ResponseHead,
     /// The connection, for the rest of the body.
     pub body: BodyLink,
-    /// What broke it, if anything did.
-    pub fault: Option<LinkError>,
     read: BytesMut,
     splitter: EventSplitter,
+    events: Vec<CompleteEvent>,
+}
+
+/// The next part of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StreamPart {
+    /// Complete events that the caller does not have.
+    Events,
+    /// The end, what showed it, and what it means.
+    End(BodyEnd, TailVerdict),
+}
+
+quick_error! {
+    /// What broke an answer.
+    #[derive(Debug)]
+    pub enum StreamFault {
+        /// Its connection failed.
+        Link(fault: LinkError) {
+            from()
+            display("{}", fault)
+        }
+        /// An event does not end within its limit.
+        EventTooLong {
+            display("an event is too long")
+        }
+        /// An answer that is no stream does not end within its limit.
+        AnswerTooLong {
+            display("the answer is too long")
+        }
+        /// The endpoint is known to have started again.
+        Restarted {
+            display("the endpoint has started again")
+        }
+    }
 }
 
 impl StandbyLink {
@@ -73,79 +106,73 @@
     /// An answer of which nothing but the head was read.
     pub(crate) fn new(body: BodyLink, head: ResponseHead) -> Self {
         let (read, splitter) = (BytesMut::new(), EventSplitter::default());
-        EarlyAnswer { head, body, fault: None, read, splitter }
+        EarlyAnswer { head, body, read, splitter, events: Vec::new() }
     }
 
-    /// The head, the connection for the rest of the body, and what was read of it.
+    /// The head, the connection for the rest of the body, and what was read of an answer that is no stream.
     pub(crate) fn into_parts(self) -> (ResponseHead, BodyLink, Bytes) {
         (self.head, self.body, self.read.freeze())
     }
 
-    /// Reads until there is an event after `last_event`, or the stream has ended as its caller's answer may. Can be
-    /// dropped and called again.
+    /// Waits for events that the caller does not have, of which `last_event` is the last, or for the end of the stream.
+    /// `caller` tells whether the stream goes on after events that the caller has, and whether its end has to be stated.
+    /// Can be dropped and called again.
     ///
     /// # Errors
-    /// How the attempt ended, if it broke before.
-    pub(crate) async fn read_beyond(
+    /// What broke the stream.
+    pub(crate) async fn next_part(
         &mut self,
         last_event: Option<u64>,
-        must_state: bool,
-    ) -> Result<(), AttemptEnd> {
-        loop {
-            match self.body.next().await {
-                Ok(BodyPart::Bytes(bytes)) => {
-                    self.read.extend_from_slice(&bytes);
+        caller: (bool, bool),
+    ) -> Result<StreamPart, StreamFault> {
+        while self.events.is_empty() {
+            match self.body.next().await? {
+                BodyPart::Bytes(bytes) => {
                     self.splitter.push(&bytes);
-                    if self.has_event_after(last_event)? {
-                        return Ok(());
-                    }
+                    self.take_complete(last_event)?;
+                }
+                BodyPart::End(end) => {
+                    let is_stated = end == BodyEnd::Stated;
+                    let tail = StreamTail::after(&self.splitter, is_stated, caller);
+                    return Ok(StreamPart::End(end, tail.verdict()));
                 }
-                Ok(BodyPart::End(end)) => return self.judge_end(end, last_event, must_state),
-                Err(fault) => return self.note_fault(fault),
             }
         }
+        Ok(StreamPart::Events)
     }
 
-    /// Reads an answer that is no stream to its end. Can be dropped and called again.
-    ///
-    /// # Errors
-    /// How the attempt ended, if the answer broke off or is too long.
-    pub(crate) async fn read_whole(&mut self) -> Result<(), AttemptEnd> {
-        while self.read.len() <= BUFFER_LIMIT {
-            match self.body.next().await {
-                Ok(BodyPart::Bytes(bytes)) => self.read.extend_from_slice(&bytes),
-                Ok(BodyPart::End(_)) => return Ok(()),
-                Err(fault) => return self.note_fault(fault),
-            }
-        }
-        Err(AttemptEnd::Broken)
+    /// Removes the events that were received.
+    pub(crate) fn take_events(&mut self) -> Vec<CompleteEvent> {
+        std::mem::take(&mut self.events)
     }
 
-    fn note_fault(&mut self, fault: LinkError) -> Result<(), AttemptEnd> {
-        self.fault = Some(fault);
-        Err(AttemptEnd::Broken)
+    /// Removes what follows the last complete event.
+    pub(crate) fn take_rest(&mut self) -> StreamRest {
+        self.splitter.take_rest()
     }
 
-    fn has_event_after(&mut self, last_event: Option<u64>) -> Result<bool, AttemptEnd> {
-        while let Some(event) = self.splitter.next_event().map_err(|_| AttemptEnd::Broken)? {
-            if event.is_after(last_event) {
-                return Ok(true);
+    fn take_complete(&mut self, last_event: Option<u64>) -> Result<(), StreamFault> {
+        let mut last = last_event;
+        while let Some(event) = self.splitter.next_event().map_err(|_| StreamFault::EventTooLong)? {
+            if event.is_after(last) {
+                last = event.id.or(last);
+                self.events.push(event);
             }
         }
-        Ok(false)
+        Ok(())
     }
 
-    fn judge_end(
-        &self,
-        end: BodyEnd,
-        last_event: Option<u64>,
-        must_state: bool,
-    ) -> Result<(), AttemptEnd> {
-        let caller = (last_event.is_some(), must_state);
-        match StreamTail::after(&self.splitter, end == BodyEnd::Stated, caller).verdict() {
-            TailVerdict::Complete => Ok(()),
-            TailVerdict::BrokenOff => Err(AttemptEnd::Broken),
-            TailVerdict::Unstated => Err(AttemptEnd::Unstated),
+    /// Reads an answer that is no stream to its end. Can be dropped and called again.
+    ///
+    /// # Errors
+    /// What broke the answer.
+    pub(crate) async fn read_whole(&mut self) -> Result<(), StreamFault> {
+        while self.read.len() <= BUFFER_LIMIT {
+            match self.body.next().await? {
+                BodyPart::Bytes(bytes) => self.read.extend_from_slice(&bytes),
+                BodyPart::End(_) => return Ok(()),
+            }
         }
+        Err(StreamFault::AnswerTooLong)
     }
 }
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -24,6 +24,7 @@
     expected_first_byte,
 };
 use oleander_suspect::{AttemptTimes, EndpointIncarnation};
+use std::fmt::Display;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -603,7 +604,8 @@
         self.log_fault(target, fault);
     }
 
-    pub(crate) fn log_fault(&self, target: &AttemptTarget, fault: &LinkError) {
+    /// Logs what broke a connection or an answer.
+    pub(crate) fn log_fault(&self, target: &AttemptTarget, fault: &dyn Display) {
         event!(self.node, AttemptFault;
             "request" => self.call.id.as_str(), "endpoint" => target.life.instance.as_str(),
             "fault" => fault.to_string());
--- a/crates/front/src/standby.rs
+++ b/crates/front/src/standby.rs
@@ -6,7 +6,7 @@
 //! for a moment only; if the new one has said nothing by then, it is the one that is left. Whatever fails on the way
 //! leaves the request where it is.
 
-use crate::answering::{LinkState, StandbyLink};
+use crate::answering::{LinkState, StandbyLink, StreamPart};
 use crate::attempt::{AttemptTarget, IDLE_TIMEOUT, MAX_IDLE_LINKS, STALE_LINK_WINDOW, sent_for};
 use crate::drive::CallContext;
 use crate::events::event;
@@ -14,10 +14,10 @@
 use crate::work::WorkGuard;
 use crate::{limits, paths, suspects, words};
 use actix_http::ResponseHead;
-use oleander_call::{AttemptEnd, RetryBarrier};
+use oleander_call::{AttemptEnd, RetryBarrier, TailVerdict};
 use oleander_kind::TimeSpan;
 use oleander_kind::hash::mix_bits;
-use oleander_outlet::{IdleLink, LinkError};
+use oleander_outlet::{BodyEnd, IdleLink, LinkError};
 use oleander_place::{
     AnswerGrade, EndpointKey, PlacementChoice, PlacementRequest, choose_endpoint,
 };
@@ -333,26 +333,24 @@
         }
         let LinkState::Answering(early) = &mut link.state else { return Ok(false) };
         let is_stream = self.forwards_events(early.head.status);
-        let (last_event, must_state) = (self.last_event, self.answer.must_state_end());
+        let caller = (self.last_event.is_some(), self.answer.must_state_end());
         let reading = async {
-            match is_stream {
-                true => early.read_beyond(last_event, must_state).await,
-                false => early.read_whole().await,
+            if is_stream {
+                return early.next_part(self.last_event, caller).await;
             }
+            early.read_whole().await?;
+            Ok(StreamPart::End(BodyEnd::Stated, TailVerdict::Complete))
         };
-        match timeout_at(until, reading).await {
-            Err(_) => Ok(false),
-            Ok(Ok(())) => Ok(true),
-            Ok(Err(AttemptEnd::Unstated)) => Err(AttemptEnd::Unstated),
-            Ok(Err(end)) => {
-                if let Some(fault) = &early.fault {
-                    self.log_fault(target, fault);
-                }
-                self.note_failure(target, work, AnswerGrade::Bad);
-                self.note_broken_at(target.identity(), link.sent_at, end);
-                Err(end)
-            }
+        let Ok(read) = timeout_at(until, reading).await else { return Ok(false) };
+        match read {
+            Ok(StreamPart::Events | StreamPart::End(_, TailVerdict::Complete)) => return Ok(true),
+            Ok(StreamPart::End(_, TailVerdict::Unstated)) => return Err(AttemptEnd::Unstated),
+            Ok(StreamPart::End(_, TailVerdict::BrokenOff)) => {}
+            Err(fault) => self.log_fault(target, &fault),
         }
+        self.note_failure(target, work, AnswerGrade::Bad);
+        self.note_broken_at(target.identity(), link.sent_at, AttemptEnd::Broken);
+        Err(AttemptEnd::Broken)
     }
 
     /// Applies what the head of a new attempt's answer says.
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -1,7 +1,7 @@
 //! Forwards answers that are server-sent event streams, and resumes broken ones.
 
 use crate::answer::AnswerStage;
-use crate::answering::EarlyAnswer;
+use crate::answering::{EarlyAnswer, StreamFault, StreamPart};
 use crate::attempt::SILENCE_TOLERANCE;
 use crate::drive::{AttemptOutcome, CallContext};
 use crate::events::event;
@@ -10,10 +10,10 @@
 use crate::{origins, paths};
 use actix_http::StatusCode;
 use actix_http::header::HeaderMap;
-use bytes::{Bytes, BytesMut};
-use oleander_call::{AttemptEnd, EventSplitter, RepeatRule, StreamTail, TailVerdict};
+use bytes::Bytes;
+use oleander_call::{AttemptEnd, RepeatRule, TailVerdict};
 use oleander_kind::TimeSpan;
-use oleander_outlet::{BodyEnd, BodyPart, IdleLink, LinkError};
+use oleander_outlet::{BodyEnd, IdleLink};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -30,58 +30,39 @@
 /// work of the endpoint.
 pub(crate) async fn forward_events(
     context: &mut CallContext<'_, '_>,
-    early: EarlyAnswer,
+    mut early: EarlyAnswer,
     mut work: Option<&mut WorkGuard>,
 ) -> (AttemptOutcome, Option<IdleLink>) {
-    let (mut head, mut body, read) = early.into_parts();
-    let mut read = Some(read).filter(|read| !read.is_empty());
-    let status = head.status;
-    let mut headers = std::mem::replace(head.headers_mut(), HeaderMap::new());
+    let status = early.head.status;
+    let mut headers = std::mem::replace(early.head.headers_mut(), HeaderMap::new());
     context.node.dialect.strip_answer(&mut headers);
     let mut headers = Some(headers);
-    let mut splitter = EventSplitter::default();
-    let expected_end = body.expected_end();
+    let expected_end = early.body.expected_end();
     let goes_on = context.last_event.is_some();
     let mut resumes = context.answer.stage() != AnswerStage::Waiting;
     let patience = work.as_ref().and_then(|_| context.first_patience());
     let mut silence = AnswerSilence::begin(patience);
     let (node, key) = (context.node.clone(), work.as_ref().map(|work| work.key()));
     let mut are_parts_sound = false;
-    let body_end = loop {
-        let part = match read.take() {
-            Some(read) => Some(Some(Ok(BodyPart::Bytes(read)))),
-            None => {
-                let reading = node.run_until_replaced(key, body.next());
-                let must_state = context.answer.must_state_end();
-                let is_complete = |end| {
-                    let tail =
-                        StreamTail::after(&splitter, end == BodyEnd::Stated, (goes_on, must_state));
-                    tail.verdict() == TailVerdict::Complete
-                };
-                let is_end = |read: &Option<oleander_outlet::Result<BodyPart>>| match read {
-                    Some(Ok(BodyPart::Bytes(_))) => false,
-                    Some(Ok(BodyPart::End(end))) => !is_complete(*end),
-                    Some(Err(_)) | None => true,
-                };
-                context.read_patiently(silence, reading, is_end).await
-            }
+    let (body_end, verdict) = loop {
+        let caller = (goes_on, context.answer.must_state_end());
+        let reading = node.run_until_replaced(key, early.next_part(context.last_event, caller));
+        let is_end = |read: &Option<Result<StreamPart, StreamFault>>| match read {
+            Some(Ok(StreamPart::Events)) => false,
+            Some(Ok(StreamPart::End(_, verdict))) => *verdict != TailVerdict::Complete,
+            Some(Err(_)) | None => true,
         };
-        let bytes = match part {
-            Some(Some(Ok(BodyPart::Bytes(bytes)))) => bytes,
-            Some(Some(Ok(BodyPart::End(end)))) => break end,
+        match context.read_patiently(silence, reading, is_end).await {
+            Some(Some(Ok(StreamPart::Events))) => {}
+            Some(Some(Ok(StreamPart::End(end, verdict)))) => break (end, verdict),
             Some(broken) => {
-                context.fault = Some(describe_break(broken.and_then(Result::err)));
+                let fault = broken.and_then(Result::err).unwrap_or(StreamFault::Restarted);
+                context.fault = Some(fault.to_string());
                 return (AttemptOutcome::Ended(AttemptEnd::Broken, None), None);
             }
             None => return (AttemptOutcome::Ended(AttemptEnd::TimedOut, None), None),
-        };
-        splitter.push(&bytes);
-        let Some(out) = complete_events(context, &mut splitter) else {
-            return (AttemptOutcome::Ended(AttemptEnd::Broken, None), None);
-        };
-        if out.is_empty() {
-            continue;
         }
+        let out = joined_events(context, &mut early);
         if let Some(work) = &mut work {
             paths::note_answered(&node, &context.service);
             work.note_prompt_read();
@@ -111,12 +92,10 @@
         }
         silence = AnswerSilence::begin(context.stall_patience(key.is_none()));
     };
-    let caller = (goes_on, context.answer.must_state_end());
-    let tail = StreamTail::after(&splitter, body_end == BodyEnd::Stated, caller);
-    let rest = splitter.take_rest();
+    let rest = early.take_rest();
     context.body_end = Some(body_end);
     context.rest_bytes = rest.len();
-    match tail.verdict() {
+    match verdict {
         TailVerdict::Complete => {}
         TailVerdict::BrokenOff => return (AttemptOutcome::Ended(AttemptEnd::Broken, None), None),
         TailVerdict::Unstated => return (AttemptOutcome::Ended(AttemptEnd::Unstated, None), None),
@@ -133,31 +112,17 @@
     match written.await {
         Ok(()) => {
             note_pauses(context);
-            (AttemptOutcome::Delivered, body.into_idle())
+            (AttemptOutcome::Delivered, early.body.into_idle())
         }
         Err(_) => (AttemptOutcome::CallerGone, None),
     }
 }
 
-/// Why an answer broke off: by a `fault` of its connection, or because the endpoint has started again.
-pub(crate) fn describe_break(fault: Option<LinkError>) -> String {
-    fault.map_or_else(|| "the endpoint has started again".to_owned(), |fault| fault.to_string())
-}
-
-/// The complete events in `splitter` that the caller has not received yet; `None` if an event is too long.
-fn complete_events(
-    context: &mut CallContext<'_, '_>,
-    splitter: &mut EventSplitter,
-) -> Option<Bytes> {
-    let mut out = BytesMut::new();
-    while let Some(event) = splitter.next_event().ok()? {
-        if !event.is_after(context.last_event) {
-            continue;
-        }
-        context.last_event = event.id.or(context.last_event);
-        out.extend_from_slice(&event.raw);
-    }
-    Some(out.freeze())
+/// The events that were received, which the caller will have.
+fn joined_events(context: &mut CallContext<'_, '_>, early: &mut EarlyAnswer) -> Bytes {
+    let events = early.take_events();
+    context.last_event = events.iter().rev().find_map(|event| event.id).or(context.last_event);
+    events.iter().map(|event| event.raw.as_ref()).collect::<Vec<_>>().concat().into()
 }
 
 async fn write_events(
--- a/crates/front/src/whole.rs
+++ b/crates/front/src/whole.rs
@@ -1,8 +1,7 @@
 //! Forwards answers that are not streams, buffered until they are complete.
 
-use crate::answering::EarlyAnswer;
+use crate::answering::{EarlyAnswer, StreamFault};
 use crate::drive::{AttemptOutcome, CallContext, EndpointAnswer};
-use crate::stream::describe_break;
 use bytes::BytesMut;
 use oleander_call::{AnswerHead, AttemptEnd};
 use oleander_outlet::{BodyPart, IdleLink};
@@ -44,10 +43,11 @@
             Some(Ok(BodyPart::End(end))) => break end,
             broken => {
                 let fault = match broken {
-                    Some(Ok(_)) => "the answer is too long".to_owned(),
-                    broken => describe_break(broken.and_then(Result::err)),
+                    Some(Ok(_)) => StreamFault::AnswerTooLong,
+                    Some(Err(fault)) => fault.into(),
+                    None => StreamFault::Restarted,
                 };
-                context.fault = Some(fault);
+                context.fault = Some(fault.to_string());
                 return (AttemptOutcome::Ended(AttemptEnd::Broken, None), None);
             }
         }
--- a/tests/all/silent.rs
+++ b/tests/all/silent.rs
@@ -69,6 +69,8 @@
 const REFUSAL_TIME: Duration = Duration::from_millis(10);
 /// The same of endpoints that need longer than two may have a request, in milliseconds.
 const SLOWER_MS: u64 = 500;
+/// The pause between two parts of an event that is never complete.
+const DRIBBLE_PAUSE: Duration = Duration::from_millis(20);
 /// The pause between two tries to use a limit up.
 const PRESS_PAUSE: Duration = Duration::from_millis(20);
 
@@ -142,6 +144,9 @@
     Rejected,
     /// Nothing, but the others answer only after some milliseconds.
     OthersSlowBy(u64),
+    /// The first endpoint sends a part of an event every now and then and never completes it; the others answer some
+    /// time later.
+    Dribbled,
     /// It is begun elsewhere; the next endpoint is silent and rejects it; the others answer some time later.
     BegunRejectedWhileAsked,
     /// The first endpoint begins to refuse it unrun and never ends the refusal; the others answer some time later.
@@ -196,6 +201,7 @@
     SilentReject,
     Torn,
     SlowBy(u64),
+    Dribble,
     SilentHalfRefuse,
 }
 
@@ -342,7 +348,7 @@
             | SendBarrier::Budget
             | SendBarrier::Held
             | SendBarrier::OtherVersion => 1,
-            // The endpoint that was too slow is asked once more.
+            // An endpoint that was left is asked once more.
             SendBarrier::OthersSlowBy(_) => self.max_attempts() + 1,
             // Tokens may come back before the silence is over.
             _ => self.max_attempts(),
@@ -362,13 +368,14 @@
                 1 => EndpointTurn::Reject,
                 _ => EndpointTurn::Sound,
             },
+            SendBarrier::Dribbled if sends == 0 => EndpointTurn::Dribble,
             SendBarrier::HalfRefusedWhileAsked if sends == 0 => EndpointTurn::SilentHalfRefuse,
             SendBarrier::BegunRejectedWhileAsked => match sends {
                 0 => EndpointTurn::ResetAfterEvent,
                 1 => EndpointTurn::SilentReject,
                 _ => EndpointTurn::Slow,
             },
-            SendBarrier::HalfRefusedWhileAsked => EndpointTurn::Slow,
+            SendBarrier::Dribbled | SendBarrier::HalfRefusedWhileAsked => EndpointTurn::Slow,
             _ if sends == self.sends_before() => EndpointTurn::Silent,
             SendBarrier::OthersSlowBy(ms) => EndpointTurn::SlowBy(ms),
             SendBarrier::OthersFail => EndpointTurn::Fail,
@@ -641,6 +648,13 @@
             sleep(FOR_GOOD).await;
             Ok(())
         }
+        EndpointTurn::Dribble => {
+            stream.write_all(before.as_bytes()).await?;
+            loop {
+                sleep(DRIBBLE_PAUSE).await;
+                stream.write_all(chunk("x").as_bytes()).await?;
+            }
+        }
         EndpointTurn::SilentHalfRefuse => {
             sleep(cell.silence).await;
             let refusal = format!(
@@ -1321,6 +1335,14 @@
     }));
 }
 
+/// A stream waits to its deadline because each part of an event that is never complete makes another endpoint be left.
+#[test]
+fn a_stream_whose_endpoint_completes_no_event_goes_on_elsewhere() {
+    let at = SilencePoint::InsideEvent;
+    let cell = silence_cell(RouteKind::Resumable, at, 0, SendBarrier::Dribbled);
+    walk_direct([SilenceCell { silence: FOR_GOOD, ..cell }].into_iter());
+}
+
 /// A request waits to its deadline for an endpoint that hangs because the others take longer than the time for which
 /// two may have it.
 #[test]
