An endpoint that was left is asked again when the present one ends

Found by a review, too: the silent one sends the head of its answer, the other one is left for it, and it breaks.

Cause: an endpoint that was left had used up an attempt for good. Operators bound the endpoints that get a request; one that has had it does not count again.

Change: when the present attempt ends and no new endpoint is allowed, those that were left are chosen from. They are known also if they were left because the silent one went on. A retry is paid as for any other attempt, and each is asked again until it fails.

--- a/crates/call/src/attempt.rs
+++ b/crates/call/src/attempt.rs
@@ -176,8 +176,12 @@
     /// Whether the rules allow another attempt. If [`sent`](Self::sent) is not 0, the caller must
     /// consult the retry budget as well.
     pub fn may_send(&self) -> bool {
-        let allowed = self.repeat.may_run_again() || !self.may_have_run;
-        allowed && self.sent < self.max_sent && self.unsent < MAX_UNSENT
+        self.may_send_again() && self.sent < self.max_sent
+    }
+
+    /// Whether the rules allow to send the request once more to an endpoint that has had it, which they do not bound.
+    pub fn may_send_again(&self) -> bool {
+        (self.repeat.may_run_again() || !self.may_have_run) && self.unsent < MAX_UNSENT
     }
 
     /// Returns what to do after an attempt ended with `end`; `again` says whether another attempt
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -469,10 +469,11 @@
             "ran_ms" => self.sent_at.map(|at| at.elapsed().as_millis() as u64),
             "fallen" => self.may_have_fallen(),
             "again" => again, "barred" => self.barrier.map(RetryBarrier::name), "list_ms" => self.list_age.map(|age| age.0));
-        // An attempt that was sent beside was counted then.
-        let step = match &self.standby {
-            Some(_) => NextStep::Retry,
-            None => self.record.next_step(end, again),
+        // What was sent beside was counted then.
+        let is_counted = self.standby.is_some() || (again && self.may_ask_again());
+        let step = match is_counted {
+            true => NextStep::Retry,
+            false => self.record.next_step(end, again),
         };
         match (step, received) {
             (NextStep::Retry, _) => None,
@@ -504,7 +505,8 @@
         }
         let ensure = |holds: bool, barrier| if holds { Ok(()) } else { Err(barrier) };
         ensure(Instant::now() < self.deadline, RetryBarrier::Deadline)?;
-        ensure(self.record.may_send() || by_peer, RetryBarrier::Attempts)?;
+        let may_send = self.record.may_send() || self.may_ask_again();
+        ensure(may_send || by_peer, RetryBarrier::Attempts)?;
         let refused = suspects::refused_for(self.node, &self.suspects);
         ensure(refused.is_none(), RetryBarrier::Quarantined)?;
         ensure(by_peer || self.choose().is_some(), RetryBarrier::NoEndpoint)?;
@@ -588,7 +590,11 @@
         if self.binding == StreamBinding::Unknown {
             return None;
         }
-        let request = self.placement_request();
+        let mut tried = self.tried.clone();
+        if !self.record.may_send() && self.may_ask_again() {
+            tried.extend(self.new_endpoints());
+        }
+        let request = PlacementRequest { tried: &tried, ..self.placement_request() };
         choose_endpoint(&self.node.endpoints.borrow(), &self.node.prefixes.borrow(), &request)
     }
 
--- a/crates/front/src/standby.rs
+++ b/crates/front/src/standby.rs
@@ -132,12 +132,12 @@
             return Some(read);
         }
         while Instant::now() < self.deadline {
-            let is_sent = Cell::new(false);
+            let sent_to = Cell::new(None);
             let (read, prepared) = {
-                let mut preparing = pin!(self.prepare_attempt(silence, &is_sent));
+                let mut preparing = pin!(self.prepare_attempt(silence, &sent_to));
                 tokio::select! {
                     biased;
-                    read = &mut reading => match is_sent.get() && is_end(&read) {
+                    read = &mut reading => match sent_to.get().is_some() && is_end(&read) {
                         true => (Some(read), Some(preparing.await)),
                         false => (Some(read), None),
                     },
@@ -153,8 +153,11 @@
                     self.note_standby_fault(silence, StandbyFault::Unanswered(key));
                 }
                 Some(Err(fault)) => self.note_standby_fault(silence, fault),
-                None if is_sent.get() => self.record.note_beside(),
-                None => {}
+                None => {
+                    if let Some(key) = sent_to.get() {
+                        self.note_left(key);
+                    }
+                }
             }
             if read.is_some() || self.standby.is_some() {
                 return read;
@@ -179,6 +182,15 @@
         paths::was_answered_since(self.node, &self.service, since)
     }
 
+    /// Notes that an endpoint was left that had been asked beside the silent one, and may have run the request.
+    fn note_left(&mut self, key: EndpointKey) {
+        if !self.left.contains(&key) {
+            self.record.note_beside();
+            self.left.push(key);
+        }
+        self.answer.note_sent(self.record.sent());
+    }
+
     /// Notes that no other attempt took over, once for each reason.
     fn note_standby_fault(&mut self, silence: AnswerSilence, fault: StandbyFault) {
         let (barrier, end) = (fault.barrier(), fault.end_name());
@@ -191,10 +203,7 @@
                 }
                 self.tried.push(key);
             }
-            StandbyFault::Unanswered(key) => {
-                self.record.note_beside();
-                self.left.push(key);
-            }
+            StandbyFault::Unanswered(key) => self.note_left(key),
         }
         self.answer.note_sent(self.record.sent());
         if let Some(end) = end {
@@ -232,22 +241,31 @@
         record.may_send()
     }
 
-    /// Whether an endpoint may be asked once more that was left: the silent one hangs, and others answer. The rules
-    /// bound the endpoints that get a request.
+    /// Whether an endpoint that was left may be asked once more: the silent one hangs, and others answer.
     fn may_return(&self, silence: AnswerSilence) -> bool {
-        !self.left.is_empty() && silence.is_hang() && self.others_answer(silence)
+        self.may_ask_again() && silence.is_hang() && self.others_answer(silence)
+    }
+
+    /// Whether the rules allow to ask an endpoint once more that was left. They bound the endpoints that get a request.
+    pub(crate) fn may_ask_again(&self) -> bool {
+        let is_untried = |key: &EndpointKey| !self.tried.contains(key);
+        self.record.may_send_again() && self.left.iter().any(is_untried)
+    }
+
+    /// The endpoints that have not been left, which the request must not reach if the rules allow no more.
+    pub(crate) fn new_endpoints(&self) -> Vec<EndpointKey> {
+        let board = self.node.endpoints.borrow();
+        let keys = board.of_service(&self.service).iter().copied();
+        keys.filter(|key| !self.left.contains(key)).collect()
     }
 
-    /// The endpoints to which the request must not be sent now.
-    fn barred_endpoints(&self) -> Vec<EndpointKey> {
+    /// The endpoints to which the request must not be sent beside the silent one.
+    fn barred_beside(&self) -> Vec<EndpointKey> {
         let mut barred = self.tried.clone();
         barred.extend(self.current);
-        if self.may_send_beside() {
-            barred.extend(&self.left);
-        } else {
-            let board = self.node.endpoints.borrow();
-            let is_new = |key: &&EndpointKey| !self.left.contains(key);
-            barred.extend(board.of_service(&self.service).iter().filter(is_new));
+        match self.may_send_beside() {
+            true => barred.extend(&self.left),
+            false => barred.extend(self.new_endpoints()),
         }
         barred
     }
@@ -256,7 +274,7 @@
     async fn prepare_attempt(
         &self,
         silence: AnswerSilence,
-        is_sent: &Cell<bool>,
+        sent_to: &Cell<Option<EndpointKey>>,
     ) -> Result<StandbyAttempt, StandbyFault> {
         self.may_follow(silence).map_err(StandbyFault::Barred)?;
         let (choice, is_trial) = self.choose_standby(silence).map_err(StandbyFault::Barred)?;
@@ -282,7 +300,7 @@
             }
         };
         let sent = self.send_on(&target, link);
-        is_sent.set(sent.is_ok());
+        sent_to.set(sent.is_ok().then_some(target.key));
         let end = match sent {
             Ok(mut link) => match self.await_answer(&target, &mut work, &mut link).await {
                 Ok(has_answered) => {
@@ -419,7 +437,7 @@
     }
 
     fn choose_other(&self, silence: AnswerSilence, is_trial: bool) -> Option<PlacementChoice> {
-        let tried = self.barred_endpoints();
+        let tried = self.barred_beside();
         let request = self.placement_request();
         // Each time other endpoints are compared.
         let salt = mix_bits(request.salt ^ silence.began.elapsed().as_millis() as u64);
