Answers of a silent endpoint itself no longer speak for the others of its service

Callers saw, in a cell: a begun stream cut at a sound endpoint that was silent for 4.5 s in it and answered other requests, as a dead one had taken over unheard after 3 s. Found by a review.

Cause: whether others answer was known by service. Any part of an answer counted, also one of the endpoint whose silence was judged.

Change: the path to a service keeps the last answers of two endpoints; others are all but the present one.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -479,7 +479,7 @@
             };
             let read = self.read_patiently(silence, reading, is_end).await;
             let head = read.ok_or_else(late)?.ok_or_else(ended)??;
-            paths::note_answered(self.node, &self.service);
+            paths::note_answered(self.node, &self.service, key);
             let answer_head = self.node.dialect.parse_answer(&head);
             let sent = slot.take().ok_or_else(exhausted)?;
             words::apply_answer_signals(self.node, (key, &answer_head), (&self.call.id, asked_at));
--- a/crates/front/src/paths.rs
+++ b/crates/front/src/paths.rs
@@ -83,9 +83,13 @@
     node.paths.borrow().get(service).is_some_and(|path| path.heard_at() >= since)
 }
 
-/// Whether a part of an answer of a service's endpoint arrived at `since` or later.
-pub fn was_answered_since(node: &FrontNode, service: &ServiceName, since: ClockTime) -> bool {
-    node.paths.borrow().get(service).is_some_and(|path| path.answered_at() >= since)
+/// Whether a part of an answer of another endpoint of a service than `except` arrived at `since` or later.
+pub fn was_answered_since(
+    node: &FrontNode,
+    service: &ServiceName,
+    (except, since): (Option<EndpointKey>, ClockTime),
+) -> bool {
+    node.paths.borrow().get(service).is_some_and(|path| path.answered_at(except) >= since)
 }
 
 fn listed_count(node: &FrontNode, service: &ServiceName) -> usize {
@@ -94,10 +98,10 @@
     facts.filter(|fact| fact.takes_work()).count()
 }
 
-/// Records that a part of an endpoint's answer arrived.
-pub fn note_answered(node: &FrontNode, service: &ServiceName) {
+/// Records that a part of an answer of the endpoint `key` arrived.
+pub fn note_answered(node: &FrontNode, service: &ServiceName, key: EndpointKey) {
     let now = node.clock.now();
-    let lost_since = with_path(node, service, |path| path.note_answered(now));
+    let lost_since = with_path(node, service, |path| path.note_answered(key, now));
     publish_return(node, service, lost_since);
 }
 
--- a/crates/front/src/standby.rs
+++ b/crates/front/src/standby.rs
@@ -176,10 +176,10 @@
         standby.has_answered || (silence.is_hang() && self.others_answer(silence))
     }
 
-    /// Whether an endpoint of the service sent a part of an answer since the silence began.
+    /// Whether another endpoint of the service sent a part of an answer since the silence began.
     fn others_answer(&self, silence: AnswerSilence) -> bool {
         let since = self.node.clock.now() - sent_for(silence.began) + HEARING_MARGIN;
-        paths::was_answered_since(self.node, &self.service, since)
+        paths::was_answered_since(self.node, &self.service, (self.current, since))
     }
 
     /// Notes that an endpoint was left that had been asked beside the silent one, and may have run the request.
@@ -383,7 +383,7 @@
     ) -> Result<(), AttemptEnd> {
         let answer_head = self.node.dialect.parse_answer(head);
         let asked_at = self.node.clock.now() - sent_for(link.sent_at);
-        paths::note_answered(self.node, &self.service);
+        paths::note_answered(self.node, &self.service, target.key);
         let signals = (target.key, &answer_head);
         words::apply_answer_signals(self.node, signals, (&self.call.id, asked_at));
         if answer_head.belongs_to(&self.call.id) && answer_head.not_run {
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -64,7 +64,7 @@
         }
         let out = joined_events(context, &mut early);
         if let Some(work) = &mut work {
-            paths::note_answered(&node, &context.service);
+            paths::note_answered(&node, &context.service, work.key());
             work.note_prompt_read();
             work.note_answered();
             context.answer_began.get_or_insert_with(Instant::now);
--- a/crates/place/src/path.rs
+++ b/crates/place/src/path.rs
@@ -48,7 +48,8 @@
     fault: Option<PathFault>,
     lost_since: Option<ClockTime>,
     heard_at: ClockTime,
-    answered_at: ClockTime,
+    /// Who answered last, and when, and the last answer of another endpoint.
+    answers: [Option<(EndpointKey, ClockTime)>; 2],
     waiting: u32,
     waiting_since: ClockTime,
     probed_at: ClockTime,
@@ -65,9 +66,12 @@
         self.lost_since.take()
     }
 
-    /// Records that a part of an endpoint's answer arrived. Returns since when the path had been lost, if it had.
-    pub fn note_answered(&mut self, now: ClockTime) -> Option<ClockTime> {
-        self.answered_at = now;
+    /// Records that a part of an answer of `key` arrived. Returns since when the path had been lost, if it had.
+    pub fn note_answered(&mut self, key: EndpointKey, now: ClockTime) -> Option<ClockTime> {
+        if self.answers[0].is_some_and(|(last, _)| last != key) {
+            self.answers[1] = self.answers[0];
+        }
+        self.answers[0] = Some((key, now));
         self.note_reached(now)
     }
 
@@ -119,9 +123,10 @@
         self.heard_at
     }
 
-    /// When a part of an endpoint's answer last arrived.
-    pub fn answered_at(&self) -> ClockTime {
-        self.answered_at
+    /// When a part of an answer of another endpoint than `except` last arrived.
+    pub fn answered_at(&self, except: Option<EndpointKey>) -> ClockTime {
+        let other = self.answers.iter().flatten().find(|(key, _)| Some(*key) != except);
+        other.map(|(_, at)| *at).unwrap_or_default()
     }
 
     /// Records that a request was sent, until [`note_ended`](Self::note_ended).
--- a/tests/all/silent.rs
+++ b/tests/all/silent.rs
@@ -140,6 +140,8 @@
     TornWhileAsked,
     /// The first endpoint rejects it; the others never answer.
     RejectedWhileAsked,
+    /// The first endpoint alone answers other requests; the other one, listed later, answers none.
+    OtherDead,
     /// It is begun elsewhere after its first endpoint reset the connection, and an endpoint then rejects it.
     Rejected,
     /// Nothing, but the others answer only after some milliseconds.
@@ -317,7 +319,7 @@
     /// Number of endpoints that are listed.
     fn endpoints(&self) -> usize {
         match self.barrier {
-            SendBarrier::Alone | SendBarrier::AloneOfFour => 1,
+            SendBarrier::Alone | SendBarrier::AloneOfFour | SendBarrier::OtherDead => 1,
             SendBarrier::Last
             | SendBarrier::LastBegun
             | SendBarrier::Rejected
@@ -391,6 +393,7 @@
             | SendBarrier::HalfRefusedWhileAsked => EndpointTurn::Slow,
             _ if sends == self.sends_before() => EndpointTurn::Silent,
             SendBarrier::OthersSlowBy(ms) => EndpointTurn::SlowBy(ms),
+            SendBarrier::OtherDead => EndpointTurn::FailAfter(LateFailure::Hangs, 0),
             SendBarrier::OthersFail => EndpointTurn::Fail,
             SendBarrier::OthersUnframed => EndpointTurn::Unframed,
             SendBarrier::OthersFullLate => EndpointTurn::FullLate,
@@ -601,6 +604,9 @@
     let turn = match id.split_once('-') {
         None => cell.turn(sends),
         Some(("beat", _)) => return beat(stream, id).await,
+        Some(_) if cell.barrier == SendBarrier::OtherDead && instance != "c0-0" => {
+            EndpointTurn::FailAfter(LateFailure::Hangs, 0)
+        }
         Some(_) => EndpointTurn::Sound,
     };
     let last = seen.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
@@ -782,6 +788,7 @@
 struct CellPlay {
     group: ProcessGroup,
     book: Rc<CellBook>,
+    address: SocketAddr,
 }
 
 impl CellPlay {
@@ -798,20 +805,27 @@
             closed_at: RefCell::default(),
         });
         let address = cell_endpoints(book.clone()).await;
-        for (number, cell) in book.cells.iter().enumerate() {
-            for at in 0..cell.endpoints() {
-                let is_other = cell.barrier == SendBarrier::OtherVersion && at > 0;
-                let version = if is_other { "v2" } else { "v1" };
-                let slots = if cell.barrier == SendBarrier::OthersBusy { 1 } else { 6 };
-                let body = format!(
-                    r#"{{"service":"c{number}","address":"{address}","zone":"near","version":"{version}","slots":{slots},"state":"ready","seq":1}}"#
-                );
-                group.registry().put(&format!("c{number}-{at}"), body);
-            }
+        let cells = CellPlay { group, book, address };
+        for (number, cell) in cells.book.cells.iter().enumerate() {
+            (0..cell.endpoints()).for_each(|at| cells.list_endpoint(number, at));
         }
         sleep(SETTLE_TIME).await;
-        group.until_listed(book.cells.iter().map(SilenceCell::endpoints).sum()).await;
-        CellPlay { group, book }
+        let listed = cells.book.cells.iter().map(SilenceCell::endpoints).sum();
+        cells.group.until_listed(listed).await;
+        cells
+    }
+
+    /// Lists an endpoint of a cell.
+    fn list_endpoint(&self, number: usize, at: usize) {
+        let barrier = self.book.cells[number].barrier;
+        let is_other = barrier == SendBarrier::OtherVersion && at > 0;
+        let version = if is_other { "v2" } else { "v1" };
+        let slots = if barrier == SendBarrier::OthersBusy { 1 } else { 6 };
+        let address = self.address;
+        let body = format!(
+            r#"{{"service":"c{number}","address":"{address}","zone":"near","version":"{version}","slots":{slots},"state":"ready","seq":1}}"#
+        );
+        self.group.registry().put(&format!("c{number}-{at}"), body);
     }
 
     /// Cuts the first process off, so that it relays.
@@ -1415,6 +1429,36 @@
     walk_direct(cells(RouteKind::Resumable).chain(cells(RouteKind::Safe)));
 }
 
+/// A begun stream is cut because its sound endpoint, which is silent, answers other requests, and another one that
+/// answers nothing is taken for one that does.
+#[test]
+fn answers_of_the_silent_endpoint_itself_speak_for_no_other_one() {
+    play(async {
+        let at = SilencePoint::BetweenEvents;
+        let cell = silence_cell(RouteKind::Resumable, at, 4500, SendBarrier::OtherDead);
+        let cells = CellPlay::start(1, vec![cell]).await;
+        let process = &cells.group.processes[0];
+        let others = async {
+            sleep(Duration::from_millis(200)).await;
+            cells.list_endpoint(0, 1);
+            let mut callers = Vec::new();
+            loop {
+                let id = format!("other-{}", callers.len());
+                let text = request("POST", "/c0/other", &id, "", "");
+                callers.push(send(process.address(), &text).await);
+                sleep(Duration::from_millis(700)).await;
+            }
+        };
+
+        let answer = tokio::select! {
+            answer = cells.run_cell(0) => answer,
+            () = others => unreachable!("without end"),
+        };
+
+        assert_eq!(cell.faults(&answer), Vec::<String>::new());
+    });
+}
+
 /// A request fails because its endpoint refuses it after another one was asked, which needed a while and was left.
 #[test]
 fn an_endpoint_that_was_left_is_asked_again_if_the_silent_one_refuses() {
