A safe request whose endpoint hangs inside a plain answer goes on at another one

Callers saw: a safe request waited to its deadline (8 s in the cells) for the rest of a body of which nothing had reached them, while other endpoints would have answered at once. Found by a review.

Cause: the head of a plain answer was taken for its success; its body was read without an eye on time.

Change: a plain answer is waited for as a stream is; another attempt is prepared beside, and the first that is whole goes to the caller. Types that serve every attempt lose the name of the one beside.

--- a/crates/front/src/answering.rs
+++ b/crates/front/src/answering.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 /// The connection of an attempt that was sent.
-pub(crate) struct StandbyLink {
+pub(crate) struct AttemptLink {
     /// How far its answer has been read.
     pub state: LinkState,
     /// Whether the connection carried another request before.
@@ -54,7 +54,7 @@
 quick_error! {
     /// What broke an answer.
     #[derive(Debug)]
-    pub enum StreamFault {
+    pub enum AnswerFault {
         /// Its connection failed.
         Link(fault: LinkError) {
             from()
@@ -75,10 +75,10 @@
     }
 }
 
-impl StandbyLink {
+impl AttemptLink {
     /// The connection of a request that is sent now.
     pub(crate) fn new(sent: SentLink, reused: bool) -> Self {
-        StandbyLink { state: LinkState::Sent(sent), reused, sent_at: Instant::now() }
+        AttemptLink { state: LinkState::Sent(sent), reused, sent_at: Instant::now() }
     }
 
     /// Whether a byte of the request may have been sent.
@@ -124,7 +124,7 @@
         &mut self,
         last_event: Option<u64>,
         caller: (bool, bool),
-    ) -> Result<StreamPart, StreamFault> {
+    ) -> Result<StreamPart, AnswerFault> {
         while self.events.is_empty() {
             match self.body.next().await? {
                 BodyPart::Bytes(bytes) => {
@@ -151,9 +151,9 @@
         self.splitter.take_rest()
     }
 
-    fn take_complete(&mut self, last_event: Option<u64>) -> Result<(), StreamFault> {
+    fn take_complete(&mut self, last_event: Option<u64>) -> Result<(), AnswerFault> {
         let mut last = last_event;
-        while let Some(event) = self.splitter.next_event().map_err(|_| StreamFault::EventTooLong)? {
+        while let Some(event) = self.splitter.next_event().map_err(|_| AnswerFault::EventTooLong)? {
             if event.is_after(last) {
                 last = event.id.or(last);
                 self.events.push(event);
@@ -162,17 +162,17 @@
         Ok(())
     }
 
-    /// Reads an answer that is no stream to its end. Can be dropped and called again.
+    /// Reads an answer that is no stream to its end, and returns what showed it. Can be dropped and called again.
     ///
     /// # Errors
     /// What broke the answer.
-    pub(crate) async fn read_whole(&mut self) -> Result<(), StreamFault> {
+    pub(crate) async fn read_whole(&mut self) -> Result<BodyEnd, AnswerFault> {
         while self.read.len() <= BUFFER_LIMIT {
             match self.body.next().await? {
                 BodyPart::Bytes(bytes) => self.read.extend_from_slice(&bytes),
-                BodyPart::End(_) => return Ok(()),
+                BodyPart::End(end) => return Ok(end),
             }
         }
-        Err(StreamFault::AnswerTooLong)
+        Err(AnswerFault::AnswerTooLong)
     }
 }
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -3,7 +3,7 @@
 //! Grades the endpoint by the result, and reports failures to the other processes.
 
 use crate::answer::AnswerStage;
-use crate::answering::{EarlyAnswer, LinkState, StandbyLink};
+use crate::answering::{AttemptLink, EarlyAnswer, LinkState};
 use crate::drive::{AttemptOutcome, CallContext};
 use crate::events::event;
 use crate::paths::PathWait;
@@ -99,7 +99,7 @@
         &mut self,
         (target, choice): (AttemptTarget, PlacementChoice),
         mut work: WorkGuard,
-        link: Option<StandbyLink>,
+        link: Option<AttemptLink>,
     ) -> AttemptOutcome {
         self.current = Some(target.key);
         self.endpoint = Some(target.life.instance.clone());
@@ -294,7 +294,7 @@
         &mut self,
         target: &AttemptTarget,
         work: &mut WorkGuard,
-        link: Option<StandbyLink>,
+        link: Option<AttemptLink>,
     ) -> AttemptOutcome {
         let sending = async {
             match link {
@@ -311,7 +311,7 @@
             }
         };
         self.note_attempt_demand();
-        let StandbyLink { state, reused, sent_at } = link;
+        let AttemptLink { state, reused, sent_at } = link;
         self.sent_at = Some(sent_at);
         let (mut sent, early) = match state {
             LinkState::Sent(sent) => (Some(sent), None),
@@ -377,7 +377,7 @@
         }
     }
 
-    async fn send(&self, target: &AttemptTarget) -> oleander_outlet::Result<StandbyLink> {
+    async fn send(&self, target: &AttemptTarget) -> oleander_outlet::Result<AttemptLink> {
         let kept = self.node.pool.borrow_mut().take(&target.life.instance);
         let reused = kept.is_some();
         let link = match kept {
@@ -392,14 +392,14 @@
         &self,
         target: &AttemptTarget,
         (link, reused): (IdleLink, bool),
-    ) -> oleander_outlet::Result<StandbyLink> {
+    ) -> oleander_outlet::Result<AttemptLink> {
         let head = self.request_head(target);
         let sent = link.send(&self.node.http, head, self.body.clone())?;
         if !self.call.parts.is_empty() {
             let now = self.node.clock.now();
             self.node.prefixes.borrow_mut().note(&self.call.parts, target.key, now);
         }
-        Ok(StandbyLink::new(sent, reused))
+        Ok(AttemptLink::new(sent, reused))
     }
 
     pub(crate) async fn dial(&self, target: &AttemptTarget) -> oleander_outlet::Result<IdleLink> {
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -469,9 +469,9 @@
             "ran_ms" => self.sent_at.map(|at| at.elapsed().as_millis() as u64),
             "fallen" => self.may_have_fallen(),
             "again" => again, "barred" => self.barrier.map(RetryBarrier::name), "list_ms" => self.list_age.map(|age| age.0));
-        // What was sent beside was counted then.
-        let is_counted = self.standby.is_some() || (again && self.may_ask_again());
-        let step = match is_counted {
+        // The record counts new endpoints. What goes on at one that has the request, or had it, was counted then.
+        let is_known = self.standby.is_some() || (again && self.may_ask_again());
+        let step = match is_known {
             true => NextStep::Retry,
             false => self.record.next_step(end, again),
         };
--- a/crates/front/src/standby.rs
+++ b/crates/front/src/standby.rs
@@ -6,7 +6,7 @@
 //! for a moment only; if the new one has said nothing by then, it is the one that is left. Whatever fails on the way
 //! leaves the request where it is.
 
-use crate::answering::{LinkState, StandbyLink, StreamPart};
+use crate::answering::{AttemptLink, LinkState, StreamPart};
 use crate::attempt::{AttemptTarget, IDLE_TIMEOUT, MAX_IDLE_LINKS, STALE_LINK_WINDOW, sent_for};
 use crate::drive::CallContext;
 use crate::events::event;
@@ -17,7 +17,7 @@
 use oleander_call::{AttemptEnd, RetryBarrier, TailVerdict};
 use oleander_kind::TimeSpan;
 use oleander_kind::hash::mix_bits;
-use oleander_outlet::{BodyEnd, IdleLink, LinkError};
+use oleander_outlet::{IdleLink, LinkError};
 use oleander_place::{
     AnswerGrade, EndpointKey, PlacementChoice, PlacementRequest, choose_endpoint,
 };
@@ -37,7 +37,7 @@
 /// processes send there meanwhile.
 const EXPECTED_WAIT: TimeSpan = TimeSpan(ANSWER_WAIT.as_millis() as u64 / 2);
 
-/// Longer than a sound endpoint is silent. Callers of a stream leave a second later.
+/// Longer than a sound endpoint is silent.
 const HANG_TIME: Duration = Duration::from_secs(3);
 
 /// Part of a silence in which what is received from other endpoints shows nothing, as it may have been sent before.
@@ -81,7 +81,7 @@
     pub target: AttemptTarget,
     pub choice: PlacementChoice,
     pub work: WorkGuard,
-    pub link: StandbyLink,
+    pub link: AttemptLink,
     /// Whether its answer can take the place of the silent one.
     has_answered: bool,
     /// Charge for an attempt on the version that is being rolled out.
@@ -335,7 +335,7 @@
         &self,
         target: &AttemptTarget,
         work: &mut WorkGuard,
-        link: &mut StandbyLink,
+        link: &mut AttemptLink,
     ) -> Result<bool, AttemptEnd> {
         let until = link.sent_at + ANSWER_WAIT;
         if let LinkState::Sent(sent) = &mut link.state {
@@ -356,8 +356,8 @@
             if is_stream {
                 return early.next_part(self.last_event, caller).await;
             }
-            early.read_whole().await?;
-            Ok(StreamPart::End(BodyEnd::Stated, TailVerdict::Complete))
+            let end = early.read_whole().await?;
+            Ok(StreamPart::End(end, TailVerdict::Complete))
         };
         let Ok(read) = timeout_at(until, reading).await else { return Ok(false) };
         match read {
@@ -379,7 +379,7 @@
         &self,
         target: &AttemptTarget,
         work: &mut WorkGuard,
-        (link, head): (&StandbyLink, &ResponseHead),
+        (link, head): (&AttemptLink, &ResponseHead),
     ) -> Result<(), AttemptEnd> {
         let answer_head = self.node.dialect.parse_answer(head);
         let asked_at = self.node.clock.now() - sent_for(link.sent_at);
@@ -405,7 +405,7 @@
         &self,
         target: &AttemptTarget,
         work: &mut WorkGuard,
-        (link, fault): (&StandbyLink, LinkError),
+        (link, fault): (&AttemptLink, LinkError),
     ) -> AttemptEnd {
         // A kept connection that fails at once was most likely closed by its idle timeout.
         if !(link.reused && link.sent_at.elapsed() < STALE_LINK_WINDOW) {
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -1,7 +1,7 @@
 //! Forwards answers that are server-sent event streams, and resumes broken ones.
 
 use crate::answer::AnswerStage;
-use crate::answering::{EarlyAnswer, StreamFault, StreamPart};
+use crate::answering::{AnswerFault, EarlyAnswer, StreamPart};
 use crate::attempt::SILENCE_TOLERANCE;
 use crate::drive::{AttemptOutcome, CallContext};
 use crate::events::event;
@@ -47,7 +47,7 @@
     let (body_end, verdict) = loop {
         let caller = (goes_on, context.answer.must_state_end());
         let reading = node.run_until_replaced(key, early.next_part(context.last_event, caller));
-        let is_end = |read: &Option<Result<StreamPart, StreamFault>>| match read {
+        let is_end = |read: &Option<Result<StreamPart, AnswerFault>>| match read {
             Some(Ok(StreamPart::Events)) => false,
             Some(Ok(StreamPart::End(_, verdict))) => *verdict != TailVerdict::Complete,
             Some(Err(_)) | None => true,
@@ -56,7 +56,7 @@
             Some(Some(Ok(StreamPart::Events))) => {}
             Some(Some(Ok(StreamPart::End(end, verdict)))) => break (end, verdict),
             Some(broken) => {
-                let fault = broken.and_then(Result::err).unwrap_or(StreamFault::Restarted);
+                let fault = broken.and_then(Result::err).unwrap_or(AnswerFault::Restarted);
                 context.fault = Some(fault.to_string());
                 return (AttemptOutcome::Ended(AttemptEnd::Broken, None), None);
             }
--- a/crates/front/src/whole.rs
+++ b/crates/front/src/whole.rs
@@ -1,10 +1,10 @@
 //! Forwards answers that are not streams, buffered until they are complete.
 
-use crate::answering::{EarlyAnswer, StreamFault};
+use crate::answering::{AnswerFault, EarlyAnswer};
 use crate::drive::{AttemptOutcome, CallContext, EndpointAnswer};
-use bytes::BytesMut;
+use crate::standby::AnswerSilence;
 use oleander_call::{AnswerHead, AttemptEnd};
-use oleander_outlet::{BodyPart, IdleLink};
+use oleander_outlet::{BodyEnd, IdleLink};
 use oleander_place::EndpointKey;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
@@ -20,44 +20,38 @@
 /// retry may succeed, and so is whatever cannot go on with a begun stream. Without a `key`, a peer answers.
 pub(crate) async fn forward_whole(
     context: &mut CallContext<'_, '_>,
-    early: EarlyAnswer,
+    mut early: EarlyAnswer,
     answer_head: &AnswerHead,
     key: Option<EndpointKey>,
 ) -> (AttemptOutcome, Option<IdleLink>) {
-    let (mut head, mut body, read) = early.into_parts();
     // Another endpoint has begun to answer, or nothing of this answer is passed on.
-    let is_useless = context.standby.is_some() && !context.may_forward(head.status);
+    let is_useless = context.standby.is_some() && !context.may_forward(early.head.status);
     if answer_head.not_run || is_useless {
         let end = if answer_head.not_run { AttemptEnd::RefusedNotRun } else { AttemptEnd::Failed };
-        let rest = timeout(REST_TIME, body.skip()).await;
-        let link = rest.is_ok_and(|rest| rest.is_ok()).then(|| body.into_idle());
+        let rest = timeout(REST_TIME, early.body.skip()).await;
+        let link = rest.is_ok_and(|rest| rest.is_ok()).then(|| early.body.into_idle());
         return (AttemptOutcome::Ended(end, None), link.flatten());
     }
-    let mut bytes = BytesMut::from(read);
     let node = context.node.clone();
-    let body_end = loop {
-        match node.run_until_replaced(key, body.next()).await {
-            Some(Ok(BodyPart::Bytes(more))) if bytes.len() + more.len() <= BUFFER_LIMIT => {
-                bytes.extend_from_slice(&more);
-            }
-            Some(Ok(BodyPart::End(end))) => break end,
-            broken => {
-                let fault = match broken {
-                    Some(Ok(_)) => StreamFault::AnswerTooLong,
-                    Some(Err(fault)) => fault.into(),
-                    None => StreamFault::Restarted,
-                };
+    let patience = key.and_then(|_| context.first_patience());
+    let reading = node.run_until_replaced(key, early.read_whole());
+    let is_end = |read: &Option<Result<BodyEnd, AnswerFault>>| !matches!(read, Some(Ok(_)));
+    let body_end =
+        match context.read_patiently(AnswerSilence::begin(patience), reading, is_end).await {
+            Some(Some(Ok(end))) => end,
+            Some(broken) => {
+                let fault = broken.and_then(Result::err).unwrap_or(AnswerFault::Restarted);
                 context.fault = Some(fault.to_string());
                 return (AttemptOutcome::Ended(AttemptEnd::Broken, None), None);
             }
-        }
-    };
+            None => return (AttemptOutcome::Ended(AttemptEnd::TimedOut, None), None),
+        };
     context.body_end = Some(body_end);
+    let (mut head, body, bytes) = early.into_parts();
     let link = body.into_idle();
     context.node.dialect.strip_answer(head.headers_mut());
     let headers = std::mem::replace(head.headers_mut(), actix_http::header::HeaderMap::new());
-    let received =
-        EndpointAnswer { status: head.status, headers, body: (bytes.freeze(), body_end) };
+    let received = EndpointAnswer { status: head.status, headers, body: (bytes, body_end) };
     if !context.may_forward(head.status) {
         return (AttemptOutcome::Ended(AttemptEnd::Failed, Some(received)), link);
     }
--- a/tests/all/silent.rs
+++ b/tests/all/silent.rs
@@ -239,11 +239,7 @@
             }
             _ => &[By::Refused, By::Reset, By::Failed, By::Hangs],
         };
-        let points = match route {
-            RouteKind::Resumable => points_of(route, SendBarrier::Nothing),
-            // The rest of a plain answer is waited for until the deadline.
-            _ => &[SilencePoint::BeforeHead],
-        };
+        let points = points_of(route, SendBarrier::Nothing);
         failures.iter().flat_map(move |failure| {
             LATE_FAILURES.iter().flat_map(move |ms| {
                 points.iter().flat_map(move |at| {
@@ -278,11 +274,7 @@
 
     /// Requests of a route whose endpoint hangs, and that another may serve.
     fn hanging(route: RouteKind) -> impl Iterator<Item = SilenceCell> {
-        let points = match route {
-            RouteKind::Resumable => points_of(route, SendBarrier::Nothing),
-            // The rest of a plain answer is waited for until the deadline.
-            _ => &[SilencePoint::BeforeHead],
-        };
+        let points = points_of(route, SendBarrier::Nothing);
         let barriers = [SendBarrier::Nothing, SendBarrier::OneFull, SendBarrier::NoneHeard];
         barriers.into_iter().flat_map(move |barrier| {
             points.iter().map(move |at| SilenceCell {
--- a/tests/all/unframed.rs
+++ b/tests/all/unframed.rs
@@ -152,10 +152,6 @@
         is_torn || is_cut
     }
 
-    fn is_silent_in_body(&self) -> bool {
-        self.closing == Closing::Silence && self.at != BreakPoint::InHead
-    }
-
     fn expected(&self) -> Expected {
         let (sent, whole) = self.body();
         let is_unframed = self.framing == Framing::UntilClose;
@@ -165,8 +161,6 @@
         match (self.is_broken(), self.route) {
             (false, _) if is_unframed => Expected { end: ViewEnd::Closed, body: sent, runs: 1 },
             (false, _) => stated(whole),
-            // The rest of a plain answer is waited for until the deadline.
-            (true, RouteKind::Safe) if self.is_silent_in_body() => failed,
             (true, RouteKind::Resumable) if has_begun && is_unframed => {
                 Expected { end: ViewEnd::Closed, body: whole, runs: 2 }
             }
