An idle connection is kept for the longest timeout in force since it became idle

Callers saw, at most: a request on a connection that they might still use crosses its close.

Cause: the timeout at the beginning of the rest was compared with the one at its end. One that was raised and lowered again in between was not seen, although a caller may have read it.

--- a/crates/front/src/ingress.rs
+++ b/crates/front/src/ingress.rs
@@ -230,9 +230,9 @@
     /// Waits for the first byte of a request; fails if the caller closed the connection, the idle
     /// timeout passed, or the process closes idle connections because it stops.
     async fn wait_first_byte(&mut self) -> Result<(), ConnectionEnd> {
-        let (since, before) = (Instant::now(), caller_bounds(&self.node));
+        let (since, mut bounds) = (Instant::now(), caller_bounds(&self.node));
         loop {
-            let limit = self.bounds_since(before).idle_timeout;
+            let limit = bounds.idle_timeout;
             self.buffer.reserve(READ_SIZE);
             tokio::select! {
                 biased;
@@ -242,8 +242,10 @@
                         return self.end_unless_sent(ConnectionEnd::Stop).await;
                     }
                 }
+                () = self.node.rules_changed.notified() => bounds = self.bounds_since(bounds),
                 () = tokio::time::sleep_until(since + limit.duration()) => {
-                    if self.bounds_since(before).idle_timeout <= limit {
+                    bounds = self.bounds_since(bounds);
+                    if bounds.idle_timeout <= limit {
                         return self.end_unless_sent(ConnectionEnd::Idle).await;
                     }
                 }
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -149,6 +149,8 @@
     pub stop: Cell<StopStage>,
     /// Wakes connections of callers, and the task that accepts them, again and again while the process stops.
     pub close_idle: Notify,
+    /// Wakes idle connections of callers when other rules are in force.
+    pub rules_changed: Notify,
     /// Wakes attempts when a later incarnation of an instance has started.
     pub incarnation_ended: Notify,
     /// Requests under way.
@@ -237,6 +239,7 @@
             persisted_reports: RefCell::default(),
             stop: Cell::default(),
             close_idle: Notify::new(),
+            rules_changed: Notify::new(),
             incarnation_ended: Notify::new(),
             in_flight: Cell::default(),
             connections: Cell::default(),
--- a/crates/front/src/rules.rs
+++ b/crates/front/src/rules.rs
@@ -16,6 +16,7 @@
         Ok(rules) => {
             let version = rules.version();
             if node.rules.borrow_mut().offer(rules, object) {
+                node.rules_changed.notify_waiters();
                 event!(node, RulesInForce; "version" => version);
             }
         }
--- a/tests/all/bounds.rs
+++ b/tests/all/bounds.rs
@@ -86,6 +86,24 @@
     });
 }
 
+/// Guards against connections that are closed at the timeout of when they became idle, as a longer one that their
+/// callers count on was in force only meanwhile.
+#[test]
+fn an_idle_connection_is_kept_for_the_longest_timeout_since_it_became_idle() {
+    play(async {
+        let mut test = BoundsTest::start().await;
+        let mut caller = test.connect().await;
+        assert_eq!(ask_on(&mut caller).await.status(), "200");
+
+        test.set("idle-timeout-ms", 20_000).await;
+        test.set("idle-timeout-ms", 1000).await;
+        sleep(12 * SECOND).await;
+        let answer = ask_on(&mut caller).await;
+
+        assert_eq!(answer.status(), "200", "{answer:?}");
+    });
+}
+
 #[test]
 fn an_idle_connection_is_closed_when_a_grown_timeout_passes() {
     play(async {
