Lines tell which endpoint was asked beside a silent one, and that it was left

Cause: endpoint_silent named the silent endpoint alone, an attempt that was left because the silent one went on had no line and no count although it used up a retry and tokens, a barrier of an earlier silence stayed, and a cut without a peer was told as one of peers.

Change: asked; end "left"; the barrier is of the present silence; a cut names the refusal.

--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -165,6 +165,8 @@
     Attempt(AttemptEnd),
     /// No peer served it to the end.
     Peers,
+    /// It could not go on, for this reason.
+    Refused(ResultCode),
 }
 
 impl CutCause {
@@ -175,6 +177,7 @@
             CutCause::Deadline => "deadline",
             CutCause::Attempt(end) => end.name(),
             CutCause::Peers => "peers",
+            CutCause::Refused(code) => code.name(),
         }
     }
 }
@@ -558,7 +561,8 @@
     /// Ends the request with a refusal, or by closing the connection if the answer has begun.
     pub(crate) async fn give_up(&mut self, code: ResultCode) -> CallOutcome {
         if self.answer.stage() != AnswerStage::Waiting {
-            return self.cut(CutCause::Peers);
+            let by_peers = self.peer.is_some();
+            return self.cut(if by_peers { CutCause::Peers } else { CutCause::Refused(code) });
         }
         // An attempt may have run, so a code that says "not run" would be false.
         let code = if self.record.may_have_run() && code.guarantees_not_run() {
--- a/crates/front/src/standby.rs
+++ b/crates/front/src/standby.rs
@@ -15,8 +15,8 @@
 use crate::{limits, paths, suspects, words};
 use actix_http::ResponseHead;
 use oleander_call::{AttemptEnd, RetryBarrier, TailVerdict};
-use oleander_kind::TimeSpan;
 use oleander_kind::hash::mix_bits;
+use oleander_kind::{InstanceId, TimeSpan};
 use oleander_outlet::{IdleLink, LinkError};
 use oleander_place::{
     AnswerGrade, EndpointKey, PlacementChoice, PlacementRequest, choose_endpoint,
@@ -96,6 +96,8 @@
     Failed(EndpointKey, AttemptEnd),
     /// The endpoint said nothing while two might have the request.
     Unanswered(EndpointKey),
+    /// The silent endpoint went on before this one answered.
+    Left(EndpointKey),
 }
 
 impl StandbyFault {
@@ -103,7 +105,17 @@
     fn barrier(&self) -> Option<RetryBarrier> {
         match self {
             StandbyFault::Barred(barrier) => Some(*barrier),
-            StandbyFault::Failed(..) | StandbyFault::Unanswered(_) => None,
+            _ => None,
+        }
+    }
+
+    /// The endpoint that was asked.
+    fn asked(&self) -> Option<EndpointKey> {
+        match self {
+            StandbyFault::Barred(_) => None,
+            StandbyFault::Failed(key, _)
+            | StandbyFault::Unanswered(key)
+            | StandbyFault::Left(key) => Some(*key),
         }
     }
 
@@ -113,6 +125,7 @@
             StandbyFault::Barred(_) => None,
             StandbyFault::Failed(_, end) => Some(end.name()),
             StandbyFault::Unanswered(_) => Some("unanswered"),
+            StandbyFault::Left(_) => Some("left"),
         }
     }
 }
@@ -131,6 +144,7 @@
         if let Ok(read) = timeout_at(silence.prepare_at(self.deadline), &mut reading).await {
             return Some(read);
         }
+        self.barrier = None;
         while Instant::now() < self.deadline {
             let sent_to = Cell::new(None);
             let (read, prepared) = {
@@ -155,7 +169,7 @@
                 Some(Err(fault)) => self.note_standby_fault(silence, fault),
                 None => {
                     if let Some(key) = sent_to.get() {
-                        self.note_left(key);
+                        self.note_standby_fault(silence, StandbyFault::Left(key));
                     }
                 }
             }
@@ -188,12 +202,17 @@
             self.record.note_beside();
             self.left.push(key);
         }
-        self.answer.note_sent(self.record.sent());
+    }
+
+    fn instance_of(&self, key: EndpointKey) -> Option<InstanceId> {
+        let board = self.node.endpoints.borrow();
+        board.get(key).map(|fact| fact.entry.instance.clone())
     }
 
     /// Notes that no other attempt took over, once for each reason.
     fn note_standby_fault(&mut self, silence: AnswerSilence, fault: StandbyFault) {
         let (barrier, end) = (fault.barrier(), fault.end_name());
+        let asked = fault.asked().and_then(|key| self.instance_of(key));
         match fault {
             StandbyFault::Barred(_) => {}
             StandbyFault::Failed(key, end) => {
@@ -203,7 +222,7 @@
                 }
                 self.tried.push(key);
             }
-            StandbyFault::Unanswered(key) => self.note_left(key),
+            StandbyFault::Unanswered(key) | StandbyFault::Left(key) => self.note_left(key),
         }
         self.answer.note_sent(self.record.sent());
         if let Some(end) = end {
@@ -217,7 +236,7 @@
             "request" => self.call.id.as_str(), "service" => self.service.as_str(),
             "endpoint" => self.endpoint.as_ref().map(|id| id.as_str()),
             "silent_ms" => silence.began.elapsed().as_millis() as u64, "last_event" => self.last_event,
-            "barred" => barrier.map(RetryBarrier::name), "end" => end,
+            "asked" => asked.as_ref().map(|id| id.as_str()), "barred" => barrier.map(RetryBarrier::name), "end" => end,
             "sent" => self.record.sent());
     }
 
