A connection that no attempt used is kept as long as its endpoint announced

Callers saw nothing yet: a request that runs once could fail on a connection that its endpoint closes. Found by a review.

Cause: an attempt beside a silent one that was barred put its kept connection back with the limit for endpoints that announce none (2 s), longer than some announce. Time left and quarantine were looked at before the connection was opened, which takes up to 400 ms, and not after.

Change: the pool gives a connection with its limit; both are looked at again.

The second look is shown by no test of its own.

--- a/crates/front/src/standby.rs
+++ b/crates/front/src/standby.rs
@@ -88,6 +88,13 @@
     pub payment: Option<CandidatePayment>,
 }
 
+/// A connection that a request can be sent on.
+struct OpenLink {
+    link: IdleLink,
+    /// How long it may be idle; `None` if it is new.
+    kept_limit: Option<Duration>,
+}
+
 /// Why no other attempt could take over.
 enum StandbyFault {
     /// Nothing was sent.
@@ -308,17 +315,23 @@
                 return Err(StandbyFault::Failed(target.key, AttemptEnd::NotSent));
             }
         };
-        let payment = match self.pay_for_attempt(choice.key, is_trial).await {
+        let OpenLink { link, kept_limit } = link;
+        let paying = async {
+            // Opening it took a while.
+            self.may_follow(silence)?;
+            self.pay_for_attempt(choice.key, is_trial).await
+        };
+        let payment = match paying.await {
             Ok(payment) => payment,
             Err(barrier) => {
                 work.note_done();
-                let (link, _) = link;
+                let limit = kept_limit.unwrap_or(IDLE_TIMEOUT);
                 let mut pool = self.node.pool.borrow_mut();
-                pool.put(&target.life.instance, link, IDLE_TIMEOUT, MAX_IDLE_LINKS);
+                pool.put(&target.life.instance, link, limit, MAX_IDLE_LINKS);
                 return Err(StandbyFault::Barred(barrier));
             }
         };
-        let sent = self.send_on(&target, link);
+        let sent = self.send_on(&target, (link, kept_limit.is_some()));
         sent_to.set(sent.is_ok().then_some(target.key));
         let end = match sent {
             Ok(mut link) => match self.await_answer(&target, &mut work, &mut link).await {
@@ -471,19 +484,19 @@
             .then_some(choice)
     }
 
-    /// A connection to an endpoint, and whether it was used before. Without a sign that the way works, only a new
+    /// A connection to an endpoint. Without a sign that the way works, only a new
     /// one shows that the endpoint can be reached.
     async fn open_link(
         &self,
         target: &AttemptTarget,
         silence: AnswerSilence,
-    ) -> Result<(IdleLink, bool), LinkError> {
+    ) -> Result<OpenLink, LinkError> {
         let since = self.node.clock.now() - sent_for(silence.began) + HEARING_MARGIN;
         let is_reached = paths::was_heard_since(self.node, &self.service, since);
-        let take = || self.node.pool.borrow_mut().take(&target.life.instance);
+        let take = || self.node.pool.borrow_mut().take_with_limit(&target.life.instance);
         match is_reached.then(take).flatten() {
-            Some(link) => Ok((link, true)),
-            None => self.dial(target).await.map(|link| (link, false)),
+            Some((link, limit)) => Ok(OpenLink { link, kept_limit: Some(limit) }),
+            None => self.dial(target).await.map(|link| OpenLink { link, kept_limit: None }),
         }
     }
 
--- a/crates/outlet/src/pool.rs
+++ b/crates/outlet/src/pool.rs
@@ -20,10 +20,15 @@
     /// Returns a connection to `instance` that is open, has no unread bytes and is within its idle
     /// limit: the most recently used one, so that the others can expire.
     pub fn take(&mut self, instance: &InstanceId) -> Option<IdleLink> {
+        self.take_with_limit(instance).map(|(link, _)| link)
+    }
+
+    /// As [`take`](Self::take), with the idle limit under which the connection was stored.
+    pub fn take_with_limit(&mut self, instance: &InstanceId) -> Option<(IdleLink, Duration)> {
         let links = self.links.get_mut(instance)?;
         while let Some(pooled) = links.pop() {
             if pooled.link.idle_for() < pooled.idle_limit && pooled.link.is_reusable() {
-                return Some(pooled.link);
+                return Some((pooled.link, pooled.idle_limit));
             }
         }
         None
--- a/tests/all/outlet.rs
+++ b/tests/all/outlet.rs
@@ -212,3 +212,20 @@
         assert!(pool.take(&instance).is_none());
     });
 }
+
+/// Guards against a connection that is put back unused and then outlives the time that its endpoint announced.
+#[test]
+fn a_link_that_is_put_back_keeps_its_idle_limit() {
+    run(async {
+        let endpoint = scripted(vec![vec![]]).await;
+        let (mut pool, instance) = (LinkPool::default(), InstanceId::from("r-1"));
+        pool.put(&instance, open(endpoint.address).await, Duration::from_millis(150), 4);
+
+        let (link, limit) = pool.take_with_limit(&instance).expect("it is open");
+        pool.put(&instance, link, limit, 4);
+        std::thread::sleep(Duration::from_millis(200));
+
+        assert_eq!(limit, Duration::from_millis(150));
+        assert!(pool.take(&instance).is_none());
+    });
+}
