--- a/crates/front/src/events.rs
+++ b/crates/front/src/events.rs
@@ -70,8 +70,9 @@
     StoreWentBack = "store_went_back", 10, "the store came back from an older copy: its `era` now and `before`; what it acknowledged since that copy is lost, and revisions are given out again";
     EraUnreadable = "era_unreadable", 10, "an answer of the store names its era in a way that cannot be read, and the known one stays: its `text`, `code`";
     RosterIgnored = "roster_ignored", 20, "an endpoint list or changes from the store were ignored, because a later revision is known: `as_of` revision, the `known` one";
-    RulesInForce = "rules_in_force", 40, "a newer version of the rules is in force: `version`";
-    RulesUnreadable = "rules_unreadable", 10, "the rules cannot be decoded and the old ones stay in force: `fault`";
+    RulesInForce = "rules_in_force", 40, "a newer version of the rules is in force: `version`, received from (`by`) the `store` or a `peer`, its size (`bytes`), for how long this process had known that a peer had a newer one (`behind_ms`; none if no peer told it)";
+    RulesBehind = "rules_behind", 40, "another process (`by`) has a newer version of the rules in force (`told`) than this one (`version`), and none as new was told of before";
+    RulesUnreadable = "rules_unreadable", 10, "the rules cannot be decoded and the old ones stay in force: `fault`, received from (`by`) the `store` or a `peer`";
     RosterFromPeer = "roster_from_peer", 20, "a snapshot of the endpoint list was received from a peer: `as_of` revision, its age in ms (`age_ms`), the process that read it from the store (`vouched_by`), the number of entries that the peer could not confirm (`doubted`), for how much longer endpoints that are missing from it may still exist, their entries having expired (`unsettled_ms`)";
     NewsMeasured = "news_measured", 2, "size of one exchange between the collector and a process, once a second: bytes of the parts of its `report` and of the answer (`digest`), all bytes `sent` to and `received` from peers since the start";
     EndpointStage = "endpoint_stage", 200, "an endpoint was added or changed its stage: `endpoint`, `service`, `domain`, `stage`, `market`, `revision`, `life`";
--- a/crates/front/src/feeds.rs
+++ b/crates/front/src/feeds.rs
@@ -6,7 +6,7 @@
 use crate::mesh;
 use crate::node::FrontNode;
 use crate::roster;
-use crate::rules::apply_rules;
+use crate::rules::{RulesSource, apply_rules};
 use oleander_kind::{ClockTime, StoreEra, TimeSpan};
 use oleander_list::freshness::latest_answer_time;
 use oleander_plat::{FeedEvent, FeedKind, FeedPage, PlatError, WatchOutcome};
@@ -37,13 +37,13 @@
 /// Follows the rules until the task is aborted.
 pub async fn follow_rules(node: Rc<FrontNode>) {
     let take = |page: FeedPage, at| {
-        page.objects.iter().for_each(|object| apply_rules(&node, object));
+        page.objects.iter().for_each(|object| apply_rules(&node, object, RulesSource::Store));
         node.rules.borrow_mut().note_confirmed(at, node.settings.instance.clone());
     };
     let change = |events: Vec<FeedEvent>, _, at| {
         for event in events {
             if let FeedEvent::Put(object) = event {
-                apply_rules(&node, &object);
+                apply_rules(&node, &object, RulesSource::Store);
             }
         }
         node.rules.borrow_mut().note_confirmed(at, node.settings.instance.clone());
--- a/crates/front/src/mesh/collect.rs
+++ b/crates/front/src/mesh/collect.rs
@@ -8,7 +8,7 @@
 use crate::events::event;
 use crate::node::FrontNode;
 use crate::roster;
-use crate::rules::apply_rules;
+use crate::rules::{RulesSource, apply_rules, note_peer_version};
 use crate::words::{self, ReporterState};
 use crate::{limits, origins, releases, suspects};
 use oleander_call::RuleSet;
@@ -252,7 +252,7 @@
 /// confirmed them to it.
 fn apply_feed_state(node: &FrontNode, report: &NodeReport) {
     if let Some(rules) = &report.rules_text {
-        apply_rules(node, rules);
+        apply_rules(node, rules, RulesSource::Peer);
     }
     if report.member.id == node.settings.instance {
         return;
@@ -263,6 +263,7 @@
         let clock_lag = || wall_lag(report.wall, true_now);
         mesh.collector.as_ref().map_or_else(clock_lag, |c| c.report_delay(report, true_now, now))
     };
+    note_peer_version(node, report.rules.version, report.member.id.as_str());
     node.rules.borrow_mut().merge_freshness(&report.rules, late, node.clock.now());
     match &report.roster_update {
         Some(update) => roster::apply_peer_update(node, update, (&report.roster, late), None),
--- a/crates/front/src/mesh/digest.rs
+++ b/crates/front/src/mesh/digest.rs
@@ -5,7 +5,7 @@
 use crate::node::FrontNode;
 use crate::releases;
 use crate::roster;
-use crate::rules::apply_rules;
+use crate::rules::{RulesSource, apply_rules, note_peer_version};
 use crate::suspects;
 use crate::words;
 use oleander_kind::{ClockTime, TimeSpan};
@@ -25,9 +25,10 @@
 ) {
     let now = node.clock.now();
     if let Some(rules) = &digest.rules_text {
-        apply_rules(node, rules);
+        apply_rules(node, rules, RulesSource::Peer);
     }
     if digest.from.id != node.settings.instance {
+        note_peer_version(node, digest.rules.version, digest.from.id.as_str());
         node.rules.borrow_mut().merge_freshness(&digest.rules, round_trip, now);
         let source = (&digest.roster, round_trip);
         roster::apply_peer_update(node, &digest.roster_update, source, Some(digest.roster_version));
--- a/crates/front/src/meter.rs
+++ b/crates/front/src/meter.rs
@@ -4,6 +4,7 @@
 //! bounded. Accounts and endpoints appear in the log only.
 
 use oleander_board::meter::MetricRegistry;
+use oleander_kind::TimeSpan;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram};
 
@@ -39,6 +40,8 @@
     first_ms: Histogram<f64>,
     total_ms: Histogram<f64>,
     list_age_ms: Histogram<f64>,
+    rules_received: Counter<u64>,
+    rules_behind_ms: Histogram<f64>,
     limit_ask_ms: Histogram<f64>,
 }
 
@@ -74,6 +77,8 @@
             first_ms: latency("oleander_front_first_ms"),
             total_ms: latency("oleander_front_total_ms"),
             list_age_ms: latency("oleander_front_list_age_ms"),
+            rules_received: meter.u64_counter("oleander_front_rules_received").build(),
+            rules_behind_ms: latency("oleander_front_rules_behind_ms"),
             limit_ask_ms: latency("oleander_front_limit_ask_ms"),
             base,
         }
@@ -161,6 +166,15 @@
         self.lists_withheld.add(1, &[KeyValue::new("content", content)]);
     }
 
+    /// Counts a version of the rules that came into force, by where it was received from, and records
+    /// for how long a peer had been known to have a newer one than before.
+    pub fn record_rules(&self, source: &'static str, behind: Option<TimeSpan>) {
+        self.rules_received.add(1, &[KeyValue::new("by", source)]);
+        if let Some(behind) = behind {
+            self.rules_behind_ms.record(behind.0 as f64, &[]);
+        }
+    }
+
     /// Counts an order for endpoints, by whether the cloud accepted it.
     pub fn count_order(&self, taken: bool) {
         self.orders.add(1, &[KeyValue::new("taken", taken)]);
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -37,6 +37,6 @@
 };
 pub use part_sizes::{PartSizes, digest_part_sizes, report_part_sizes};
 pub use relay::{RelayRequest, choose_peer};
-pub use rules::RulesBook;
+pub use rules::{RulesBook, ToldVersion};
 pub use signals::{EndpointSignals, RateShare, signals_hash};
 pub use view::{MeshView, collector_capacity, settled_term};
--- a/crates/mesh/src/rules.rs
+++ b/crates/mesh/src/rules.rs
@@ -8,12 +8,24 @@
 use oleander_plat::FeedObject;
 use std::rc::Rc;
 
+/// A version of the rules, higher than the own one, that a peer has in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ToldVersion {
+    /// The highest version told of.
+    pub version: u64,
+    /// When a peer first told of any version higher than the own one.
+    pub since: ClockTime,
+    /// When a peer last told of one.
+    pub at: ClockTime,
+}
+
 /// One process's replica of the rules. The version in force never decreases.
 #[derive(Default)]
 pub struct RulesBook {
     rules: CurrentRules,
     text: Option<FeedObject>,
     freshness: Option<FreshnessStamp>,
+    told: Option<ToldVersion>,
 }
 
 impl RulesBook {
@@ -54,6 +66,26 @@
         merge_newer(&mut self.freshness, FreshnessStamp { mark, at, by });
     }
 
+    /// The version that peers told of, if it is higher than the one in force.
+    pub fn told(&self) -> Option<ToldVersion> {
+        self.told
+    }
+
+    /// Notes the version that a peer has in force; returns whether it is the first higher one, or
+    /// higher than any told of before.
+    pub fn note_told(&mut self, version: u64, now: ClockTime) -> bool {
+        if version <= self.version() {
+            return false;
+        }
+        let before = self.told;
+        self.told = Some(ToldVersion {
+            version: version.max(before.map_or(0, |told| told.version)),
+            since: before.map_or(now, |told| told.since),
+            at: now,
+        });
+        before.is_none_or(|told| version > told.version)
+    }
+
     /// Applies when the store last confirmed the rules to a peer that has the same version; `late`
     /// is an upper bound on the time in transit.
     pub fn merge_freshness(&mut self, status: &RulesStatus, late: TimeSpan, now: ClockTime) {
@@ -68,6 +100,8 @@
         let newer = self.rules.offer(rules);
         if newer {
             self.text = Some(text.clone());
+            let version = self.version();
+            self.told = self.told.filter(|told| told.version > version);
         }
         newer
     }
