Rules travel apart from reports, in pieces that a process lacks

Callers saw requests served by rules of an older version, 4.0 s after a later one was acknowledged, and a third of all refused: at 60 processes each change of rules of 280 to 830 KB filled all links for ten seconds.

Cause: a collector's answer to a report carried the whole rules, as did a report to a collector that had older ones. On a link of 10 Mbit/s it takes longer than the 300 ms for which a reporter waits; it took the collector for dead, asked again and asked others, and each sent the whole text again.

Change: reports and digests name the version alone. Who lacks it asks for its plan, the digests of pieces that are cut where the text's content says so, and for those pieces that it lacks, of any process that has them, compressed, 24 KB an answer, within the budget that bounds list content. Two versions share what did not change; a plan may be replaced while pieces arrive; each is checked by its digest. Processes of the version before get and give whole rules as before. mix_bits is const now.

--- a/crates/front/src/mesh.rs
+++ b/crates/front/src/mesh.rs
@@ -8,6 +8,7 @@
 mod make;
 mod parts;
 mod report;
+mod rules;
 pub mod state;
 
 pub use collect::MeshPeers;
--- a/crates/front/src/mesh/collect.rs
+++ b/crates/front/src/mesh/collect.rs
@@ -3,6 +3,7 @@
 use super::account::collect_and_measure;
 use super::bulk::{answer_part_request, bound_update};
 use super::parts::fetch_list;
+use super::rules::{answer_rules_request, fetch_rules};
 use super::state::{MeshState, followed_collector};
 use super::{end_collecting_after_stall, pool_limit};
 use crate::events::event;
@@ -48,7 +49,15 @@
                 if report.roster_update == Some(RosterUpdate::InParts) {
                     fetch_list(&self.0, report.member.address, report.roster.mark());
                 }
-                collect_and_measure(&self.0, *report)
+                let reporter = report.member.clone();
+                let answer = collect_and_measure(&self.0, *report);
+                if reporter.takes_parts {
+                    fetch_rules(&self.0, reporter.address);
+                }
+                answer
+            }
+            MeshBody::RequestRules(request) => {
+                MeshBody::RulesPart(answer_rules_request(&self.0, &request).map(Box::new))
             }
             MeshBody::RequestPart(ask) => {
                 MeshBody::Part(Box::new(answer_part_request(&self.0, &ask)))
@@ -68,6 +77,7 @@
             MeshBody::Digest(_)
             | MeshBody::Allotted(_)
             | MeshBody::Part(_)
+            | MeshBody::RulesPart(_)
             | MeshBody::Leaving(_)
             | MeshBody::Follow(_)
             | MeshBody::Members(_)
--- a/crates/front/src/mesh/parts.rs
+++ b/crates/front/src/mesh/parts.rs
@@ -6,12 +6,12 @@
 use crate::roster;
 use oleander_kind::TimeSpan;
 use oleander_list::{PartRequest, PartStep, PartsAssembler};
-use oleander_mesh::MeshBody;
+use oleander_mesh::{MemberInfo, MeshBody};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// Timeout for one part. Nothing else waits for it.
-const PART_TIMEOUT: TimeSpan = TimeSpan(400);
+pub(super) const PART_TIMEOUT: TimeSpan = TimeSpan(400);
 /// Interval between fetches of a whole list.
 const FETCH_PERIOD: TimeSpan = TimeSpan(250);
 /// How long one fetch may take. Later the list has been learned in another way, or a new fetch has fewer entries
@@ -20,7 +20,7 @@
 /// Most peers asked in a row that do not have a newer list, or do not send it now.
 const MAX_PEERS_ASKED: usize = 6;
 /// First and longest pause before another peer is asked; doubled each time.
-const PEER_PAUSES: (TimeSpan, TimeSpan) = (TimeSpan(25), TimeSpan(200));
+pub(super) const PEER_PAUSES: (TimeSpan, TimeSpan) = (TimeSpan(25), TimeSpan(200));
 
 /// Starts to fetch the missing part of the list, unless a fetch is under way or started shortly before.
 /// It asks the process at `first`, which has the list as of `list_revision`, and others if that one does
@@ -65,7 +65,7 @@
             PartStep::Joined(parts) => return roster::apply_parts(node, &parts),
             PartStep::TooOld => {
                 pause = node.back_off(pause, longest).await;
-                peer = random_peer(node).map(|address| (address, own_revision + 1));
+                peer = random_peer(node, |_| true).map(|address| (address, own_revision + 1));
                 refused += 1;
             }
         }
@@ -89,11 +89,15 @@
     }
 }
 
-/// A random peer, of the same failure domain if there is one, because traffic between domains is
-/// billed.
-fn random_peer(node: &FrontNode) -> Option<SocketAddr> {
+/// A random peer that is `able`, of the same failure domain if there is one, because traffic between
+/// domains is billed.
+pub(super) fn random_peer(
+    node: &FrontNode,
+    able: impl Fn(&MemberInfo) -> bool,
+) -> Option<SocketAddr> {
     let mesh = node.mesh.borrow();
-    let open: Vec<_> = mesh.view.others().filter(|member| !member.leaving).collect();
+    let others = mesh.view.others().filter(|member| !member.leaving);
+    let open: Vec<_> = others.filter(|member| able(member)).collect();
     let near: Vec<_> =
         open.iter().filter(|member| member.domain == node.settings.domain).copied().collect();
     let from = if near.is_empty() { open } else { near };
--- a/crates/front/src/mesh/report.rs
+++ b/crates/front/src/mesh/report.rs
@@ -4,6 +4,7 @@
 use super::digest::apply_digest;
 use super::make::{LimitContent, make_report};
 use super::parts::fetch_list;
+use super::rules::fetch_rules;
 use super::{MeshState, end_collecting_after_stall, update_fitness};
 use crate::events::event;
 use crate::node::FrontNode;
@@ -266,7 +267,11 @@
             if digest.roster_update == RosterUpdate::InParts {
                 fetch_list(node, digest.from.address, digest.roster.mark());
             }
+            let collector = digest.from.clone();
             apply_digest(node, *digest, (node.clock.now() - sent_at, claimed_at));
+            if collector.takes_parts {
+                fetch_rules(node, collector.address);
+            }
             ReportOutcome::Answered
         }
         Some(MeshBody::Leaving(member)) => {
@@ -285,6 +290,8 @@
             | MeshBody::Allotted(_)
             | MeshBody::RequestPart(_)
             | MeshBody::Part(_)
+            | MeshBody::RequestRules(_)
+            | MeshBody::RulesPart(_)
             | MeshBody::KeepOrigins(_)
             | MeshBody::OriginsKept
             | MeshBody::AskOrigin(_)
--- a/crates/front/src/mesh/state.rs
+++ b/crates/front/src/mesh/state.rs
@@ -54,6 +54,8 @@
     pub(super) fetched_at: Option<ClockTime>,
     /// Whether that fetch is under way.
     pub(super) is_fetching: bool,
+    /// Whether newer rules are being fetched from peers.
+    pub(super) is_fetching_rules: bool,
     /// When this process, as the collector, last asked another one for its newer list.
     pub(super) list_asked_at: Option<ClockTime>,
 }
@@ -81,6 +83,7 @@
             measured_at: None,
             fetched_at: None,
             is_fetching: false,
+            is_fetching_rules: false,
             list_asked_at: None,
         }
     }
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -82,7 +82,7 @@
     pub endpoints_feed: Cell<FeedState>,
     /// The endpoint list as it was read.
     pub roster: RefCell<RosterReplica>,
-    /// Bytes of the list that may be sent to other processes.
+    /// Bytes of the list and of the rules that may be sent to other processes.
     pub list_budget: RefCell<SendBudget>,
     /// The endpoints, with what this process knows of their load and health.
     pub endpoints: RefCell<EndpointBoard>,
@@ -181,6 +181,7 @@
             caller_address: None,
             unreached_services: Vec::new(),
             binds_streams: true,
+            takes_parts: true,
             edition: 0,
         };
         let window = TimeSpan((settings.bounds.usage_window_s * 1000.0) as u64);
--- a/crates/kind/src/code.rs
+++ b/crates/kind/src/code.rs
@@ -113,6 +113,7 @@
     ReleaseWithdrawn = 5105, 409, Unrelated, "the order of a roll-out was changed or removed before it was decided; its version gets nothing";
     EndpointBadWord = 5201, 400, Unrelated, "an endpoint says something of itself that cannot be understood; what was known of it stays";
     PeerBadClaim = 6006, 400, Unrelated, "the peer named more of an account than it was handed; it is left out";
+    PeerBadText = 6007, 400, Unrelated, "the peer sent a piece of the rules that was not asked for, or that is damaged; it is left out";
 }
 
 impl ResultCode {
--- a/crates/kind/src/hash.rs
+++ b/crates/kind/src/hash.rs
@@ -34,7 +34,7 @@
 
 /// Mixes the bits of `value` with the SplitMix64 finalizer, so that similar inputs give unrelated
 /// outputs.
-pub fn mix_bits(value: u64) -> u64 {
+pub const fn mix_bits(value: u64) -> u64 {
     let mut mixed = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
     mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/crates/mesh/src/collector.rs
+++ b/crates/mesh/src/collector.rs
@@ -206,13 +206,17 @@
     ) -> MeshDigest {
         let now = context.now;
         let mine = context.rules_status.version;
+        let by_digest = !report.member.takes_parts;
         MeshDigest {
             from: view.me().clone(),
             members,
             true_time: self.true_time(now).unwrap_or(report.wall),
             rules: context.rules_status.clone(),
             roster: context.roster.status(now),
-            rules_text: context.rules_text.filter(|_| report.rules.version < mine).cloned(),
+            rules_text: context
+                .rules_text
+                .filter(|_| by_digest && report.rules.version < mine)
+                .cloned(),
             roster_update: context.roster.update_for(
                 &report.roster,
                 report.roster_version,
@@ -222,7 +226,7 @@
                 source: context.source,
                 number: context.roster.change_count(),
             },
-            wants_rules: report.rules.version > mine,
+            wants_rules: by_digest && report.rules.version > mine,
             wants_roster: context.roster.lacks(&report.roster, now),
             allotments,
             loads,
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod relay;
 mod report_history;
 pub mod rules;
+pub mod rules_part;
 pub mod signals;
 pub mod view;
 
@@ -38,5 +39,6 @@
 pub use part_sizes::{PartSizes, digest_part_sizes, report_part_sizes};
 pub use relay::{RelayRequest, choose_peer};
 pub use rules::{RulesBook, ToldVersion};
+pub use rules_part::{RulesFetch, RulesPart, RulesRequest, RulesStep};
 pub use signals::{EndpointSignals, RateShare, signals_hash};
 pub use view::{MeshView, collector_capacity, settled_term};
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -3,6 +3,7 @@
 
 use crate::limit_message::{AccountAllotment, AccountClaim, LedgerHandover, LimitRequest};
 use crate::loads::{EndpointLoad, LoadUpdate};
+use crate::rules_part::{RulesPart, RulesRequest};
 use crate::signals::{EndpointSignals, RateShare};
 use compact_str::CompactString;
 use oleander_judge::{BadTrait, EvidenceTally};
@@ -56,6 +57,9 @@
     /// Whether it keeps and tells the versions at which streams began, and binds relayed streams to theirs.
     #[serde(rename = "b", default, skip_serializing_if = "std::ops::Not::not")]
     pub binds_streams: bool,
+    /// Whether it takes and sends rules in parts; the others get them whole with a digest.
+    #[serde(rename = "t", default, skip_serializing_if = "std::ops::Not::not")]
+    pub takes_parts: bool,
     /// Incremented with each change within one incarnation; the highest is the newest.
     #[serde(rename = "n")]
     pub edition: u32,
@@ -279,7 +283,7 @@
     /// Members that recently failed to answer it.
     #[serde(rename = "x")]
     pub unreached: Vec<InstanceId>,
-    /// The rules, if the collector requested them.
+    /// The rules, if a collector requested them that does not take them in parts.
     #[serde(rename = "R")]
     pub rules_text: Option<FeedObject>,
     /// An update of the endpoint list for the collector, if it requested one.
@@ -338,7 +342,7 @@
     /// The status of the collector's endpoint list.
     #[serde(rename = "e")]
     pub roster: RosterStatus,
-    /// The rules, if they are newer than the reporter's.
+    /// The rules, if they are newer than those of a reporter that does not take them in parts.
     #[serde(rename = "R")]
     pub rules_text: Option<FeedObject>,
     /// An update of the reporter's endpoint list.
@@ -347,7 +351,7 @@
     /// The version of the list after the update.
     #[serde(rename = "o")]
     pub roster_version: RosterVersion,
-    /// Whether the next report should carry the rules.
+    /// Whether the next report should carry the rules, of a reporter that does not send them in parts.
     #[serde(rename = "y")]
     pub wants_rules: bool,
     /// Whether the next report should carry the endpoint list.
@@ -435,6 +439,12 @@
     /// The requested part.
     #[serde(rename = "l")]
     Part(Box<RosterPart>),
+    /// A request for a part of the rules.
+    #[serde(rename = "R")]
+    RequestRules(RulesRequest),
+    /// The requested part; `None` if the called process has no newer rules, or does not send them now.
+    #[serde(rename = "P")]
+    RulesPart(Option<Box<RulesPart>>),
     /// The called process cannot collect: it is stopping, as its member info says.
     #[serde(rename = "x")]
     Leaving(MemberInfo),
--- a/crates/mesh/src/rules.rs
+++ b/crates/mesh/src/rules.rs
@@ -1,11 +1,13 @@
 //! The operators' rules of one process: those in force, and when the store last confirmed them.
 
 use crate::message::RulesStatus;
+use oleander_bulk::TextPieces;
 use oleander_call::{CurrentRules, RuleSet};
 use oleander_kind::{ClockTime, InstanceId, TimeSpan};
 use oleander_list::FreshnessStamp;
 use oleander_list::freshness::merge_newer;
 use oleander_plat::FeedObject;
+use std::cell::OnceCell;
 use std::rc::Rc;
 
 /// A version of the rules, higher than the own one, that a peer has in force.
@@ -26,6 +28,8 @@
     text: Option<FeedObject>,
     freshness: Option<FreshnessStamp>,
     told: Option<ToldVersion>,
+    /// The pieces of the text, cut when they are first needed.
+    pieces: OnceCell<Rc<TextPieces>>,
 }
 
 impl RulesBook {
@@ -44,6 +48,12 @@
         self.text.as_ref()
     }
 
+    /// The pieces of that text.
+    pub fn pieces(&self) -> Option<&Rc<TextPieces>> {
+        let text = self.text.as_ref()?;
+        Some(self.pieces.get_or_init(|| Rc::new(TextPieces::of(text.body.clone()))))
+    }
+
     /// When the store last confirmed the rules in force to any process.
     pub fn freshness(&self) -> Option<&FreshnessStamp> {
         self.freshness.as_ref()
@@ -100,6 +110,7 @@
         let newer = self.rules.offer(rules);
         if newer {
             self.text = Some(text.clone());
+            self.pieces = OnceCell::new();
             let version = self.version();
             self.told = self.told.filter(|told| told.version > version);
         }
--- a/crates/oleandertack/src/lib.rs
+++ b/crates/oleandertack/src/lib.rs
@@ -3,6 +3,7 @@
 //! This is the one public crate. The crates behind it are parts; their borders may move.
 
 pub use oleander_board as board;
+pub use oleander_bulk as bulk;
 pub use oleander_bundle as bundle;
 pub use oleander_call as call;
 pub use oleander_claim as claim;
--- a/tests/all/links.rs
+++ b/tests/all/links.rs
@@ -119,6 +119,7 @@
             address: peer.address(),
             unfit: true,
             binds_streams: true,
+            takes_parts: true,
             ..process.node.mesh.borrow().view.me().clone()
         };
         process.node.mesh.borrow_mut().view.take(member, true, now);
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod board;
 mod bounds;
 mod brittle;
+mod bulk;
 mod bundle;
 mod call;
 mod changes;
--- a/tests/all/mesh.rs
+++ b/tests/all/mesh.rs
@@ -31,6 +31,7 @@
         caller_address: None,
         unreached_services: Vec::new(),
         binds_streams: true,
+        takes_parts: true,
         edition: 0,
     }
 }
--- a/tests/all/relaying.rs
+++ b/tests/all/relaying.rs
@@ -376,6 +376,7 @@
     let new = MemberInfo {
         unreached_services: vec!["s".into()],
         binds_streams: true,
+        takes_parts: true,
         caller_address: "127.0.0.1:2".parse().ok(),
         ..member("front-1", "near")
     };
@@ -409,6 +410,7 @@
         caller_address: "127.0.0.1:2".parse().ok(),
         unreached_services: Vec::new(),
         binds_streams: true,
+        takes_parts: true,
         edition: 0,
     }
 }
--- a/tests/all/wide_rules.rs
+++ b/tests/all/wide_rules.rs
@@ -1,9 +1,11 @@
-//! Rules of hundreds of kilobytes, in virtual time: what processes send one another.
+//! Rules of hundreds of kilobytes, in virtual time: what processes send one another when they change, and what a
+//! process does that has not got the newest ones.
 
-use crate::front::RULES;
+use crate::front::{RULES, object};
 use crate::mesh::report;
 use crate::plays::{ProcessGroup, play};
 use oleandertack::front::mesh::MeshPeers;
+use oleandertack::front::rules::{RulesSource, apply_rules};
 use oleandertack::kind::hash::mix_bits;
 use oleandertack::mesh::{MeshBody, MeshDigest, NodeReport, RulesStatus};
 use oleandertack::wire::{PeerHandler, encode_frame};
@@ -28,6 +30,11 @@
     rules.replacen("\"routes\":[", &format!("\"routes\":[{more}"), 1)
 }
 
+/// Bytes that each process has sent to others.
+fn sent_bytes(group: &ProcessGroup) -> Vec<u64> {
+    group.processes.iter().map(|process| process.node.traffic.sent.get()).collect()
+}
+
 /// A group of `count` processes with wide rules of version 8, at rest.
 async fn wide_group(count: usize) -> ProcessGroup {
     let group = ProcessGroup::start(count).await;
@@ -37,11 +44,26 @@
     group
 }
 
+/// The bytes that the processes of `group` send, all and the busiest, until the rules in `text` of `version` are in
+/// force everywhere.
+async fn sent_for(group: &ProcessGroup, version: u64, text: &str) -> (u64, u64) {
+    let before = sent_bytes(group);
+    group.put_rules(text);
+    group.until_rules(version).await;
+    let sent: Vec<u64> =
+        sent_bytes(group).iter().zip(&before).map(|(after, before)| after - before).collect();
+    (sent.iter().sum(), sent.iter().copied().max().unwrap_or(0))
+}
+
 /// The answer of the collector of `group` to a report of a process that has rules of `version`.
 async fn digest_for(group: &ProcessGroup, version: u64) -> MeshDigest {
+    digest_of(group, version, report("front-late")).await
+}
+
+/// The answer of the collector of `group` to `reported` with rules of `version`.
+async fn digest_of(group: &ProcessGroup, version: u64, reported: NodeReport) -> MeshDigest {
     let peers = MeshPeers(group.processes[group.collector()].node.clone());
-    let reported =
-        NodeReport { rules: RulesStatus { version, freshness: None }, ..report("front-late") };
+    let reported = NodeReport { rules: RulesStatus { version, freshness: None }, ..reported };
     match peers.answer(MeshBody::Report(Box::new(reported))).await {
         MeshBody::Digest(digest) => *digest,
         other => panic!("no digest: {other:?}"),
@@ -61,3 +83,80 @@
         assert!(bytes < SMALL_FRAME_BYTES, "{bytes} bytes");
     });
 }
+
+/// Guards against reports that carry the rules because their collector has older ones.
+#[test]
+fn a_collector_with_older_rules_does_not_ask_for_them_in_a_report() {
+    play(async {
+        let group = wide_group(3).await;
+
+        let digest = digest_for(&group, 9).await;
+
+        assert!(!digest.wants_rules);
+    });
+}
+
+/// Guards against a link that is full after each change because the whole rules go to every process, whatever changed.
+#[test]
+fn a_small_change_of_wide_rules_takes_few_bytes_for_each_process() {
+    const MOST_EACH: u64 = 48 << 10;
+    for count in [4, 12] {
+        play(async move {
+            let group = wide_group(count).await;
+            let text = wide_rules(9, ROUTES);
+            let text = text.replace("\"idle-timeout-ms\":5000", "\"idle-timeout-ms\":4000");
+
+            let (all, busiest) = sent_for(&group, 9, &text).await;
+
+            assert!(
+                all < MOST_EACH * count as u64,
+                "{count} processes: {all} bytes, {busiest} of one"
+            );
+        });
+    }
+}
+
+/// Guards against a change of hundreds of kilobytes that takes as much for each process: fifty of them fill the
+/// link of the one that has it first for longer than a change may take.
+#[test]
+fn a_large_change_of_rules_takes_a_fraction_of_their_size_for_each_process() {
+    const COUNT: usize = 12;
+    play(async {
+        let group = wide_group(COUNT).await;
+        let text = wide_rules(9, 2 * ROUTES);
+
+        let (all, busiest) = sent_for(&group, 9, &text).await;
+
+        let most = text.len() as u64 * COUNT as u64 / 6;
+        assert!(all < most, "{all} bytes of {most}, {busiest} of one process");
+    });
+}
+
+/// Guards against processes of a version without parts that do not get the rules from newer ones.
+#[test]
+fn a_process_that_takes_no_parts_gets_the_rules_with_the_answer() {
+    play(async {
+        let group = wide_group(3).await;
+        let mut former = report("front-late");
+        former.member.takes_parts = false;
+
+        let older = digest_of(&group, 7, former.clone()).await;
+        let newer = digest_of(&group, 9, former).await;
+
+        assert!(older.rules_text.is_some() && newer.wants_rules);
+    });
+}
+
+/// Guards against a newer version whose routes nobody gets: text of an object that is not the operators' is no rules.
+#[test]
+fn rules_of_another_object_are_not_put_in_force() {
+    play(async {
+        let group = ProcessGroup::start(1).await;
+        let node = &group.processes[0].node;
+
+        let foreign = object("other", wide_rules(9, 1));
+        apply_rules(node, &foreign, RulesSource::Peer);
+
+        assert_eq!(node.rules.borrow().version(), 7);
+    });
+}
