Requests are refused while newer rules had to be in force that a process has not got

Callers saw requests run by routes of an older version: front-kopli-6 served by version 11 for three seconds after version 14 had to be in force, and its lines said fresh false.

Cause: a process refused what its rules do not know if they might be old, but admitted what they know. That is right while nobody has newer ones; a process that is told of newer ones knows that they had to be in force once its own were last confirmed longer ago than a change may take. Told by reports and digests, which are small now, so the state lasts as long as a fetch.

--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -214,7 +214,11 @@
         answer.mark_relayed(node.dialect.as_ref());
     }
     let rules = node.current_rules();
-    let view = RuleView { rules: rules.as_deref(), fresh: node.rules_are_fresh() };
+    let view = RuleView {
+        rules: rules.as_deref(),
+        fresh: node.rules_are_fresh(),
+        superseded: node.rules_are_superseded(),
+    };
     trace.rules = node.rules.borrow().version();
     trace.fresh = view.fresh;
     let admitted = match admit_call(view, &call) {
--- a/crates/front/src/mesh/rules.rs
+++ b/crates/front/src/mesh/rules.rs
@@ -5,15 +5,10 @@
 use crate::events::event;
 use crate::node::FrontNode;
 use crate::rules::{RulesSource, apply_rules};
-use oleander_kind::TimeSpan;
 use oleander_mesh::{MeshBody, RulesFetch, RulesPart, RulesRequest, RulesStep};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// How long a fetch goes on after a process last said that it has newer rules: two of its reports, with one
-/// that was lost.
-const TOLD_LIFETIME: TimeSpan = TimeSpan(1000);
-
 /// Answers a request for a part of the rules.
 pub(super) fn answer_rules_request(node: &FrontNode, request: &RulesRequest) -> Option<RulesPart> {
     let book = node.rules.borrow();
@@ -60,7 +55,7 @@
     let mut count = FetchCount::default();
     let mut peer = Some(first);
     let (mut pause, longest) = PEER_PAUSES;
-    while is_wanted(node) {
+    while node.rules_are_superseded() {
         let step = match peer {
             Some(address) => fetch_part(node, address, (&mut fetch, &mut count)).await,
             None => RulesStep::AskOther,
@@ -85,12 +80,6 @@
     }
 }
 
-/// Whether a process said lately that it has newer rules.
-fn is_wanted(node: &FrontNode) -> bool {
-    let told = node.rules.borrow().told();
-    told.is_some_and(|told| node.clock.now() - told.at < TOLD_LIFETIME)
-}
-
 async fn fetch_part(
     node: &FrontNode,
     address: SocketAddr,
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -353,6 +353,14 @@
         self.rules_age().is_some_and(|age| age <= limit)
     }
 
+    /// Whether a process said lately that it has newer rules.
+    pub fn rules_are_superseded(&self) -> bool {
+        /// Two reports of a process, with one that was lost.
+        const TOLD_LIFETIME: TimeSpan = TimeSpan(1000);
+        let told = self.rules.borrow().told();
+        told.is_some_and(|told| self.clock.now() - told.at < TOLD_LIFETIME)
+    }
+
     /// Counts a request of `account` that began to run `ago`.
     pub fn note_usage(&self, account: &AccountName, ago: TimeSpan) {
         let now = self.true_now();
--- a/tests/all/call.rs
+++ b/tests/all/call.rs
@@ -50,7 +50,7 @@
 }
 
 fn admit(rules: Option<&RuleSet>, fresh: bool, head: &CallHead) -> Result<(), ResultCode> {
-    admit_call(RuleView { rules, fresh }, head).map(|_| ())
+    admit_call(RuleView { rules, fresh, superseded: false }, head).map(|_| ())
 }
 
 #[test]
--- a/tests/all/wide_rules.rs
+++ b/tests/all/wide_rules.rs
@@ -1,9 +1,9 @@
 //! Rules of hundreds of kilobytes, in virtual time: what processes send one another when they change, and what a
 //! process does that has not got the newest ones.
 
-use crate::front::{RULES, object};
+use crate::front::{RULES, ask, object, request};
 use crate::mesh::report;
-use crate::plays::{ProcessGroup, play};
+use crate::plays::{ProcessGroup, StoreMode, play};
 use oleandertack::front::mesh::MeshPeers;
 use oleandertack::front::rules::{RulesSource, apply_rules};
 use oleandertack::kind::hash::mix_bits;
@@ -17,6 +17,9 @@
 /// The most that a report or its answer may take, whatever the size of the rules.
 const SMALL_FRAME_BYTES: usize = 8 << 10;
 
+/// The code of the refusal of a request, which was not run, because the rules may be outdated.
+const OUTDATED: &str = "1017";
+
 /// Rules of `version` with `routes` more routes than usual.
 fn wide_rules(version: u64, routes: u64) -> String {
     let route = |at: u64| {
@@ -132,6 +135,46 @@
     });
 }
 
+/// Guards against requests that run by rules of which the process knows that newer ones had to be in force by now.
+#[test]
+fn a_process_that_knows_its_rules_to_be_outdated_refuses_requests() {
+    const TOLD_VERSION: u64 = 9;
+    play(async {
+        let group = ProcessGroup::start(1).await;
+        let process = &group.processes[0];
+        let peers = MeshPeers(process.node.clone());
+        group.set_all(StoreMode::Silent);
+        let text = request("POST", "/open/x", "late", "", "");
+        let mut refused = Vec::new();
+
+        for _ in 0..16 {
+            let rules = RulesStatus { version: TOLD_VERSION, freshness: None };
+            let reported = NodeReport { rules, ..report("front-newer") };
+            peers.answer(MeshBody::Report(Box::new(reported))).await;
+            sleep(Duration::from_millis(250)).await;
+            refused.push(ask(process.address(), &text).await.has(OUTDATED));
+        }
+
+        assert_eq!((refused.first(), refused.last()), (Some(&false), Some(&true)), "{refused:?}");
+    });
+}
+
+/// Guards against processes that refuse everything while the store is away, although nobody has newer rules.
+#[test]
+fn a_process_that_knows_of_no_newer_rules_serves_by_old_ones() {
+    play(async {
+        let group = ProcessGroup::start(3).await;
+        group.set_all(StoreMode::Silent);
+        let text = request("POST", "/open/x", "late", "", "");
+
+        sleep(Duration::from_secs(5)).await;
+        let answer = ask(group.processes[0].address(), &text).await;
+
+        assert!(!group.processes[0].node.rules_are_fresh());
+        assert!(!answer.has(OUTDATED), "{}", answer.text);
+    });
+}
+
 /// Guards against processes of a version without parts that do not get the rules from newer ones.
 #[test]
 fn a_process_that_takes_no_parts_gets_the_rules_with_the_answer() {
