A call to the store takes longer as far as its answer arrives

Cause: each call was given up after a second, whatever it carried. An answer that trickles gains nothing.

--- a/tests/all/wide_rules.rs
+++ b/tests/all/wide_rules.rs
@@ -4,13 +4,17 @@
 use crate::front::{RULES, ask, object, request};
 use crate::mesh::report;
 use crate::plays::{ProcessGroup, StoreMode, play};
+use crate::scripted::{Act, scripted};
 use oleandertack::front::mesh::MeshPeers;
 use oleandertack::front::rules::{RulesSource, apply_rules};
 use oleandertack::kind::hash::mix_bits;
 use oleandertack::mesh::{MeshBody, MeshDigest, NodeReport, RulesStatus};
+use oleandertack::outlet::HttpCodec;
+use oleandertack::plat::{FeedKind, FeedStore};
+use oleandertack::platform::StoreClient;
 use oleandertack::wire::{PeerHandler, encode_frame};
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Routes of the wide rules; about 280 KB.
 const ROUTES: u64 = 1400;
@@ -190,6 +194,47 @@
     });
 }
 
+/// What a list of the rules ends with, and how long it took, if its store sends a list of 600 KB in `count` pieces with
+/// `pause` between them.
+async fn list_in_pieces(count: usize, pause: Duration) -> (Result<usize, String>, Duration) {
+    let rules = wide_rules(8, 3000);
+    let text = format!(
+        r#"{{"items":[{{"metadata":{{"name":"main","revision":3}},"spec":{rules}}}],"has-more":false,"as-of":3}}"#
+    );
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", text.len());
+    let pieces = text.as_bytes().chunks(text.len() / count);
+    let say = |piece: &[u8]| Act::Say(String::from_utf8_lossy(piece).into_owned());
+    let script = pieces.flat_map(|piece| [say(piece), Act::Pause(pause)]);
+    let store = scripted(vec![std::iter::once(Act::Say(head)).chain(script).collect()]).await;
+    let client = StoreClient::new(store.address, HttpCodec::default());
+    let began = Instant::now();
+    let listed = client.list(FeedKind::Rules).await;
+    let length = listed.map(|page| page.objects[0].body.len()).map_err(|fault| fault.to_string());
+    (length, began.elapsed())
+}
+
+/// Guards against rules that never arrive on a thin link, because each call for them is given up while they are arriving.
+#[test]
+fn a_large_answer_of_the_store_may_take_longer_than_a_small_one() {
+    play(async {
+        let (length, took) = list_in_pieces(16, Duration::from_millis(125)).await;
+
+        assert!(length.as_ref().is_ok_and(|length| *length > 500_000), "{length:?}");
+        assert!(took > Duration::from_millis(1500), "{took:?}");
+    });
+}
+
+/// Guards against a store that holds a call for as long as it sends a byte now and then.
+#[test]
+fn an_answer_of_the_store_that_trickles_is_given_up() {
+    play(async {
+        let (length, took) = list_in_pieces(10_000, Duration::from_millis(300)).await;
+
+        assert!(length.is_err_and(|fault| fault.contains("bytes of its body arrived")));
+        assert!(took < Duration::from_millis(1500), "{took:?}");
+    });
+}
+
 /// Guards against a newer version whose routes nobody gets: text of an object that is not the operators' is no rules.
 #[test]
 fn rules_of_another_object_are_not_put_in_force() {
