Bytes that are no content of a message are counted, and given up beyond half a megabyte

Callers would have seen 504 after two seconds, and others of the process a busy link, where an endpoint sends something without end that is no answer: heads that announce another head, extensions of a chunk's length, trailers.

Cause: the codec takes such bytes out of its buffer as they come. Bounds were on the buffer and on the content. Change: a link counts what it reads for a request and what of it is content; more than 512 KB and eight times the content between them end it. What is skipped is no content. The same count bounds a caller's body, where extensions and trailers kept a process reading for as long as they came.

--- a/crates/front/src/ingress.rs
+++ b/crates/front/src/ingress.rs
@@ -18,7 +18,7 @@
 use oleander_board::StopStage;
 use oleander_call::CallerBounds;
 use oleander_kind::ResultCode;
-use oleander_outlet::{SocketBounds, configure_socket};
+use oleander_outlet::{OverheadCount, SocketBounds, configure_socket};
 use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
@@ -288,7 +288,7 @@
                 Err(_) => return refused(ResultCode::BadHead),
             }
             match timeout_at(since + bounds.head_timeout.duration(), self.read_more()).await {
-                Ok(read) => read?,
+                Ok(read) => drop(read?),
                 Err(_) if bounds.head_timeout < self.bounds_since(begun).head_timeout => {}
                 Err(_) => return refused(ResultCode::SlowHead),
             }
@@ -310,18 +310,23 @@
         }
         let refused = |code| Err(ConnectionEnd::Refused(code));
         let mut body = BytesMut::new();
+        let mut overhead = OverheadCount::default();
+        overhead.note_read(self.buffer.len());
         let mut since = Instant::now();
         loop {
             let bounds = self.bounds_since(begun);
             match self.codec.decode(&mut self.buffer) {
-                Ok(Some(Message::Chunk(Some(bytes)))) => body.extend_from_slice(&bytes),
+                Ok(Some(Message::Chunk(Some(bytes)))) => {
+                    body.extend_from_slice(&bytes);
+                    overhead.note_content(bytes.len());
+                }
                 Ok(Some(Message::Chunk(None))) => return Ok(body.freeze()),
                 Ok(Some(Message::Item(_))) | Err(_) => return refused(ResultCode::BadHead),
                 Ok(None) => {
                     let until = since + bounds.idle_timeout.duration();
                     match timeout_at(until, self.read_more()).await {
                         Ok(read) => {
-                            read?;
+                            overhead.note_read(read?);
                             since = Instant::now();
                         }
                         Err(_) if bounds.idle_timeout < self.bounds_since(begun).idle_timeout => {}
@@ -329,18 +334,18 @@
                     }
                 }
             }
-            if body.len() > bounds.body_bytes {
+            if body.len() > bounds.body_bytes || overhead.is_exceeded(self.buffer.len()) {
                 return refused(ResultCode::BodyTooLarge);
             }
         }
     }
 
-    /// Reads more bytes of a request.
-    async fn read_more(&mut self) -> Result<(), ConnectionEnd> {
+    /// Reads more bytes of a request; returns how many.
+    async fn read_more(&mut self) -> Result<usize, ConnectionEnd> {
         self.buffer.reserve(READ_SIZE);
         let count = some_bytes(self.stream.read_buf(&mut self.buffer).await)?;
         self.trace.note_read(count);
-        Ok(())
+        Ok(count)
     }
 
     /// Answers one request.
--- a/crates/outlet/src/lib.rs
+++ b/crates/outlet/src/lib.rs
@@ -8,10 +8,12 @@
 
 pub mod dial;
 pub mod link;
+pub mod overhead;
 pub mod pool;
 pub mod socket;
 
 pub use dial::{EndpointDialer, TcpDialer};
 pub use link::{BodyEnd, BodyLink, BodyPart, HttpCodec, IdleLink, LinkError, Result, SentLink};
+pub use overhead::OverheadCount;
 pub use pool::LinkPool;
 pub use socket::{SocketBounds, configure_socket, listen_socket, set_reset_on_close};
--- a/crates/outlet/src/link.rs
+++ b/crates/outlet/src/link.rs
@@ -2,6 +2,7 @@
 //!
 //! Dropping a link in any state closes its connection, which is how a request is cancelled.
 
+use crate::overhead::OverheadCount;
 use crate::socket::{SocketBounds, configure_socket};
 use actix_codec::{Decoder, Encoder};
 use actix_http::body::BodySize;
@@ -79,6 +80,8 @@
 pub struct IdleLink {
     stream: TcpStream,
     buffer: BytesMut,
+    /// What was read since the last request was sent.
+    overhead: OverheadCount,
     answers: u32,
     idle_since: Instant,
 }
@@ -113,8 +116,8 @@
         let late = |_| LinkError::ConnectFailed(io::ErrorKind::TimedOut.into());
         let stream = connecting.map_err(late)?.map_err(LinkError::ConnectFailed)?;
         configure_socket(&stream, bounds).map_err(LinkError::ConnectFailed)?;
-        let buffer = BytesMut::new();
-        Ok(IdleLink { stream, buffer, answers: 0, idle_since: Instant::now() })
+        let (buffer, overhead) = (BytesMut::new(), OverheadCount::default());
+        Ok(IdleLink { stream, buffer, overhead, answers: 0, idle_since: Instant::now() })
     }
 
     /// Number of complete answers received on this connection.
@@ -142,7 +145,8 @@
     ///
     /// # Errors
     /// [`LinkError::Malformed`] if the head cannot be encoded as HTTP/1.1.
-    pub fn send(self, codec: &HttpCodec, head: RequestHead, body: Bytes) -> Result<SentLink> {
+    pub fn send(mut self, codec: &HttpCodec, head: RequestHead, body: Bytes) -> Result<SentLink> {
+        self.overhead = OverheadCount::default();
         let mut coder = ClientCodec::new(codec.config.clone());
         let head_only = head.method == Method::HEAD;
         let length = match (body.is_empty(), &head.method) {
@@ -158,6 +162,17 @@
     }
 }
 
+impl IdleLink {
+    /// Counts bytes that were read.
+    fn note_read(&mut self, count: usize) -> Result<()> {
+        self.overhead.note_read(count);
+        if self.overhead.is_exceeded(self.buffer.len()) {
+            return Err(LinkError::Malformed("too many bytes that are no answer".to_owned()));
+        }
+        Ok(())
+    }
+}
+
 /// A connection with a request in flight whose answer has not started.
 pub struct SentLink {
     link: IdleLink,
@@ -210,7 +225,7 @@
         };
         match read {
             Ok(0) => Err(unexpected_eof()),
-            Ok(_) => Ok(()),
+            Ok(count) => self.link.note_read(count),
             Err(fault) => Err(LinkError::Interrupted(fault)),
         }
     }
@@ -324,6 +339,14 @@
     /// [`LinkError::Interrupted`] if the connection ended too early or broke,
     /// [`LinkError::Malformed`] if the framing is invalid.
     pub async fn next(&mut self) -> Result<BodyPart> {
+        let part = self.next_part().await?;
+        if let BodyPart::Bytes(bytes) = &part {
+            self.link.overhead.note_content(bytes.len());
+        }
+        Ok(part)
+    }
+
+    async fn next_part(&mut self) -> Result<BodyPart> {
         loop {
             match &mut self.framing {
                 BodyFraming::Ended(end) => return Ok(BodyPart::End(*end)),
@@ -352,13 +375,13 @@
         }
     }
 
-    /// Reads the rest of the body without keeping it.
+    /// Reads the rest of the body without keeping it. None of it counts as content, so a body without end is given up.
     ///
     /// # Errors
     /// As [`next`](Self::next).
     pub async fn skip(&mut self) -> Result<BodyEnd> {
         loop {
-            if let BodyPart::End(end) = self.next().await? {
+            if let BodyPart::End(end) = self.next_part().await? {
                 return Ok(end);
             }
         }
@@ -366,7 +389,10 @@
 
     async fn read_more(&mut self) -> Result<usize> {
         self.link.buffer.reserve(READ_SIZE);
-        self.link.stream.read_buf(&mut self.link.buffer).await.map_err(LinkError::Interrupted)
+        let read = self.link.stream.read_buf(&mut self.link.buffer).await;
+        let count = read.map_err(LinkError::Interrupted)?;
+        self.link.note_read(count)?;
+        Ok(count)
     }
 
     fn is_stated(&self) -> bool {
--- a/tests/all/front.rs
+++ b/tests/all/front.rs
@@ -137,7 +137,7 @@
 
 /// A process in failure domain `near` with these endpoints. The first endpoint is in the same domain and
 /// the others are in `far`, so that the first is preferred.
-async fn front(endpoints: &[SocketAddr]) -> (FrontProcess, SocketAddr) {
+pub async fn front(endpoints: &[SocketAddr]) -> (FrontProcess, SocketAddr) {
     front_with_store(Box::new(static_store(endpoints))).await
 }
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -16,6 +16,7 @@
 mod docs;
 mod duty;
 mod ending;
+mod endless;
 mod eras;
 mod errors;
 mod evidence;
--- a/tests/all/scripted.rs
+++ b/tests/all/scripted.rs
@@ -14,6 +14,8 @@
 pub enum Act {
     /// Writes these bytes; `{id}` is replaced by the request id.
     Say(String),
+    /// Writes these bytes again and again until the peer closes the connection, and counts them.
+    Repeat(String),
     /// Does nothing for a while.
     Pause(Duration),
     /// Closes the connection in an orderly way.
@@ -52,6 +54,8 @@
     pub connections: usize,
     /// Connections that the peer closed during [`Act::AwaitClose`].
     pub left: usize,
+    /// Bytes written by [`Act::Repeat`].
+    pub repeated: usize,
 }
 
 /// An endpoint with scripted answers.
@@ -97,6 +101,15 @@
                         return;
                     }
                 }
+                Act::Repeat(text) => {
+                    let block = text.replace("{id}", &id).repeat(1 + 4096 / text.len());
+                    while stream.write_all(block.as_bytes()).await.is_ok() {
+                        seen.borrow_mut().repeated += block.len();
+                        // The endpoint and the process that reads share a thread.
+                        tokio::task::yield_now().await;
+                    }
+                    return;
+                }
                 Act::Pause(time) => sleep(*time).await,
                 Act::Close => return,
                 Act::Reset => {
