--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -214,3 +214,19 @@
     assert!(report.kept.0 > 0, "{:?}", report.kept);
     remove_logs(settings);
 }
+
+/// Guards against rules that come late or lose answers where they are wide and links are thin, and against endpoints that
+/// are read without end, beside late failures and planned stops.
+#[test]
+fn what_was_read_is_answered_while_wide_rules_change_and_endpoints_answer_without_end() {
+    let (faults, planned) = (Duration::ZERO, Duration::from_secs(8));
+    let settings = SoakSettings { faults, planned, ..settings(24_000) };
+
+    let report = play(&settings);
+
+    assert_kept(&report);
+    assert_served(&report);
+    assert!(report.made.iter().any(|made| made.contains("routes more")), "{:#?}", report.made);
+    assert!(report.endless > 0, "no answer without end");
+    remove_logs(settings);
+}
