Rules that were fetched and cannot be read are not fetched again at once

Callers would have seen a busy link for as long as two versions of the software run beside each other, if the newer one's rules cannot be read by the older: found by reading, before it landed.

Cause: a process that is told of newer rules fetched them again as soon as it had them whole, since its own version stayed as it was; and a part that named a newer version without its plan counted as progress. Change: a version that did not come into force is not fetched for five seconds; a newer plan counts, not a newer version.

--- a/crates/front/src/mesh/rules.rs
+++ b/crates/front/src/mesh/rules.rs
@@ -5,6 +5,7 @@
 use crate::events::event;
 use crate::node::FrontNode;
 use crate::rules::{RulesSource, apply_rules};
+use oleander_kind::TimeSpan;
 use oleander_mesh::{MeshBody, RulesFetch, RulesPart, RulesRequest, RulesStep};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -25,6 +26,10 @@
     Some(part)
 }
 
+/// How long rules that were received and did not come into force are not fetched again. A process that reads another
+/// format may be told of them for as long as it runs.
+const UNREADABLE_PAUSE: TimeSpan = TimeSpan(5000);
+
 /// What a fetch received.
 #[derive(Debug, Default)]
 struct FetchCount {
@@ -36,10 +41,16 @@
 /// Starts to fetch the rules that a peer is known to have, unless a fetch is under way. It asks the process at
 /// `first`, and others if that one does not send them now.
 pub(super) fn fetch_rules(node: &Rc<FrontNode>, first: SocketAddr) {
-    if node.rules.borrow().told().is_none() || node.mesh.borrow().is_fetching_rules {
+    let Some(told) = node.rules.borrow().told() else { return };
+    let mut mesh = node.mesh.borrow_mut();
+    let is_barred = mesh
+        .unreadable_rules
+        .is_some_and(|(version, until)| told.version <= version && node.clock.now() < until);
+    if is_barred || mesh.is_fetching_rules {
         return;
     }
-    node.mesh.borrow_mut().is_fetching_rules = true;
+    mesh.is_fetching_rules = true;
+    drop(mesh);
     let node = node.clone();
     actix_rt::spawn(async move {
         fetch(&node, first).await;
@@ -73,7 +84,13 @@
                 event!(node, RulesFetched;
                     "ms" => (node.clock.now() - began).0, "bytes" => count.bytes,
                     "parts" => count.parts, "refused" => count.refused);
+                let version = fetch.version();
                 apply_rules(node, &object, RulesSource::Peer);
+                if node.rules.borrow().version() < version {
+                    let until = node.clock.now() + UNREADABLE_PAUSE;
+                    node.mesh.borrow_mut().unreadable_rules = Some((version, until));
+                    return;
+                }
                 fetch = RulesFetch::default();
             }
         }
--- a/crates/front/src/mesh/state.rs
+++ b/crates/front/src/mesh/state.rs
@@ -56,6 +56,8 @@
     pub(super) is_fetching: bool,
     /// Whether newer rules are being fetched from peers.
     pub(super) is_fetching_rules: bool,
+    /// The version of rules that were fetched and did not come into force, and until when they are not fetched again.
+    pub(super) unreadable_rules: Option<(u64, ClockTime)>,
     /// When this process, as the collector, last asked another one for its newer list.
     pub(super) list_asked_at: Option<ClockTime>,
 }
@@ -84,6 +86,7 @@
             fetched_at: None,
             is_fetching: false,
             is_fetching_rules: false,
+            unreadable_rules: None,
             list_asked_at: None,
         }
     }
--- a/crates/mesh/src/rules_part.rs
+++ b/crates/mesh/src/rules_part.rs
@@ -100,6 +100,11 @@
 }
 
 impl RulesFetch {
+    /// The version of the plan; 0 without one.
+    pub fn version(&self) -> u64 {
+        self.planned
+    }
+
     /// The next request of a process that has version `own` in force.
     pub fn request(&self, own: u64) -> RulesRequest {
         RulesRequest { own, planned: self.planned, pieces: self.assembler.missing(MAX_ASKED) }
@@ -114,8 +119,9 @@
         part: RulesPart,
         own: Option<&TextPieces>,
     ) -> oleander_bulk::Result<RulesStep> {
-        let is_newer = part.version > self.planned;
-        if let Some(plan) = part.plan.filter(|_| is_newer) {
+        let newer = part.plan.filter(|_| part.version > self.planned);
+        let is_newer = newer.is_some();
+        if let Some(plan) = newer {
             self.assembler.set_plan(plan, own)?;
             (self.planned, self.name, self.revision) = (part.version, part.name, part.revision);
         }
--- a/tests/all/wide_rules.rs
+++ b/tests/all/wide_rules.rs
@@ -5,6 +5,7 @@
 use crate::mesh::report;
 use crate::plays::{ProcessGroup, StoreMode, play};
 use crate::scripted::{Act, scripted};
+use oleandertack::call::{CallerBounds, RuleSet};
 use oleandertack::front::mesh::MeshPeers;
 use oleandertack::front::rules::{RulesSource, apply_rules};
 use oleandertack::kind::hash::mix_bits;
@@ -235,6 +236,26 @@
     });
 }
 
+/// Guards against rules that a process cannot read and fetches again and again, because the peer that has them goes on
+/// saying so.
+#[test]
+fn rules_that_cannot_be_read_are_not_fetched_again_at_once() {
+    const ONCE_AND_REPORTS: u64 = 400 << 10;
+    play(async {
+        let group = ProcessGroup::start(2).await;
+        let node = &group.processes[group.collector()].node;
+        let unreadable = object("main", wide_rules(9, ROUTES).replace("timeout-ms", "time"));
+        let rules = RuleSet::new(9, CallerBounds::default());
+        assert!(node.rules.borrow_mut().offer(rules, &unreadable));
+        let before: u64 = sent_bytes(&group).iter().sum();
+
+        sleep(Duration::from_secs(3)).await;
+
+        let sent = sent_bytes(&group).iter().sum::<u64>() - before;
+        assert!(sent < ONCE_AND_REPORTS, "{sent} bytes");
+    });
+}
+
 /// Guards against a newer version whose routes nobody gets: text of an object that is not the operators' is no rules.
 #[test]
 fn rules_of_another_object_are_not_put_in_force() {
