--- a/crates/front/src/admin.rs
+++ b/crates/front/src/admin.rs
@@ -56,7 +56,7 @@
         "store_era": node.store_era.get().map(|era| era.0),
         "rules_version": rules.version(),
         "rules_fresh": node.rules_are_fresh(),
-        "rules_told": rules.told().map(|told| told.version),
+        "rules_told": rules.told(node.clock.now()).map(|told| told.version),
         "rules_feed": feed(node.rules_feed.get(), rules.freshness()),
         "endpoints_feed": feed(node.endpoints_feed.get(), roster.freshness()),
         "list_unsettled_ms": status.unsettled.map(|left| left.0),
--- a/crates/front/src/mesh/rules.rs
+++ b/crates/front/src/mesh/rules.rs
@@ -10,6 +10,10 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+/// How long rules that were received and did not come into force are not fetched again. A process that reads another
+/// format may be told of them for as long as it runs.
+const UNREADABLE_PAUSE: TimeSpan = TimeSpan(5000);
+
 /// Answers a request for a part of the rules.
 pub(super) fn answer_rules_request(node: &FrontNode, request: &RulesRequest) -> Option<RulesPart> {
     let book = node.rules.borrow();
@@ -26,10 +30,6 @@
     Some(part)
 }
 
-/// How long rules that were received and did not come into force are not fetched again. A process that reads another
-/// format may be told of them for as long as it runs.
-const UNREADABLE_PAUSE: TimeSpan = TimeSpan(5000);
-
 /// What a fetch received.
 #[derive(Debug, Default)]
 struct FetchCount {
@@ -41,11 +41,12 @@
 /// Starts to fetch the rules that a peer is known to have, unless a fetch is under way. It asks the process at
 /// `first`, and others if that one does not send them now.
 pub(super) fn fetch_rules(node: &Rc<FrontNode>, first: SocketAddr) {
-    let Some(told) = node.rules.borrow().told() else { return };
+    let now = node.clock.now();
+    let Some(told) = node.rules.borrow().told(now) else { return };
     let mut mesh = node.mesh.borrow_mut();
     let is_barred = mesh
         .unreadable_rules
-        .is_some_and(|(version, until)| told.version <= version && node.clock.now() < until);
+        .is_some_and(|(version, until)| told.version <= version && now < until);
     if is_barred || mesh.is_fetching_rules {
         return;
     }
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -355,10 +355,7 @@
 
     /// Whether a process said lately that it has newer rules.
     pub fn rules_are_superseded(&self) -> bool {
-        /// Two reports of a process, with one that was lost.
-        const TOLD_LIFETIME: TimeSpan = TimeSpan(1000);
-        let told = self.rules.borrow().told();
-        told.is_some_and(|told| self.clock.now() - told.at < TOLD_LIFETIME)
+        self.rules.borrow().told(self.clock.now()).is_some()
     }
 
     /// Counts a request of `account` that began to run `ago`.
--- a/crates/front/src/rules.rs
+++ b/crates/front/src/rules.rs
@@ -34,7 +34,7 @@
     match node.dialect.decode_rules(object) {
         Ok(rules) => {
             let version = rules.version();
-            let told = node.rules.borrow().told();
+            let told = node.rules.borrow().told(node.clock.now());
             if node.rules.borrow_mut().offer(rules, object) {
                 node.rules_changed.notify_waiters();
                 let behind = told.map(|told| node.clock.now() - told.since);
--- a/crates/mesh/src/rules.rs
+++ b/crates/mesh/src/rules.rs
@@ -10,12 +10,15 @@
 use std::cell::OnceCell;
 use std::rc::Rc;
 
+/// How long a told version counts: two reports of a process, with one that was lost.
+const TOLD_LIFETIME: TimeSpan = TimeSpan(1000);
+
 /// A version of the rules, higher than the own one, that a peer has in force.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ToldVersion {
     /// The highest version told of.
     pub version: u64,
-    /// When a peer first told of any version higher than the own one.
+    /// When a peer first told of any version higher than the own one, and none ceased to since.
     pub since: ClockTime,
     /// When a peer last told of one.
     pub at: ClockTime,
@@ -76,9 +79,9 @@
         merge_newer(&mut self.freshness, FreshnessStamp { mark, at, by });
     }
 
-    /// The version that peers told of, if it is higher than the one in force.
-    pub fn told(&self) -> Option<ToldVersion> {
-        self.told
+    /// The version that peers told of lately, if it is higher than the one in force.
+    pub fn told(&self, now: ClockTime) -> Option<ToldVersion> {
+        self.told.filter(|told| now - told.at < TOLD_LIFETIME)
     }
 
     /// Notes the version that a peer has in force; returns whether it is the first higher one, or
@@ -87,7 +90,7 @@
         if version <= self.version() {
             return false;
         }
-        let before = self.told;
+        let before = self.told(now);
         self.told = Some(ToldVersion {
             version: version.max(before.map_or(0, |told| told.version)),
             since: before.map_or(now, |told| told.since),
--- a/tests/all/bulk.rs
+++ b/tests/all/bulk.rs
@@ -1,11 +1,13 @@
 //! Tests of large texts that processes pass to one another in pieces.
 
 use crate::front::object;
+use crate::mesh::NOW;
 use bytes::Bytes;
 use oleandertack::bulk::{
     BulkError, MAX_TEXT_BYTES, PackedPiece, PieceDigest, PieceMark, TextAssembler, TextPieces,
 };
 use oleandertack::call::{CallerBounds, RuleSet};
+use oleandertack::kind::TimeSpan;
 use oleandertack::kind::hash::mix_bits;
 use oleandertack::mesh::{RulesBook, RulesFetch, RulesRequest, RulesStep};
 
@@ -168,3 +170,21 @@
 
     assert_eq!(sent, [true, false, false]);
 }
+
+/// Guards against a process that refuses requests for a version that a peer told of and that nobody has any more, and against
+/// lines that count the time since then.
+#[test]
+fn a_told_version_counts_only_while_it_is_told() {
+    let mut book = book(8, "rules");
+
+    let first = book.note_told(9, NOW);
+    let repeated = book.note_told(9, NOW + TimeSpan(900));
+    let since = book.told(NOW + TimeSpan(1800)).map(|told| told.since);
+    let forgotten = book.told(NOW + TimeSpan(1900));
+    let again = book.note_told(9, NOW + TimeSpan(5000));
+
+    assert_eq!((first, repeated, again), (true, false, true));
+    assert_eq!((since, forgotten), (Some(NOW), None));
+    let told = book.told(NOW + TimeSpan(5000)).map(|told| told.since);
+    assert_eq!(told, Some(NOW + TimeSpan(5000)));
+}
