A watch whose answer is arriving is not taken for silent

A watch was given up when the data were half as old as a change may take, though its answer was arriving, and the whole rules were asked for again: what was too long the first time was sent again, and late was taken for dead. After an answer that took long the data count as old as the moment at which it was asked for, so the next watch was given up at once, and all of it was listed once more. Change: a watch goes on while 32 KB of its answer arrive in a quarter of a second; the call's own time bounds it. A watch that begins with old data waits for 50 ms only, and its answer confirms them.

--- a/crates/front/src/feeds.rs
+++ b/crates/front/src/feeds.rs
@@ -20,6 +20,9 @@
 /// one without changes. This costs two calls a second of one process; shorter waits of all
 /// followers would cost eight.
 const LEADER_WATCH_WAIT: TimeSpan = TimeSpan(500);
+/// The wait of a watch that only confirms what an answer said a while ago; shorter than the time for which a watch
+/// may run, however old the data.
+const CONFIRM_WATCH_WAIT: TimeSpan = TimeSpan(50);
 /// The shortest time for which a watch may run, however old the feed data is.
 const MIN_WATCH_TIME: TimeSpan = TimeSpan(100);
 /// Interval between checks of whether this process has to watch the store itself.
@@ -87,7 +90,7 @@
             continue;
         }
         let sent = node.clock.now();
-        let wait = TimeSpan(watch_wait(node).0 - batched.0);
+        let wait = TimeSpan(watch_wait(node, kind).0.saturating_sub(batched.0));
         batched = TimeSpan(0);
         let fault = match from.filter(|point| point.era >= era::known_era(node)) {
             None => match list(node, kind).await {
@@ -152,7 +155,13 @@
 }
 
 /// How long the next watch waits.
-fn watch_wait(node: &FrontNode) -> TimeSpan {
+///
+/// An answer that took long to arrive says what the store had when it was asked. A short watch after it confirms
+/// that, where a list would bring all of it again.
+fn watch_wait(node: &FrontNode, kind: FeedKind) -> TimeSpan {
+    if mesh::remaining_freshness(node, kind, |limits| limits.watcher).is_none() {
+        return CONFIRM_WATCH_WAIT;
+    }
     if mesh::is_watch_leader(node) { LEADER_WATCH_WAIT } else { WATCH_WAIT }
 }
 
@@ -180,11 +189,27 @@
     }
 }
 
-/// Returns when the feed data of this process is older than a watching process may let it become.
+/// Returns when the feed data of this process is older than a watching process may let it become, and no answer to its
+/// watch is arriving.
+///
+/// A large answer takes a while on a thin link. Asked for again, it would take as long again.
 async fn until_stale(node: &FrontNode, kind: FeedKind) {
+    /// Between two looks at what has arrived.
+    const LOOK_PERIOD: TimeSpan = TimeSpan(250);
+    /// The least that arrives of an answer between them: a tenth of a link of 10 Mbit/s.
+    const ARRIVING_BYTES: usize = 32 << 10;
     actix_rt::time::sleep(MIN_WATCH_TIME.duration()).await;
-    while let Some(left) = mesh::remaining_freshness(node, kind, |limits| limits.watcher) {
-        actix_rt::time::sleep(left.duration()).await;
+    let mut arrived = 0;
+    loop {
+        while let Some(left) = mesh::remaining_freshness(node, kind, |limits| limits.watcher) {
+            actix_rt::time::sleep(left.duration()).await;
+        }
+        let before = std::mem::replace(&mut arrived, node.store.watch_arrived(kind));
+        let least = if before == 0 { 1 } else { before + ARRIVING_BYTES };
+        if arrived < least {
+            return;
+        }
+        actix_rt::time::sleep(LOOK_PERIOD.duration()).await;
     }
 }
 
--- a/crates/plat/src/feed.rs
+++ b/crates/plat/src/feed.rs
@@ -122,6 +122,12 @@
         wait: TimeSpan,
     ) -> LocalBoxFuture<'_, Result<WatchOutcome>>;
 
+    /// The bytes of the answer to the last watch of `kind` that have arrived, to tell a silent store from a large
+    /// answer. The default, for stores without connections, is none.
+    fn watch_arrived(&self, _kind: FeedKind) -> usize {
+        0
+    }
+
     /// Writes the status of an operators' object if the object still has this revision. The default, for stores
     /// without such objects, refuses.
     fn write_status<'a>(
--- a/tests/all/wide_rules.rs
+++ b/tests/all/wide_rules.rs
@@ -1,20 +1,29 @@
 //! Rules of hundreds of kilobytes, in virtual time: what processes send one another when they change, and what a
 //! process does that has not got the newest ones.
 
-use crate::front::{RULES, ask, object, request};
+use crate::front::{RULES, ask, front_with, object, request};
 use crate::mesh::report;
 use crate::plays::{ProcessGroup, StoreMode, play};
-use crate::scripted::{Act, scripted};
+use crate::scripted::{Act, read_request, scripted};
+use bytes::BytesMut;
+use oleandertack::board::NodeClock;
 use oleandertack::call::{CallerBounds, RuleSet};
+use oleandertack::conf::FrontBounds;
+use oleandertack::front::FrontPorts;
 use oleandertack::front::mesh::MeshPeers;
 use oleandertack::front::rules::{RulesSource, apply_rules};
 use oleandertack::kind::hash::mix_bits;
 use oleandertack::mesh::{MeshBody, MeshDigest, NodeReport, RulesStatus};
-use oleandertack::outlet::HttpCodec;
+use oleandertack::outlet::{HttpCodec, TcpDialer};
 use oleandertack::plat::{FeedKind, FeedStore};
 use oleandertack::platform::StoreClient;
 use oleandertack::wire::{PeerHandler, encode_frame};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep};
 
 /// Routes of the wide rules; about 280 KB.
@@ -256,6 +265,86 @@
     });
 }
 
+/// A store whose lists are short and whose first change of the rules arrives in 24 pieces, 125 ms apart; returns its
+/// address and how often the rules were asked for.
+async fn slow_store() -> (SocketAddr, Rc<Cell<u32>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let asked = Rc::new(Cell::new(0));
+    let counted = asked.clone();
+    actix_rt::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            stream.set_nodelay(true).expect("an open connection");
+            actix_rt::spawn(answer_calls(stream, counted.clone()));
+        }
+    });
+    (address, asked)
+}
+
+async fn answer_calls(mut stream: TcpStream, asked: Rc<Cell<u32>>) {
+    const PIECES: usize = 24;
+    let mut buffer = BytesMut::new();
+    while let Some(request) = read_request(&mut stream, &mut buffer).await {
+        let is_rules = request.head.contains("/objects/config");
+        let is_watch = request.head.contains("watch=");
+        let is_first_watch = request.head.contains("watch=3&");
+        asked.set(asked.get() + u32::from(is_rules));
+        let object = |rules: &str| {
+            format!(r#"{{"metadata":{{"name":"main","revision":3}},"spec":{rules}}}"#)
+        };
+        let body = match (is_rules, is_watch) {
+            (true, true) if is_first_watch => {
+                format!(r#"{{"events":[{{"object":{}}}],"as-of":4}}"#, object(&wide_rules(8, 4200)))
+            }
+            (true, true) => {
+                let (_, wait) = request.head.split_once("wait-ms=").expect("a time to wait");
+                let digits = wait.split(' ').next().unwrap_or_default();
+                sleep(Duration::from_millis(digits.parse().expect("milliseconds"))).await;
+                r#"{"events":[],"as-of":4}"#.to_owned()
+            }
+            (true, false) => {
+                format!(r#"{{"items":[{}],"has-more":false,"as-of":3}}"#, object(RULES))
+            }
+            (false, true) => return std::future::pending().await,
+            (false, false) => r#"{"items":[],"has-more":false,"as-of":3}"#.to_owned(),
+        };
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        let pieces = if is_rules && is_first_watch { PIECES } else { 1 };
+        let mut written = stream.write_all(head.as_bytes()).await;
+        for piece in body.as_bytes().chunks(body.len().div_ceil(pieces)) {
+            if written.is_err() {
+                return;
+            }
+            if pieces > 1 {
+                sleep(Duration::from_millis(125)).await;
+            }
+            written = stream.write_all(piece).await;
+        }
+    }
+}
+
+/// Guards against a watch that is taken for silent while its answer arrives: the whole rules are asked for again, and
+/// the change is lost that was nearly there.
+#[test]
+fn a_watch_whose_large_answer_arrives_is_not_taken_for_silent() {
+    play(async {
+        let (address, asked) = slow_store().await;
+        let ports = FrontPorts {
+            store: Box::new(StoreClient::new(address, HttpCodec::default())),
+            cloud: None,
+            dialer: Rc::new(TcpDialer::default()),
+            clock: NodeClock::from_runtime(),
+        };
+        let (process, _) = front_with(ports, FrontBounds::default()).await;
+
+        sleep(Duration::from_millis(3500)).await;
+
+        assert_eq!(process.node.rules.borrow().version(), 8);
+        // One list, the watch, one that confirms what it brought, and the next.
+        assert!(asked.get() <= 4, "{} calls", asked.get());
+    });
+}
+
 /// Guards against a newer version whose routes nobody gets: text of an object that is not the operators' is no rules.
 #[test]
 fn rules_of_another_object_are_not_put_in_force() {
