--- a/tests/all/bulk.rs
+++ b/tests/all/bulk.rs
@@ -100,7 +100,7 @@
 }
 
 /// The rules of a process at this version, whose text is `text`.
-fn book(version: u64, text: &str) -> RulesBook {
+pub fn book(version: u64, text: &str) -> RulesBook {
     let mut book = RulesBook::default();
     let rules = RuleSet::new(version, CallerBounds::default());
     assert!(book.offer(rules, &object("main", text.to_owned())));
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -69,6 +69,7 @@
 mod size;
 mod soak;
 mod speaking;
+mod spread;
 mod stopping;
 mod suspect;
 mod trace;
--- a/tests/all/wide_rules.rs
+++ b/tests/all/wide_rules.rs
@@ -35,7 +35,7 @@
 const OUTDATED: &str = "1017";
 
 /// Rules of `version` with `routes` more routes than usual.
-fn wide_rules(version: u64, routes: u64) -> String {
+pub fn wide_rules(version: u64, routes: u64) -> String {
     let route = |at: u64| {
         let name = format!("{:013x}", mix_bits(at));
         format!(
