--- a/tests/all/spread.rs
+++ b/tests/all/spread.rs
@@ -93,7 +93,7 @@
 
     /// Asks for the next part at `now`; returns when the process asks again, unless it has the rules then.
     fn ask(&mut self, at: usize, now: u64) -> Option<u64> {
-        let first = self.processes[at].refused % 2 == 0;
+        let first = self.processes[at].refused.is_multiple_of(2);
         let peer = if first { 0 } else { self.random(self.processes.len()) };
         let request = self.processes[at].fetch.request(self.older.version());
         let sender = &mut self.processes[peer];
