Plain services with fewer places than processes are dispatched while room is short

Cause: nobody decides how many requests are at a plain endpoint. Each of 77 processes knows of the others' requests 250 ms late and more, of a request that takes 30 ms; under overload the endpoint's own queue of 24 stands full, so that half of what it runs is late, and 45 % of what is sent is refused after a try.

Change: while more than 0.6 of the places are in use, three or more processes dispatch the service (crate dispatch, place::PlaceShare, front::dispatch): each has a fixed part of the places at each endpoint, the others relay to it. What finds no place waits in a line bounded by the objective, by rank and due time, or is refused on arrival with a time to come back; in a full line the account that took most makes room. Lines of requests name account and rank. The setting `dispatch` switches it on; services with a place for each process, engines, and endpoints that signal what they take are as before.

Measured in virtual time, 60 processes (tests/all/dispatch.rs), in time of what one queue would serve: one endpoint at 1.3 of its room 22 of 160 before, 150 now; two at 0.8 229 of 258 before, 246 of 250 now (callers spread more evenly).

--- a/crates/conf/src/front.rs
+++ b/crates/conf/src/front.rs
@@ -38,6 +38,10 @@
     /// CPU quota of this instance, in cores.
     #[serde(default = "default_cores")]
     pub cores: f64,
+    /// Whether a few processes send all requests of a service that has fewer places than there are processes,
+    /// while its room is short.
+    #[serde(default)]
+    pub dispatch: bool,
     /// Timing and rate bounds that the operators set.
     pub bounds: FrontBounds,
 }
--- a/crates/front/src/admin.rs
+++ b/crates/front/src/admin.rs
@@ -1,5 +1,6 @@
 //! Admin pages for operators: metrics and a dump of the state.
 
+use crate::dispatch;
 use crate::limits;
 use crate::node::FrontNode;
 use crate::releases::RunningOrder;
@@ -67,6 +68,7 @@
         "endpoints": dump_endpoints(node),
         "releases": dump_releases(node),
         "limits": limits::dump_limits(node, &mesh),
+        "dispatch": dispatch::dump_dispatch(node),
         "origins": dump_origins(node),
         "suspects": node.suspects.borrow().len(),
         "shared_suspects": dump_suspects(node),
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -72,12 +72,14 @@
 impl CallContext<'_, '_> {
     /// Sends the request to the chosen endpoint and passes on its answer.
     pub async fn attempt(&mut self, choice: PlacementChoice) -> AttemptOutcome {
+        let held_place = self.held_place.take();
         let Some(target) =
             self.target(choice.key).filter(|_| self.spend_endpoint_limit(choice.key))
         else {
             return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
         };
         let work = self.begin_work(&target, &choice);
+        drop(held_place);
         self.run_attempt((target, choice), work, None).await
     }
 
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -4,12 +4,13 @@
 //! result of each attempt to them as an [`AttemptEnd`].
 
 use crate::answer::{AnswerStage, AnswerWriter};
+use crate::dispatch::{self, HeldPlace};
 use crate::events::event;
 use crate::ingress::CallerRequest;
 use crate::limits::{self, QuotaCharge};
 use crate::node::FrontNode;
 use crate::origins::{self, StreamBinding};
-use crate::relay::{self, NextHop};
+use crate::relay::{self, NextHop, RelayCause};
 use crate::releases::CandidatePayment;
 use crate::standby::StandbyAttempt;
 use crate::suspects;
@@ -138,8 +139,11 @@
     pub(crate) peer: Option<InstanceId>,
     /// Whether that peer may be serving it now.
     pub(crate) peer_in_flight: bool,
-    /// Whether the next attempt goes to a peer. It is not charged here, whatever the path does meanwhile.
-    pub(crate) relays_next: bool,
+    /// Why the next attempt goes to a peer; `None` if it goes to an endpoint. It is not charged here, whatever the
+    /// path does meanwhile.
+    pub(crate) relays_next: Option<RelayCause>,
+    /// The place that it holds at the endpoints of its service until it is sent, if this process dispatches it.
+    pub(crate) held_place: Option<HeldPlace>,
     /// Whether the request was added to the demand of its service.
     pub(crate) has_demanded: bool,
     /// Whether the request added to the retry budget of its service.
@@ -239,6 +243,9 @@
     };
     trace.service = service.0.clone();
     let account = admitted.account.map(|key| rules.account(key));
+    trace.account = account.map(|account| account.name.clone());
+    let rank = account.and_then(|account| account.rank).unwrap_or(route.rank);
+    trace.rank = Some(rank);
     let fingerprint = request_fingerprint(account, &call, &request);
     let suspects = AttemptSuspects { request: fingerprint, parts: shared_parts(&service, &call) };
     trace.fingerprint = Some(fingerprint);
@@ -257,8 +264,8 @@
         Err(_) => return answer.refuse(ResultCode::DeadlineNotRun, None).await,
     };
     // A peer that serves the request charges it. Tokens that this process held would be missing there.
-    let relays = relay::is_relayed_at_once(node, (&call, &service), &binding);
-    let charged = account.filter(|_| !relays);
+    let relays = relay_cause(node, (&call, &service), &binding);
+    let charged = account.filter(|_| relays.is_none());
     let charge = charged.and_then(|account| QuotaCharge::of(node, account, &call));
     trace.stage = CallStage::Ledger;
     if let Some(charge) = &charge {
@@ -272,7 +279,7 @@
     let relayed = call.relayed_attempts.unwrap_or(u32::MAX).max(1);
     let max_attempts = route.max_attempts.min(relayed);
     node.dialect.strip_request(&mut request.head.headers);
-    if !relays {
+    if relays.is_none() {
         node.earn_retry(&service);
     }
     let mut context = CallContext {
@@ -284,7 +291,7 @@
         charge,
         rollout_payment: None,
         suspects,
-        rank: account.and_then(|account| account.rank).unwrap_or(route.rank),
+        rank,
         account: account.map(|account| account.name.clone()),
         record: AttemptRecord::new(route.repeat, max_attempts),
         route: admitted.route,
@@ -314,8 +321,9 @@
         peer: None,
         peer_in_flight: false,
         relays_next: relays,
+        held_place: None,
         has_demanded: false,
-        has_earned: !relays,
+        has_earned: relays.is_none(),
         barrier: None,
         cut_cause: None,
         standby: None,
@@ -329,6 +337,18 @@
     outcome
 }
 
+/// Why a request is relayed before anything else is done for it; `None` if it is not.
+fn relay_cause(
+    node: &FrontNode,
+    call: (&CallHead, &ServiceName),
+    binding: &StreamBinding,
+) -> Option<RelayCause> {
+    if relay::is_relayed_at_once(node, call, binding) {
+        return Some(RelayCause::Path);
+    }
+    dispatch::is_dispatched_elsewhere(node, call, binding).then_some(RelayCause::Dispatch)
+}
+
 fn request_fingerprint(
     account: Option<&AccountRule>,
     call: &CallHead,
@@ -419,13 +439,16 @@
     /// The outcome of the request, if it goes to no endpoint of this process's choice.
     async fn place(&mut self) -> Result<PlacementChoice, CallOutcome> {
         match self.next_hop() {
-            _ if self.relays_next => return Err(self.serve_by_peers().await),
+            _ if self.relays_next == Some(RelayCause::Dispatch) => {
+                return Err(self.serve_by_dispatchers().await);
+            }
+            _ if self.relays_next.is_some() => return Err(self.serve_by_peers().await),
             NextHop::Peer => return Err(self.serve_by_peers().await),
             NextHop::Nowhere => {
                 self.note_unserved_demand();
                 return Err(self.give_up(ResultCode::NoEndpoint).await);
             }
-            NextHop::Endpoint => {}
+            NextHop::Endpoint => self.hold_place().await?,
         }
         let Some(choice) = self.choose_for_rollout().await else {
             return Err(self.refuse_unplaced().await);
@@ -465,7 +488,7 @@
         let by_peer = self.next_hop() == NextHop::Peer;
         self.barrier = self.secure_retry(end, by_peer).await.err();
         let again = self.barrier.is_none();
-        self.relays_next = again && by_peer;
+        self.relays_next = (again && by_peer).then_some(RelayCause::Path);
         self.node.meter.count_attempt(end.name());
         event!(self.node, AttemptEnded;
             "request" => self.call.id.as_str(),
@@ -603,7 +626,14 @@
             tried.extend(self.new_endpoints());
         }
         let request = PlacementRequest { tried: &tried, ..self.placement_request() };
-        choose_endpoint(&self.node.endpoints.borrow(), &self.node.prefixes.borrow(), &request)
+        let (board, prefixes) = (self.node.endpoints.borrow(), self.node.prefixes.borrow());
+        // The place that it holds may be at an endpoint that is not for this request.
+        let elsewhere = || {
+            let request = PlacementRequest { places: None, ..request.clone() };
+            choose_endpoint(&board, &prefixes, &request)
+        };
+        let choice = choose_endpoint(&board, &prefixes, &request);
+        if request.places.is_some() { choice.or_else(elsewhere) } else { choice }
     }
 
     /// The input for the choice of an endpoint.
@@ -623,6 +653,7 @@
             pause: self.route().pause,
             pause_weight: self.node.pause_weight(&self.service),
             repeatable: self.route().repeat.may_run_again(),
+            places: self.held_place.as_ref().map(HeldPlace::share),
             salt: call_salt(&self.call),
             now: self.node.clock.now(),
             lease_now: self.node.clock.lease_now(),
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -12,6 +12,7 @@
 mod closed;
 mod connection;
 pub mod discover;
+mod dispatch;
 pub mod drive;
 pub mod duties;
 mod era;
--- a/crates/front/src/mesh/report.rs
+++ b/crates/front/src/mesh/report.rs
@@ -8,7 +8,7 @@
 use super::{MeshState, end_collecting_after_stall, update_fitness};
 use crate::events::event;
 use crate::node::FrontNode;
-use crate::{limits, origins, paths, releases, suspects, words};
+use crate::{dispatch, limits, origins, paths, releases, suspects, words};
 use actix::Addr;
 use compact_str::CompactString;
 use oleander_kind::{ClockTime, TimeSpan};
@@ -61,6 +61,7 @@
     suspects::refresh_quarantine(node);
     words::apply_local_shares(node);
     words::update_room_shares(node);
+    dispatch::update_dispatch(node);
     // A new process adopts the collector of the others. When each chose one itself, from the few
     // members it knew, half of the processes that were killed and restarted followed a different
     // collector for a whole term.
--- a/crates/front/src/meter.rs
+++ b/crates/front/src/meter.rs
@@ -36,6 +36,8 @@
     relays: Counter<u64>,
     path_losses: Counter<u64>,
     brittle_refusals: Counter<u64>,
+    dispatch_refusals: Counter<u64>,
+    place_wait_ms: Histogram<f64>,
     connection_ends: Counter<u64>,
     first_ms: Histogram<f64>,
     total_ms: Histogram<f64>,
@@ -73,6 +75,8 @@
             relays: meter.u64_counter("oleander_front_relays").build(),
             path_losses: meter.u64_counter("oleander_front_path_losses").build(),
             brittle_refusals: meter.u64_counter("oleander_front_brittle_refusals").build(),
+            dispatch_refusals: meter.u64_counter("oleander_front_dispatch_refusals").build(),
+            place_wait_ms: latency("oleander_front_place_wait_ms"),
             connection_ends: meter.u64_counter("oleander_front_connection_ends").build(),
             first_ms: latency("oleander_front_first_ms"),
             total_ms: latency("oleander_front_total_ms"),
@@ -215,6 +219,18 @@
         self.brittle_refusals.add(1, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    /// Counts a request that got no place at a service which this process dispatches, by its rank.
+    pub fn count_dispatch_refusal(&self, service: &str, rank: u8) {
+        let labels =
+            [KeyValue::new("service", service.to_owned()), KeyValue::new("rank", i64::from(rank))];
+        self.dispatch_refusals.add(1, &labels);
+    }
+
+    /// Records how long a request waited for a place at a service which this process dispatches.
+    pub fn record_place_wait(&self, service: &str, ms: f64) {
+        self.place_wait_ms.record(ms, &[KeyValue::new("service", service.to_owned())]);
+    }
+
     /// Counts a caller's connection that ended, by the reason, whether something that was sent on it has no answer,
     /// and whether nothing was ever sent on it.
     pub fn count_connection_end(&self, why: &'static str, is_cut: bool, is_unused: bool) {
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -1,5 +1,6 @@
 //! The shared state of one front process.
 
+use crate::dispatch::DispatchTable;
 use crate::duties::PersistedReport;
 use crate::events::{EventBudget, event};
 use crate::evidence::EvidenceBuffer;
@@ -102,6 +103,8 @@
     pub origins_queued: Notify,
     /// The processes that send requests to brittle endpoints.
     pub(crate) room_senders: RefCell<RoomSenders>,
+    /// The services whose room this process watches, and the requests that wait for it.
+    pub(crate) dispatch: RefCell<DispatchTable>,
     /// The requests that this process relays to its peers.
     pub relays: RefCell<PeerRelays>,
     /// The limits of accounts.
@@ -217,6 +220,7 @@
             origins: RefCell::default(),
             origins_queued: Notify::new(),
             room_senders: RefCell::default(),
+            dispatch: RefCell::default(),
             relays: RefCell::default(),
             limits: RefCell::default(),
             limit_exchange: tokio::sync::Mutex::default(),
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -8,7 +8,8 @@
 use crate::answer::AnswerStage;
 use crate::answering::EarlyAnswer;
 use crate::attempt::{CONNECT_TIMEOUT, IDLE_FRACTION, IDLE_TIMEOUT, MAX_IDLE_LINKS};
-use crate::drive::{AttemptOutcome, CallContext, CallOutcome, CutCause, EndpointAnswer};
+use crate::dispatch;
+use crate::drive::{AttemptOutcome, CallContext, CallOutcome, CutCause, EndpointAnswer, call_salt};
 use crate::events::event;
 use crate::node::FrontNode;
 use crate::origins::StreamBinding;
@@ -26,7 +27,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 
 /// Peers to which one request is relayed at most.
 const MAX_PEERS: usize = 3;
@@ -118,6 +119,8 @@
     Path,
     /// The endpoints are brittle, and this process has no permit for one that has room.
     Room,
+    /// The room of the service is short, and the peer dispatches its requests.
+    Dispatch,
 }
 
 impl RelayCause {
@@ -125,6 +128,7 @@
         match self {
             RelayCause::Path => "path",
             RelayCause::Room => "room",
+            RelayCause::Dispatch => "dispatch",
         }
     }
 
@@ -160,13 +164,28 @@
     let is_bound = *binding != StreamBinding::Free;
     call.relayed_attempts.is_none()
         && paths::path_state(node, service) == PathState::Lost
-        && choose_reachable(node, (call, service), (&[], is_bound), |_| true).is_some()
+        && choose_reachable(node, (service, account_salt(node, call)), (&[], is_bound), |_| true)
+            .is_some()
+}
+
+/// Whether a peer that `may_serve` can be asked.
+pub(crate) fn reaches_peer(
+    node: &FrontNode,
+    (call, service): (&CallHead, &ServiceName),
+    may_serve: impl Fn(&InstanceId) -> bool,
+) -> bool {
+    choose_reachable(node, (service, call_salt(call)), (&[], false), may_serve).is_some()
+}
+
+/// Requests of one account go to the same few peers: each peer needs an allotment of its limit.
+fn account_salt(node: &FrontNode, call: &CallHead) -> u64 {
+    stable_hash(node.settings.instance.stable_hash(), call.key.as_bytes())
 }
 
 /// Chooses a peer that reaches the service and was reached by this process, among those that `may_serve`.
 fn choose_reachable(
     node: &FrontNode,
-    (call, service): (&CallHead, &ServiceName),
+    (service, salt): (&ServiceName, u64),
     (tried, is_bound): (&[InstanceId], bool),
     may_serve: impl Fn(&InstanceId) -> bool,
 ) -> Option<(InstanceId, SocketAddr)> {
@@ -178,9 +197,7 @@
     let members = mesh.view.others();
     let members = members.filter(|member| may_serve(&member.id) && !is_down(&member.id));
     let domain = &node.settings.domain;
-    // Requests of one account go to the same few peers: each peer needs an allotment of its limit.
-    let account_salt = stable_hash(node.settings.instance.stable_hash(), call.key.as_bytes());
-    let request = RelayRequest { service, domain, is_bound, tried, salt: account_salt };
+    let request = RelayRequest { service, domain, is_bound, tried, salt };
     let (id, address) = choose_peer(members, |id| relays.in_flight(id), &request)?;
     Some((id.clone(), address))
 }
@@ -240,8 +257,14 @@
         let may_serve = |id: &InstanceId| match cause {
             RelayCause::Path => true,
             RelayCause::Room => senders.contains(&self.service, id),
+            RelayCause::Dispatch => dispatch::is_dispatcher(self.node, &self.service, id),
         };
-        choose_reachable(self.node, (&self.call, &self.service), (tried, is_bound), may_serve)
+        let salt = match cause {
+            RelayCause::Path | RelayCause::Room => account_salt(self.node, &self.call),
+            RelayCause::Dispatch => call_salt(&self.call),
+        };
+        let service = (&self.service, salt);
+        choose_reachable(self.node, service, (tried, is_bound), may_serve)
     }
 
     /// Relays the request to peers, because this process does not reach the endpoints.
@@ -252,6 +275,14 @@
         }
     }
 
+    /// Relays the request to a dispatcher of its service.
+    pub(crate) async fn serve_by_dispatchers(&mut self) -> CallOutcome {
+        match self.relay_in_turn(RelayCause::Dispatch).await {
+            Some(outcome) => outcome,
+            None => self.refuse_undispatched().await,
+        }
+    }
+
     /// Relays the request to senders of a brittle service. If none has room for it, its caller may come back in
     /// `retry_in`.
     pub(crate) async fn serve_by_senders(&mut self, retry_in: TimeSpan) -> CallOutcome {
@@ -272,6 +303,7 @@
             && let Some((id, address)) = self.choose_peer(cause, &tried)
         {
             tried.push(id.clone());
+            let began = Instant::now();
             let attempts = self.record.relayable();
             self.peer = Some(id.clone());
             let outcome = self.relay((&id, address), attempts).await;
@@ -294,7 +326,10 @@
                         return Some(self.give_up(ResultCode::Uncertain).await);
                     }
                 }
-                RelayOutcome::Refused(refusal) if cause.may_go_on(refusal.code) => {
+                RelayOutcome::Refused(refusal)
+                    if cause.may_go_on(refusal.code)
+                        || self.may_ask_other_dispatcher(refusal, (began, tried.len())) =>
+                {
                     self.record.note_refused_at_peer(refusal.sent);
                     let is_unsent = self.record.sent() == 0;
                     let may_repeat =
@@ -317,6 +352,21 @@
         None
     }
 
+    /// Whether another dispatcher may have a place for a request that the first one refused at once: it does not
+    /// know of places that are free at others. With two, hardly any place stays free while requests are refused.
+    fn may_ask_other_dispatcher(
+        &self,
+        refusal: PeerRefusal,
+        (began, asked): (Instant, usize),
+    ) -> bool {
+        /// The part of the objective within which a refusal is one on arrival.
+        const ON_ARRIVAL: u32 = 8;
+        refusal.code == ResultCode::Overloaded
+            && refusal.sent == 0
+            && asked == 1
+            && began.elapsed() < self.route().objective.duration() / ON_ARRIVAL
+    }
+
     /// Leaves the accounting of the request to the peer: its charge, what it earned for retries, its usage
     /// and its figures.
     fn begin_relaying(&mut self) {
--- a/crates/front/src/trace.rs
+++ b/crates/front/src/trace.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 use oleander_board::StopStage;
 use oleander_call::RetryBarrier;
-use oleander_kind::{InstanceId, ResultCode, TimeSpan};
+use oleander_kind::{AccountName, InstanceId, ResultCode, TimeSpan};
 use oleander_outlet::BodyEnd;
 use oleander_place::PlacementChoice;
 use oleander_suspect::SuspectFingerprint;
@@ -54,6 +54,10 @@
     pub(crate) fingerprint: Option<SuspectFingerprint>,
     /// Service that it is routed to.
     pub(crate) service: CompactString,
+    /// Its client account, if it has one.
+    pub(crate) account: Option<AccountName>,
+    /// Its rank; `None` if it was refused before that was known.
+    pub(crate) rank: Option<u8>,
     /// Version of the rules that were applied to it.
     pub(crate) rules: u64,
     /// Whether these rules were known to be the newest.
@@ -107,6 +111,8 @@
             request: CompactString::default(),
             fingerprint: None,
             service: CompactString::default(),
+            account: None,
+            rank: None,
             rules: 0,
             fresh: false,
             sent: 0,
@@ -152,6 +158,7 @@
         }
         let endpoint = self.endpoint.as_ref().map(|id| id.as_str());
         let peer = self.peer.as_ref().map(|id| id.as_str());
+        let account = self.account.as_ref().map(|name| name.as_str());
         let fingerprint = self.fingerprint.map(|fingerprint| fingerprint.to_string());
         match (outcome, answer.code()) {
             (Err(fault), _) => event!(node, RequestCut;
@@ -166,6 +173,7 @@
                 "stage" => (self.stage == CallStage::Caller).then(|| self.stage.name())),
             (Ok(()), Some(code)) => event!(node, RequestRefused;
                 "request" => request, "print" => fingerprint, "service" => self.service.as_str(),
+                "account" => account, "rank" => self.rank,
                 "code" => code.number(), "name" => code.name(), "status" => code.status(),
                 "sent" => self.sent, "may_have_run" => self.may_have_run,
                 "endpoint" => endpoint, "peer" => peer, "total_ms" => total_ms, "rules" => self.rules,
@@ -174,6 +182,7 @@
                 "running" => self.chosen.map(|choice| choice.running), "limit" => self.limit()),
             (Ok(()), None) => event!(node, RequestDone;
                 "request" => request, "print" => fingerprint, "service" => self.service.as_str(),
+                "account" => account, "rank" => self.rank,
                 "status" => answer.status(), "sent" => self.sent, "endpoint" => endpoint,
                 "peer" => peer, "first_ms" => self.first_ms, "pause_ms" => self.longest_pause.map(|longest_pause| longest_pause.0),
                 "total_ms" => total_ms, "rules" => self.rules,
--- a/crates/front/src/work.rs
+++ b/crates/front/src/work.rs
@@ -1,5 +1,6 @@
 //! Tracks the requests that this process has in flight at each endpoint, and samples how they end.
 
+use crate::dispatch;
 use crate::evidence::AnswerTicket;
 use crate::node::FrontNode;
 use compact_str::CompactString;
@@ -141,6 +142,8 @@
         self.settle(None);
         self.note_prompt_read();
         self.update_load(|own| own.requests = own.requests.saturating_sub(1));
+        let took = self.is_done.then(|| self.node.clock.now() - self.began_at);
+        dispatch::note_ended(&self.node, self.key, took);
         if !self.is_done
             && let Some(fact) = self.node.endpoints.borrow_mut().get_mut(self.key)
         {
--- a/crates/oleandertack/src/lib.rs
+++ b/crates/oleandertack/src/lib.rs
@@ -9,6 +9,7 @@
 pub use oleander_claim as claim;
 pub use oleander_conf as conf;
 pub use oleander_ctl as ctl;
+pub use oleander_dispatch as dispatch;
 pub use oleander_duty as duty;
 pub use oleander_edge as edge;
 pub use oleander_explore as explore;
--- a/crates/place/src/choose.rs
+++ b/crates/place/src/choose.rs
@@ -4,10 +4,11 @@
 
 use crate::board::{EndpointBoard, EndpointFact, EndpointKey};
 use crate::cost::{
-    CROSS_DOMAIN_MS, FAILURE_MS, LIMITED_GAIN_MS, engine_cost, paused_part, plain_cost,
-    reading_work,
+    CROSS_DOMAIN_MS, FAILURE_MS, LIMITED_GAIN_MS, dispatched_cost, engine_cost, paused_part,
+    plain_cost, reading_work,
 };
 use crate::prefix::PrefixRecord;
+use crate::share::{PlaceShare, is_sound};
 use oleander_call::PromptPart;
 use oleander_kind::hash::{mix_bits, rendezvous_weight};
 use oleander_kind::{ClockTime, DomainName, RequestRate, ServiceName, TimeSpan};
@@ -48,6 +49,8 @@
     pub version: Option<&'a str>,
     /// Whether it may run again elsewhere if its endpoint fails.
     pub repeatable: bool,
+    /// The places of this process, if it dispatches the request; `None` if it sends it as any process does.
+    pub places: Option<PlaceShare<'a>>,
     /// Breaks ties; different for each request.
     pub salt: u64,
     /// The current time.
@@ -106,7 +109,13 @@
     let healthy =
         available.iter().filter(|(_, fact)| fact.is_reachable(request.now) && is_usable(fact));
     let healthy: Vec<_> = healthy.copied().collect();
-    let candidates = if healthy.is_empty() { available } else { healthy };
+    let mut candidates = if healthy.is_empty() { available } else { healthy };
+    if let Some(share) = &request.places {
+        if candidates.iter().any(|(_, fact)| is_sound(fact, request.now)) {
+            candidates.retain(|(_, fact)| is_sound(fact, request.now));
+        }
+        candidates.retain(|(_, fact)| share.has_place(fact));
+    }
     let home = home_endpoint(&candidates, request);
     let best = |few: Vec<(EndpointKey, &EndpointFact)>| {
         let scored = few.into_iter().map(|(key, fact)| score(key, fact, home, prefixes, request));
@@ -232,7 +241,11 @@
     let held = held.min(request.prompt_tokens);
     let unread = reading_work(request.prompt_tokens - held);
     let tokens_ahead = fact.unread_tokens() + unread;
-    let work = if request.engine { engine_cost(fact, unread, request) } else { plain_cost(fact) };
+    let work = match &request.places {
+        _ if request.engine => engine_cost(fact, unread, request),
+        Some(share) => dispatched_cost(fact, share.permits(fact)),
+        None => plain_cost(fact),
+    };
     let crossing = if fact.entry.domain == *request.domain { 0.0 } else { CROSS_DOMAIN_MS };
     let failing = FAILURE_MS * fact.health.failure_share(request.now);
     // Less than a millisecond: only breaks ties, so that equal endpoints share the load.
--- a/crates/place/src/cost.rs
+++ b/crates/place/src/cost.rs
@@ -89,3 +89,9 @@
     let slots = f64::from(fact.entry.slots.max(1));
     PLAIN_WORK_MS * f64::from(fact.requests()) / slots
 }
+
+/// The cost of a request at an endpoint of a plain service, of a dispatcher that may have `permits` requests
+/// there: what it has itself shows how busy the endpoint is, since the other dispatchers do the same.
+pub(crate) fn dispatched_cost(fact: &EndpointFact, permits: u32) -> f64 {
+    PLAIN_WORK_MS * f64::from(fact.own.requests) / f64::from(permits.max(1))
+}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod path;
 pub mod pause;
 pub mod prefix;
+pub mod share;
 pub mod shed;
 pub mod signal;
 
@@ -23,5 +24,6 @@
 pub use path::{PathFault, PathRecord, PathState};
 pub use pause::PauseRecord;
 pub use prefix::PrefixRecord;
+pub use share::{PlaceShare, SharedPlaces, count_places};
 pub use shed::{OfferedRate, ServiceLoad, queue_limit, shed_delay};
 pub use signal::{EndpointSignals, RateSignal};
--- a/tests/all/brittle.rs
+++ b/tests/all/brittle.rs
@@ -18,11 +18,11 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// Requests that an endpoint runs at once.
-const SLOTS: usize = 4;
+pub const SLOTS: usize = 4;
 /// Requests that may wait at an endpoint.
 const WAITING: usize = 4;
 /// How long a request runs.
-const RUN_TIME: Duration = Duration::from_millis(200);
+pub const RUN_TIME: Duration = Duration::from_millis(200);
 /// How long an endpoint that fell over is gone.
 const GONE_TIME: Duration = Duration::from_secs(4);
 /// From the first brittle answer until fewer requests may wait and the endpoints may fall over.
@@ -34,7 +34,7 @@
 const REFUSALS: usize = 2;
 
 /// An endpoint that is brittle at times.
-struct BrittleEndpoint {
+pub struct BrittleEndpoint {
     address: SocketAddr,
     registry: EndpointRegistry,
     /// Its place among the endpoints, and how often it has started.
@@ -42,7 +42,7 @@
     boots: Cell<u32>,
     is_brittle: Cell<bool>,
     may_fall: Cell<bool>,
-    most_waiting: Cell<usize>,
+    pub most_waiting: Cell<usize>,
     running: Cell<usize>,
     waiting: Cell<usize>,
     freed: Notify,
@@ -75,7 +75,7 @@
     }
 
     /// Breaks everything that it runs; it starts again a while later.
-    fn end(self: &Rc<Self>) {
+    pub fn end(self: &Rc<Self>) {
         self.is_gone.set(true);
         self.fell.notify_waiters();
         let endpoint = self.clone();
@@ -190,7 +190,10 @@
     )
 }
 
-async fn start_endpoints(registry: &EndpointRegistry, count: usize) -> Vec<Rc<BrittleEndpoint>> {
+pub async fn start_endpoints(
+    registry: &EndpointRegistry,
+    count: usize,
+) -> Vec<Rc<BrittleEndpoint>> {
     let mut endpoints = Vec::new();
     for at in 0..count {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
--- a/tests/all/front.rs
+++ b/tests/all/front.rs
@@ -192,6 +192,7 @@
         source: None,
         link_mbps: 1000.0,
         cores: 0.25,
+        dispatch: true,
         bounds,
     };
     let process = start_front(settings, log, Box::new(HttpDialect), ports, None);
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod check;
 mod claim;
 mod cluster;
+mod dispatch;
 mod docs;
 mod duty;
 mod ending;
--- a/tests/all/pauses.rs
+++ b/tests/all/pauses.rs
@@ -193,6 +193,7 @@
             is_trial: false,
             version: None,
             repeatable: false,
+            places: None,
             salt,
             now: ClockTime(START + ms),
             lease_now: ClockTime(START + ms),
--- a/tests/all/place.rs
+++ b/tests/all/place.rs
@@ -80,6 +80,7 @@
             is_trial: false,
             version: None,
             repeatable: self.repeatable,
+            places: None,
             salt,
             now: self.now,
             lease_now: self.now,
--- a/tests/all/plays.rs
+++ b/tests/all/plays.rs
@@ -394,6 +394,7 @@
         source: None,
         link_mbps: 1000.0,
         cores: 0.25,
+        dispatch: true,
         bounds: FrontBounds::default(),
     }
 }
@@ -519,6 +520,14 @@
         FIRST_ENDPOINTS.iter().for_each(|name| self.remove(name));
     }
 
+    /// The processes that dispatch the service, as the first one knows them.
+    pub fn dispatchers(&self) -> Vec<usize> {
+        let dump = oleandertack::front::admin::dump_state(&self.processes[0].node);
+        let names = dump["dispatch"][0]["dispatchers"].as_array().expect("the dispatchers").clone();
+        let place = |name: &serde_json::Value| name.as_str()?.strip_prefix("front-")?.parse().ok();
+        names.iter().filter_map(place).collect()
+    }
+
     /// Waits until every process sends requests to `count` endpoints, and knows no others.
     pub async fn until_listed(&self, count: usize) {
         let lists = |process: &FrontProcess| {
