--- a/crates/dispatch/src/short.rs
+++ b/crates/dispatch/src/short.rs
@@ -3,10 +3,11 @@
 use oleander_kind::{ClockTime, TimeSpan};
 
 /// The part of the places in use, in the mean of a second, from which on room is short. Beyond it, requests
-/// that are spread without knowing of one another wait at one endpoint while another has places left.
-const SHORT_FROM: f64 = 0.6;
+/// that are spread without knowing of one another wait at one endpoint while another has places left, for longer
+/// than a relayed request takes more.
+const SHORT_FROM: f64 = 0.75;
 /// The part at which it no longer is.
-const AMPLE_BELOW: f64 = 0.4;
+const AMPLE_BELOW: f64 = 0.5;
 /// How long room has to be ample before requests are sent by all processes again. Demand that comes in waves
 /// would otherwise switch back and forth.
 const AMPLE_TIME: TimeSpan = TimeSpan(5000);
