Tickets of a line that was cleared are not given out again

Cause: a dispatcher that ends lets all waiting requests go and began its line anew, with tickets from 0. A request that had just been let go takes its ticket out of the line as it leaves, and with it a new request of the same number, which was then refused without having waited.

Measured: dispatch::tickets_of_a_cleared_line_are_not_given_out_again fails with the former way (the former ticket is found in the line), passes now; the 18 tests of dispatch pass.

--- a/crates/dispatch/src/line.rs
+++ b/crates/dispatch/src/line.rs
@@ -120,6 +120,11 @@
         self.leave(ticket).map(|request| (ticket, request))
     }
 
+    /// Takes out all requests. Their tickets are not given out again.
+    pub fn clear(&mut self) {
+        *self = WaitLine { next: self.next, ..WaitLine::default() };
+    }
+
     /// Takes out a request that no longer waits; `None` if it had left.
     pub fn leave(&mut self, ticket: LineTicket) -> Option<RoomRequest> {
         let request = self.requests.remove(&ticket)?;
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -145,7 +145,7 @@
 /// Updates for each plain service whether its room is short, and its dispatchers.
 pub(crate) fn update_dispatch(node: &Rc<FrontNode>) {
     let Some(rules) = node.current_rules().filter(|_| node.settings.dispatch) else { return };
-    node.dispatch.borrow_mut().0.retain(|name, _| is_plain(&rules, name));
+    forget_others(node, &rules);
     let plain = rules.services().iter().filter(|service| service.engine.is_none());
     for name in plain.map(|service| &service.name) {
         if update_service(node, name) {
@@ -155,6 +155,22 @@
     }
 }
 
+/// Forgets services that the rules no longer have, or as engines. What waits for them is sent.
+fn forget_others(node: &Rc<FrontNode>, rules: &RuleSet) {
+    let table = node.dispatch.borrow();
+    let gone = table.0.keys().filter(|name| !is_plain(rules, name));
+    let gone: Vec<ServiceName> = gone.cloned().collect();
+    drop(table);
+    gone.iter().for_each(|service| release_waiting(node, service));
+    // Held places and the line's guards count in the state until they are dropped.
+    node.dispatch.borrow_mut().0.retain(|name, state| {
+        if !is_plain(rules, name) {
+            state.dispatchers = Rc::default();
+        }
+        is_plain(rules, name) || state.held > 0
+    });
+}
+
 fn is_plain(rules: &RuleSet, service: &ServiceName) -> bool {
     rules.service(service).is_some_and(|service| service.engine.is_none())
 }
@@ -284,7 +300,7 @@
     let senders: Vec<oneshot::Sender<HeldPlace>> = {
         let mut table = node.dispatch.borrow_mut();
         let Some(state) = table.0.get_mut(service) else { return };
-        state.line = WaitLine::default();
+        state.line.clear();
         let senders: Vec<_> = state.waiting.drain().map(|(_, sender)| sender).collect();
         state.held += senders.len() as u32;
         senders
--- a/tests/all/dispatch.rs
+++ b/tests/all/dispatch.rs
@@ -59,6 +59,21 @@
     assert!(line.is_empty());
 }
 
+/// Guards against requests that are taken out of the line by what is left of others that were let go together.
+#[test]
+fn tickets_of_a_cleared_line_are_not_given_out_again() {
+    let mut line = WaitLine::default();
+    let at = (NOW, TimeSpan(1));
+    let (before, _) = line.enter(request(1, 100), at, nothing).expect("room");
+    line.clear();
+    let (after, _) = line.enter(request(1, 100), at, nothing).expect("room");
+
+    let left = line.leave(before);
+
+    assert!(left.is_none());
+    assert_eq!(line.pop().map(|(ticket, _)| ticket), Some(after));
+}
+
 #[test]
 fn a_request_that_cannot_begin_in_time_is_refused_on_arrival() {
     let mut line = WaitLine::default();
