A request waits for a place no longer than its objective; all dispatchers killed

Cause: the least time that a request may wait is half of the mean answer, which has no bound when endpoints hang: a request could wait a second and more for a service of 150 ms. And no test killed all dispatchers at once.

Change: the wait is bounded by the objective as well. The play of a killed dispatcher takes any number; a new one kills all three.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -27,7 +27,8 @@
 const LONG_ANSWER: u64 = 2;
 /// How long a process sends by itself after it reached no dispatcher.
 const UNREACHED_TIME: TimeSpan = TimeSpan(1000);
-/// Retry-After time of a request for which no dispatcher was reached: its next one is sent directly.
+/// Shortest Retry-After time of a request for which no dispatcher was reached: the next one at this process is sent
+/// directly, and another process may reach one.
 const UNREACHED_RETRY: TimeSpan = TimeSpan(20);
 
 /// The services whose room this process watches.
@@ -58,11 +59,12 @@
     }
 
     /// How long a request with this objective may wait for a place: until it could not be answered in time any
-    /// more, but always half as long as an answer takes, which is no reason to send a caller away.
+    /// more, but always half as long as an answer takes, which is no reason to send a caller away. It never waits
+    /// for longer than its objective.
     fn patience(&self, objective: TimeSpan) -> TimeSpan {
         let mean = self.answers.mean().unwrap_or(ASSUMED_ANSWER);
         let rest = TimeSpan(objective.0.saturating_sub(mean.0 * LONG_ANSWER));
-        rest.max(TimeSpan(mean.0 / 2))
+        rest.max(TimeSpan(mean.0 / 2)).min(objective)
     }
 
     /// Takes a place for the first request that waits, if one is free.
--- a/tests/all/dispatch.rs
+++ b/tests/all/dispatch.rs
@@ -309,8 +309,8 @@
     endpoints: usize,
     /// Requests that come, as a part of what all endpoints can serve.
     load: f64,
-    /// Processes that are killed in the middle, the dispatchers among them; they start again.
-    killed: bool,
+    /// Dispatchers that are killed in the middle at one moment; they start again.
+    killed: usize,
 }
 
 #[derive(Debug)]
@@ -347,9 +347,9 @@
         callers.objective.set(objective);
         sleep(period + Duration::from_secs(4)).await;
         let before = callers.total();
-        if self.killed {
+        if self.killed > 0 {
             let named = group.dispatchers();
-            group.kill(&named[..1], Duration::from_millis(700)).await;
+            group.kill(&named[..self.killed], Duration::from_millis(700)).await;
             callers.follow(&group);
         }
         sleep(Self::MEASURED).await;
@@ -370,7 +370,7 @@
 #[test]
 fn an_overloaded_endpoint_answers_in_time_what_it_can_serve() {
     play(async {
-        let overload = DispatchPlay { processes: 60, endpoints: 1, load: 1.3, killed: false };
+        let overload = DispatchPlay { processes: 60, endpoints: 1, load: 1.3, killed: 0 };
 
         let time = overload.play().await;
 
@@ -384,7 +384,7 @@
 #[test]
 fn endpoints_that_are_nearly_full_serve_all_callers() {
     play(async {
-        let busy = DispatchPlay { processes: 60, endpoints: 2, load: 0.8, killed: false };
+        let busy = DispatchPlay { processes: 60, endpoints: 2, load: 0.8, killed: 0 };
 
         let time = busy.play().await;
 
@@ -396,7 +396,20 @@
 #[test]
 fn the_other_dispatchers_serve_while_one_is_killed() {
     play(async {
-        let killed = DispatchPlay { processes: 20, endpoints: 2, load: 0.8, killed: true };
+        let killed = DispatchPlay { processes: 20, endpoints: 2, load: 0.8, killed: 1 };
+
+        let time = killed.play().await;
+
+        assert!(time.served > 0.9 * time.asked, "{time:?}");
+        assert!(time.in_time > 0.85 * time.asked, "{time:?}");
+    });
+}
+
+/// Guards against a service that is not served until its dispatchers are back.
+#[test]
+fn the_service_is_served_while_all_dispatchers_are_killed() {
+    play(async {
+        let killed = DispatchPlay { processes: 20, endpoints: 2, load: 0.8, killed: 3 };
 
         let time = killed.play().await;
 
