Tests of a dispatcher's places, and of an endpoint that always has some free

Cause: nothing showed that an endpoint which fails at once, and therefore always has places free, has to be left out, nor that the places of all dispatchers add up to what an endpoint is sent.

Change: four tests of place::PlaceShare and count_places; no product code.

--- a/tests/all/dispatch.rs
+++ b/tests/all/dispatch.rs
@@ -3,6 +3,7 @@
 
 use crate::brittle::{RUN_TIME, SLOTS, start_endpoints};
 use crate::front::RULES;
+use crate::place::engines;
 use crate::plays::{ProcessGroup, play};
 use crate::tried_once::TriedOnce;
 use arbtest::arbtest;
@@ -12,6 +13,10 @@
 };
 use oleandertack::kind::hash::mix_bits;
 use oleandertack::kind::{AccountName, ClockTime, InstanceId, TimeSpan};
+use oleandertack::place::{
+    AnswerGrade, EndpointBoard, EndpointKey, PlaceShare, PlacementRequest, PrefixRecord,
+    SharedPlaces, choose_endpoint, count_places,
+};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
@@ -302,6 +307,103 @@
     assert_eq!(answers.place_interval(0), None);
 }
 
+/// The places of `share`, and where it would send a request.
+fn placed(
+    board: &EndpointBoard,
+    share: PlaceShare<'_>,
+    salt: u64,
+) -> (SharedPlaces, Option<EndpointKey>) {
+    let (service, domain) = ("engine".into(), "kopli".into());
+    let request = PlacementRequest {
+        service: &service,
+        engine: false,
+        prompt_tokens: 0,
+        parts: &[],
+        tried: &[],
+        domain: &domain,
+        queue_limit: u64::MAX,
+        read_per_ms: 1.0,
+        pause: None,
+        pause_weight: 0.0,
+        is_trial: false,
+        version: None,
+        repeatable: false,
+        places: Some(share),
+        salt,
+        now: NOW,
+        lease_now: NOW,
+    };
+    let places = count_places(board, (&service, &share), (NOW, NOW));
+    (places, choose_endpoint(board, &PrefixRecord::default(), &request).map(|choice| choice.key))
+}
+
+#[test]
+fn the_places_of_all_dispatchers_add_up_to_what_an_endpoint_is_sent() {
+    let (board, keys) = engines(2, 6);
+    for count in [1, 3, 4, 9] {
+        let dispatchers = ids(count);
+        let permits = |own| PlaceShare { own, dispatchers: &dispatchers };
+
+        for fact in keys.iter().map(|key| board.get(*key).expect("known")) {
+            let all = dispatchers.iter().map(|own| permits(own).permits(fact));
+            assert_eq!(all.sum::<u32>(), 9, "{count} dispatchers");
+        }
+        assert_eq!(permits(&"another".into()).permits(board.get(keys[0]).expect("known")), 0);
+    }
+}
+
+#[test]
+fn a_dispatcher_sends_no_more_than_its_places_and_to_the_emptier_endpoint_first() {
+    let (mut board, keys) = engines(2, 6);
+    let dispatchers = ids(3);
+    let share = PlaceShare { own: &dispatchers[0], dispatchers: &dispatchers };
+    let mut sent = HashMap::new();
+    for salt in 0..6 {
+        let key = placed(&board, share, salt).1.expect("a place");
+        board.get_mut(key).expect("known").own.requests += 1;
+        *sent.entry(key).or_insert(0) += 1;
+    }
+
+    let (places, choice) = placed(&board, share, 6);
+
+    assert_eq!((places, choice), (SharedPlaces { total: 6, free: 0 }, None));
+    assert!(keys.iter().all(|key| sent[key] == 3), "{sent:?}");
+}
+
+/// Guards against an endpoint that fails at once and therefore always has places free: it would get most requests.
+#[test]
+fn an_endpoint_that_fails_most_requests_gets_none_while_a_sound_one_is_full() {
+    let (mut board, keys) = engines(2, 6);
+    let dispatchers = ids(3);
+    let share = PlaceShare { own: &dispatchers[0], dispatchers: &dispatchers };
+    for _ in 0..20 {
+        board.get_mut(keys[0]).expect("known").health.note(AnswerGrade::Bad, NOW);
+    }
+    board.get_mut(keys[1]).expect("known").own.requests = 3;
+
+    let (places, choice) = placed(&board, share, 1);
+
+    assert_eq!((places.free, choice), (0, None));
+}
+
+/// Guards against a service that is not served because all of its endpoints fail requests.
+#[test]
+fn endpoints_that_all_fail_most_requests_are_used() {
+    let (mut board, keys) = engines(2, 6);
+    let dispatchers = ids(3);
+    let share = PlaceShare { own: &dispatchers[0], dispatchers: &dispatchers };
+    for key in &keys {
+        (0..20).for_each(|_| {
+            board.get_mut(*key).expect("known").health.note(AnswerGrade::Bad, NOW);
+        });
+    }
+
+    let (places, choice) = placed(&board, share, 1);
+
+    assert_eq!(places.free, 6);
+    assert!(choice.is_some());
+}
+
 /// What callers of processes got that send to plain endpoints with queues of their own.
 #[derive(Debug)]
 struct DispatchPlay {
