--- a/review/rig.rs
+++ b/review/rig.rs
@@ -10,7 +10,6 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -745,11 +744,13 @@
 struct Client {
     address: SocketAddr,
     wire: Option<Wire>,
+    /// The time budget that it states, if it leaves sooner than that.
+    stated: Option<Duration>,
 }
 
 impl Client {
     fn new(address: SocketAddr) -> Client {
-        Client { address, wire: None }
+        Client { address, wire: None, stated: None }
     }
     fn ask(
         &mut self,
@@ -766,7 +767,7 @@
         let mut head = format!(
             "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Oleandertack-Request-Id: {id}\r\nX-Oleandertack-Key: {KEY}\r\n\
              X-Oleandertack-Deadline-Ms: {}\r\n{more}",
-            limit.as_millis()
+            self.stated.unwrap_or(limit).as_millis()
         );
         if method != "GET" {
             let _ = write!(head, "Content-Length: {}\r\n", body.len());
