--- a/review/rig.rs
+++ b/review/rig.rs
@@ -815,6 +815,8 @@
 
 include!("scenarios.rs");
 
+mod entries;
+
 fn main() {
     let name = std::env::args().nth(1).unwrap_or_default();
     let broken = run_scenario(&name);
--- a/review/scenarios.rs
+++ b/review/scenarios.rs
@@ -54,7 +54,7 @@
         "unreadable-entry" => unreadable_entry(),
         "streams-after-kill" => streams_after_kill(),
         "streams-after-stops" => streams_after_stops(),
-        _ => stop("no such scenario"),
+        _ => entries::run_scenario(name),
     }
 }
 
