--- a/review/entries.rs
+++ b/review/entries.rs
@@ -514,7 +514,7 @@
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .spawn();
-        let mut child = child.unwrap_or_else(|_| stop("a replica does not start"));
+        let mut child = note_started(child.unwrap_or_else(|_| stop("a replica does not start")));
         let mut lines = io::BufReader::new(child.stdout.take().unwrap()).lines();
         let address = lines.next().and_then(Result::ok).and_then(|text| text.parse().ok());
         let address: SocketAddr = address.unwrap_or_else(|| stop("a replica names no address"));
@@ -571,6 +571,7 @@
     for engine in &mut engines {
         let _ = engine.kill();
         let _ = engine.wait();
+        note_ended(engine);
     }
     record.save();
     if !is_running {
--- a/review/rig.rs
+++ b/review/rig.rs
@@ -323,9 +323,30 @@
 
 fn stop(why: &str) -> ! {
     eprintln!("the case could not run: {why}");
+    end_started();
     std::process::exit(2)
 }
 
+/// The processes that were started and not ended yet.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+fn note_started(child: Child) -> Child {
+    STARTED.lock().unwrap().push(child.id());
+    child
+}
+
+fn note_ended(child: &Child) {
+    STARTED.lock().unwrap().retain(|id| *id != child.id());
+}
+
+/// Ends what is left, however the case ends.
+fn end_started() {
+    let left = std::mem::take(&mut *STARTED.lock().unwrap_or_else(|fault| fault.into_inner()));
+    for id in left {
+        let _ = Command::new("kill").arg("-KILL").arg(id.to_string()).status();
+    }
+}
+
 // ---------------------------------------------------------------- the platform's store
 
 #[derive(Clone)]
@@ -666,7 +687,7 @@
         .stdout(log.try_clone().unwrap_or_else(|_| stop("no log file")))
         .stderr(log)
         .spawn();
-    child.unwrap_or_else(|_| stop("the program does not start; build it first"))
+    note_started(child.unwrap_or_else(|_| stop("the program does not start; build it first")))
 }
 
 impl Front {
@@ -695,6 +716,7 @@
     fn end(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        note_ended(&self.child);
     }
 }
 
@@ -819,7 +841,9 @@
 
 fn main() {
     let name = std::env::args().nth(1).unwrap_or_default();
-    let broken = run_scenario(&name);
+    let broken =
+        std::panic::catch_unwind(|| run_scenario(&name)).unwrap_or_else(|_| stop("the rig failed"));
+    end_started();
     let _ = std::fs::remove_dir_all(folder());
     std::process::exit(i32::from(broken));
 }
--- a/review/scenarios.rs
+++ b/review/scenarios.rs
@@ -374,6 +374,7 @@
             let front = &mut fronts[number];
             if asked[number] && !ended[number] && matches!(front.child.try_wait(), Ok(Some(_))) {
                 ended[number] = true;
+                note_ended(&front.child);
                 record.note(format!("{} has ended", front.name));
                 front.child = spawn_front(&front.command, &front.settings, &front.name);
                 record.note(format!("{} started", front.name));
