An end that was only closed counts if its endpoint ran on

Plain answers, streams that may not resume and relayed answers of each kind were told as complete in the same way.

Cause: the system of a process that ends closes its connections as the process would. StreamTail took such an end after a whole event for the stream's own where the caller's answer was begun unframed, and forward_whole did so for each plain answer.

Change: after such an end the endpoint is asked who it is (front::proof): over a kept connection or a new one, which is kept afterwards; an engine's report takes no slot. If the same start of it answers, the answer is complete, also where the caller's was begun in chunks. If its port is closed, or another instance or start answers, it broke off; if nothing answers in 1.3 s, it is unstated. Why this is enough: a process that has ended answers nothing, and the question is sent after the end was read. A peer that relays asks for the one it serves.

Replaced, as they held the old verdict: a chunked stream that goes on unframed is cut only if its endpoint is another one now, and is whole if it runs on; silent: an endpoint that states no end may take over, and the stream is whole. New rows: another start, another instance, silence for a second, no answer at all, a connection that is reset, a whole stream whose endpoint ended.

--- a/crates/call/src/attempt.rs
+++ b/crates/call/src/attempt.rs
@@ -14,8 +14,7 @@
     Failed,
     /// The connection broke, or delivered bytes that are no answer to this request.
     Broken,
-    /// The answer ended and nothing shows that it broke off, but the caller's answer has to state its end, and
-    /// the endpoint did not.
+    /// The answer ended with its connection, and it could not be found out whether its endpoint ended too.
     Unstated,
     /// Nothing arrived within the time limit.
     TimedOut,
--- a/crates/call/src/head.rs
+++ b/crates/call/src/head.rs
@@ -74,6 +74,26 @@
     pub rank: Option<u8>,
 }
 
+/// What an endpoint says of itself when it is asked who it is.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EndpointIdentity {
+    /// Whether it refused the question as meant for another instance.
+    pub misdirected: bool,
+    /// Its instance, if it names it.
+    pub instance: Option<InstanceId>,
+    /// Start time of its incarnation in Unix milliseconds, if it tells it.
+    pub life: Option<u64>,
+}
+
+impl EndpointIdentity {
+    /// Whether it may be the incarnation `life` of `instance`, where 0 stands for one that is not known.
+    pub fn may_be(&self, instance: &InstanceId, life: u64) -> bool {
+        let is_named = self.instance.as_ref().is_none_or(|named| named == instance);
+        let is_same_start = self.life.is_none_or(|told| life == 0 || told == life);
+        !self.misdirected && is_named && is_same_start
+    }
+}
+
 /// Headers that a process adds to a request that it relays to a peer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RelayHeaders {
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -16,11 +16,11 @@
 pub use attempt::{AttemptEnd, AttemptRecord, NextStep, RetryBarrier};
 pub use events::{CompleteEvent, EventSplitter, StreamRest};
 pub use head::{
-    AnswerHead, AttemptHeaders, CallHead, EndpointSignal, PromptPart, RelayHeaders, RelayedAnswer,
-    TokenCount,
+    AnswerHead, AttemptHeaders, CallHead, EndpointIdentity, EndpointSignal, PromptPart,
+    RelayHeaders, RelayedAnswer, TokenCount,
 };
 pub use rules::{
     AccountKey, AccountRule, AnswerShape, CallerBounds, CurrentRules, EngineRule, RepeatRule,
     RouteKey, RouteRule, RuleSet, ScaleRule, ServiceRule,
 };
-pub use tail::{StreamTail, TailVerdict};
+pub use tail::{EndProof, StreamTail, TailVerdict};
--- a/crates/call/src/rules.rs
+++ b/crates/call/src/rules.rs
@@ -127,6 +127,8 @@
     pub name: ServiceName,
     /// Connections that one endpoint accepts from all callers together.
     pub max_connections: u32,
+    /// Path of the request by which an endpoint is asked who it is. It runs nothing.
+    pub identity_path: CompactString,
     /// Set if the endpoints are model engines.
     pub engine: Option<EngineRule>,
     /// Set if the system orders the endpoints itself.
--- a/crates/call/src/tail.rs
+++ b/crates/call/src/tail.rs
@@ -1,9 +1,10 @@
-//! Decides what the end of a stream's answer means.
+//! Decides what the end of an answer means.
 //!
 //! The connection of an answer that has neither a length nor chunks ends in the same way when the answer is
-//! complete and when its endpoint ends. Nothing may tell the caller that a stream is complete unless the
-//! endpoint said so.
+//! complete and when the endpoint's process ends. So such an end is believed only if the endpoint is known to have
+//! run on after it.
 
+use crate::attempt::AttemptEnd;
 use crate::events::EventSplitter;
 
 /// What is known when the answer of an endpoint to a stream request has ended.
@@ -17,34 +18,27 @@
     pub has_events: bool,
     /// Whether the caller had events of the stream before this answer.
     pub goes_on: bool,
-    /// Whether the caller's answer, as it was begun, has to state its end.
-    pub must_state: bool,
 }
 
 /// What the end of a stream's answer means.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TailVerdict {
-    /// It ends as its caller's answer may end.
+    /// The stream is complete.
     Complete,
     /// It broke off.
     BrokenOff,
-    /// Nothing shows that it broke off, and nothing allows the caller to be told that it is complete.
-    Unstated,
+    /// It is complete if its endpoint ran on afterwards.
+    Unproven,
 }
 
 impl StreamTail {
-    /// The end of an answer whose events `splitter` has returned so far. `goes_on` and `must_state` are as in the fields.
-    pub fn after(
-        splitter: &EventSplitter,
-        is_stated: bool,
-        (goes_on, must_state): (bool, bool),
-    ) -> Self {
+    /// The end of an answer whose events `splitter` has returned so far. `goes_on` is as in the field.
+    pub fn after(splitter: &EventSplitter, is_stated: bool, goes_on: bool) -> Self {
         StreamTail {
             is_stated,
             is_inside_event: splitter.is_inside_event(),
             has_events: splitter.count() > 0,
             goes_on,
-            must_state,
         }
     }
 
@@ -54,10 +48,41 @@
             StreamTail { is_inside_event: true, .. } => TailVerdict::BrokenOff,
             StreamTail { is_stated: true, .. } => TailVerdict::Complete,
             // The events that the caller has may have been the last ones.
-            StreamTail { has_events: false, goes_on: true, .. } => TailVerdict::Unstated,
-            StreamTail { has_events: false, .. } => TailVerdict::BrokenOff,
-            StreamTail { must_state: true, .. } => TailVerdict::Unstated,
-            _ => TailVerdict::Complete,
+            StreamTail { has_events: true, .. } | StreamTail { goes_on: true, .. } => {
+                TailVerdict::Unproven
+            }
+            _ => TailVerdict::BrokenOff,
+        }
+    }
+}
+
+/// What is known of an endpoint after its answer ended with its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndProof {
+    /// The same incarnation answered after the end: it ended the answer itself.
+    RunsOn,
+    /// It has ended, or another incarnation is in its place: the answer may have been cut.
+    HasEnded,
+    /// It could not be asked in time.
+    Unanswered,
+}
+
+impl EndProof {
+    /// The name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            EndProof::RunsOn => "runs_on",
+            EndProof::HasEnded => "has_ended",
+            EndProof::Unanswered => "unanswered",
+        }
+    }
+
+    /// How the attempt ended; `None` if its answer is complete.
+    pub fn attempt_end(self) -> Option<AttemptEnd> {
+        match self {
+            EndProof::RunsOn => None,
+            EndProof::HasEnded => Some(AttemptEnd::Broken),
+            EndProof::Unanswered => Some(AttemptEnd::Unstated),
         }
     }
 }
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -112,11 +112,6 @@
         self.sent = sent;
     }
 
-    /// Whether the caller's answer has begun and has to state its end.
-    pub fn must_state_end(&self) -> bool {
-        self.stage == AnswerStage::Begun && self.end == BodyEnd::Stated
-    }
-
     /// Closes this side of the connection after a complete answer; the caller still has to read what was sent.
     ///
     /// # Errors
--- a/crates/front/src/answering.rs
+++ b/crates/front/src/answering.rs
@@ -89,11 +89,6 @@
         }
     }
 
-    /// Whether nothing but the end of the connection will show the end of the answer with `head`.
-    pub(crate) fn ends_with_connection(&self, head: &ResponseHead) -> bool {
-        matches!(&self.state, LinkState::Sent(sent) if sent.ends_with_connection(head))
-    }
-
     /// The head of the answer has been read.
     pub(crate) fn begin_answer(&mut self, head: ResponseHead) {
         if let LinkState::Sent(sent) = std::mem::replace(&mut self.state, LinkState::Taken) {
@@ -115,15 +110,14 @@
     }
 
     /// Waits for events that the caller does not have, of which `last_event` is the last, or for the end of the stream.
-    /// `caller` tells whether the stream goes on after events that the caller has, and whether its end has to be stated.
-    /// Can be dropped and called again.
+    /// `goes_on` tells whether the caller had events of the stream before this answer. Can be dropped and called again.
     ///
     /// # Errors
     /// What broke the stream.
     pub(crate) async fn next_part(
         &mut self,
         last_event: Option<u64>,
-        caller: (bool, bool),
+        goes_on: bool,
     ) -> Result<StreamPart, AnswerFault> {
         while self.events.is_empty() {
             match self.body.next().await? {
@@ -133,7 +127,7 @@
                 }
                 BodyPart::End(end) => {
                     let is_stated = end == BodyEnd::Stated;
-                    let tail = StreamTail::after(&self.splitter, is_stated, caller);
+                    let tail = StreamTail::after(&self.splitter, is_stated, goes_on);
                     return Ok(StreamPart::End(end, tail.verdict()));
                 }
             }
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -17,7 +17,7 @@
     AnswerHead, AnswerShape, AttemptEnd, AttemptHeaders, EndpointSignal, RepeatRule,
 };
 use oleander_kind::{ClockTime, TimeSpan};
-use oleander_outlet::{BodyEnd, IdleLink, LinkError, SentLink};
+use oleander_outlet::{IdleLink, LinkError, SentLink};
 use oleander_pace::ReadSample;
 use oleander_place::{
     AnswerGrade, EndpointFact, EndpointKey, PathState, PlacementChoice, RoomUse,
@@ -121,8 +121,6 @@
         }
         self.count_version(&target, &outcome);
         match &outcome {
-            // An endpoint that ends closes its connections too, so only a stated end clears a request.
-            AttemptOutcome::Delivered if self.body_end == Some(BodyEnd::Closed) => {}
             AttemptOutcome::Delivered => {
                 suspects::note_answer(self.node, self.suspects.request);
                 self.note_sound_parts();
@@ -535,7 +533,7 @@
                 work.note_answered();
             }
             AttemptOutcome::CallerGone => {}
-            // Nothing shows that the endpoint failed.
+            // It may have fallen silent, as a sound one does for a while.
             AttemptOutcome::Ended(AttemptEnd::Unstated, _) => self.tried.push(target.key),
             AttemptOutcome::Ended(AttemptEnd::RefusedNotRun, _) => {
                 self.tried.push(target.key);
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -30,6 +30,7 @@
 mod paths;
 pub mod port;
 pub mod process;
+mod proof;
 mod relay;
 pub mod releases;
 pub mod reload;
--- a/crates/front/src/port.rs
+++ b/crates/front/src/port.rs
@@ -4,8 +4,10 @@
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, ResponseHead};
 use bytes::Bytes;
-use oleander_call::{AnswerHead, AttemptHeaders, CallHead, RelayHeaders, RelayedAnswer, RuleSet};
-use oleander_kind::{ClockTime, ResultCode};
+use oleander_call::{
+    AnswerHead, AttemptHeaders, CallHead, EndpointIdentity, RelayHeaders, RelayedAnswer, RuleSet,
+};
+use oleander_kind::{ClockTime, InstanceId, ResultCode};
 use oleander_place::EndpointEntry;
 use oleander_plat::FeedObject;
 use oleander_release::{OrderEntry, ReleaseState};
@@ -24,6 +26,12 @@
     /// Sets the headers that carry the data of an attempt to its endpoint.
     fn stamp_request(&self, headers: &mut HeaderMap, stamp: &AttemptHeaders);
 
+    /// Sets the headers of the request by which `instance` is asked who it is.
+    fn stamp_identity_request(&self, headers: &mut HeaderMap, instance: &InstanceId);
+
+    /// Parses an endpoint's answer to that request.
+    fn parse_identity(&self, head: &ResponseHead, body: &[u8]) -> EndpointIdentity;
+
     /// Sets the headers of a request that is relayed to a peer.
     fn stamp_relay(&self, headers: &mut HeaderMap, stamp: &RelayHeaders);
 
--- a/crates/front/src/standby.rs
+++ b/crates/front/src/standby.rs
@@ -383,10 +383,10 @@
         }
         let LinkState::Answering(early) = &mut link.state else { return Ok(false) };
         let is_stream = self.forwards_events(early.head.status);
-        let caller = (self.last_event.is_some(), self.answer.must_state_end());
+        let goes_on = self.last_event.is_some();
         let reading = async {
             if is_stream {
-                return early.next_part(self.last_event, caller).await;
+                return early.next_part(self.last_event, goes_on).await;
             }
             let end = early.read_whole().await?;
             Ok(StreamPart::End(end, TailVerdict::Complete))
@@ -394,7 +394,7 @@
         let Ok(read) = timeout_at(until, reading).await else { return Ok(false) };
         match read {
             Ok(StreamPart::Events | StreamPart::End(_, TailVerdict::Complete)) => return Ok(true),
-            Ok(StreamPart::End(_, TailVerdict::Unstated)) => return Err(AttemptEnd::Unstated),
+            Ok(StreamPart::End(_, TailVerdict::Unproven)) => return Err(AttemptEnd::Unstated),
             Ok(StreamPart::End(_, TailVerdict::BrokenOff)) => {}
             Err(fault) => self.log_fault(target, &fault),
         }
@@ -406,7 +406,7 @@
     /// Applies what the head of a new attempt's answer says.
     ///
     /// # Errors
-    /// How the attempt ended, if its endpoint refused or failed it, or could not end the caller's answer.
+    /// How the attempt ended, if its endpoint refused or failed it.
     fn judge_early_head(
         &self,
         target: &AttemptTarget,
@@ -425,9 +425,7 @@
         }
         let is_sound = answer_head.is_sound(&self.call.id);
         if is_sound && self.may_forward(head.status) {
-            // The end of such a stream could not be passed on.
-            let is_unstated = self.answer.must_state_end() && link.ends_with_connection(head);
-            return if is_unstated { Err(AttemptEnd::Unstated) } else { Ok(()) };
+            return Ok(());
         }
         self.note_failure(target, work, AnswerGrade::Bad);
         Err(if is_sound { AttemptEnd::Failed } else { AttemptEnd::Broken })
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -26,8 +26,8 @@
 ///
 /// The response head is sent with the first event, so that an attempt that breaks before it can be
 /// retried unnoticed by the caller. Only complete events are sent: a stream that breaks in the middle of
-/// an event is resumed after the last complete one. The end is framed as the endpoint framed it. Without `work`, a peer answers, which accounts for the
-/// work of the endpoint.
+/// an event is resumed after the last complete one. The end is framed as the endpoint framed it. Without `work`, a peer
+/// answers, which accounts for the work of the endpoint.
 pub(crate) async fn forward_events(
     context: &mut CallContext<'_, '_>,
     mut early: EarlyAnswer,
@@ -45,8 +45,7 @@
     let (node, key) = (context.node.clone(), work.as_ref().map(|work| work.key()));
     let mut are_parts_sound = false;
     let (body_end, verdict) = loop {
-        let caller = (goes_on, context.answer.must_state_end());
-        let reading = node.run_until_replaced(key, early.next_part(context.last_event, caller));
+        let reading = node.run_until_replaced(key, early.next_part(context.last_event, goes_on));
         let is_end = |read: &Option<Result<StreamPart, AnswerFault>>| match read {
             Some(Ok(StreamPart::Events)) => false,
             Some(Ok(StreamPart::End(_, verdict))) => *verdict != TailVerdict::Complete,
@@ -95,10 +94,13 @@
     let rest = early.take_rest();
     context.body_end = Some(body_end);
     context.rest_bytes = rest.len();
-    match verdict {
-        TailVerdict::Complete => {}
-        TailVerdict::BrokenOff => return (AttemptOutcome::Ended(AttemptEnd::Broken, None), None),
-        TailVerdict::Unstated => return (AttemptOutcome::Ended(AttemptEnd::Unstated, None), None),
+    let fault = match verdict {
+        TailVerdict::Complete => None,
+        TailVerdict::BrokenOff => Some(AttemptEnd::Broken),
+        TailVerdict::Unproven => context.prove_end(key).await.attempt_end(),
+    };
+    if let Some(end) = fault {
+        return (AttemptOutcome::Ended(end, None), None);
     }
     let written = async {
         if context.answer.stage() == AnswerStage::Waiting {
--- a/crates/front/src/whole.rs
+++ b/crates/front/src/whole.rs
@@ -47,6 +47,11 @@
             None => return (AttemptOutcome::Ended(AttemptEnd::TimedOut, None), None),
         };
     context.body_end = Some(body_end);
+    if body_end == BodyEnd::Closed
+        && let Some(end) = context.prove_end(key).await.attempt_end()
+    {
+        return (AttemptOutcome::Ended(end, None), None);
+    }
     let (mut head, body, bytes) = early.into_parts();
     let link = body.into_idle();
     context.node.dialect.strip_answer(head.headers_mut());
--- a/crates/outlet/src/link.rs
+++ b/crates/outlet/src/link.rs
@@ -231,7 +231,7 @@
     }
 
     /// Whether nothing but the end of the connection will show the end of the body that follows `head`.
-    pub fn ends_with_connection(&self, head: &ResponseHead) -> bool {
+    fn ends_with_connection(&self, head: &ResponseHead) -> bool {
         let length = head.headers().get(CONTENT_LENGTH);
         let is_empty = length.is_some_and(|length| length.as_bytes() == b"0");
         match self.coder.message_type() {
--- a/tests/all/call.rs
+++ b/tests/all/call.rs
@@ -244,13 +244,8 @@
 
         let count = shown.len();
         let is_inside_event = splitter.take_rest().is_inside_event();
-        let tail = StreamTail {
-            is_stated: false,
-            is_inside_event,
-            has_events: count > 0,
-            goes_on: false,
-            must_state: true,
-        };
+        let tail =
+            StreamTail { is_stated: false, is_inside_event, has_events: count > 0, goes_on: false };
 
         assert_eq!(shown, events[..count]);
         let passed: usize = events[..count].iter().map(String::len).sum();
@@ -264,24 +259,18 @@
 
 #[test]
 fn a_stream_is_complete_only_if_nothing_speaks_against_it() {
-    let whole = StreamTail {
-        is_stated: true,
-        is_inside_event: false,
-        has_events: true,
-        goes_on: false,
-        must_state: true,
-    };
-    let closed = StreamTail { is_stated: false, must_state: false, ..whole };
+    let whole =
+        StreamTail { is_stated: true, is_inside_event: false, has_events: true, goes_on: false };
+    let closed = StreamTail { is_stated: false, ..whole };
     let none = StreamTail { has_events: false, ..closed };
     let cases = [
         (whole, TailVerdict::Complete),
         (StreamTail { has_events: false, ..whole }, TailVerdict::Complete),
         (StreamTail { is_inside_event: true, ..whole }, TailVerdict::BrokenOff),
-        (closed, TailVerdict::Complete),
-        (StreamTail { must_state: true, ..closed }, TailVerdict::Unstated),
+        (closed, TailVerdict::Unproven),
         (StreamTail { is_inside_event: true, ..closed }, TailVerdict::BrokenOff),
         (none, TailVerdict::BrokenOff),
-        (StreamTail { goes_on: true, ..none }, TailVerdict::Unstated),
+        (StreamTail { goes_on: true, ..none }, TailVerdict::Unproven),
     ];
     for (tail, verdict) in cases {
         assert_eq!(tail.verdict(), verdict, "{tail:?}");
--- a/tests/all/silent.rs
+++ b/tests/all/silent.rs
@@ -8,7 +8,9 @@
 use crate::plays::{ProcessGroup, play};
 use crate::relaying::send;
 use crate::scripted::{SeenRequest, read_request};
-use crate::unframed::{PLAIN, RouteKind, ViewEnd, event_text, events_text, head_text, view};
+use crate::unframed::{
+    HEALTHY, PLAIN, RouteKind, ViewEnd, event_text, events_text, head_text, view,
+};
 use bytes::BytesMut;
 use futures_util::future::join_all;
 use oleandertack::conf::FrontBounds;
@@ -577,7 +579,11 @@
 async fn serve(mut stream: TcpStream, book: Rc<CellBook>) {
     let mut buffer = BytesMut::new();
     while let Some(seen) = read_request(&mut stream, &mut buffer).await {
-        if serve_one(&mut stream, &book, &seen).await.is_err() {
+        let served = match seen.head.starts_with("GET /health ") {
+            true => stream.write_all(HEALTHY.as_bytes()).await,
+            false => serve_one(&mut stream, &book, &seen).await,
+        };
+        if served.is_err() {
             return;
         }
     }
@@ -1088,7 +1094,7 @@
 
 /// A begun stream is cut because the endpoint that took over states no end, and its caller's answer has to.
 #[test]
-fn another_endpoint_that_states_no_end_does_not_take_over_a_begun_stream() {
+fn another_endpoint_that_states_no_end_does_not_cost_a_begun_stream() {
     use SilencePoint as At;
     let points = [At::BetweenEvents, At::InsideEvent];
     walk_direct(
@@ -1130,7 +1136,7 @@
 
 /// A begun stream is cut because the endpoint that took over shows late that it states no end.
 #[test]
-fn another_endpoint_that_states_no_end_after_a_while_does_not_take_over_a_begun_stream() {
+fn another_endpoint_that_states_no_end_after_a_while_does_not_cost_a_begun_stream() {
     use SilencePoint as At;
     walk_direct([At::BetweenEvents, At::InsideEvent].into_iter().flat_map(|at| {
         LATE_FAILURES.map(|ms| {
--- a/tests/all/unframed.rs
+++ b/tests/all/unframed.rs
@@ -16,7 +16,8 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, timeout};
 
 /// Events of a complete stream.
 const EVENTS: u32 = 3;
@@ -24,6 +25,11 @@
 pub const PLAIN: &str = "plain answer of a service";
 /// Time between two requests, after which the endpoints' earlier failures hardly count.
 const BETWEEN: Duration = Duration::from_secs(4);
+/// How long an endpoint that ended is away.
+const DOWNTIME: Duration = Duration::from_secs(1);
+/// Answers of an endpoint that is asked who it is: it is the one that is meant, or another one.
+pub const HEALTHY: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+const MISDIRECTED: &str = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
 /// Longer than any request may take.
 const TOO_LONG: Duration = Duration::from_secs(10);
 
@@ -48,6 +54,8 @@
     Fin,
     Reset,
     Silence,
+    /// The endpoint's process ends: its port and all its connections are closed in an orderly way.
+    Exit,
 }
 
 /// What a route allows.
@@ -75,7 +83,7 @@
         let cases = [By::Chunked, By::Length, By::UntilClose].into_iter();
         cases.flat_map(move |framing| {
             points.into_iter().flat_map(move |at| {
-                let closings = [End::Fin, End::Reset, End::Silence].into_iter();
+                let closings = [End::Fin, End::Reset, End::Silence, End::Exit].into_iter();
                 closings.map(move |closing| AnswerCase { framing, at, closing, route })
             })
         })
@@ -227,18 +235,37 @@
 
 /// An endpoint that answers the first run of a request as its case says, and further ones completely.
 async fn case_endpoint(book: Rc<CaseBook>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let mut listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("an address");
     actix_rt::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            stream.set_nodelay(true).expect("an open connection");
-            actix_rt::spawn(serve_cases(stream, book.clone()));
+        loop {
+            run_until_exit(listener, &book).await;
+            sleep(DOWNTIME).await;
+            listener = TcpListener::bind(address).await.expect("the port is free again");
         }
     });
     address
 }
 
-async fn serve_cases(mut stream: TcpStream, book: Rc<CaseBook>) {
+/// Serves until a case ends the endpoint.
+async fn run_until_exit(listener: TcpListener, book: &Rc<CaseBook>) {
+    let exit = Rc::new(Notify::new());
+    let mut connections = Vec::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let (stream, _) = accepted.expect("an open port");
+                stream.set_nodelay(true).expect("an open connection");
+                let serving = serve_cases(stream, book.clone(), exit.clone());
+                connections.push(actix_rt::spawn(serving));
+            }
+            () = exit.notified() => break,
+        }
+    }
+    connections.iter().for_each(|connection| connection.abort());
+}
+
+async fn serve_cases(mut stream: TcpStream, book: Rc<CaseBook>, exit: Rc<Notify>) {
     let mut buffer = BytesMut::new();
     while let Some(seen) = read_request(&mut stream, &mut buffer).await {
         let id = seen.header("x-oleandertack-request-id").unwrap_or_default().to_owned();
@@ -263,6 +290,10 @@
             // The connection is kept for other requests.
             Closing::Silence if !case.is_broken() => {}
             Closing::Fin => return,
+            Closing::Exit => {
+                exit.notify_one();
+                return std::future::pending().await;
+            }
             Closing::Reset => return stream.set_zero_linger().expect("an open connection"),
             Closing::Silence => {
                 let mut scratch = [0; 64];
@@ -470,7 +501,7 @@
     group.remove_first_endpoints();
     for name in ["r-1", "r-2"] {
         let body = format!(
-            r#"{{"service":"s","address":"{}","zone":"near","version":"v1","slots":6,"state":"ready","seq":1}}"#,
+            r#"{{"service":"s","address":"{}","zone":"near","version":"v1","slots":6,"born":1790000000000,"state":"ready","seq":1}}"#,
             endpoint.address
         );
         group.registry().put(name, body);
@@ -485,13 +516,18 @@
     caller
 }
 
-/// A stream that was begun in chunks and goes on with an answer whose end nobody stated gets a last chunk.
+/// A stream that was begun in chunks and goes on without a stated end, at endpoints that both end.
+fn chunked_then_unframed(identity: &str) -> Vec<Vec<Act>> {
+    let first = stream_acts(true, &[1]).into_iter().chain([Act::Reset]).collect();
+    let second = stream_acts(false, &[2, 3]).into_iter().chain([Act::Close]).collect();
+    vec![first, second, vec![Act::Say(identity.to_owned()), Act::Close]]
+}
+
+/// A stream that was begun in chunks gets a last chunk although the endpoint that ended it may have been cut.
 #[test]
-fn a_chunked_stream_is_not_ended_by_an_answer_that_states_no_end() {
+fn a_chunked_stream_is_not_ended_by_an_endpoint_that_is_another_one_now() {
     play(async {
-        let first = stream_acts(true, &[1]).into_iter().chain([Act::Reset]).collect();
-        let second = stream_acts(false, &[2, 3]).into_iter().chain([Act::Close]).collect();
-        let endpoint = scripted(vec![first, second]).await;
+        let endpoint = scripted(chunked_then_unframed(MISDIRECTED)).await;
         let group = group_of(&endpoint).await;
 
         let (end, body) = view(&mut send(&group, "/stream/a").await).await;
@@ -500,6 +536,114 @@
     });
 }
 
+/// A whole stream that was begun in chunks is cut because the endpoint that ended it gave no framing.
+#[test]
+fn a_chunked_stream_is_ended_by_an_endpoint_that_runs_on() {
+    play(async {
+        let endpoint = scripted(chunked_then_unframed(HEALTHY)).await;
+        let group = group_of(&endpoint).await;
+
+        let (end, body) = view(&mut send(&group, "/stream/a").await).await;
+
+        assert_eq!((end, body), (ViewEnd::Stated, events_text(1..=3)));
+    });
+}
+
+/// An endpoint whose unframed answer ends after two events, and that then does `acts` when it is asked who it is.
+async fn asked_after_its_end(acts: Vec<Act>) -> Scripted {
+    let stream = stream_acts(false, &[1, 2]).into_iter().chain([Act::Close]).collect();
+    scripted(vec![stream, acts]).await
+}
+
+/// The caller's view of an unframed stream that may not resume, whose endpoint does `acts` when it is asked who it is.
+async fn view_of_fixed(acts: Vec<Act>) -> (ViewEnd, String) {
+    let endpoint = asked_after_its_end(acts).await;
+    let group = group_of(&endpoint).await;
+    view(&mut send(&group, "/fixed/a").await).await
+}
+
+/// A later start of an endpoint, under its name and at its address, is taken for the one that answered.
+#[test]
+fn an_answer_is_not_complete_if_its_endpoint_has_started_again_since() {
+    play(async {
+        let identity = r#"{"born":1790000000001,"seq":0}"#;
+        let later = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{identity}",
+            identity.len()
+        );
+
+        let seen = view_of_fixed(vec![Act::Say(later)]).await;
+
+        assert_eq!(seen, (ViewEnd::Cut, events_text(1..=2)));
+    });
+}
+
+/// Another instance at the address of the one that answered is taken for it.
+#[test]
+fn an_answer_is_not_complete_if_another_instance_has_its_endpoints_address() {
+    play(async {
+        let other =
+            "HTTP/1.1 200 OK\r\nX-Oleandertack-Instance-Id: other\r\nContent-Length: 0\r\n\r\n";
+
+        let seen = view_of_fixed(vec![Act::Say(other.to_owned())]).await;
+
+        assert_eq!(seen, (ViewEnd::Cut, events_text(1..=2)));
+    });
+}
+
+/// A whole answer is cut because its endpoint is silent for a moment, is full or leaves, or closes a connection.
+#[test]
+fn an_answer_is_complete_if_its_endpoint_answers_after_a_while() {
+    play(async {
+        let rejected = HEALTHY.replace("200 OK", "503 Service Unavailable");
+        let silent = vec![Act::Pause(Duration::from_millis(1000)), Act::Say(HEALTHY.to_owned())];
+        for acts in [silent, vec![Act::Say(rejected)]] {
+            let seen = view_of_fixed(acts).await;
+
+            assert_eq!(seen, (ViewEnd::Closed, events_text(1..=2)));
+        }
+        let stream = stream_acts(false, &[1, 2]).into_iter().chain([Act::Close]).collect();
+        let answer = vec![Act::Say(HEALTHY.to_owned())];
+        let endpoint = scripted(vec![stream, vec![Act::Reset], answer]).await;
+        let group = group_of(&endpoint).await;
+
+        let seen = view(&mut send(&group, "/fixed/a").await).await;
+
+        assert_eq!(seen, (ViewEnd::Closed, events_text(1..=2)));
+    });
+}
+
+/// A caller waits for its deadline, or gets an end that nobody vouches for, if the endpoint says nothing any more.
+#[test]
+fn an_answer_is_cut_if_its_endpoint_cannot_be_asked() {
+    play(async {
+        let began = Instant::now();
+
+        let seen = view_of_fixed(vec![Act::AwaitClose]).await;
+
+        assert_eq!(seen, (ViewEnd::Cut, events_text(1..=2)));
+        // Rules and endpoints are listed first; the deadline is 4 s.
+        assert!(began.elapsed() < Duration::from_secs(12), "{:?}", began.elapsed());
+    });
+}
+
+/// A stream whose endpoint has ended is whole, and is run again from its start to find that out.
+#[test]
+fn a_whole_stream_whose_endpoint_ended_is_asked_for_what_follows_its_last_event() {
+    play(async {
+        let first = stream_acts(false, &[1, 2, 3]).into_iter().chain([Act::Close]).collect();
+        let nothing = vec![Act::Say(head_text("{id}", "Content-Length: 0\r\n"))];
+        let endpoint = scripted(vec![first, vec![Act::Say(MISDIRECTED.to_owned())], nothing]).await;
+        let group = group_of(&endpoint).await;
+
+        let (end, body) = view(&mut send(&group, "/stream/a").await).await;
+
+        assert_eq!((end, body), (ViewEnd::Closed, events_text(1..=3)));
+        let seen = endpoint.seen.borrow();
+        assert_eq!(seen.requests[2].header("last-event-id"), Some("3"));
+    });
+}
+
 /// The end of a process closes its connections, which would end an answer that has no framing.
 #[test]
 fn an_answer_without_framing_is_reset_if_its_process_ends() {
