A relayed take-up names the attempt that began its stream

What callers saw: a process that does not reach the endpoints relays a stream that its caller takes up, on a route that is split over two services; 14 of 30 such streams went on at the other service, joined to the events of the first.

Cause: the header that names the attempt was removed before the request was relayed. The relaying process chose the service by that attempt, the peer by the id of the new one.

Change: the relaying process passes the name on. The peer then draws the service as the process before it did.

--- a/crates/call/src/head.rs
+++ b/crates/call/src/head.rs
@@ -107,6 +107,8 @@
     pub attempts: u32,
     /// The software version at which the stream has to go on, if it has begun.
     pub origin: Option<CompactString>,
+    /// The caller's attempt that began the stream which this one takes up.
+    pub resumes: Option<CompactString>,
 }
 
 /// What a peer says of its answer to a relayed request.
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -455,6 +455,7 @@
             last_event: self.last_event,
             attempts,
             origin: self.binding.version().map(CompactString::from),
+            resumes: self.call.resumes.clone(),
         };
         self.node.dialect.stamp_relay(&mut head.headers, &stamp);
         link.send(&self.node.http, head, self.body.clone())
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -73,6 +73,7 @@
 mod spread;
 mod stopping;
 mod suspect;
+mod taking_up;
 mod trace;
 mod tried_once;
 mod unframed;
--- a/tests/all/origins.rs
+++ b/tests/all/origins.rs
@@ -19,7 +19,7 @@
 /// Events of a complete stream, and of each run that breaks.
 const EVENTS: u32 = 6;
 const EVENTS_BEFORE_BREAK: u32 = 2;
-const STREAMS: usize = 30;
+pub const STREAMS: usize = 30;
 /// The fewest of the streams that go on if nearly all are to.
 const NEARLY_ALL: usize = 27;
 /// Longer than a stream of the play's rules may be taken up again.
@@ -27,7 +27,7 @@
 
 /// What the endpoints do, and the runs of each stream.
 #[derive(Default)]
-struct StreamBook {
+pub struct StreamBook {
     /// The runs of a stream that break.
     breaks: Cell<u32>,
     /// Whether runs that break wait with it.
@@ -36,7 +36,7 @@
 }
 
 impl StreamBook {
-    fn breaking(breaks: u32) -> Rc<Self> {
+    pub fn breaking(breaks: u32) -> Rc<Self> {
         let book = StreamBook::default();
         book.breaks.set(breaks);
         Rc::new(book)
@@ -51,7 +51,7 @@
 }
 
 /// An endpoint of a software version, which it writes into each event. The body of a request names its stream.
-async fn versioned(version: &'static str, book: Rc<StreamBook>) -> SocketAddr {
+pub async fn versioned(version: &'static str, book: Rc<StreamBook>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("an address");
     actix_rt::spawn(async move {
@@ -95,7 +95,7 @@
 }
 
 /// Rules with a second account.
-fn rules() -> String {
+pub fn rules() -> String {
     let second =
         r#"{"name":"riga","api-keys":["key-2"],"plain-tokens":200,"rate-per-s":0,"burst":0},"#;
     RULES.replace("\"version\":7", "\"version\":8").replacen(
@@ -106,14 +106,14 @@
 }
 
 /// A group with endpoints of these versions.
-struct VersionPlay {
-    group: ProcessGroup,
-    book: Rc<StreamBook>,
+pub struct VersionPlay {
+    pub group: ProcessGroup,
+    pub book: Rc<StreamBook>,
     listed: Cell<usize>,
 }
 
 impl VersionPlay {
-    async fn start(processes: usize, versions: &[&'static str], book: Rc<StreamBook>) -> Self {
+    pub async fn start(processes: usize, versions: &[&'static str], book: Rc<StreamBook>) -> Self {
         let bounds = FrontBounds { retry_slack: 1000, ..FrontBounds::default() };
         let group = ProcessGroup::start_bounded(processes, bounds).await;
         group.put_rules(&rules());
@@ -125,7 +125,7 @@
     }
 
     /// Lists further endpoints.
-    async fn list(&self, versions: &[&'static str]) {
+    pub async fn list(&self, versions: &[&'static str]) {
         for version in versions {
             let address = versioned(version, self.book.clone()).await;
             let number = self.listed.replace(self.listed.get() + 1);
@@ -136,7 +136,7 @@
         }
     }
 
-    async fn send(&self, process: usize, stream: usize, attempt: &Attempt<'_>) -> TcpStream {
+    pub async fn send(&self, process: usize, stream: usize, attempt: &Attempt<'_>) -> TcpStream {
         let mut headers = String::new();
         if let Some((last, resumes)) = &attempt.takes_up {
             headers = format!("Last-Event-Id: {last}\r\n");
@@ -153,7 +153,7 @@
     }
 
     /// Begins all streams at a process, each of which breaks for good.
-    async fn begin_all(&self, process: usize) -> Vec<StreamSeen> {
+    pub async fn begin_all(&self, process: usize) -> Vec<StreamSeen> {
         let mut begun = Vec::new();
         for stream in 0..STREAMS {
             let id = format!("s{stream}-1");
@@ -167,7 +167,7 @@
     }
 
     /// Takes all streams up again, at the processes in turn.
-    async fn take_up_all(&self, processes: &[usize], begun: Vec<StreamSeen>) -> PlayOutcome {
+    pub async fn take_up_all(&self, processes: &[usize], begun: Vec<StreamSeen>) -> PlayOutcome {
         let mut outcome = PlayOutcome::default();
         for (stream, mut seen) in begun.into_iter().enumerate() {
             let (first, id) = (format!("s{stream}-1"), format!("s{stream}-2"));
@@ -185,28 +185,28 @@
 }
 
 /// One try of a caller.
-struct Attempt<'a> {
-    id: &'a str,
-    key: &'a str,
+pub struct Attempt<'a> {
+    pub id: &'a str,
+    pub key: &'a str,
     /// The last event that the caller has, and the try that it names; an empty one is not named.
-    takes_up: Option<(u32, &'a str)>,
+    pub takes_up: Option<(u32, &'a str)>,
 }
 
 /// What a caller has of a stream.
 #[derive(Debug, Default)]
-struct StreamSeen {
+pub struct StreamSeen {
     last: u32,
     versions: BTreeSet<String>,
 }
 
 impl StreamSeen {
-    fn read(body: &str) -> Self {
+    pub fn read(body: &str) -> Self {
         let mut seen = StreamSeen::default();
         seen.add(body);
         seen
     }
 
-    fn add(&mut self, body: &str) {
+    pub fn add(&mut self, body: &str) {
         for line in body.lines() {
             if let Some(number) = line.strip_prefix("id: ") {
                 let number: u32 = number.parse().expect("a number");
@@ -221,15 +221,15 @@
 }
 
 #[derive(Debug, Default)]
-struct PlayOutcome {
+pub struct PlayOutcome {
     /// Streams that went on to their end.
-    whole: usize,
+    pub whole: usize,
     /// Streams with events of two versions.
-    mixed: usize,
+    pub mixed: usize,
 }
 
 impl PlayOutcome {
-    fn note(&mut self, seen: &StreamSeen, end: ViewEnd) {
+    pub fn note(&mut self, seen: &StreamSeen, end: ViewEnd) {
         self.whole += usize::from(end == ViewEnd::Stated && seen.last == EVENTS);
         self.mixed += usize::from(seen.versions.len() > 1);
     }
