A stream counts as taken up late for 30 s at least, whatever the timeouts

What callers saw: two software versions serve, the old one leaves, new rules shorten the timeouts, and all processes are killed. 30 of 30 streams of the old version that were taken up 3 s after the start went on at the new one, with nothing in the answer to show it.

Change: it watches for 30 s at least, which is what it did where no rules are known.

LONG_AGO of origins exceeds the new time: these plays begin when it is certain that one version served.

--- a/crates/front/src/origins.rs
+++ b/crates/front/src/origins.rs
@@ -17,9 +17,11 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
-/// For how long a stream may be taken up if no rules are known, and the factor by which that exceeds the longest
-/// timeout of its routes: a caller's last try may begin when the first one has used all its time.
-const DEFAULT_SPAN: TimeSpan = TimeSpan(30_000);
+/// For how long a stream may be taken up at least, whatever the rules say now: a stream may have begun under rules
+/// with longer timeouts, and a caller that comes back often may go on for longer than two of them.
+const MIN_SPAN: TimeSpan = TimeSpan(30_000);
+/// Factor by which that time exceeds the longest timeout of the service's streams: a caller's last try may begin when
+/// the first one has used all its time.
 const SPAN_TIMEOUTS: u64 = 2;
 
 /// What a process knows of the versions at which streams began.
@@ -45,12 +47,12 @@
 
 /// For how long after its beginning a stream of `service` may be taken up.
 pub(crate) fn take_up_span(node: &FrontNode, service: &ServiceName) -> TimeSpan {
-    let Some(rules) = node.current_rules() else { return DEFAULT_SPAN };
+    let Some(rules) = node.current_rules() else { return MIN_SPAN };
     let streams = rules.routes().iter().filter(|route| {
         route.shape == AnswerShape::Events && route.services.iter().any(|(name, _)| name == service)
     });
     let longest = streams.map(|route| route.timeout).max();
-    longest.map_or(DEFAULT_SPAN, |timeout| TimeSpan(timeout.0 * SPAN_TIMEOUTS))
+    longest.map_or(MIN_SPAN, |timeout| MIN_SPAN.max(TimeSpan(timeout.0 * SPAN_TIMEOUTS)))
 }
 
 /// Looks at the versions that are listed. Records of streams are sent to others from the moment on at which it is
--- a/tests/all/origins.rs
+++ b/tests/all/origins.rs
@@ -23,7 +23,7 @@
 /// The fewest of the streams that go on if nearly all are to.
 const NEARLY_ALL: usize = 27;
 /// Longer than a stream of the play's rules may be taken up again.
-const LONG_AGO: Duration = Duration::from_secs(12);
+const LONG_AGO: Duration = Duration::from_secs(34);
 
 /// What the endpoints do, and the runs of each stream.
 #[derive(Default)]
--- a/tests/all/taking_up.rs
+++ b/tests/all/taking_up.rs
@@ -70,6 +70,22 @@
     }
 }
 
+/// Rules that shorten the timeouts make a restarted process believe that no earlier stream can still be taken up.
+#[test]
+fn no_stream_changes_its_version_after_the_timeouts_were_shortened() {
+    play(async {
+        let shorten = |play: &VersionPlay| {
+            let shorter = rules().replace("\"version\":8", "\"version\":9");
+            play.group.put_rules(&shorter.replace("\"timeout-ms\":4000", "\"timeout-ms\":1000"));
+        };
+        let pause = Duration::from_secs(3);
+
+        let outcome = take_up_after_kill_of_all(OldVersion::LeavesBeforeKill, pause, shorten).await;
+
+        assert_eq!(outcome.mixed, 0, "{outcome:?}");
+    });
+}
+
 /// A peer to which a take-up is relayed chooses the service of a split route anew.
 #[test]
 fn a_relayed_stream_is_taken_up_at_the_service_that_began_it() {
