--- a/tests/all/adapter.rs
+++ b/tests/all/adapter.rs
@@ -3,7 +3,7 @@
 use actix_http::header::{HeaderName, HeaderValue, RETRY_AFTER};
 use actix_http::{ResponseHead, StatusCode};
 use bytes::Bytes;
-use oleandertack::call::{AnswerHead, AnswerShape, EndpointSignal, RepeatRule};
+use oleandertack::call::{AnswerHead, AnswerShape, EndpointIdentity, EndpointSignal, RepeatRule};
 use oleandertack::conf::FrontSettings;
 use oleandertack::conf::reader::parse_settings;
 use oleandertack::front::PlatformDialect;
@@ -47,6 +47,40 @@
     assert_eq!(service.scale.as_ref().map(|scale| scale.boot), Some(TimeSpan(4000)));
 }
 
+/// Asks an engine in a way that takes a slot, or a plain endpoint for what it does not have.
+#[test]
+fn an_endpoint_is_asked_who_it_is_where_its_service_says() {
+    let checked = CONFIG.replace("\"max-connections\":110", "\"health-check\":\"/ok\"");
+    let path = |config: &str, service: &str| {
+        let rules = HttpDialect.decode_rules(&object("main", config)).expect("a valid config");
+        rules.service(&service.into()).expect("a service").identity_path.clone()
+    };
+
+    assert_eq!((path(CONFIG, "s"), path(CONFIG, "t")), ("/-/report".into(), "/health".into()));
+    assert_eq!((path(&checked, "s"), path(&checked, "t")), ("/-/report".into(), "/ok".into()));
+}
+
+/// Takes another instance, or a later start, for the endpoint that answered.
+#[test]
+fn an_endpoint_is_recognized_by_what_it_says_of_itself() {
+    let told = |status, instance: Option<&'static str>, body: &str| {
+        let mut head = ResponseHead::new(status);
+        let name = HeaderName::from_static("x-oleandertack-instance-id");
+        instance.map(|text| head.headers_mut().insert(name, HeaderValue::from_static(text)));
+        HttpDialect.parse_identity(&head, body.as_bytes())
+    };
+    let may_be = |identity: EndpointIdentity, life| identity.may_be(&"i-1".into(), life);
+    let (ok, full) = (StatusCode::OK, StatusCode::SERVICE_UNAVAILABLE);
+
+    assert!(may_be(told(ok, Some("i-1"), ""), 7));
+    assert!(may_be(told(full, None, "full"), 7));
+    assert!(may_be(told(ok, None, r#"{"stage":"both","born":7}"#), 7));
+    assert!(may_be(told(ok, None, r#"{"born":8}"#), 0), "its start is not known");
+    assert!(!may_be(told(ok, None, r#"{"born":8}"#), 7));
+    assert!(!may_be(told(ok, Some("i-2"), ""), 7));
+    assert!(!may_be(told(StatusCode::MISDIRECTED_REQUEST, None, ""), 7));
+}
+
 #[test]
 fn an_unreadable_config_is_an_error_and_not_an_empty_config() {
     for broken in ["", "null", "{}", &CONFIG[..200], &CONFIG.replace("\"version\":7", "\"v\":7")] {
--- a/tests/all/unframed.rs
+++ b/tests/all/unframed.rs
@@ -516,7 +516,7 @@
     caller
 }
 
-/// A stream that was begun in chunks and goes on without a stated end, at endpoints that both end.
+/// A stream that is begun in chunks, breaks, and goes on to its end unframed; `identity` is the endpoint's answer after it.
 fn chunked_then_unframed(identity: &str) -> Vec<Vec<Act>> {
     let first = stream_acts(true, &[1]).into_iter().chain([Act::Reset]).collect();
     let second = stream_acts(false, &[2, 3]).into_iter().chain([Act::Close]).collect();
@@ -549,15 +549,11 @@
     });
 }
 
-/// An endpoint whose unframed answer ends after two events, and that then does `acts` when it is asked who it is.
-async fn asked_after_its_end(acts: Vec<Act>) -> Scripted {
+/// The caller's view of an unframed stream of two events that may not resume. Its endpoint does `asked` when it is asked
+/// who it is, once for each list.
+async fn view_of_fixed(asked: Vec<Vec<Act>>) -> (ViewEnd, String) {
     let stream = stream_acts(false, &[1, 2]).into_iter().chain([Act::Close]).collect();
-    scripted(vec![stream, acts]).await
-}
-
-/// The caller's view of an unframed stream that may not resume, whose endpoint does `acts` when it is asked who it is.
-async fn view_of_fixed(acts: Vec<Act>) -> (ViewEnd, String) {
-    let endpoint = asked_after_its_end(acts).await;
+    let endpoint = scripted([vec![stream], asked].concat()).await;
     let group = group_of(&endpoint).await;
     view(&mut send(&group, "/fixed/a").await).await
 }
@@ -572,7 +568,7 @@
             identity.len()
         );
 
-        let seen = view_of_fixed(vec![Act::Say(later)]).await;
+        let seen = view_of_fixed(vec![vec![Act::Say(later)]]).await;
 
         assert_eq!(seen, (ViewEnd::Cut, events_text(1..=2)));
     });
@@ -585,7 +581,7 @@
         let other =
             "HTTP/1.1 200 OK\r\nX-Oleandertack-Instance-Id: other\r\nContent-Length: 0\r\n\r\n";
 
-        let seen = view_of_fixed(vec![Act::Say(other.to_owned())]).await;
+        let seen = view_of_fixed(vec![vec![Act::Say(other.to_owned())]]).await;
 
         assert_eq!(seen, (ViewEnd::Cut, events_text(1..=2)));
     });
@@ -597,19 +593,13 @@
     play(async {
         let rejected = HEALTHY.replace("200 OK", "503 Service Unavailable");
         let silent = vec![Act::Pause(Duration::from_millis(1000)), Act::Say(HEALTHY.to_owned())];
-        for acts in [silent, vec![Act::Say(rejected)]] {
-            let seen = view_of_fixed(acts).await;
+        let healthy = vec![Act::Say(HEALTHY.to_owned())];
+        for asked in [vec![silent], vec![vec![Act::Say(rejected)]], vec![vec![Act::Reset], healthy]]
+        {
+            let seen = view_of_fixed(asked).await;
 
             assert_eq!(seen, (ViewEnd::Closed, events_text(1..=2)));
         }
-        let stream = stream_acts(false, &[1, 2]).into_iter().chain([Act::Close]).collect();
-        let answer = vec![Act::Say(HEALTHY.to_owned())];
-        let endpoint = scripted(vec![stream, vec![Act::Reset], answer]).await;
-        let group = group_of(&endpoint).await;
-
-        let seen = view(&mut send(&group, "/fixed/a").await).await;
-
-        assert_eq!(seen, (ViewEnd::Closed, events_text(1..=2)));
     });
 }
 
@@ -619,7 +609,7 @@
     play(async {
         let began = Instant::now();
 
-        let seen = view_of_fixed(vec![Act::AwaitClose]).await;
+        let seen = view_of_fixed(vec![vec![Act::AwaitClose]]).await;
 
         assert_eq!(seen, (ViewEnd::Cut, events_text(1..=2)));
         // Rules and endpoints are listed first; the deadline is 4 s.
@@ -627,7 +617,7 @@
     });
 }
 
-/// A stream whose endpoint has ended is whole, and is run again from its start to find that out.
+/// A whole stream whose endpoint ended is cut, although another endpoint says that nothing follows.
 #[test]
 fn a_whole_stream_whose_endpoint_ended_is_asked_for_what_follows_its_last_event() {
     play(async {
