A silent kept connection does not decide whether an answer is whole

What callers saw: an endpoint ends an unframed answer, and a kept connection to it has fallen silent for good, as one does when a device on the path drops its state. The question over it took all the time that the endpoint had to say who it is, and a whole answer was cut.

Change: an answer over a kept connection is awaited for 300 ms, and then a new connection is opened for the question.

Test: unframed::an_answer_is_complete_although_a_kept_connection_is_silent, cut before, whole now.

--- a/crates/front/src/proof.rs
+++ b/crates/front/src/proof.rs
@@ -23,6 +23,9 @@
 /// How long an endpoint may take to say who it is: a sound one may say nothing for as long.
 const PROOF_TIMEOUT: Duration = SILENCE_TOLERANCE;
 
+/// How long an answer over a kept connection may take. One that has fallen silent shows nothing of its endpoint.
+const KEPT_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Connections that are opened for the question, and the pause between them. An endpoint resets one for want of room;
 /// one that is reached much later may have started again.
 const MAX_DIALS: u32 = 3;
@@ -52,7 +55,10 @@
     /// Asks over kept connections, and over new ones after them.
     async fn ask_in_turn(&self, life: &EndpointIncarnation, address: SocketAddr) -> EndProof {
         while let Some(link) = self.take_kept(life) {
-            if let Some(proof) = self.judge(life, self.ask_identity(life, link).await) {
+            let Ok(asked) = timeout(KEPT_TIMEOUT, self.ask_identity(life, link)).await else {
+                break;
+            };
+            if let Some(proof) = self.judge(life, asked) {
                 return proof;
             }
         }
--- a/tests/all/unframed.rs
+++ b/tests/all/unframed.rs
@@ -603,6 +603,31 @@
     });
 }
 
+/// A whole answer is cut because a kept connection to its endpoint has fallen silent, while a new one works.
+#[test]
+fn an_answer_is_complete_although_a_kept_connection_is_silent() {
+    play(async {
+        let slow = vec![
+            Act::Pause(Duration::from_millis(100)),
+            Act::Say(head_text("{id}", "Content-Length: 0\r\n")),
+        ];
+        let stream = stream_acts(false, &[1, 2]).into_iter().chain([Act::Close]).collect();
+        let healthy = vec![Act::Say(HEALTHY.to_owned())];
+        let script = vec![slow.clone(), slow, stream, vec![Act::AwaitClose], healthy];
+        let endpoint = scripted(script).await;
+        let group = group_of(&endpoint).await;
+        group.registry().remove("r-2");
+        sleep(Duration::from_secs(2)).await;
+        let (mut first, mut second) = (send(&group, "/any/a").await, send(&group, "/any/a").await);
+        tokio::join!(view(&mut first), view(&mut second));
+
+        let seen = view(&mut send(&group, "/fixed/a").await).await;
+
+        assert_eq!(seen, (ViewEnd::Closed, events_text(1..=2)));
+        assert_eq!(endpoint.seen.borrow().requests.len(), 5);
+    });
+}
+
 /// A caller waits for its deadline, or gets an end that nobody vouches for, if the endpoint says nothing any more.
 #[test]
 fn an_answer_is_cut_if_its_endpoint_cannot_be_asked() {
