Crashes of an outage are stored at once when the store answers again

Cause: the record's task is told when a feed is answered again, but then waited up to 500 ms for its next check, and was not told at all if its own call was failing just then; the write came up to 1.3 s after the return of the store. Ruled out: ends that are attributed only when the list is read (log of the plays); load (the plays had none beside). Change: the wait for the return begins before the calls, and a return skips the wait for the next check.

--- a/crates/front/src/kept.rs
+++ b/crates/front/src/kept.rs
@@ -64,49 +64,63 @@
 }
 
 /// Reads and writes the object of `record` until the task is cancelled.
+///
+/// A failed call is made again after a while, or at once when the store answers a feed of this process again: what was
+/// noted during an outage would be lost if all processes were killed shortly after it.
 pub async fn sync_record<R: StoredRecord>(node: Rc<FrontNode>, mut record: R) {
     let mut known = None;
     let (first, longest) = FAULT_BACKOFF;
     let mut pause = first;
+    until_check::<R>(&node).await;
     loop {
-        let asleep = actix_rt::time::sleep(R::CHECK_PERIOD.duration());
-        match R::wake(&node) {
-            Some(wake) => tokio::select! {
-                () = asleep => {}
-                () = wake.notified() => {}
-            },
-            None => asleep.await,
-        }
-        if !record.is_writer(&node) {
-            known = None;
-            continue;
-        }
-        let is_current = |object: &CachedObject<_>| object.era >= era::known_era(&node);
-        let known_object = known.take().filter(is_current);
-        let object = match known_object.filter(|_| !record.must_reload(&node)) {
-            Some(object) => Some(object),
-            None => read_object(&node, &mut record).await,
-        };
-        known = match object {
-            Some(object) => write_object(&node, &mut record, object).await,
-            None => None,
-        };
-        pause = match known {
-            Some(_) => first,
-            None => back_off_until_return(&node, pause, longest).await,
+        // The store may answer again while a call still fails.
+        let returned = node.store_returned.notified();
+        let is_writer = record.is_writer(&node);
+        known = if is_writer { sync_object(&node, &mut record, known).await } else { None };
+        pause = if is_writer && known.is_none() {
+            let checked_later = async {
+                let next = node.back_off(pause, longest).await;
+                until_check::<R>(&node).await;
+                next
+            };
+            tokio::select! {
+                next = checked_later => next,
+                () = returned => first,
+            }
+        } else {
+            until_check::<R>(&node).await;
+            first
         };
     }
 }
 
-/// Waits for a while after a failed call, or until the store answers a feed of this process again: what was
-/// noted during an outage would be lost if all processes were killed shortly after it.
-async fn back_off_until_return(node: &FrontNode, pause: TimeSpan, longest: TimeSpan) -> TimeSpan {
-    tokio::select! {
-        next = node.back_off(pause, longest) => next,
-        () = node.store_returned.notified() => FAULT_BACKOFF.0,
+/// Waits until the next check of the object is due.
+async fn until_check<R: StoredRecord>(node: &FrontNode) {
+    let asleep = actix_rt::time::sleep(R::CHECK_PERIOD.duration());
+    match R::wake(node) {
+        Some(wake) => tokio::select! {
+            () = asleep => {}
+            () = wake.notified() => {}
+        },
+        None => asleep.await,
     }
 }
 
+/// Reads the object if it is not known, and writes it if its content has changed; none if a call failed.
+async fn sync_object<R: StoredRecord>(
+    node: &FrontNode,
+    record: &mut R,
+    known: Option<CachedObject<R::Mark>>,
+) -> Option<CachedObject<R::Mark>> {
+    let is_current = |object: &CachedObject<_>| object.era >= era::known_era(node);
+    let known = known.filter(is_current).filter(|_| !record.must_reload(node));
+    let object = match known {
+        Some(object) => object,
+        None => read_object(node, record).await?,
+    };
+    write_object(node, record, object).await
+}
+
 /// Reads and applies the object; none if the read failed.
 async fn read_object<R: StoredRecord>(
     node: &FrontNode,
--- a/tests/all/ending.rs
+++ b/tests/all/ending.rs
@@ -111,6 +111,34 @@
         self.group.until_ready().await;
     }
 
+    /// Sends `body` until two endpoints have ended under it.
+    async fn crash_two(&self, body: &str) {
+        for process in (0..PROCESSES).cycle() {
+            if self.fleet.crash_time(body, 2).is_some() {
+                return;
+            }
+            self.ask_at(process, "/once/f", body).await;
+            sleep(RETRY_DELAY).await;
+        }
+    }
+
+    /// Waits until the store answers a feed of the collector.
+    async fn until_collector_hears(&self) {
+        let node = &self.group.processes[self.group.collector()].node;
+        while !node.rules_feed.get().is_served() && !node.endpoints_feed.get().is_served() {
+            sleep(Duration::from_millis(1)).await;
+        }
+    }
+
+    /// How many requests the store has under which two endpoints ended.
+    fn stored_repeats(&self) -> usize {
+        let Some(object) = self.group.stored(FeedKind::Suspects, "all") else { return 0 };
+        let object: serde_json::Value = serde_json::from_slice(&object).expect("an object");
+        let requests = object["requests"].as_array().expect("a list");
+        let ends = |request: &serde_json::Value| request["ends"].as_array().map_or(0, Vec::len);
+        requests.iter().filter(|request| ends(request) == 2).count()
+    }
+
     /// Asserts that `body` reached endpoints no more often than allowed during the whole test.
     fn assert_bounded(&self, body: &str) {
         let third = self.fleet.crash_time(body, 3).expect("three endpoints crashed");
@@ -327,3 +355,32 @@
         simulation.assert_honest_unharmed();
     });
 }
+
+/// Guards against crashes that are still not stored when the store has answered for a while: the record's task had
+/// been told of the return while its call failed, or waited for its next check.
+#[test]
+fn crashes_during_a_store_outage_are_stored_at_whatever_moment_it_ends() {
+    /// For a read and a write, once the process that writes has heard from the store again.
+    const WRITE_TIME: Duration = Duration::from_millis(100);
+    const OUTAGES: u64 = 16;
+    play(async {
+        let simulation = CrashSimulation::start().await;
+        sleep(DETECTION_TIMEOUT).await;
+        let mut missing = Vec::new();
+
+        for outage in 0..OUTAGES {
+            let before = simulation.stored_repeats();
+            simulation.group.set_all(StoreMode::Refused);
+            simulation.crash_two(&format!("{FATAL} {outage}")).await;
+            sleep(Duration::from_millis(3000 + 50 * outage)).await;
+            simulation.group.set_all(StoreMode::Served);
+            simulation.until_collector_hears().await;
+            sleep(WRITE_TIME).await;
+            let stored = simulation.stored_repeats() - before;
+            missing.extend((stored != 1).then_some((outage, stored)));
+            sleep(DETECTION_TIMEOUT).await;
+        }
+
+        assert!(missing.is_empty(), "(outage, stored): {missing:?}");
+    });
+}
