An attempt that is not needed after a proven end is logged and counted

Cause: when a silent stream's connection is closed while another endpoint is being asked, that attempt is kept in case the end is not whole; if the endpoint then proved to run on, the attempt was dropped without a log line and without its count. Change: it is left like any other attempt that was asked beside a silent one.

--- a/crates/front/src/standby.rs
+++ b/crates/front/src/standby.rs
@@ -191,6 +191,13 @@
         None
     }
 
+    /// Leaves the attempt that was kept for the case that the present one's answer was not whole.
+    pub(crate) fn leave_standby(&mut self, silence: AnswerSilence) {
+        if let Some(standby) = self.standby.take() {
+            self.note_standby_fault(silence, StandbyFault::Left(standby.target.key));
+        }
+    }
+
     /// Whether `standby` takes the place of the attempt that is silent: it has begun to answer, or that one hangs while
     /// others answer.
     fn may_replace(&self, silence: AnswerSilence, standby: &StandbyAttempt) -> bool {
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -102,6 +102,7 @@
     if let Some(end) = fault {
         return (AttemptOutcome::Ended(end, None), None);
     }
+    context.leave_standby(silence);
     let written = async {
         if context.answer.stage() == AnswerStage::Waiting {
             let headers = headers.take().unwrap_or_default();
--- a/tests/all/unframed.rs
+++ b/tests/all/unframed.rs
@@ -6,7 +6,7 @@
 use crate::front::{RULES, request};
 use crate::path::PathMode;
 use crate::plays::{ProcessGroup, play};
-use crate::scripted::{Act, Scripted, SeenCalls, read_request, scripted};
+use crate::scripted::{Act, Scripted, SeenCalls, SeenRequest, read_request, scripted};
 use bytes::BytesMut;
 use oleandertack::conf::FrontBounds;
 use std::cell::RefCell;
@@ -652,6 +652,28 @@
     });
 }
 
+/// An endpoint that was asked beside a silent one runs a request for nothing, and neither metrics nor logs tell.
+#[test]
+fn an_attempt_that_is_not_needed_after_a_proven_end_is_counted() {
+    play(async {
+        // Another endpoint is asked after 1.3 s, and has not answered when the first one ends.
+        let silence = [Act::Pause(Duration::from_millis(1340)), Act::Close];
+        let first = stream_acts(false, &[1, 2]).into_iter().chain(silence).collect();
+        let late = Act::Pause(Duration::from_millis(100));
+        let beside = vec![late, Act::Say(head_text("{id}", "")), Act::AwaitClose];
+        let endpoint = scripted(vec![first, beside, vec![Act::Say(HEALTHY.to_owned())]]).await;
+        let group = group_of(&endpoint).await;
+
+        let seen = view(&mut send(&group, "/stream/a").await).await;
+
+        assert_eq!(seen, (ViewEnd::Closed, events_text(1..=2)));
+        let asked = |seen: &&SeenRequest| seen.header("last-event-id") == Some("2");
+        assert_eq!(endpoint.seen.borrow().requests.iter().filter(asked).count(), 1);
+        let metrics = group.processes[0].node.meter.text();
+        assert!(metrics.contains("end=\"left\""), "{metrics}");
+    });
+}
+
 /// The caller's view of an unframed stream of two events that may not resume, and what its endpoint received. The
 /// endpoint does `kept` when it is asked who it is over a kept connection, and `new` over a new one.
 async fn view_beside_kept(kept: Vec<Act>, new: Vec<Act>) -> ((ViewEnd, String), SeenCalls) {
