The versions at which streams began outlast a kill of all processes

Cause: the records were in the memory of the process that began a stream and of three others, and the list that a restarted process reads proves nothing of the past. Logs: stream_unbound with five asked and five answered, no stream_bound.

Change: while it is not certain that one version alone serves, each process writes its records and the copies that it keeps for others to an object of its own in the store, and reads it when it starts. All processes together write 100 times a second at most. The object is removed with the process's membership record. A record names one stream, so an old one joins nothing; what was not written is refused as before. Records of kept.rs now have a name and a check period of their own, and the first check is at the start, which changes nothing for those of the collector.

--- a/crates/front/src/discover.rs
+++ b/crates/front/src/discover.rs
@@ -115,9 +115,15 @@
     let unknown: BTreeSet<InstanceId> =
         members.into_iter().map(|member| member.id).filter(|id| !known.contains(id)).collect();
     for id in unknown.intersection(missing) {
-        let removed = node.store.remove(FeedKind::Members, id.as_str()).await;
+        let removed = remove_objects(node, id.as_str()).await;
         event!(node, MemberRemoved;
             "member" => id.as_str(), "done" => removed.is_ok());
     }
     *missing = unknown;
 }
+
+/// Removes what a process that is gone has in the store; the membership record last, as it is what is looked for.
+async fn remove_objects(node: &FrontNode, name: &str) -> oleander_plat::Result<()> {
+    node.store.remove(FeedKind::Origins, name).await?;
+    node.store.remove(FeedKind::Members, name).await
+}
--- a/crates/front/src/kept.rs
+++ b/crates/front/src/kept.rs
@@ -2,7 +2,8 @@
 //!
 //! All processes may be killed at once, and their memory is lost then. The collector reads a record once when it
 //! becomes the collector, and writes it when the shared state changes; the other processes receive the state in its
-//! digests. So the number of store calls grows neither with processes nor with requests.
+//! digests. So the number of store calls grows neither with processes nor with requests. A record of which each process
+//! has an object of its own must itself bound the calls of all of them, by its check period.
 
 use crate::era;
 use crate::events::event;
@@ -24,10 +25,14 @@
 
     /// Kind of the store object.
     const KIND: FeedKind;
+
     /// Name of the store object.
-    const NAME: &'static str = "all";
-    /// Interval between two checks whether the object must be read or written.
-    const CHECK_PERIOD: TimeSpan;
+    fn name<'a>(&self, _node: &'a FrontNode) -> &'a str {
+        "all"
+    }
+
+    /// Time until the next check whether the object must be read or written.
+    fn check_period(&self, node: &FrontNode) -> TimeSpan;
 
     /// Notification that triggers a check before the interval is over, if there is one.
     fn wake(_node: &FrontNode) -> Option<&Notify> {
@@ -71,7 +76,6 @@
     let mut known = None;
     let (first, longest) = FAULT_BACKOFF;
     let mut pause = first;
-    until_check::<R>(&node).await;
     loop {
         // The store may answer again while a call still fails.
         let returned = node.store_returned.notified();
@@ -80,7 +84,7 @@
         pause = if is_writer && known.is_none() {
             let checked_later = async {
                 let next = node.back_off(pause, longest).await;
-                until_check::<R>(&node).await;
+                until_check(&node, &record).await;
                 next
             };
             tokio::select! {
@@ -88,15 +92,15 @@
                 () = returned => first,
             }
         } else {
-            until_check::<R>(&node).await;
+            until_check(&node, &record).await;
             first
         };
     }
 }
 
 /// Waits until the next check of the object is due.
-async fn until_check<R: StoredRecord>(node: &FrontNode) {
-    let asleep = actix_rt::time::sleep(R::CHECK_PERIOD.duration());
+async fn until_check<R: StoredRecord>(node: &FrontNode, record: &R) {
+    let asleep = actix_rt::time::sleep(record.check_period(node).duration());
     match R::wake(node) {
         Some(wake) => tokio::select! {
             () = asleep => {}
@@ -126,7 +130,7 @@
     node: &FrontNode,
     record: &mut R,
 ) -> Option<CachedObject<R::Mark>> {
-    match node.store.read(R::KIND, R::NAME).await {
+    match node.store.read(R::KIND, record.name(node)).await {
         Ok(object) => Some(cached_object(node, record, object.as_ref())),
         Err(fault) => {
             event!(node, RecordFault; "record" => R::KIND.name(), "fault" => fault.to_string());
@@ -156,7 +160,7 @@
     if mark == known.mark {
         return Some(known);
     }
-    match node.store.write(R::KIND, R::NAME, known.guard, body).await {
+    match node.store.write(R::KIND, record.name(node), known.guard, body).await {
         Ok(WriteOutcome::Made(revision)) => {
             record.note_written(node);
             Some(CachedObject { guard: FeedCondition::Is(revision), mark, era: known.era })
--- a/crates/front/src/origins.rs
+++ b/crates/front/src/origins.rs
@@ -4,9 +4,11 @@
 //! process, or one that keeps the record, knows of its beginning; a stream of which that cannot be known is refused.
 
 mod bind;
+mod lasting;
 mod send;
 
 pub(crate) use bind::{StreamBinding, bind_begun, bind_request};
+pub(crate) use lasting::OriginStore;
 pub(crate) use send::{hand_over, run_sender};
 
 use crate::node::FrontNode;
--- a/crates/front/src/process.rs
+++ b/crates/front/src/process.rs
@@ -101,6 +101,7 @@
         actix_rt::spawn(origins::run_sender(node.clone())),
         actix_rt::spawn(kept::sync_record(node.clone(), SuspectStore)),
         actix_rt::spawn(kept::sync_record(node.clone(), WindowStore::default())),
+        actix_rt::spawn(kept::sync_record(node.clone(), origins::OriginStore)),
     ];
     let accepting = actix_rt::spawn(ingress::accept_callers(node.clone(), callers));
     if let Some(file) = file {
--- a/crates/front/src/suspect_store.rs
+++ b/crates/front/src/suspect_store.rs
@@ -63,7 +63,10 @@
     type Mark = StoredEnds;
 
     const KIND: FeedKind = FeedKind::Suspects;
-    const CHECK_PERIOD: TimeSpan = CHECK_PERIOD;
+
+    fn check_period(&self, _node: &FrontNode) -> TimeSpan {
+        CHECK_PERIOD
+    }
 
     fn is_writer(&self, node: &FrontNode) -> bool {
         is_settled_collector(node)
--- a/crates/front/src/window_store.rs
+++ b/crates/front/src/window_store.rs
@@ -71,7 +71,10 @@
     type Mark = WindowMark;
 
     const KIND: FeedKind = FeedKind::Windows;
-    const CHECK_PERIOD: TimeSpan = CHECK_PERIOD;
+
+    fn check_period(&self, _node: &FrontNode) -> TimeSpan {
+        CHECK_PERIOD
+    }
 
     fn wake(node: &FrontNode) -> Option<&Notify> {
         Some(&node.ledger_wanted)
--- a/crates/origin/src/book.rs
+++ b/crates/origin/src/book.rs
@@ -4,7 +4,7 @@
 use compact_str::CompactString;
 use oleander_kind::{ClockTime, ServiceName, TimeSpan};
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 /// Most records that a process keeps. A process begins tens of streams a second, and each record lasts for some
 /// tens of seconds.
@@ -40,6 +40,7 @@
 pub struct OriginBook {
     records: HashMap<StreamKey, OriginRecord>,
     rejected: u64,
+    changes: u64,
 }
 
 impl OriginBook {
@@ -63,8 +64,9 @@
     pub fn merge(&mut self, entry: &OriginEntry, now: ClockTime) {
         let until = now + entry.left;
         if let Some(known) = self.records.get_mut(&entry.key).filter(|known| known.until > now) {
-            if known.version != entry.version {
+            if known.version != entry.version && known.version.is_some() {
                 known.version = None;
+                self.changes += 1;
             }
             known.until = known.until.max(until);
             return;
@@ -78,6 +80,7 @@
         }
         let record = OriginRecord { version: entry.version.clone(), until, service: None };
         self.records.insert(entry.key, record);
+        self.changes += 1;
     }
 
     /// The record of a stream that may still be taken up.
@@ -95,6 +98,28 @@
         self.entries(now, |_| true)
     }
 
+    /// The records that must outlast this process: those of the streams that it delivered of `services`, and the copies
+    /// for other processes. At most `most`, those that may be taken up longest.
+    pub fn lasting(
+        &self,
+        services: &HashSet<ServiceName>,
+        most: usize,
+        now: ClockTime,
+    ) -> Vec<OriginEntry> {
+        let is_wanted = |record: &OriginRecord| {
+            record.service.as_ref().is_none_or(|service| services.contains(service))
+        };
+        let mut entries = self.entries(now, is_wanted);
+        entries.sort_unstable_by_key(|entry| std::cmp::Reverse(entry.left));
+        entries.truncate(most);
+        entries
+    }
+
+    /// Number of changes so far: records that were added, and those of which a second version was told.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     fn entries(
         &self,
         now: ClockTime,
--- a/crates/origin/src/key.rs
+++ b/crates/origin/src/key.rs
@@ -25,8 +25,20 @@
         StreamKey(bits)
     }
 
+    /// Reads the digits that [`Display`](std::fmt::Display) writes.
+    pub fn parse(text: &str) -> Option<Self> {
+        u128::from_str_radix(text, 16).ok().map(StreamKey)
+    }
+
     /// The group whose streams are kept at the same processes.
     pub fn group(self) -> u64 {
         (self.0 % GROUPS) as u64
     }
 }
+
+/// Hexadecimal digits.
+impl std::fmt::Display for StreamKey {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{:x}", self.0)
+    }
+}
--- a/crates/plat/src/feed.rs
+++ b/crates/plat/src/feed.rs
@@ -24,6 +24,8 @@
     Suspects,
     /// Recent admissions of client accounts.
     Windows,
+    /// The versions at which streams began, an object of each process.
+    Origins,
     /// Roll-out orders. Their bodies hold the order and the status written to it.
     Releases,
 }
@@ -39,6 +41,7 @@
             FeedKind::UsageReports => "usage_reports",
             FeedKind::Suspects => "suspects",
             FeedKind::Windows => "windows",
+            FeedKind::Origins => "origins",
             FeedKind::Releases => "releases",
         }
     }
--- a/tests/all/origin_rules.rs
+++ b/tests/all/origin_rules.rs
@@ -397,3 +397,46 @@
     assert_eq!(inquiry.conclude(Some(&v2)), InquiryStep::Unknown);
     assert_eq!(inquiry.conclude(Some(&v1)), bound("v1", OriginBasis::Alone));
 }
+
+/// A process that stores what is certain too, or more than an object holds, or the streams that end first.
+#[test]
+fn what_outlasts_a_process_is_what_is_uncertain_and_may_be_taken_up_longest() {
+    let (now, version) = (at(0), CompactString::from("v1"));
+    let mut book = OriginBook::default();
+    book.note_own(key("certain"), (&"t".into(), &version), (now, SPAN));
+    book.note_own(key("own"), (&service(), &version), (now, SPAN));
+    book.merge(&OriginEntry { left: SECOND, ..entry("soon over", "v1") }, now);
+    book.merge(&OriginEntry { left: SPAN + SECOND, ..entry("copy", "v1") }, now);
+
+    let lasting = book.lasting(&[service()].into(), 2, now);
+
+    let keys: Vec<_> = lasting.iter().map(|entry| entry.key).collect();
+    assert_eq!(keys, [key("copy"), key("own")]);
+}
+
+/// A record whose version became doubtful stays in the store with the version that it had.
+#[test]
+fn a_record_that_became_doubtful_is_a_change() {
+    let mut book = OriginBook::default();
+    book.merge(&entry("a", "v1"), at(0));
+    let before = book.changes();
+
+    book.merge(&entry("a", "v1"), at(1));
+    let repeated = book.changes();
+    book.merge(&entry("a", "v2"), at(1));
+
+    assert_eq!(repeated, before);
+    assert!(book.changes() > repeated);
+    assert_eq!(book.lasting(&[].into(), 1, at(1))[0].version, None);
+}
+
+/// A key that is read back as another one, or from text that is none.
+#[test]
+fn a_stream_key_is_read_as_it_is_written() {
+    arbtest(|unstructured| {
+        let id: String = unstructured.arbitrary()?;
+        assert_eq!(StreamKey::parse(&key(&id).to_string()), Some(key(&id)));
+        Ok(())
+    });
+    assert_eq!(StreamKey::parse("no key"), None);
+}
--- a/tests/all/plays.rs
+++ b/tests/all/plays.rs
@@ -613,6 +613,15 @@
         self.state.find(kind, name).map(|object| object.body)
     }
 
+    /// How often an object of `kind` was written so far.
+    pub fn writes(&self, kind: FeedKind) -> u64 {
+        let history = self.state.history.borrow();
+        let puts = history
+            .iter()
+            .filter(|(of, event, _)| *of == kind && matches!(event, FeedEvent::Put(_)));
+        puts.count() as u64
+    }
+
     /// The calls that the store has answered so far.
     pub fn store_calls(&self) -> u64 {
         self.state.calls.get()
--- a/tests/all/taking_up.rs
+++ b/tests/all/taking_up.rs
@@ -2,11 +2,13 @@
 //! events of one software version, and of the service that began it.
 
 use crate::front::request;
-use crate::origins::{PlayOutcome, StreamBook, VersionPlay, rules, versioned};
+use crate::origins::{Attempt, PlayOutcome, STREAMS, StreamBook, VersionPlay, rules, versioned};
 use crate::path::PathMode;
 use crate::plays::play;
+use crate::unframed::view;
+use oleandertack::plat::FeedKind;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Endpoints of each of two versions.
 const ENDPOINTS: usize = 3;
@@ -70,6 +72,37 @@
     }
 }
 
+/// The memory of all processes ends, and with it who knows at which version a stream began.
+#[test]
+fn streams_go_on_after_a_kill_of_all_while_two_versions_serve() {
+    for pause in [0, 2000, 4000].map(Duration::from_millis) {
+        play(async {
+            let outcome = take_up_after_kill_of_all(OldVersion::Stays, pause, |_| {}).await;
+
+            assert_eq!(outcome.mixed, 0, "{pause:?} {outcome:?}");
+            assert!(outcome.whole >= STREAMS / 2, "{pause:?} {outcome:?}");
+        });
+    }
+}
+
+/// A store that comes back from an older copy lacks what it had taken, and all processes are killed after it.
+#[test]
+fn streams_go_on_after_a_kill_of_all_although_the_store_went_back() {
+    play(async {
+        let pause = Duration::from_secs(2);
+        let go_back = |play: &VersionPlay| {
+            let copy = play.group.copy_without(&[FeedKind::Origins]);
+            play.group.write_others(20);
+            play.group.go_back(copy);
+        };
+
+        let outcome = take_up_after_kill_of_all(OldVersion::Stays, pause, go_back).await;
+
+        assert_eq!(outcome.mixed, 0, "{outcome:?}");
+        assert!(outcome.whole >= STREAMS / 2, "{outcome:?}");
+    });
+}
+
 /// Rules that shorten the timeouts make a restarted process believe that no earlier stream can still be taken up.
 #[test]
 fn no_stream_changes_its_version_after_the_timeouts_were_shortened() {
@@ -120,3 +153,28 @@
         assert!(outcome.whole > 0, "{outcome:?}");
     });
 }
+
+/// Each of many processes writes what it knows as often as one of few does, and the store refuses the calls of all.
+#[test]
+fn many_processes_write_where_streams_began_within_their_share_of_the_store() {
+    const PROCESSES: usize = 90;
+    const WRITES_PER_S: f64 = 100.0;
+    play(async {
+        let play = VersionPlay::start(PROCESSES, &["v1", "v2"], StreamBook::breaking(2)).await;
+        let (since, before) = (Instant::now(), play.group.writes(FeedKind::Origins));
+
+        for round in 0..10 {
+            for process in 0..PROCESSES {
+                let id = format!("round-{round}-{process}");
+                let attempt = Attempt { id: &id, key: "key-1", takes_up: None };
+                view(&mut play.send(process, process, &attempt).await).await;
+            }
+            sleep(Duration::from_millis(200)).await;
+        }
+
+        let writes = (play.group.writes(FeedKind::Origins) - before) as f64;
+        let most = since.elapsed().as_secs_f64() * WRITES_PER_S;
+        assert!(writes > most / 4.0, "{writes} writes are too few to tell, {most} may come");
+        assert!(writes <= most, "{writes} writes, {most} may come");
+    });
+}
