Stored records of streams take a tenth of the store's rate, not a quarter

Change: all processes together write 40 times a second at most. With 9 processes nothing changes, as the least time between two writes of one of them is half a second. With 83 it is 2 to 3 s, so that a stream which began less than that before a kill of all is refused, as before the records were stored.

--- a/crates/front/src/origins/lasting.rs
+++ b/crates/front/src/origins/lasting.rs
@@ -19,9 +19,9 @@
 use std::collections::BTreeMap;
 
 /// Least time between two writes of one process, and the part of it for each process that serves: all processes together
-/// write 100 times a second at most, a quarter of what the store takes.
+/// write 40 times a second at most, a tenth of what the store takes.
 const WRITE_PERIOD: TimeSpan = TimeSpan(500);
-const PROCESS_PERIOD: TimeSpan = TimeSpan(10);
+const PROCESS_PERIOD: TimeSpan = TimeSpan(25);
 /// Most records in an object: some 400 kilobytes, where the store takes a megabyte.
 const MAX_STORED: usize = 8000;
 /// The longest time for which a record that was read is kept.
