--- a/crates/conf/src/front.rs
+++ b/crates/conf/src/front.rs
@@ -38,6 +38,12 @@
     /// CPU quota of this instance, in cores.
     #[serde(default = "default_cores")]
     pub cores: f64,
+    /// Memory of this instance, in megabytes. What callers can make the process hold is sized by it.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: f64,
+    /// Descriptors that the process may open, those for files included. Callers' connections get a part of them.
+    #[serde(default = "default_descriptors")]
+    pub descriptors: usize,
     /// Whether a few processes send all requests of a service that has fewer places than there are processes,
     /// while its room is short.
     #[serde(default)]
@@ -56,6 +62,21 @@
     0.25
 }
 
+/// Memory of the users' current entry instances.
+fn default_memory_mb() -> f64 {
+    260.0
+}
+
+/// Descriptors of the users' current entry instances.
+fn default_descriptors() -> usize {
+    4100
+}
+
+/// Below this, the process itself and one request of the longest body do not fit side by side.
+const MIN_MEMORY_MB: f64 = 32.0;
+/// Below this, nothing is left for callers beside files, peers and endpoints.
+const MIN_DESCRIPTORS: usize = 256;
+
 /// Timing and rate bounds of a front process. Names of times end in the unit.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -127,6 +148,8 @@
         require(!self.domain.as_str().is_empty(), "domain", "must not be empty")?;
         require(self.link_mbps > 0.0, "link_mbps", "must be more than 0")?;
         require(self.cores > 0.0, "cores", "must be more than 0")?;
+        require(self.memory_mb >= MIN_MEMORY_MB, "memory_mb", "must be at least 32")?;
+        require(self.descriptors >= MIN_DESCRIPTORS, "descriptors", "must be at least 256")?;
         self.bounds.check()
     }
 }
--- a/tests/all/front.rs
+++ b/tests/all/front.rs
@@ -192,6 +192,8 @@
         source: None,
         link_mbps: 1000.0,
         cores: 0.25,
+        memory_mb: 260.0,
+        descriptors: 4100,
         dispatch: true,
         bounds,
     };
--- a/tests/all/plays.rs
+++ b/tests/all/plays.rs
@@ -394,6 +394,8 @@
         source: None,
         link_mbps: 1000.0,
         cores: 0.25,
+        memory_mb: 260.0,
+        descriptors: 4100,
         dispatch: true,
         bounds: FrontBounds::default(),
     }
