Crowd tests: callers that do not behave against real processes, red

Real processes on loopback, with small machines in their settings (64 MB; 456 or 1000 descriptors, which the system enforces), a crowd that stays open, and one ordinary request. Checked are that the process lives, its peak memory and its open descriptors against the settings, and the ordinary answer; no times, no shares. The bound is the memory that the settings name.

An entry's settings name its descriptors too, without effect yet.

--- a/crates/conf/src/entry.rs
+++ b/crates/conf/src/entry.rs
@@ -1,5 +1,6 @@
 //! Settings of `oleander-entry`, with their defaults and checks.
 
+use crate::front::{check_descriptors, default_descriptors};
 use crate::reader::{FieldCheck, FieldError, require};
 use compact_str::CompactString;
 use oleander_kind::{DomainName, InstanceId};
@@ -122,6 +123,9 @@
     /// Periods and timeouts.
     #[serde(default)]
     pub times: EntryTimes,
+    /// Descriptors that the process may open, those for files included. Callers' connections get a part of them.
+    #[serde(default = "default_descriptors")]
+    pub descriptors: usize,
     /// Number of claim shards, which must be the same for every process.
     #[serde(default = "default_claim_shards")]
     pub claim_shards: u32,
@@ -172,6 +176,7 @@
             "claim_shards",
             "must be from 1 to 256",
         )?;
+        check_descriptors(self.descriptors)?;
         let bounds = &self.bounds;
         require(bounds.body_bytes >= MIN_BODY_BYTES, "body_bytes", "must be 1024 or more")?;
         require(
--- a/crates/conf/src/front.rs
+++ b/crates/conf/src/front.rs
@@ -68,7 +68,7 @@
 }
 
 /// Descriptors of the users' current entry instances.
-fn default_descriptors() -> usize {
+pub(crate) fn default_descriptors() -> usize {
     4100
 }
 
@@ -142,6 +142,10 @@
     }
 }
 
+pub(crate) fn check_descriptors(descriptors: usize) -> Result<(), FieldError> {
+    require(descriptors >= MIN_DESCRIPTORS, "descriptors", "must be at least 256")
+}
+
 impl FieldCheck for FrontSettings {
     fn check(&self) -> Result<(), FieldError> {
         require(!self.instance.as_str().is_empty(), "instance", "must not be empty")?;
@@ -149,7 +153,7 @@
         require(self.link_mbps > 0.0, "link_mbps", "must be more than 0")?;
         require(self.cores > 0.0, "cores", "must be more than 0")?;
         require(self.memory_mb >= MIN_MEMORY_MB, "memory_mb", "must be at least 32")?;
-        require(self.descriptors >= MIN_DESCRIPTORS, "descriptors", "must be at least 256")?;
+        check_descriptors(self.descriptors)?;
         self.bounds.check()
     }
 }
--- a/crates/rig/src/cluster.rs
+++ b/crates/rig/src/cluster.rs
@@ -210,6 +210,7 @@
                 platform_ms: 1000,
                 ..EntryTimes::default()
             },
+            descriptors: 4100,
             claim_shards: 4,
         }
     }
--- /dev/null
+++ b/tests/all/crowd_entry.rs
@@ -0,0 +1,132 @@
+//! A real entry process, which serves the own interface, and the callers of its crowd tests.
+
+use crate::crowd_site::{StayingCallers, assert_process_bounded, own_address, write_zeros};
+use oleandertack::rig::cluster::{CALLER_KEY, MODEL, operator};
+use oleandertack::rig::{Rig, RigSettings};
+use serde_json::json;
+use std::fs::File;
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+/// The longest body, in bytes.
+pub const BODY_LIMIT: usize = 8 << 20;
+/// Bytes of all requests that the process may hold.
+const HELD_LIMIT: usize = 24 << 20;
+/// Bytes of kept answers.
+const KEPT_LIMIT: usize = 8 << 20;
+/// Memory of the machine, in megabytes: what may be held and kept, and as much again for the process itself.
+const MEMORY_MB: usize = 64;
+/// Descriptors of the machine, which the system enforces.
+const DESCRIPTORS: usize = 456;
+/// How long one caller of a crowd may be at sending.
+const SEND_TIME: Duration = Duration::from_secs(8);
+/// How long an ordinary caller waits.
+const ORDINARY_TIME: Duration = Duration::from_secs(10);
+
+/// An entry process among stand-ins.
+pub struct EntrySite {
+    listen: SocketAddr,
+    child: Child,
+    _rig: Rig,
+}
+
+impl Drop for EntrySite {
+    fn drop(&mut self) {
+        // It may have ended, which the test told.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl EntrySite {
+    /// Starts the process and waits until it is ready.
+    pub async fn start() -> Self {
+        let shape = RigSettings { entries: 0, engines: 1, plains: 1, ..RigSettings::default() };
+        let rig = Rig::start(shape, |_, _| None).await.expect("the rig starts");
+        let ip = own_address();
+        let port = |offset: u16| SocketAddr::from((ip, 20_000 + offset));
+        let settings = json!({
+            "instance": "entry-0", "domain": "ylemiste", "listen": port(0), "admin": port(1),
+            "peer": port(2), "platform": rig.standin, "list": format!("{}/list", rig.standin),
+            "root_keys": [operator().public_hex()], "descriptors": DESCRIPTORS,
+            "bounds": {
+                "body_bytes": BODY_LIMIT, "held_bytes": HELD_LIMIT, "kept_bytes": KEPT_LIMIT,
+            },
+        });
+        let folder = std::env::temp_dir().join(format!("oleander-crowd-{ip}"));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let path = folder.join("entry.json");
+        std::fs::write(&path, settings.to_string()).expect("a settings file");
+        let log = File::create(folder.join("entry.log")).expect("a log");
+        let child = Command::new("sh")
+            .args(["-c", &format!("ulimit -n {DESCRIPTORS}; exec \"$0\" --settings \"$1\"")])
+            .arg(env!("CARGO_BIN_EXE_oleander-entry"))
+            .arg(path)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().expect("a log"))
+            .stderr(log)
+            .spawn()
+            .expect("it starts");
+        let site = EntrySite { listen: port(0), child, _rig: rig };
+        while site.ask().await != Some(200) {
+            sleep(Duration::from_millis(50)).await;
+        }
+        site
+    }
+
+    /// Lets `count` callers announce a body of `announced` bytes, send `sent` of it, and stay.
+    pub async fn send_bodies(
+        &self,
+        count: usize,
+        (announced, sent): (usize, usize),
+    ) -> StayingCallers {
+        let head = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer {CALLER_KEY}\r\n\
+             Content-Type: application/json\r\nContent-Length: {announced}\r\n\r\n"
+        );
+        let sending = (0..count).map(|_| async {
+            let mut stream = TcpStream::connect(self.listen).await.ok()?;
+            stream.write_all(head.as_bytes()).await.ok()?;
+            // The process need neither read it all nor keep the connection.
+            let _ = timeout(SEND_TIME, write_zeros(&mut stream, sent, 64 << 10)).await;
+            Some(stream)
+        });
+        StayingCallers::of(sending).await
+    }
+
+    /// Lets `count` callers connect and stay.
+    pub async fn send_nothing(&self, count: usize) -> StayingCallers {
+        let connecting = (0..count).map(|_| async {
+            let connected = timeout(SEND_TIME, TcpStream::connect(self.listen)).await;
+            connected.ok()?.ok()
+        });
+        StayingCallers::of(connecting).await
+    }
+
+    /// Asserts that the process lives within its memory and descriptors.
+    pub fn assert_bounded(&self) {
+        assert_process_bounded("entry", self.child.id(), (MEMORY_MB, DESCRIPTORS));
+    }
+
+    /// Asserts that an ordinary request is answered.
+    pub async fn assert_answers_ordinary(&self) {
+        assert_eq!(self.ask().await, Some(200));
+    }
+
+    /// The status of the answer to an ordinary request; none without an answer.
+    async fn ask(&self) -> Option<u16> {
+        let client = awc::Client::builder().timeout(ORDINARY_TIME).finish();
+        let body = json!({
+            "model": MODEL, "max_tokens": 3, "messages": [{ "role": "user", "content": "soup" }],
+        });
+        let request = client
+            .post(format!("http://{}/v1/chat/completions", self.listen))
+            .insert_header(("authorization", format!("Bearer {CALLER_KEY}")));
+        let answer = request.send_json(&body).await.ok()?;
+        Some(answer.status().as_u16())
+    }
+}
