Requests of callers come from one account that is sized by the machine

Callers saw: 29 bodies of 4 MiB that stop short of their end ended a process of 120 MB, and everybody else's requests with it. Cause: what is read of a request was kept until its idle timeout, which begins anew with each byte, by as many callers as came; nothing was sized by the machine.

Crate hold: a ledger (facts, event, now -> verdict, evictions) with rooms for small requests (and the first 64 KiB of others) and for the rest of large ones, a quarter of memory_mb each. Memory is claimed before it is taken, as bytes come, never by what a head announces. When a room is full, the incomplete request with the least progress since it began gives way (a byte now and then is no progress), is refused as 1020 with a Retry-After of 0.5 to 1 s, and the claim waits until its memory is free. A complete request never gives way; it had its room before it was complete.

On call: gauges oleander_front_held and _gave_way, held in /state, the lines gave_way and room_full with their inputs.

--- a/crates/front/src/admin.rs
+++ b/crates/front/src/admin.rs
@@ -6,6 +6,7 @@
 use crate::releases::RunningOrder;
 use actix_web::{HttpResponse, web};
 use compact_str::CompactString;
+use oleander_hold::HoldRoom;
 use oleander_kind::{InstanceId, RequestRate, ServiceName, TimeSpan};
 use oleander_list::FreshnessStamp;
 use oleander_mesh::PartSizes;
@@ -24,6 +25,12 @@
 }
 
 async fn metrics(node: web::Data<Rc<FrontNode>>) -> HttpResponse {
+    for room in HoldRoom::ALL {
+        node.meter.record_held(room.name(), node.holds.usage(room));
+    }
+    for (reason, count) in node.holds.gave_way() {
+        node.meter.record_gave_way(reason, count);
+    }
     HttpResponse::Ok().content_type("text/plain; version=0.0.4").body(node.meter.text())
 }
 
@@ -54,6 +61,7 @@
         "stop": format!("{:?}", node.stop.get()),
         "ready": node.is_ready(),
         "in_flight": node.in_flight.get(),
+        "held": dump_holds(node),
         "store_era": node.store_era.get().map(|era| era.0),
         "rules_version": rules.version(),
         "rules_fresh": node.rules_are_fresh(),
@@ -97,6 +105,15 @@
     })
 }
 
+/// What callers make this process hold, of what they may.
+fn dump_holds(node: &FrontNode) -> Value {
+    let room = |room: HoldRoom| {
+        let (used, bound) = node.holds.usage(room);
+        (room.name().to_owned(), json!({ "used": used, "bound": bound }))
+    };
+    HoldRoom::ALL.into_iter().map(room).collect::<serde_json::Map<_, _>>().into()
+}
+
 /// The services whose endpoints this process may not reach.
 fn dump_paths(node: &FrontNode) -> Vec<Value> {
     let now = node.clock.now();
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -550,7 +550,7 @@
             let announced =
                 answer_head.keep_alive.map(|span| span.duration().mul_f64(IDLE_FRACTION));
             let keep = announced.unwrap_or(IDLE_TIMEOUT);
-            self.node.pool.borrow_mut().put(&target.life.instance, link, keep, MAX_IDLE_LINKS);
+            self.node.keep_link(&target.life.instance, link, keep);
         }
         outcome
     }
--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -36,6 +36,7 @@
             ConnectionEnd::Caller => "caller",
             ConnectionEnd::Broken(_) => "broken",
             ConnectionEnd::Idle => "idle",
+            ConnectionEnd::Refused(ResultCode::MemoryFull) => "gave_way",
             ConnectionEnd::Stop | ConnectionEnd::Refused(ResultCode::Draining) => "stop",
             ConnectionEnd::Refused(ResultCode::SlowHead | ResultCode::SlowBody) => "time",
             ConnectionEnd::Refused(_) => "malformed",
--- a/crates/front/src/ingress.rs
+++ b/crates/front/src/ingress.rs
@@ -8,6 +8,7 @@
 use crate::connection::{ConnectionEnd, ConnectionTrace, UnansweredBytes};
 use crate::drive::serve_call;
 use crate::events::event;
+use crate::holding::{log_gave_way, log_room_full};
 use crate::node::FrontNode;
 use actix_codec::Decoder;
 use actix_http::error::ParseError;
@@ -18,8 +19,9 @@
 use compact_str::CompactString;
 use oleander_board::StopStage;
 use oleander_call::CallerBounds;
-use oleander_hold::{BodyBuffer, BodyChain};
-use oleander_kind::ResultCode;
+use oleander_hold::bounds::REQUEST_BYTES;
+use oleander_hold::{BodyBuffer, BodyChain, CallerHold};
+use oleander_kind::{ResultCode, TimeSpan};
 use oleander_outlet::{OverheadCount, SocketBounds, configure_socket};
 use std::cell::Cell;
 use std::io;
@@ -34,6 +36,8 @@
 const READ_SIZE: usize = 4096;
 /// Most bytes of pipelined requests that are buffered while one is answered; the rest stays in the socket.
 const PIPELINE_LIMIT: usize = 64 << 10;
+/// Shortest Retry-After time of a request that gave way to others.
+const MEMORY_RETRY: TimeSpan = TimeSpan(500);
 /// How long what the caller still sends is read and discarded after the last answer of a connection, so that the
 /// caller sees the answer instead of a connection reset.
 const LINGER_TIME: Duration = Duration::from_millis(500);
@@ -95,7 +99,8 @@
         codec: Codec::new(node.http.config().clone()),
         buffer: BytesMut::new(),
         discarded: 0,
-        partial_id: None,
+        partial: None,
+        hold: CallerHold::open(&node.holds),
         trace: ConnectionTrace::new(node),
     };
     actix_rt::spawn(serve_connection(connection));
@@ -109,8 +114,9 @@
     buffer: BytesMut,
     /// Bytes that were read and discarded after the last answer.
     discarded: usize,
-    /// Id of the request of which only the body was not read to its end.
-    partial_id: Option<CompactString>,
+    /// The request of which only the body is not read to its end.
+    partial: Option<Request>,
+    hold: Rc<CallerHold>,
     trace: ConnectionTrace,
 }
 
@@ -121,7 +127,8 @@
     let end = connection.serve().await;
     let left = connection.take_unanswered(end).await;
     connection.trace.end(end, left);
-    let CallerConnection { node, stream, mut codec, trace: _trace, .. } = connection;
+    let CallerConnection { node, stream, mut codec, hold, trace: _trace, .. } = connection;
+    hold.leave();
     if let ConnectionEnd::Refused(code) = end {
         refuse_and_close(&node, stream, &mut codec, code).await;
     }
@@ -134,7 +141,7 @@
 impl CallerConnection {
     /// Answers requests until the connection ends.
     async fn serve(&mut self) -> ConnectionEnd {
-        let node = self.node.clone();
+        let (node, hold) = (self.node.clone(), self.hold.clone());
         loop {
             let read = tokio::select! {
                 biased;
@@ -143,16 +150,24 @@
                     true => ConnectionEnd::Refused(ResultCode::Draining),
                     false => ConnectionEnd::Stop,
                 }),
+                _ = hold.until_evicted() => Err(ConnectionEnd::Refused(ResultCode::MemoryFull)),
             };
             let request = match read {
                 Ok(request) => request,
-                Err(end) => return end,
+                Err(end) => {
+                    self.note_gave_way();
+                    return end;
+                }
             };
             match self.answer(request).await {
-                NextUse::Request => self.trace.note_answered(),
+                NextUse::Request => {
+                    self.trace.note_answered();
+                    self.rest();
+                }
                 NextUse::Close => return ConnectionEnd::Unfinished,
                 NextUse::CallerGone => return ConnectionEnd::Caller,
                 NextUse::Linger => {
+                    self.hold.leave();
                     self.discarded = linger(&mut self.stream).await;
                     return ConnectionEnd::Answered;
                 }
@@ -160,6 +175,35 @@
         }
     }
 
+    /// Keeps no more than what was sent of the next request.
+    fn rest(&mut self) {
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
+        self.hold.rest(self.buffer.capacity());
+    }
+
+    /// Logs a request that gave way, and drops what was read of it.
+    fn note_gave_way(&mut self) {
+        let Some(eviction) = self.hold.eviction().filter(|_| self.trace.is_reading()) else {
+            return;
+        };
+        let request = self.partial.as_ref().and_then(|request| self.request_id(request));
+        log_gave_way(&self.node, request.as_deref(), &eviction);
+        self.buffer = BytesMut::new();
+    }
+
+    /// Claims the memory of a request, of which the body and the head take so many bytes.
+    async fn claim(&self, bytes: usize) -> Result<(), ConnectionEnd> {
+        let claimed = self.hold.claim_request(bytes).await;
+        claimed.map_err(|room| {
+            if self.hold.eviction().is_none() {
+                log_room_full(&self.node, room);
+            }
+            ConnectionEnd::Refused(ResultCode::MemoryFull)
+        })
+    }
+
     /// The larger of the bounds that were in force at a moment and those that are now.
     ///
     /// A caller may count on the newest ones as soon as they are written, and on older ones for what it has begun.
@@ -172,20 +216,20 @@
         if self.buffer.is_empty() {
             self.wait_first_byte().await?;
         }
+        self.hold.begin();
+        self.hold.note_moved(self.buffer.len());
         self.trace.note_begun(self.buffer.len());
         let begun = caller_bounds(&self.node);
-        let request = self.read_head(begun).await?;
+        let (request, head_bytes) = self.read_head(begun).await?;
         self.trace.note_head();
-        match self.read_body(&request, begun).await {
-            Ok(body) => {
-                self.trace.note_complete();
-                Ok((request, body))
-            }
-            Err(end) => {
-                self.partial_id = self.request_id(&request);
-                Err(end)
-            }
-        }
+        let length = announced_length(&request);
+        let has_continue = request.head().expect();
+        self.partial = Some(request);
+        let body = self.read_body((length, has_continue), head_bytes, begun).await?;
+        self.trace.note_complete();
+        self.hold.complete();
+        let request = self.partial.take().ok_or(ConnectionEnd::Unfinished)?;
+        Ok((request, body))
     }
 
     fn request_id(&self, request: &Request) -> Option<CompactString> {
@@ -201,10 +245,11 @@
         }
         let count = self.buffer.len() + self.discarded;
         let is_refused = matches!(end, ConnectionEnd::Refused(_));
-        let request = self.partial_id.take().or_else(|| match is_refused {
-            true => None,
-            false => self.buffered_id(),
-        });
+        let partial = self.partial.take();
+        let request = match partial.as_ref().and_then(|request| self.request_id(request)) {
+            None if !is_refused => self.buffered_id(),
+            request => request,
+        };
         UnansweredBytes { count, request, crossed: crossed && count > 0 }
     }
 
@@ -222,7 +267,7 @@
         if self.stream.shutdown().await.is_err() {
             return;
         }
-        let mut scratch = [0; READ_SIZE];
+        let mut scratch = vec![0; READ_SIZE];
         // The connection is closed whether or not the caller has closed its side by then.
         if let Ok(Ok(count)) = timeout(CROSSING_TIME, self.stream.peek(&mut scratch)).await {
             self.buffer.extend_from_slice(&scratch[..count]);
@@ -235,10 +280,14 @@
         let (since, mut bounds) = (Instant::now(), caller_bounds(&self.node));
         loop {
             let limit = bounds.idle_timeout;
-            self.buffer.reserve(READ_SIZE);
             tokio::select! {
                 biased;
-                read = self.stream.read_buf(&mut self.buffer) => return some_bytes(read).map(drop),
+                ready = self.stream.readable() => {
+                    ready.map_err(|fault| ConnectionEnd::Broken(fault.kind()))?;
+                    if self.read_first().await? {
+                        return Ok(());
+                    }
+                }
                 () = self.node.close_idle.notified() => {
                     if self.trace.idle_for() >= SETTLE_TIME {
                         return self.end_unless_sent(ConnectionEnd::Stop).await;
@@ -255,17 +304,32 @@
         }
     }
 
+    /// Reads the first bytes of a request, for which memory is taken only now; returns whether there were any.
+    async fn read_first(&mut self) -> Result<bool, ConnectionEnd> {
+        self.claim(READ_SIZE).await?;
+        self.buffer.reserve(READ_SIZE);
+        match self.stream.try_read_buf(&mut self.buffer) {
+            Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => {
+                self.buffer = BytesMut::new();
+                self.claim(0).await?;
+                Ok(false)
+            }
+            read => some_bytes(read).map(|_| true),
+        }
+    }
+
     /// Ends an idle connection, unless a request is in its socket that the runtime has not seen yet.
     async fn end_unless_sent(&mut self, end: ConnectionEnd) -> Result<(), ConnectionEnd> {
         tokio::task::yield_now().await;
+        self.buffer.reserve(READ_SIZE);
         match self.stream.try_read_buf(&mut self.buffer) {
             Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => Err(end),
             read => some_bytes(read).map(drop),
         }
     }
 
-    /// Reads the head of a request that began under the limits `begun`.
-    async fn read_head(&mut self, begun: CallerBounds) -> Result<Request, ConnectionEnd> {
+    /// Reads the head of a request that began under the limits `begun`; also returns its length in bytes.
+    async fn read_head(&mut self, begun: CallerBounds) -> Result<(Request, usize), ConnectionEnd> {
         let since = Instant::now();
         let refused = |code| Err(ConnectionEnd::Refused(code));
         loop {
@@ -273,12 +337,13 @@
             let buffered = self.buffer.len();
             match self.codec.decode(&mut self.buffer) {
                 Ok(Some(Message::Item(request))) => {
-                    let too_long = buffered - self.buffer.len() > bounds.head_bytes;
+                    let length = buffered - self.buffer.len();
+                    let too_long = length > bounds.head_bytes;
                     let upgrade = self.codec.message_type() == MessageType::Stream;
                     return match (too_long, upgrade) {
                         (true, _) => refused(ResultCode::HeaderTooLarge),
                         (_, true) => refused(ResultCode::BadHead),
-                        _ => Ok(request),
+                        _ => Ok((request, length)),
                     };
                 }
                 Ok(Some(Message::Chunk(_))) => return refused(ResultCode::BadHead),
@@ -289,7 +354,7 @@
                 Err(ParseError::TooLarge) => return refused(ResultCode::HeaderTooLarge),
                 Err(_) => return refused(ResultCode::BadHead),
             }
-            match timeout_at(since + bounds.head_timeout.duration(), self.read_more()).await {
+            match timeout_at(since + bounds.head_timeout.duration(), self.read_more(0)).await {
                 Ok(read) => drop(read?),
                 Err(_) if bounds.head_timeout < self.bounds_since(begun).head_timeout => {}
                 Err(_) => return refused(ResultCode::SlowHead),
@@ -297,21 +362,26 @@
         }
     }
 
-    /// Reads the body of a request that began under the limits `begun`.
+    /// Reads the body of a request that began under the limits `begun`, whose head took `head_bytes`. Its length may
+    /// be known.
     async fn read_body(
         &mut self,
-        request: &Request,
+        (length, has_continue): (Option<usize>, bool),
+        head_bytes: usize,
         begun: CallerBounds,
     ) -> Result<BodyChain, ConnectionEnd> {
+        // The headers share the buffer that they were read into, which may be twice as long.
+        let served_bytes = REQUEST_BYTES + 2 * head_bytes;
+        let mut body = BodyBuffer::new(length);
+        self.claim(served_bytes + self.held_with(&body)).await?;
         if self.codec.message_type() == MessageType::None {
             return Ok(BodyChain::default());
         }
-        if request.head().expect() {
+        if has_continue {
             let written = self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
             written.map_err(|fault| ConnectionEnd::Broken(fault.kind()))?;
         }
         let refused = |code| Err(ConnectionEnd::Refused(code));
-        let mut body = BodyBuffer::new(announced_length(request));
         let mut overhead = OverheadCount::default();
         overhead.note_read(self.buffer.len());
         let mut since = Instant::now();
@@ -326,7 +396,8 @@
                 Ok(Some(Message::Item(_))) | Err(_) => return refused(ResultCode::BadHead),
                 Ok(None) => {
                     let until = since + bounds.idle_timeout.duration();
-                    match timeout_at(until, self.read_more()).await {
+                    let held = served_bytes + self.held_with(&body);
+                    match timeout_at(until, self.read_more(held)).await {
                         Ok(read) => {
                             overhead.note_read(read?);
                             since = Instant::now();
@@ -342,31 +413,46 @@
         }
     }
 
-    /// Reads more bytes of a request; returns how many.
-    async fn read_more(&mut self) -> Result<usize, ConnectionEnd> {
+    /// The memory that the buffer takes, and the body with what is buffered and the next read.
+    fn held_with(&self, body: &BodyBuffer) -> usize {
+        self.buffer.capacity() + body.held_with(self.buffer.len() + READ_SIZE)
+    }
+
+    /// Reads more bytes of a request, of which `held` bytes of memory are taken besides the buffer's growth; returns
+    /// how many.
+    async fn read_more(&mut self, held: usize) -> Result<usize, ConnectionEnd> {
+        let free = self.buffer.capacity() - self.buffer.len();
+        let grown = if free < READ_SIZE { 2 * self.buffer.len() + READ_SIZE } else { 0 };
+        self.claim(held.max(self.buffer.capacity()) + grown).await?;
         self.buffer.reserve(READ_SIZE);
         let count = some_bytes(self.stream.read_buf(&mut self.buffer).await)?;
         self.trace.note_read(count);
+        self.hold.note_moved(count);
         Ok(count)
     }
 
     /// Answers one request.
     async fn answer(&mut self, (mut request, body): (Request, BodyChain)) -> NextUse {
-        let CallerConnection { node, stream, codec, buffer, .. } = self;
+        let CallerConnection { node, stream, codec, buffer, hold, .. } = self;
         node.in_flight.set(node.in_flight.get() + 1);
         let _guard = InflightGuard(&node.in_flight);
         let (mut reader, writer) = stream.split();
         let mut answer = AnswerWriter::new(writer, codec, false).follow_stop(&node.stop);
         let head = std::mem::take(request.head_mut());
         let request = CallerRequest { head, body };
+        if buffer.is_empty() {
+            *buffer = BytesMut::new();
+        }
+        // Boxed, as most connections rest and have none.
+        let serving = Box::pin(serve_call(node, request, &mut answer));
         tokio::select! {
             biased;
-            outcome = serve_call(node, request, &mut answer) => match outcome {
+            outcome = serving => match outcome {
                 Ok(()) if answer.can_reuse() => NextUse::Request,
                 Ok(()) => end_answered(&mut answer).await,
                 Err(_) => NextUse::Close,
             },
-            () = wait_caller_close(&mut reader, buffer) => NextUse::CallerGone,
+            () = wait_caller_close(&mut reader, buffer, hold) => NextUse::CallerGone,
             () = node.until_stopped() => match answer.stage() {
                 AnswerStage::Waiting => {
                     // It may be under way at an endpoint.
@@ -419,17 +505,30 @@
 }
 
 /// Waits until the caller closes its side. Bytes that it sends meanwhile are buffered as pipelined requests.
-async fn wait_caller_close(reader: &mut ReadHalf<'_>, buffer: &mut BytesMut) {
+async fn wait_caller_close(reader: &mut ReadHalf<'_>, buffer: &mut BytesMut, hold: &CallerHold) {
     while buffer.len() < PIPELINE_LIMIT {
+        // A little is always read, as nothing else shows that the caller has gone.
+        if buffer.len() >= READ_SIZE && !hold.may_read_ahead() {
+            break;
+        }
+        if reader.readable().await.is_err() {
+            return;
+        }
         buffer.reserve(READ_SIZE);
-        match reader.read_buf(buffer).await {
+        match reader.try_read_buf(buffer) {
+            Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => {}
             Ok(0) | Err(_) => return,
-            Ok(_) => {}
+            Ok(_) => hold.count_ahead(buffer.capacity()),
         }
     }
     std::future::pending().await
 }
 
+/// Retry-After time of a request that gave way to others: callers come back one after the other, when others have ended.
+fn memory_retry(node: &FrontNode) -> TimeSpan {
+    TimeSpan(MEMORY_RETRY.0 + node.random() % MEMORY_RETRY.0)
+}
+
 /// The length of a body that the head of its request tells.
 fn announced_length(request: &Request) -> Option<usize> {
     request.head().headers().get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
@@ -449,7 +548,10 @@
         let mut answer = AnswerWriter::new(writer, codec, true);
         // A peer may have sent it, and has to know that this process refused it.
         answer.mark_relayed(node.dialect.as_ref());
-        answer.refuse(code, None).await
+        let retry = (code == ResultCode::MemoryFull).then(|| memory_retry(node));
+        // Answers before it may not have been taken.
+        let refusing = timeout(LINGER_TIME, answer.refuse(code, retry));
+        refusing.await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
     };
     if written.is_ok() && stream.shutdown().await.is_ok() {
         linger(&mut stream).await;
@@ -461,7 +563,7 @@
 async fn linger(stream: &mut TcpStream) -> usize {
     let mut discarded = 0;
     // The connection is closed whether or not the rest could be read.
-    let _ = timeout(LINGER_TIME, discard(stream, &mut discarded)).await;
+    let _ = timeout(LINGER_TIME, Box::pin(discard(stream, &mut discarded))).await;
     discarded
 }
 
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod evidence;
 pub mod feed;
 pub mod feeds;
+mod holding;
 pub mod ingress;
 mod kept;
 pub mod limits;
--- a/crates/front/src/meter.rs
+++ b/crates/front/src/meter.rs
@@ -6,7 +6,7 @@
 use oleander_board::meter::MetricRegistry;
 use oleander_kind::TimeSpan;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram};
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
 /// Upper bounds of the latency buckets, in milliseconds, close to the latency objectives of the routes (100,
 /// 500 and 800 ms) and their timeouts.
@@ -39,6 +39,8 @@
     dispatch_refusals: Counter<u64>,
     place_wait_ms: Histogram<f64>,
     connection_ends: Counter<u64>,
+    gave_way: Gauge<u64>,
+    held: Gauge<u64>,
     first_ms: Histogram<f64>,
     total_ms: Histogram<f64>,
     list_age_ms: Histogram<f64>,
@@ -77,6 +79,8 @@
             brittle_refusals: meter.u64_counter("oleander_front_brittle_refusals").build(),
             dispatch_refusals: meter.u64_counter("oleander_front_dispatch_refusals").build(),
             place_wait_ms: latency("oleander_front_place_wait_ms"),
+            gave_way: meter.u64_gauge("oleander_front_gave_way").build(),
+            held: meter.u64_gauge("oleander_front_held").build(),
             connection_ends: meter.u64_counter("oleander_front_connection_ends").build(),
             first_ms: latency("oleander_front_first_ms"),
             total_ms: latency("oleander_front_total_ms"),
@@ -242,6 +246,20 @@
         self.connection_ends.add(1, &labels);
     }
 
+    /// Records how many callers gave way to others since the start, by the room that was full and what they did.
+    pub fn record_gave_way(&self, (room, phase): (&'static str, &'static str), count: u64) {
+        let labels = [KeyValue::new("room", room), KeyValue::new("phase", phase)];
+        self.gave_way.record(count, &labels);
+    }
+
+    /// Records what is taken of a room that callers share, and its bound, in bytes or connections.
+    pub fn record_held(&self, room: &'static str, (used, bound): (usize, usize)) {
+        for (what, value) in [("used", used), ("bound", bound)] {
+            let labels = [KeyValue::new("room", room), KeyValue::new("what", what)];
+            self.held.record(value as u64, &labels);
+        }
+    }
+
     /// Counts a usage report, by whether the platform accepted it.
     pub fn count_usage(&self, taken: bool) {
         self.usage_reports.add(1, &[KeyValue::new("taken", taken)]);
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -1,10 +1,12 @@
 //! The shared state of one front process.
 
+use crate::attempt::MAX_IDLE_LINKS;
 use crate::dispatch::DispatchTable;
 use crate::duties::PersistedReport;
 use crate::events::{EventBudget, event};
 use crate::evidence::EvidenceBuffer;
 use crate::feed::FeedState;
+use crate::holding::machine_bounds;
 use crate::limits::SpendTracker;
 use crate::mesh::state::MeshState;
 use crate::meter::FrontMeter;
@@ -19,12 +21,13 @@
 use oleander_conf::{FrontBounds, FrontSettings};
 use oleander_duty::UsageCounter;
 use oleander_flow::{BudgetSettings, RetryBudget};
+use oleander_hold::HoldDesk;
 use oleander_kind::hash::mix_bits;
-use oleander_kind::{AccountName, ClockTime, ServiceName, StoreEra, TimeSpan};
+use oleander_kind::{AccountName, ClockTime, InstanceId, ServiceName, StoreEra, TimeSpan};
 use oleander_limit::PoolGate;
 use oleander_list::{RosterReplica, SendBudget, StalenessLimits};
 use oleander_mesh::{MemberInfo, MeshBody, RulesBook, ServiceDemand, collector_capacity};
-use oleander_outlet::{EndpointDialer, HttpCodec, LinkPool};
+use oleander_outlet::{EndpointDialer, HttpCodec, IdleLink, LinkPool};
 use oleander_pace::{ASSUMED_PER_MS, PaceEstimator, ReadPace, ReadSample};
 use oleander_place::{
     EndpointBoard, EndpointFact, EndpointKey, OfferedRate, PathRecord, PauseRecord, PrefixRecord,
@@ -37,6 +40,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::Notify;
 
 /// The share of the retries allowed by the operators that all processes together use. The rest is a
@@ -160,6 +164,8 @@
     pub in_flight: Cell<usize>,
     /// Open connections of callers.
     pub connections: Cell<usize>,
+    /// What callers make this process hold.
+    pub holds: Rc<HoldDesk>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     random: Cell<u64>,
 }
@@ -189,6 +195,7 @@
         };
         let window = TimeSpan((settings.bounds.usage_window_s * 1000.0) as u64);
         let list_budget = SendBudget::of_link(settings.link_mbps);
+        let holds = Rc::new(HoldDesk::new(machine_bounds(&settings), clock));
         Rc::new(FrontNode {
             bounds: RefCell::new(Rc::new(settings.bounds.clone())),
             seeds: RefCell::new(settings.seeds.clone()),
@@ -248,6 +255,7 @@
             incarnation_ended: Notify::new(),
             in_flight: Cell::default(),
             connections: Cell::default(),
+            holds,
             budgets: RefCell::default(),
             random: Cell::new(rand::random()),
         })
@@ -294,6 +302,7 @@
             *self.bounds.borrow_mut() = Rc::new(settings.bounds.clone());
             *self.seeds.borrow_mut() = settings.seeds.clone();
         }
+        self.holds.set_bounds(machine_bounds(&settings));
         let fixed = |settings: &FrontSettings| {
             let addresses = (settings.listen, settings.ready, settings.peer, settings.admin);
             (settings.instance.clone(), addresses, settings.store, settings.cloud)
@@ -314,6 +323,14 @@
         }
     }
 
+    /// Keeps an idle connection to an endpoint for a while, unless there are too many.
+    pub(crate) fn keep_link(&self, instance: &InstanceId, link: IdleLink, limit: Duration) {
+        let mut pool = self.pool.borrow_mut();
+        if pool.len() < self.holds.idle_links() {
+            pool.put(instance, link, limit, MAX_IDLE_LINKS);
+        }
+    }
+
     /// Whether an endpoint is listed and has not signalled that it leaves.
     pub fn takes_work(&self, key: EndpointKey) -> bool {
         self.endpoints.borrow().get(key).is_some_and(EndpointFact::takes_work)
--- a/crates/front/src/paths.rs
+++ b/crates/front/src/paths.rs
@@ -4,7 +4,7 @@
 //! own failures, relays its requests to peers that reach them, and finds by its own probes that the path
 //! is back, not by requests of callers.
 
-use crate::attempt::{CONNECT_TIMEOUT, IDLE_TIMEOUT, MAX_IDLE_LINKS};
+use crate::attempt::{CONNECT_TIMEOUT, IDLE_TIMEOUT};
 use crate::events::event;
 use crate::node::FrontNode;
 use futures_util::stream::{FuturesUnordered, StreamExt};
@@ -243,7 +243,7 @@
 /// Keeps a connection to an endpoint that is still listed.
 pub fn keep_link(node: &FrontNode, instance: &InstanceId, link: IdleLink) {
     if node.endpoints.borrow().key(instance).is_some() {
-        node.pool.borrow_mut().put(instance, link, IDLE_TIMEOUT, MAX_IDLE_LINKS);
+        node.keep_link(instance, link, IDLE_TIMEOUT);
     }
 }
 
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -512,7 +512,10 @@
         // The peer closes connections that were idle for longer than callers' may be.
         let idle_limit = self.rules.bounds().idle_timeout.duration().mul_f64(IDLE_FRACTION);
         let keep = idle_limit.min(IDLE_TIMEOUT);
-        self.node.relays.borrow_mut().pool.put(id, link, keep, MAX_IDLE_LINKS);
+        let pool = &mut self.node.relays.borrow_mut().pool;
+        if pool.len() < self.node.holds.idle_links() {
+            pool.put(id, link, keep, MAX_IDLE_LINKS);
+        }
     }
 
     fn grade_peer(&self, id: &InstanceId, grade: AnswerGrade) {
--- a/crates/front/src/standby.rs
+++ b/crates/front/src/standby.rs
@@ -7,7 +7,7 @@
 //! leaves the request where it is.
 
 use crate::answering::{AttemptLink, LinkState, StreamPart};
-use crate::attempt::{AttemptTarget, IDLE_TIMEOUT, MAX_IDLE_LINKS, STALE_LINK_WINDOW, sent_for};
+use crate::attempt::{AttemptTarget, IDLE_TIMEOUT, STALE_LINK_WINDOW, sent_for};
 use crate::drive::CallContext;
 use crate::events::event;
 use crate::releases::{CandidatePayment, refund};
@@ -333,8 +333,7 @@
             Err(barrier) => {
                 work.note_done();
                 let limit = kept_limit.unwrap_or(IDLE_TIMEOUT);
-                let mut pool = self.node.pool.borrow_mut();
-                pool.put(&target.life.instance, link, limit, MAX_IDLE_LINKS);
+                self.node.keep_link(&target.life.instance, link, limit);
                 return Err(StandbyFault::Barred(barrier));
             }
         };
--- /dev/null
+++ b/crates/hold/src/bounds.rs
@@ -0,0 +1,67 @@
+//! The rooms of the account, sized by the machine.
+
+/// Bytes that an open connection of a caller takes while nothing is asked on it.
+pub const CONNECTION_BYTES: usize = 6 << 10;
+/// Bytes that a request takes while it is served, besides its body and its head: the first of its answer among them, so
+/// that answers which are short need no more room.
+pub const REQUEST_BYTES: usize = (20 << 10) + ANSWER_BYTES;
+/// Bytes of an answer that are in [`REQUEST_BYTES`].
+pub const ANSWER_BYTES: usize = 8 << 10;
+/// Bytes of a request, and of its answer, that come from the room of small ones. Nearly all requests are smaller.
+pub const SMALL_BYTES: usize = 64 << 10;
+/// Descriptors that are left to files, and to what the process opens at its start.
+const FILE_DESCRIPTORS: usize = 200;
+/// Bytes beyond its room that one answer may take, so that answers which wait for one another go on.
+pub const SPARE_BYTES: usize = 4 << 20;
+
+/// How much callers may make a process hold.
+///
+/// Of the memory a quarter is the process's own, for what it knows of endpoints, peers and accounts, and a sixteenth is
+/// the allocator's. The rest is in this account.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HoldBounds {
+    /// Connections of callers.
+    pub connections: usize,
+    /// Connections beyond these that are being closed.
+    pub closing: usize,
+    /// Bytes of heads, of small requests and answers, and of the first part of others.
+    pub small_bytes: usize,
+    /// Bytes of requests beyond their first part.
+    pub large_bytes: usize,
+    /// Bytes of answers beyond their first part, without the spare ones.
+    pub answer_bytes: usize,
+    /// Idle connections to endpoints.
+    pub idle_links: usize,
+}
+
+impl HoldBounds {
+    /// The bounds for a machine with so many bytes of memory and so many descriptors.
+    ///
+    /// A request takes a descriptor of its caller and one of its endpoint. Three eighths of the sockets are the
+    /// callers', as many are left for their requests, an eighth for idle connections to endpoints, and an eighth for
+    /// the store, the peers and operators.
+    pub fn of_machine(memory_bytes: usize, descriptors: usize) -> Self {
+        let sockets = descriptors.saturating_sub(FILE_DESCRIPTORS);
+        let affordable = memory_bytes / 16 / CONNECTION_BYTES;
+        let all = (sockets * 3 / 8).min(affordable).max(2);
+        let closing = (all / 8).max(1);
+        HoldBounds {
+            connections: all - closing,
+            closing,
+            small_bytes: memory_bytes / 4,
+            large_bytes: memory_bytes / 4,
+            answer_bytes: (memory_bytes / 8).saturating_sub(SPARE_BYTES),
+            idle_links: (sockets / 8).max(1),
+        }
+    }
+
+    /// The bounds of requests alone, a quarter for small ones unless the longest body would not fit then. Connections
+    /// and answers are bounded elsewhere.
+    pub fn of_requests(request_bytes: usize, longest_body: usize) -> Self {
+        let beside_longest = (request_bytes + SMALL_BYTES).saturating_sub(longest_body);
+        let small_bytes = (request_bytes / 4).min(beside_longest);
+        let large_bytes = request_bytes - small_bytes;
+        let rest = Self::of_machine(usize::MAX, usize::MAX / 8);
+        HoldBounds { connections: usize::MAX / 2, small_bytes, large_bytes, ..rest }
+    }
+}
