Callers' connections have a share of the descriptors

An ordinary caller got no answer while some hundred connections on which nothing is sent were open: accept took all descriptors there are, so that neither callers nor endpoints, peers and the store were reached (456 of 456 open).

Beyond that one gives way for each new one: what was not used for a second, the oldest first; then what rests longest; then what has just been opened; then what is read or written with least progress; never one that waits for its answer. An idle one is closed in order and unread, as at the idle timeout, and what crosses the close is watched for unless many are being closed. While too many are, new ones wait in the queue of the socket.

--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -19,6 +19,8 @@
     Broken(ErrorKind),
     /// It was idle for too long.
     Idle,
+    /// It gave way to others while nothing was asked on it.
+    GaveWay,
     /// This process stops.
     Stop,
     /// A request could not be read to its end, and was refused.
@@ -36,7 +38,7 @@
             ConnectionEnd::Caller => "caller",
             ConnectionEnd::Broken(_) => "broken",
             ConnectionEnd::Idle => "idle",
-            ConnectionEnd::Refused(ResultCode::MemoryFull) => "gave_way",
+            ConnectionEnd::GaveWay | ConnectionEnd::Refused(ResultCode::MemoryFull) => "gave_way",
             ConnectionEnd::Stop | ConnectionEnd::Refused(ResultCode::Draining) => "stop",
             ConnectionEnd::Refused(ResultCode::SlowHead | ResultCode::SlowBody) => "time",
             ConnectionEnd::Refused(_) => "malformed",
@@ -61,7 +63,7 @@
 
     /// Whether this process closes the connection while nothing is asked on it, so that a request may cross the close.
     pub fn is_idle_close(self) -> bool {
-        matches!(self, ConnectionEnd::Idle | ConnectionEnd::Stop)
+        matches!(self, ConnectionEnd::Idle | ConnectionEnd::GaveWay | ConnectionEnd::Stop)
     }
 }
 
--- a/crates/front/src/ingress.rs
+++ b/crates/front/src/ingress.rs
@@ -25,6 +25,7 @@
 use oleander_outlet::{OverheadCount, SocketBounds, configure_socket};
 use std::cell::Cell;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -64,7 +65,7 @@
     loop {
         tokio::select! {
             biased;
-            accepted = listener.accept() => match accepted {
+            accepted = accept_next(&node, &listener) => match accepted {
                 Ok((stream, _)) => spawn_connection(&node, stream),
                 Err(fault) => {
                     // Most likely the process is out of file descriptors; connections that close release some soon.
@@ -92,6 +93,15 @@
     }
 }
 
+/// Accepts a connection when callers may have another one. Until then it waits in the queue of the socket.
+async fn accept_next(
+    node: &FrontNode,
+    listener: &TcpListener,
+) -> io::Result<(TcpStream, SocketAddr)> {
+    node.holds.until_acceptable().await;
+    listener.accept().await
+}
+
 fn spawn_connection(node: &Rc<FrontNode>, stream: TcpStream) {
     let connection = CallerConnection {
         node: node.clone(),
@@ -150,7 +160,10 @@
                     true => ConnectionEnd::Refused(ResultCode::Draining),
                     false => ConnectionEnd::Stop,
                 }),
-                _ = hold.until_evicted() => Err(ConnectionEnd::Refused(ResultCode::MemoryFull)),
+                _ = hold.until_evicted() => match self.give_way().await {
+                    Ok(()) => continue,
+                    Err(end) => Err(end),
+                },
             };
             let request = match read {
                 Ok(request) => request,
@@ -183,6 +196,16 @@
         self.hold.rest(self.buffer.capacity());
     }
 
+    /// Ends the connection in favour of others, unless it rested and a request is in its socket.
+    async fn give_way(&mut self) -> Result<(), ConnectionEnd> {
+        if self.trace.is_reading() {
+            return Err(ConnectionEnd::Refused(ResultCode::MemoryFull));
+        }
+        self.end_unless_sent(ConnectionEnd::GaveWay).await?;
+        self.hold.begin();
+        Ok(())
+    }
+
     /// Logs a request that gave way, and drops what was read of it.
     fn note_gave_way(&mut self) {
         let Some(eviction) = self.hold.eviction().filter(|_| self.trace.is_reading()) else {
@@ -240,7 +263,8 @@
     /// includes what was under way to it then.
     async fn take_unanswered(&mut self, end: ConnectionEnd) -> UnansweredBytes {
         let crossed = end.is_idle_close() && self.buffer.is_empty();
-        if crossed {
+        let is_hurried = end == ConnectionEnd::GaveWay && self.hold.is_closing_many();
+        if crossed && !is_hurried {
             self.watch_crossing().await;
         }
         let count = self.buffer.len() + self.discarded;
--- a/crates/hold/src/desk.rs
+++ b/crates/hold/src/desk.rs
@@ -62,6 +62,17 @@
         self.ledger.borrow().bounds().idle_links
     }
 
+    /// Waits until another connection may be accepted.
+    pub async fn until_acceptable(&self) {
+        loop {
+            let freed = self.freed.notified();
+            if self.ledger.borrow().may_accept() {
+                return;
+            }
+            freed.await;
+        }
+    }
+
     /// How many gave way since the start, by the room that was full and what they did.
     pub fn gave_way(&self) -> Vec<((&'static str, &'static str), u64)> {
         self.gave_way.borrow().iter().map(|(reason, count)| (*reason, *count)).collect()
@@ -94,11 +105,12 @@
 }
 
 impl CallerHold {
-    /// A connection was accepted.
+    /// A connection was accepted; another one may have to give way for it.
     pub fn open(desk: &Rc<HoldDesk>) -> Rc<Self> {
-        let key = desk.ledger.borrow_mut().open(desk.clock.now());
+        let (key, eviction) = desk.ledger.borrow_mut().open(desk.clock.now());
         let signal = Rc::<EvictionSignal>::default();
         desk.signals.borrow_mut().insert(key, signal.clone());
+        desk.tell(eviction);
         Rc::new(CallerHold {
             desk: desk.clone(),
             key,
@@ -167,6 +179,11 @@
         self.desk.freed.notify_waiters();
     }
 
+    /// Whether so many connections are being closed that this one has to be gone at once.
+    pub fn is_closing_many(&self) -> bool {
+        self.desk.ledger.borrow().is_closing_many()
+    }
+
     /// Whether bytes may be read that follow a request which has no answer yet.
     pub fn may_read_ahead(&self) -> bool {
         self.desk.ledger.borrow().has_ample_room(HoldRoom::Small)
--- a/crates/hold/src/ledger.rs
+++ b/crates/hold/src/ledger.rs
@@ -1,8 +1,8 @@
 //! The account: who holds how much, who may hold more, and who gives way.
 
 use crate::bounds::{HoldBounds, SMALL_BYTES, SPARE_BYTES};
-use oleander_kind::ClockTime;
 use oleander_kind::arena::{ArenaKey, ItemArena};
+use oleander_kind::{ClockTime, TimeSpan};
 
 /// A holder in its ledger.
 pub type HolderKey = ArenaKey<HolderFact>;
@@ -229,21 +229,41 @@
         }
     }
 
+    /// Whether another connection may be accepted now; if not, some are being closed.
+    pub fn may_accept(&self) -> bool {
+        self.holders.len() < self.bound(HoldRoom::Connections)
+    }
+
     /// Whether half of a room is free, so that bytes may be read ahead.
     pub fn has_ample_room(&self, room: HoldRoom) -> bool {
         2 * self.used(room) < self.bound(room)
     }
 
-    /// A connection was accepted.
-    pub fn open(&mut self, now: ClockTime) -> HolderKey {
-        self.holders.insert(HolderFact {
+    /// Whether so many connections are being closed that each has to be gone at once.
+    pub fn is_closing_many(&self) -> bool {
+        self.closing > self.bounds.closing / 2
+    }
+
+    /// A connection was accepted. If there are too many, one gives way, which may be the new one.
+    pub fn open(&mut self, now: ClockTime) -> (HolderKey, Option<HolderEviction>) {
+        let fact = HolderFact {
             phase: HolderPhase::Unused,
             since: now,
             moved: 0,
             request: 0,
             answer: 0,
             is_evicted: false,
-        })
+        };
+        let key = self.holders.insert(fact);
+        if self.holders.len() - self.closing <= self.bounds.connections {
+            return (key, None);
+        }
+        let others = self.holders.iter().filter(|(other, _)| *other != key);
+        let victim = others
+            .filter_map(|(other, fact)| Some((close_rank(fact, now)?, other)))
+            .min_by_key(|(rank, _)| *rank)
+            .map_or(key, |(_, other)| other);
+        (key, self.evict(victim, HoldRoom::Connections, now))
     }
 
     /// A request begins, also one on a connection that was told to give way while it rested.
@@ -426,3 +446,22 @@
         }
     }
 }
+
+/// How long a caller that has connected may take to begin its request.
+const FRESH_TIME: TimeSpan = TimeSpan(1000);
+
+/// Who gives way when there are too many connections, the lowest first: what was not used for a while, the oldest of it,
+/// then what rests longest, then what has just been opened, then what is being read or written with least progress.
+/// `None` if it waits for its answer, or closes.
+fn close_rank(fact: &HolderFact, now: ClockTime) -> Option<(u8, u64)> {
+    if fact.is_evicted {
+        return None;
+    }
+    match fact.phase {
+        HolderPhase::Unused if now - fact.since >= FRESH_TIME => Some((0, fact.since.0)),
+        HolderPhase::Resting => Some((1, fact.since.0)),
+        HolderPhase::Unused => Some((2, fact.since.0)),
+        HolderPhase::Reading | HolderPhase::Writing => Some((3, fact.progress(now))),
+        HolderPhase::Answering | HolderPhase::Leaving => None,
+    }
+}
--- a/tests/all/hold.rs
+++ b/tests/all/hold.rs
@@ -31,7 +31,7 @@
 fn readers(sent: &[usize]) -> (HoldLedger, Vec<HolderKey>) {
     let mut ledger = HoldLedger::new(bounds());
     let keys = sent.iter().map(|bytes| {
-        let key = ledger.open(START);
+        let (key, _) = ledger.open(START);
         ledger.begin(key, START);
         ledger.note_moved(key, *bytes);
         let (verdict, _) = ledger.claim_request(key, *bytes, START);
@@ -50,7 +50,7 @@
 #[test]
 fn the_body_that_makes_least_progress_gives_way_to_a_new_one() {
     let (mut ledger, keys) = readers(&[500 * KILOBYTE, 600 * KILOBYTE]);
-    let new = ledger.open(at(9990));
+    let (new, _) = ledger.open(at(9990));
     ledger.begin(new, at(9990));
     ledger.note_moved(new, 10 * KILOBYTE);
 
@@ -66,7 +66,7 @@
 #[test]
 fn a_body_that_drips_gives_way_whenever_its_last_byte_came() {
     let (mut ledger, keys) = readers(&[500 * KILOBYTE, 100 * KILOBYTE]);
-    let new = ledger.open(at(59_000));
+    let (new, _) = ledger.open(at(59_000));
     ledger.begin(new, at(59_000));
     ledger.note_moved(new, 64 * KILOBYTE);
     ledger.note_moved(keys[1], 1);
@@ -81,7 +81,7 @@
 fn a_complete_request_never_gives_way() {
     let (mut ledger, keys) = readers(&[500 * KILOBYTE, 500 * KILOBYTE]);
     keys.iter().for_each(|key| ledger.complete(*key, at(1)));
-    let new = ledger.open(at(2));
+    let (new, _) = ledger.open(at(2));
     ledger.begin(new, at(2));
 
     let (verdict, evictions) = ledger.claim_request(new, 500 * KILOBYTE, at(60_000));
@@ -95,7 +95,7 @@
 fn a_small_request_has_room_beside_large_ones() {
     let (mut ledger, keys) = readers(&[600 * KILOBYTE, 550 * KILOBYTE]);
     keys.iter().for_each(|key| ledger.complete(*key, at(1)));
-    let new = ledger.open(at(2));
+    let (new, _) = ledger.open(at(2));
     ledger.begin(new, at(2));
 
     let (verdict, _) = ledger.claim_request(new, SMALL_BYTES, at(3));
@@ -107,7 +107,7 @@
 #[test]
 fn room_that_is_being_freed_is_waited_for() {
     let (mut ledger, keys) = readers(&[1000 * KILOBYTE]);
-    let (first, second) = (ledger.open(at(900)), ledger.open(at(900)));
+    let (first, second) = (ledger.open(at(900)).0, ledger.open(at(900)).0);
     for key in [first, second] {
         ledger.begin(key, at(900));
         ledger.note_moved(key, 200 * KILOBYTE);
@@ -120,6 +120,60 @@
     assert_eq!((evicted(&evictions), evicted(&others)), (vec![keys[0]], vec![]));
 }
 
+/// Guards against silent callers that take all connections.
+#[test]
+fn the_oldest_unused_connection_gives_way_then_the_one_that_rests_longest() {
+    let mut ledger = HoldLedger::new(bounds());
+    let keys: Vec<_> = (0..4).map(|number| ledger.open(at(number)).0).collect();
+    ledger.rest(keys[0], 0, at(10));
+    ledger.rest(keys[1], 0, at(20));
+    ledger.begin(keys[2], at(30));
+    ledger.complete(keys[2], at(31));
+
+    let (_, unused) = ledger.open(at(2000));
+    let (_, resting) = ledger.open(at(2001));
+
+    assert_eq!(unused.map(|eviction| eviction.key), Some(keys[3]));
+    assert_eq!(resting.map(|eviction| eviction.key), Some(keys[0]));
+}
+
+/// Guards against cutting a request that waits for its answer.
+#[test]
+fn a_connection_that_waits_for_its_answer_does_not_give_way_to_a_new_one() {
+    let mut ledger = HoldLedger::new(bounds());
+    let keys: Vec<_> = (0..4).map(|number| ledger.open(at(number)).0).collect();
+    keys.iter().for_each(|key| ledger.begin(*key, at(5)));
+    keys.iter().for_each(|key| ledger.complete(*key, at(6)));
+
+    let (new, eviction) = ledger.open(at(10));
+
+    assert_eq!(eviction.map(|eviction| eviction.key), Some(new));
+}
+
+/// Guards against more descriptors than callers may have, while closed connections take their time.
+#[test]
+fn nothing_is_accepted_while_too_many_connections_are_being_closed() {
+    let mut ledger = HoldLedger::new(bounds());
+    let keys: Vec<_> = (0..6).map(|number| ledger.open(at(number)).0).collect();
+
+    let before = ledger.may_accept();
+    ledger.close(keys[0]);
+
+    assert_eq!((before, ledger.may_accept()), (false, true));
+}
+
+/// Guards against closing a connection on which a request has come meanwhile.
+#[test]
+fn a_request_revives_a_connection_that_was_to_give_way() {
+    let mut ledger = HoldLedger::new(bounds());
+    let keys: Vec<_> = (0..5).map(|number| ledger.open(at(number)).0).collect();
+
+    ledger.begin(keys[0], at(10));
+    let (verdict, _) = ledger.claim_request(keys[0], KILOBYTE, at(10));
+
+    assert_eq!(verdict, HoldVerdict::Granted);
+}
+
 /// Guards against answers that wait for one another's room until all are too late.
 #[test]
 fn one_answer_at_a_time_goes_on_without_room() {
@@ -157,7 +211,7 @@
 #[test]
 fn lowered_bounds_hold_for_the_next_claim() {
     let (mut ledger, keys) = readers(&[1000 * KILOBYTE]);
-    let new = ledger.open(at(900));
+    let (new, _) = ledger.open(at(900));
     ledger.begin(new, at(900));
     ledger.note_moved(new, 500 * KILOBYTE);
     ledger.set_bounds(HoldBounds { large_bytes: 512 * KILOBYTE, ..bounds() });
@@ -178,7 +232,7 @@
             now = now + TimeSpan(u.int_in_range(0..=500)?);
             let key = if keys.is_empty() { None } else { Some(*u.choose(&keys)?) };
             match (key, u.int_in_range(0..=8)?) {
-                (None, _) | (_, 0) => keys.push(ledger.open(now)),
+                (None, _) | (_, 0) if ledger.may_accept() => keys.push(ledger.open(now).0),
                 (Some(key), 1) => ledger.begin(key, now),
                 (Some(key), 2) => ledger.complete(key, now),
                 (Some(key), 3) => ledger.begin_writing(key, now),
@@ -196,17 +250,20 @@
                     ledger.close(key);
                     keys.retain(|other| *other != key);
                 }
+                (None, _) => {}
             }
             for (room, spare) in [
                 (HoldRoom::Small, SMALL_BYTES),
                 (HoldRoom::Large, 0),
                 (HoldRoom::Answers, SPARE_BYTES),
+                (HoldRoom::Connections, 0),
             ] {
                 assert!(ledger.used(room) <= ledger.bound(room) + spare, "{room:?}");
             }
         }
         keys.iter().for_each(|key| ledger.close(*key));
         assert!(HoldRoom::ALL.iter().all(|room| ledger.used(*room) == 0));
+        assert!(ledger.may_accept());
         Ok(())
     });
 }
