Kept answers have room of their own, and one that is not taken gives way

Without room an answer is not read on; the endpoint waits. An answer that is being written and that its caller takes most slowly is cut when others need its room; it ran, and a closed connection promises nothing.

--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -13,7 +13,7 @@
 use compact_str::CompactString;
 use oleander_board::StopStage;
 use oleander_call::RelayedAnswer;
-use oleander_hold::BodyChain;
+use oleander_hold::{BodyChain, CallerHold};
 use oleander_kind::{ResultCode, TimeSpan};
 use oleander_outlet::{BodyEnd, set_reset_on_close};
 use std::cell::Cell;
@@ -43,6 +43,7 @@
     out: BytesMut,
     /// Whether a part of the answer waits for the caller to take it.
     is_writing: bool,
+    hold: Option<&'a CallerHold>,
     stage: AnswerStage,
     closes: bool,
     stop: Option<&'a Cell<StopStage>>,
@@ -64,6 +65,7 @@
             codec,
             out: BytesMut::new(),
             is_writing: false,
+            hold: None,
             stage: AnswerStage::Waiting,
             closes,
             stop: None,
@@ -82,6 +84,12 @@
         self
     }
 
+    /// Counts what the caller takes of a long answer, by which it is judged whether the answer gives way.
+    pub fn follow_hold(mut self, hold: &'a CallerHold) -> Self {
+        self.hold = Some(hold);
+        self
+    }
+
     /// How much of the answer has been encoded.
     pub fn stage(&self) -> AnswerStage {
         self.stage
@@ -204,13 +212,13 @@
         Ok(())
     }
 
-    /// Writes an answer of an endpoint.
+    /// Writes an answer of an endpoint, which keeps its room until then.
     ///
     /// # Errors
     /// An I/O error of the connection.
     pub async fn write_received(&mut self, received: EndpointAnswer) -> io::Result<()> {
-        let EndpointAnswer { status, headers, body: (body, end) } = received;
-        self.write_complete(status, headers, (body, end)).await
+        let EndpointAnswer { status, headers, body: (kept, end) } = received;
+        self.write_complete(status, headers, (kept.bytes.clone(), end)).await
     }
 
     /// Writes an answer that ended as `end` says.
@@ -227,6 +235,9 @@
             BodyEnd::Stated => self.write_whole(status, headers, body).await,
             BodyEnd::Closed => {
                 self.begin_stream(status, headers, end)?;
+                if let Some(hold) = self.hold {
+                    hold.begin_writing();
+                }
                 for segment in body.segments() {
                     self.write_chunk(segment.clone()).await?;
                 }
@@ -293,6 +304,9 @@
             if count == 0 {
                 return Err(io::ErrorKind::WriteZero.into());
             }
+            if let Some(hold) = self.hold.filter(|_| !body.is_empty()) {
+                hold.note_written(count, unsent.has_remaining());
+            }
         }
         self.is_writing = false;
         Ok(())
--- a/crates/front/src/answering.rs
+++ b/crates/front/src/answering.rs
@@ -6,11 +6,22 @@
 use crate::whole::BUFFER_LIMIT;
 use actix_http::ResponseHead;
 use oleander_call::{CompleteEvent, EventSplitter, StreamRest, StreamTail, TailVerdict};
-use oleander_hold::{BodyBuffer, BodyChain};
+use oleander_hold::{AnswerClaim, BodyBuffer, BodyChain, CallerHold};
 use oleander_outlet::{BodyEnd, BodyLink, BodyPart, LinkError, SentLink};
 use quick_error::quick_error;
+use std::rc::Rc;
 use tokio::time::Instant;
 
+/// Bytes of an answer for which there has to be room before more is read.
+const READ_AHEAD: usize = 4 << 10;
+
+/// The body of a complete answer, and its room.
+pub struct KeptBody {
+    /// The bytes.
+    pub bytes: BodyChain,
+    _room: Option<AnswerClaim>,
+}
+
 /// The connection of an attempt that was sent.
 pub(crate) struct AttemptLink {
     /// How far its answer has been read.
@@ -38,6 +49,7 @@
     /// The connection, for the rest of the body.
     pub body: BodyLink,
     read: BodyBuffer,
+    room: Option<AnswerClaim>,
     splitter: EventSplitter,
     events: Vec<CompleteEvent>,
 }
@@ -101,12 +113,14 @@
     /// An answer of which nothing but the head was read.
     pub(crate) fn new(body: BodyLink, head: ResponseHead) -> Self {
         let (read, splitter) = (BodyBuffer::default(), EventSplitter::default());
-        EarlyAnswer { head, body, read, splitter, events: Vec::new() }
+        EarlyAnswer { head, body, read, room: None, splitter, events: Vec::new() }
     }
 
-    /// The head, the connection for the rest of the body, and what was read of an answer that is no stream.
-    pub(crate) fn into_parts(self) -> (ResponseHead, BodyLink, BodyChain) {
-        (self.head, self.body, self.read.finish())
+    /// The head, the connection for the rest of the body, and what was read of an answer that is no stream, with its
+    /// room.
+    pub(crate) fn into_parts(self) -> (ResponseHead, BodyLink, KeptBody) {
+        let kept = KeptBody { bytes: self.read.finish(), _room: self.room };
+        (self.head, self.body, kept)
     }
 
     /// Waits for events that the caller does not have, of which `last_event` is the last, or for the end of the stream.
@@ -156,12 +170,18 @@
         Ok(())
     }
 
-    /// Reads an answer that is no stream to its end, and returns what showed it. Can be dropped and called again.
+    /// Reads an answer that is no stream to its end, as far as callers leave room, and returns what showed it. Can be
+    /// dropped and called again.
     ///
     /// # Errors
     /// What broke the answer.
-    pub(crate) async fn read_whole(&mut self) -> Result<BodyEnd, AnswerFault> {
+    pub(crate) async fn read_whole(
+        &mut self,
+        hold: &Rc<CallerHold>,
+    ) -> Result<BodyEnd, AnswerFault> {
         while self.read.len() <= BUFFER_LIMIT {
+            let room = self.room.get_or_insert_with(|| AnswerClaim::new(hold));
+            room.grow(self.read.held_with(READ_AHEAD)).await;
             match self.body.next().await? {
                 BodyPart::Bytes(bytes) => self.read.push(&bytes),
                 BodyPart::End(end) => return Ok(end),
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -4,6 +4,7 @@
 //! result of each attempt to them as an [`AttemptEnd`].
 
 use crate::answer::{AnswerStage, AnswerWriter};
+use crate::answering::KeptBody;
 use crate::dispatch::{self, HeldPlace};
 use crate::events::event;
 use crate::ingress::CallerRequest;
@@ -23,7 +24,7 @@
     AccountRule, AttemptEnd, AttemptRecord, CallHead, NextStep, RetryBarrier, RouteKey, RouteRule,
     RuleSet, RuleView, admit_call,
 };
-use oleander_hold::BodyChain;
+use oleander_hold::{BodyChain, CallerHold};
 use oleander_kind::hash::{HASH_SEED, mix_bits, stable_hash};
 use oleander_kind::{AccountName, InstanceId, ResultCode, ServiceName, TimeSpan};
 use oleander_outlet::BodyEnd;
@@ -64,7 +65,7 @@
     /// Headers to pass on to the caller.
     pub headers: HeaderMap,
     /// The body, and what showed that it had ended.
-    pub body: (BodyChain, BodyEnd),
+    pub body: (KeptBody, BodyEnd),
 }
 
 /// State of one request while it is served.
@@ -95,6 +96,8 @@
     pub(crate) rank: u8,
     pub(crate) request: RequestHead,
     pub(crate) body: BodyChain,
+    /// What its caller makes this process hold.
+    pub(crate) hold: Rc<CallerHold>,
     /// The attempts so far, from which it is decided whether another may be sent.
     pub(crate) record: AttemptRecord,
     /// Endpoints that failed or refused an attempt.
@@ -299,6 +302,7 @@
         service,
         request: request.head,
         body: request.body,
+        hold: request.hold,
         tried: Vec::new(),
         left: Vec::new(),
         current: None,
--- a/crates/front/src/ingress.rs
+++ b/crates/front/src/ingress.rs
@@ -58,6 +58,8 @@
     pub head: RequestHead,
     /// The complete body.
     pub body: BodyChain,
+    /// What its connection holds.
+    pub(crate) hold: Rc<CallerHold>,
 }
 
 /// Accepts connections of callers until the process stops and has no request under way.
@@ -461,9 +463,10 @@
         node.in_flight.set(node.in_flight.get() + 1);
         let _guard = InflightGuard(&node.in_flight);
         let (mut reader, writer) = stream.split();
-        let mut answer = AnswerWriter::new(writer, codec, false).follow_stop(&node.stop);
+        let mut answer =
+            AnswerWriter::new(writer, codec, false).follow_stop(&node.stop).follow_hold(hold);
         let head = std::mem::take(request.head_mut());
-        let request = CallerRequest { head, body };
+        let request = CallerRequest { head, body, hold: hold.clone() };
         if buffer.is_empty() {
             *buffer = BytesMut::new();
         }
@@ -477,6 +480,10 @@
                 Err(_) => NextUse::Close,
             },
             () = wait_caller_close(&mut reader, buffer, hold) => NextUse::CallerGone,
+            eviction = hold.until_evicted() => {
+                log_gave_way(node, None, &eviction);
+                NextUse::Close
+            }
             () = node.until_stopped() => match answer.stage() {
                 AnswerStage::Waiting => {
                     // It may be under way at an endpoint.
--- a/crates/front/src/proof.rs
+++ b/crates/front/src/proof.rs
@@ -121,10 +121,10 @@
         let head = sent.read_head().await?;
         let mut early = EarlyAnswer::new(sent.into_body(&head), head);
         if is_json(early.head.headers()) {
-            early.read_whole().await?;
+            early.read_whole(&self.hold).await?;
         }
         let (head, body, text) = early.into_parts();
-        Ok((self.node.dialect.parse_identity(&head, &text.to_bytes()), body.into_idle()))
+        Ok((self.node.dialect.parse_identity(&head, &text.bytes.to_bytes()), body.into_idle()))
     }
 
     fn identity_head(&self, life: &EndpointIncarnation) -> Result<RequestHead, LinkError> {
--- a/crates/front/src/standby.rs
+++ b/crates/front/src/standby.rs
@@ -394,7 +394,7 @@
             if is_stream {
                 return early.next_part(self.last_event, goes_on).await;
             }
-            let end = early.read_whole().await?;
+            let end = early.read_whole(&self.hold).await?;
             Ok(StreamPart::End(end, TailVerdict::Complete))
         };
         let Ok(read) = timeout_at(until, reading).await else { return Ok(false) };
--- a/crates/front/src/whole.rs
+++ b/crates/front/src/whole.rs
@@ -32,9 +32,9 @@
         let link = rest.is_ok_and(|rest| rest.is_ok()).then(|| early.body.into_idle());
         return (AttemptOutcome::Ended(end, None), link.flatten());
     }
-    let node = context.node.clone();
+    let (node, hold) = (context.node.clone(), context.hold.clone());
     let patience = key.and_then(|_| context.first_patience());
-    let reading = node.run_until_replaced(key, early.read_whole());
+    let reading = node.run_until_replaced(key, early.read_whole(&hold));
     let is_end = |read: &Option<Result<BodyEnd, AnswerFault>>| !matches!(read, Some(Ok(_)));
     let body_end =
         match context.read_patiently(AnswerSilence::begin(patience), reading, is_end).await {
