A body that is too long by its head is not read on while the limit may grow

A body whose head announces far too much was read and kept up to the limit, 4 MiB, before it was refused. It is not refused by its head alone, as a limit may grow meanwhile (bounds::a_request_that_arrives_while_limits_grow_is_answered stays). What goes beyond the limit within 64 KiB is refused at once, as before.

--- a/crates/front/src/ingress.rs
+++ b/crates/front/src/ingress.rs
@@ -37,6 +37,8 @@
 const READ_SIZE: usize = 4096;
 /// Most bytes of pipelined requests that are buffered while one is answered; the rest stays in the socket.
 const PIPELINE_LIMIT: usize = 64 << 10;
+/// Bytes that are read of a body whose head says that it is too long, while the limit may grow.
+const OVERSIZE_BYTES: usize = 64 << 10;
 /// Shortest Retry-After time of a request that gave way to others.
 const MEMORY_RETRY: TimeSpan = TimeSpan(500);
 /// How long what the caller still sends is read and discarded after the last answer of a connection, so that the
@@ -422,6 +424,13 @@
                 Ok(Some(Message::Item(_))) | Err(_) => return refused(ResultCode::BadHead),
                 Ok(None) => {
                     let until = since + bounds.idle_timeout.duration();
+                    if length.is_some_and(|length| length > bounds.body_bytes)
+                        && body.len() >= OVERSIZE_BYTES
+                    {
+                        self.wait_larger_limit(length, begun).await?;
+                        since = Instant::now();
+                        continue;
+                    }
                     let held = served_bytes + self.held_with(&body);
                     match timeout_at(until, self.read_more(held)).await {
                         Ok(read) => {
@@ -444,6 +453,27 @@
         self.buffer.capacity() + body.held_with(self.buffer.len() + READ_SIZE)
     }
 
+    /// Leaves the rest of a body that is too long in the socket, as the limit may be about to grow.
+    ///
+    /// # Errors
+    /// The refusal, if it does not.
+    async fn wait_larger_limit(
+        &mut self,
+        length: Option<usize>,
+        begun: CallerBounds,
+    ) -> Result<(), ConnectionEnd> {
+        let until = Instant::now() + TimeSpan(self.node.bounds().apply_ms).duration();
+        loop {
+            let changed = self.node.rules_changed.notified();
+            if length <= Some(self.bounds_since(begun).body_bytes) {
+                return Ok(());
+            }
+            if timeout_at(until, changed).await.is_err() {
+                return Err(ConnectionEnd::Refused(ResultCode::BodyTooLarge));
+            }
+        }
+    }
+
     /// Reads more bytes of a request, of which `held` bytes of memory are taken besides the buffer's growth; returns
     /// how many.
     async fn read_more(&mut self, held: usize) -> Result<usize, ConnectionEnd> {
--- a/tests/all/bounds.rs
+++ b/tests/all/bounds.rs
@@ -2,6 +2,7 @@
 
 use crate::front::{CallerAnswer, RULES, good, read_answer, request};
 use crate::plays::{ProcessGroup, play};
+use oleandertack::hold::HoldRoom;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -226,3 +227,39 @@
         assert_eq!(answer.status(), status, "{change:?}: {answer:?}");
     }
 }
+
+/// Guards against keeping of a body that is too long, by its head, as much as the longest one may take.
+#[test]
+fn a_body_that_is_too_long_by_its_head_is_not_read_on_while_limits_may_grow() {
+    const LIMIT: usize = 4 << 20;
+    play(async {
+        let mut test = BoundsTest::start().await;
+        test.set("max-body-bytes", LIMIT as u64).await;
+        let mut caller = test.connect().await;
+        let text = request("POST", "/once/a", "r1", "", &"x".repeat(2 * LIMIT));
+        let (mut reader, mut writer) = caller.split();
+        let sending = async {
+            // The refusal comes before the end of the body.
+            let _ = writer.write_all(text.as_bytes()).await;
+            std::future::pending::<()>().await
+        };
+        let mut answer = [0; 12];
+
+        let held = async {
+            let mut most = 0;
+            for _ in 0..5000 {
+                tokio::task::yield_now().await;
+                most = most.max(test.group.processes[0].node.holds.usage(HoldRoom::Large).0);
+            }
+            most
+        };
+        let held = tokio::select! {
+            held = held => held,
+            () = sending => 0,
+        };
+        reader.read_exact(&mut answer).await.expect("a refusal");
+
+        assert!(held <= LIMIT / 8, "{held} bytes of a body that is too long");
+        assert_eq!(&answer[9..], b"413");
+    });
+}
