Silent connections leave descriptors at the own interface

600 connections on which nothing is sent took all 456 descriptors of an entry process; the loop that accepts then ran without a pause, as accepting fails at once, and the request of an ordinary caller waited.

When all are open, the oldest one on which nothing was ever sent gives way to a new one; if all are used, new ones wait in the queue of the socket. After a failed accept the loop pauses for 20 ms, at every site.

Not bounded: connections that rest after an answer keep their place for 75 s.

--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -6,8 +6,9 @@
 use actix_web::{App, web};
 use oleander_board::StopStage;
 use oleander_conf::EntrySettings;
+use oleander_hold::HoldBounds;
 use oleander_kind::TimeSpan;
-use oleander_serve::{HttpSite, local_data, serve_app};
+use oleander_serve::{HttpSite, local_data, serve_app, serve_callers};
 use oleander_wire::{PeerHandler, PeerListener, bind_peer_listener, serve_peers};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -68,7 +69,8 @@
         .route(chat::CHAT_PATH, web::post().to(chat::chat))
         .route("/v1/requests/{id}", web::get().to(again::again))
         .default_service(web::to(plain::plain));
-    let callers = serve_app(node.settings.listen, app).await?;
+    let connections = HoldBounds::of_machine(usize::MAX, node.settings.descriptors).connections;
+    let callers = serve_callers(node.settings.listen, app, connections).await?;
     let tasks = vec![
         actix_rt::spawn(spread::watch_bundles(node.clone())),
         actix_rt::spawn(lists::read_lists(node.clone())),
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -5,6 +5,7 @@
 //! withdraw readiness, then stop accepting, then let every connection finish. So the accept loop is
 //! here, and everything else is the libraries'.
 
+use crate::places::{ConnectionPlace, ConnectionPlaces};
 use actix_http::{HttpService, KeepAlive, Request, Response};
 use actix_rt::net::TcpStream;
 use actix_service::{IntoServiceFactory, Service, ServiceFactory, map_config};
@@ -20,8 +21,12 @@
 use tokio::net::TcpListener;
 use tokio::task::{JoinHandle, JoinSet};
 
+mod places;
+
+/// Time until the next try to accept a connection after one failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How long an idle connection is kept.
-const KEEP_ALIVE: Duration = Duration::from_secs(75);
+pub(crate) const KEEP_ALIVE: Duration = Duration::from_secs(75);
 /// How long the head of a request may take to arrive.
 const HEAD_LIMIT: Duration = Duration::from_secs(10);
 
@@ -83,6 +88,27 @@
 /// # Errors
 /// The system's error if it cannot listen there.
 pub async fn serve_app<I, S, B>(address: SocketAddr, app: I) -> std::io::Result<HttpSite>
+where
+    I: IntoServiceFactory<S, Request>,
+    S: ServiceFactory<Request, Config = AppConfig, InitError = ()> + 'static,
+    S::Error: Into<Response<actix_http::body::BoxBody>> + Debug + 'static,
+    S::Response: Into<Response<B>> + 'static,
+    S::Service: 'static,
+    B: MessageBody + 'static,
+{
+    serve_callers(address, app, usize::MAX).await
+}
+
+/// As [`serve_app`], with so many connections at most: beyond them, those give way on which nothing was ever sent, the
+/// oldest first. If all are used, further ones wait in the queue of the socket.
+///
+/// # Errors
+/// The system's error if it cannot listen there.
+pub async fn serve_callers<I, S, B>(
+    address: SocketAddr,
+    app: I,
+    most_connections: usize,
+) -> std::io::Result<HttpSite>
 where
     I: IntoServiceFactory<S, Request>,
     S: ServiceFactory<Request, Config = AppConfig, InitError = ()> + 'static,
@@ -106,13 +132,18 @@
         let open = open.clone();
         let connections = connections.clone();
         actix_rt::spawn(async move {
+            let places = Rc::new(ConnectionPlaces::new(most_connections));
             loop {
+                places.until_free().await;
                 let Ok((stream, _)) = listener.accept().await else {
+                    // Most likely the process is out of descriptors. The caller waits in the queue of the socket.
+                    actix_rt::time::sleep(ACCEPT_PAUSE).await;
                     continue;
                 };
                 let _ = stream.set_nodelay(true);
                 let guard = open_guard(&open);
-                let serving = serve_connection(service.clone(), stream, guard);
+                let place = places.take();
+                let serving = serve_connection(service.clone(), stream, (guard, place));
                 let mut set = connections.borrow_mut();
                 while set.try_join_next().is_some() {}
                 set.spawn_local(serving);
@@ -127,10 +158,15 @@
     OpenGuard(open.clone())
 }
 
-async fn serve_connection<S>(service: Rc<S>, stream: TcpStream, guard: OpenGuard)
-where
+async fn serve_connection<S>(
+    service: Rc<S>,
+    stream: TcpStream,
+    (guard, place): (OpenGuard, ConnectionPlace),
+) where
     S: Service<TcpStream>,
 {
-    let _ = service.call(stream).await;
-    drop(guard);
+    if place.until_used(&stream).await {
+        let _ = service.call(stream).await;
+    }
+    drop((guard, place));
 }
