The own interface counts bodies as they come, and the slowest gives way

Twelve callers that announced 8 MiB and sent nothing made an entry refuse everybody for 30 s (1020): its budget was taken by what a head announces, and was never given back before the body's time was over. Callers that stopped short of their end had the same effect.

HeldBytes is replaced by the account of crate hold, bounded by held_bytes as before: bytes count as they come, a quarter is left to small requests, and the incomplete body with the least progress gives way. A request that another entry admitted is counted without being judged. The room of a model request lives as long as its record, so that it cannot be given back twice. A gave-way body is discarded for 0.5 s, as its caller may never send the rest; its log lines are at most ten a second.

crowd::announced_bodies..., crowd::bodies_that_stop_before_their_end_leave_room_at_the_own_interface: red (503 for an ordinary caller), pass now.

--- a/crates/edge/src/admin.rs
+++ b/crates/edge/src/admin.rs
@@ -38,7 +38,7 @@
         "kept": kept,
         "kept_bytes": kept_bytes,
         "held_for_others": held,
-        "request_bytes": node.held_bytes.get(),
+        "request_bytes": node.holds.held_bytes(),
     });
     let traffic = serde_json::json!({
         "sent": node.traffic.sent.get(),
--- a/crates/edge/src/admit.rs
+++ b/crates/edge/src/admit.rs
@@ -8,6 +8,7 @@
 use futures_util::StreamExt;
 use oleander_board::StopStage;
 use oleander_bundle::SignedBundle;
+use oleander_hold::{CallerHold, HolderEviction};
 use oleander_kind::hash::digest_bytes;
 use oleander_kind::ident::format_uuid_v7;
 use oleander_kind::{AccountName, ClockTime, RequestId, ResultCode, TimeSpan};
@@ -97,40 +98,16 @@
     node.clock.now() + asked.map_or(most, |asked| asked.min(most))
 }
 
-/// Counts bytes that a request holds, for as long as it lives.
-pub struct HeldBytes {
-    node: Rc<EntryNode>,
-    bytes: usize,
-}
-
-impl HeldBytes {
-    fn grow(&mut self, more: usize) -> bool {
-        let held = self.node.held_bytes.get() + more;
-        if held > self.node.settings.bounds.held_bytes {
-            return false;
-        }
-        self.node.held_bytes.set(held);
-        self.bytes += more;
-        true
-    }
-
-    /// Hands the count on to who releases it later.
-    pub fn pass_on(mut self) {
-        self.bytes = 0;
-    }
-}
-
-impl Drop for HeldBytes {
-    fn drop(&mut self) {
-        let held = self.node.held_bytes.get();
-        self.node.held_bytes.set(held.saturating_sub(self.bytes));
-    }
-}
+/// How long what a refused caller still sends is read and discarded.
+const DISCARD_LIMIT: TimeSpan = TimeSpan(10_000);
+/// The same of a caller whose body gave way: it made little progress, and may never send the rest.
+const GAVE_WAY_LIMIT: TimeSpan = TimeSpan(500);
+/// Shortest time between two log lines about bodies that gave way; the metrics count them all.
+const LOG_PAUSE: TimeSpan = TimeSpan(100);
 
 /// Reads what a refused caller still sends, without keeping it, for a bounded time and length. Were
 /// the connection closed under it, the caller would see a broken connection and not the refusal.
-async fn discard(mut payload: Payload, most_bytes: usize) {
-    const DISCARD_LIMIT: TimeSpan = TimeSpan(10_000);
+async fn discard(mut payload: Payload, most_bytes: usize, limit: TimeSpan) {
     let reading = async {
         let mut bytes = 0;
         while let Some(Ok(chunk)) = payload.next().await {
@@ -140,10 +117,11 @@
             }
         }
     };
-    let _ = actix_rt::time::timeout(DISCARD_LIMIT.duration(), reading).await;
+    let _ = actix_rt::time::timeout(limit.duration(), reading).await;
 }
 
-/// Reads a body within its bounds.
+/// Reads a body within its bounds, and returns it with its room. What is announced takes no room before it comes; a body
+/// that makes less progress than others gives way to them when there is none.
 ///
 /// # Errors
 /// The numbered refusal. One that is too long by its own length is refused before it is read.
@@ -151,40 +129,74 @@
     node: &Rc<EntryNode>,
     request: &HttpRequest,
     mut payload: Payload,
-) -> Result<(Bytes, HeldBytes)> {
+) -> Result<(Bytes, Rc<CallerHold>)> {
     let bounds = &node.settings.bounds;
     let refuse = |code| RefusalNote::new(code);
     let told: Option<usize> = header(request, "content-length").parse().ok();
     if told.is_some_and(|length| length > bounds.body_bytes) {
-        discard(payload, 4 * bounds.body_bytes).await;
+        discard(payload, 4 * bounds.body_bytes, DISCARD_LIMIT).await;
         return Err(refuse(ResultCode::BodyTooLarge));
     }
-    let mut held = HeldBytes { node: node.clone(), bytes: 0 };
-    if !held.grow(told.unwrap_or(0)) {
-        discard(payload, 4 * bounds.body_bytes).await;
-        return Err(refuse(ResultCode::MemoryFull));
+    let hold = CallerHold::open(&node.holds);
+    hold.begin();
+    let reading = tokio::select! {
+        biased;
+        read = collect_body(&hold, &mut payload, (told, bounds.body_bytes)) => read,
+        _ = hold.until_evicted() => Err(ResultCode::MemoryFull),
+        () = actix_rt::time::sleep(TimeSpan(bounds.body_ms).duration()) => Err(ResultCode::SlowBody),
+    };
+    match reading {
+        Ok(body) => {
+            hold.complete();
+            Ok((body, hold))
+        }
+        Err(code) => {
+            let eviction = hold.eviction();
+            // Its room is free while the rest is discarded.
+            drop(hold);
+            if code == ResultCode::MemoryFull {
+                note_gave_way(node, eviction);
+                discard(payload, 4 * bounds.body_bytes, GAVE_WAY_LIMIT).await;
+            }
+            Err(refuse(code))
+        }
     }
+}
+
+async fn collect_body(
+    hold: &CallerHold,
+    payload: &mut Payload,
+    (told, most_bytes): (Option<usize>, usize),
+) -> std::result::Result<Bytes, ResultCode> {
+    // The system gives memory to what is written, not to what is reserved.
     let mut body = BytesMut::with_capacity(told.unwrap_or(0));
-    let reading = async {
-        while let Some(chunk) = payload.next().await {
-            let chunk = chunk.map_err(|_| ResultCode::BadBody)?;
-            if body.len() + chunk.len() > bounds.body_bytes {
-                return Err(ResultCode::BodyTooLarge);
-            }
-            let beyond = (body.len() + chunk.len()).saturating_sub(held.bytes);
-            if !held.grow(beyond) {
-                return Err(ResultCode::MemoryFull);
-            }
-            body.extend_from_slice(&chunk);
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|_| ResultCode::BadBody)?;
+        if body.len() + chunk.len() > most_bytes {
+            return Err(ResultCode::BodyTooLarge);
         }
-        Ok(())
-    };
-    let limit = TimeSpan(bounds.body_ms).duration();
-    match actix_rt::time::timeout(limit, reading).await {
-        Err(_) => Err(refuse(ResultCode::SlowBody)),
-        Ok(Err(code)) => Err(refuse(code)),
-        Ok(Ok(())) => Ok((body.freeze(), held)),
+        hold.note_moved(chunk.len());
+        let held = body.len() + chunk.len();
+        hold.claim_request(held).await.map_err(|_| ResultCode::MemoryFull)?;
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+/// Counts and logs a body that was refused for want of room, because it gave way or nobody did for it.
+fn note_gave_way(node: &EntryNode, eviction: Option<HolderEviction>) {
+    node.meter.count_result(ResultCode::MemoryFull.number());
+    let now = node.clock.now();
+    if now - node.gave_way_logged.get() < LOG_PAUSE {
+        return;
     }
+    node.gave_way_logged.set(now);
+    slog::info!(node.log, "a body found no room, or gave way";
+        "room" => eviction.map(|eviction| eviction.room.name()),
+        "used" => eviction.map(|eviction| eviction.used),
+        "bound" => eviction.map(|eviction| eviction.bound),
+        "moved" => eviction.map(|eviction| eviction.moved),
+        "for_ms" => eviction.map(|eviction| eviction.for_ms));
 }
 
 /// Counts a request against its account's limits.
--- a/crates/edge/src/again.rs
+++ b/crates/edge/src/again.rs
@@ -13,6 +13,7 @@
 use actix_web::{HttpRequest, HttpResponse};
 use bytes::Bytes;
 use oleander_claim::{ClaimKey, claim_key, request_digest};
+use oleander_hold::CallerHold;
 use oleander_kind::{InstanceId, RequestId, ResultCode, TimeSpan, read_chat_head};
 use oleander_wire::{KeptAnswer, PeerBody, RequestLookup, ShadowRecord};
 use std::cell::RefCell;
@@ -127,7 +128,9 @@
     }
     let head = read_chat_head(&record.body).unwrap_or_default();
     let deadline = now + (record.deadline - node.clock.wall());
-    node.held_bytes.set(node.held_bytes.get() + record.body.len());
+    let hold = CallerHold::open(&node.holds);
+    hold.count_admitted(record.body.len());
+    live.hold(hold);
     slog::info!(node.log, "a request is taken over"; "request" => record.id.as_str());
     live.record = RefCell::new(Some(record));
     let live = Rc::new(live);
--- a/crates/edge/src/book.rs
+++ b/crates/edge/src/book.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use oleander_claim::ClaimKey;
+use oleander_hold::CallerHold;
 use oleander_kind::{AccountName, ClockTime, RequestId, ResultCode, TimeSpan};
 use oleander_wire::{KeptAnswer, ShadowRecord};
 use std::cell::{Cell, RefCell};
@@ -57,6 +58,8 @@
     stage: Cell<LiveStage>,
     readers: Cell<usize>,
     taken: Cell<bool>,
+    /// The room of its body.
+    hold: RefCell<Option<Rc<CallerHold>>>,
     changed: Notify,
     left: Notify,
 }
@@ -77,11 +80,22 @@
             stage: Cell::new(LiveStage::Trying),
             readers: Cell::new(0),
             taken: Cell::new(false),
+            hold: RefCell::new(None),
             changed: Notify::new(),
             left: Notify::new(),
         }
     }
 
+    /// Keeps the room of its body until it ends.
+    pub fn hold(&self, hold: Rc<CallerHold>) {
+        *self.hold.borrow_mut() = Some(hold);
+    }
+
+    /// Gives the room of its body back.
+    pub fn release(&self) {
+        self.hold.borrow_mut().take();
+    }
+
     /// How it stands.
     pub fn stage(&self) -> LiveStage {
         self.stage.get()
--- a/crates/edge/src/chat.rs
+++ b/crates/edge/src/chat.rs
@@ -51,7 +51,7 @@
 ) -> Result<HttpResponse> {
     let caller = know_caller(node, &request, true)?;
     let id = request_id(node, &request)?;
-    let (body, held) = read_body(node, &request, payload).await?;
+    let (body, hold) = read_body(node, &request, payload).await?;
     node.step(EntryStep::Received).await;
     let head = read_chat_head(&body).map_err(|fault| {
         let detail = fault.to_string();
@@ -86,7 +86,7 @@
         adopted: false,
         tried: Vec::new(),
     };
-    held.pass_on();
+    live.hold(hold);
     actix_rt::spawn(drive_stream(node.clone(), job));
     Ok(answer_live(live, reader, stream, 0).await)
 }
--- a/crates/edge/src/drive.rs
+++ b/crates/edge/src/drive.rs
@@ -467,8 +467,7 @@
         }
     }
     node.book.borrow_mut().end(job.key);
-    let bytes = job.live.record.borrow().as_ref().map_or(0, |record| record.body.len());
-    node.held_bytes.set(node.held_bytes.get().saturating_sub(bytes));
+    job.live.release();
     // A request that another entry admitted was counted there.
     if !job.adopted {
         node.limits.borrow_mut().release(&job.live.account);
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -11,7 +11,8 @@
 use oleander_bundle::{BundleGate, SignPolicy, SignedBundle};
 use oleander_conf::EntrySettings;
 use oleander_flow::{BudgetSettings, RetryBudget};
-use oleander_kind::{InstanceId, ServiceName, TimeSpan};
+use oleander_hold::{HoldBounds, HoldDesk};
+use oleander_kind::{ClockTime, InstanceId, ServiceName, TimeSpan};
 use oleander_limit::{LimitGate, LimitOwner};
 use oleander_list::ListReplica;
 use oleander_member::{MemberRecord, MemberSettings, MemberStage, MemberTable};
@@ -62,8 +63,10 @@
     pub book: RefCell<RequestBook>,
     /// Retry budgets, one a service.
     pub budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
-    /// Bytes of requests held.
-    pub held_bytes: Cell<usize>,
+    /// What callers make this process hold.
+    pub holds: Rc<HoldDesk>,
+    /// When it was last logged that a body gave way.
+    pub gave_way_logged: Cell<ClockTime>,
     /// Links to peers.
     pub hub: Addr<PeerHub>,
     /// Bytes to and from peers.
@@ -126,7 +129,11 @@
             members: RefCell::new(MemberTable::new(me, MemberSettings::default())),
             book: RefCell::new(book),
             budgets: RefCell::default(),
-            held_bytes: Cell::new(0),
+            holds: Rc::new(HoldDesk::new(
+                HoldBounds::of_requests(bounds.held_bytes, bounds.body_bytes),
+                clock,
+            )),
+            gave_way_logged: Cell::default(),
             hub,
             traffic,
             claims,
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -88,7 +88,7 @@
     let idempotent = entry.is_idempotent(method, &tail);
     let headers = passed_headers(node, &request)?;
     let id = request_id(node, &request)?;
-    let (body, held) = read_body(node, &request, payload).await?;
+    let (body, hold) = read_body(node, &request, payload).await?;
     let query = request.query_string();
     let target = if query.is_empty() { tail } else { format!("{tail}?{query}") };
     let ask = PlainAsk {
@@ -110,7 +110,7 @@
     let response =
         if idempotent { call_often(node, &ask).await } else { call_once(node, &caller, ask).await };
     node.limits.borrow_mut().release(&caller.account);
-    drop(held);
+    drop(hold);
     Ok(response)
 }
 
