Requests that cannot give way never fill the room of ordinary ones

300 callers with requests behind one that waits for a slow endpoint filled the room of small requests: up to 64 KiB was read ahead on each connection, beside 28 KiB that a request was counted with, and an ordinary caller got 503 (1020). A request before slow endpoints takes 45 KB in fact, as two endpoints are asked (46 and 45 KB each for 200 and 400, debug build), and three descriptors (618 and 1,218 open).

A request counts as 40 KiB, and its first 16 KiB of head and body are small. Of the sockets a quarter is the callers', so that each can have two endpoints; no more connections are allowed than the room of small requests serves, which is three eighths of memory_mb now (large ones three sixteenths, kept answers a sixteenth). One read of what follows a request is buffered, for which its claim has room; the rest stays in the socket. When many connections are being closed those that gave way are not lingered for, or new callers wait for them in the queue (1800 heads: over 10 s).

crowd::requests_behind_one_that_waits (503 before, passes), hold::the_rooms_of_a_machine_fit_its_memory_and_descriptors (the invariant), giving_way (refused as not run with a time to come back, closed in order, never cut).

--- a/crates/front/src/ingress.rs
+++ b/crates/front/src/ingress.rs
@@ -35,8 +35,9 @@
 
 /// Bytes reserved for one read.
 const READ_SIZE: usize = 4096;
-/// Most bytes of pipelined requests that are buffered while one is answered; the rest stays in the socket.
-const PIPELINE_LIMIT: usize = 64 << 10;
+/// Most bytes of pipelined requests that are buffered while one is answered, for which there was room when that one was
+/// read; the rest stays in the socket.
+const PIPELINE_LIMIT: usize = READ_SIZE;
 /// Bytes that are read of a body whose head says that it is too long, while the limit may grow.
 const OVERSIZE_BYTES: usize = 64 << 10;
 /// Shortest Retry-After time of a request that gave way to others.
@@ -144,7 +145,8 @@
     let CallerConnection { node, stream, mut codec, hold, trace: _trace, .. } = connection;
     hold.leave();
     if let ConnectionEnd::Refused(code) = end {
-        refuse_and_close(&node, stream, &mut codec, code).await;
+        let lingers = code != ResultCode::MemoryFull || !hold.is_closing_many();
+        refuse_and_close(&node, stream, &mut codec, (code, lingers)).await;
     }
 }
 
@@ -509,7 +511,7 @@
                 Ok(()) => end_answered(&mut answer).await,
                 Err(_) => NextUse::Close,
             },
-            () = wait_caller_close(&mut reader, buffer, hold) => NextUse::CallerGone,
+            () = wait_caller_close(&mut reader, buffer) => NextUse::CallerGone,
             eviction = hold.until_evicted() => {
                 log_gave_way(node, None, &eviction);
                 NextUse::Close
@@ -566,12 +568,8 @@
 }
 
 /// Waits until the caller closes its side. Bytes that it sends meanwhile are buffered as pipelined requests.
-async fn wait_caller_close(reader: &mut ReadHalf<'_>, buffer: &mut BytesMut, hold: &CallerHold) {
+async fn wait_caller_close(reader: &mut ReadHalf<'_>, buffer: &mut BytesMut) {
     while buffer.len() < PIPELINE_LIMIT {
-        // A little is always read, as nothing else shows that the caller has gone.
-        if buffer.len() >= READ_SIZE && !hold.may_read_ahead() {
-            break;
-        }
         if reader.readable().await.is_err() {
             return;
         }
@@ -579,7 +577,7 @@
         match reader.try_read_buf(buffer) {
             Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => {}
             Ok(0) | Err(_) => return,
-            Ok(_) => hold.count_ahead(buffer.capacity()),
+            Ok(_) => {}
         }
     }
     std::future::pending().await
@@ -595,14 +593,14 @@
     request.head().headers().get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
 
-/// Refuses a request that was not read completely, and closes the connection. The rest of the request
-/// is read first: closing a socket with unread bytes resets the connection, and the caller would lose
+/// Refuses a request that was not read completely, and closes the connection. If it `lingers`, the rest of the
+/// request is read first: closing a socket with unread bytes resets the connection, and the caller would lose
 /// the refusal.
 async fn refuse_and_close(
     node: &FrontNode,
     mut stream: TcpStream,
     codec: &mut Codec,
-    code: ResultCode,
+    (code, lingers): (ResultCode, bool),
 ) {
     let written = {
         let (_, writer) = stream.split();
@@ -614,7 +612,7 @@
         let refusing = timeout(LINGER_TIME, answer.refuse(code, retry));
         refusing.await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
     };
-    if written.is_ok() && stream.shutdown().await.is_ok() {
+    if written.is_ok() && stream.shutdown().await.is_ok() && lingers {
         linger(&mut stream).await;
     }
 }
--- a/crates/hold/src/bounds.rs
+++ b/crates/hold/src/bounds.rs
@@ -2,13 +2,15 @@
 
 /// Bytes that an open connection of a caller takes while nothing is asked on it.
 pub const CONNECTION_BYTES: usize = 6 << 10;
-/// Bytes that a request takes while it is served, besides its body and its head: the first of its answer among them, so
-/// that answers which are short need no more room.
-pub const REQUEST_BYTES: usize = (20 << 10) + ANSWER_BYTES;
+/// Bytes that a request takes while it is served by two endpoints, besides its body and its head: the first of its answer
+/// among them, so that answers which are short need no more room.
+pub const REQUEST_BYTES: usize = (32 << 10) + ANSWER_BYTES;
 /// Bytes of an answer that are in [`REQUEST_BYTES`].
 pub const ANSWER_BYTES: usize = 8 << 10;
-/// Bytes of a request, and of its answer, that come from the room of small ones. Nearly all requests are smaller.
-pub const SMALL_BYTES: usize = 64 << 10;
+/// Bytes of a request that come from the room of small ones. Nearly all requests are smaller.
+pub const SMALL_BYTES: usize = REQUEST_BYTES + (16 << 10);
+/// Bytes of an answer beyond [`ANSWER_BYTES`] that do.
+pub const SMALL_ANSWER_BYTES: usize = 8 << 10;
 /// Descriptors that are left to files, and to what the process opens at its start.
 const FILE_DESCRIPTORS: usize = 200;
 /// Bytes beyond its room that one answer may take, so that answers which wait for one another go on.
@@ -18,6 +20,9 @@
 ///
 /// Of the memory a quarter is the process's own, for what it knows of endpoints, peers and accounts, and a sixteenth is
 /// the allocator's. The rest is in this account.
+///
+/// Invariant: requests that are complete, and cannot give way, never fill the room of small ones, however many callers
+/// send them; so an ordinary request always finds room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HoldBounds {
     /// Connections of callers.
@@ -37,20 +42,21 @@
 impl HoldBounds {
     /// The bounds for a machine with so many bytes of memory and so many descriptors.
     ///
-    /// A request takes a descriptor of its caller and one of its endpoint. Three eighths of the sockets are the
-    /// callers', as many are left for their requests, an eighth for idle connections to endpoints, and an eighth for
-    /// the store, the peers and operators.
+    /// A request takes a descriptor of its caller and, while another endpoint is asked beside a silent one, two of
+    /// endpoints. A quarter of the sockets is the callers', half is left for their requests, an eighth for idle
+    /// connections to endpoints, and an eighth for the store, the peers and operators.
     pub fn of_machine(memory_bytes: usize, descriptors: usize) -> Self {
         let sockets = descriptors.saturating_sub(FILE_DESCRIPTORS);
-        let affordable = memory_bytes / 16 / CONNECTION_BYTES;
-        let all = (sockets * 3 / 8).min(affordable).max(2);
+        let small_bytes = memory_bytes / 8 * 3;
+        let served = small_bytes / (SMALL_BYTES + SMALL_ANSWER_BYTES);
+        let all = (sockets / 4).min(served).max(2);
         let closing = (all / 8).max(1);
         HoldBounds {
             connections: all - closing,
             closing,
-            small_bytes: memory_bytes / 4,
-            large_bytes: memory_bytes / 4,
-            answer_bytes: (memory_bytes / 8).saturating_sub(SPARE_BYTES),
+            small_bytes,
+            large_bytes: memory_bytes / 16 * 3,
+            answer_bytes: (memory_bytes / 16).saturating_sub(SPARE_BYTES),
             idle_links: (sockets / 8).max(1),
         }
     }
--- a/crates/hold/src/desk.rs
+++ b/crates/hold/src/desk.rs
@@ -99,8 +99,6 @@
     desk: Rc<HoldDesk>,
     key: HolderKey,
     signal: Rc<EvictionSignal>,
-    /// Bytes that were claimed last for the request.
-    claimed: Cell<usize>,
     is_writing: Cell<bool>,
 }
 
@@ -111,13 +109,7 @@
         let signal = Rc::<EvictionSignal>::default();
         desk.signals.borrow_mut().insert(key, signal.clone());
         desk.tell(eviction);
-        Rc::new(CallerHold {
-            desk: desk.clone(),
-            key,
-            signal,
-            claimed: Cell::default(),
-            is_writing: Cell::default(),
-        })
+        Rc::new(CallerHold { desk: desk.clone(), key, signal, is_writing: Cell::default() })
     }
 
     /// Waits until this connection has to give way, and returns why.
@@ -184,11 +176,6 @@
         self.desk.ledger.borrow().is_closing_many()
     }
 
-    /// Whether bytes may be read that follow a request which has no answer yet.
-    pub fn may_read_ahead(&self) -> bool {
-        self.desk.ledger.borrow().has_ample_room(HoldRoom::Small)
-    }
-
     /// Counts bytes of a request that was admitted elsewhere, whether or not there is room.
     pub fn count_admitted(&self, bytes: usize) {
         self.act(|ledger, now| {
@@ -197,12 +184,6 @@
         });
     }
 
-    /// Counts bytes that were read of what follows the request, which has no answer yet.
-    pub fn count_ahead(&self, bytes: usize) {
-        let request = self.claimed.get() + bytes;
-        self.act(|ledger, _| ledger.note_request(self.key, request));
-    }
-
     /// Claims so many bytes for the request in all, and waits until those who give way for it have done so.
     ///
     /// # Errors
@@ -212,10 +193,7 @@
         loop {
             let freed = self.desk.freed.notified();
             match self.claim(claim) {
-                HoldVerdict::Granted => {
-                    self.claimed.set(bytes);
-                    return Ok(());
-                }
+                HoldVerdict::Granted => return Ok(()),
                 HoldVerdict::Wait => freed.await,
                 HoldVerdict::Full(room) => {
                     if self.eviction().is_none() {
--- a/crates/hold/src/ledger.rs
+++ b/crates/hold/src/ledger.rs
@@ -1,6 +1,6 @@
 //! The account: who holds how much, who may hold more, and who gives way.
 
-use crate::bounds::{HoldBounds, SMALL_BYTES, SPARE_BYTES};
+use crate::bounds::{HoldBounds, SMALL_ANSWER_BYTES, SMALL_BYTES, SPARE_BYTES};
 use oleander_kind::arena::{ArenaKey, ItemArena};
 use oleander_kind::{ClockTime, TimeSpan};
 
@@ -80,7 +80,7 @@
 
 impl RoomBytes {
     fn of(request: usize, answer: usize) -> Self {
-        let (first, reply) = (request.min(SMALL_BYTES), answer.min(SMALL_BYTES));
+        let (first, reply) = (request.min(SMALL_BYTES), answer.min(SMALL_ANSWER_BYTES));
         RoomBytes { small: first + reply, large: request - first, answers: answer - reply }
     }
 
@@ -174,7 +174,7 @@
 
 /// What all callers make one process hold.
 ///
-/// Invariant: the bytes of a room never exceed its bound, but for one answer, by [`SMALL_BYTES`] and [`SPARE_BYTES`], and
+/// Invariant: the bytes of a room never exceed its bound, but for one answer, by [`SMALL_ANSWER_BYTES`] and [`SPARE_BYTES`], and
 /// for what was held already when a bound was lowered.
 pub struct HoldLedger {
     bounds: HoldBounds,
@@ -234,11 +234,6 @@
         self.holders.len() < self.bound(HoldRoom::Connections)
     }
 
-    /// Whether half of a room is free, so that bytes may be read ahead.
-    pub fn has_ample_room(&self, room: HoldRoom) -> bool {
-        2 * self.used(room) < self.bound(room)
-    }
-
     /// Whether so many connections are being closed that each has to be gone at once.
     pub fn is_closing_many(&self) -> bool {
         self.closing > self.bounds.closing / 2
--- a/tests/all/crowd_site.rs
+++ b/tests/all/crowd_site.rs
@@ -79,6 +79,7 @@
 enum CrowdKind {
     Bodies(Spelling),
     Whole(&'static str),
+    Pipelined(&'static str),
     Heads,
     Silent,
 }
@@ -107,6 +108,11 @@
         Crowd::new(count, CrowdKind::Whole(path))
     }
 
+    /// A complete request, and behind it as many bytes of further ones as there are in a body.
+    pub fn pipelined(count: usize, path: &'static str) -> Self {
+        Crowd::new(count, CrowdKind::Pipelined(path))
+    }
+
     /// Heads that stop before their end.
     pub fn heads(count: usize) -> Self {
         Crowd::new(count, CrowdKind::Heads)
@@ -151,6 +157,12 @@
                 stream.write_all(head(path, number, &length).as_bytes()).await?;
                 write_zeros(stream, self.length, 64 << 10).await
             }
+            CrowdKind::Pipelined(path) => {
+                let request = head(path, number, "Content-Length: 1\r\n\r\n0");
+                let more = request.repeat(self.length / request.len());
+                stream.write_all(request.as_bytes()).await?;
+                stream.write_all(more.as_bytes()).await
+            }
             CrowdKind::Bodies(spelling) => self.write_body(stream, number, spelling).await,
         }
     }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -28,6 +28,7 @@
 mod fleet;
 mod flow;
 mod front;
+mod giving_way;
 mod greeting;
 mod hold;
 mod holder;
