Connections that rest give way at the own interface too

With all of an entry's places taken by connections that rest after an answer, a new caller waited for up to 75 s: only connections on which nothing was ever sent could give way.

Each connection is followed now: busy from a request's arrival until its answer, which is a stream until it ends; otherwise the longest resting one leaves after those that were not used for a second. crowd::resting_connections_leave_ places_at_the_own_interface: no answer before, passes.

--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -5,10 +5,10 @@
 //! withdraw readiness, then stop accepting, then let every connection finish. So the accept loop is
 //! here, and everything else is the libraries'.
 
-use crate::places::{ConnectionPlace, ConnectionPlaces};
+use crate::places::{BusyConnection, ConnectionFact, ConnectionPlace, ConnectionPlaces};
 use actix_http::{HttpService, KeepAlive, Request, Response};
 use actix_rt::net::TcpStream;
-use actix_service::{IntoServiceFactory, Service, ServiceFactory, map_config};
+use actix_service::{IntoServiceFactory, Service, ServiceFactory, apply_fn_factory, map_config};
 use actix_web::body::MessageBody;
 use actix_web::dev::AppConfig;
 use actix_web::web::Data;
@@ -100,7 +100,7 @@
 }
 
 /// As [`serve_app`], with so many connections at most: beyond them, those give way on which nothing was ever sent, the
-/// oldest first. If all are used, further ones wait in the queue of the socket.
+/// oldest first, and then those that rest longest after an answer. If a request is under way on all, further ones wait in the queue of the socket.
 ///
 /// # Errors
 /// The system's error if it cannot listen there.
@@ -119,10 +119,27 @@
 {
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
+    let app = apply_fn_factory(map_config(app, |()| AppConfig::default()), |request, service| {
+        let busy = BusyConnection::begin(&request);
+        let answering = service.call(request);
+        async move {
+            let answer: Response<B> = answering.await?.into();
+            busy.answered(answer.body().size());
+            Ok::<_, S::Error>(answer)
+        }
+    });
+    // The library hands a connection's data to its requests, but takes them from the stream alone.
+    let opening = Rc::<RefCell<Option<Rc<ConnectionFact>>>>::default();
+    let opened = opening.clone();
     let factory = HttpService::build()
         .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
         .client_request_timeout(HEAD_LIMIT)
-        .h1(map_config(app, |()| AppConfig::default()))
+        .on_connect_ext(move |_: &TcpStream, data| {
+            if let Some(fact) = opened.borrow_mut().take() {
+                data.insert(fact);
+            }
+        })
+        .h1(app)
         .tcp();
     let made = factory.new_service(()).await;
     let service = Rc::new(made.map_err(|()| std::io::Error::other("the application failed"))?);
@@ -143,7 +160,8 @@
                 let _ = stream.set_nodelay(true);
                 let guard = open_guard(&open);
                 let place = places.take();
-                let serving = serve_connection(service.clone(), stream, (guard, place));
+                let serving =
+                    serve_connection(service.clone(), stream, (guard, place), opening.clone());
                 let mut set = connections.borrow_mut();
                 while set.try_join_next().is_some() {}
                 set.spawn_local(serving);
@@ -162,11 +180,20 @@
     service: Rc<S>,
     stream: TcpStream,
     (guard, place): (OpenGuard, ConnectionPlace),
+    opening: Rc<RefCell<Option<Rc<ConnectionFact>>>>,
 ) where
     S: Service<TcpStream>,
 {
-    if place.until_used(&stream).await {
-        let _ = service.call(stream).await;
+    let serving = async {
+        if place.until_used(&stream).await {
+            *opening.borrow_mut() = Some(place.fact.clone());
+            let _ = service.call(stream).await;
+        }
+    };
+    tokio::select! {
+        biased;
+        () = serving => {}
+        () = place.until_leaving() => {}
     }
     drop((guard, place));
 }
--- a/crates/serve/src/places.rs
+++ b/crates/serve/src/places.rs
@@ -1,19 +1,65 @@
-//! Bounds how many connections are open, so that callers who send nothing leave descriptors for others.
+//! Bounds how many connections are open, so that callers who send nothing, or rest, leave descriptors for others.
 
 use crate::KEEP_ALIVE;
+use actix_http::Request;
+use actix_http::body::BodySize;
 use actix_rt::net::TcpStream;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
+/// How long a caller that has connected may take to send its request.
+const FRESH_TIME: Duration = Duration::from_secs(1);
+
+/// What a connection does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectionUse {
+    /// Nothing was sent on it since then.
+    Unused(Instant),
+    /// It has rested since its last answer.
+    Resting(Instant),
+    /// A request is being served, or its answer is a stream whose end is not known here.
+    Busy,
+}
+
+/// One open connection.
+pub(crate) struct ConnectionFact {
+    state: Cell<ConnectionUse>,
+    leaves: Notify,
+}
+
+impl ConnectionFact {
+    /// A request has been read on it.
+    fn begin(&self) {
+        self.state.set(ConnectionUse::Busy);
+    }
+
+    /// Its answer is being written. One of known length is taken in a moment.
+    fn end(&self, size: BodySize) {
+        if size != BodySize::Stream {
+            self.state.set(ConnectionUse::Resting(Instant::now()));
+        }
+    }
+
+    /// Who leaves first, the lowest first: what was not used for a while, the oldest of it, then what rests longest, then
+    /// what has just been opened. `None` if a request is under way.
+    fn leave_rank(&self) -> Option<(u8, Instant)> {
+        match self.state.get() {
+            ConnectionUse::Unused(since) if since.elapsed() >= FRESH_TIME => Some((0, since)),
+            ConnectionUse::Resting(since) => Some((1, since)),
+            ConnectionUse::Unused(since) => Some((2, since)),
+            ConnectionUse::Busy => None,
+        }
+    }
+}
+
 /// The connections of a site.
 pub(crate) struct ConnectionPlaces {
     most: usize,
-    open: Cell<usize>,
     next: Cell<u64>,
-    /// Those on which nothing was sent, the oldest first.
-    unused: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    open: RefCell<HashMap<u64, Rc<ConnectionFact>>>,
     freed: Notify,
 }
 
@@ -21,34 +67,41 @@
     pub(crate) fn new(most: usize) -> Self {
         ConnectionPlaces {
             most,
-            open: Cell::default(),
             next: Cell::default(),
-            unused: RefCell::default(),
+            open: RefCell::default(),
             freed: Notify::new(),
         }
     }
 
-    /// Waits until another connection may be accepted, for which an unused one gives way.
+    /// Waits until another connection may be accepted, for which one without a request gives way.
     pub(crate) async fn until_free(&self) {
-        while self.open.get() >= self.most {
+        loop {
             let freed = self.freed.notified();
-            if let Some((_, oldest)) = self.unused.borrow_mut().pop_first() {
-                oldest.notify_one();
+            if self.open.borrow().len() < self.most {
+                return;
+            }
+            if let Some(leaving) = self.first_to_leave() {
+                leaving.leaves.notify_one();
             }
-            freed.await;
+            // One whose answer ends may leave then, which nothing tells.
+            let _ = tokio::time::timeout(crate::ACCEPT_PAUSE, freed).await;
         }
     }
 
+    fn first_to_leave(&self) -> Option<Rc<ConnectionFact>> {
+        let open = self.open.borrow();
+        let ranked = open.values().filter_map(|fact| Some((fact.leave_rank()?, fact)));
+        ranked.min_by_key(|(rank, _)| *rank).map(|(_, fact)| fact.clone())
+    }
+
     /// Takes a place for a connection that was accepted.
     pub(crate) fn take(self: &Rc<Self>) -> ConnectionPlace {
         let number = self.next.get();
         self.next.set(number + 1);
-        self.open.set(self.open.get() + 1);
-        let leaves = Rc::<Notify>::default();
-        self.unused.borrow_mut().insert(number, leaves.clone());
-        // Whoever waits for a place can ask this one to leave.
-        self.freed.notify_waiters();
-        ConnectionPlace { places: self.clone(), number, leaves }
+        let state = Cell::new(ConnectionUse::Unused(Instant::now()));
+        let fact = Rc::new(ConnectionFact { state, leaves: Notify::new() });
+        self.open.borrow_mut().insert(number, fact.clone());
+        ConnectionPlace { places: self.clone(), number, fact }
     }
 }
 
@@ -56,28 +109,51 @@
 pub(crate) struct ConnectionPlace {
     places: Rc<ConnectionPlaces>,
     number: u64,
-    leaves: Rc<Notify>,
+    pub(crate) fact: Rc<ConnectionFact>,
 }
 
 impl ConnectionPlace {
-    /// Waits until something was sent on the connection; returns whether that happened before it had to leave.
+    /// Waits until something was sent on the connection; returns whether that happened before its time was over.
     pub(crate) async fn until_used(&self, stream: &TcpStream) -> bool {
-        let is_used = tokio::select! {
-            biased;
-            ready = stream.readable() => ready.is_ok(),
-            () = self.leaves.notified() => false,
-            () = actix_rt::time::sleep(KEEP_ALIVE) => false,
-        };
-        self.places.unused.borrow_mut().remove(&self.number);
-        is_used
+        let ready = tokio::time::timeout(KEEP_ALIVE, stream.readable()).await;
+        ready.is_ok_and(|ready| ready.is_ok())
+    }
+
+    /// Waits until the connection has to give way to another one, and no request has come meanwhile.
+    pub(crate) async fn until_leaving(&self) {
+        loop {
+            self.fact.leaves.notified().await;
+            if self.fact.leave_rank().is_some() {
+                return;
+            }
+        }
     }
 }
 
 impl Drop for ConnectionPlace {
     fn drop(&mut self) {
-        let places = &self.places;
-        places.unused.borrow_mut().remove(&self.number);
-        places.open.set(places.open.get().saturating_sub(1));
-        places.freed.notify_waiters();
+        self.places.open.borrow_mut().remove(&self.number);
+        self.places.freed.notify_waiters();
+    }
+}
+
+/// A request under way on its connection.
+pub(crate) struct BusyConnection(Option<Rc<ConnectionFact>>);
+
+impl BusyConnection {
+    /// A request has been read.
+    pub(crate) fn begin(request: &Request) -> Self {
+        let fact = request.conn_data::<Rc<ConnectionFact>>().cloned();
+        if let Some(fact) = &fact {
+            fact.begin();
+        }
+        BusyConnection(fact)
+    }
+
+    /// Its answer is there, with a body of this size.
+    pub(crate) fn answered(self, size: BodySize) {
+        if let Some(fact) = self.0 {
+            fact.end(size);
+        }
     }
 }
--- a/tests/all/crowd.rs
+++ b/tests/all/crowd.rs
@@ -78,6 +78,12 @@
     check_crowd(&Crowd::whole_requests(32, "/slow/a"));
 }
 
+/// Guards against keeping what is sent behind requests that have no answer yet.
+#[test]
+fn requests_behind_one_that_waits_do_not_fill_the_process() {
+    check_crowd(&Crowd::pipelined(300, "/slow/a").of_length(MEBIBYTE / 4));
+}
+
 /// Guards against heads that are kept until their time is over.
 #[test]
 fn heads_that_stop_before_their_end_do_not_fill_the_process() {
@@ -252,3 +258,17 @@
         drop(callers);
     });
 }
+
+/// Guards against connections that rest after an answer and hold all places of the own interface.
+#[test]
+fn resting_connections_leave_places_at_the_own_interface() {
+    run(async {
+        let site = EntrySite::start().await;
+
+        let callers = site.send_once(150).await;
+
+        site.assert_bounded();
+        site.assert_answers_ordinary().await;
+        drop(callers);
+    });
+}
--- a/tests/all/crowd_entry.rs
+++ b/tests/all/crowd_entry.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
@@ -107,6 +107,19 @@
         StayingCallers::of(connecting).await
     }
 
+    /// Lets `count` callers connect one after another, ask once and stay.
+    pub async fn send_once(&self, count: usize) -> StayingCallers {
+        let mut streams = Vec::new();
+        for _ in 0..count {
+            let mut stream = TcpStream::connect(self.listen).await.expect("it listens");
+            stream.write_all(b"GET /none HTTP/1.1\r\nHost: h\r\n\r\n").await.expect("written");
+            let answered = timeout(ORDINARY_TIME, stream.read_u8()).await;
+            answered.expect("an answer in time").expect("an answer");
+            streams.push(stream);
+        }
+        StayingCallers::of(streams.into_iter().map(|stream| async { Some(stream) })).await
+    }
+
     /// Asserts that the process lives within its memory and descriptors.
     pub fn assert_bounded(&self) {
         assert_process_bounded("entry", self.child.id(), (MEMORY_MB, DESCRIPTORS));
