A connection that has just been opened does not give way, and accepting goes on

And connections that were told to give way and went on, as a request had come, could take the places of those that are being closed; nothing was accepted then until one ended (found by reading).

A connection has 50 ms to send its request, in a place of those for closing ones; then or when others rest, as many give way as are too many, looked at every 20 ms while nothing may be accepted. hold::a_connection_that_has_just_been_opened..., hold::connections_that_went_on_give_way_once_they_rest.

--- a/crates/hold/src/desk.rs
+++ b/crates/hold/src/desk.rs
@@ -8,7 +8,12 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::time::timeout;
+
+/// Time between two looks for connections that can give way.
+const RECHECK_PAUSE: Duration = Duration::from_millis(20);
 
 /// The account of a process, and who waits for it.
 pub struct HoldDesk {
@@ -62,14 +67,17 @@
         self.ledger.borrow().bounds().idle_links
     }
 
-    /// Waits until another connection may be accepted.
+    /// Waits until another connection may be accepted, for which others give way as soon as they can.
     pub async fn until_acceptable(&self) {
         loop {
             let freed = self.freed.notified();
             if self.ledger.borrow().may_accept() {
                 return;
             }
-            freed.await;
+            let evictions = self.ledger.borrow_mut().make_room(self.clock.now());
+            self.tell(evictions);
+            // Who may not give way yet, or answers now, can a moment later, which nothing tells.
+            let _ = timeout(RECHECK_PAUSE, freed).await;
         }
     }
 
@@ -105,10 +113,10 @@
 impl CallerHold {
     /// A connection was accepted; another one may have to give way for it.
     pub fn open(desk: &Rc<HoldDesk>) -> Rc<Self> {
-        let (key, eviction) = desk.ledger.borrow_mut().open(desk.clock.now());
+        let (key, evictions) = desk.ledger.borrow_mut().open(desk.clock.now());
         let signal = Rc::<EvictionSignal>::default();
         desk.signals.borrow_mut().insert(key, signal.clone());
-        desk.tell(eviction);
+        desk.tell(evictions);
         Rc::new(CallerHold { desk: desk.clone(), key, signal, is_writing: Cell::default() })
     }
 
--- a/crates/hold/src/ledger.rs
+++ b/crates/hold/src/ledger.rs
@@ -239,26 +239,34 @@
         self.closing > self.bounds.closing / 2
     }
 
-    /// A connection was accepted. If there are too many, one gives way, which may be the new one.
-    pub fn open(&mut self, now: ClockTime) -> (HolderKey, Option<HolderEviction>) {
-        let fact = HolderFact {
+    /// A connection was accepted. If there are too many, some give way.
+    pub fn open(&mut self, now: ClockTime) -> (HolderKey, Vec<HolderEviction>) {
+        let key = self.holders.insert(HolderFact {
             phase: HolderPhase::Unused,
             since: now,
             moved: 0,
             request: 0,
             answer: 0,
             is_evicted: false,
-        };
-        let key = self.holders.insert(fact);
-        if self.holders.len() - self.closing <= self.bounds.connections {
-            return (key, None);
+        });
+        (key, self.make_room(now))
+    }
+
+    /// Has connections give way until no more are open than may be, as far as any can. A caller that has just connected
+    /// is left the time to send its request; until then its place is one of those for connections that are being closed.
+    pub fn make_room(&mut self, now: ClockTime) -> Vec<HolderEviction> {
+        let mut evictions = Vec::new();
+        while self.holders.len() - self.closing > self.bounds.connections {
+            let holders = self.holders.iter();
+            let victim = holders
+                .filter_map(|(key, fact)| Some((close_rank(fact, now)?, key)))
+                .min_by_key(|(rank, _)| *rank);
+            match victim {
+                Some((_, key)) => evictions.extend(self.evict(key, HoldRoom::Connections, now)),
+                None => break,
+            }
         }
-        let others = self.holders.iter().filter(|(other, _)| *other != key);
-        let victim = others
-            .filter_map(|(other, fact)| Some((close_rank(fact, now)?, other)))
-            .min_by_key(|(rank, _)| *rank)
-            .map_or(key, |(_, other)| other);
-        (key, self.evict(victim, HoldRoom::Connections, now))
+        evictions
     }
 
     /// A request begins, also one on a connection that was told to give way while it rested.
@@ -442,12 +450,12 @@
     }
 }
 
-/// How long a caller that has connected may take to begin its request.
-const FRESH_TIME: TimeSpan = TimeSpan(1000);
+/// How long a caller that has connected may take to send its request: more than a round trip to most.
+const FRESH_TIME: TimeSpan = TimeSpan(50);
 
 /// Who gives way when there are too many connections, the lowest first: what was not used for a while, the oldest of it,
-/// then what rests longest, then what has just been opened, then what is being read or written with least progress.
-/// `None` if it waits for its answer, or closes.
+/// then what rests longest, then what is being read or written with least progress. `None` if it has just been opened, waits
+/// for its answer, or closes.
 fn close_rank(fact: &HolderFact, now: ClockTime) -> Option<(u8, u64)> {
     if fact.is_evicted {
         return None;
@@ -455,8 +463,7 @@
     match fact.phase {
         HolderPhase::Unused if now - fact.since >= FRESH_TIME => Some((0, fact.since.0)),
         HolderPhase::Resting => Some((1, fact.since.0)),
-        HolderPhase::Unused => Some((2, fact.since.0)),
-        HolderPhase::Reading | HolderPhase::Writing => Some((3, fact.progress(now))),
-        HolderPhase::Answering | HolderPhase::Leaving => None,
+        HolderPhase::Reading | HolderPhase::Writing => Some((2, fact.progress(now))),
+        HolderPhase::Unused | HolderPhase::Answering | HolderPhase::Leaving => None,
     }
 }
