--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -146,6 +146,11 @@
         self.reading.is_some()
     }
 
+    /// Whether a request was read on it.
+    pub fn is_used(&self) -> bool {
+        self.requests > 0
+    }
+
     /// How long the connection has been idle.
     pub fn idle_for(&self) -> Duration {
         self.idle_since.elapsed()
--- a/crates/front/src/ingress.rs
+++ b/crates/front/src/ingress.rs
@@ -269,7 +269,9 @@
     /// includes what was under way to it then.
     async fn take_unanswered(&mut self, end: ConnectionEnd) -> UnansweredBytes {
         let crossed = end.is_idle_close() && self.buffer.is_empty();
-        let is_hurried = end == ConnectionEnd::GaveWay && self.hold.is_closing_many();
+        // On one that was used a request may come at any time.
+        let is_hurried =
+            end == ConnectionEnd::GaveWay && !self.trace.is_used() && self.hold.is_closing_many();
         if crossed && !is_hurried {
             self.watch_crossing().await;
         }
--- a/crates/hold/src/ledger.rs
+++ b/crates/hold/src/ledger.rs
@@ -174,8 +174,8 @@
 
 /// What all callers make one process hold.
 ///
-/// Invariant: the bytes of a room never exceed its bound, but for one answer, by [`SMALL_ANSWER_BYTES`] and [`SPARE_BYTES`], and
-/// for what was held already when a bound was lowered.
+/// Invariant: the bytes of a room never exceed its bound, but for one answer, by [`SMALL_ANSWER_BYTES`] and
+/// [`SPARE_BYTES`], and for what was held already when a bound was lowered.
 pub struct HoldLedger {
     bounds: HoldBounds,
     holders: ItemArena<HolderFact>,
@@ -454,8 +454,8 @@
 const FRESH_TIME: TimeSpan = TimeSpan(50);
 
 /// Who gives way when there are too many connections, the lowest first: what was not used for a while, the oldest of it,
-/// then what rests longest, then what is being read or written with least progress. `None` if it has just been opened, waits
-/// for its answer, or closes.
+/// then what rests longest, then what is being read or written with least progress. `None` if it has just been opened,
+/// waits for its answer, or closes.
 fn close_rank(fact: &HolderFact, now: ClockTime) -> Option<(u8, u64)> {
     if fact.is_evicted {
         return None;
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -100,7 +100,8 @@
 }
 
 /// As [`serve_app`], with so many connections at most: beyond them, those give way on which nothing was ever sent, the
-/// oldest first, and then those that rest longest after an answer. If a request is under way on all, further ones wait in the queue of the socket.
+/// oldest first, and then those that rest longest after an answer. If a request is under way on all, further ones wait
+/// in the queue of the socket.
 ///
 /// # Errors
 /// The system's error if it cannot listen there.
