A body that is being read gives its place at the own interface

Cause: a connection counted as busy from a request's head on, so callers who announce a body and send nothing kept their places for as long as a body may take, 30 s; an ordinary caller waited in the queue. Change: while its body is read a connection gives way, after all that rest or were just opened, the oldest body first; nothing of it was passed on. From its last byte on it is busy, as before.

--- a/crates/edge/src/admit.rs
+++ b/crates/edge/src/admit.rs
@@ -13,6 +13,7 @@
 use oleander_kind::ident::format_uuid_v7;
 use oleander_kind::{AccountName, ClockTime, RequestId, ResultCode, TimeSpan};
 use oleander_limit::{AccountLimits, LimitVerdict};
+use oleander_serve::ReadingBody;
 use std::rc::Rc;
 
 /// A caller that may ask.
@@ -132,6 +133,7 @@
 ) -> Result<(Bytes, Rc<CallerHold>)> {
     let bounds = &node.settings.bounds;
     let refuse = |code| RefusalNote::new(code);
+    let _reading = ReadingBody::begin(request);
     let told: Option<usize> = header(request, "content-length").parse().ok();
     if told.is_some_and(|length| length > bounds.body_bytes) {
         discard(payload, 4 * bounds.body_bytes, DISCARD_LIMIT).await;
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -23,6 +23,8 @@
 
 mod places;
 
+pub use places::ReadingBody;
+
 /// Time until the next try to accept a connection after one failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How long an idle connection is kept.
@@ -100,7 +102,8 @@
 }
 
 /// As [`serve_app`], with so many connections at most: beyond them, those give way on which nothing was ever sent, the
-/// oldest first, and then those that rest longest after an answer. If a request is under way on all, further ones wait
+/// oldest first, and then those that rest longest after an answer, and at last those whose body is being read
+/// ([`ReadingBody`]). If a request is under way on all, further ones wait
 /// in the queue of the socket.
 ///
 /// # Errors
--- a/crates/serve/src/places.rs
+++ b/crates/serve/src/places.rs
@@ -4,6 +4,7 @@
 use actix_http::Request;
 use actix_http::body::BodySize;
 use actix_rt::net::TcpStream;
+use actix_web::HttpRequest;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -20,12 +21,14 @@
     Unused(Instant),
     /// It has rested since its last answer.
     Resting(Instant),
+    /// The body of a request has been read since then; nothing of it was passed on.
+    Reading(Instant),
     /// A request is being served, or its answer is a stream whose end is not known here.
     Busy,
 }
 
 /// One open connection.
-pub(crate) struct ConnectionFact {
+pub struct ConnectionFact {
     state: Cell<ConnectionUse>,
     leaves: Notify,
 }
@@ -44,12 +47,13 @@
     }
 
     /// Who leaves first, the lowest first: what was not used for a while, the oldest of it, then what rests longest, then
-    /// what has just been opened. `None` if a request is under way.
+    /// what has just been opened, then the body that has been read for longest. `None` if a request is under way.
     fn leave_rank(&self) -> Option<(u8, Instant)> {
         match self.state.get() {
             ConnectionUse::Unused(since) if since.elapsed() >= FRESH_TIME => Some((0, since)),
             ConnectionUse::Resting(since) => Some((1, since)),
             ConnectionUse::Unused(since) => Some((2, since)),
+            ConnectionUse::Reading(since) => Some((3, since)),
             ConnectionUse::Busy => None,
         }
     }
@@ -137,6 +141,29 @@
     }
 }
 
+/// The body of a request is being read, until this is dropped. Its connection gives way if all others are busy: a caller
+/// may send next to nothing for as long as a body may take.
+pub struct ReadingBody(Option<Rc<ConnectionFact>>);
+
+impl ReadingBody {
+    /// The body of `request` is read from now on.
+    pub fn begin(request: &HttpRequest) -> Self {
+        let fact = request.conn_data::<Rc<ConnectionFact>>().cloned();
+        if let Some(fact) = &fact {
+            fact.state.set(ConnectionUse::Reading(Instant::now()));
+        }
+        ReadingBody(fact)
+    }
+}
+
+impl Drop for ReadingBody {
+    fn drop(&mut self) {
+        if let Some(fact) = &self.0 {
+            fact.begin();
+        }
+    }
+}
+
 /// A request under way on its connection.
 pub(crate) struct BusyConnection(Option<Rc<ConnectionFact>>);
 
--- a/tests/all/crowd.rs
+++ b/tests/all/crowd.rs
@@ -228,6 +228,21 @@
     });
 }
 
+/// Guards against callers who announce bodies, send nothing, and hold all places of the own interface.
+#[test]
+fn announced_bodies_leave_places_at_the_own_interface() {
+    run(async {
+        let site = EntrySite::start().await;
+
+        let callers = site.send_bodies(150, (BODY_LIMIT, 0)).await;
+        sleep(STAY).await;
+
+        site.assert_bounded();
+        site.assert_answers_ordinary().await;
+        drop(callers);
+    });
+}
+
 /// Guards against bodies whose last byte never comes and that hold all room of the own interface.
 #[test]
 fn bodies_that_stop_before_their_end_leave_room_at_the_own_interface() {
