--- a/crates/edge/src/admit.rs
+++ b/crates/edge/src/admit.rs
@@ -99,6 +99,8 @@
     node.clock.now() + asked.map_or(most, |asked| asked.min(most))
 }
 
+/// Most bytes that are reserved for a body before it comes.
+const FIRST_BYTES: usize = 64 << 10;
 /// How long what a refused caller still sends is read and discarded.
 const DISCARD_LIMIT: TimeSpan = TimeSpan(10_000);
 /// The same of a caller whose body gave way: it made little progress, and may never send the rest.
@@ -170,8 +172,8 @@
     payload: &mut Payload,
     (told, most_bytes): (Option<usize>, usize),
 ) -> std::result::Result<Bytes, ResultCode> {
-    // The system gives memory to what is written, not to what is reserved.
-    let mut body = BytesMut::with_capacity(told.unwrap_or(0));
+    // No more is reserved by what is announced: it may be memory that an earlier body has left.
+    let mut body = BytesMut::with_capacity(told.unwrap_or(0).min(FIRST_BYTES));
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|_| ResultCode::BadBody)?;
         if body.len() + chunk.len() > most_bytes {
--- a/tests/all/crowd.rs
+++ b/tests/all/crowd.rs
@@ -243,6 +243,24 @@
     });
 }
 
+/// Guards against announced bodies that are given the memory of earlier ones, which no account counts any more.
+#[test]
+fn announced_bodies_do_not_keep_the_memory_of_earlier_ones() {
+    run(async {
+        let site = EntrySite::start().await;
+
+        let mut callers = Vec::new();
+        for _ in 0..3 {
+            callers.push(site.send_bodies(8, (BODY_LIMIT, BODY_LIMIT - 1)).await);
+            callers.push(site.send_bodies(8, (BODY_LIMIT, 1)).await);
+        }
+
+        site.assert_bounded();
+        site.assert_answers_ordinary().await;
+        drop(callers);
+    });
+}
+
 /// Guards against bodies whose last byte never comes and that hold all room of the own interface.
 #[test]
 fn bodies_that_stop_before_their_end_leave_room_at_the_own_interface() {
