Soak: an ended life does not write its entry over the later one's

When the store comes back from an older copy, the soak has endpoints write their entries again, and asked by name whether one still lives. An endpoint that had started again in between wrote the entry of its ended life over that of the later one. A process that started after this knew the ended life alone; the entry of the later one, which came with the request to leave, told it that the life at which its streams ran had ended, and it broke them off, as it has to. Ruled out: the end of the grace time (both other processes had stopped 1.2 and 1.6 s before), the end of the endpoint, the account of what callers hold.

--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -1,6 +1,9 @@
 //! A short soak test: real front processes with injected faults, checked by the observations of
 //! callers and endpoints. Longer ones are run by hand: docs/SOAK.md.
 
+use oleander_soak::endpoint::SoakEndpoint;
+use oleander_soak::rules::DOMAINS;
+use oleander_soak::world::SoakWorld;
 use oleander_soak::{SoakReport, SoakSettings, run_seed};
 use std::path::PathBuf;
 use std::time::Duration;
@@ -37,6 +40,23 @@
     std::fs::remove_dir_all(settings.folder).expect("the folder of the run");
 }
 
+/// Guards against an entry of an ended life in the place of the later one's, which processes that start then take for the
+/// life that serves.
+#[actix_rt::test]
+async fn an_endpoint_that_ended_does_not_enter_itself_over_its_later_life() {
+    let world = SoakWorld::new(1);
+    let ended = SoakEndpoint::start(&world, DOMAINS[0]).await.expect("an endpoint");
+    actix_rt::time::sleep(Duration::from_millis(2)).await;
+    ended.end(&world);
+    ended.start_again(&world).await.expect("its later life");
+    let later_entry = world.store.get("servers", &ended.name);
+
+    ended.enter_again(&world);
+
+    assert!(later_entry.is_some());
+    assert_eq!(world.store.get("servers", &ended.name), later_entry);
+}
+
 /// Guards against wrong results for callers, and against requests that stay unserved after the
 /// faults: processes are killed, paused and stopped, connections to them are cut and silenced, and
 /// the store is down.
