Whoever waits for room asks another one if the first was completed

Seen by reading: a request that finds its room full has the one with least progress give way, and waits until something is free. If that one was completed in the same moment it stays, as nothing complete gives way, and nobody told the one that waits: it waited until the answer of the other had ended, or anything else became free, while others that make no progress went on holding the room. An ordinary caller could wait so for an endpoint that takes seconds. Change: a holder that was told to give way and stays wakes those who wait, which then ask the next one. Result: the new test (hold::whoever_waits_asks_another_one_if_the_first_was_completed) fails before, nobody else is told within two seconds, and passes after; the other 17 tests of hold pass.

--- a/crates/hold/src/desk.rs
+++ b/crates/hold/src/desk.rs
@@ -138,14 +138,21 @@
     /// A request begins.
     pub fn begin(&self) {
         self.act(|ledger, now| ledger.begin(self.key, now));
-        self.signal.eviction.set(None);
+        self.stay();
     }
 
     /// The request is complete, so that it does not give way any more.
     pub fn complete(&self) {
         self.act(|ledger, now| ledger.complete(self.key, now));
         self.is_writing.set(false);
-        self.signal.eviction.set(None);
+        self.stay();
+    }
+
+    /// Whoever waits for what this connection holds has to ask another one, as it does not give way any more.
+    fn stay(&self) {
+        if self.signal.eviction.take().is_some() {
+            self.desk.freed.notify_waiters();
+        }
     }
 
     /// The answer is being written.
--- a/tests/all/hold.rs
+++ b/tests/all/hold.rs
@@ -2,15 +2,21 @@
 
 use arbtest::arbtest;
 use bytes::{Buf, Bytes};
+use oleandertack::board::NodeClock;
 use oleandertack::hold::bounds::{CONNECTION_BYTES, SMALL_ANSWER_BYTES, SMALL_BYTES, SPARE_BYTES};
 use oleandertack::hold::{
-    BodyBuffer, HoldBounds, HoldLedger, HoldRoom, HoldVerdict, HolderEviction, HolderKey,
-    HolderPhase,
+    BodyBuffer, CallerHold, HoldBounds, HoldDesk, HoldLedger, HoldRoom, HoldVerdict,
+    HolderEviction, HolderKey, HolderPhase,
 };
 use oleandertack::kind::{ClockTime, TimeSpan};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::timeout;
 
 const START: ClockTime = ClockTime(1_000_000);
 const KILOBYTE: usize = 1 << 10;
+/// How long a caller waits for what has to happen.
+const PATIENCE: Duration = Duration::from_secs(2);
 
 fn bounds() -> HoldBounds {
     HoldBounds {
@@ -345,3 +351,39 @@
         Ok(())
     });
 }
+
+/// A desk, and callers that hold so many bytes of requests, none of which is complete.
+async fn reading_callers(sent: &[usize]) -> (Rc<HoldDesk>, Vec<Rc<CallerHold>>) {
+    let desk = Rc::new(HoldDesk::new(bounds(), NodeClock::default()));
+    let mut callers = Vec::new();
+    for bytes in sent {
+        let caller = CallerHold::open(&desk);
+        caller.begin();
+        caller.note_moved(*bytes);
+        caller.claim_request(*bytes).await.expect("there is room");
+        callers.push(caller);
+    }
+    (desk, callers)
+}
+
+/// Guards against a request that waits for one which was completed when it was told to give way, and keeps its room until
+/// its answer has ended, while others could give way.
+#[actix_rt::test]
+async fn whoever_waits_asks_another_one_if_the_first_was_completed() {
+    let (desk, callers) = reading_callers(&[500 * KILOBYTE, 600 * KILOBYTE]).await;
+    let new = CallerHold::open(&desk);
+    new.begin();
+
+    let claiming = timeout(PATIENCE, new.claim_request(300 * KILOBYTE));
+    let giving_way = async {
+        let first = callers[0].until_evicted().await;
+        callers[0].complete();
+        let next = timeout(PATIENCE, callers[1].until_evicted()).await;
+        callers[1].leave();
+        (first, next)
+    };
+    let (claimed, (_, next)) = tokio::join!(claiming, giving_way);
+
+    assert!(next.is_ok(), "nobody else was told to give way");
+    assert_eq!(claimed.expect("an end"), Ok(()));
+}
