Raised bounds wake requests that wait for room

Seen by reading: an operator who raises memory_mb while requests wait for room changes the bounds, and those who wait learned of it when something became free, not before. Change: other bounds wake them. Result: the new test (hold::whoever_waits_goes_on_when_the_bounds_are_raised) fails before, the claim waits on for two seconds, and passes after.

--- a/crates/hold/src/desk.rs
+++ b/crates/hold/src/desk.rs
@@ -48,6 +48,7 @@
     /// Other bounds hold from now on.
     pub fn set_bounds(&self, bounds: HoldBounds) {
         self.ledger.borrow_mut().set_bounds(bounds);
+        self.freed.notify_waiters();
     }
 
     /// What is taken of a room, and its bound.
--- a/tests/all/hold.rs
+++ b/tests/all/hold.rs
@@ -387,3 +387,20 @@
     assert!(next.is_ok(), "nobody else was told to give way");
     assert_eq!(claimed.expect("an end"), Ok(()));
 }
+
+/// Guards against a request that waits on although a larger machine has room for it.
+#[actix_rt::test]
+async fn whoever_waits_goes_on_when_the_bounds_are_raised() {
+    let (desk, callers) = reading_callers(&[500 * KILOBYTE, 600 * KILOBYTE]).await;
+    let new = CallerHold::open(&desk);
+    new.begin();
+
+    let claiming = timeout(PATIENCE, new.claim_request(300 * KILOBYTE));
+    let raising = async {
+        callers[0].until_evicted().await;
+        desk.set_bounds(HoldBounds { large_bytes: 4096 * KILOBYTE, ..bounds() });
+    };
+    let (claimed, ()) = tokio::join!(claiming, raising);
+
+    assert_eq!(claimed.expect("an end"), Ok(()));
+}
