Test: a process that stops among a crowd keeps to its descriptors

Cause: nothing showed a planned stop in the middle of a crowd. By reading it was suspected that what waits in the accept queue is taken beyond the callers' share when the process stops. Change: a crowd test: 600 bodies that stop short before a process with 456 descriptors, an ordinary caller is answered, the process is asked to stop and its descriptors are counted each millisecond until it has ended.

--- a/tests/all/crowd.rs
+++ b/tests/all/crowd.rs
@@ -185,6 +185,23 @@
     });
 }
 
+/// Guards against a process that takes all callers at once that wait when it stops, and has no descriptors left for what
+/// it hands over.
+#[test]
+fn a_process_that_stops_among_a_crowd_leaves_descriptors_for_others() {
+    const DESCRIPTORS: usize = 456;
+    run(async {
+        let mut site = CrowdSite::start(Machine::small().with_descriptors(DESCRIPTORS)).await;
+        let callers = site.send(&Crowd::bodies(600, Spelling::Whole).of_length(1000)).await;
+        site.assert_answers_ordinary().await;
+
+        let most = site.stop_first().await;
+
+        assert!(most < DESCRIPTORS, "{most} of {DESCRIPTORS} descriptors");
+        drop(callers);
+    });
+}
+
 /// Guards against a crowd at one process that fills another, which serves what the first cannot.
 #[test]
 fn requests_that_are_relayed_do_not_fill_the_peer() {
--- a/tests/all/crowd_site.rs
+++ b/tests/all/crowd_site.rs
@@ -337,6 +337,23 @@
         self.until_ready().await;
     }
 
+    /// Asks the first process to stop, and waits until it has; returns the most descriptors that it had open meanwhile.
+    pub async fn stop_first(&mut self) -> usize {
+        let front = &mut self.fronts[0];
+        let id = front.child.id();
+        kill(Pid::from_raw(id as i32), Signal::SIGTERM).expect("it runs");
+        let mut most = 0;
+        let status = loop {
+            if let Some(status) = front.child.try_wait().expect("a child of ours") {
+                break status;
+            }
+            most = most.max(count_descriptors(id).unwrap_or(0));
+            sleep(Duration::from_millis(1)).await;
+        };
+        assert!(status.success(), "{status}");
+        most
+    }
+
     /// Lets a crowd connect to the first process and send.
     pub async fn send(&self, crowd: &Crowd) -> StayingCallers {
         let address = self.fronts[0].listen;
@@ -385,12 +402,16 @@
     let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
     let peak = peak.and_then(|text| text.trim().strip_suffix(" kB")).expect("it has not ended");
     let peak = peak.trim().parse::<usize>().expect("a number") * 1024;
-    let open = std::fs::read_dir(format!("/proc/{id}/fd")).expect("it lives").count();
+    let open = count_descriptors(id).expect("it lives");
     eprintln!("{name}: peak {peak} bytes of {memory_mb} MB, {open} of {descriptors} descriptors");
     assert!(peak <= memory_mb * 1_000_000, "{name}: peak {peak} bytes of {memory_mb} MB");
     assert!(open < descriptors, "{name}: {open} of {descriptors} descriptors");
 }
 
+fn count_descriptors(id: u32) -> std::io::Result<usize> {
+    Ok(std::fs::read_dir(format!("/proc/{id}/fd"))?.count())
+}
+
 async fn ask(address: SocketAddr, number: usize, length: usize) -> String {
     let mut stream = TcpStream::connect(address).await.expect("it listens");
     let announced = format!("Content-Length: {length}\r\n\r\n");
