Own interface: a caller that has just connected keeps its place, and a body that arrives too

What callers saw: 150 callers announce a body, send a byte and stay. An ordinary caller whose request comes 20 ms after it has connected gets no answer, its connection is closed, whenever it comes. Cause: as soon as all places were taken, one gave way, whether or not anybody waited, and what had just been opened went before bodies that are being read: the newest, whose request was on its way. Only a request that came with the connection was read in time. Where a body had to go it was the oldest, also one that arrives steadily. Change: one connection more than the places may be open while another gives way for it. First go those that sent nothing for a second, then those that rest longest, then who makes least progress. Nobody goes within 50 ms of connecting, and until a second is over a caller counts as having sent a short head. Ruled out: putting new connections last, as then 600 that send nothing would close bodies that arrive.

--- a/crates/edge/src/admit.rs
+++ b/crates/edge/src/admit.rs
@@ -135,7 +135,7 @@
 ) -> Result<(Bytes, Rc<CallerHold>)> {
     let bounds = &node.settings.bounds;
     let refuse = |code| RefusalNote::new(code);
-    let _reading = ReadingBody::begin(request);
+    let reading_body = ReadingBody::begin(request);
     let told: Option<usize> = header(request, "content-length").parse().ok();
     if told.is_some_and(|length| length > bounds.body_bytes) {
         discard(payload, 4 * bounds.body_bytes, DISCARD_LIMIT).await;
@@ -145,7 +145,7 @@
     hold.begin();
     let reading = tokio::select! {
         biased;
-        read = collect_body(&hold, &mut payload, (told, bounds.body_bytes)) => read,
+        read = collect_body((&hold, &reading_body), &mut payload, (told, bounds.body_bytes)) => read,
         _ = hold.until_evicted() => Err(ResultCode::MemoryFull),
         () = actix_rt::time::sleep(TimeSpan(bounds.body_ms).duration()) => Err(ResultCode::SlowBody),
     };
@@ -168,7 +168,7 @@
 }
 
 async fn collect_body(
-    hold: &CallerHold,
+    (hold, reading_body): (&CallerHold, &ReadingBody),
     payload: &mut Payload,
     (told, most_bytes): (Option<usize>, usize),
 ) -> std::result::Result<Bytes, ResultCode> {
@@ -180,6 +180,7 @@
             return Err(ResultCode::BodyTooLarge);
         }
         hold.note_moved(chunk.len());
+        reading_body.note_moved(chunk.len());
         let held = body.len() + chunk.len();
         hold.claim_request(held).await.map_err(|_| ResultCode::MemoryFull)?;
         body.extend_from_slice(&chunk);
--- a/crates/hold/src/bounds.rs
+++ b/crates/hold/src/bounds.rs
@@ -1,4 +1,6 @@
-//! The rooms of the account, sized by the machine.
+//! The rooms of the account, sized by the machine, and the times by which connections give way.
+
+use oleander_kind::TimeSpan;
 
 /// Bytes that an open connection of a caller takes while nothing is asked on it.
 pub const CONNECTION_BYTES: usize = 6 << 10;
@@ -16,6 +18,13 @@
 /// Bytes beyond its room that one answer may take, so that answers which wait for one another go on.
 pub const SPARE_BYTES: usize = 4 << 20;
 
+/// How long a caller that has connected keeps its place in any case: its request may be on its way.
+pub const FRESH_TIME: TimeSpan = TimeSpan(50);
+/// After so long a caller that has sent nothing is taken for one that will not.
+pub const SILENT_TIME: TimeSpan = TimeSpan(1000);
+/// Bytes that a caller counts as having sent until then: a short head, which may be on its way.
+pub const HEAD_BYTES: u64 = 500;
+
 /// How much callers may make a process hold.
 ///
 /// Of the memory a quarter is the process's own, for what it knows of endpoints, peers and accounts, and a sixteenth is
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -101,10 +101,9 @@
     serve_callers(address, app, usize::MAX).await
 }
 
-/// As [`serve_app`], with so many connections at most: beyond them, those give way on which nothing was ever sent, the
-/// oldest first, and then those that rest longest after an answer, and at last those whose body is being read
-/// ([`ReadingBody`]). If a request is under way on all, further ones wait
-/// in the queue of the socket.
+/// As [`serve_app`], with so many connections at most, and one more while another gives way for it: first those on which
+/// nothing was sent for a while, then those that rest longest after an answer, and at last those whose body makes least
+/// progress ([`ReadingBody`]). If a request is under way on all, further ones wait in the queue of the socket.
 ///
 /// # Errors
 /// The system's error if it cannot listen there.
@@ -155,7 +154,7 @@
         actix_rt::spawn(async move {
             let places = Rc::new(ConnectionPlaces::new(most_connections));
             loop {
-                places.until_free().await;
+                places.until_within().await;
                 let Ok((stream, _)) = listener.accept().await else {
                     // Most likely the process is out of descriptors. The caller waits in the queue of the socket.
                     actix_rt::time::sleep(ACCEPT_PAUSE).await;
--- a/crates/serve/src/places.rs
+++ b/crates/serve/src/places.rs
@@ -5,15 +5,13 @@
 use actix_http::body::BodySize;
 use actix_rt::net::TcpStream;
 use actix_web::HttpRequest;
+use oleander_hold::bounds::{FRESH_TIME, HEAD_BYTES, SILENT_TIME};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use tokio::sync::Notify;
 
-/// How long a caller that has connected may take to send its request.
-const FRESH_TIME: Duration = Duration::from_secs(1);
-
 /// What a connection does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ConnectionUse {
@@ -21,8 +19,8 @@
     Unused(Instant),
     /// It has rested since its last answer.
     Resting(Instant),
-    /// The body of a request has been read since then; nothing of it was passed on.
-    Reading(Instant),
+    /// The body of a request has been read since then, so many bytes; nothing of it was passed on.
+    Reading(Instant, u64),
     /// A request is being served, or its answer is a stream whose end is not known here.
     Busy,
 }
@@ -46,19 +44,48 @@
         }
     }
 
-    /// Who leaves first, the lowest first: what was not used for a while, the oldest of it, then what rests longest, then
-    /// what has just been opened, then the body that has been read for longest. `None` if a request is under way.
-    fn leave_rank(&self) -> Option<(u8, Instant)> {
+    /// Bytes of the body that is being read have come.
+    fn note_moved(&self, bytes: usize) {
+        if let ConnectionUse::Reading(since, moved) = self.state.get() {
+            self.state.set(ConnectionUse::Reading(since, moved + bytes as u64));
+        }
+    }
+
+    /// Who leaves first; `None` if a request is under way, or may be.
+    fn leave_rank(&self) -> Option<LeaveRank> {
         match self.state.get() {
-            ConnectionUse::Unused(since) if since.elapsed() >= FRESH_TIME => Some((0, since)),
-            ConnectionUse::Resting(since) => Some((1, since)),
-            ConnectionUse::Unused(since) => Some((2, since)),
-            ConnectionUse::Reading(since) => Some((3, since)),
-            ConnectionUse::Busy => None,
+            ConnectionUse::Unused(since) if since.elapsed() >= SILENT_TIME.duration() => {
+                Some(LeaveRank::Silent(since))
+            }
+            ConnectionUse::Unused(since) if since.elapsed() >= FRESH_TIME.duration() => {
+                Some(LeaveRank::progress(since, HEAD_BYTES))
+            }
+            ConnectionUse::Resting(since) => Some(LeaveRank::Resting(since)),
+            ConnectionUse::Reading(since, moved) => Some(LeaveRank::progress(since, moved)),
+            ConnectionUse::Unused(_) | ConnectionUse::Busy => None,
         }
     }
 }
 
+/// Who leaves first, the lowest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum LeaveRank {
+    /// What was not used for a while, the oldest first.
+    Silent(Instant),
+    /// What rests longest.
+    Resting(Instant),
+    /// What makes least progress, in bytes a second, and then the oldest.
+    Progress(u64, Instant),
+}
+
+impl LeaveRank {
+    /// The rank of a connection on which so many bytes have come since then.
+    fn progress(since: Instant, moved: u64) -> Self {
+        let elapsed_ms = since.elapsed().as_millis().max(1) as u64;
+        LeaveRank::Progress(moved.saturating_mul(1000) / elapsed_ms, since)
+    }
+}
+
 /// The connections of a site.
 pub(crate) struct ConnectionPlaces {
     most: usize,
@@ -77,11 +104,11 @@
         }
     }
 
-    /// Waits until another connection may be accepted, for which one without a request gives way.
-    pub(crate) async fn until_free(&self) {
+    /// Waits until no more connections are open than may be; until then one without a request gives way.
+    pub(crate) async fn until_within(&self) {
         loop {
             let freed = self.freed.notified();
-            if self.open.borrow().len() < self.most {
+            if self.open.borrow().len() <= self.most {
                 return;
             }
             if let Some(leaving) = self.first_to_leave() {
@@ -141,8 +168,8 @@
     }
 }
 
-/// The body of a request is being read, until this is dropped. Its connection gives way if all others are busy: a caller
-/// may send next to nothing for as long as a body may take.
+/// The body of a request is being read, until this is dropped. Its connection gives way where others make more progress:
+/// a caller may send next to nothing for as long as a body may take.
 pub struct ReadingBody(Option<Rc<ConnectionFact>>);
 
 impl ReadingBody {
@@ -150,10 +177,17 @@
     pub fn begin(request: &HttpRequest) -> Self {
         let fact = request.conn_data::<Rc<ConnectionFact>>().cloned();
         if let Some(fact) = &fact {
-            fact.state.set(ConnectionUse::Reading(Instant::now()));
+            fact.state.set(ConnectionUse::Reading(Instant::now(), 0));
         }
         ReadingBody(fact)
     }
+
+    /// Bytes of the body have come.
+    pub fn note_moved(&self, bytes: usize) {
+        if let Some(fact) = &self.0 {
+            fact.note_moved(bytes);
+        }
+    }
 }
 
 impl Drop for ReadingBody {
--- a/tests/all/crowd.rs
+++ b/tests/all/crowd.rs
@@ -11,6 +11,9 @@
 /// A crowd that stays open may be counted on for this long.
 const STAY: Duration = Duration::from_secs(2);
 
+/// How long the request of a caller is on its way after it has connected.
+const ROUND_TRIP: Duration = Duration::from_millis(20);
+
 fn run<F: Future>(test: F) -> F::Output {
     actix_rt::System::new().block_on(test)
 }
@@ -260,6 +263,38 @@
     });
 }
 
+/// Guards against a place that is taken from a caller whose request is on its way, for others who never send theirs.
+#[test]
+fn a_caller_that_has_just_connected_keeps_its_place_at_the_own_interface() {
+    run(async {
+        let site = EntrySite::start().await;
+        let callers = site.announce_in_turn(150).await;
+
+        let status = site.ask_after(ROUND_TRIP).await;
+
+        assert_eq!(status, Some(200));
+        drop(callers);
+    });
+}
+
+/// Guards against a body that arrives and gives way to callers who have only announced theirs.
+#[test]
+fn a_body_that_arrives_keeps_its_place_at_the_own_interface() {
+    run(async {
+        let site = EntrySite::start().await;
+        let arriving = site.send_steadily();
+        let crowding = async {
+            sleep(STAY / 8).await;
+            site.announce_in_turn(150).await
+        };
+
+        let (status, callers) = tokio::join!(arriving, crowding);
+
+        assert_eq!(status, Some(200));
+        drop(callers);
+    });
+}
+
 /// Guards against announced bodies that are given the memory of earlier ones, which no account counts any more.
 #[test]
 fn announced_bodies_do_not_keep_the_memory_of_earlier_ones() {
--- a/tests/all/crowd_entry.rs
+++ b/tests/all/crowd_entry.rs
@@ -1,6 +1,7 @@
 //! A real entry process, which serves the own interface, and the callers of its crowd tests.
 
 use crate::crowd_site::{StayingCallers, assert_process_bounded, own_address, write_zeros};
+use crate::front::read_answer;
 use oleandertack::rig::cluster::{CALLER_KEY, MODEL, operator};
 use oleandertack::rig::{Rig, RigSettings};
 use serde_json::json;
@@ -27,6 +28,33 @@
 /// How long an ordinary caller waits.
 const ORDINARY_TIME: Duration = Duration::from_secs(10);
 
+/// A body that arrives steadily: its bytes, in how many pieces it is sent, and the pause after each.
+const STEADY_BYTES: usize = 256 << 10;
+const STEADY_PIECES: usize = 64;
+const STEADY_PAUSE: Duration = Duration::from_millis(20);
+
+/// Between two callers who come one after another.
+const TURN_PAUSE: Duration = Duration::from_millis(5);
+
+/// The head of a request with a body of `length` bytes.
+fn chat_head(length: usize) -> String {
+    format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer {CALLER_KEY}\r\n\
+         Content-Type: application/json\r\nContent-Length: {length}\r\n\r\n"
+    )
+}
+
+async fn read_status(stream: &mut TcpStream) -> Option<u16> {
+    let answer = timeout(ORDINARY_TIME, read_answer(stream)).await.ok()?;
+    answer.text.get(9..12)?.parse().ok()
+}
+
+fn ordinary_body() -> serde_json::Value {
+    json!({
+        "model": MODEL, "max_tokens": 3, "messages": [{ "role": "user", "content": "soup" }],
+    })
+}
+
 /// An entry process among stand-ins.
 pub struct EntrySite {
     listen: SocketAddr,
@@ -84,10 +112,7 @@
         count: usize,
         (announced, sent): (usize, usize),
     ) -> StayingCallers {
-        let head = format!(
-            "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer {CALLER_KEY}\r\n\
-             Content-Type: application/json\r\nContent-Length: {announced}\r\n\r\n"
-        );
+        let head = chat_head(announced);
         let sending = (0..count).map(|_| async {
             let mut stream = TcpStream::connect(self.listen).await.ok()?;
             stream.write_all(head.as_bytes()).await.ok()?;
@@ -98,6 +123,39 @@
         StayingCallers::of(sending).await
     }
 
+    /// Lets `count` callers, one after another, announce the longest body, send a byte of it, and stay.
+    pub async fn announce_in_turn(&self, count: usize) -> Vec<StayingCallers> {
+        let mut callers = Vec::new();
+        for _ in 0..count {
+            callers.push(self.send_bodies(1, (BODY_LIMIT, 1)).await);
+            sleep(TURN_PAUSE).await;
+        }
+        callers
+    }
+
+    /// Sends an ordinary request with a body of [`STEADY_BYTES`] in [`STEADY_PIECES`] pieces, one after each
+    /// [`STEADY_PAUSE`]; returns the status of its answer, or none without an answer.
+    pub async fn send_steadily(&self) -> Option<u16> {
+        let mut body = ordinary_body().to_string();
+        body.push_str(&" ".repeat(STEADY_BYTES - body.len()));
+        let mut stream = TcpStream::connect(self.listen).await.ok()?;
+        stream.write_all(chat_head(STEADY_BYTES).as_bytes()).await.ok()?;
+        for piece in body.as_bytes().chunks(STEADY_BYTES / STEADY_PIECES) {
+            stream.write_all(piece).await.ok()?;
+            sleep(STEADY_PAUSE).await;
+        }
+        read_status(&mut stream).await
+    }
+
+    /// Connects, and sends an ordinary request `pause` later; returns the status of its answer, or none without one.
+    pub async fn ask_after(&self, pause: Duration) -> Option<u16> {
+        let mut stream = TcpStream::connect(self.listen).await.ok()?;
+        sleep(pause).await;
+        let body = ordinary_body().to_string();
+        stream.write_all((chat_head(body.len()) + &body).as_bytes()).await.ok()?;
+        read_status(&mut stream).await
+    }
+
     /// Lets `count` callers connect and stay.
     pub async fn send_nothing(&self, count: usize) -> StayingCallers {
         let connecting = (0..count).map(|_| async {
@@ -133,13 +191,10 @@
     /// The status of the answer to an ordinary request; none without an answer.
     async fn ask(&self) -> Option<u16> {
         let client = awc::Client::builder().timeout(ORDINARY_TIME).finish();
-        let body = json!({
-            "model": MODEL, "max_tokens": 3, "messages": [{ "role": "user", "content": "soup" }],
-        });
         let request = client
             .post(format!("http://{}/v1/chat/completions", self.listen))
             .insert_header(("authorization", format!("Bearer {CALLER_KEY}")));
-        let answer = request.send_json(&body).await.ok()?;
+        let answer = request.send_json(&ordinary_body()).await.ok()?;
         Some(answer.status().as_u16())
     }
 }
