A connection whose request may be on its way gives way after what stands still

What callers would see: while callers that sent a part of a request and stay fill the callers' share, an ordinary caller whose request takes more than 50 ms after it has connected loses its connection to the next one that connects, which may be as far away. Cause: a connection that was not used for 50 ms went before everything else. Change: it does so after a second. Until then it is judged by progress, as if it had sent a short head (500 bytes), so that callers who stopped, or drip, go before it and bodies that arrive go after it. Result: the new test (hold::a_connection_whose_request_may_be_on_its_way_gives_way_after_what_stands_still) fails before, the newcomer gives way, and passes after; all 20 tests of hold and all 27 crowd tests pass.

--- a/crates/hold/src/ledger.rs
+++ b/crates/hold/src/ledger.rs
@@ -1,8 +1,10 @@
 //! The account: who holds how much, who may hold more, and who gives way.
 
-use crate::bounds::{HoldBounds, SMALL_ANSWER_BYTES, SMALL_BYTES, SPARE_BYTES};
+use crate::bounds::{
+    FRESH_TIME, HEAD_BYTES, HoldBounds, SILENT_TIME, SMALL_ANSWER_BYTES, SMALL_BYTES, SPARE_BYTES,
+};
+use oleander_kind::ClockTime;
 use oleander_kind::arena::{ArenaKey, ItemArena};
-use oleander_kind::{ClockTime, TimeSpan};
 
 /// A holder in its ledger.
 pub type HolderKey = ArenaKey<HolderFact>;
@@ -128,7 +130,8 @@
 
     /// Bytes a second since its phase began. A byte now and then is no progress, whenever the last one came.
     fn progress(&self, now: ClockTime) -> u64 {
-        self.moved.saturating_mul(1000) / (now - self.since).0.max(1)
+        let moved = if self.phase == HolderPhase::Unused { HEAD_BYTES } else { self.moved };
+        moved.saturating_mul(1000) / (now - self.since).0.max(1)
     }
 
     /// Whether it was told to give way, or closes by itself.
@@ -259,7 +262,7 @@
         while self.holders.len() - self.closing > self.bounds.connections {
             let holders = self.holders.iter();
             let victim = holders
-                .filter_map(|(key, fact)| Some((close_rank(fact, now)?, key)))
+                .filter_map(|(key, fact)| Some((CloseRank::of(fact, now)?, key)))
                 .min_by_key(|(rank, _)| *rank);
             match victim {
                 Some((_, key)) => evictions.extend(self.evict(key, HoldRoom::Connections, now)),
@@ -450,20 +453,32 @@
     }
 }
 
-/// How long a caller that has connected may take to send its request: more than a round trip to most.
-const FRESH_TIME: TimeSpan = TimeSpan(50);
-
-/// Who gives way when there are too many connections, the lowest first: what was not used for a while, the oldest of it,
-/// then what rests longest, then what is being read or written with least progress. `None` if it has just been opened,
-/// waits for its answer, or closes.
-fn close_rank(fact: &HolderFact, now: ClockTime) -> Option<(u8, u64)> {
-    if fact.is_evicted {
-        return None;
-    }
-    match fact.phase {
-        HolderPhase::Unused if now - fact.since >= FRESH_TIME => Some((0, fact.since.0)),
-        HolderPhase::Resting => Some((1, fact.since.0)),
-        HolderPhase::Reading | HolderPhase::Writing => Some((2, fact.progress(now))),
-        HolderPhase::Unused | HolderPhase::Answering | HolderPhase::Leaving => None,
+/// Who gives way first when there are too many connections, the lowest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum CloseRank {
+    /// What was not used for a while, the oldest first.
+    Silent(ClockTime),
+    /// What rests longest.
+    Resting(ClockTime),
+    /// What makes least progress, in bytes a second, and then the oldest.
+    Progress(u64, ClockTime),
+}
+
+impl CloseRank {
+    /// The rank of a connection; `None` if it has just been opened, waits for its answer, or closes.
+    fn of(fact: &HolderFact, now: ClockTime) -> Option<Self> {
+        if fact.is_evicted {
+            return None;
+        }
+        let age = now - fact.since;
+        match fact.phase {
+            HolderPhase::Unused if age >= SILENT_TIME => Some(CloseRank::Silent(fact.since)),
+            HolderPhase::Unused if age < FRESH_TIME => None,
+            HolderPhase::Resting => Some(CloseRank::Resting(fact.since)),
+            HolderPhase::Unused | HolderPhase::Reading | HolderPhase::Writing => {
+                Some(CloseRank::Progress(fact.progress(now), fact.since))
+            }
+            HolderPhase::Answering | HolderPhase::Leaving => None,
+        }
     }
 }
--- a/tests/all/hold.rs
+++ b/tests/all/hold.rs
@@ -143,6 +143,24 @@
     assert_eq!(evicted(&resting), [keys[0]]);
 }
 
+/// Guards against ordinary callers far away, whose requests are on their way, that give way to one another while what a
+/// crowd has begun stands still.
+#[test]
+fn a_connection_whose_request_may_be_on_its_way_gives_way_after_what_stands_still() {
+    let mut ledger = HoldLedger::new(bounds());
+    let crowd: Vec<_> = (0..3).map(|number| ledger.open(at(number)).0).collect();
+    for (key, bytes) in crowd.iter().zip([200, 300, 1_000_000]) {
+        ledger.begin(*key, at(5));
+        ledger.note_moved(*key, bytes);
+    }
+    let (_, none) = ledger.open(at(9900));
+
+    let (_, evictions) = ledger.open(at(10_000));
+
+    assert_eq!(evicted(&none), []);
+    assert_eq!(evicted(&evictions), [crowd[0]]);
+}
+
 /// Guards against cutting a request that waits for its answer.
 #[test]
 fn a_connection_that_waits_for_its_answer_does_not_give_way_to_a_new_one() {
